--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Front door of the project: every target builds .venv from the lock first.
+PY := .venv/bin/python
+SEED ?= 1
+DURATION ?= 60
+
+.PHONY: demo test lint format soak bench capacity clean
+
+.venv/.ready: requirements.lock pyproject.toml
+	python3 -m venv .venv
+	$(PY) -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(PY) -m pip install --quiet --disable-pip-version-check --no-deps \
+		--no-build-isolation -e . || \
+	$(PY) -m pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $@
+
+demo: .venv/.ready
+	bash scripts/demo.sh
+
+test: .venv/.ready
+	$(PY) -m pytest
+
+lint: .venv/.ready
+	.venv/bin/ruff check .
+	.venv/bin/ruff format --check .
+
+format: .venv/.ready
+	.venv/bin/ruff check --fix .
+	.venv/bin/ruff format .
+
+soak: .venv/.ready
+	$(PY) -m medlarrail.testing.soak --seed $(SEED) --duration $(DURATION)
+
+bench: .venv/.ready
+	.venv/bin/medlar-standin bench --seed $(SEED)
+
+clean:
+	rm -rf .venv run .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/medlarrail/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions between processes: log, leases, permits and routing."""
--- /dev/null
+++ b/medlarrail/coordination/replication_test.py
@@ -0,0 +1,211 @@
+"""Tests of the replicated log on an in-memory network."""
+
+import shutil
+
+import pytest
+import trio
+
+from medlarrail.coordination.bootstrap import bootstrap_cluster
+from medlarrail.core.entities import Contract, MemberInfo
+from medlarrail.core.errors import (
+    AlreadyBootstrapped,
+    CommitUnknown,
+    MedlarError,
+    MemberMismatch,
+    NotLeader,
+    RevisionConflict,
+)
+from medlarrail.core.timing import ELECTION_TIMEOUT_MAX_S
+from medlarrail.protocol.replication import VOTE_PATH, VoteAnswer, VoteRequest
+from medlarrail.state.operations import Envelope, SetContract
+from medlarrail.testing.cluster import Cluster
+
+NAMES = ("leith", "perth", "tay")
+
+
+def build_change(number: int) -> SetContract:
+    return SetContract(Contract(f"account-{number}"))
+
+
+@pytest.fixture
+async def cluster(tmp_path, nursery):
+    cluster = Cluster(tmp_path, nursery)
+    await cluster.bootstrap(*NAMES)
+    return cluster
+
+
+def list_accounts(member) -> set[str]:
+    return set(member.catalogue.contracts)
+
+
+class TestReplication:
+    async def test_a_change_reaches_every_member(self, cluster, autojump_clock):
+        await cluster.propose(build_change(1))
+        await cluster.wait_all_applied()
+        for member in cluster.get_members():
+            assert list_accounts(member) == {"account-1"}
+
+    async def test_changes_survive_the_loss_of_the_leader(
+        self, cluster, autojump_clock
+    ):
+        await cluster.propose(build_change(1))
+        cluster.kill((await cluster.wait_leader()).name)
+        await cluster.propose(build_change(2))
+        leader = await cluster.wait_leader()
+        assert list_accounts(leader) == {"account-1", "account-2"}
+
+    async def test_a_member_without_quorum_accepts_nothing(
+        self, cluster, autojump_clock
+    ):
+        leader = await cluster.wait_leader()
+        for name in NAMES:
+            if name != leader.name:
+                cluster.kill(name)
+        with pytest.raises(MedlarError) as caught:
+            await leader.propose(Envelope(build_change(1)))
+        assert isinstance(caught.value, CommitUnknown)
+        await trio.sleep(3 * ELECTION_TIMEOUT_MAX_S)
+        with pytest.raises(NotLeader):
+            await leader.propose(Envelope(build_change(2)))
+
+    async def test_a_restart_after_hundreds_of_changes_catches_up(
+        self, cluster, autojump_clock
+    ):
+        await cluster.propose(build_change(0))
+        follower = next(one for one in NAMES if one != cluster.find_leader().name)
+        cluster.kill(follower)
+        for number in range(1, 400):
+            await cluster.propose(build_change(number))
+        member = await cluster.start(follower)
+        await cluster.wait_all_applied()
+        assert len(list_accounts(member)) == 400
+
+    async def test_an_old_leader_behind_a_cut_loses_its_lease_first(
+        self, cluster, autojump_clock
+    ):
+        old = await cluster.wait_leader()
+        cluster.network.isolate(old.url)
+        with trio.fail_after(10):
+            while True:
+                leaders = [one for one in cluster.get_members() if one.has_lease()]
+                assert len(leaders) <= 1
+                if leaders and leaders[0] is not old:
+                    break
+                await trio.sleep(0.01)
+        cluster.network.heal()
+        await cluster.propose(build_change(1))
+        await cluster.wait_all_applied()
+        assert list_accounts(old) == {"account-1"}
+
+    async def test_a_leader_with_a_full_disk_hands_over(self, cluster, autojump_clock):
+        leader = await cluster.wait_leader()
+        folder = leader.journal.folder
+        folder.quota_bytes = folder.get_size() + 10
+        await cluster.propose(build_change(1), "c1")
+        assert leader.storage_error
+        assert (await cluster.wait_leader()) is not leader
+        folder.quota_bytes = 0
+        await cluster.wait_all_applied()
+        assert list_accounts(leader) == {"account-1"}
+        assert not leader.storage_error
+
+
+class TestSnapshots:
+    @pytest.fixture
+    async def cluster(self, tmp_path, nursery):
+        cluster = Cluster(tmp_path, nursery, snapshot_every=50)
+        await cluster.bootstrap(*NAMES)
+        return cluster
+
+    async def test_a_member_far_behind_gets_a_snapshot(self, cluster, autojump_clock):
+        leader = await cluster.wait_leader()
+        follower = next(one for one in NAMES if one != leader.name)
+        cluster.kill(follower)
+        for number in range(200):
+            await cluster.propose(build_change(number))
+        member = await cluster.start(follower)
+        await cluster.wait_all_applied()
+        assert len(list_accounts(member)) == 200
+        assert member.journal.first_index > 100
+
+    async def test_a_restart_from_a_snapshot_keeps_everything(
+        self, cluster, autojump_clock
+    ):
+        for number in range(130):
+            await cluster.propose(build_change(number), f"command-{number}")
+        await cluster.wait_all_applied()
+        for name in NAMES:
+            cluster.kill(name)
+        for name in NAMES:
+            await cluster.start(name)
+        again = await cluster.propose(build_change(5), "command-5")
+        leader = await cluster.wait_leader()
+        assert len(list_accounts(leader)) == 130
+        assert again.index < 20
+
+
+class TestCommands:
+    async def test_a_resent_command_gets_its_first_outcome(
+        self, cluster, autojump_clock
+    ):
+        first = await cluster.propose(build_change(1), "c1")
+        again = await cluster.propose(build_change(1), "c1")
+        assert again == first
+
+    async def test_of_two_under_equal_numbers_one_wins(self, cluster, autojump_clock):
+        first = await cluster.propose(build_change(1), "c1", seen=0)
+        with pytest.raises(RevisionConflict) as caught:
+            await cluster.propose(build_change(1), "c2", seen=0)
+        assert caught.value.present == first.revision
+
+
+class TestLostDisk:
+    async def lose_disk(self, cluster, name):
+        cluster.kill(name)
+        shutil.rmtree(cluster.path / name)
+        return await cluster.start(name)
+
+    async def test_a_wiped_member_does_not_vote_as_its_old_self(
+        self, cluster, autojump_clock
+    ):
+        leader = await cluster.wait_leader()
+        name = next(one for one in NAMES if one != leader.name)
+        old = cluster.hosts[name].member.identity
+        member = await self.lose_disk(cluster, name)
+        request = VoteRequest(old, leader.identity, 99, 99, 99, only_probe=False)
+        with pytest.raises(MemberMismatch):
+            await leader.peers.call(member.url, VOTE_PATH, request, VoteAnswer, 1)
+        await trio.sleep(3 * ELECTION_TIMEOUT_MAX_S)
+        assert member.leadership is None and member.term == 0
+
+    async def test_a_second_bootstrap_is_refused(self, cluster, autojump_clock):
+        await self.lose_disk(cluster, "tay")
+        urls = tuple(cluster.get_url(name) for name in NAMES)
+        with pytest.raises(AlreadyBootstrapped):
+            await bootstrap_cluster(cluster.network.connect("mem://operator"), urls)
+
+    async def test_a_second_loss_right_after_a_repair_loses_nothing(
+        self, cluster, autojump_clock
+    ):
+        for number in range(20):
+            await cluster.propose(build_change(number))
+        leader = await cluster.wait_leader()
+        first, second = [one for one in NAMES if one != leader.name]
+        lost = cluster.hosts[first].member.info
+        repaired = await self.lose_disk(cluster, first)
+        await replace_member(leader, lost, repaired)
+        await self.lose_disk(cluster, second)
+        cluster.kill(leader.name)
+        await cluster.start(leader.name)
+        await cluster.propose(build_change(20))
+        await cluster.wait_all_applied()
+        assert len(list_accounts(repaired)) == 21
+
+
+async def replace_member(leader, lost: MemberInfo, repaired) -> None:
+    learner = MemberInfo(repaired.identity, lost.name, lost.url, voter=False)
+    await leader.change_member(learner)
+    assert await leader.wait_caught_up(repaired.identity, 10)
+    voter = MemberInfo(repaired.identity, lost.name, lost.url)
+    await leader.change_member(voter)
+    await leader.change_member(lost, remove=True)
--- /dev/null
+++ b/medlarrail/core/codec.py
@@ -0,0 +1,164 @@
+"""Turns attrs classes into JSON and back, with faults that carry their place.
+
+Parsing is strict about types and, for settings, about unknown fields; messages
+between processes ignore fields that they do not know, so that versions can be
+mixed during an upgrade.
+"""
+
+from typing import Any, TypeVar
+
+import cattrs
+import orjson
+from attrs import fields
+from cattrs.preconf.orjson import make_converter
+
+from medlarrail.core.entities import Fault
+from medlarrail.core.errors import (
+    BadField,
+    BadJson,
+    MedlarError,
+    SettingsInvalid,
+    get_error_types,
+)
+
+T = TypeVar("T")
+SCALARS = (str, int, float, bool)
+
+
+def _structure_scalar(value: Any, kind: type) -> Any:
+    """Accept only a JSON value of the wanted type; a whole number is a float."""
+    if kind is float and type(value) is int:
+        return float(value)
+    if type(value) is not kind:
+        raise TypeError(f"expected {kind.__name__}, not {type(value).__name__}")
+    return value
+
+
+def _make_converter(forbid_extra_keys: bool):
+    converter = make_converter(forbid_extra_keys=forbid_extra_keys)
+    for kind in SCALARS:
+        converter.register_structure_hook(kind, _structure_scalar)
+    return converter
+
+
+_MESSAGES = _make_converter(forbid_extra_keys=False)
+_SETTINGS = _make_converter(forbid_extra_keys=True)
+
+
+def encode(value: Any) -> bytes:
+    """Return ``value``, an attrs object, as JSON."""
+    return orjson.dumps(_MESSAGES.unstructure(value))
+
+
+def to_plain(value: Any) -> Any:
+    """Return ``value`` as the mappings and lists that JSON has."""
+    return _MESSAGES.unstructure(value)
+
+
+def from_plain(plain: Any, kind: type[T]) -> T:
+    """Return the ``kind`` that ``plain`` describes; raises ``BadField``."""
+    try:
+        return _MESSAGES.structure(plain, kind)
+    except Exception as error:
+        fault = next(iterate_faults(error))
+        raise BadField(place=fault.place, problem=fault.problem) from error
+
+
+def parse_json(data: bytes) -> Any:
+    """Return the plain value of JSON text; raises ``BadJson``."""
+    try:
+        return orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        raise BadJson(problem=str(error)) from error
+
+
+def decode(data: bytes, kind: type[T]) -> T:
+    """Return the ``kind`` in JSON text; raises ``BadJson`` or ``BadField``."""
+    return from_plain(parse_json(data), kind)
+
+
+def decode_settings(data: bytes, kind: type[T]) -> T:
+    """Return settings; raises ``SettingsInvalid`` with every fault at once."""
+    try:
+        plain = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        raise SettingsInvalid(faults=(Fault("$", str(error)),)) from error
+    try:
+        return _SETTINGS.structure(plain, kind)
+    except Exception as error:
+        raise SettingsInvalid(faults=tuple(iterate_faults(error))) from error
+
+
+def iterate_faults(error: BaseException, place: str = "$"):
+    """Yield a ``Fault`` for each leaf of an error raised by a converter."""
+    if isinstance(error, cattrs.errors.ForbiddenExtraKeysError):
+        for name in sorted(error.extra_fields):
+            yield Fault(f"{place}.{name}", "unknown field")
+    elif isinstance(error, cattrs.errors.ClassValidationError):
+        yield from _iterate_group(error, place, cattrs.AttributeValidationNote)
+    elif isinstance(error, cattrs.errors.IterableValidationError):
+        yield from _iterate_group(error, place, cattrs.IterableValidationNote)
+    elif isinstance(error, KeyError):
+        yield Fault(f"{place}.{error.args[0]}", "field is missing")
+    else:
+        yield Fault(place, str(error) or type(error).__name__)
+
+
+def _iterate_group(group: BaseExceptionGroup, place: str, note_type: type):
+    for child in group.exceptions:
+        yield from iterate_faults(child, place + _get_step(child, note_type))
+
+
+def _get_step(error: BaseException, note_type: type) -> str:
+    """Return the step from a container to the part that ``error`` is about."""
+    if isinstance(error, KeyError):
+        return ""
+    for note in getattr(error, "__notes__", ()):
+        if isinstance(note, note_type):
+            if isinstance(note, cattrs.AttributeValidationNote):
+                return f".{note.name}"
+            return f"[{note.index}]"
+    return ""
+
+
+def encode_error(error: MedlarError) -> bytes:
+    """Return the JSON body that stands for ``error`` on the wire."""
+    data = {field.name: getattr(error, field.name) for field in fields(type(error))}
+    body = {
+        "type": type(error).__name__,
+        "reason": str(error),
+        "run": type(error).run,
+        "data": _MESSAGES.unstructure(data),
+    }
+    return orjson.dumps({"error": body})
+
+
+def decode_error(data: bytes) -> MedlarError | None:
+    """Return the typed error in a JSON body, or None where there is none."""
+    try:
+        body = orjson.loads(data)["error"]
+        kind = get_error_types()[body["type"]]
+        return kind(**body.get("data", {}))
+    except (orjson.JSONDecodeError, KeyError, TypeError):
+        return None
+
+
+def register_tagged(base: type) -> None:
+    """Let fields of type ``base`` hold any subclass, tagged with its name.
+
+    Call it once all subclasses are defined.
+    """
+    kinds = {kind.__name__: kind for kind in base.__subclasses__()}
+
+    def unstructure(value):
+        return {"kind": type(value).__name__, **_MESSAGES.unstructure(value)}
+
+    def structure(plain, _):
+        data = dict(plain)
+        name = data.pop("kind", None)
+        if name not in kinds:
+            raise TypeError(f"unknown kind {name!r} of {base.__name__}")
+        return _MESSAGES.structure(data, kinds[name])
+
+    _MESSAGES.register_unstructure_hook_func(lambda kind: kind is base, unstructure)
+    _MESSAGES.register_structure_hook_func(lambda kind: kind is base, structure)
--- /dev/null
+++ b/medlarrail/core/errors.py
@@ -0,0 +1,494 @@
+"""The tree of errors that every part of the system raises.
+
+Each failure is a type. Its attributes are its data, and its class attributes
+tell a caller how to react: the HTTP ``status``, whether the request ``run`` at
+a back end (``"no"``, ``"yes"`` or ``"unknown"``) and, where coming back helps,
+``retry_after_s``.
+
+Example: ``raise Overloaded(endpoint="engine-1", retry_after_s=0.4)``.
+"""
+
+from typing import ClassVar, Literal
+
+from attrs import define, fields
+
+Run = Literal["no", "yes", "unknown"]
+
+
+@define(slots=False)
+class MedlarError(Exception):
+    """Root of the tree."""
+
+    status: ClassVar[int] = 500
+    run: ClassVar[Run] = "no"
+
+    def __str__(self) -> str:
+        data = ", ".join(
+            f"{field.name}={getattr(self, field.name)!r}"
+            for field in fields(type(self))
+        )
+        summary = (type(self).__doc__ or type(self).__name__).strip().splitlines()[0]
+        return f"{summary} ({data})" if data else summary
+
+
+# Errors of callers and operators: the request itself has to change.
+
+
+@define(slots=False)
+class CallerError(MedlarError):
+    """The request cannot be served as it stands."""
+
+    status = 400
+
+
+@define(slots=False)
+class BadJson(CallerError):
+    """The body is not valid JSON."""
+
+    problem: str = ""
+
+
+@define(slots=False)
+class BadField(CallerError):
+    """A field is missing or has a wrong value."""
+
+    place: str = ""
+    problem: str = ""
+
+
+@define(slots=False)
+class WrongKey(CallerError):
+    """The key is missing or not known."""
+
+    status = 401
+
+
+@define(slots=False)
+class NotAllowed(CallerError):
+    """The contract does not allow this."""
+
+    status = 403
+    what: str = ""
+
+
+@define(slots=False)
+class UnknownRoute(CallerError):
+    """No such path."""
+
+    status = 404
+    path: str = ""
+
+
+@define(slots=False)
+class UnknownModel(CallerError):
+    """No endpoint serves this model."""
+
+    status = 404
+    model: str = ""
+
+
+@define(slots=False)
+class UnknownService(CallerError):
+    """No endpoint serves this service."""
+
+    status = 404
+    service: str = ""
+
+
+@define(slots=False)
+class NotFound(CallerError):
+    """The named object does not exist."""
+
+    status = 404
+    kind: str = ""
+    name: str = ""
+
+
+@define(slots=False)
+class OverLongBody(CallerError):
+    """The body is longer than the limit."""
+
+    status = 413
+    limit_bytes: int = 0
+
+
+@define(slots=False)
+class SlowSender(CallerError):
+    """The body did not arrive within the limit."""
+
+    status = 408
+    limit_s: float = 0.0
+
+
+@define(slots=False)
+class IdempotencyKeyMissing(CallerError):
+    """A call that may not be repeated needs an Idempotency-Key header."""
+
+    status = 400
+
+
+@define(slots=False)
+class IdempotencyKeyReused(CallerError):
+    """This Idempotency-Key was used before with another request."""
+
+    status = 422
+
+
+# Refusals: the request did not run, and coming back later may help.
+
+
+@define(slots=False)
+class Refusal(MedlarError):
+    """The request was refused and did not run."""
+
+    status = 503
+    retry_after_s: float = 1.0
+
+
+@define(slots=False)
+class Overloaded(Refusal):
+    """The queue before the endpoint is longer than the request can wait."""
+
+    status = 429
+    endpoint: str = ""
+
+
+@define(slots=False)
+class EndpointColdStart(Refusal):
+    """The endpoint is in cold start and bears no more now."""
+
+    endpoint: str = ""
+
+
+@define(slots=False)
+class ContractLimit(Refusal):
+    """The contract's limit of running requests is reached."""
+
+    status = 429
+    account: str = ""
+
+
+@define(slots=False)
+class NoEndpoint(Refusal):
+    """No endpoint in service can take the request now."""
+
+    target: str = ""
+
+
+@define(slots=False)
+class EndpointOutOfService(Refusal):
+    """The endpoint or its data centre is out of service."""
+
+    endpoint: str = ""
+
+
+@define(slots=False)
+class OwnershipUnsettled(Refusal):
+    """The endpoint's new owner is still taking over."""
+
+    endpoint: str = ""
+
+
+@define(slots=False)
+class NotOwner(Refusal):
+    """Another entry owns the endpoint."""
+
+    endpoint: str = ""
+
+
+@define(slots=False)
+class SessionExpired(Refusal):
+    """This entry holds no session lease; another entry can serve."""
+
+    entry: str = ""
+
+
+@define(slots=False)
+class PermitExpired(Refusal):
+    """The permit ran out before the dispatch."""
+
+    permit: str = ""
+
+
+@define(slots=False)
+class Draining(Refusal):
+    """This process is shutting down; another entry can serve."""
+
+
+@define(slots=False)
+class TooManyConnections(Refusal):
+    """The process serves as many requests as its settings allow."""
+
+    limit: int = 0
+
+
+@define(slots=False)
+class DeadlineExceeded(Refusal):
+    """The deadline passed before the request was dispatched."""
+
+    status = 504
+    retry_after_s: float = 0.0
+
+
+@define(slots=False)
+class EndpointRefused(Refusal):
+    """The endpoint refused the request before running it."""
+
+    endpoint: str = ""
+    reason: str = ""
+
+
+@define(slots=False)
+class EndpointUnreachable(Refusal):
+    """No connection to the endpoint could be made, so nothing was sent."""
+
+    endpoint: str = ""
+
+
+@define(slots=False)
+class LedgerUnavailable(Refusal):
+    """The at-most-once ledger cannot be reached; nothing was dispatched."""
+
+
+# Failures after a dispatch: the request may have run.
+
+
+@define(slots=False)
+class RunFailure(MedlarError):
+    """The request was dispatched and its answer was not whole."""
+
+    status = 502
+    run = "unknown"
+    endpoint: str = ""
+
+
+@define(slots=False)
+class StreamBroken(RunFailure):
+    """The connection broke before the answer was whole."""
+
+    tokens: int = 0
+
+
+@define(slots=False)
+class StreamSilent(RunFailure):
+    """The endpoint sent nothing for longer than the limit."""
+
+    status = 504
+    limit_s: float = 0.0
+    tokens: int = 0
+
+
+@define(slots=False)
+class AnswerTruncated(RunFailure):
+    """The answer ended without its terminator or with missing tokens."""
+
+    tokens: int = 0
+
+
+@define(slots=False)
+class AnswerCrossed(RunFailure):
+    """The endpoint answered another request."""
+
+    expected: str = ""
+    received: str = ""
+
+
+@define(slots=False)
+class RunDeadlineExceeded(RunFailure):
+    """The deadline passed while the request ran."""
+
+    status = 504
+
+
+@define(slots=False)
+class OutcomeUnknown(RunFailure):
+    """A call that may not be repeated was dispatched and its outcome is unknown."""
+
+    status = 409
+
+
+@define(slots=False)
+class RetryBudgetSpent(RunFailure):
+    """The contract's retry budget is spent."""
+
+    status = 503
+
+
+# Errors between the system's own processes.
+
+
+@define(slots=False)
+class PeerError(MedlarError):
+    """A call between two processes failed."""
+
+    status = 502
+    url: str = ""
+
+
+@define(slots=False)
+class PeerUnreachable(PeerError):
+    """The connection could not be made, so nothing was sent."""
+
+
+@define(slots=False)
+class PeerTimeout(PeerError):
+    """The peer did not answer in time."""
+
+    run = "unknown"
+
+
+@define(slots=False)
+class PeerBroken(PeerError):
+    """The connection broke before the answer was whole."""
+
+    run = "unknown"
+
+
+@define(slots=False)
+class ControlError(MedlarError):
+    """The control plane cannot serve the call now."""
+
+    status = 503
+
+
+@define(slots=False)
+class NotLeader(ControlError):
+    """Another state member leads, or none does."""
+
+    leader_url: str = ""
+
+
+@define(slots=False)
+class CommitUnknown(ControlError):
+    """The change may or may not be accepted: ask again with the same command id."""
+
+    run = "unknown"
+
+
+@define(slots=False)
+class NotBootstrapped(ControlError):
+    """The state member belongs to no cluster yet."""
+
+
+@define(slots=False)
+class AlreadyBootstrapped(ControlError):
+    """A state member belongs to a cluster already."""
+
+    status = 409
+    member: str = ""
+
+
+@define(slots=False)
+class MemberMismatch(ControlError):
+    """The call was meant for another identity of this member."""
+
+    status = 409
+    expected: str = ""
+    actual: str = ""
+
+
+@define(slots=False)
+class MembershipChangePending(ControlError):
+    """An earlier change of members is not yet committed."""
+
+    status = 409
+
+
+@define(slots=False)
+class RevisionConflict(ControlError):
+    """The object was changed since the revision that the command saw."""
+
+    status = 409
+    seen: int = 0
+    present: int = 0
+
+
+@define(slots=False)
+class SessionClosed(ControlError):
+    """The session is closed; a new one has to be opened."""
+
+    status = 409
+    entry: str = ""
+
+
+@define(slots=False)
+class LoadLimit(ControlError):
+    """As many weight loads run as the settings allow, or the floor is reached."""
+
+    status = 409
+
+
+@define(slots=False)
+class StorageError(MedlarError):
+    """Local storage failed."""
+
+    status = 507
+
+
+@define(slots=False)
+class StorageFull(StorageError):
+    """The disk or the quota is full."""
+
+    path: str = ""
+
+
+@define(slots=False)
+class StorageDamaged(StorageError):
+    """Durable state is damaged elsewhere than at its torn tail."""
+
+    path: str = ""
+    offset: int = 0
+
+
+@define(slots=False)
+class BlockError(StorageError):
+    """A block of cached context cannot be served."""
+
+    status = 410
+    key: str = ""
+
+
+@define(slots=False)
+class BlockFreed(BlockError):
+    """The block was freed or never committed."""
+
+
+@define(slots=False)
+class BlockCorrupt(BlockError):
+    """The block does not match its checksum."""
+
+
+@define(slots=False)
+class FencedOff(MedlarError):
+    """The order carries an older fencing number than one seen before."""
+
+    status = 409
+    seen: int = 0
+
+
+@define(slots=False)
+class SettingsInvalid(MedlarError):
+    """The settings file has faults."""
+
+    status = 400
+    faults: tuple = ()
+
+
+@define(slots=False)
+class InvariantViolation(MedlarError):
+    """The program found one of its invariants broken."""
+
+    invariant: str = ""
+    detail: str = ""
+
+
+def iterate_error_types(root: type[MedlarError] = MedlarError):
+    """Yield every error type of the tree, the root first."""
+    yield root
+    for child in root.__subclasses__():
+        yield from iterate_error_types(child)
+
+
+def get_error_types() -> dict[str, type[MedlarError]]:
+    """Return the error types by their name on the wire."""
+    return {kind.__name__: kind for kind in iterate_error_types()}
--- /dev/null
+++ b/medlarrail/core/metrics.py
@@ -0,0 +1,143 @@
+"""Counters and latency histograms of one process.
+
+Counters are named with labels; latencies go into high dynamic range
+histograms in microseconds. ``format_prometheus`` gives both in the text format
+that Prometheus reads.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from attrs import define, field, frozen
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, SummaryMetricFamily
+
+MICROSECONDS = 1_000_000
+HIGHEST_US = 3_600 * MICROSECONDS
+SIGNIFICANT_DIGITS = 2
+PERCENTILES = (50.0, 95.0, 99.0)
+
+
+@frozen
+class Sample:
+    """The value of one counter with one set of labels."""
+
+    name: str
+    labels: tuple[tuple[str, str], ...]
+    value: int
+
+
+@define
+class Metrics:
+    """The counters and histograms of this process."""
+
+    _counters: Counter = field(factory=Counter)
+    _histograms: dict[str, HdrHistogram] = field(factory=dict)
+
+    def count(self, name: str, amount: int = 1, **labels: str) -> None:
+        """Add ``amount`` to the counter ``name`` with ``labels``."""
+        self._counters[name, tuple(sorted(labels.items()))] += amount
+
+    def get_count(self, name: str, **labels: str) -> int:
+        """Return the counter summed over all label sets that hold ``labels``."""
+        wanted = set(labels.items())
+        return sum(
+            sample.value
+            for sample in self.iterate_samples()
+            if sample.name == name and wanted <= set(sample.labels)
+        )
+
+    def iterate_samples(self) -> Iterator[Sample]:
+        """Yield every counter, sorted by name and labels."""
+        for (name, labels), value in sorted(self._counters.items()):
+            yield Sample(name, labels, value)
+
+    def observe(self, name: str, seconds: float) -> None:
+        """Record a latency of ``seconds`` in the histogram ``name``."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(1, HIGHEST_US, SIGNIFICANT_DIGITS)
+            self._histograms[name] = histogram
+        histogram.record_value(max(1, int(seconds * MICROSECONDS)))
+
+    def get_percentile(self, name: str, percentile: float) -> float:
+        """Return a percentile of the histogram ``name`` in seconds, or 0."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            return 0.0
+        return histogram.get_value_at_percentile(percentile) / MICROSECONDS
+
+    def get_observations(self, name: str) -> int:
+        """Return the number of latencies recorded in the histogram ``name``."""
+        histogram = self._histograms.get(name)
+        return 0 if histogram is None else histogram.get_total_count()
+
+    def iterate_histograms(self) -> Iterator[str]:
+        """Yield the names of the histograms in order."""
+        yield from sorted(self._histograms)
+
+    def reset(self) -> None:
+        """Forget everything; for tests."""
+        self._counters.clear()
+        self._histograms.clear()
+
+
+_METRICS = Metrics()
+
+
+def get_metrics() -> Metrics:
+    """Return the metrics of this process."""
+    return _METRICS
+
+
+class _Collector:
+    """Adapts ``Metrics`` to the Prometheus client library."""
+
+    def __init__(self, metrics: Metrics):
+        self._metrics = metrics
+
+    def collect(self):
+        families: dict[str, CounterMetricFamily] = {}
+        label_names = self._get_label_names()
+        for sample in self._metrics.iterate_samples():
+            names = label_names[sample.name]
+            if sample.name not in families:
+                families[sample.name] = CounterMetricFamily(
+                    f"medlar_{sample.name}", sample.name, labels=names
+                )
+            values = dict(sample.labels)
+            families[sample.name].add_metric(
+                [values.get(name, "") for name in names], sample.value
+            )
+        yield from families.values()
+        yield from self._collect_histograms()
+
+    def _get_label_names(self) -> dict[str, list[str]]:
+        found: dict[str, set[str]] = {}
+        for sample in self._metrics.iterate_samples():
+            found.setdefault(sample.name, set()).update(dict(sample.labels))
+        return {name: sorted(labels) for name, labels in found.items()}
+
+    def _collect_histograms(self):
+        for name in self._metrics.iterate_histograms():
+            family = SummaryMetricFamily(f"medlar_{name}_seconds", name)
+            for percentile in PERCENTILES:
+                family.add_sample(
+                    f"medlar_{name}_seconds",
+                    {"quantile": str(percentile / 100)},
+                    self._metrics.get_percentile(name, percentile),
+                )
+            family.add_sample(
+                f"medlar_{name}_seconds_count",
+                {},
+                self._metrics.get_observations(name),
+            )
+            yield family
+
+
+def format_prometheus(metrics: Metrics) -> bytes:
+    """Return ``metrics`` in the Prometheus text format."""
+    registry = CollectorRegistry()
+    registry.register(_Collector(metrics))
+    return generate_latest(registry)
--- /dev/null
+++ b/medlarrail/core/placement.py
@@ -0,0 +1,37 @@
+"""Rendezvous hashing: places things on nodes with no shared table.
+
+When a node comes or goes, only the things that it gains or loses move.
+"""
+
+import hashlib
+from collections.abc import Iterable, Iterator
+
+from medlarrail.core.entities import EntrySession, View
+
+
+def get_weight(node: str, key: str) -> int:
+    """Return the rendezvous weight of ``node`` for ``key``."""
+    digest = hashlib.blake2b(f"{node}\0{key}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def rank_nodes(nodes: Iterable[str], key: str) -> list[str]:
+    """Return ``nodes``, the best place for ``key`` first."""
+    return sorted(nodes, key=lambda node: (get_weight(node, key), node), reverse=True)
+
+
+def get_owner(view: View, endpoint: str) -> EntrySession | None:
+    """Return the session that owns ``endpoint`` under ``view``."""
+    if not view.sessions:
+        return None
+    return max(
+        view.sessions, key=lambda one: (get_weight(one.entry, endpoint), one.entry)
+    )
+
+
+def iterate_owned(view: View, entry: str, endpoints: Iterable[str]) -> Iterator[str]:
+    """Yield those of ``endpoints`` that ``entry`` owns under ``view``."""
+    for name in endpoints:
+        owner = get_owner(view, name)
+        if owner is not None and owner.entry == entry:
+            yield name
--- /dev/null
+++ b/medlarrail/core/timing_test.py
@@ -0,0 +1,20 @@
+"""Tests of the sums of time bounds."""
+
+from medlarrail.core import timing
+
+TARGET_IN_FORCE_S = 12.0
+FEW_SECONDS = 5.0
+
+
+class TestBounds:
+    def test_in_force_bound_meets_the_target(self):
+        assert timing.IN_FORCE_BOUND_S <= TARGET_IN_FORCE_S
+
+    def test_out_of_service_bound_is_a_few_seconds(self):
+        assert timing.OUT_OF_SERVICE_BOUND_S <= FEW_SECONDS
+
+    def test_lease_survives_two_lost_renewals(self):
+        assert timing.SESSION_LEASE_S > 3 * timing.RENEW_INTERVAL_S
+
+    def test_leader_lease_ends_before_a_rival_can_be_elected(self):
+        assert timing.HEARTBEAT_INTERVAL_S * 3 < timing.ELECTION_TIMEOUT_MIN_S
--- /dev/null
+++ b/medlarrail/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points, one module for each binary."""
--- /dev/null
+++ b/medlarrail/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages, their codec and the clients that carry them."""
--- /dev/null
+++ b/medlarrail/protocol/replication.py
@@ -0,0 +1,93 @@
+"""Messages between the members of the replicated log.
+
+Every request names the identity that it is meant for: a member whose disk was
+lost has a new identity and rejects what was meant for the old one.
+"""
+
+from attrs import frozen
+
+from medlarrail.core.entities import MemberInfo
+from medlarrail.state.journal import Snapshot
+from medlarrail.state.operations import Envelope, LogEntry, Outcome
+
+APPEND_PATH = "/internal/append"
+VOTE_PATH = "/internal/vote"
+SNAPSHOT_PATH = "/internal/snapshot"
+IDENTITY_PATH = "/internal/identity"
+PROPOSE_PATH = "/internal/propose"
+
+
+@frozen
+class AppendRequest:
+    """Entries after ``prev_index``, or a heartbeat when there are none."""
+
+    to_identity: str
+    leader: MemberInfo
+    term: int
+    prev_index: int
+    prev_term: int
+    commit_index: int
+    entries: tuple[LogEntry, ...] = ()
+
+
+@frozen
+class AppendAnswer:
+    """Whether the entries were taken, and the last index that the member has."""
+
+    term: int
+    taken: bool
+    last_index: int
+
+
+@frozen
+class VoteRequest:
+    """Asks for a vote; with ``only_probe`` it changes nothing at the voter."""
+
+    to_identity: str
+    candidate: str
+    term: int
+    last_index: int
+    last_term: int
+    only_probe: bool
+
+
+@frozen
+class VoteAnswer:
+    """Whether the vote was given, and the voter's term."""
+
+    term: int
+    granted: bool
+
+
+@frozen
+class SnapshotRequest:
+    """A whole snapshot for a member that is too far behind for entries."""
+
+    to_identity: str
+    leader: MemberInfo
+    term: int
+    snapshot: Snapshot
+
+
+@frozen
+class Identity:
+    """Who a state member is, and the cluster that it belongs to."""
+
+    identity: str
+    name: str
+    url: str
+    cluster: str
+
+
+@frozen
+class ProposeRequest:
+    """Asks the leader to put an envelope into the log."""
+
+    envelope: Envelope
+
+
+@frozen
+class ProposeAnswer:
+    """The outcome of a committed envelope."""
+
+    outcome: Outcome
--- /dev/null
+++ b/medlarrail/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Development stand-ins for model engines, services and callers."""
--- /dev/null
+++ b/medlarrail/state/__init__.py
@@ -0,0 +1,1 @@
+"""Local durable state; nothing in this layer knows the network."""
--- /dev/null
+++ b/medlarrail/state/operations.py
@@ -0,0 +1,248 @@
+"""The operations that the replicated log carries.
+
+Each operation is an ``attrs`` class that derives from ``Operation``; on the
+wire and on disk it is tagged with its class name. ``Envelope`` adds what makes
+a command safe to resend: an id, and the revision that its author saw.
+"""
+
+from typing import ClassVar, Literal
+
+from attrs import field, frozen
+
+from medlarrail.core.codec import register_tagged
+from medlarrail.core.entities import (
+    Contract,
+    DesiredVersion,
+    Endpoint,
+    EndpointState,
+    LedgerKey,
+    MemberInfo,
+    Store,
+    StoredAnswer,
+)
+
+LedgerState = Literal["dispatched", "done", "not_dispatched", "unknown"]
+
+
+@frozen
+class Operation:
+    """Root of the operations."""
+
+    for_entries: ClassVar[bool] = True
+    """Whether entries, which keep no ledger, have to apply it."""
+
+    def get_object(self) -> str:
+        """Return the name of the object whose revision the operation changes."""
+        return ""
+
+
+@frozen
+class NoOperation(Operation):
+    """Changes nothing; the first entry of a leader's term."""
+
+
+@frozen
+class ChangeMembers(Operation):
+    """Replaces the list of state members."""
+
+    members: tuple[MemberInfo, ...]
+
+    def get_object(self) -> str:
+        """See ``Operation``."""
+        return "members"
+
+
+@frozen
+class SetContract(Operation):
+    """Creates or replaces a contract."""
+
+    contract: Contract
+
+    def get_object(self) -> str:
+        """See ``Operation``."""
+        return f"contract/{self.contract.account}"
+
+
+@frozen
+class DeleteContract(Operation):
+    """Deletes a contract."""
+
+    account: str
+
+    def get_object(self) -> str:
+        """See ``Operation``."""
+        return f"contract/{self.account}"
+
+
+@frozen
+class SetDataCentre(Operation):
+    """Takes a data centre in or out of service."""
+
+    name: str
+    in_service: bool
+
+    def get_object(self) -> str:
+        """See ``Operation``."""
+        return f"data-centre/{self.name}"
+
+
+@frozen
+class SetEndpointState(Operation):
+    """Takes an endpoint in or out of service, or marks it as leaving."""
+
+    name: str
+    state: EndpointState
+
+    def get_object(self) -> str:
+        """See ``Operation``."""
+        return f"endpoint/{self.name}"
+
+
+@frozen
+class RegisterEndpoint(Operation):
+    """Records what an endpoint announced of itself."""
+
+    endpoint: Endpoint
+
+
+@frozen
+class RemoveEndpoint(Operation):
+    """Forgets an endpoint that has been silent for long."""
+
+    name: str
+    incarnation: str
+
+
+@frozen
+class RegisterStore(Operation):
+    """Records what a store announced of itself."""
+
+    store: Store
+
+
+@frozen
+class OpenSession(Operation):
+    """Opens a session for an entry, in place of any that it had."""
+
+    entry: str
+    url: str
+    data_centre: str
+
+
+@frozen
+class CloseSession(Operation):
+    """Closes the session that was opened at ``epoch``."""
+
+    entry: str
+    epoch: int
+
+
+@frozen
+class SetDesiredVersion(Operation):
+    """Orders a weight version for a model."""
+
+    desired: DesiredVersion
+
+    def get_object(self) -> str:
+        """See ``Operation``."""
+        return f"order/{self.desired.model}"
+
+
+@frozen
+class BeginLoad(Operation):
+    """Asks for one of the slots in which weights may be loaded."""
+
+    endpoint: str
+    weight_version: str
+    epoch: int
+
+
+@frozen
+class EndLoad(Operation):
+    """Gives back the slot of a weight load that ended."""
+
+    endpoint: str
+    weight_version: str
+    loaded: bool
+
+
+@frozen
+class LedgerDispatch(Operation):
+    """Records that a call which may not be repeated is about to be sent.
+
+    ``nonce`` names this attempt; ``entry`` and ``epoch`` name the session that
+    makes it, and ``digest`` is the digest of the request.
+    """
+
+    for_entries = False
+    key: LedgerKey
+    digest: str
+    entry: str
+    epoch: int
+    nonce: str
+
+
+@frozen
+class LedgerFinish(Operation):
+    """Records how the attempt ``nonce`` ended."""
+
+    for_entries = False
+    key: LedgerKey
+    nonce: str
+    state: LedgerState
+    answer: StoredAnswer | None = None
+
+
+@frozen
+class Envelope:
+    """An operation on its way through the log.
+
+    ``seen_revision`` is the revision of the object that the author saw, or -1
+    where the operation holds whatever came before; ``at_s`` is the leader's
+    wall clock in seconds since the Unix epoch.
+    """
+
+    operation: Operation
+    command_id: str = ""
+    seen_revision: int = -1
+    at_s: float = 0.0
+
+
+@frozen
+class LogEntry:
+    """One entry of the replicated log."""
+
+    index: int
+    term: int
+    envelope: Envelope
+
+
+@frozen
+class LedgerRecord:
+    """What is known of one call that may not be repeated."""
+
+    key: LedgerKey
+    digest: str
+    entry: str
+    epoch: int
+    nonce: str
+    state: LedgerState
+    at_s: float
+    answer: StoredAnswer | None = field(default=None, repr=False)
+
+
+@frozen
+class Outcome:
+    """What applying an envelope gave.
+
+    ``error`` is an encoded error or empty; ``revision`` is the present revision
+    of the object; ``record`` is the ledger's record after a ledger operation.
+    """
+
+    index: int
+    revision: int = 0
+    error: str = ""
+    record: LedgerRecord | None = None
+
+
+register_tagged(Operation)
--- /dev/null
+++ b/medlarrail/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Builders of test data and harnesses for tests."""
--- /dev/null
+++ b/medlarrail/testing/cluster.py
@@ -0,0 +1,140 @@
+"""Builds clusters of state members on an in-memory network."""
+
+import random
+from pathlib import Path
+
+import trio
+from attrs import define, field
+
+from medlarrail.coordination.bootstrap import bootstrap_cluster
+from medlarrail.coordination.replication import LogMember
+from medlarrail.core.errors import MedlarError, NotFound
+from medlarrail.state.folder import DataFolder
+from medlarrail.state.journal import open_journal, run_inline
+from medlarrail.state.operations import Envelope, Operation, Outcome
+from medlarrail.testing.network import FakeNetwork
+from medlarrail.transport.routes import Routes, route
+
+RETRY_PAUSE_S = 0.2
+PATIENCE_S = 30.0
+
+
+@define
+class IdentityHandler:
+    """Answers who a member is, for the bootstrap."""
+
+    member: LogMember
+
+    @route("POST", "/internal/identity")
+    async def handle_identity(self, request):
+        """Return the member's identity."""
+        return self.member.describe()
+
+
+@define
+class Host:
+    """A running member and the scope that kills it."""
+
+    member: LogMember
+    scope: trio.CancelScope
+
+
+@define
+class Cluster:
+    """Members by name, in folders below ``path``."""
+
+    path: Path
+    nursery: trio.Nursery
+    seed: int = 1
+    quota_bytes: int = 0
+    snapshot_every: int = 2000
+    network: FakeNetwork = field(init=False)
+    hosts: dict[str, Host] = field(factory=dict)
+
+    def __attrs_post_init__(self):
+        self.network = FakeNetwork(random.Random(self.seed))
+
+    def get_url(self, name: str) -> str:
+        """Return the URL of a member."""
+        return f"mem://{name}"
+
+    async def start(self, name: str) -> LogMember:
+        """Start a member on what its folder holds."""
+        folder = DataFolder(self.path / name, self.quota_bytes)
+        member = LogMember(
+            name=name,
+            url=self.get_url(name),
+            journal=open_journal(folder, run_inline),
+            peers=self.network.connect(self.get_url(name)),
+            random=random.Random(f"{self.seed}-{name}-{len(self.network.hosts)}"),
+            clock=trio.current_time,
+            wall_clock=trio.current_time,
+            snapshot_every=self.snapshot_every,
+        )
+        scope = trio.CancelScope()
+        await self.nursery.start(self._run, member, scope)
+        routes = Routes.collect(member, IdentityHandler(member))
+        self.network.hosts[member.url] = routes
+        self.hosts[name] = Host(member, scope)
+        return member
+
+    async def _run(self, member, scope, task_status):
+        with scope:
+            await member.run(task_status=task_status)
+
+    async def bootstrap(self, *names: str) -> None:
+        """Start members and form a cluster of them."""
+        for name in names:
+            await self.start(name)
+        urls = tuple(self.get_url(name) for name in names)
+        await bootstrap_cluster(self.network.connect("mem://operator"), urls)
+
+    def kill(self, name: str) -> None:
+        """End a member at once; its folder stays."""
+        host = self.hosts.pop(name)
+        host.scope.cancel()
+        self.network.hosts.pop(host.member.url)
+
+    def get_members(self) -> list[LogMember]:
+        """Return the running members."""
+        return [host.member for host in self.hosts.values()]
+
+    def find_leader(self) -> LogMember | None:
+        """Return the member that holds the lease, if one does."""
+        leaders = [one for one in self.get_members() if one.has_lease()]
+        return leaders[0] if leaders else None
+
+    async def wait_leader(self) -> LogMember:
+        """Return the leader once there is one."""
+        with trio.fail_after(PATIENCE_S):
+            while (leader := self.find_leader()) is None:
+                await trio.sleep(RETRY_PAUSE_S / 4)
+            return leader
+
+    async def propose(
+        self, operation: Operation, command_id: str = "", seen: int = -1
+    ) -> Outcome:
+        """Propose to whoever leads, again and again until it is committed."""
+        envelope = Envelope(operation, command_id, seen)
+        with trio.fail_after(PATIENCE_S):
+            while True:
+                leader = await self.wait_leader()
+                try:
+                    return await leader.propose(envelope)
+                except NotFound:
+                    raise
+                except MedlarError as error:
+                    if error.status == 409:
+                        raise
+                    await trio.sleep(RETRY_PAUSE_S)
+
+    async def wait_all_applied(self) -> None:
+        """Return once every listed running member applied all that is committed."""
+        leader = await self.wait_leader()
+        with trio.fail_after(PATIENCE_S):
+            while any(
+                one.catalogue.index < leader.commit_index
+                for one in self.get_members()
+                if leader.find_member(one.identity) is not None
+            ):
+                await trio.sleep(RETRY_PAUSE_S)
--- /dev/null
+++ b/medlarrail/testing/network.py
@@ -0,0 +1,72 @@
+"""An in-memory network for tests of coordination under a mock clock.
+
+It carries the same encoded messages as HTTP does, to the same handlers, and can
+cut single directions, delay and lose calls, all from one seed.
+"""
+
+from random import Random
+
+import trio
+from attrs import define, field
+
+from medlarrail.core.codec import decode, encode
+from medlarrail.core.errors import PeerTimeout, PeerUnreachable
+from medlarrail.transport.client import RawAnswer
+from medlarrail.transport.routes import Request, Routes
+
+
+@define
+class FakeNetwork:
+    """Hosts by URL, and what is wrong between them."""
+
+    random: Random
+    delay_s: float = 0.002
+    hosts: dict[str, Routes] = field(factory=dict)
+    cut: set[tuple[str, str]] = field(factory=set)
+    lose_share: float = 0.0
+    """Share of the calls that are lost, half of them after they were served."""
+
+    def connect(self, url: str) -> "FakePeers":
+        """Return the peers as the host at ``url`` sees them."""
+        return FakePeers(self, url)
+
+    def isolate(self, url: str) -> None:
+        """Cut ``url`` off from every other host, in both directions."""
+        for other in self.hosts:
+            if other != url:
+                self.cut.update({(url, other), (other, url)})
+
+    def heal(self) -> None:
+        """Remove every cut."""
+        self.cut.clear()
+
+    async def carry(self, source: str, target: str, request: Request):
+        """Carry a request and its answer; a cut or a loss is silence."""
+        await trio.sleep(self.random.uniform(0, 2 * self.delay_s))
+        lost = self.random.random() < self.lose_share
+        if (source, target) in self.cut or (lost and self.random.random() < 0.5):
+            await trio.sleep_forever()
+        if target not in self.hosts:
+            raise PeerUnreachable(url=target)
+        answer = await self.hosts[target].answer(request)
+        await trio.sleep(self.random.uniform(0, 2 * self.delay_s))
+        if (target, source) in self.cut or lost:
+            await trio.sleep_forever()
+        return answer
+
+
+@define
+class FakePeers:
+    """Calls over a ``FakeNetwork``; the same interface as ``HttpClient``."""
+
+    network: FakeNetwork
+    url: str
+
+    async def call(self, url, path, message, answer_type, timeout_s):
+        """Send ``message`` and return the typed answer, or raise its error."""
+        request = Request("POST", path, body=encode(message))
+        with trio.move_on_after(timeout_s):
+            reply = await self.network.carry(self.url, url, request)
+            RawAnswer(reply.status, {}, reply.body).raise_for_error(url)
+            return decode(reply.body, answer_type)
+        raise PeerTimeout(url=url)
--- /dev/null
+++ b/medlarrail/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP servers and clients over trio."""
--- /dev/null
+++ b/medlarrail/transport/client.py
@@ -0,0 +1,264 @@
+"""HTTP client for calls between processes, over httpcore.
+
+Every call has a time limit. A pooled connection can be silently dead while new
+ones work, so a call that got no answer is sent once more over a new connection
+before the peer counts as dead; all calls that go through ``call`` are
+idempotent for this reason.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Protocol, TypeVar
+
+import httpcore
+import trio
+from attrs import define, field, frozen
+
+from medlarrail.core.codec import decode, decode_error, encode
+from medlarrail.core.errors import (
+    MedlarError,
+    PeerBroken,
+    PeerError,
+    PeerTimeout,
+    PeerUnreachable,
+)
+from medlarrail.core.metrics import get_metrics
+
+T = TypeVar("T")
+CONNECT_TIMEOUT_S = 0.5
+IDLE_EXPIRY_S = 15.0
+MAX_CONNECTIONS_PER_PEER = 256
+FIRST_TRY_SHARE = 0.5
+"""Part of the time limit that a call over a pooled connection may take."""
+
+
+class Peers(Protocol):
+    """What coordination needs of a network; tests have one in memory."""
+
+    async def call(
+        self, url: str, path: str, message, answer_type: type[T], timeout_s: float
+    ) -> T:
+        """Send ``message`` and return the typed answer, or raise its error."""
+
+
+@frozen
+class RawAnswer:
+    """A whole answer as it came."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def raise_for_error(self, url: str) -> None:
+        """Raise the typed error that the answer stands for, if it is one."""
+        if self.status < 400:
+            return
+        error = decode_error(self.body)
+        raise error if error is not None else PeerBroken(url=url)
+
+
+@define
+class _Pool:
+    """The connections to one peer."""
+
+    connections: httpcore.AsyncConnectionPool
+    users: int = 0
+    retired: bool = False
+
+
+def _make_pool() -> _Pool:
+    return _Pool(
+        httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS_PER_PEER,
+            max_keepalive_connections=MAX_CONNECTIONS_PER_PEER,
+            keepalive_expiry=IDLE_EXPIRY_S,
+        )
+    )
+
+
+@define
+class HttpClient:
+    """Calls peers; ``key`` is sent as the bearer key of every call."""
+
+    key: str = field(default="", repr=False)
+    _pools: dict[str, _Pool] = field(factory=dict, repr=False)
+
+    async def call(
+        self,
+        url: str,
+        path: str,
+        message,
+        answer_type: type[T],
+        timeout_s: float,
+        method: str = "POST",
+    ) -> T:
+        """Send ``message`` and return the typed answer, or raise its error."""
+        body = b"" if message is None else encode(message)
+        deadline = trio.current_time() + timeout_s
+        try:
+            answer = await self.fetch(
+                method, url + path, body, timeout_s=timeout_s * FIRST_TRY_SHARE
+            )
+        except (PeerTimeout, PeerBroken) as error:
+            get_metrics().count("peer_second_tries", reason=type(error).__name__)
+            rest_s = max(0.01, deadline - trio.current_time())
+            answer = await self.fetch(
+                method, url + path, body, timeout_s=rest_s, fresh=True
+            )
+        answer.raise_for_error(url)
+        return decode(answer.body, answer_type)
+
+    async def fetch(
+        self,
+        method: str,
+        url: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 5.0,
+        fresh: bool = False,
+    ) -> RawAnswer:
+        """Return the whole answer to one request."""
+        with trio.move_on_after(timeout_s):
+            async with self.open(
+                method, url, body, headers, silence_s=timeout_s, fresh=fresh
+            ) as stream:
+                data = b"".join([part async for part in stream.iterate()])
+                return RawAnswer(stream.status, stream.headers, data)
+        raise PeerTimeout(url=url)
+
+    @asynccontextmanager
+    async def open(
+        self,
+        method: str,
+        url: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        silence_s: float = 5.0,
+        fresh: bool = False,
+    ) -> AsyncIterator["ResponseStream"]:
+        """Open a response; ``silence_s`` bounds the wait for each part of it.
+
+        With ``fresh`` the request goes over a connection of its own, so that
+        ``PeerUnreachable`` proves that nothing was sent.
+        """
+        base = _get_base(url)
+        if fresh:
+            self._retire(base)
+        pool = _make_pool() if fresh else self._pools.setdefault(base, _make_pool())
+        pool.retired |= fresh
+        request = self._build_request(method, url, body, headers, silence_s)
+        pool.users += 1
+        try:
+            with _translate_errors(url):
+                response = await pool.connections.handle_async_request(request)
+            try:
+                yield ResponseStream(url, response)
+            finally:
+                with trio.CancelScope(shield=True):
+                    await response.aclose()
+        finally:
+            pool.users -= 1
+            await _close_unused(pool)
+
+    def _build_request(self, method, url, body, headers, silence_s):
+        timeouts = {
+            "connect": min(CONNECT_TIMEOUT_S, silence_s),
+            "read": silence_s,
+            "write": silence_s,
+            "pool": silence_s,
+        }
+        all_headers = {
+            "host": url.split("/")[2],
+            "content-length": str(len(body)),
+            "content-type": "application/json",
+            "authorization": f"Bearer {self.key}",
+            **(headers or {}),
+        }
+        return httpcore.Request(
+            method,
+            url,
+            headers=list(all_headers.items()),
+            content=body,
+            extensions={"timeout": timeouts},
+        )
+
+    def _retire(self, base: str) -> None:
+        """Stop using the pooled connections to a peer that did not answer."""
+        pool = self._pools.pop(base, None)
+        if pool is not None:
+            pool.retired = True
+
+    async def aclose(self) -> None:
+        """Close every idle connection."""
+        pools = list(self._pools.values())
+        self._pools.clear()
+        for pool in pools:
+            pool.retired = True
+            await _close_unused(pool)
+
+
+async def _close_unused(pool: _Pool) -> None:
+    if pool.retired and pool.users == 0:
+        with trio.CancelScope(shield=True):
+            await pool.connections.aclose()
+
+
+def _get_base(url: str) -> str:
+    return "/".join(url.split("/")[:3])
+
+
+@define
+class ResponseStream:
+    """A response whose body arrives in parts."""
+
+    url: str
+    _response: httpcore.Response
+
+    @property
+    def status(self) -> int:
+        """HTTP status."""
+        return self._response.status
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """Headers by their names in lower case."""
+        return {
+            name.decode("latin1").lower(): value.decode("latin1")
+            for name, value in self._response.headers
+        }
+
+    async def iterate(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body as they arrive."""
+        with _translate_errors(self.url):
+            async for part in self._response.aiter_stream():
+                yield part
+
+
+class _translate_errors:
+    """Turns the errors of httpcore into the typed ones of this project."""
+
+    def __init__(self, url: str):
+        self.url = url
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, error, traceback) -> bool:
+        translated = _translate(error, self.url)
+        if translated is not None:
+            raise translated from error
+        return False
+
+
+def _translate(error: BaseException | None, url: str) -> PeerError | None:
+    if error is None or isinstance(error, MedlarError):
+        return None
+    if isinstance(
+        error, httpcore.ConnectError | httpcore.ConnectTimeout | httpcore.PoolTimeout
+    ):
+        return PeerUnreachable(url=url)
+    if isinstance(error, httpcore.TimeoutException):
+        return PeerTimeout(url=url)
+    if isinstance(error, httpcore.NetworkError | httpcore.ProtocolError):
+        return PeerBroken(url=url)
+    return None
--- /dev/null
+++ b/medlarrail/transport/server_test.py
@@ -0,0 +1,155 @@
+"""Tests of the server and the client over loopback."""
+
+import pytest
+import trio
+import trio.testing
+from attrs import frozen
+
+from medlarrail.core.errors import (
+    BadField,
+    Overloaded,
+    OverLongBody,
+    PeerTimeout,
+    PeerUnreachable,
+    SlowSender,
+    UnknownRoute,
+)
+from medlarrail.transport.client import HttpClient
+from medlarrail.transport.routes import EventStream, Routes, route
+from medlarrail.transport.server import HttpServer, ServerLimits, run_until_drained
+
+
+@frozen
+class Note:
+    """A message for the tests."""
+
+    text: str
+
+
+class Handlers:
+    """Handlers for the tests."""
+
+    def __init__(self):
+        self.release = trio.Event()
+        self.cancelled = trio.Event()
+
+    @route("POST", "/echo", Note)
+    async def echo(self, request):
+        return request.message
+
+    @route("POST", "/refuse")
+    async def refuse(self, request):
+        raise Overloaded(endpoint="engine-1", retry_after_s=0.3)
+
+    @route("GET", "/hang")
+    async def hang(self, request):
+        await self.release.wait()
+        return Note("released")
+
+    @route("GET", "/stream/*")
+    async def stream(self, request):
+        return EventStream(self._make_chunks(int(request.tail)))
+
+    async def _make_chunks(self, count):
+        try:
+            for number in range(count):
+                yield b"data: %d\n\n" % number
+            await self.release.wait()
+            yield b"data: end\n\n"
+        except trio.Cancelled:
+            self.cancelled.set()
+            raise
+
+
+@pytest.fixture
+async def handlers():
+    return Handlers()
+
+
+@pytest.fixture
+async def server(handlers, nursery):
+    limits = ServerLimits(body_bytes=1000, body_timeout_s=0.2, max_requests=50)
+    return HttpServer(Routes.collect(handlers), limits)
+
+
+@pytest.fixture
+async def url(server, nursery):
+    port = await nursery.start(server.run, "127.0.0.1", 0)
+    return f"http://127.0.0.1:{port}"
+
+
+@pytest.fixture
+async def client():
+    client = HttpClient(key="k")
+    yield client
+    await client.aclose()
+
+
+class TestCall:
+    async def test_a_message_comes_back_typed(self, url, client):
+        answer = await client.call(url, "/echo", Note("hello"), Note, timeout_s=2)
+        assert answer == Note("hello")
+
+    async def test_a_refusal_arrives_as_its_type_with_retry_after(self, url, client):
+        with pytest.raises(Overloaded) as caught:
+            await client.call(url, "/refuse", None, Note, timeout_s=2)
+        assert caught.value.retry_after_s == 0.3
+        answer = await client.fetch("POST", url + "/refuse")
+        assert answer.headers["retry-after"] == "1"
+        assert answer.headers["retry-after-ms"] == "300"
+
+    async def test_wrong_fields_and_paths_are_typed(self, url, client):
+        with pytest.raises(BadField):
+            answer = await client.fetch("POST", url + "/echo", b'{"text": 1}')
+            answer.raise_for_error(url)
+        with pytest.raises(UnknownRoute):
+            await client.call(url, "/nowhere", None, Note, timeout_s=2)
+
+    async def test_an_over_long_body_is_refused(self, url, client):
+        with pytest.raises(OverLongBody):
+            await client.call(url, "/echo", Note("x" * 2000), Note, timeout_s=2)
+
+    async def test_a_closed_port_is_unreachable(self, client):
+        with pytest.raises(PeerUnreachable):
+            await client.call("http://127.0.0.1:1", "/echo", Note("x"), Note, 1)
+
+    async def test_silence_is_a_timeout(self, url, client):
+        with pytest.raises(PeerTimeout):
+            await client.call(url, "/hang", None, Note, 0.2, method="GET")
+
+    async def test_a_slow_sender_gets_its_answer(self, url):
+        stream = await trio.open_tcp_stream("127.0.0.1", int(url.rsplit(":")[-1]))
+        await stream.send_all(
+            b"POST /echo HTTP/1.1\r\nhost: x\r\ncontent-length: 50\r\n\r\n{"
+        )
+        answer = b""
+        with trio.fail_after(2):
+            while SlowSender.__name__.encode() not in answer:
+                answer += await stream.receive_some(4096)
+        await stream.aclose()
+
+
+class TestDrain:
+    async def test_a_running_stream_ends_before_the_server_stops(
+        self, server, handlers, url, client, nursery
+    ):
+        async def leave():
+            pass
+
+        async with client.open("GET", url + "/stream/1") as stream:
+            parts = stream.iterate()
+            assert await anext(parts) == b"data: 0\n\n"
+            nursery.start_soon(run_until_drained, server, leave)
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            handlers.release.set()
+            assert b"".join([part async for part in parts]) == b"data: end\n\n"
+
+    async def test_a_caller_that_goes_away_cancels_its_stream(
+        self, handlers, url, client
+    ):
+        async with client.open("GET", url + "/stream/1") as stream:
+            parts = stream.iterate()
+            await anext(parts)
+            await parts.aclose()
+        with trio.fail_after(2):
+            await handlers.cancelled.wait()
