--- a/medlarrail/coordination/bootstrap.py
+++ b/medlarrail/coordination/bootstrap.py
@@ -8,10 +8,9 @@
 
 import secrets
 
-from attrs import frozen
-
 from medlarrail.core.entities import MemberInfo
 from medlarrail.core.errors import AlreadyBootstrapped
+from medlarrail.protocol.control import Nothing
 from medlarrail.protocol.replication import (
     IDENTITY_PATH,
     SNAPSHOT_PATH,
@@ -28,11 +27,6 @@
 FIRST_INDEX = 1
 
 
-@frozen
-class Nothing:
-    """An empty message."""
-
-
 async def bootstrap_cluster(peers: Peers, urls: tuple[str, ...]) -> Snapshot:
     """Make the members at ``urls`` one cluster and return its first snapshot."""
     identities = [await fetch_identity(peers, url) for url in urls]
--- /dev/null
+++ b/medlarrail/coordination/health_test.py
@@ -0,0 +1,43 @@
+"""Tests of suspicions and retry budgets."""
+
+from medlarrail.coordination.health import (
+    LARGEST_BUDGET,
+    LONGEST_PAUSE_S,
+    PairHealth,
+    RetryBudgets,
+)
+
+
+class TestPairHealth:
+    def test_a_suspicion_ends_by_itself(self):
+        now = [0.0]
+        health = PairHealth(lambda: now[0])
+        health.note_failure("engine-1")
+        assert health.is_suspected("engine-1")
+        assert not health.is_suspected("engine-2")
+        now[0] += LONGEST_PAUSE_S
+        assert not health.is_suspected("engine-1")
+
+    def test_the_pause_is_bounded(self):
+        now = [0.0]
+        health = PairHealth(lambda: now[0])
+        for _ in range(50):
+            health.note_failure("engine-1")
+        now[0] += LONGEST_PAUSE_S
+        assert not health.is_suspected("engine-1")
+
+
+class TestRetryBudgets:
+    def test_retries_stay_below_the_ratio_in_the_long_run(self):
+        budgets = RetryBudgets()
+        spent = 0
+        for _ in range(1000):
+            budgets.earn("lea", 0.1)
+            spent += budgets.spend("lea")
+        assert spent <= 100 + LARGEST_BUDGET
+
+    def test_accounts_have_budgets_of_their_own(self):
+        budgets = RetryBudgets()
+        while budgets.spend("lea"):
+            pass
+        assert budgets.spend("other")
--- /dev/null
+++ b/medlarrail/coordination/permit_client.py
@@ -0,0 +1,195 @@
+"""Asks owners for permits and tells them how the permitted requests went.
+
+Notices are sent in batches, one sender for each owner. Every batch lists the
+permits that are held, so that an owner finds those whose notice was lost.
+"""
+
+import secrets
+
+import trio
+from attrs import define, field
+
+from medlarrail.coordination.follower import Follower
+from medlarrail.coordination.ownership import OwnerTable
+from medlarrail.coordination.session import Session
+from medlarrail.core.clock import Clock, get_boottime
+from medlarrail.core.errors import MedlarError, NoEndpoint, PermitExpired
+from medlarrail.core.metrics import get_metrics
+from medlarrail.core.placement import get_owner
+from medlarrail.core.timing import CLOCK_DRIFT_MARGIN_S
+from medlarrail.protocol.control import Nothing
+from medlarrail.protocol.permits import (
+    ACQUIRE_PATH,
+    NOTICES_PATH,
+    AcquireAnswer,
+    AcquireRequest,
+    Holding,
+    HoldingsAnswer,
+    HoldingsRequest,
+    Notice,
+    NoticesRequest,
+)
+from medlarrail.transport.client import Peers
+
+PERMIT_ID_BYTES = 8
+NOTICE_DELAY_S = 0.03
+HELD_INTERVAL_S = 1.0
+NOTICE_TIMEOUT_S = 1.0
+NOTICES_KEPT = 2000
+CALL_MARGIN_S = 1.0
+
+
+@define
+class HeldPermit:
+    """A permit that this entry holds for one request."""
+
+    permit: str
+    endpoint: str
+    account: str
+    use_before: float
+    hold_until: float
+    answer: AcquireAnswer | None = None
+
+
+@define
+class PermitClient:
+    """Gets permits for the requests that this entry serves."""
+
+    session: Session
+    follower: Follower
+    owners: OwnerTable
+    peers: Peers
+    clock: Clock = get_boottime
+    held: dict[str, HeldPermit] = field(factory=dict)
+    _notices: dict[str, list[Notice]] = field(factory=dict)
+    _pending: trio.Event = field(factory=trio.Event)
+
+    def make_permit_id(self) -> str:
+        """Return a new permit id."""
+        return f"{self.session.name}-{secrets.token_hex(PERMIT_ID_BYTES)}"
+
+    async def acquire(self, request: AcquireRequest) -> HeldPermit:
+        """Return a permit for ``request``, or raise the owner's refusal.
+
+        Whatever happens to the call, the owner is told if the permit is not
+        going to be used.
+        """
+        sent_at = self.clock()
+        owner = get_owner(self.follower.catalogue.view, request.endpoint)
+        if owner is None:
+            raise NoEndpoint(target=request.endpoint)
+        held = HeldPermit(
+            request.permit,
+            request.endpoint,
+            request.account,
+            use_before=sent_at,
+            hold_until=sent_at + request.hold_s,
+        )
+        self.held[request.permit] = held
+        try:
+            answer = await self._call_owner(owner, request)
+        except BaseException:
+            self.give_back(held, "unused")
+            raise
+        held.answer = answer
+        latest = min(self.clock(), sent_at + request.wait_s)
+        held.use_before = latest + answer.life_s - CLOCK_DRIFT_MARGIN_S
+        return held
+
+    async def _call_owner(self, owner, request: AcquireRequest) -> AcquireAnswer:
+        if owner.entry == self.session.name:
+            return await self.owners.acquire(request)
+        return await self.peers.call(
+            owner.url,
+            ACQUIRE_PATH,
+            request,
+            AcquireAnswer,
+            2 * request.wait_s + CALL_MARGIN_S,
+        )
+
+    def check(self, held: HeldPermit) -> None:
+        """Raise unless the permit may be used for a dispatch right now."""
+        if held.permit not in self.held or self.clock() >= held.use_before:
+            raise PermitExpired(permit=held.permit)
+
+    def note_started(self, held: HeldPermit, incarnation: str) -> None:
+        """Tell the owner that the endpoint began to answer."""
+        notice = Notice(held.permit, held.endpoint, "started", incarnation)
+        self._queue_notice(notice)
+
+    def give_back(self, held: HeldPermit, outcome: str, incarnation: str = "") -> None:
+        """Give a permit back with the outcome of its request."""
+        if self.held.pop(held.permit, None) is None:
+            return
+        notice = Notice(
+            held.permit, held.endpoint, "ended", incarnation, outcome=outcome
+        )
+        self._queue_notice(notice)
+
+    def _queue_notice(self, notice: Notice) -> None:
+        queue = self._notices.setdefault(notice.endpoint, [])
+        queue.append(notice)
+        if len(queue) > NOTICES_KEPT:
+            del queue[: len(queue) - NOTICES_KEPT]
+            get_metrics().count("notices_dropped")
+        self._pending.set()
+
+    async def run(self) -> None:
+        """Send notices to their owners until cancelled."""
+        while True:
+            with trio.move_on_after(HELD_INTERVAL_S):
+                await self._pending.wait()
+                await trio.sleep(NOTICE_DELAY_S)
+            self._pending = trio.Event()
+            async with trio.open_nursery() as nursery:
+                for url, names in self._group_by_owner().items():
+                    nursery.start_soon(self._send, url, names)
+
+    def _group_by_owner(self) -> dict[str, list[str]]:
+        """Return the endpoints with something to tell, by their owner's URL."""
+        names = {name for name, queue in self._notices.items() if queue}
+        names.update(held.endpoint for held in self.held.values())
+        groups: dict[str, list[str]] = {}
+        for name in sorted(names):
+            owner = get_owner(self.follower.catalogue.view, name)
+            if owner is not None:
+                groups.setdefault(owner.url, []).append(name)
+        return groups
+
+    async def _send(self, url: str, names: list[str]) -> None:
+        batches = {name: list(self._notices.get(name, ())) for name in names}
+        message = NoticesRequest(
+            entry=self.session.name,
+            epoch=self.session.epoch,
+            notices=tuple(one for batch in batches.values() for one in batch),
+            held=tuple(
+                one.permit for one in self.held.values() if one.endpoint in batches
+            ),
+        )
+        if url == self.session.url:
+            self.owners.take_notices(message)
+        elif not await self._deliver(url, message):
+            return
+        for name, batch in batches.items():
+            queue = self._notices.get(name, [])
+            del queue[: len(batch)]
+
+    async def _deliver(self, url: str, message: NoticesRequest) -> bool:
+        try:
+            await self.peers.call(url, NOTICES_PATH, message, Nothing, NOTICE_TIMEOUT_S)
+        except MedlarError as error:
+            get_metrics().count("notice_failures", type=type(error).__name__)
+            return False
+        return True
+
+    async def list_holdings(self, message: HoldingsRequest) -> HoldingsAnswer:
+        """Tell a new owner what this entry holds, once it acts under that view."""
+        with trio.move_on_after(NOTICE_TIMEOUT_S / 2):
+            await self.follower.wait_index(message.view_epoch)
+        now = self.clock()
+        holdings = tuple(
+            Holding(one.permit, one.endpoint, one.account, one.hold_until - now)
+            for one in self.held.values()
+            if one.endpoint in message.endpoints
+        )
+        return HoldingsAnswer(self.follower.catalogue.view.epoch, holdings)
--- /dev/null
+++ b/medlarrail/coordination/permit_desk.py
@@ -0,0 +1,42 @@
+"""Answers other entries about permits."""
+
+from attrs import define
+
+from medlarrail.coordination.ownership import OwnerTable
+from medlarrail.coordination.permit_client import PermitClient
+from medlarrail.protocol.control import Nothing
+from medlarrail.protocol.permits import (
+    ACQUIRE_PATH,
+    HOLDINGS_PATH,
+    NOTICES_PATH,
+    AcquireAnswer,
+    AcquireRequest,
+    HoldingsAnswer,
+    HoldingsRequest,
+    NoticesRequest,
+)
+from medlarrail.transport.routes import Request, route
+
+
+@define
+class PermitDesk:
+    """The routes on which entries speak with each other."""
+
+    owners: OwnerTable
+    permits: PermitClient
+
+    @route("POST", ACQUIRE_PATH, AcquireRequest)
+    async def handle_acquire(self, request: Request) -> AcquireAnswer:
+        """Give a permit."""
+        return await self.owners.acquire(request.message)
+
+    @route("POST", NOTICES_PATH, NoticesRequest)
+    async def handle_notices(self, request: Request) -> Nothing:
+        """Take notices of started and ended requests."""
+        self.owners.take_notices(request.message)
+        return Nothing()
+
+    @route("POST", HOLDINGS_PATH, HoldingsRequest)
+    async def handle_holdings(self, request: Request) -> HoldingsAnswer:
+        """Tell a new owner what this entry holds."""
+        return await self.permits.list_holdings(request.message)
--- /dev/null
+++ b/medlarrail/coordination/rollout.py
@@ -0,0 +1,153 @@
+"""Brings endpoints to the weight version that operators ordered.
+
+Each owner converges its endpoints: it asks for one of the load slots in the
+log, which keep the limit of loads and the capacity floor for the whole
+deployment, sends the order with its epoch as the fencing number, and watches
+the endpoint's actual state. For an endpoint that does not check fencing
+numbers, it first waits until no earlier owner can still give orders.
+"""
+
+import secrets
+
+import eliot
+import trio
+from attrs import define
+
+from medlarrail.coordination.follower import Follower
+from medlarrail.coordination.ownership import OwnedEndpoint, OwnerTable
+from medlarrail.coordination.session import Session
+from medlarrail.coordination.state_client import StateClient
+from medlarrail.core.codec import decode_error
+from medlarrail.core.entities import DesiredVersion
+from medlarrail.core.errors import (
+    FencedOff,
+    LoadLimit,
+    MedlarError,
+    NotFound,
+    OwnershipUnsettled,
+)
+from medlarrail.core.metrics import get_metrics
+from medlarrail.core.timing import CLOCK_DRIFT_MARGIN_S, SESSION_LEASE_S
+from medlarrail.protocol.control import Nothing
+from medlarrail.protocol.endpoints import (
+    ENDPOINT_STATE_PATH,
+    ORDER_PATH,
+    EndpointReport,
+    Order,
+)
+from medlarrail.state.operations import BeginLoad, EndLoad, Envelope
+from medlarrail.transport.client import Peers
+
+CHECK_INTERVAL_S = 0.5
+POLL_INTERVAL_S = 0.2
+ORDER_TIMEOUT_S = 2.0
+LOAD_LIMIT_S = 120.0
+COMMAND_ID_BYTES = 8
+
+
+@define
+class Rollout:
+    """Converges the endpoints that this entry owns."""
+
+    session: Session
+    state: StateClient
+    follower: Follower
+    owners: OwnerTable
+    peers: Peers
+
+    async def run(self) -> None:
+        """Look for endpoints at another version than ordered, forever."""
+        while True:
+            await trio.sleep(CHECK_INTERVAL_S)
+            async with trio.open_nursery() as nursery:
+                for owned in list(self.owners.owned.values()):
+                    desired = self._find_desired(owned)
+                    if desired is not None:
+                        nursery.start_soon(self._converge, owned, desired)
+
+    def _find_desired(self, owned: OwnedEndpoint) -> DesiredVersion | None:
+        """Return the version that the endpoint has yet to load, if any."""
+        endpoint = owned.endpoint
+        if endpoint.kind != "model" or not self.session.is_valid():
+            return None
+        if endpoint.state != "in" or owned.limiter.is_silent():
+            return None
+        desired = self.follower.catalogue.desired.get(endpoint.serves)
+        loading = endpoint.name in self.follower.catalogue.loads
+        if desired is None:
+            return None
+        if endpoint.weight_version == desired.weight_version and not loading:
+            return None
+        return desired
+
+    async def _converge(self, owned: OwnedEndpoint, desired: DesiredVersion) -> None:
+        name = owned.endpoint.name
+        try:
+            await self._begin(name, desired)
+            loaded = await self._load(owned, desired)
+            operation = EndLoad(name, desired.weight_version, loaded)
+            await self._propose(operation)
+            get_metrics().count("weight_loads", loaded=str(loaded).lower())
+            eliot.log_message("weights:loaded", endpoint=name, loaded=loaded)
+        except (LoadLimit, NotFound) as error:
+            get_metrics().count("weight_loads_put_off", reason=type(error).__name__)
+        except MedlarError as error:
+            get_metrics().count("weight_load_failures", type=type(error).__name__)
+
+    async def _begin(self, name: str, desired: DesiredVersion) -> None:
+        epoch = self.session.require()
+        operation = BeginLoad(name, desired.weight_version, epoch)
+        index = await self._propose(operation)
+        await self.follower.wait_index(index)
+
+    async def _propose(self, operation) -> int:
+        command_id = f"load-{secrets.token_hex(COMMAND_ID_BYTES)}"
+        outcome = await self.state.propose(Envelope(operation, command_id))
+        error = decode_error(outcome.error.encode()) if outcome.error else None
+        if error is not None:
+            raise error
+        return outcome.index
+
+    async def _load(self, owned: OwnedEndpoint, desired: DesiredVersion) -> bool:
+        """Order the version and return whether the endpoint came to hold it."""
+        await self._wait_sole_owner(owned)
+        with trio.move_on_after(LOAD_LIMIT_S):
+            while True:
+                actual = await self._get_state(owned)
+                if actual.weight_version == desired.weight_version:
+                    return True
+                if actual.loading != desired.weight_version:
+                    await self._send_order(owned, desired)
+                await trio.sleep(POLL_INTERVAL_S)
+        return False
+
+    async def _wait_sole_owner(self, owned: OwnedEndpoint) -> None:
+        """Wait until no earlier owner's lease can run, where fencing needs it."""
+        if owned.endpoint.checks_fencing:
+            return
+        end = owned.owned_since + SESSION_LEASE_S + CLOCK_DRIFT_MARGIN_S
+        while self.owners.clock() < end:
+            await trio.sleep(POLL_INTERVAL_S)
+
+    async def _get_state(self, owned: OwnedEndpoint) -> EndpointReport:
+        return await self.peers.call(
+            owned.endpoint.url,
+            ENDPOINT_STATE_PATH,
+            Nothing(),
+            EndpointReport,
+            ORDER_TIMEOUT_S,
+        )
+
+    async def _send_order(self, owned: OwnedEndpoint, desired: DesiredVersion) -> None:
+        """Send the order, unless ownership or the lease is gone by now."""
+        self.session.require()
+        if self.owners.find_owned(owned.endpoint.name) is not owned:
+            raise OwnershipUnsettled(endpoint=owned.endpoint.name)
+        order = Order("load-weights", desired.weight_version, self.owners.view_epoch)
+        try:
+            await self.peers.call(
+                owned.endpoint.url, ORDER_PATH, order, EndpointReport, ORDER_TIMEOUT_S
+            )
+        except FencedOff:
+            get_metrics().count("orders_fenced_off")
+            raise
--- /dev/null
+++ b/medlarrail/coordination/routing.py
@@ -0,0 +1,379 @@
+"""Chooses endpoints for requests and carries a request to its whole answer.
+
+Candidates are ranked by rendezvous hash of the prompt's first block, so that a
+prompt that returns goes where its context may still be cached. Each is asked
+for a permit through its owner; what an owner refuses costs one round trip and
+nothing runs. A stream that broke is resumed at the same weight version.
+"""
+
+import secrets
+from collections.abc import AsyncIterator
+from contextlib import aclosing
+from typing import Protocol
+
+import trio
+from attrs import define, field, frozen
+
+from medlarrail.coordination.engine_client import EngineClient
+from medlarrail.coordination.fairness import get_weight
+from medlarrail.coordination.follower import Follower
+from medlarrail.coordination.health import PairHealth, RetryBudgets
+from medlarrail.coordination.permit_client import HeldPermit, PermitClient
+from medlarrail.coordination.session import Session
+from medlarrail.core.clock import Clock, get_boottime
+from medlarrail.core.context import (
+    ContextRoot,
+    get_root_key,
+    iterate_block_keys,
+)
+from medlarrail.core.entities import Contract, Endpoint
+from medlarrail.core.errors import (
+    DeadlineExceeded,
+    EndpointOutOfService,
+    EndpointRefused,
+    EndpointUnreachable,
+    MedlarError,
+    NoEndpoint,
+    NotOwner,
+    OwnershipUnsettled,
+    PeerError,
+    Refusal,
+    RetryBudgetSpent,
+    RunDeadlineExceeded,
+    RunFailure,
+    SessionClosed,
+    StreamBroken,
+    StreamSilent,
+)
+from medlarrail.core.metrics import get_metrics
+from medlarrail.core.placement import rank_nodes
+from medlarrail.core.timing import LONGEST_QUEUE_WAIT_S
+from medlarrail.protocol.openai import CompletionRequest, EngineChunk, EngineRequest
+from medlarrail.protocol.permits import AcquireRequest
+
+REQUEST_ID_BYTES = 12
+CANDIDATES_ASKED = 3
+"""Owners that one attempt asks before it refuses."""
+AFFINITY_BYTES = 1024
+"""Leading bytes of a prompt that decide where it goes first."""
+LARGEST_RUNS = 4
+"""Dispatches of one request, the first and its retries."""
+ROUND_PAUSE_S = 0.1
+OWNER_ROUNDS = 4
+"""Times that the candidates are gone through while ownership settles."""
+
+
+@frozen
+class RoutingPolicy:
+    """What the deployment's settings say of routing; times in seconds."""
+
+    first_token_silence_s: float = 20.0
+    token_silence_s: float = 10.0
+    restore: bool = True
+
+
+@frozen
+class Target:
+    """A request as routing sees it."""
+
+    contract: Contract
+    kind: str
+    serves: str
+    affinity: str
+    deadline: float
+    """On trio's clock."""
+
+    def get_rest(self) -> float:
+        """Return the seconds left until the deadline."""
+        return self.deadline - trio.current_time()
+
+
+@define
+class Router:
+    """Finds permits for requests."""
+
+    session: Session
+    follower: Follower
+    permits: PermitClient
+    health: PairHealth
+    clock: Clock = get_boottime
+
+    def list_candidates(self, target: Target, weight_version: str = ""):
+        """Return endpoints in service for ``target``, best first."""
+        catalogue = self.follower.catalogue
+        found = {
+            one.name: one
+            for one in catalogue.iterate_endpoints(target.kind, target.serves)
+            if catalogue.is_in_service(one)
+            and one.name not in catalogue.loads
+            and weight_version in ("", one.weight_version)
+        }
+        ranked = [found[name] for name in rank_nodes(found, target.affinity)]
+        return sorted(ranked, key=lambda one: self.health.is_suspected(one.name))
+
+    async def get_permit(
+        self, target: Target, exclude: set[str], block_keys=None, version: str = ""
+    ) -> tuple[Endpoint, HeldPermit]:
+        """Return an endpoint and a permit for it, or raise the best refusal."""
+        for round_number in range(OWNER_ROUNDS):
+            refusal = await self._ask_round(target, exclude, block_keys, version)
+            if not isinstance(refusal, Refusal | MedlarError):
+                return refusal
+            unsettled = isinstance(
+                refusal, NotOwner | OwnershipUnsettled | SessionClosed | PeerError
+            )
+            if not unsettled or round_number == OWNER_ROUNDS - 1:
+                break
+            if target.get_rest() < ROUND_PAUSE_S * 2:
+                break
+            await trio.sleep(ROUND_PAUSE_S)
+        if isinstance(refusal, Refusal):
+            raise refusal
+        raise NoEndpoint(target=target.serves) from refusal
+
+    async def _ask_round(self, target: Target, exclude, block_keys, version):
+        """Return a permit, or the refusal that asks to come back soonest."""
+        self.session.require()
+        best: MedlarError = NoEndpoint(target=target.serves)
+        candidates = self.list_candidates(target, version)
+        candidates.sort(key=lambda one: one.name in exclude)
+        for endpoint in candidates[:CANDIDATES_ASKED]:
+            if target.get_rest() <= 0:
+                raise DeadlineExceeded()
+            try:
+                keys = block_keys(endpoint) if block_keys else ()
+                held = await self.permits.acquire(
+                    self._build_request(target, endpoint, keys)
+                )
+                return endpoint, held
+            except (Refusal, PeerError, SessionClosed) as error:
+                reason = type(error).__name__
+                get_metrics().count("permits_refused", reason=reason)
+                best = _pick_sooner(best, error)
+        return best
+
+    def _build_request(self, target: Target, endpoint: Endpoint, keys):
+        contract = target.contract
+        rest_s = target.get_rest()
+        wait_s = min(contract.queue_wait_s, LONGEST_QUEUE_WAIT_S, rest_s)
+        return AcquireRequest(
+            permit=self.permits.make_permit_id(),
+            endpoint=endpoint.name,
+            entry=self.session.name,
+            epoch=self.session.require(),
+            account=contract.account,
+            weight=get_weight(contract.share, contract.priority),
+            wait_s=wait_s,
+            hold_s=rest_s + wait_s,
+            block_keys=tuple(keys),
+        )
+
+    def check_dispatch(self, endpoint: Endpoint, held: HeldPermit) -> None:
+        """Raise unless a dispatch may happen at this very moment."""
+        self.session.require()
+        self.permits.check(held)
+        catalogue = self.follower.catalogue
+        present = catalogue.endpoints.get(endpoint.name)
+        if present is None or not catalogue.is_in_service(present):
+            raise EndpointOutOfService(endpoint=endpoint.name)
+
+    def note_outcome(
+        self,
+        endpoint: Endpoint,
+        held: HeldPermit,
+        error: BaseException | None,
+        incarnation: str = "",
+    ) -> None:
+        """Give the permit back and learn about the path."""
+        outcome = get_outcome(error)
+        if outcome in ("broken", "silent", "unreachable"):
+            self.health.note_failure(endpoint.name)
+        elif outcome == "ok":
+            self.health.note_success(endpoint.name)
+        self.permits.give_back(held, outcome, incarnation)
+
+
+def _pick_sooner(best: MedlarError, error: MedlarError) -> MedlarError:
+    """Return the refusal that asks the caller to come back sooner."""
+    if isinstance(best, NoEndpoint) or not isinstance(best, Refusal):
+        return error
+    if not isinstance(error, Refusal):
+        return best
+    return min(best, error, key=lambda one: one.retry_after_s)
+
+
+def get_outcome(error: BaseException | None) -> str:
+    """Return the outcome of a permitted run that ended with ``error``."""
+    if error is None:
+        return "ok"
+    if isinstance(error, EndpointUnreachable):
+        return "unreachable"
+    if isinstance(error, EndpointRefused):
+        return "refused"
+    if isinstance(error, StreamSilent | RunDeadlineExceeded):
+        return "silent"
+    if isinstance(error, RunFailure):
+        return "broken"
+    return "unused"
+
+
+class ContextPlanner(Protocol):
+    """Brings kept context to an endpoint before a run, and keeps it after."""
+
+    async def restore(self, run, endpoint: Endpoint, held: HeldPermit) -> None:
+        """Bring kept context to ``endpoint`` where that is worth it."""
+
+    def note_finished(self, run, endpoint: Endpoint) -> None:
+        """Keep the context that ``endpoint`` has cached now."""
+
+
+@define
+class PromptRun:
+    """One prompt on its way to a whole answer."""
+
+    router: Router
+    engines: EngineClient
+    budgets: RetryBudgets
+    policy: RoutingPolicy
+    contract: Contract
+    request: CompletionRequest
+    deadline: float
+    context: "ContextPlanner | None" = None
+    request_id: str = field(
+        factory=lambda: f"req-{secrets.token_hex(REQUEST_ID_BYTES)}"
+    )
+    started_at: float = field(factory=trio.current_time)
+    text: list[str] = field(factory=list)
+    tokens: int = 0
+    weight_version: str = ""
+    _exclude: set[str] = field(factory=set)
+
+    def _build_target(self) -> Target:
+        affinity = self.request.prompt[:AFFINITY_BYTES]
+        root = ContextRoot(self.contract.account, self.request.model, affinity)
+        return Target(
+            self.contract,
+            "model",
+            self.request.model,
+            get_root_key(root),
+            self.deadline,
+        )
+
+    async def iterate(self) -> AsyncIterator[EngineChunk]:
+        """Yield the chunks of the answer, resuming where a stream broke.
+
+        The first chunk comes only when the prompt runs; an error before it says
+        truly whether anything ran.
+        """
+        target = self._build_target()
+        last_error: MedlarError | None = None
+        for run_number in range(LARGEST_RUNS):
+            if run_number and not self.budgets.spend(self.contract.account):
+                get_metrics().count("retries_refused", reason="budget")
+                raise self._as_final(RetryBudgetSpent()) from last_error
+            try:
+                async with aclosing(self._run_once(target)) as chunks:
+                    async for chunk in chunks:
+                        yield chunk
+                return
+            except (EndpointUnreachable, EndpointRefused, RunFailure) as error:
+                if isinstance(error, RunDeadlineExceeded):
+                    raise
+                last_error = error
+                get_metrics().count("retries", reason=type(error).__name__)
+            except Refusal as error:
+                if last_error is None:
+                    raise
+                raise self._as_final(last_error) from error
+        raise self._as_final(last_error)
+
+    def _as_final(self, error: MedlarError) -> MedlarError:
+        """Return ``error``, or one that says that part of the answer was given."""
+        if self.tokens:
+            return StreamBroken(tokens=self.tokens)
+        return error
+
+    async def _run_once(self, target: Target) -> AsyncIterator[EngineChunk]:
+        """Yield the chunks of one dispatch."""
+        version = self.weight_version if self.tokens else ""
+        endpoint, held = await self.router.get_permit(
+            target, self._exclude, self.list_block_keys, version
+        )
+        error: BaseException | None = None
+        incarnation = ""
+        try:
+            if self.context is not None:
+                await self.context.restore(self, endpoint, held)
+            self.router.check_dispatch(endpoint, held)
+            request = self._build_request(endpoint)
+            silence_s = min(self.policy.first_token_silence_s, target.get_rest())
+            async with self.engines.open(endpoint, request, silence_s) as stream:
+                incarnation = stream.incarnation
+                self.weight_version = stream.weight_version
+                self.router.permits.note_started(held, incarnation)
+                async for chunk in self._relay(stream):
+                    yield chunk
+            if self.context is not None:
+                self.context.note_finished(self, endpoint)
+        except BaseException as caught:
+            error = caught
+            if isinstance(caught, RunFailure | EndpointUnreachable | EndpointRefused):
+                self._exclude.add(endpoint.name)
+            raise
+        finally:
+            self.router.note_outcome(endpoint, held, error, incarnation)
+
+    def _build_request(self, endpoint: Endpoint) -> EngineRequest:
+        return EngineRequest(
+            request_id=self.request_id,
+            model=self.request.model,
+            prompt=self.request.prompt,
+            max_tokens=self.request.max_tokens,
+            weight_version=endpoint.weight_version,
+            root_key=get_root_key(self.get_root(endpoint)),
+            priority=self.contract.priority,
+            resume_from=self.tokens,
+            resume_text="".join(self.text),
+        )
+
+    async def _relay(self, stream) -> AsyncIterator[EngineChunk]:
+        """Yield chunks while the deadline lasts, keeping what a resume needs."""
+        async with aclosing(stream.iterate()) as chunks:
+            while True:
+                chunk = await self._get_next(chunks, stream.endpoint)
+                if chunk is None:
+                    return
+                if not chunk.finish_reason:
+                    self.tokens += 1
+                    self.text.append(chunk.text)
+                yield chunk
+
+    async def _get_next(self, chunks, endpoint: Endpoint) -> EngineChunk | None:
+        """Return the next chunk, or None at the end of the stream."""
+        limit_s = self.policy.first_token_silence_s
+        if self.tokens:
+            limit_s = self.policy.token_silence_s
+        rest_s = self.deadline - trio.current_time()
+        with trio.move_on_after(min(limit_s, rest_s)):
+            return await anext(chunks, None)
+        if rest_s <= limit_s:
+            raise RunDeadlineExceeded(endpoint=endpoint.name)
+        raise StreamSilent(endpoint.name, limit_s, self.tokens)
+
+    def get_root(self, endpoint: Endpoint) -> ContextRoot:
+        """Return the root of the prompt's block keys at ``endpoint``."""
+        return ContextRoot(
+            self.contract.account,
+            self.request.model,
+            endpoint.weight_version,
+            endpoint.adapter,
+        )
+
+    def list_block_keys(self, endpoint: Endpoint) -> tuple[str, ...]:
+        """Return the keys of the prompt's whole blocks at ``endpoint``."""
+        if not endpoint.block_bytes:
+            return ()
+        root = self.get_root(endpoint)
+        return tuple(
+            iterate_block_keys(root, self.request.prompt, endpoint.block_bytes)
+        )
--- /dev/null
+++ b/medlarrail/coordination/service_calls.py
@@ -0,0 +1,181 @@
+"""Carries calls to plain services, at most once where the contract says so."""
+
+import hashlib
+
+from attrs import define, field, frozen
+
+from medlarrail.coordination.engine_client import translate_run_errors
+from medlarrail.coordination.health import RetryBudgets
+from medlarrail.coordination.ledger import TOO_LONG, Ledger
+from medlarrail.coordination.routing import LARGEST_RUNS, Router, Target
+from medlarrail.core.codec import decode_error
+from medlarrail.core.entities import CallMode, Contract, LedgerKey, StoredAnswer
+from medlarrail.core.errors import (
+    AnswerCrossed,
+    AnswerNotKept,
+    EndpointRefused,
+    EndpointUnreachable,
+    IdempotencyKeyMissing,
+    MedlarError,
+    RetryBudgetSpent,
+    RunDeadlineExceeded,
+    RunFailure,
+    UnknownService,
+)
+from medlarrail.core.metrics import get_metrics
+from medlarrail.protocol.endpoints import INCARNATION_HEADER, REQUEST_ID_HEADER
+from medlarrail.transport.client import HttpClient, RawAnswer
+
+BODY_ENCODING = "latin-1"
+UNREACHABLE_TRIES = 3
+
+
+@frozen
+class ServiceRequest:
+    """A call to a service as the caller made it."""
+
+    service: str
+    method: str
+    path: str
+    body: bytes = field(repr=False)
+    content_type: str
+    key: str
+    request_id: str
+
+    def get_digest(self) -> str:
+        """Return the digest that tells this request from others."""
+        digest = hashlib.sha256()
+        for part in (self.method, self.service, self.path):
+            digest.update(f"{len(part)}:{part}".encode())
+        digest.update(self.body)
+        return digest.hexdigest()
+
+
+def get_call_mode(contract: Contract, request: ServiceRequest) -> CallMode:
+    """Return whether the call may be repeated; the first matching rule decides.
+
+    Without a rule, calls that only read may be repeated and others may not.
+    """
+    name = f"{request.service}/{request.path}"
+    for rule in contract.calls:
+        if name.startswith(rule.pattern):
+            return rule.mode
+    return "repeat" if request.method in ("GET", "HEAD") else "once"
+
+
+@define
+class ServiceCalls:
+    """Carries the service calls of this entry."""
+
+    router: Router
+    client: HttpClient
+    ledger: Ledger
+    budgets: RetryBudgets
+    silence_s: float = 20.0
+
+    async def call(
+        self, contract: Contract, request: ServiceRequest, deadline: float
+    ) -> StoredAnswer:
+        """Return the service's answer to ``request``."""
+        catalogue = self.router.follower.catalogue
+        if not any(catalogue.iterate_endpoints("service", request.service)):
+            raise UnknownService(service=request.service)
+        target = Target(
+            contract, "service", request.service, request.request_id, deadline
+        )
+        if get_call_mode(contract, request) == "repeat":
+            return await self._call_repeatable(target, request)
+        if not request.key:
+            raise IdempotencyKeyMissing()
+        return await self._call_once(target, request)
+
+    async def _call_once(self, target: Target, request: ServiceRequest):
+        key = LedgerKey(target.contract.account, request.key)
+        answer = await self.ledger.run_once(
+            key,
+            request.get_digest(),
+            lambda: self._send_once(target, request),
+            target.deadline,
+        )
+        if answer.content_type == TOO_LONG:
+            raise AnswerNotKept()
+        return answer
+
+    async def _send_once(self, target: Target, request: ServiceRequest) -> StoredAnswer:
+        """Send over a new connection; one that cannot be made leaves no trace."""
+        exclude: set[str] = set()
+        for try_number in range(UNREACHABLE_TRIES):
+            try:
+                return await self._send(target, request, exclude, fresh=True)
+            except EndpointUnreachable:
+                if try_number == UNREACHABLE_TRIES - 1:
+                    raise
+        raise EndpointUnreachable(endpoint=request.service)
+
+    async def _call_repeatable(
+        self, target: Target, request: ServiceRequest
+    ) -> StoredAnswer:
+        exclude: set[str] = set()
+        last_error: MedlarError | None = None
+        for run_number in range(LARGEST_RUNS):
+            if run_number and not self.budgets.spend(target.contract.account):
+                get_metrics().count("retries_refused", reason="budget")
+                raise RetryBudgetSpent() from last_error
+            try:
+                return await self._send(target, request, exclude, fresh=False)
+            except RunDeadlineExceeded:
+                raise
+            except (EndpointUnreachable, EndpointRefused, RunFailure) as error:
+                get_metrics().count("retries", reason=type(error).__name__)
+                last_error = error
+        raise last_error
+
+    async def _send(
+        self, target: Target, request: ServiceRequest, exclude: set[str], fresh: bool
+    ) -> StoredAnswer:
+        endpoint, held = await self.router.get_permit(target, exclude)
+        error: BaseException | None = None
+        incarnation = ""
+        try:
+            self.router.check_dispatch(endpoint, held)
+            raw = await self._fetch(target, endpoint, request, fresh)
+            incarnation = raw.headers.get(INCARNATION_HEADER, "")
+            self.router.permits.note_started(held, incarnation)
+            return self._read_answer(endpoint.name, request, raw)
+        except BaseException as caught:
+            error = caught
+            exclude.add(endpoint.name)
+            raise
+        finally:
+            self.router.note_outcome(endpoint, held, error, incarnation)
+
+    async def _fetch(self, target, endpoint, request, fresh: bool) -> RawAnswer:
+        rest_s = target.get_rest()
+        silence_s = min(self.silence_s, rest_s)
+        headers = {
+            REQUEST_ID_HEADER: request.request_id,
+            "content-type": request.content_type or "application/octet-stream",
+        }
+        if request.key:
+            headers["idempotency-key"] = request.key
+        with translate_run_errors(endpoint.name, silence_s):
+            return await self.client.fetch(
+                request.method,
+                f"{endpoint.url}/{request.path}",
+                request.body,
+                headers,
+                timeout_s=max(silence_s, 0.001),
+                fresh=fresh,
+            )
+
+    def _read_answer(
+        self, name: str, request: ServiceRequest, raw: RawAnswer
+    ) -> StoredAnswer:
+        echoed = raw.headers.get(REQUEST_ID_HEADER, "")
+        if echoed != request.request_id:
+            raise AnswerCrossed(name, request.request_id, echoed)
+        refused = decode_error(raw.body) if raw.status >= 400 else None
+        if refused is not None and refused.run == "no" and raw.status in (429, 503):
+            raise EndpointRefused(endpoint=name, reason=type(refused).__name__)
+        content_type = raw.headers.get("content-type", "")
+        return StoredAnswer(raw.status, content_type, raw.body.decode(BODY_ENCODING))
--- a/medlarrail/core/codec.py
+++ b/medlarrail/core/codec.py
@@ -121,13 +121,16 @@
     return ""
 
 
-def encode_error(error: MedlarError) -> bytes:
-    """Return the JSON body that stands for ``error`` on the wire."""
+def encode_error(error: MedlarError, run: str = "") -> bytes:
+    """Return the JSON body that stands for ``error`` on the wire.
+
+    ``run`` replaces what the type says about whether the request ran.
+    """
     data = {field.name: getattr(error, field.name) for field in fields(type(error))}
     body = {
         "type": type(error).__name__,
         "reason": str(error),
-        "run": type(error).run,
+        "run": run or type(error).run,
         "data": _MESSAGES.unstructure(data),
     }
     return orjson.dumps({"error": body})
--- a/medlarrail/core/context.py
+++ b/medlarrail/core/context.py
@@ -31,21 +31,17 @@
     return hashlib.blake2b(text.encode(), digest_size=KEY_BYTES).hexdigest()
 
 
-def get_cache_salt(account: str) -> str:
-    """Return the salt that keeps an account's blocks apart inside an engine."""
-    return hashlib.blake2b(account.encode(), digest_size=KEY_BYTES).hexdigest()
-
-
 def iterate_block_keys(root: ContextRoot, prompt: str, block_bytes: int):
     """Yield the key of each whole block of ``prompt``, first block first.
 
     A block covers ``block_bytes`` bytes of UTF-8 text; a last block that is not
     whole has no key.
     """
-    yield from _chain(get_root_key(root), prompt.encode(), block_bytes)
+    yield from iterate_chain(get_root_key(root), prompt.encode(), block_bytes)
 
 
-def _chain(previous: str, data: bytes, block_bytes: int) -> Iterator[str]:
+def iterate_chain(previous: str, data: bytes, block_bytes: int) -> Iterator[str]:
+    """Yield the keys of the whole blocks of ``data`` that follow ``previous``."""
     for start in range(0, len(data) - block_bytes + 1, block_bytes):
         digest = hashlib.blake2b(previous.encode(), digest_size=KEY_BYTES)
         digest.update(data[start : start + block_bytes])
--- a/medlarrail/core/entities.py
+++ b/medlarrail/core/entities.py
@@ -33,8 +33,9 @@
     ``share`` is the weight of the account wherever accounts compete,
     ``priority`` (0 to 3) multiplies it, ``max_running`` bounds the requests
     that one entry runs for the account, ``retry_ratio`` is the number of
-    retries that one request earns, and ``deadline_s`` is used where the caller
-    states none. ``keys_sha256`` holds digests of bearer keys, never the keys.
+    retries that one request earns, ``queue_wait_s`` bounds the wait before an
+    endpoint, and ``deadline_s`` is used where the caller states none.
+    ``keys_sha256`` holds digests of bearer keys, never the keys.
     """
 
     account: str
@@ -45,6 +46,7 @@
     models: tuple[str, ...] = ()
     calls: tuple[CallRule, ...] = ()
     retry_ratio: float = 0.1
+    queue_wait_s: float = 2.0
     deadline_s: float = 60.0
 
 
@@ -87,12 +89,17 @@
 
 @frozen
 class EntrySession:
-    """The open session of an entry; ``epoch`` is the log index that opened it."""
+    """The open session of an entry; ``epoch`` is the log index that opened it.
+
+    An entry that is ``leaving`` owns no endpoint and is on no caller's list, but
+    still serves the callers that have not noticed yet.
+    """
 
     entry: str
     url: str
     data_centre: str
     epoch: int
+    leaving: bool = False
 
 
 @frozen
@@ -144,6 +151,11 @@
     epoch: int = 0
     sessions: tuple[EntrySession, ...] = ()
 
+    def list_owners(self) -> tuple[EntrySession, ...]:
+        """Return the sessions that own endpoints: all that do not leave."""
+        staying = tuple(one for one in self.sessions if not one.leaving)
+        return staying or self.sessions
+
     def get_session(self, entry: str) -> EntrySession | None:
         """Return the session of ``entry``, or None where it has none."""
         return next((one for one in self.sessions if one.entry == entry), None)
--- a/medlarrail/core/errors.py
+++ b/medlarrail/core/errors.py
@@ -182,6 +182,20 @@
     endpoint: str = ""
 
 
+@define(slots=False)
+class EndpointSilent(Refusal):
+    """The endpoint has not reported for longer than the limit."""
+
+    endpoint: str = ""
+
+
+@define(slots=False)
+class EndpointSuspected(Refusal):
+    """This entry could not reach the endpoint a moment ago."""
+
+    endpoint: str = ""
+
+
 @define(slots=False)
 class OwnershipUnsettled(Refusal):
     """The endpoint's new owner is still taking over."""
@@ -247,7 +261,7 @@
 
 @define(slots=False)
 class LedgerUnavailable(Refusal):
-    """The at-most-once ledger cannot be reached; nothing was dispatched."""
+    """The at-most-once ledger cannot be asked; this request was not dispatched."""
 
 
 # Failures after a dispatch: the request may have run.
@@ -307,6 +321,14 @@
     status = 409
 
 
+@define(slots=False)
+class AnswerNotKept(RunFailure):
+    """The call ran before; its answer was too long to be kept."""
+
+    status = 410
+    run = "yes"
+
+
 @define(slots=False)
 class RetryBudgetSpent(RunFailure):
     """The contract's retry budget is spent."""
@@ -411,6 +433,15 @@
     entry: str = ""
 
 
+@define(slots=False)
+class SessionHeld(ControlError):
+    """Another process holds the session of this entry's name until it expires."""
+
+    status = 409
+    entry: str = ""
+    holder_url: str = ""
+
+
 @define(slots=False)
 class LoadLimit(ControlError):
     """As many weight loads run as the settings allow, or the floor is reached."""
--- a/medlarrail/core/placement.py
+++ b/medlarrail/core/placement.py
@@ -22,11 +22,10 @@
 
 def get_owner(view: View, endpoint: str) -> EntrySession | None:
     """Return the session that owns ``endpoint`` under ``view``."""
-    if not view.sessions:
+    owners = view.list_owners()
+    if not owners:
         return None
-    return max(
-        view.sessions, key=lambda one: (get_weight(one.entry, endpoint), one.entry)
-    )
+    return max(owners, key=lambda one: (get_weight(one.entry, endpoint), one.entry))
 
 
 def iterate_owned(view: View, entry: str, endpoints: Iterable[str]) -> Iterator[str]:
--- a/medlarrail/core/timing.py
+++ b/medlarrail/core/timing.py
@@ -26,14 +26,24 @@
 PERMIT_LIFE_S = 1.5
 """Time in which a permit has to be used for a dispatch."""
 
+LONGEST_QUEUE_WAIT_S = 5.0
+"""Longest time for which a request waits for a permit."""
+
 ENTRY_LIST_KEEP_S = 2.0
 """Time for which callers may keep the list of entries."""
 
 FOLLOW_WAIT_S = 2.0
 """Longest time for which a member holds back an empty answer to a follower."""
 
-OUT_OF_SERVICE_BOUND_S = SESSION_LEASE_S + PERMIT_LIFE_S + CLOCK_DRIFT_MARGIN_S
+IN_FORCE_BOUND_S = SESSION_LEASE_S + CLOCK_DRIFT_MARGIN_S
+"""Longest time between an accepted change and its being in force everywhere.
+
+An entry dispatches under a lease, and a lease stands for a configuration that
+is not older than itself.
+"""
+
+OUT_OF_SERVICE_BOUND_S = IN_FORCE_BOUND_S
 """Longest time between an accepted removal and the last dispatch to it."""
 
-IN_FORCE_BOUND_S = SESSION_LEASE_S + CLOCK_DRIFT_MARGIN_S
-"""Longest time between an accepted change and its being in force everywhere."""
+ENTRY_OUT_BOUND_S = IN_FORCE_BOUND_S + ENTRY_LIST_KEEP_S
+"""Longest time for which an entry of a removed data centre takes new requests."""
--- a/medlarrail/core/timing_test.py
+++ b/medlarrail/core/timing_test.py
@@ -12,6 +12,7 @@
 
     def test_out_of_service_bound_is_a_few_seconds(self):
         assert timing.OUT_OF_SERVICE_BOUND_S <= FEW_SECONDS
+        assert timing.ENTRY_OUT_BOUND_S <= FEW_SECONDS + timing.ENTRY_LIST_KEEP_S
 
     def test_lease_survives_two_lost_renewals(self):
         assert timing.SESSION_LEASE_S > 3 * timing.RENEW_INTERVAL_S
--- /dev/null
+++ b/medlarrail/programs/common.py
@@ -0,0 +1,111 @@
+"""What the programs share: settings files, logs, signals and exit codes."""
+
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from enum import IntEnum
+from pathlib import Path
+from typing import Any, TypeVar
+
+import eliot
+import trio
+import typer
+
+from medlarrail.core.codec import decode_settings
+from medlarrail.core.errors import SettingsInvalid
+from medlarrail.programs.settings import iterate_faults
+
+T = TypeVar("T")
+
+
+class ExitCode(IntEnum):
+    """Exit codes of every program."""
+
+    OK = 0
+    DEFECT = 1
+    USAGE = 2
+    SETTINGS = 3
+    REFUSED = 4
+    UNAVAILABLE = 5
+    UNKNOWN = 6
+
+
+def load_settings(path: Path, kind: type[T]) -> T:
+    """Return the settings in a file; raises ``SettingsInvalid`` with all faults."""
+    settings = decode_settings(path.read_bytes(), kind)
+    faults = iterate_faults(settings)
+    if faults:
+        raise SettingsInvalid(faults=tuple(faults))
+    return settings
+
+
+def load_or_exit(path: Path, kind: type[T]) -> T:
+    """Return the settings, or print every fault and exit."""
+    try:
+        return load_settings(path, kind)
+    except OSError as error:
+        typer.echo(f"{path}: {error.strerror}", err=True)
+    except SettingsInvalid as error:
+        for fault in error.faults:
+            typer.echo(f"{path}: {fault}", err=True)
+    raise typer.Exit(ExitCode.SETTINGS)
+
+
+def start_log(log_file: str) -> None:
+    """Write the log as JSON lines to a file, or to standard error."""
+    if not log_file:
+        eliot.to_file(sys.stderr)
+        return
+    eliot.to_file(Path(log_file).open("a", buffering=1))  # noqa: SIM115
+
+
+async def wait_for_stop_signal() -> None:
+    """Return at the first SIGTERM or SIGINT."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            return
+
+
+def build_program(name: str, summary: str, example: str, kind: type, run) -> Any:
+    """Return the command line of a daemon.
+
+    ``NAME --settings FILE`` runs it; ``NAME check-settings FILE`` only checks.
+    """
+    app = typer.Typer(
+        help=f"{summary}\n\nExample: {example}",
+        invoke_without_command=True,
+        add_completion=False,
+        pretty_exceptions_enable=False,
+    )
+
+    @app.callback()
+    def start(
+        context: typer.Context,
+        settings: Path = typer.Option(None, help="Settings file in JSON."),
+    ) -> None:
+        if context.invoked_subcommand is not None:
+            return
+        if settings is None:
+            typer.echo(f"{name}: --settings FILE is missing", err=True)
+            raise typer.Exit(ExitCode.USAGE)
+        loaded = load_or_exit(settings, kind)
+        start_log(loaded.log_file)
+        run_program(run, loaded)
+
+    @app.command("check-settings")
+    def check(file: Path) -> None:
+        """Check a settings file and tell every fault with its place.
+
+        Example: check-settings settings.json
+        """
+        load_or_exit(file, kind)
+        typer.echo(f"{file}: ok")
+
+    return app
+
+
+def run_program(run: Callable[[Any], Awaitable[None]], settings: Any) -> None:
+    """Run a daemon until it is told to stop."""
+    eliot.log_message("program:started", name=settings.name)
+    trio.run(run, settings)
+    eliot.log_message("program:stopped", name=settings.name)
--- /dev/null
+++ b/medlarrail/programs/entry.py
@@ -0,0 +1,220 @@
+"""``medlar-entry``: callers' front door and owner of some endpoints."""
+
+import eliot
+import trio
+from attrs import define, frozen
+
+from medlarrail.coordination.access import AccountDirectory, Guard, KeyRing
+from medlarrail.coordination.endpoint_desk import EndpointDesk
+from medlarrail.coordination.engine_client import EngineClient
+from medlarrail.coordination.follower import Follower
+from medlarrail.coordination.front import Front
+from medlarrail.coordination.health import PairHealth, RetryBudgets
+from medlarrail.coordination.ledger import Ledger
+from medlarrail.coordination.ownership import OwnedEndpoint, OwnerTable
+from medlarrail.coordination.permit_client import PermitClient
+from medlarrail.coordination.permit_desk import PermitDesk
+from medlarrail.coordination.rollout import Rollout
+from medlarrail.coordination.routing import Router
+from medlarrail.coordination.service_calls import ServiceCalls
+from medlarrail.coordination.session import Session
+from medlarrail.coordination.state_client import StateClient
+from medlarrail.core.timing import ENTRY_LIST_KEEP_S, IN_FORCE_BOUND_S
+from medlarrail.programs.common import build_program, wait_for_stop_signal
+from medlarrail.programs.monitoring import Monitoring
+from medlarrail.programs.settings import EntrySettings, Keys
+from medlarrail.transport.client import HttpClient
+from medlarrail.transport.routes import Request, Routes, route
+from medlarrail.transport.server import HttpServer
+
+DRAIN_POLL_S = 0.05
+
+
+@frozen
+class OwnedStatus:
+    """An owned endpoint as its owner sees it."""
+
+    endpoint: str
+    limit: int
+    in_use: int
+    unproven: int
+    queued: int
+    completed: int
+    cold: bool
+    holders_known: bool
+    reported_ago_s: float
+    cached_blocks: int
+
+
+@frozen
+class EntryStatus:
+    """What an entry says of itself."""
+
+    name: str
+    data_centre: str
+    epoch: int
+    lease_valid: bool
+    applied_index: int
+    held_permits: int
+    owned: tuple[OwnedStatus, ...]
+
+
+def describe_owned(owned: OwnedEndpoint, now: float) -> OwnedStatus:
+    """Return the status of an owned endpoint."""
+    limiter = owned.limiter
+    return OwnedStatus(
+        endpoint=owned.endpoint.name,
+        limit=limiter.get_limit(),
+        in_use=limiter.count_in_use(),
+        unproven=limiter.count_unproven(),
+        queued=len(owned.queue),
+        completed=limiter.completed,
+        cold=limiter.is_cold(),
+        holders_known=limiter.holders_known,
+        reported_ago_s=now - limiter.reported_at,
+        cached_blocks=len(owned.picture.keys),
+    )
+
+
+@define(slots=False)
+class EntryProgram:
+    """The parts of one entry."""
+
+    settings: EntrySettings
+    nursery: trio.Nursery
+
+    def __attrs_post_init__(self):
+        settings = self.settings
+        peers = HttpClient(settings.keys.cluster)
+        state = StateClient(peers, settings.state_urls)
+        self.follower = Follower(peers, settings.state_urls)
+        self.session = Session(
+            settings.name,
+            settings.listen.url,
+            settings.data_centre,
+            state,
+            self.follower,
+        )
+        self.owners = OwnerTable(self.session, self.follower, peers)
+        self.permits = PermitClient(self.session, self.follower, self.owners, peers)
+        self.ledger = Ledger(self.session, state, self.nursery)
+        self.desk = EndpointDesk(
+            self.session, state, self.follower, self.owners, peers, self.nursery
+        )
+        self.rollout = Rollout(self.session, state, self.follower, self.owners, peers)
+        self.front = self._build_front(peers)
+
+    def _build_front(self, peers: HttpClient) -> Front:
+        settings = self.settings
+        router = Router(self.session, self.follower, self.permits, PairHealth())
+        budgets = RetryBudgets()
+        silence_s = settings.routing.first_token_silence_s
+        return Front(
+            AccountDirectory(self.follower),
+            router,
+            EngineClient(peers),
+            ServiceCalls(router, peers, self.ledger, budgets, silence_s),
+            budgets,
+            settings.routing,
+            settings.callers,
+        )
+
+    def build_server(self) -> HttpServer:
+        """Return the server with every route of the entry."""
+        routes = Routes.collect(
+            self,
+            self.front,
+            self.desk,
+            PermitDesk(self.owners, self.permits),
+            Monitoring(self.settings.name),
+            guard=build_guard(self.settings.keys),
+        )
+        return HttpServer(routes, self.settings.server)
+
+    @route("POST", "/v1/status")
+    async def handle_status(self, request: Request) -> EntryStatus:
+        """Return what this entry knows of itself."""
+        now = self.owners.clock()
+        owned = tuple(describe_owned(one, now) for one in self.owners.owned.values())
+        return EntryStatus(
+            name=self.settings.name,
+            data_centre=self.settings.data_centre,
+            epoch=self.session.epoch,
+            lease_valid=self.session.is_valid(),
+            applied_index=self.follower.catalogue.index,
+            held_permits=len(self.permits.held),
+            owned=owned,
+        )
+
+    def start(self) -> None:
+        """Start the tasks of the entry."""
+        for run in (
+            self.follower.run,
+            self.session.run,
+            self.owners.run,
+            self.permits.run,
+            self.desk.run,
+            self.rollout.run,
+        ):
+            self.nursery.start_soon(run)
+
+    async def drain(self, server: HttpServer) -> None:
+        """Leave the callers' lists, let every request end, then stop.
+
+        Callers may use a list that they got before, so new requests are taken
+        until the last of those lists has run out.
+        """
+        eliot.log_message("entry:draining", name=self.settings.name)
+        await self.session.leave()
+        await trio.sleep(IN_FORCE_BOUND_S + ENTRY_LIST_KEEP_S)
+        self.front.refuse_new = True
+        with trio.move_on_after(self.settings.server.drain_limit_s):
+            while self.permits.held:
+                await trio.sleep(DRAIN_POLL_S)
+            await server.wait_idle()
+        await self.session.close()
+
+
+def build_guard(keys: Keys) -> Guard:
+    """Return who may call an entry, by path."""
+    cluster = KeyRing.from_keys(keys.cluster)
+    endpoints = KeyRing.from_keys(keys.endpoint).merge(cluster)
+    operators = KeyRing(keys.operators_sha256).merge(cluster)
+    return Guard(
+        {
+            "/internal/": cluster,
+            "/v1/announce": endpoints,
+            "/v1/report": endpoints,
+            "/v1/cache-events": endpoints,
+            "/v1/leave": endpoints,
+            "/v1/status": operators,
+            "/metrics": operators,
+        }
+    )
+
+
+async def run_entry(settings: EntrySettings) -> None:
+    """Run an entry until SIGTERM, then drain it."""
+    async with trio.open_nursery() as nursery:
+        program = EntryProgram(settings, nursery)
+        server = program.build_server()
+        listen = settings.listen
+        await nursery.start(server.run, listen.host, listen.port)
+        program.start()
+        await wait_for_stop_signal()
+        await program.drain(server)
+        nursery.cancel_scope.cancel()
+
+
+app = build_program(
+    "medlar-entry",
+    "Runs an entry: callers' front door and owner of some endpoints.",
+    "medlar-entry --settings entry-1.json",
+    EntrySettings,
+    run_entry,
+)
+
+
+def main() -> None:
+    """Entry point."""
+    app()
--- /dev/null
+++ b/medlarrail/programs/monitoring.py
@@ -0,0 +1,41 @@
+"""Routes that every daemon has: metrics and health."""
+
+import resource
+import time
+
+from attrs import define, frozen
+
+from medlarrail.core.metrics import format_prometheus, get_metrics
+from medlarrail.transport.routes import Reply, Request, route
+
+PROMETHEUS_TEXT = "text/plain; version=0.0.4"
+KIBIBYTE = 1024
+
+
+@frozen
+class Health:
+    """That the process answers, and what it has used so far."""
+
+    name: str
+    processor_s: float
+    peak_memory_bytes: int
+
+
+@define
+class Monitoring:
+    """Answers what monitoring asks."""
+
+    name: str
+
+    @route("GET", "/metrics")
+    async def handle_metrics(self, request: Request) -> Reply:
+        """Return counters and latencies as Prometheus text."""
+        return Reply(
+            body=format_prometheus(get_metrics()), content_type=PROMETHEUS_TEXT
+        )
+
+    @route("GET", "/health")
+    async def handle_health(self, request: Request) -> Health:
+        """Return that the process answers."""
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        return Health(self.name, time.process_time(), usage.ru_maxrss * KIBIBYTE)
--- /dev/null
+++ b/medlarrail/programs/settings.py
@@ -0,0 +1,85 @@
+"""Settings of the programs, as their JSON files hold them."""
+
+from attrs import field, frozen
+
+from medlarrail.coordination.front import CallerLimits
+from medlarrail.coordination.routing import RoutingPolicy
+from medlarrail.core.entities import Fault
+from medlarrail.transport.server import ServerLimits
+
+
+@frozen
+class Listen:
+    """Where a program listens, and the URL under which others reach it."""
+
+    host: str
+    port: int
+    url: str
+
+
+@frozen
+class Keys:
+    """Keys of the deployment.
+
+    ``cluster`` is shared by the system's own processes, ``endpoint`` by
+    endpoints; of operators' keys only SHA-256 digests are stored.
+    """
+
+    cluster: str
+    endpoint: str = ""
+    operators_sha256: tuple[str, ...] = ()
+
+
+@frozen
+class StateSettings:
+    """Settings of ``medlar-state``; sizes in bytes."""
+
+    name: str
+    data_centre: str
+    listen: Listen
+    keys: Keys
+    data_folder: str
+    quota_bytes: int = 0
+    server: ServerLimits = field(factory=lambda: ServerLimits(body_bytes=256_000_000))
+    log_file: str = ""
+
+
+@frozen
+class EntrySettings:
+    """Settings of ``medlar-entry``."""
+
+    name: str
+    data_centre: str
+    listen: Listen
+    keys: Keys
+    state_urls: tuple[str, ...]
+    callers: CallerLimits = field(factory=CallerLimits)
+    routing: RoutingPolicy = field(factory=RoutingPolicy)
+    server: ServerLimits = field(factory=ServerLimits)
+    log_file: str = ""
+
+
+def iterate_listen_faults(listen: Listen):
+    """Yield what is wrong with an address."""
+    if not 0 < listen.port < 65536:
+        yield Fault("$.listen.port", "not between 1 and 65535")
+    if not listen.url.startswith("http://"):
+        yield Fault("$.listen.url", "does not start with http://")
+
+
+def iterate_faults(settings) -> list[Fault]:
+    """Return what is wrong with settings whose types are right."""
+    faults = list(iterate_listen_faults(settings.listen))
+    if not settings.name:
+        faults.append(Fault("$.name", "is empty"))
+    if not settings.data_centre:
+        faults.append(Fault("$.data_centre", "is empty"))
+    if len(settings.keys.cluster) < SHORTEST_KEY:
+        faults.append(Fault("$.keys.cluster", f"shorter than {SHORTEST_KEY}"))
+    if not getattr(settings, "state_urls", ("set",)):
+        faults.append(Fault("$.state_urls", "is empty"))
+    return faults
+
+
+SHORTEST_KEY = 16
+"""Characters that a key of the deployment has at least."""
--- /dev/null
+++ b/medlarrail/programs/standin.py
@@ -0,0 +1,81 @@
+"""``medlar-standin``: stand-in back ends for development."""
+
+from pathlib import Path
+from random import Random
+
+import trio
+import typer
+
+from medlarrail.programs.common import (
+    load_or_exit,
+    run_program,
+    start_log,
+    wait_for_stop_signal,
+)
+from medlarrail.standins.engine import Engine
+from medlarrail.standins.service import Service
+from medlarrail.standins.settings import StandinSettings
+from medlarrail.transport.client import HttpClient
+from medlarrail.transport.routes import Routes
+from medlarrail.transport.server import HttpServer
+
+app = typer.Typer(
+    help="Runs stand-ins for development.\n\n"
+    "Example: medlar-standin engine --settings engine-1.json",
+    add_completion=False,
+    pretty_exceptions_enable=False,
+)
+
+
+async def run_engine(settings: StandinSettings) -> None:
+    """Run a stand-in engine until SIGTERM."""
+    client = HttpClient(settings.keys.endpoint)
+    engine = Engine(settings, client, Random(settings.seed))
+    await run_backend(engine, engine.run_events)
+
+
+async def run_service(settings: StandinSettings) -> None:
+    """Run a stand-in service until SIGTERM."""
+    client = HttpClient(settings.keys.endpoint)
+    await run_backend(Service(settings, client, Random(settings.seed)))
+
+
+async def run_backend(backend, *tasks) -> None:
+    """Serve a back end; at SIGTERM it leaves and lets its requests end."""
+    server = HttpServer(Routes.collect(backend))
+    listen = backend.settings.listen
+    async with trio.open_nursery() as nursery:
+        await nursery.start(server.run, listen.host, listen.port)
+        for task in (backend.run, *tasks):
+            nursery.start_soon(task)
+        await wait_for_stop_signal()
+        await backend.leave()
+        await server.wait_idle()
+        nursery.cancel_scope.cancel()
+
+
+@app.command("engine")
+def start_engine(settings: Path = typer.Option(..., help="Settings file.")) -> None:
+    """Run a stand-in model engine.
+
+    Example: medlar-standin engine --settings engine-1.json
+    """
+    loaded = load_or_exit(settings, StandinSettings)
+    start_log(loaded.log_file)
+    run_program(run_engine, loaded)
+
+
+@app.command("service")
+def start_service(settings: Path = typer.Option(..., help="Settings file.")) -> None:
+    """Run a stand-in plain service.
+
+    Example: medlar-standin service --settings service-1.json
+    """
+    loaded = load_or_exit(settings, StandinSettings)
+    start_log(loaded.log_file)
+    run_program(run_service, loaded)
+
+
+def main() -> None:
+    """Entry point."""
+    app()
--- /dev/null
+++ b/medlarrail/programs/state.py
@@ -0,0 +1,82 @@
+"""``medlar-state``: a member of the replicated log."""
+
+from pathlib import Path
+
+import eliot
+import trio
+
+from medlarrail.coordination.access import Guard, KeyRing
+from medlarrail.coordination.control import StateControl
+from medlarrail.coordination.ledger import LedgerReader
+from medlarrail.coordination.replication import LogMember
+from medlarrail.coordination.sessions import SessionKeeper
+from medlarrail.core.errors import StorageDamaged
+from medlarrail.programs.common import build_program, wait_for_stop_signal
+from medlarrail.programs.monitoring import Monitoring
+from medlarrail.programs.settings import Keys, StateSettings
+from medlarrail.state.folder import DataFolder
+from medlarrail.state.journal import Journal, open_journal
+from medlarrail.transport.client import HttpClient
+from medlarrail.transport.routes import Routes
+from medlarrail.transport.server import HttpServer
+
+
+def open_or_set_aside(folder: DataFolder) -> Journal:
+    """Open the journal; damaged files are set aside for an empty start.
+
+    The member then has a new identity and waits for an operator to put it in
+    the place of the old one.
+    """
+    try:
+        return open_journal(folder)
+    except StorageDamaged as error:
+        kept = folder.set_aside("damaged")
+        eliot.log_message("storage:damaged", error=str(error), kept=str(kept))
+        return open_journal(folder)
+
+
+def build_guard(keys: Keys) -> Guard:
+    """Return who may call a state member."""
+    cluster = KeyRing.from_keys(keys.cluster)
+    operators = KeyRing(keys.operators_sha256).merge(cluster)
+    return Guard({"/internal/": cluster, "/v1/": operators, "/metrics": operators})
+
+
+async def run_state(settings: StateSettings) -> None:
+    """Run a state member until SIGTERM."""
+    folder = DataFolder(Path(settings.data_folder), settings.quota_bytes)
+    peers = HttpClient(settings.keys.cluster)
+    member = LogMember(
+        settings.name, settings.listen.url, open_or_set_aside(folder), peers
+    )
+    sessions = SessionKeeper(member)
+    routes = Routes.collect(
+        member,
+        sessions,
+        StateControl(member, sessions),
+        LedgerReader(member),
+        Monitoring(settings.name),
+        guard=build_guard(settings.keys),
+    )
+    server = HttpServer(routes, settings.server)
+    listen = settings.listen
+    async with trio.open_nursery() as nursery:
+        await nursery.start(server.run, listen.host, listen.port)
+        await nursery.start(member.run)
+        nursery.start_soon(sessions.run)
+        await wait_for_stop_signal()
+        nursery.cancel_scope.cancel()
+
+
+app = build_program(
+    "medlar-state",
+    "Runs a member of the replicated log.",
+    "medlar-state --settings state-1.json",
+    StateSettings,
+    run_state,
+)
+
+
+def main() -> None:
+    """Entry point."""
+    app()
--- /dev/null
+++ b/medlarrail/programs/tables.py
@@ -0,0 +1,62 @@
+"""Prints results: tables for people, JSON for programs."""
+
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+import typer
+from attrs import asdict, fields, frozen
+from rich.console import Console
+from rich.table import Table
+
+from medlarrail.core.codec import encode
+
+WIDTH = 200
+
+
+@frozen
+class Items:
+    """A list of results, for JSON."""
+
+    items: tuple
+
+
+def print_json(value: Any) -> None:
+    """Print an attrs object as one line of JSON."""
+    typer.echo(encode(value).decode())
+
+
+def print_items(items: Sequence[Any], as_json: bool, columns: Iterable[str]) -> None:
+    """Print attrs objects as a table of ``columns``, or as JSON."""
+    if as_json:
+        print_json(Items(tuple(items)))
+        return
+    names = list(columns)
+    table = Table(*[name.replace("_", " ") for name in names], box=None)
+    for item in items:
+        row = asdict(item, recurse=False)
+        table.add_row(*[format_cell(row[name]) for name in names])
+    Console(width=WIDTH, highlight=False).print(table)
+
+
+def print_item(item: Any, as_json: bool) -> None:
+    """Print one attrs object as a table of its fields, or as JSON."""
+    if as_json:
+        print_json(item)
+        return
+    table = Table("field", "value", box=None)
+    for field in fields(type(item)):
+        table.add_row(
+            field.name.replace("_", " "), format_cell(getattr(item, field.name))
+        )
+    Console(width=WIDTH, highlight=False).print(table)
+
+
+def format_cell(value: Any) -> str:
+    """Return a value as people read it."""
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.3g}"
+    if isinstance(value, tuple):
+        return ", ".join(format_cell(one) for one in value)
+    return str(value)
--- /dev/null
+++ b/medlarrail/protocol/endpoints.py
@@ -0,0 +1,159 @@
+"""Messages between endpoints and entries, and orders to endpoints."""
+
+from typing import Literal
+
+from attrs import frozen
+
+from medlarrail.core.entities import Endpoint, Store
+
+ANNOUNCE_PATH = "/v1/announce"
+ANNOUNCE_STORE_PATH = "/v1/announce-store"
+REPORT_PATH = "/v1/report"
+EVENTS_PATH = "/v1/cache-events"
+LEAVE_PATH = "/v1/leave"
+ORDER_PATH = "/v1/order"
+ENDPOINT_STATE_PATH = "/v1/state"
+CACHE_KEYS_PATH = "/v1/cache/keys"
+CACHE_IMPORT_PATH = "/v1/cache/import"
+CACHE_EXPORT_PATH = "/v1/cache/export"
+
+REQUEST_ID_HEADER = "x-request-id"
+INCARNATION_HEADER = "x-incarnation"
+WEIGHT_VERSION_HEADER = "x-weight-version"
+
+
+@frozen
+class AnnounceRequest:
+    """An endpoint makes itself known, at its start and every few seconds."""
+
+    endpoint: Endpoint
+
+
+@frozen
+class AnnounceStoreRequest:
+    """A store makes itself known."""
+
+    store: Store
+
+
+@frozen
+class AnnounceAnswer:
+    """Where to send reports, and the entries to use when that one fails."""
+
+    owner_url: str
+    entry_urls: tuple[str, ...]
+
+
+@frozen
+class LoadReport:
+    """The load of an endpoint, ``age_s`` seconds after it was sampled.
+
+    ``completed`` counts requests since the start of this incarnation. ``stamp``
+    and ``stamp_owner`` repeat the owner's latest answer, which proves that this
+    incarnation lived after that owner gave the stamp.
+    """
+
+    endpoint: str
+    incarnation: str
+    running: int
+    queued: int
+    completed: int
+    weight_version: str
+    age_s: float = 0.0
+    stamp: float = -1.0
+    stamp_owner: int = 0
+
+
+@frozen
+class ReportAnswer:
+    """Where to send the next report, and the stamp to put into it."""
+
+    owner_url: str
+    stamp: float
+    stamp_owner: int
+
+
+@frozen
+class CacheEvent:
+    """One block that came into the endpoint's prefix cache or left it."""
+
+    sequence: int
+    key: str
+    added: bool
+
+
+@frozen
+class CacheEvents:
+    """Cache events in the order of their sequence numbers; some may be missing."""
+
+    endpoint: str
+    incarnation: str
+    events: tuple[CacheEvent, ...]
+
+
+@frozen
+class CacheKeys:
+    """Every block in the prefix cache, up to and with event ``sequence``."""
+
+    incarnation: str
+    sequence: int
+    keys: tuple[str, ...]
+
+
+@frozen
+class LeaveRequest:
+    """An endpoint is about to leave; it still serves what it runs."""
+
+    endpoint: str
+    incarnation: str
+
+
+@frozen
+class Order:
+    """An order to an endpoint; ``fencing`` is the epoch of the owner's view."""
+
+    kind: Literal["load-weights", "load-adapter", "set-role"]
+    value: str
+    fencing: int
+
+
+@frozen
+class EndpointReport:
+    """The actual state of an endpoint, for an owner that converges it."""
+
+    incarnation: str
+    weight_version: str
+    loading: str = ""
+    role: str = ""
+    adapter: str = ""
+
+
+@frozen
+class CacheBlock:
+    """A block of cached context; ``data`` is base64 text."""
+
+    key: str
+    parent: str
+    data: str
+
+
+@frozen
+class CacheBlocks:
+    """Blocks of one chain, first block first."""
+
+    weight_version: str
+    blocks: tuple[CacheBlock, ...]
+
+
+@frozen
+class CacheKeyList:
+    """Keys of the blocks to export."""
+
+    keys: tuple[str, ...]
+
+
+@frozen
+class CacheImported:
+    """How many of the blocks were taken."""
+
+    taken: int
--- /dev/null
+++ b/medlarrail/protocol/ledger.py
@@ -0,0 +1,24 @@
+"""Messages that read the at-most-once ledger."""
+
+from attrs import frozen
+
+from medlarrail.core.entities import LedgerKey
+from medlarrail.state.operations import LedgerRecord
+
+LEDGER_READ_PATH = "/internal/ledger/read"
+
+
+@frozen
+class LedgerReadRequest:
+    """Asks for a record; waits up to ``wait_s`` while its attempt runs."""
+
+    key: LedgerKey
+    wait_s: float
+
+
+@frozen
+class LedgerReadAnswer:
+    """The record, and whether the session that made the attempt is open."""
+
+    record: LedgerRecord | None
+    dispatcher_live: bool
--- a/medlarrail/protocol/replication.py
+++ b/medlarrail/protocol/replication.py
@@ -8,13 +8,12 @@
 
 from medlarrail.core.entities import MemberInfo
 from medlarrail.state.journal import Snapshot
-from medlarrail.state.operations import Envelope, LogEntry, Outcome
+from medlarrail.state.operations import LogEntry
 
 APPEND_PATH = "/internal/append"
 VOTE_PATH = "/internal/vote"
 SNAPSHOT_PATH = "/internal/snapshot"
 IDENTITY_PATH = "/internal/identity"
-PROPOSE_PATH = "/internal/propose"
 
 
 @frozen
@@ -77,17 +76,3 @@
     name: str
     url: str
     cluster: str
-
-
-@frozen
-class ProposeRequest:
-    """Asks the leader to put an envelope into the log."""
-
-    envelope: Envelope
-
-
-@frozen
-class ProposeAnswer:
-    """The outcome of a committed envelope."""
-
-    outcome: Outcome
--- /dev/null
+++ b/medlarrail/standins/engine.py
@@ -0,0 +1,243 @@
+"""A stand-in model engine: batching, a prefix cache and a cold start.
+
+Its answers follow from the prompt, the weight version and the token's number
+alone, so a test can tell a whole answer from any other.
+"""
+
+import base64
+import hashlib
+from collections import OrderedDict
+from collections.abc import AsyncIterator
+
+import trio
+from attrs import define, field
+
+from medlarrail.core.context import iterate_chain
+from medlarrail.core.errors import EndpointRefused, MedlarError, Refusal
+from medlarrail.protocol.control import Nothing
+from medlarrail.protocol.endpoints import (
+    CACHE_EXPORT_PATH,
+    CACHE_IMPORT_PATH,
+    CACHE_KEYS_PATH,
+    EVENTS_PATH,
+    INCARNATION_HEADER,
+    REQUEST_ID_HEADER,
+    WEIGHT_VERSION_HEADER,
+    CacheBlock,
+    CacheBlocks,
+    CacheEvent,
+    CacheEvents,
+    CacheImported,
+    CacheKeyList,
+    CacheKeys,
+)
+from medlarrail.protocol.openai import (
+    COMPLETIONS_PATH,
+    DONE,
+    EngineChunk,
+    EngineRequest,
+    Usage,
+    format_engine_chunk,
+    format_event,
+)
+from medlarrail.standins.backend import CALL_TIMEOUT_S, Backend
+from medlarrail.transport.routes import EventStream, Request, route
+
+BYTES_PER_TOKEN = 4
+EVENT_BATCH_S = 0.1
+
+
+def make_token(prompt: str, weight_version: str, index: int) -> str:
+    """Return the text of one token of the answer to ``prompt``."""
+    seed = f"{weight_version}:{index}:{prompt}".encode()
+    return hashlib.blake2b(seed, digest_size=3).hexdigest() + " "
+
+
+def make_answer(prompt: str, weight_version: str, count: int) -> str:
+    """Return the whole answer of ``count`` tokens."""
+    return "".join(make_token(prompt, weight_version, n) for n in range(count))
+
+
+def make_block_data(key: str, size: int) -> bytes:
+    """Return the content of a block: it follows from the key."""
+    return (key.encode() * (size // len(key) + 1))[:size]
+
+
+@define
+class Engine(Backend):
+    """A model engine with a prefix cache by block."""
+
+    cache: OrderedDict[str, None] = field(factory=OrderedDict)
+    sequence: int = -1
+    prefill_bytes: int = 0
+    cached_bytes: int = 0
+    _events: list[CacheEvent] = field(factory=list)
+    _prefill: trio.Lock = field(factory=trio.Lock)
+
+    def forget_cache(self) -> None:
+        """Lose the prefix cache and the event numbers in a restart."""
+        self.cache.clear()
+        self._events.clear()
+        self.sequence = -1
+
+    @route("POST", COMPLETIONS_PATH, EngineRequest)
+    async def handle_completion(self, request: Request) -> EventStream:
+        """Run a prompt; one for another weight version is refused."""
+        message: EngineRequest = request.message
+        if message.weight_version != self.weight_version or self.leaving:
+            raise EndpointRefused(endpoint=self.settings.name, reason="weight-version")
+        chunks = self._run(message)
+        first = await anext(chunks)
+        headers = {
+            REQUEST_ID_HEADER: message.request_id,
+            INCARNATION_HEADER: self.incarnation,
+            WEIGHT_VERSION_HEADER: message.weight_version,
+        }
+        return EventStream(_prepend(first, chunks), headers)
+
+    async def _run(self, message: EngineRequest) -> AsyncIterator[bytes]:
+        """Yield an accepting comment, then the events of the answer."""
+        with self.run_request(message.request_id):
+            yield b": accepted\n\n"
+            cached = await self._work(self._fill, message)
+            if cached is None:
+                return
+            async for event in self._decode(message, cached):
+                yield event
+
+    async def _work(self, function, *args):
+        """Return what ``function`` returns, or None if the engine falls over."""
+        with self.breakable():
+            return await function(*args)
+        return None
+
+    async def _fill(self, message: EngineRequest) -> int:
+        """Compute the part of the prompt that is not cached; return its size."""
+        data = (message.prompt + message.resume_text).encode()
+        cached = self._count_cached(message.root_key, data)
+        fresh = len(data) - cached
+        self.prefill_bytes += fresh
+        self.cached_bytes += cached
+        async with self._prefill:
+            rate = self.settings.endpoint.prefill_bytes_per_s
+            await trio.sleep(fresh / rate)
+        self._add_blocks(message.root_key, data)
+        return cached
+
+    def _count_cached(self, root_key: str, data: bytes) -> int:
+        size = self.settings.endpoint.block_bytes
+        cached = 0
+        for key in iterate_chain(root_key, data, size):
+            if key not in self.cache:
+                break
+            self.cache.move_to_end(key)
+            cached += size
+        return cached
+
+    def _add_blocks(self, root_key: str, data: bytes) -> None:
+        for key in iterate_chain(root_key, data, self.settings.endpoint.block_bytes):
+            self._add_block(key)
+
+    def _add_block(self, key: str) -> None:
+        if key in self.cache:
+            return
+        self.cache[key] = None
+        self._note_event(key, added=True)
+        while len(self.cache) > self.settings.behaviour.cache_blocks:
+            oldest, _ = self.cache.popitem(last=False)
+            self._note_event(oldest, added=False)
+
+    def _note_event(self, key: str, added: bool) -> None:
+        self.sequence += 1
+        self._events.append(CacheEvent(self.sequence, key, added))
+
+    async def _decode(self, message: EngineRequest, cached: int):
+        """Yield one event for each token, then the last chunk and the end."""
+        version = message.weight_version
+        text = [message.resume_text]
+        for index in range(message.resume_from, message.max_tokens):
+            if await self._work(self._step) is None:
+                return
+            token = make_token(message.prompt, version, index)
+            text.append(token)
+            yield format_engine_chunk(EngineChunk(message.request_id, index, token))
+        data = (message.prompt + "".join(text)).encode()
+        self._add_blocks(message.root_key, data)
+        usage = Usage(
+            len(message.prompt.encode()) // BYTES_PER_TOKEN,
+            message.max_tokens,
+            cached // BYTES_PER_TOKEN,
+        )
+        last = EngineChunk(message.request_id, message.max_tokens, "", "length", usage)
+        yield format_engine_chunk(last)
+        yield format_event(DONE)
+
+    async def _step(self) -> bool:
+        await trio.sleep(self.settings.behaviour.token_interval_s)
+        return True
+
+    async def run_events(self) -> None:
+        """Publish cache events, late and with gaps."""
+        while True:
+            await trio.sleep(EVENT_BATCH_S)
+            batch = tuple(self._events)
+            self._events.clear()
+            if batch and not self.down:
+                await trio.sleep(self.settings.behaviour.event_delay_s)
+                await self._publish(batch)
+
+    async def _publish(self, batch: tuple[CacheEvent, ...]) -> None:
+        loss = self.settings.behaviour.event_loss
+        kept = tuple(one for one in batch if self.random.random() >= loss)
+        message = CacheEvents(self.settings.name, self.incarnation, kept)
+        try:
+            await self.client.call(
+                self._owner_url or self.pick_entry(),
+                EVENTS_PATH,
+                message,
+                Nothing,
+                CALL_TIMEOUT_S,
+            )
+        except MedlarError:
+            return
+
+    @route("POST", CACHE_KEYS_PATH)
+    async def handle_keys(self, request: Request) -> CacheKeys:
+        """Return every block in the cache."""
+        return CacheKeys(self.incarnation, self.sequence, tuple(self.cache))
+
+    @route("POST", CACHE_EXPORT_PATH, CacheKeyList)
+    async def handle_export(self, request: Request) -> CacheBlocks:
+        """Return the leading blocks of a chain that are still cached."""
+        blocks = []
+        parent = ""
+        for key in request.message.keys:
+            if key not in self.cache:
+                break
+            data = make_block_data(key, self.settings.behaviour.block_data_bytes)
+            blocks.append(CacheBlock(key, parent, base64.b64encode(data).decode()))
+            parent = key
+        return CacheBlocks(self.weight_version, tuple(blocks))
+
+    @route("POST", CACHE_IMPORT_PATH, CacheBlocks)
+    async def handle_import(self, request: Request) -> CacheImported:
+        """Take blocks of the present weight version; a wrong one is counted."""
+        message: CacheBlocks = request.message
+        if message.weight_version != self.weight_version:
+            raise EndpointRefused(endpoint=self.settings.name, reason="weight-version")
+        for block in message.blocks:
+            data = base64.b64decode(block.data)
+            if data != make_block_data(block.key, len(data)) or not data:
+                self.bad_blocks += 1
+                raise Refusal()
+            self._add_block(block.key)
+        return CacheImported(len(message.blocks))
+
+
+async def _prepend(first: bytes, rest) -> AsyncIterator[bytes]:
+    try:
+        yield first
+        async for one in rest:
+            yield one
+    finally:
+        await rest.aclose()
--- /dev/null
+++ b/medlarrail/standins/settings.py
@@ -0,0 +1,45 @@
+"""Settings of the stand-ins."""
+
+from attrs import field, frozen
+
+from medlarrail.core.entities import Endpoint
+from medlarrail.programs.settings import Keys, Listen
+
+
+@frozen
+class Behaviour:
+    """How a stand-in back end behaves; times in seconds, sizes in bytes.
+
+    ``token_interval_s`` is the time between two tokens of one stream,
+    ``cache_blocks`` bounds the prefix cache, and ``load_s`` is the time that new
+    weights take. ``event_delay_s`` and ``event_loss`` make cache events late and
+    give them gaps. With ``falls_over`` a back end that runs more than it bears
+    crashes and comes back cold as another incarnation.
+    """
+
+    token_interval_s: float = 0.01
+    cache_blocks: int = 64
+    block_data_bytes: int = 256
+    load_s: float = 1.0
+    event_delay_s: float = 0.2
+    event_loss: float = 0.02
+    report_interval_s: float = 0.25
+    report_lag_s: float = 0.05
+    falls_over: bool = True
+    down_s: float = 0.5
+    call_s: float = 0.02
+
+
+@frozen
+class StandinSettings:
+    """Settings of ``medlar-standin engine`` and ``medlar-standin service``."""
+
+    name: str
+    data_centre: str
+    listen: Listen
+    keys: Keys
+    entry_urls: tuple[str, ...]
+    endpoint: Endpoint
+    behaviour: Behaviour = field(factory=Behaviour)
+    seed: int = 1
+    log_file: str = ""
--- a/medlarrail/state/catalogue.py
+++ b/medlarrail/state/catalogue.py
@@ -288,6 +288,20 @@
     catalogue.view = View(index, tuple(sessions))
 
 
+@applies(ops.LeaveSession)
+def apply_session_leaving(catalogue: Catalogue, index: int, envelope) -> None:
+    """Mark a session as leaving."""
+    operation = envelope.operation
+    found = catalogue.view.get_session(operation.entry)
+    if found is None or found.epoch != operation.epoch:
+        raise SessionClosed(entry=operation.entry)
+    sessions = tuple(
+        evolve(one, leaving=True) if one is found else one
+        for one in catalogue.view.sessions
+    )
+    catalogue.view = View(index, sessions)
+
+
 @applies(ops.CloseSession)
 def apply_session_closing(catalogue: Catalogue, index: int, envelope) -> None:
     """Close a session, unless a newer one took its place."""
--- a/medlarrail/state/operations.py
+++ b/medlarrail/state/operations.py
@@ -129,6 +129,14 @@
     data_centre: str
 
 
+@frozen
+class LeaveSession(Operation):
+    """Marks a session as leaving: its entry is about to shut down."""
+
+    entry: str
+    epoch: int
+
+
 @frozen
 class CloseSession(Operation):
     """Closes the session that was opened at ``epoch``."""
--- /dev/null
+++ b/medlarrail/testing/deployment.py
@@ -0,0 +1,241 @@
+"""Writes the settings of a whole deployment on loopback into a folder."""
+
+import secrets
+import socket
+from pathlib import Path
+
+import typer
+from attrs import define, evolve, field, frozen
+
+from medlarrail.coordination.access import get_digest
+from medlarrail.coordination.routing import RoutingPolicy
+from medlarrail.core.codec import decode, encode
+from medlarrail.core.entities import Endpoint
+from medlarrail.programs.operator import OperatorSettings
+from medlarrail.programs.settings import EntrySettings, Keys, Listen, StateSettings
+from medlarrail.standins.settings import Behaviour, StandinSettings
+
+HOST = "127.0.0.1"
+KEY_BYTES = 18
+MODEL = "seat-guide"
+SERVICE = "box-office"
+INDEX_FILE = "deployment.json"
+
+
+@frozen
+class Layout:
+    """How many processes of each role, and where."""
+
+    data_centres: tuple[str, ...] = ("leith", "perth")
+    states: int = 3
+    entries: int = 2
+    engines: int = 2
+    services: int = 1
+    engine: Endpoint = field(
+        factory=lambda: Endpoint(
+            name="",
+            url="",
+            kind="model",
+            serves=MODEL,
+            data_centre="",
+            incarnation="",
+            weight_version="v1",
+            cold_limit=2,
+            warm_limit=8,
+            warmup_requests=8,
+            block_bytes=256,
+            prefill_bytes_per_s=40_000.0,
+        )
+    )
+    service: Endpoint = field(
+        factory=lambda: Endpoint(
+            name="",
+            url="",
+            kind="service",
+            serves=SERVICE,
+            data_centre="",
+            incarnation="",
+            cold_limit=4,
+            warm_limit=16,
+            warmup_requests=8,
+        )
+    )
+    behaviour: Behaviour = field(factory=Behaviour)
+    routing: RoutingPolicy = field(factory=RoutingPolicy)
+
+
+@frozen
+class Process:
+    """A process of the deployment and the command that starts it."""
+
+    name: str
+    role: str
+    url: str
+    command: tuple[str, ...]
+    settings_file: str
+
+
+@frozen
+class Deployment:
+    """Everything that a harness needs to know of a deployment."""
+
+    folder: str
+    processes: tuple[Process, ...]
+    cluster_key: str
+    endpoint_key: str
+    operator_key: str
+    operator_file: str
+
+    def list_urls(self, role: str) -> list[str]:
+        """Return the URLs of the processes of a role."""
+        return [one.url for one in self.processes if one.role == role]
+
+    def find(self, name: str) -> Process:
+        """Return the process of that name."""
+        return next(one for one in self.processes if one.name == name)
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for one in sockets:
+            one.bind((HOST, 0))
+        return [one.getsockname()[1] for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
+
+
+@define
+class Writer:
+    """Writes the files of one deployment."""
+
+    folder: Path
+    layout: Layout
+    keys: Keys
+    operator_key: str
+    processes: list[Process] = field(factory=list)
+    _ports: list[int] = field(factory=list)
+
+    def make_listen(self) -> Listen:
+        """Return an address on a free port."""
+        if not self._ports:
+            self._ports = find_free_ports(64)
+        port = self._ports.pop()
+        return Listen(HOST, port, f"http://{HOST}:{port}")
+
+    def pick_data_centre(self, number: int) -> str:
+        """Return the data centre of the process with this number."""
+        return self.layout.data_centres[number % len(self.layout.data_centres)]
+
+    def add(self, role: str, command: tuple[str, ...], settings) -> None:
+        """Write one process's settings."""
+        path = self.folder / f"{settings.name}.json"
+        path.write_bytes(encode(settings))
+        full = (*command, "--settings", str(path))
+        listen = settings.listen
+        self.processes.append(Process(settings.name, role, listen.url, full, str(path)))
+
+    def write_states(self) -> tuple[str, ...]:
+        """Write the state members; return their URLs."""
+        urls = []
+        for number in range(self.layout.states):
+            name = f"state-{number + 1}"
+            settings = StateSettings(
+                name=name,
+                data_centre=self.pick_data_centre(number),
+                listen=self.make_listen(),
+                keys=self.keys,
+                data_folder=str(self.folder / f"{name}.data"),
+                log_file=str(self.folder / f"{name}.log"),
+            )
+            self.add("state", ("medlar-state",), settings)
+            urls.append(settings.listen.url)
+        return tuple(urls)
+
+    def write_entries(self, state_urls: tuple[str, ...]) -> tuple[str, ...]:
+        """Write the entries; return their URLs."""
+        urls = []
+        for number in range(self.layout.entries):
+            name = f"entry-{number + 1}"
+            settings = EntrySettings(
+                name=name,
+                data_centre=self.pick_data_centre(number),
+                listen=self.make_listen(),
+                keys=self.keys,
+                state_urls=state_urls,
+                routing=self.layout.routing,
+                log_file=str(self.folder / f"{name}.log"),
+            )
+            self.add("entry", ("medlar-entry",), settings)
+            urls.append(settings.listen.url)
+        return tuple(urls)
+
+    def write_standins(
+        self, role: str, count: int, endpoint: Endpoint, entry_urls: tuple[str, ...]
+    ) -> None:
+        """Write stand-in back ends."""
+        for number in range(count):
+            name = f"{role}-{number + 1}"
+            settings = StandinSettings(
+                name=name,
+                data_centre=self.pick_data_centre(number),
+                listen=self.make_listen(),
+                keys=self.keys,
+                entry_urls=entry_urls,
+                endpoint=endpoint,
+                behaviour=self.layout.behaviour,
+                seed=number + 1,
+                log_file=str(self.folder / f"{name}.log"),
+            )
+            self.add(role, ("medlar-standin", role), settings)
+
+
+def write_deployment(folder: Path, layout: Layout) -> Deployment:
+    """Write every settings file and the index of the deployment."""
+    folder.mkdir(parents=True, exist_ok=True)
+    operator_key = secrets.token_urlsafe(KEY_BYTES)
+    keys = Keys(
+        cluster=secrets.token_urlsafe(KEY_BYTES),
+        endpoint=secrets.token_urlsafe(KEY_BYTES),
+        operators_sha256=(get_digest(operator_key),),
+    )
+    writer = Writer(folder, layout, keys, operator_key)
+    state_urls = writer.write_states()
+    entry_urls = writer.write_entries(state_urls)
+    writer.write_standins("engine", layout.engines, layout.engine, entry_urls)
+    writer.write_standins("service", layout.services, layout.service, entry_urls)
+    operator_file = folder / "operator.json"
+    operator_file.write_bytes(encode(OperatorSettings(state_urls, operator_key)))
+    deployment = Deployment(
+        str(folder),
+        tuple(writer.processes),
+        keys.cluster,
+        keys.endpoint,
+        operator_key,
+        str(operator_file),
+    )
+    (folder / INDEX_FILE).write_bytes(encode(deployment))
+    return deployment
+
+
+def read_deployment(folder: Path) -> Deployment:
+    """Return the deployment that was written into ``folder``."""
+    return decode((folder / INDEX_FILE).read_bytes(), Deployment)
+
+
+def with_engine(layout: Layout, **changes) -> Layout:
+    """Return ``layout`` with changes made to its engines."""
+    return evolve(layout, engine=evolve(layout.engine, **changes))
+
+
+def main(folder: Path) -> None:
+    """Write a deployment and print ``name command...`` for each process."""
+    deployment = write_deployment(folder, Layout())
+    for process in deployment.processes:
+        typer.echo(" ".join((process.name, *process.command)))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/medlarrail/testing/processes.py
@@ -0,0 +1,174 @@
+"""Runs the processes of a deployment for tests, and speaks with them."""
+
+import contextlib
+import os
+import secrets
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import trio
+from attrs import define, field
+
+from medlarrail.coordination.access import get_digest
+from medlarrail.coordination.bootstrap import bootstrap_cluster
+from medlarrail.coordination.state_client import StateClient
+from medlarrail.core.entities import CallRule, Contract
+from medlarrail.core.errors import MedlarError
+from medlarrail.programs.entry import EntryStatus
+from medlarrail.protocol.control import (
+    CHANGE_PATH,
+    STATE_STATUS_PATH,
+    ChangeAnswer,
+    ChangeRequest,
+    Nothing,
+    StateStatus,
+)
+from medlarrail.standins.backend import BackendStats
+from medlarrail.state.operations import Operation, SetContract
+from medlarrail.testing.deployment import SERVICE, Deployment
+from medlarrail.transport.client import HttpClient
+
+START_LIMIT_S = 30.0
+POLL_S = 0.05
+CALL_TIMEOUT_S = 3.0
+STOP_LIMIT_S = 20.0
+
+
+@define
+class Processes:
+    """The running processes of a deployment, by name."""
+
+    deployment: Deployment
+    client: HttpClient = field(init=False)
+    operator: HttpClient = field(init=False)
+    running: dict[str, subprocess.Popen] = field(factory=dict)
+
+    def __attrs_post_init__(self):
+        self.client = HttpClient(self.deployment.cluster_key)
+        self.operator = HttpClient(self.deployment.operator_key)
+
+    def start(self, name: str) -> None:
+        """Start one process."""
+        process = self.deployment.find(name)
+        program, *rest = process.command
+        path = Path(sys.executable).parent / program
+        with open(Path(self.deployment.folder) / f"{name}.err", "ab") as errors:
+            self.running[name] = subprocess.Popen(
+                [str(path), *rest], stdout=errors, stderr=errors
+            )
+
+    def start_all(self) -> None:
+        """Start every process."""
+        for process in self.deployment.processes:
+            self.start(process.name)
+
+    def send(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process of this deployment."""
+        self.running[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once."""
+        process = self.running.pop(name)
+        process.kill()
+        process.wait()
+
+    async def stop(self, name: str) -> int:
+        """Ask a process to shut down gracefully; return its exit code."""
+        process = self.running.pop(name)
+        process.send_signal(signal.SIGTERM)
+        with trio.fail_after(STOP_LIMIT_S):
+            while process.poll() is None:
+                await trio.sleep(POLL_S)
+        return process.returncode
+
+    def kill_all(self) -> None:
+        """Kill whatever still runs."""
+        for name in list(self.running):
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.running[name].pid, signal.SIGCONT)
+            self.kill(name)
+
+    def make_state_client(self) -> StateClient:
+        """Return a client of the state members with the operator's key."""
+        return StateClient(self.operator, tuple(self.deployment.list_urls("state")))
+
+    async def bootstrap(self) -> None:
+        """Form the cluster once every state member answers."""
+        urls = tuple(self.deployment.list_urls("state"))
+        for url in urls:
+            await self.wait_answer(url)
+        await bootstrap_cluster(self.client, urls)
+
+    async def wait_answer(self, url: str) -> None:
+        """Return once the process at ``url`` answers."""
+        with trio.fail_after(START_LIMIT_S):
+            while True:
+                with contextlib.suppress(MedlarError):
+                    answer = await self.client.fetch("GET", f"{url}/health")
+                    if answer.status == 200:
+                        return
+                await trio.sleep(POLL_S)
+
+    async def change(self, operation: Operation) -> ChangeAnswer:
+        """Make an operator's change."""
+        request = ChangeRequest(operation, secrets.token_hex(8))
+        return await self.make_state_client().call_leader(
+            CHANGE_PATH, request, ChangeAnswer, START_LIMIT_S
+        )
+
+    async def add_contract(self, account: str, **changes) -> str:
+        """Set a contract and return a bearer key for it."""
+        key = f"{account}-{secrets.token_hex(8)}"
+        contract = Contract(
+            account,
+            keys_sha256=(get_digest(key),),
+            calls=(CallRule(f"{SERVICE}/purchase", "once"),),
+            **changes,
+        )
+        await self.change(SetContract(contract))
+        return key
+
+    async def fetch_entry(self, url: str) -> EntryStatus:
+        """Return an entry's status."""
+        return await self.client.call(
+            url, "/v1/status", Nothing(), EntryStatus, CALL_TIMEOUT_S
+        )
+
+    async def fetch_state(self, url: str) -> StateStatus:
+        """Return a state member's status."""
+        return await self.client.call(
+            url, STATE_STATUS_PATH, Nothing(), StateStatus, CALL_TIMEOUT_S
+        )
+
+    async def fetch_backend(self, url: str) -> BackendStats:
+        """Return what a stand-in saw."""
+        return await self.client.call(
+            url, "/standin/stats", Nothing(), BackendStats, CALL_TIMEOUT_S
+        )
+
+    async def wait_ready(self) -> None:
+        """Return once every entry holds a lease and every endpoint is owned."""
+        backends = [
+            one for one in self.deployment.processes if one.role in ROLES_OF_ENDPOINTS
+        ]
+        with trio.fail_after(START_LIMIT_S):
+            while True:
+                with contextlib.suppress(MedlarError):
+                    if await self._count_settled() == len(backends):
+                        return
+                await trio.sleep(POLL_S)
+
+    async def _count_settled(self) -> int:
+        count = 0
+        for process in self.deployment.processes:
+            if process.role == "entry" and process.name in self.running:
+                status = await self.fetch_entry(process.url)
+                if not status.lease_valid:
+                    return -1
+                count += sum(one.holders_known for one in status.owned)
+        return count
+
+
+ROLES_OF_ENDPOINTS = ("engine", "service")
--- a/medlarrail/transport/client.py
+++ b/medlarrail/transport/client.py
@@ -101,6 +101,7 @@
             )
         except (PeerTimeout, PeerBroken) as error:
             get_metrics().count("peer_second_tries", reason=type(error).__name__)
+            self._retire(_get_base(url))
             rest_s = max(0.01, deadline - trio.current_time())
             answer = await self.fetch(
                 method, url + path, body, timeout_s=rest_s, fresh=True
@@ -142,8 +143,6 @@
         ``PeerUnreachable`` proves that nothing was sent.
         """
         base = _get_base(url)
-        if fresh:
-            self._retire(base)
         pool = _make_pool() if fresh else self._pools.setdefault(base, _make_pool())
         pool.retired |= fresh
         request = self._build_request(method, url, body, headers, silence_s)
--- a/medlarrail/transport/routes.py
+++ b/medlarrail/transport/routes.py
@@ -5,16 +5,18 @@
 ``Reply`` or an ``EventStream``.
 """
 
+import math
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from typing import Any
 
 from attrs import define, evolve, field, frozen
 
 from medlarrail.core.codec import decode, encode, encode_error
-from medlarrail.core.errors import MedlarError, UnknownRoute
+from medlarrail.core.errors import CallerError, MedlarError, UnknownRoute
 from medlarrail.core.metrics import get_metrics
 
 JSON = "application/json"
+IDEMPOTENCY_HEADER = "idempotency-key"
 Handler = Callable[["Request"], Awaitable[Any]]
 
 
@@ -115,7 +117,7 @@
         try:
             return await self._answer(request)
         except MedlarError as error:
-            return format_error(error)
+            return format_error(error, request.headers)
 
     async def _answer(self, request: Request) -> Reply | EventStream:
         found, request = self.find(request)
@@ -137,13 +139,26 @@
             yield Route(method, path, message_type, getattr(owner, name))
 
 
-def format_error(error: MedlarError) -> Reply:
+def format_error(error: MedlarError, headers: dict[str, str] | None = None) -> Reply:
     """Return the answer that stands for ``error``, and count it by its type."""
-    name = type(error).__name__
-    get_metrics().count("errors_answered", type=name)
-    headers = {}
+    get_metrics().count("errors_answered", type=type(error).__name__)
+    answer_headers = {}
     retry_after_s = getattr(error, "retry_after_s", 0.0)
     if retry_after_s > 0:
-        headers["retry-after"] = str(max(1, round(retry_after_s + 0.49)))
-        headers["retry-after-ms"] = str(int(retry_after_s * 1000))
-    return Reply(status=error.status, body=encode_error(error), headers=headers)
+        answer_headers["retry-after"] = str(math.ceil(retry_after_s))
+        answer_headers["retry-after-ms"] = str(int(retry_after_s * 1000))
+    body = encode_error(error, get_run(error, headers or {}))
+    return Reply(status=error.status, body=body, headers=answer_headers)
+
+
+def get_run(error: MedlarError, headers: dict[str, str]) -> str:
+    """Return whether the request ran, as far as this answer can tell.
+
+    Under an idempotency key an earlier request may have run. "no" is said there
+    only by an error that comes from the ledger, or about the request's form.
+    """
+    if error.run != "no" or IDEMPOTENCY_HEADER not in headers:
+        return error.run
+    if isinstance(error, CallerError) or getattr(error, "ledger_asked", False):
+        return "no"
+    return "unknown"
--- a/medlarrail/transport/server.py
+++ b/medlarrail/transport/server.py
@@ -7,11 +7,12 @@
 
 import socket
 from collections.abc import Awaitable, Callable
+from contextlib import aclosing
 from urllib.parse import parse_qsl, unquote
 
 import eliot
 import trio
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
@@ -53,7 +54,7 @@
     """An ASGI application over ``routes``."""
 
     routes: Routes
-    limits: ServerLimits = ServerLimits()
+    limits: ServerLimits = field(factory=ServerLimits)
     active: int = 0
     _idle: trio.Event = field(factory=trio.Event)
     _stop: trio.Event = field(factory=trio.Event)
@@ -76,13 +77,14 @@
                 self._idle = trio.Event()
 
     async def _answer(self, scope, receive) -> Reply | EventStream:
+        request = _build_request(scope, b"")
         try:
             if self.active > self.limits.max_requests:
                 raise TooManyConnections(limit=self.limits.max_requests)
             body = await _read_body(receive, self.limits)
-            return await self.routes.answer(_build_request(scope, body))
+            return await self.routes.answer(evolve(request, body=body))
         except MedlarError as error:
-            return format_error(error)
+            return format_error(error, request.headers)
         except Exception as error:
             return _format_defect(error)
 
@@ -197,7 +199,7 @@
         **answer.headers,
     }
     await send(_build_start(200, headers))
-    async with trio.open_nursery() as nursery:
+    async with aclosing(answer.chunks), trio.open_nursery() as nursery:
         nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
         async for chunk in answer.chunks:
             await send({"type": "http.response.body", "body": chunk, "more_body": True})
