--- /dev/null
+++ b/medlarrail/coordination/estimator.py
@@ -0,0 +1,55 @@
+"""Chooses how a prompt's context comes to an endpoint: restored or recomputed."""
+
+from typing import Literal
+
+from attrs import frozen
+
+Choice = Literal["recompute", "restore"]
+
+
+@frozen
+class Weights:
+    """What a deployment minds, for each second.
+
+    ``first_token`` weighs the caller's wait, ``recompute`` the accelerator's time
+    and ``link`` the link's time.
+    """
+
+    first_token: float = 1.0
+    recompute: float = 0.2
+    link: float = 0.2
+
+
+@frozen
+class Offer:
+    """What is known when the choice is made; sizes in bytes, times in seconds.
+
+    ``text_bytes`` is the prompt text of the blocks that a restore would bring,
+    ``data_bytes`` their cached data, and ``wait_s`` the link's backlog.
+    """
+
+    text_bytes: int
+    data_bytes: int
+    wait_s: float
+    link_bytes_per_s: float
+    prefill_bytes_per_s: float
+
+
+@frozen
+class Estimate:
+    """The cheaper way and the seconds that each would take."""
+
+    choice: Choice
+    restore_s: float
+    recompute_s: float
+
+
+def estimate(offer: Offer, weights: Weights) -> Estimate:
+    """Return the choice with the lower weighted cost."""
+    recompute_s = offer.text_bytes / offer.prefill_bytes_per_s
+    transfer_s = offer.data_bytes / max(1.0, offer.link_bytes_per_s)
+    restore_s = offer.wait_s + transfer_s
+    restore_cost = weights.first_token * restore_s + weights.link * transfer_s
+    recompute_cost = (weights.first_token + weights.recompute) * recompute_s
+    choice = "restore" if restore_cost < recompute_cost else "recompute"
+    return Estimate(choice, restore_s, recompute_s)
--- a/medlarrail/coordination/routing.py
+++ b/medlarrail/coordination/routing.py
@@ -69,7 +69,7 @@
 
     first_token_silence_s: float = 20.0
     token_silence_s: float = 10.0
-    restore: bool = True
+    use_stores: bool = True
 
 
 @frozen
--- a/medlarrail/programs/entry.py
+++ b/medlarrail/programs/entry.py
@@ -5,6 +5,7 @@
 from attrs import define, frozen
 
 from medlarrail.coordination.access import AccountDirectory, Guard, KeyRing
+from medlarrail.coordination.context_planner import StorePlanner
 from medlarrail.coordination.endpoint_desk import EndpointDesk
 from medlarrail.coordination.engine_client import EngineClient
 from medlarrail.coordination.follower import Follower
@@ -109,6 +110,9 @@
         router = Router(self.session, self.follower, self.permits, PairHealth())
         budgets = RetryBudgets()
         silence_s = settings.routing.first_token_silence_s
+        planner = StorePlanner(
+            self.follower, peers, settings.weights, self.nursery, PairHealth()
+        )
         return Front(
             AccountDirectory(self.follower),
             router,
@@ -117,6 +121,7 @@
             budgets,
             settings.routing,
             settings.callers,
+            planner if settings.routing.use_stores else None,
         )
 
     def build_server(self) -> HttpServer:
--- a/medlarrail/programs/settings.py
+++ b/medlarrail/programs/settings.py
@@ -1,7 +1,10 @@
 """Settings of the programs, as their JSON files hold them."""
 
+from typing import Literal
+
 from attrs import field, frozen
 
+from medlarrail.coordination.estimator import Weights
 from medlarrail.coordination.front import CallerLimits
 from medlarrail.coordination.routing import RoutingPolicy
 from medlarrail.core.entities import Fault
@@ -55,10 +58,28 @@
     state_urls: tuple[str, ...]
     callers: CallerLimits = field(factory=CallerLimits)
     routing: RoutingPolicy = field(factory=RoutingPolicy)
+    weights: Weights = field(factory=Weights)
     server: ServerLimits = field(factory=ServerLimits)
     log_file: str = ""
 
 
+@frozen
+class StoreSettings:
+    """Settings of ``medlar-store``; ``eviction`` names a policy."""
+
+    name: str
+    data_centre: str
+    listen: Listen
+    keys: Keys
+    entry_urls: tuple[str, ...]
+    data_folder: str
+    memory_bytes: int
+    disk_bytes: int
+    eviction: Literal["value", "lru"] = "value"
+    server: ServerLimits = field(factory=lambda: ServerLimits(body_bytes=64_000_000))
+    log_file: str = ""
+
+
 def iterate_listen_faults(listen: Listen):
     """Yield what is wrong with an address."""
     if not 0 < listen.port < 65536:
--- a/medlarrail/standins/engine.py
+++ b/medlarrail/standins/engine.py
@@ -217,14 +217,21 @@
             data = make_block_data(key, self.settings.behaviour.block_data_bytes)
             blocks.append(CacheBlock(key, parent, base64.b64encode(data).decode()))
             parent = key
+        await self._use_link(len(blocks))
         return CacheBlocks(self.weight_version, tuple(blocks))
 
+    async def _use_link(self, blocks: int) -> None:
+        behaviour = self.settings.behaviour
+        size = blocks * behaviour.block_data_bytes
+        await trio.sleep(size / behaviour.link_bytes_per_s)
+
     @route("POST", CACHE_IMPORT_PATH, CacheBlocks)
     async def handle_import(self, request: Request) -> CacheImported:
         """Take blocks of the present weight version; a wrong one is counted."""
         message: CacheBlocks = request.message
         if message.weight_version != self.weight_version:
             raise EndpointRefused(endpoint=self.settings.name, reason="weight-version")
+        await self._use_link(len(message.blocks))
         for block in message.blocks:
             data = base64.b64decode(block.data)
             if data != make_block_data(block.key, len(data)) or not data:
--- a/medlarrail/standins/settings.py
+++ b/medlarrail/standins/settings.py
@@ -11,8 +11,9 @@
     """How a stand-in back end behaves; times in seconds, sizes in bytes.
 
     ``token_interval_s`` is the time between two tokens of one stream,
-    ``cache_blocks`` bounds the prefix cache, and ``load_s`` is the time that new
-    weights take. ``event_delay_s`` and ``event_loss`` make cache events late and
+    ``cache_blocks`` bounds the prefix cache, ``link_bytes_per_s`` is the rate at
+    which cached blocks come and go, and ``load_s`` is the time that new weights
+    take. ``event_delay_s`` and ``event_loss`` make cache events late and
     give them gaps. With ``falls_over`` a back end that runs more than it bears
     crashes and comes back cold as another incarnation.
     """
@@ -20,6 +21,7 @@
     token_interval_s: float = 0.01
     cache_blocks: int = 64
     block_data_bytes: int = 256
+    link_bytes_per_s: float = 1_000_000.0
     load_s: float = 1.0
     event_delay_s: float = 0.2
     event_loss: float = 0.02
--- a/medlarrail/state/folder.py
+++ b/medlarrail/state/folder.py
@@ -72,9 +72,8 @@
             os.fsync(file.fileno())
 
     def remove(self, name: str) -> None:
-        """Delete a file if it is there."""
+        """Delete a file if it is there; a crash may bring it back."""
         (self.path / name).unlink(missing_ok=True)
-        self.sync()
 
     def sync(self) -> None:
         """Sync the folder, so that new and removed names last."""
--- a/medlarrail/testing/deployment.py
+++ b/medlarrail/testing/deployment.py
@@ -12,7 +12,13 @@
 from medlarrail.core.codec import decode, encode
 from medlarrail.core.entities import Endpoint
 from medlarrail.programs.operator import OperatorSettings
-from medlarrail.programs.settings import EntrySettings, Keys, Listen, StateSettings
+from medlarrail.programs.settings import (
+    EntrySettings,
+    Keys,
+    Listen,
+    StateSettings,
+    StoreSettings,
+)
 from medlarrail.standins.settings import Behaviour, StandinSettings
 
 HOST = "127.0.0.1"
@@ -29,6 +35,9 @@
     data_centres: tuple[str, ...] = ("leith", "perth")
     states: int = 3
     entries: int = 2
+    stores: int = 2
+    store_memory_bytes: int = 1_000_000
+    store_disk_bytes: int = 10_000_000
     engines: int = 2
     services: int = 1
     engine: Endpoint = field(
@@ -172,6 +181,23 @@
             urls.append(settings.listen.url)
         return tuple(urls)
 
+    def write_stores(self, entry_urls: tuple[str, ...]) -> None:
+        """Write the stores."""
+        for number in range(self.layout.stores):
+            name = f"store-{number + 1}"
+            settings = StoreSettings(
+                name=name,
+                data_centre=self.pick_data_centre(number),
+                listen=self.make_listen(),
+                keys=self.keys,
+                entry_urls=entry_urls,
+                data_folder=str(self.folder / f"{name}.data"),
+                memory_bytes=self.layout.store_memory_bytes,
+                disk_bytes=self.layout.store_disk_bytes,
+                log_file=str(self.folder / f"{name}.log"),
+            )
+            self.add("store", ("medlar-store",), settings)
+
     def write_standins(
         self, role: str, count: int, endpoint: Endpoint, entry_urls: tuple[str, ...]
     ) -> None:
@@ -204,6 +230,7 @@
     writer = Writer(folder, layout, keys, operator_key)
     state_urls = writer.write_states()
     entry_urls = writer.write_entries(state_urls)
+    writer.write_stores(entry_urls)
     writer.write_standins("engine", layout.engines, layout.engine, entry_urls)
     writer.write_standins("service", layout.services, layout.service, entry_urls)
     operator_file = folder / "operator.json"
--- a/medlarrail/testing/processes.py
+++ b/medlarrail/testing/processes.py
@@ -160,10 +160,14 @@
                         return
                 await trio.sleep(POLL_S)
 
+    def _may_run(self, name: str) -> bool:
+        """Return whether a process may run, also one that others started."""
+        return not self.running or name in self.running
+
     async def _count_settled(self) -> int:
         count = 0
         for process in self.deployment.processes:
-            if process.role == "entry" and process.name in self.running:
+            if process.role == "entry" and self._may_run(process.name):
                 status = await self.fetch_entry(process.url)
                 if not status.lease_valid:
                     return -1
