--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	bash scripts/demo.sh
 
 test: .venv/.ready
-	$(PY) -m pytest
+	PYTHONHASHSEED=0 $(PY) -m pytest
 
 lint: .venv/.ready
 	.venv/bin/ruff check .
--- a/medlarrail/coordination/ownership.py
+++ b/medlarrail/coordination/ownership.py
@@ -119,6 +119,7 @@
 
     def __attrs_post_init__(self):
         self.follower.on_change.append(self.update)
+        self.session.on_epoch.append(self.update)
 
     # Following the view.
 
--- /dev/null
+++ b/medlarrail/coordination/ownership_test.py
@@ -0,0 +1,363 @@
+"""Tests of sessions, ownership and permits on an in-memory network."""
+
+import itertools
+
+import pytest
+import trio
+
+from medlarrail.core.entities import EntrySession, View
+from medlarrail.core.errors import (
+    EndpointColdStart,
+    EndpointOutOfService,
+    MedlarError,
+    Overloaded,
+    PermitExpired,
+    Refusal,
+    SessionClosed,
+    SessionExpired,
+)
+from medlarrail.core.placement import get_weight
+from medlarrail.core.timing import (
+    IN_FORCE_BOUND_S,
+    OUT_OF_SERVICE_BOUND_S,
+    PERMIT_LIFE_S,
+    SESSION_LEASE_S,
+)
+from medlarrail.protocol.endpoints import LoadReport
+from medlarrail.state.operations import RegisterEndpoint, SetDataCentre
+from medlarrail.testing.builders import build_endpoint
+from medlarrail.testing.cluster import Cluster
+from medlarrail.testing.entries import EntryHost, find_owner, wait_owner
+
+ENDPOINT = "engine-1"
+STATES = ("state-1", "state-2", "state-3")
+ENTRIES = ("entry-1", "entry-2", "entry-3")
+
+
+class Deployment:
+    """Three state members and three entries before one endpoint."""
+
+    def __init__(self, cluster):
+        self.cluster = cluster
+        self.entries = []
+        self.stamps = {}
+
+    async def start(self):
+        await self.cluster.bootstrap(*STATES)
+        for name in ENTRIES:
+            self.entries.append(EntryHost(self.cluster, name))
+            await self.entries[-1].start()
+        await self.register(cold_limit=2, warm_limit=4, warmup_requests=4)
+        self.cluster.nursery.start_soon(self.report)
+        return self
+
+    async def report(self):
+        """Send the endpoint's load reports to whoever owns it."""
+        while True:
+            for entry in self.entries:
+                self.report_to(entry)
+            await trio.sleep(0.25)
+
+    def report_to(self, entry):
+        stamp = self.stamps.get(entry.name, -1.0)
+        epoch = entry.session.epoch
+        entry.owners.take_report(
+            LoadReport(ENDPOINT, "i1", self.count_out(), 0, 0, "v1", 0.0, stamp, epoch)
+        )
+        self.stamps[entry.name] = entry.clock()
+
+    async def register(self, **changes):
+        await self.cluster.propose(
+            RegisterEndpoint(build_endpoint(name=ENDPOINT, **changes))
+        )
+
+    async def get_owner(self):
+        return await wait_owner(self.entries, ENDPOINT)
+
+    async def get_others(self):
+        owner = await self.get_owner()
+        return owner, [one for one in self.entries if one is not owner]
+
+    def count_out(self):
+        """Return the permits that any entry could still use or is using."""
+        return sum(
+            held.endpoint == ENDPOINT and held.answer is not None
+            for entry in self.entries
+            for held in entry.permits.held.values()
+        )
+
+
+@pytest.fixture
+async def deployment(tmp_path, nursery, autojump_clock):
+    return await Deployment(Cluster(tmp_path, nursery)).start()
+
+
+def iterate_heirs(names, count):
+    """Yield names of entries, each of which takes the endpoint over by joining."""
+    highest = max(get_weight(name, ENDPOINT) for name in names)
+    for number in itertools.count(4):
+        weight = get_weight(f"entry-{number}", ENDPOINT)
+        if weight > highest:
+            highest = weight
+            yield f"entry-{number}"
+            count -= 1
+        if not count:
+            return
+
+
+async def acquire_all(entries, tries=4):
+    """Ask for permits from every entry at once; return permits and refusals."""
+    permits, refusals = [], []
+
+    async def ask(entry):
+        try:
+            permits.append((entry, await entry.acquire(ENDPOINT)))
+        except (Refusal, SessionClosed) as error:
+            refusals.append(error)
+
+    async with trio.open_nursery() as nursery:
+        for entry in entries:
+            for _ in range(tries):
+                nursery.start_soon(ask, entry)
+    return permits, refusals
+
+
+class TestPermits:
+    async def test_a_cold_endpoint_gets_no_more_than_it_bears(
+        self, deployment, autojump_clock
+    ):
+        await deployment.get_owner()
+        permits, refusals = await acquire_all(deployment.entries)
+        assert len(permits) == 2
+        assert {type(one) for one in refusals} == {EndpointColdStart}
+        assert all(one.retry_after_s > 0 for one in refusals)
+
+    async def test_a_permit_that_is_given_back_serves_the_next(
+        self, deployment, autojump_clock
+    ):
+        _, others = await deployment.get_others()
+        first = await others[0].acquire(ENDPOINT)
+        await others[0].acquire(ENDPOINT)
+        async with trio.open_nursery() as nursery:
+
+            @nursery.start_soon
+            async def give_back():
+                await trio.sleep(0.3)
+                others[0].permits.give_back(first, "ok", "i1")
+
+            assert await others[1].acquire(ENDPOINT, wait_s=2)
+
+    async def test_an_overload_is_refused_at_once_with_when_to_come_back(
+        self, deployment, autojump_clock
+    ):
+        owner, others = await deployment.get_others()
+        owned = owner.owners.owned[ENDPOINT]
+        owned.limiter.completed = 100
+        owned.limiter.proven_at = trio.current_time()
+        for _ in range(2):
+            await others[0].acquire(ENDPOINT)
+        owned.limiter.proven_at = trio.current_time()
+        await trio.sleep(0.01)
+        for _ in range(2):
+            await others[0].acquire(ENDPOINT)
+        owned.releases.extend(trio.current_time() - 10 + n for n in range(3))
+        started_at = trio.current_time()
+        with pytest.raises(Overloaded) as caught:
+            await others[1].acquire(ENDPOINT, wait_s=2)
+        assert trio.current_time() - started_at < 0.2
+        assert 1 < caught.value.retry_after_s < 10
+
+    async def test_a_waiter_that_gives_up_leaves_no_permit_behind(
+        self, deployment, autojump_clock
+    ):
+        owner, others = await deployment.get_others()
+        held = [await others[0].acquire(ENDPOINT) for _ in range(2)]
+        with trio.move_on_after(0.1):
+            await others[1].acquire(ENDPOINT, wait_s=5)
+        for one in held:
+            others[0].permits.give_back(one, "ok", "i1")
+        await trio.sleep(1)
+        assert not owner.owners.owned[ENDPOINT].limiter.permits
+        assert not owner.owners.owned[ENDPOINT].waiting
+
+    async def test_a_lost_notice_is_made_up_for(self, deployment, autojump_clock):
+        owner, others = await deployment.get_others()
+        held = await others[0].acquire(ENDPOINT)
+        keep = await others[0].acquire(ENDPOINT)
+        others[0].permits.held.pop(held.permit)
+        await trio.sleep(6)
+        assert list(owner.owners.owned[ENDPOINT].limiter.permits) == [keep.permit]
+
+    async def test_an_unused_permit_expires(self, deployment, autojump_clock):
+        _, others = await deployment.get_others()
+        held = await others[0].acquire(ENDPOINT)
+        others[0].permits.check(held)
+        await trio.sleep(PERMIT_LIFE_S)
+        with pytest.raises(PermitExpired):
+            others[0].permits.check(held)
+
+
+class TestTakeOver:
+    async def test_a_session_that_learns_its_epoch_late_takes_up_what_it_owns(
+        self, deployment, autojump_clock
+    ):
+        entry = EntryHost(deployment.cluster, "entry-9")
+        entry.follower.catalogue.endpoints[ENDPOINT] = build_endpoint(name=ENDPOINT)
+        session = EntrySession("entry-9", entry.url, "leith", epoch=7)
+        entry.follower.catalogue.view = View(7, (session,))
+        entry.owners.update()
+        assert ENDPOINT not in entry.owners.owned
+        entry.session.set_epoch(7)
+        assert ENDPOINT in entry.owners.owned
+
+    async def test_the_next_owner_counts_what_the_others_hold(
+        self, deployment, autojump_clock
+    ):
+        owner, others = await deployment.get_others()
+        held = [await others[0].acquire(ENDPOINT) for _ in range(2)]
+        owner.kill()
+        await trio.sleep(2 * SESSION_LEASE_S)
+        heir = await wait_owner(others, ENDPOINT)
+        known = heir.owners.owned[ENDPOINT].limiter.permits
+        assert {one.permit for one in held} <= set(known)
+        permits, _ = await acquire_all(others)
+        assert not permits
+
+    async def test_a_take_over_at_a_join_counts_the_permits_out(
+        self, deployment, autojump_clock
+    ):
+        """The endpoint is cold and full while its owner changes again and again."""
+        holder = deployment.entries[0]
+        owners = {(await deployment.get_owner()).name}
+        for _ in range(2):
+            await holder.acquire(ENDPOINT, wait_s=2, hold_s=1000.0)
+        for name in iterate_heirs(ENTRIES, 4):
+            joined = EntryHost(deployment.cluster, name)
+            deployment.entries.append(joined)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(joined.start)
+                for _ in range(20):
+                    permits, _ = await acquire_all(deployment.entries, tries=1)
+                    assert not permits
+                    await trio.sleep(0.02)
+            owners.add((await deployment.get_owner()).name)
+        assert len(owners) == 5
+
+    async def test_an_owner_behind_a_cut_stops_before_its_heir_starts(
+        self, deployment, autojump_clock
+    ):
+        owner, others = await deployment.get_others()
+        network = deployment.cluster.network
+        network.isolate(owner.url)
+        last_grant = None
+        with trio.fail_after(30):
+            while find_owner(others, ENDPOINT) is None:
+                try:
+                    held = await owner.acquire(ENDPOINT, wait_s=0.05)
+                    last_grant = trio.current_time()
+                    owner.permits.give_back(held, "refused")
+                except (Refusal, SessionExpired):
+                    pass
+                await trio.sleep(0.05)
+        taken_over_at = trio.current_time()
+        assert last_grant is not None and last_grant < taken_over_at
+        with pytest.raises(SessionExpired):
+            await owner.acquire(ENDPOINT)
+        network.heal()
+        with trio.fail_after(30):
+            await owner.session.wait_valid()
+        await wait_owner(deployment.entries, ENDPOINT)
+
+    async def test_a_thawed_owner_finds_itself_expired(
+        self, deployment, autojump_clock
+    ):
+        owner, _ = await deployment.get_others()
+        owner.clock.ahead_s += SESSION_LEASE_S
+        with pytest.raises(SessionExpired):
+            await owner.acquire(ENDPOINT)
+
+    async def test_a_leader_change_does_not_expire_live_sessions(
+        self, deployment, autojump_clock
+    ):
+        epochs = [one.session.epoch for one in deployment.entries]
+        leader = await deployment.cluster.wait_leader()
+        deployment.cluster.kill(leader.name)
+        await trio.sleep(4 * SESSION_LEASE_S)
+        assert [one.session.epoch for one in deployment.entries] == epochs
+        assert all(one.session.is_valid() for one in deployment.entries)
+
+
+class TestOutOfService:
+    async def test_no_permit_after_the_bound(self, deployment, autojump_clock):
+        await deployment.get_owner()
+        await deployment.cluster.propose(SetDataCentre("leith", False))
+        accepted_at = trio.current_time()
+        last_grant = accepted_at
+        while trio.current_time() < accepted_at + 2 * OUT_OF_SERVICE_BOUND_S:
+            permits, _ = await acquire_all(deployment.entries, tries=1)
+            if permits:
+                last_grant = trio.current_time()
+            for entry, held in permits:
+                entry.permits.give_back(held, "refused")
+            await trio.sleep(0.1)
+        assert last_grant - accepted_at <= OUT_OF_SERVICE_BOUND_S
+
+    async def test_a_change_is_in_force_or_the_entry_has_no_lease(
+        self, deployment, autojump_clock
+    ):
+        """An entry that cannot follow loses its lease within the bound."""
+        lagging = deployment.entries[0]
+        network = deployment.cluster.network
+        network.isolate(lagging.url)
+        await deployment.cluster.propose(SetDataCentre("perth", False))
+        await trio.sleep(IN_FORCE_BOUND_S)
+        for entry in deployment.entries:
+            follows = not entry.follower.catalogue.is_data_centre_in("perth")
+            assert follows or not entry.session.is_valid()
+        assert not lagging.session.is_valid()
+
+    async def test_a_queued_request_is_refused_at_once_when_taken_out(
+        self, deployment, autojump_clock
+    ):
+        _, others = await deployment.get_others()
+        for _ in range(2):
+            await others[0].acquire(ENDPOINT)
+        async with trio.open_nursery() as nursery:
+
+            @nursery.start_soon
+            async def take_out():
+                await trio.sleep(0.1)
+                await deployment.cluster.propose(SetDataCentre("leith", False))
+
+            started_at = trio.current_time()
+            with pytest.raises(EndpointOutOfService):
+                await others[1].acquire(ENDPOINT, wait_s=5)
+            assert trio.current_time() - started_at < 1
+
+    async def test_a_restarted_entry_that_meets_a_lagging_member_serves_nothing_old(
+        self, deployment, autojump_clock
+    ):
+        cluster = deployment.cluster
+        leader = await cluster.wait_leader()
+        lagging = next(one for one in cluster.get_members() if one is not leader)
+        cluster.network.isolate(lagging.url)
+        await cluster.propose(SetDataCentre("perth", False))
+        fresh = EntryHost(cluster, "entry-8")
+        urls = [lagging.url, *(u for u in fresh.follower.urls if u != lagging.url)]
+        cluster.network.cut.discard((fresh.url, lagging.url))
+        fresh.follower.urls = tuple(urls)
+        await fresh.start()
+        fresh.session.require()
+        assert not fresh.follower.catalogue.is_data_centre_in("perth")
+
+
+class TestRefusalsAreTrue:
+    async def test_no_member_answering_is_a_refusal_not_a_hang(
+        self, deployment, autojump_clock
+    ):
+        for name in STATES:
+            deployment.cluster.kill(name)
+        await trio.sleep(2 * SESSION_LEASE_S)
+        for entry in deployment.entries:
+            with pytest.raises(MedlarError):
+                await entry.acquire(ENDPOINT)
--- a/medlarrail/coordination/replication.py
+++ b/medlarrail/coordination/replication.py
@@ -61,7 +61,7 @@
 from medlarrail.transport.routes import Request, route
 
 RPC_TIMEOUT_S = 0.6
-SNAPSHOT_TIMEOUT_S = 30.0
+SNAPSHOT_TIMEOUT_S = 8.0
 COMMIT_TIMEOUT_S = 4.0
 LARGEST_BATCH = 256
 """Entries in one append."""
@@ -616,13 +616,22 @@
                 raise AlreadyBootstrapped(member=self.name)
             if cluster and not await self._accept_leader(message.leader, message.term):
                 return AppendAnswer(self.term, False, self.journal.last_index)
-            if message.snapshot.index > self.commit_index:
+            if self._holds_entry_of(message.snapshot):
+                await self._commit(message.snapshot.index)
+            elif message.snapshot.index > self.commit_index:
                 await self.journal.install(message.snapshot)
                 self._load_snapshot()
                 self._wake_appliers()
             self._heard_at = self.clock()
             return AppendAnswer(self.term, True, self.journal.last_index)
 
+    def _holds_entry_of(self, snapshot: Snapshot) -> bool:
+        """Return whether the log leads on from the snapshot.
+
+        Entries after it may be acknowledged, so they must not be dropped.
+        """
+        return self.journal.get_term(snapshot.index) == snapshot.term
+
     # Applying.
 
     async def _commit(self, index: int) -> None:
--- a/medlarrail/coordination/replication_test.py
+++ b/medlarrail/coordination/replication_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+from attrs import evolve
 
 from medlarrail.coordination.bootstrap import bootstrap_cluster
 from medlarrail.core.entities import Contract, MemberInfo
@@ -16,7 +17,14 @@
     RevisionConflict,
 )
 from medlarrail.core.timing import ELECTION_TIMEOUT_MAX_S
-from medlarrail.protocol.replication import VOTE_PATH, VoteAnswer, VoteRequest
+from medlarrail.protocol.replication import (
+    SNAPSHOT_PATH,
+    VOTE_PATH,
+    AppendAnswer,
+    SnapshotRequest,
+    VoteAnswer,
+    VoteRequest,
+)
 from medlarrail.state.operations import Envelope, SetContract
 from medlarrail.testing.cluster import Cluster
 
@@ -143,6 +151,25 @@
         assert len(list_accounts(leader)) == 130
         assert again.index < 20
 
+    async def test_a_late_snapshot_drops_no_acknowledged_entry(
+        self, cluster, autojump_clock
+    ):
+        for number in range(60):
+            await cluster.propose(build_change(number))
+        await cluster.wait_all_applied()
+        leader = await cluster.wait_leader()
+        follower = next(one for one in cluster.get_members() if one is not leader)
+        before = follower.journal.last_index
+        late = evolve(
+            leader.journal.snapshot,
+            index=before - 5,
+            term=leader.journal.get_term(before - 5),
+        )
+        follower.commit_index = before - 10
+        message = SnapshotRequest(follower.identity, leader.info, leader.term, late)
+        await leader.peers.call(follower.url, SNAPSHOT_PATH, message, AppendAnswer, 1)
+        assert follower.journal.last_index >= before
+
 
 class TestCommands:
     async def test_a_resent_command_gets_its_first_outcome(
--- a/medlarrail/coordination/session.py
+++ b/medlarrail/coordination/session.py
@@ -7,6 +7,7 @@
 """
 
 import secrets
+from collections.abc import Callable
 
 import eliot
 import trio
@@ -52,10 +53,17 @@
     clock: Clock = get_boottime
     epoch: int = 0
     expires_at: float = float("-inf")
+    on_epoch: list[Callable[[], None]] = field(factory=list)
     _was_valid: bool = False
     _ended: bool = False
     _renewed: trio.Event = field(factory=trio.Event)
 
+    def set_epoch(self, epoch: int) -> None:
+        """Take up a session, whose view may have been followed before."""
+        self.epoch = epoch
+        for notify in self.on_epoch:
+            notify()
+
     def is_valid(self) -> bool:
         """Return whether the lease runs."""
         return not self._ended and self.clock() < self.expires_at
@@ -77,8 +85,8 @@
             try:
                 await self._renew()
             except SessionClosed:
-                self.epoch = 0
                 self.expires_at = float("-inf")
+                self.set_epoch(0)
                 get_metrics().count("sessions_lost")
             except MedlarError as error:
                 get_metrics().count("renewal_failures", type=type(error).__name__)
@@ -113,7 +121,7 @@
         answer = await self.state.call_leader(
             OPEN_PATH, request, OpenAnswer, CALL_LIMIT_S
         )
-        self.epoch = answer.epoch
+        self.set_epoch(answer.epoch)
 
     def _log_change(self) -> None:
         valid = self.is_valid()
--- a/medlarrail/testing/cluster.py
+++ b/medlarrail/testing/cluster.py
@@ -7,30 +7,21 @@
 from attrs import define, field
 
 from medlarrail.coordination.bootstrap import bootstrap_cluster
+from medlarrail.coordination.control import StateControl
+from medlarrail.coordination.ledger import LedgerReader
 from medlarrail.coordination.replication import LogMember
+from medlarrail.coordination.sessions import SessionKeeper
 from medlarrail.core.errors import MedlarError, NotFound
 from medlarrail.state.folder import DataFolder
 from medlarrail.state.journal import open_journal, run_inline
 from medlarrail.state.operations import Envelope, Operation, Outcome
 from medlarrail.testing.network import FakeNetwork
-from medlarrail.transport.routes import Routes, route
+from medlarrail.transport.routes import Routes
 
 RETRY_PAUSE_S = 0.2
 PATIENCE_S = 30.0
 
 
-@define
-class IdentityHandler:
-    """Answers who a member is, for the bootstrap."""
-
-    member: LogMember
-
-    @route("POST", "/internal/identity")
-    async def handle_identity(self, request):
-        """Return the member's identity."""
-        return self.member.describe()
-
-
 @define
 class Host:
     """A running member and the scope that kills it."""
@@ -72,15 +63,19 @@
             snapshot_every=self.snapshot_every,
         )
         scope = trio.CancelScope()
-        await self.nursery.start(self._run, member, scope)
-        routes = Routes.collect(member, IdentityHandler(member))
+        sessions = SessionKeeper(member)
+        await self.nursery.start(self._run, member, sessions, scope)
+        control = StateControl(member, sessions)
+        routes = Routes.collect(member, sessions, control, LedgerReader(member))
         self.network.hosts[member.url] = routes
         self.hosts[name] = Host(member, scope)
         return member
 
-    async def _run(self, member, scope, task_status):
+    async def _run(self, member, sessions, scope, task_status):
         with scope:
-            await member.run(task_status=task_status)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(sessions.run)
+                await member.run(task_status=task_status)
 
     async def bootstrap(self, *names: str) -> None:
         """Start members and form a cluster of them."""
