--- a/medlarrail/coordination/replication_test.py
+++ b/medlarrail/coordination/replication_test.py
@@ -105,6 +105,17 @@
         await cluster.wait_all_applied()
         assert list_accounts(old) == {"account-1"}
 
+    async def test_a_member_that_hears_no_leader_cannot_depose_it(
+        self, cluster, autojump_clock
+    ):
+        leader = await cluster.wait_leader()
+        deaf = next(one for one in cluster.get_members() if one is not leader)
+        cluster.network.cut.add((leader.url, deaf.url))
+        term = leader.term
+        for _ in range(1000):
+            await trio.sleep(0.01)
+            assert leader.has_lease() and leader.term == term
+
     async def test_a_leader_with_a_full_disk_hands_over(self, cluster, autojump_clock):
         leader = await cluster.wait_leader()
         folder = leader.journal.folder
--- a/medlarrail/standins/service.py
+++ b/medlarrail/standins/service.py
@@ -1,5 +1,8 @@
 """A stand-in plain service that counts each purchase by its key."""
 
+from collections import Counter
+from pathlib import Path
+
 import trio
 from attrs import define, frozen
 
@@ -24,12 +27,25 @@
 
     sold: int = 0
 
+    def __attrs_post_init__(self):
+        super().__attrs_post_init__()
+        path = Path(self.settings.runs_file)
+        if self.settings.runs_file and path.exists():
+            self.runs.update(Counter(path.read_text().split()))
+            self.sold = sum(self.runs.values())
+
+    def _note_run(self, key: str) -> None:
+        if self.settings.runs_file:
+            with open(self.settings.runs_file, "a") as file:
+                file.write(f"{key}\n")
+
     @route("POST", "/purchase")
     async def handle_purchase(self, request: Request) -> Reply:
         """Sell a seat; every run counts, so a repeat shows."""
         key = request.headers.get(IDEMPOTENCY_HEADER, "")
         with self.run_request(key):
             self.sold += 1
+            self._note_run(key)
             receipt = Receipt(key, self.runs[key], self.sold)
             with self.breakable():
                 await trio.sleep(self.settings.behaviour.call_s)
--- a/medlarrail/standins/settings.py
+++ b/medlarrail/standins/settings.py
@@ -44,4 +44,6 @@
     endpoint: Endpoint
     behaviour: Behaviour = field(factory=Behaviour)
     seed: int = 1
+    runs_file: str = ""
+    """Where a service notes each run, so that its count outlives a restart."""
     log_file: str = ""
--- a/medlarrail/testing/deployment.py
+++ b/medlarrail/testing/deployment.py
@@ -70,6 +70,8 @@
         )
     )
     behaviour: Behaviour = field(factory=Behaviour)
+    relays: bool = False
+    """Whether each process is reached through a relay of the harness."""
     routing: RoutingPolicy = field(factory=RoutingPolicy)
 
 
@@ -82,6 +84,12 @@
     url: str
     command: tuple[str, ...]
     settings_file: str
+    port: int
+
+    @property
+    def public_port(self) -> int:
+        """Port under which others reach the process."""
+        return int(self.url.rsplit(":", 1)[1])
 
 
 @frozen
@@ -130,9 +138,10 @@
     def make_listen(self) -> Listen:
         """Return an address on a free port."""
         if not self._ports:
-            self._ports = find_free_ports(64)
+            self._ports = find_free_ports(128)
         port = self._ports.pop()
-        return Listen(HOST, port, f"http://{HOST}:{port}")
+        public = self._ports.pop() if self.layout.relays else port
+        return Listen(HOST, port, f"http://{HOST}:{public}")
 
     def pick_data_centre(self, number: int) -> str:
         """Return the data centre of the process with this number."""
@@ -144,7 +153,9 @@
         path.write_bytes(encode(settings))
         full = (*command, "--settings", str(path))
         listen = settings.listen
-        self.processes.append(Process(settings.name, role, listen.url, full, str(path)))
+        self.processes.append(
+            Process(settings.name, role, listen.url, full, str(path), listen.port)
+        )
 
     def write_states(self) -> tuple[str, ...]:
         """Write the state members; return their URLs."""
@@ -213,6 +224,7 @@
                 endpoint=endpoint,
                 behaviour=self.layout.behaviour,
                 seed=number + 1,
+                runs_file=str(self.folder / f"{name}.runs"),
                 log_file=str(self.folder / f"{name}.log"),
             )
             self.add(role, ("medlar-standin", role), settings)
--- /dev/null
+++ b/medlarrail/testing/soak.py
@@ -0,0 +1,373 @@
+"""Runs a deployment of real processes under faults and checks what callers see.
+
+Processes are killed, frozen and thawed, lose their folders and are cut off by
+relays that go silent, while callers send prompts and purchases. At the end the
+stand-ins tell what really ran. The last line counts the violations.
+"""
+
+import contextlib
+import shutil
+import signal
+import sys
+import tempfile
+from collections import Counter
+from pathlib import Path
+from random import Random
+
+import orjson
+import trio
+import typer
+from attrs import define, evolve, field
+
+from medlarrail.core.codec import decode
+from medlarrail.core.errors import MedlarError, PeerError
+from medlarrail.core.timing import OUT_OF_SERVICE_BOUND_S
+from medlarrail.protocol.control import REPLACE_PATH, MembersAnswer, ReplaceRequest
+from medlarrail.standins.engine import make_answer
+from medlarrail.standins.service import Receipt
+from medlarrail.standins.settings import Behaviour
+from medlarrail.state.operations import SetDataCentre
+from medlarrail.testing.caller import Caller
+from medlarrail.testing.deployment import (
+    HOST,
+    MODEL,
+    SERVICE,
+    Layout,
+    write_deployment,
+)
+from medlarrail.testing.processes import Processes
+from medlarrail.testing.relay import Relay
+
+ACCOUNTS = ("lea-college", "award-pay", "third")
+CALLERS = 6
+RELAYED = ("state", "entry", "store", "engine", "service")
+ANSWER_TOKENS = 12
+CALL_LIMIT_S = 20.0
+SETTLE_S = 12.0
+FROZEN_S = (1.0, 6.0)
+CLOCK_SLACK_S = 1.0
+"""Time between a change's acceptance and the harness's note of it."""
+
+
+@define
+class Tally:
+    """What happened, by kind."""
+
+    faults: Counter = field(factory=Counter)
+    requests: Counter = field(factory=Counter)
+    refusals: Counter = field(factory=Counter)
+    violations: list[str] = field(factory=list)
+
+    def check(self, condition: bool, what: str) -> None:
+        """Note a violation unless ``condition`` holds."""
+        if not condition:
+            self.violations.append(what)
+            typer.echo(f"VIOLATION: {what}")
+
+
+@define
+class Soak:
+    """One run."""
+
+    processes: Processes
+    random: Random
+    tally: Tally
+    keys: dict[str, str] = field(factory=dict)
+    bought: dict[str, str] = field(factory=dict)
+    told_not_run: set[str] = field(factory=set)
+    relays: dict[str, Relay] = field(factory=dict)
+    number: int = 0
+
+    # Callers.
+
+    async def call(self, account: str) -> None:
+        """Send prompts and purchases, one after the other."""
+        caller = Caller(
+            self.keys[account], self.processes.deployment.list_urls("entry")
+        )
+        while True:
+            with contextlib.suppress(MedlarError):
+                if self.random.random() < 0.6:
+                    await self.send_prompt(caller, account)
+                else:
+                    await self.send_purchase(caller, account)
+            await trio.sleep(self.random.uniform(0, 0.2))
+
+    async def send_prompt(self, caller: Caller, account: str) -> None:
+        """Send a prompt and compare its answer with what the engine computes."""
+        prompt = f"{account}-{self.random.randrange(30)} " * 40
+        with trio.move_on_after(CALL_LIMIT_S) as scope:
+            result = await caller.ask(MODEL, prompt, ANSWER_TOKENS)
+        if scope.cancelled_caught:
+            self.tally.requests["prompt timeout"] += 1
+            return
+        if result.whole:
+            answers = [make_answer(prompt, v, ANSWER_TOKENS) for v in ("v1", "v2")]
+            self.tally.check(result.text in answers, f"answer of {prompt[:20]}")
+            self.tally.requests["prompt answered"] += 1
+        else:
+            self.tally.requests["prompt refused"] += 1
+            self.tally.refusals[type(result.error).__name__] += 1
+
+    async def send_purchase(self, caller: Caller, account: str) -> None:
+        """Buy under a key of its own, again and again until it is settled."""
+        self.number += 1
+        key = f"{account}-{self.number}"
+        for _ in range(self.random.randrange(1, 5)):
+            urls = await caller.list_entries()
+            url = self.random.choice(urls)
+            try:
+                answer = await caller.buy(
+                    f"{SERVICE}/purchase", key, url, timeout_s=CALL_LIMIT_S
+                )
+            except PeerError as error:
+                self.tally.refusals[type(error).__name__] += 1
+                self.told_not_run.discard(key)
+                continue
+            self.note_purchase(key, answer)
+
+    def note_purchase(self, key: str, answer) -> None:
+        """Note what a caller was told of a purchase."""
+        if answer.status == 200:
+            receipt = decode(answer.body, Receipt)
+            self.tally.check(receipt.key == key, f"receipt of {key} for another key")
+            self.tally.check(receipt.runs == 1, f"{key} ran {receipt.runs} times")
+            known = self.bought.setdefault(key, answer.body.decode())
+            self.tally.check(known == answer.body.decode(), f"{key}: two answers")
+            self.told_not_run.discard(key)
+            self.tally.requests["purchase answered"] += 1
+            return
+        error = orjson.loads(answer.body)["error"]
+        self.tally.requests[f"purchase {error['run']}"] += 1
+        self.tally.refusals[error["type"]] += 1
+        if error["run"] == "no":
+            self.tally.check(key not in self.bought, f"{key}: not run after answer")
+            self.told_not_run.add(key)
+        else:
+            self.told_not_run.discard(key)
+
+    # Faults.
+
+    def pick(self, *roles: str) -> str:
+        """Return the name of a running process of one of the roles."""
+        names = [
+            one.name
+            for one in self.processes.deployment.processes
+            if one.role in roles and one.name in self.processes.running
+        ]
+        return self.random.choice(names)
+
+    async def disturb(self) -> None:
+        """Cause one fault after the other."""
+        actions = (
+            self.kill_process,
+            self.kill_process,
+            self.freeze_process,
+            self.freeze_process,
+            self.lose_disk,
+            self.crash_endpoint,
+            self.take_out,
+            self.restart_gracefully,
+            self.lose_connections,
+            self.cut_off,
+        )
+        while True:
+            await trio.sleep(self.random.uniform(0.5, 3.0))
+            action = self.random.choice(actions)
+            self.tally.faults[action.__name__] += 1
+            try:
+                await action()
+            except (MedlarError, trio.TooSlowError) as error:
+                self.tally.faults[f"{action.__name__} {type(error).__name__}"] += 1
+
+    async def kill_process(self) -> None:
+        """Kill a process and start it again a little later."""
+        name = self.pick("state", "entry", "store", "engine", "service")
+        self.processes.kill(name)
+        await trio.sleep(self.random.uniform(0, 3))
+        self.processes.start(name)
+
+    async def freeze_process(self) -> None:
+        """Stop a process for a while, then let it go on."""
+        name = self.pick("state", "entry", "store", "engine")
+        self.processes.send(name, signal.SIGSTOP)
+        try:
+            await trio.sleep(self.random.uniform(*FROZEN_S))
+        finally:
+            self.processes.send(name, signal.SIGCONT)
+
+    async def lose_disk(self) -> None:
+        """Wipe a state member's folder and replace the member."""
+        name = self.pick("state")
+        process = self.processes.deployment.find(name)
+        self.processes.kill(name)
+        shutil.rmtree(Path(self.processes.deployment.folder) / f"{name}.data")
+        self.processes.start(name)
+        await self.processes.wait_answer(process.url)
+        await self.processes.make_state_client().call_leader(
+            REPLACE_PATH, ReplaceRequest(name, process.url), MembersAnswer, 30.0
+        )
+
+    async def lose_connections(self) -> None:
+        """Let the open connections to a process go silent; new ones work."""
+        self.relays[self.pick(*RELAYED)].lose()
+
+    async def cut_off(self) -> None:
+        """Let everything that is sent to a process go silent for a while."""
+        relay = self.relays[self.pick(*RELAYED)]
+        relay.cut = True
+        await trio.sleep(self.random.uniform(*FROZEN_S))
+        relay.cut = False
+
+    async def crash_endpoint(self) -> None:
+        """Let a back end fall over in silence."""
+        name = self.pick("engine", "service")
+        process = self.processes.deployment.find(name)
+        with contextlib.suppress(PeerError):
+            await self.processes.client.fetch(
+                "POST", f"{process.url}/standin/fall-over", timeout_s=2
+            )
+
+    async def take_out(self) -> None:
+        """Take a data centre out, see that it gets no new work, take it in."""
+        name = self.random.choice(("leith", "perth"))
+        await self.processes.change(SetDataCentre(name, False))
+        await trio.sleep(OUT_OF_SERVICE_BOUND_S + CLOCK_SLACK_S)
+        before = await self.count_runs(name)
+        await trio.sleep(2.0)
+        after = await self.count_runs(name)
+        for backend, runs in before.items():
+            grown = backend in after and after[backend] > runs
+            self.tally.check(not grown, f"{backend} got work while {name} was out")
+        await self.processes.change(SetDataCentre(name, True))
+
+    async def count_runs(self, data_centre: str) -> dict[str, int]:
+        """Return the runs of each back end in a data centre, by incarnation."""
+        counts = {}
+        for process in self.processes.deployment.processes:
+            if process.role not in ("engine", "service"):
+                continue
+            settings = orjson.loads(Path(process.settings_file).read_bytes())
+            if settings["data_centre"] == data_centre:
+                with contextlib.suppress(MedlarError):
+                    stats = await self.processes.fetch_backend(process.url)
+                    runs = sum(one.runs for one in stats.runs)
+                    counts[f"{process.name}/{stats.incarnation}"] = runs
+        return counts
+
+    async def restart_gracefully(self) -> None:
+        """Shut an entry down as a release would, and start it again."""
+        name = self.pick("entry")
+        code = await self.processes.stop(name)
+        self.tally.check(code == 0, f"{name} exited with {code}")
+        self.processes.start(name)
+
+    # The run.
+
+    async def run(self, duration: float) -> None:
+        """Run for ``duration`` seconds behind relays, then settle and compare."""
+        async with trio.open_nursery() as nursery:
+            for process in self.processes.deployment.processes:
+                relay = Relay(HOST, process.public_port, process.port)
+                self.relays[process.name] = relay
+                await nursery.start(relay.run)
+            await self.run_faults(duration)
+            nursery.cancel_scope.cancel()
+
+    async def run_faults(self, duration: float) -> None:
+        """Cause faults under load, then settle and compare."""
+        await self.processes.bootstrap()
+        await self.processes.wait_ready()
+        for account in ACCOUNTS:
+            self.keys[account] = await self.processes.add_contract(account)
+        with trio.move_on_after(duration):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.disturb)
+                for number in range(CALLERS):
+                    account = ACCOUNTS[number % len(ACCOUNTS)]
+                    nursery.start_soon(self.call, account)
+        await self.recover()
+
+    async def recover(self) -> None:
+        """Start what is down and see that service comes back."""
+        for process in self.processes.deployment.processes:
+            if process.name not in self.processes.running:
+                self.processes.start(process.name)
+            self.processes.send(process.name, signal.SIGCONT)
+            self.relays[process.name].cut = False
+        for name in ("leith", "perth"):
+            await self.processes.change(SetDataCentre(name, True))
+        await trio.sleep(SETTLE_S)
+        await self.processes.wait_ready()
+        caller = Caller(
+            self.keys[ACCOUNTS[0]], self.processes.deployment.list_urls("entry")
+        )
+        result = await caller.ask(MODEL, "after the faults", ANSWER_TOKENS)
+        self.tally.check(result.whole, f"no service after the faults: {result.error}")
+        await self.compare()
+
+    async def compare(self) -> None:
+        """Compare what callers were told with what the service ran."""
+        runs: Counter = Counter()
+        for url in self.processes.deployment.list_urls("service"):
+            stats = await self.processes.fetch_backend(url)
+            runs.update({one.key: one.runs for one in stats.runs})
+        for key in self.told_not_run:
+            self.tally.check(runs[key] == 0, f"{key} told not run, ran {runs[key]}")
+        for key, count in runs.items():
+            if key != "lookup":
+                self.tally.check(count <= 1, f"{key} ran {count} times")
+        await self.count_invariants()
+
+    async def count_invariants(self) -> None:
+        """Look for broken invariants and defects in the processes' counters."""
+        for process in self.processes.deployment.processes:
+            if process.role in ("engine", "service"):
+                stats = await self.processes.fetch_backend(process.url)
+                name = f"{process.name}: "
+                self.tally.check(not stats.bad_blocks, name + "bad blocks")
+                self.tally.check(not stats.overruns, name + "overrun while cold")
+                continue
+            answer = await self.processes.client.fetch("GET", f"{process.url}/metrics")
+            for line in answer.body.decode().splitlines():
+                if line.startswith(
+                    ("medlar_invariant_violations_total", "medlar_defec")
+                ):
+                    self.tally.check(False, f"{process.name}: {line}")
+
+
+def build_layout() -> Layout:
+    """Return the deployment that the soak runs."""
+    layout = Layout(states=3, entries=3, engines=3, services=2, relays=True)
+    service = evolve(layout.service, warm_limit=8)
+    return evolve(layout, service=service, behaviour=Behaviour(falls_over=True))
+
+
+def print_tally(tally: Tally) -> None:
+    """Print the counts, the violations last."""
+    for title in ("faults", "requests", "refusals"):
+        counts = sorted(getattr(tally, title).items())
+        typer.echo(f"{title}: " + ", ".join(f"{k} {v}" for k, v in counts))
+    typer.echo(f"violations: {len(tally.violations)}")
+
+
+def main(seed: int = 1, duration: float = 60.0, keep: bool = False) -> None:
+    """Run one soak; exits with 1 where a promise was broken."""
+    folder = Path(tempfile.mkdtemp(prefix="medlar-soak-"))
+    processes = Processes(write_deployment(folder, build_layout()))
+    soak = Soak(processes, Random(seed), Tally())
+    try:
+        processes.start_all()
+        trio.run(soak.run, duration)
+    finally:
+        processes.kill_all()
+        if not keep and not soak.tally.violations:
+            shutil.rmtree(folder, ignore_errors=True)
+        else:
+            typer.echo(f"logs: {folder}")
+    print_tally(soak.tally)
+    sys.exit(1 if soak.tally.violations else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
