--- /dev/null
+++ b/medlarrail/coordination/routing_test.py
@@ -0,0 +1,227 @@
+"""Tests that a caller gets the whole answer to its own request, or the truth."""
+
+import pytest
+import trio
+from attrs import define, evolve, field
+
+from medlarrail.coordination.engine_client import EngineClient
+from medlarrail.coordination.follower import Follower
+from medlarrail.coordination.health import PairHealth, RetryBudgets
+from medlarrail.coordination.permit_client import HeldPermit
+from medlarrail.coordination.routing import PromptRun, Router, RoutingPolicy
+from medlarrail.core.entities import EntrySession, View
+from medlarrail.core.errors import (
+    DeadlineExceeded,
+    EndpointOutOfService,
+    EndpointUnreachable,
+    MedlarError,
+    NoEndpoint,
+    Overloaded,
+    RunDeadlineExceeded,
+    RunFailure,
+    StreamBroken,
+)
+from medlarrail.protocol.openai import CompletionRequest
+from medlarrail.protocol.permits import AcquireAnswer
+from medlarrail.testing.builders import build_contract, build_endpoint
+from medlarrail.testing.serving import ScriptedEngine, serve
+from medlarrail.transport.client import HttpClient
+
+TOKENS = 5
+WHOLE = "".join(f"t{n} " for n in range(TOKENS))
+
+
+class OpenSession:
+    """A session whose lease always runs."""
+
+    name = "entry-1"
+    epoch = 1
+    data_centre = "leith"
+
+    def require(self):
+        return self.epoch
+
+
+@define
+class FreePermits:
+    """Gives every permit, and notes how each run ended."""
+
+    refusals: dict[str, MedlarError] = field(factory=dict)
+    outcomes: list[tuple[str, str]] = field(factory=list)
+
+    def make_permit_id(self):
+        return f"p{len(self.outcomes)}"
+
+    async def acquire(self, request):
+        if request.endpoint in self.refusals:
+            raise self.refusals[request.endpoint]
+        answer = AcquireAnswer(request.permit, "i1", "v1", 1.0)
+        return HeldPermit(request.permit, request.endpoint, "a", 9e9, 9e9, answer)
+
+    def check(self, held):
+        pass
+
+    def note_started(self, held, incarnation):
+        pass
+
+    def give_back(self, held, outcome, incarnation=""):
+        self.outcomes.append((held.endpoint, outcome))
+
+
+@pytest.fixture
+async def bench(nursery):
+    bench = Bench(nursery)
+    yield bench
+    await bench.client.aclose()
+
+
+class Bench:
+    """Scripted engines behind a router."""
+
+    def __init__(self, nursery):
+        self.nursery = nursery
+        self.engines = {}
+        self.permits = FreePermits()
+        self.client = HttpClient()
+        self.follower = Follower(None, ("mem://none",))
+        session = EntrySession("entry-1", "mem://entry-1", "leith", 1)
+        self.follower.catalogue.view = View(1, (session,))
+        self.health = PairHealth()
+        self.router = Router(OpenSession(), self.follower, self.permits, self.health)
+        self.budgets = RetryBudgets()
+
+    async def add(self, name, **script):
+        engine = ScriptedEngine(**script)
+        url = await serve(self.nursery, engine)
+        endpoint = build_endpoint(name=name, url=url, weight_version=engine.version)
+        self.follower.catalogue.endpoints[name] = endpoint
+        self.engines[name] = engine
+        return engine
+
+    def build_run(self, limit_s=5.0, silence_s=0.3):
+        return PromptRun(
+            router=self.router,
+            engines=EngineClient(self.client),
+            budgets=self.budgets,
+            policy=RoutingPolicy(silence_s, silence_s),
+            contract=build_contract(),
+            request=CompletionRequest("seat-guide", "prompt", TOKENS),
+            deadline=trio.current_time() + limit_s,
+        )
+
+    async def collect(self, **limits):
+        run = self.build_run(**limits)
+        return "".join([chunk.text async for chunk in run.iterate()])
+
+    def get_first(self):
+        """Return the name of the engine that routing prefers."""
+        target = self.build_run()._build_target()
+        return self.router.list_candidates(target)[0].name
+
+
+FAULTS = ("silent", "crossed", "gap", "short", "early-done", "garbage", "cut")
+
+
+class TestWholeAnswers:
+    @pytest.mark.parametrize("fault", (*FAULTS, "crossed-header"))
+    async def test_a_bad_stream_is_made_whole_by_another_engine(self, bench, fault):
+        await bench.add("a")
+        await bench.add("b")
+        first = bench.get_first()
+        bench.engines[first].fault = fault
+        assert await bench.collect() == WHOLE
+        assert len(bench.permits.outcomes) == 2
+        assert bench.permits.outcomes[0][1] in ("broken", "silent")
+        assert bench.permits.outcomes[1][1] == "ok"
+
+    async def test_a_resume_starts_after_the_last_token(self, bench):
+        await bench.add("a")
+        await bench.add("b")
+        first = bench.get_first()
+        bench.engines[first].fault = "cut"
+        await bench.collect()
+        other = next(name for name in bench.engines if name != first)
+        resumed = bench.engines[other].requests[0]
+        assert resumed.resume_from == 2
+        assert resumed.resume_text == "t0 t1 "
+
+    async def test_another_weight_version_is_never_resumed_on(self, bench):
+        await bench.add("a")
+        await bench.add("b", version="v2")
+        bench.engines[bench.get_first()].fault = "cut"
+        other = next(name for name in "ab" if name != bench.get_first())
+        with pytest.raises(StreamBroken) as caught:
+            bench.engines[bench.get_first()].after = 1
+            await bench.collect()
+        assert caught.value.tokens >= 1
+        assert not bench.engines[other].requests
+
+    async def test_one_engine_alone_is_resumed_on(self, bench):
+        engine = await bench.add("a", fault="cut", after=2)
+        assert await bench.collect() == WHOLE
+        assert [one.resume_from for one in engine.requests] == [0, 2, 4]
+
+    async def test_the_deadline_ends_a_silent_stream(self, bench):
+        await bench.add("a", fault="silent")
+        started_at = trio.current_time()
+        with pytest.raises((RunDeadlineExceeded, StreamBroken)):
+            await bench.collect(limit_s=0.5, silence_s=5.0)
+        assert trio.current_time() - started_at < 1.5
+
+    async def test_a_spent_budget_ends_the_retries(self, bench):
+        engine = await bench.add("a", fault="cut", after=0)
+        while bench.budgets.spend(build_contract().account):
+            pass
+        with pytest.raises(RunFailure):
+            await bench.collect()
+        assert len(engine.requests) == 1
+
+
+class TestRefusals:
+    async def test_no_endpoint_is_said_so(self, bench):
+        with pytest.raises(NoEndpoint):
+            await bench.collect()
+
+    async def test_the_soonest_refusal_is_given(self, bench):
+        await bench.add("a")
+        await bench.add("b")
+        bench.permits.refusals = {
+            "a": Overloaded(endpoint="a", retry_after_s=9.0),
+            "b": Overloaded(endpoint="b", retry_after_s=2.0),
+        }
+        with pytest.raises(Overloaded) as caught:
+            await bench.collect()
+        assert caught.value.retry_after_s == 2.0
+
+    async def test_an_endpoint_that_cannot_be_reached_is_suspected(self, bench):
+        await bench.add("a")
+        endpoint = bench.follower.catalogue.endpoints["a"]
+        gone = evolve(endpoint, url="http://127.0.0.1:1")
+        bench.follower.catalogue.endpoints["a"] = gone
+        with pytest.raises(EndpointUnreachable):
+            await bench.collect()
+        assert bench.health.is_suspected("a")
+        assert {outcome for _, outcome in bench.permits.outcomes} == {"unreachable"}
+
+    async def test_a_passed_deadline_runs_nothing(self, bench):
+        engine = await bench.add("a")
+        with pytest.raises(DeadlineExceeded):
+            await bench.collect(limit_s=0.0)
+        assert not engine.requests
+
+    async def test_an_endpoint_taken_out_after_the_permit_gets_nothing(self, bench):
+        engine = await bench.add("a")
+        acquire = bench.permits.acquire
+
+        class TakingOut(FreePermits):
+            async def acquire(self, request):
+                held = await acquire(request)
+                found = bench.follower.catalogue.endpoints["a"]
+                out = evolve(found, state="out")
+                bench.follower.catalogue.endpoints["a"] = out
+                return held
+
+        bench.router.permits = TakingOut()
+        with pytest.raises(EndpointOutOfService):
+            await bench.collect()
+        assert not engine.requests
--- a/medlarrail/transport/client.py
+++ b/medlarrail/transport/client.py
@@ -170,9 +170,10 @@
             "host": url.split("/")[2],
             "content-length": str(len(body)),
             "content-type": "application/json",
-            "authorization": f"Bearer {self.key}",
             **(headers or {}),
         }
+        if self.key:
+            all_headers.setdefault("authorization", f"Bearer {self.key}")
         return httpcore.Request(
             method,
             url,
--- a/medlarrail/transport/server_test.py
+++ b/medlarrail/transport/server_test.py
@@ -109,6 +109,10 @@
         with pytest.raises(OverLongBody):
             await client.call(url, "/echo", Note("x" * 2000), Note, timeout_s=2)
 
+    async def test_a_call_without_a_key_is_well_formed(self, url):
+        answer = await HttpClient().call(url, "/echo", Note("hi"), Note, timeout_s=2)
+        assert answer == Note("hi")
+
     async def test_a_closed_port_is_unreachable(self, client):
         with pytest.raises(PeerUnreachable):
             await client.call("http://127.0.0.1:1", "/echo", Note("x"), Note, 1)
