--- a/medlarrail/programs/standin.py
+++ b/medlarrail/programs/standin.py
@@ -5,6 +5,7 @@
 
 import trio
 import typer
+from attrs import fields
 
 from medlarrail.programs.common import (
     load_or_exit,
@@ -12,6 +13,8 @@
     start_log,
     wait_for_stop_signal,
 )
+from medlarrail.programs.tables import print_items
+from medlarrail.standins.bench import BenchResult, run_bench
 from medlarrail.standins.engine import Engine
 from medlarrail.standins.service import Service
 from medlarrail.standins.settings import StandinSettings
@@ -76,6 +79,20 @@
     run_program(run_service, loaded)
 
 
+@app.command("bench")
+def start_bench(
+    seed: int = typer.Option(1, help="Seed of the load."),
+    duration: float = typer.Option(20.0, help="Virtual seconds of load."),
+    as_json: bool = typer.Option(False, "--json", help="Print JSON."),
+) -> None:
+    """Compare local decisions with permits on the same load.
+
+    Example: medlar-standin bench --seed 1
+    """
+    results = run_bench(seed, duration)
+    print_items(results, as_json, [one.name for one in fields(BenchResult)])
+
+
 def main() -> None:
     """Entry point."""
     app()
--- /dev/null
+++ b/medlarrail/standins/bench.py
@@ -0,0 +1,441 @@
+"""Measures ways to decide where requests go, on the same seeded load.
+
+The decision code is the real one; engines, callers and the network are small
+models under a virtual clock, so that a run takes seconds and gives the same
+figures every time.
+"""
+
+import tempfile
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+import trio
+import trio.testing
+from attrs import define, evolve, field, frozen
+
+from medlarrail.coordination.fairness import get_weight
+from medlarrail.coordination.health import PairHealth
+from medlarrail.coordination.permit_client import HeldPermit
+from medlarrail.coordination.routing import Router, Target
+from medlarrail.core.entities import Contract, Endpoint
+from medlarrail.core.errors import (
+    EndpointRefused,
+    MedlarError,
+    Overloaded,
+    Refusal,
+    StreamBroken,
+)
+from medlarrail.core.metrics import Metrics
+from medlarrail.protocol.endpoints import LoadReport
+from medlarrail.protocol.permits import AcquireAnswer
+from medlarrail.state.operations import RegisterEndpoint
+from medlarrail.testing.cluster import Cluster
+from medlarrail.testing.entries import EntryHost
+
+MODEL = "model"
+WAYS = ("lagged", "divided", "permits")
+"""Local decisions on reports, local decisions on a fixed part, and permits."""
+REPORT_INTERVAL_S = 0.25
+REPORT_LAG_S = 0.25
+DOWN_S = 1.0
+DEADLINE_S = 15.0
+QUEUE_WAIT_S = 1.0
+RESTART_EVERY_S = 4.0
+WARM_UP_S = 6.0
+OVERLOAD_S = 10.0
+OVERLOAD_FACTOR = 6.0
+
+
+@frozen
+class Workload:
+    """The sizes of one deployment; rates are requests a second."""
+
+    name: str
+    entries: int
+    replicas: int
+    latency_s: float
+    rate_per_s: float
+    prefill_s: float
+    decode_s: float
+    duration_s: float = 60.0
+    accounts: int = 10
+    large_accounts: int = 3
+
+
+WORKLOADS = (
+    Workload("thistlegate", 6, 9, 0.0005, 42.0, 0.15, 0.6),
+    Workload("derwent-valley", 6, 5, 0.0015, 20.0, 0.25, 0.8),
+)
+
+
+@frozen
+class BenchResult:
+    """What one way gave under one workload; times in seconds."""
+
+    workload: str
+    way: str
+    requests: int
+    answered: int
+    first_token_p50_s: float
+    first_token_p95_s: float
+    overruns: int
+    broken: int
+    refusals: int
+    share_error: float
+    messages_per_request: float
+
+
+@define
+class SimEndpoint:
+    """An engine that falls over when it runs more than it bears."""
+
+    endpoint: Endpoint
+    life: int = 1
+    running: int = 0
+    completed: int = 0
+    overruns: int = 0
+    down_until: float = 0.0
+    _broken: trio.Event = field(factory=trio.Event)
+
+    @property
+    def incarnation(self) -> str:
+        """Name of the present life."""
+        return f"i{self.life}"
+
+    def get_bearable(self) -> int:
+        """Return the requests that it bears now."""
+        warmup = self.endpoint.warmup_requests
+        cold, warm = self.endpoint.cold_limit, self.endpoint.warm_limit
+        return cold + int((warm - cold) * min(1.0, self.completed / warmup))
+
+    def restart(self) -> None:
+        """Break what runs and come back cold."""
+        self.life += 1
+        self.running = 0
+        self.completed = 0
+        self.down_until = trio.current_time() + DOWN_S
+        self._broken.set()
+        self._broken = trio.Event()
+
+    async def run(self, prefill_s: float, decode_s: float, on_first) -> None:
+        """Run one request; raises where it is refused or breaks."""
+        if trio.current_time() < self.down_until:
+            raise EndpointRefused(endpoint=self.endpoint.name)
+        if self.running >= self.get_bearable():
+            self.overruns += 1
+            self.restart()
+            raise StreamBroken(endpoint=self.endpoint.name)
+        life, broken = self.life, self._broken
+        self.running += 1
+        for seconds, notify in ((prefill_s, on_first), (decode_s, None)):
+            with trio.move_on_after(seconds):
+                await broken.wait()
+            if self.life != life:
+                raise StreamBroken(endpoint=self.endpoint.name)
+            if notify is not None:
+                notify()
+        self.running -= 1
+        self.completed += 1
+
+
+@define
+class LaggedPermits:
+    """Decides at each entry alone, on load reports that lag.
+
+    It knows every endpoint's latest report, and counts what it sent itself since
+    that report was sampled. With ``parts`` above 1 it admits only that part of an
+    endpoint's limit, and counts only its own requests.
+    """
+
+    clock: Callable[[], float]
+    parts: int = 1
+    mine: Counter = field(factory=Counter)
+    reports: dict[str, LoadReport] = field(factory=dict)
+    sent: dict[str, list[float]] = field(factory=dict)
+    sampled_at: dict[str, float] = field(factory=dict)
+    endpoints: dict[str, Endpoint] = field(factory=dict)
+    number: int = 0
+
+    def make_permit_id(self) -> str:
+        """Return a new id."""
+        self.number += 1
+        return f"p{self.number}"
+
+    def take_report(self, report: LoadReport, sampled_at: float) -> None:
+        """Take a report and forget what was sent before it."""
+        self.reports[report.endpoint] = report
+        self.sampled_at[report.endpoint] = sampled_at
+        recent = [t for t in self.sent.get(report.endpoint, ()) if t > sampled_at]
+        self.sent[report.endpoint] = recent
+
+    async def acquire(self, request) -> HeldPermit:
+        """Admit by the report and what was sent since."""
+        await trio.lowlevel.checkpoint()
+        name = request.endpoint
+        report = self.reports.get(name)
+        completed = report.completed if report else 0
+        running = report.running if report else 0
+        endpoint = self.endpoints[name]
+        grown = min(1.0, completed / endpoint.warmup_requests)
+        spread = endpoint.warm_limit - endpoint.cold_limit
+        limit = endpoint.cold_limit + int(spread * grown)
+        in_use = running + len(self.sent.get(name, ()))
+        if self.parts > 1:
+            limit = max(1, limit // self.parts)
+            in_use = self.mine[name]
+        if in_use >= limit:
+            raise Overloaded(endpoint=name, retry_after_s=REPORT_INTERVAL_S)
+        self.sent.setdefault(name, []).append(self.clock())
+        self.mine[name] += 1
+        answer = AcquireAnswer(request.permit, "", "", 1.0)
+        end = self.clock() + request.hold_s
+        return HeldPermit(request.permit, name, request.account, end, end, answer)
+
+    def check(self, held: HeldPermit) -> None:
+        """Every permit may be used."""
+
+    def note_started(self, held: HeldPermit, incarnation: str) -> None:
+        """Nothing to tell."""
+
+    def give_back(self, held: HeldPermit, outcome: str, incarnation: str = "") -> None:
+        """Count the request as ended."""
+        self.mine[held.endpoint] -= 1
+
+
+@define
+class Bench:
+    """One way under one workload."""
+
+    workload: Workload
+    way: str
+    random: Random
+    cluster: Cluster
+    entries: list[EntryHost] = field(factory=list)
+    routers: list[Router] = field(factory=list)
+    lagged: list[LaggedPermits] = field(factory=list)
+    engines: dict[str, SimEndpoint] = field(factory=dict)
+    metrics: Metrics = field(factory=Metrics)
+    counts: Counter = field(factory=Counter)
+    served: Counter = field(factory=Counter)
+    messages: int = 0
+
+    async def set_up(self) -> None:
+        """Start members, entries and engines."""
+        await self.cluster.bootstrap("state-1", "state-2", "state-3")
+        for number in range(self.workload.entries):
+            entry = EntryHost(self.cluster, f"entry-{number + 1}")
+            await entry.start()
+            self.entries.append(entry)
+            self.routers.append(self._build_router(entry))
+        for number in range(self.workload.replicas):
+            await self._add_engine(f"engine-{number + 1}")
+        self.cluster.nursery.start_soon(self._report)
+        await trio.sleep(3.0)
+
+    def _build_router(self, entry: EntryHost) -> Router:
+        permits = entry.permits
+        if self.way != "permits":
+            parts = self.workload.entries if self.way == "divided" else 1
+            permits = LaggedPermits(trio.current_time, parts)
+            self.lagged.append(permits)
+        health = PairHealth(trio.current_time)
+        return Router(entry.session, entry.follower, permits, health, entry.clock)
+
+    async def _add_engine(self, name: str) -> None:
+        endpoint = Endpoint(
+            name,
+            f"mem://{name}",
+            "model",
+            MODEL,
+            "leith",
+            "i1",
+            cold_limit=2,
+            warm_limit=8,
+            warmup_requests=12,
+        )
+        self.engines[name] = SimEndpoint(endpoint)
+        for permits in self.lagged:
+            permits.endpoints[name] = endpoint
+        await self.cluster.propose(RegisterEndpoint(endpoint))
+
+    async def _report(self) -> None:
+        """Send every engine's report, late, and announce new incarnations."""
+        stamps: dict[str, tuple[float, int]] = {}
+        while True:
+            await trio.sleep(REPORT_INTERVAL_S)
+            for name, engine in self.engines.items():
+                sampled_at = trio.current_time()
+                if sampled_at >= engine.down_until:
+                    report = LoadReport(
+                        name,
+                        engine.incarnation,
+                        engine.running,
+                        0,
+                        engine.completed,
+                        "",
+                        REPORT_LAG_S,
+                        *stamps.get(name, (-1.0, 0)),
+                    )
+                    self.cluster.nursery.start_soon(
+                        self._deliver, report, sampled_at, stamps
+                    )
+
+    async def _deliver(self, report, sampled_at: float, stamps) -> None:
+        await trio.sleep(REPORT_LAG_S)
+        for permits in self.lagged:
+            permits.take_report(report, sampled_at)
+        known = self.entries[0].follower.catalogue.endpoints.get(report.endpoint)
+        if known is not None and known.incarnation != report.incarnation:
+            changed = evolve(known, incarnation=report.incarnation)
+            await self.cluster.propose(RegisterEndpoint(changed))
+        for entry in self.entries:
+            if entry.owners.find_owned(report.endpoint) is not None:
+                entry.owners.take_report(report)
+                stamps[report.endpoint] = (entry.clock(), entry.session.epoch)
+
+    def list_contracts(self) -> list[Contract]:
+        """Return the accounts; the large ones have four times the share."""
+        large = self.workload.large_accounts
+        return [
+            Contract(
+                f"account-{number}",
+                share=4.0 if number < large else 1.0,
+                priority=0,
+                queue_wait_s=QUEUE_WAIT_S,
+            )
+            for number in range(self.workload.accounts)
+        ]
+
+    async def load(self, rate_per_s: float, duration_s: float, equal: bool) -> None:
+        """Send requests at random moments; large accounts send more of them."""
+        contracts = self.list_contracts()
+        weights = [1.0 if equal else one.share for one in contracts]
+        end = trio.current_time() + duration_s
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < end:
+                await trio.sleep(self.random.expovariate(rate_per_s))
+                contract = self.random.choices(contracts, weights)[0]
+                nursery.start_soon(self.request, contract)
+
+    async def request(self, contract: Contract) -> None:
+        """Ask through one entry, coming back when told to."""
+        self.counts["requests"] += 1
+        started_at = trio.current_time()
+        target = Target(
+            contract, "model", MODEL, str(self.random.random()), started_at + DEADLINE_S
+        )
+        router = self.random.choice(self.routers)
+        while target.get_rest() > 0:
+            try:
+                await self._run_once(router, target, started_at)
+                return
+            except Refusal as error:
+                self.counts["refusals"] += 1
+                await trio.sleep(max(0.05, error.retry_after_s))
+            except MedlarError:
+                self.counts["broken"] += 1
+
+    async def _run_once(self, router: Router, target: Target, started_at) -> None:
+        endpoint, held = await router.get_permit(target, set())
+        engine = self.engines[endpoint.name]
+        error: BaseException | None = None
+        incarnation = engine.incarnation
+
+        def on_first() -> None:
+            router.permits.note_started(held, engine.incarnation)
+            self.metrics.observe("first_token", trio.current_time() - started_at)
+
+        try:
+            router.check_dispatch(endpoint, held)
+            jitter = self.random.uniform(0.5, 1.5)
+            await engine.run(
+                self.workload.prefill_s * jitter,
+                self.workload.decode_s * jitter,
+                on_first,
+            )
+            self.counts["answered"] += 1
+            self.served[target.contract.account] += 1
+        except BaseException as caught:
+            error = caught
+            raise
+        finally:
+            router.note_outcome(endpoint, held, error, incarnation)
+
+    async def restart_engines(self) -> None:
+        """Restart one engine after the other, without a word."""
+        while True:
+            await trio.sleep(RESTART_EVERY_S)
+            self.random.choice(list(self.engines.values())).restart()
+
+    async def run(self) -> BenchResult:
+        """Run the usual load with restarts, then an overload for the shares."""
+        await self.set_up()
+        await self.load(self.workload.rate_per_s / 2, WARM_UP_S, equal=False)
+        self.metrics.reset()
+        self.counts.clear()
+        before = self.cluster.network.calls
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.restart_engines)
+                await self.load(
+                    self.workload.rate_per_s, self.workload.duration_s, equal=False
+                )
+                scope.cancel()
+        self.messages = self.cluster.network.calls - before
+        result = self._collect()
+        return evolve(result, share_error=await self._measure_shares())
+
+    async def _measure_shares(self) -> float:
+        """Return the largest relative error of a served share under overload."""
+        self.served.clear()
+        with trio.move_on_after(OVERLOAD_S):
+            rate_per_s = self.workload.rate_per_s * OVERLOAD_FACTOR
+            await self.load(rate_per_s, OVERLOAD_S, equal=True)
+        contracts = self.list_contracts()
+        weights = {c.account: get_weight(c.share, c.priority) for c in contracts}
+        total = sum(self.served.values()) or 1
+        errors = [
+            abs(self.served[name] / total - weight / sum(weights.values()))
+            / (weight / sum(weights.values()))
+            for name, weight in weights.items()
+        ]
+        return max(errors)
+
+    def _collect(self) -> BenchResult:
+        return BenchResult(
+            workload=self.workload.name,
+            way=self.way,
+            requests=self.counts["requests"],
+            answered=self.counts["answered"],
+            first_token_p50_s=self.metrics.get_percentile("first_token", 50),
+            first_token_p95_s=self.metrics.get_percentile("first_token", 95),
+            overruns=sum(one.overruns for one in self.engines.values()),
+            broken=self.counts["broken"],
+            refusals=self.counts["refusals"],
+            share_error=0.0,
+            messages_per_request=self.messages / max(1, self.counts["requests"]),
+        )
+
+
+async def _run_way(workload: Workload, way: str, seed: int) -> BenchResult:
+    with tempfile.TemporaryDirectory() as folder:
+        async with trio.open_nursery() as nursery:
+            cluster = Cluster(Path(folder), nursery, seed=seed)
+            cluster.network.delay_s = workload.latency_s
+            bench = Bench(workload, way, Random(seed), cluster)
+            result = await bench.run()
+            nursery.cancel_scope.cancel()
+    return result
+
+
+def run_bench(seed: int, duration_s: float) -> list[BenchResult]:
+    """Return the result of each way under each workload."""
+    results = []
+    for workload in WORKLOADS:
+        for way in WAYS:
+            clock = trio.testing.MockClock(autojump_threshold=0)
+            sized = evolve(workload, duration_s=duration_s)
+            results.append(trio.run(_run_way, sized, way, seed, clock=clock))
+    return results
--- a/medlarrail/testing/network.py
+++ b/medlarrail/testing/network.py
@@ -25,6 +25,8 @@
     cut: set[tuple[str, str]] = field(factory=set)
     lose_share: float = 0.0
     """Share of the calls that are lost, half of them after they were served."""
+    calls: int = 0
+    """Calls carried so far."""
 
     def connect(self, url: str) -> "FakePeers":
         """Return the peers as the host at ``url`` sees them."""
@@ -42,6 +44,7 @@
 
     async def carry(self, source: str, target: str, request: Request):
         """Carry a request and its answer; a cut or a loss is silence."""
+        self.calls += 1
         await trio.sleep(self.random.uniform(0, 2 * self.delay_s))
         lost = self.random.random() < self.lose_share
         if (source, target) in self.cut or (lost and self.random.random() < 0.5):
