--- a/medlarrail/testing/soak.py
+++ b/medlarrail/testing/soak.py
@@ -298,7 +298,11 @@
         for name in ("leith", "perth"):
             await self.processes.change(SetDataCentre(name, True))
         await trio.sleep(SETTLE_S)
-        await self.processes.wait_ready()
+        try:
+            await self.processes.wait_ready()
+        except trio.TooSlowError:
+            self.tally.check(False, "not ready after the faults")
+            await self.print_status()
         caller = Caller(
             self.keys[ACCOUNTS[0]], self.processes.deployment.list_urls("entry")
         )
@@ -306,6 +310,20 @@
         self.tally.check(result.whole, f"no service after the faults: {result.error}")
         await self.compare()
 
+    async def print_status(self) -> None:
+        """Print what each entry and state member says of itself."""
+        for process in self.processes.deployment.processes:
+            fetch = {
+                "entry": self.processes.fetch_entry,
+                "state": self.processes.fetch_state,
+            }.get(process.role)
+            if fetch is None:
+                continue
+            try:
+                typer.echo(f"{process.name}: {await fetch(process.url)}")
+            except MedlarError as error:
+                typer.echo(f"{process.name}: {error}")
+
     async def compare(self) -> None:
         """Compare what callers were told with what the service ran."""
         runs: Counter = Counter()
@@ -359,6 +377,8 @@
     try:
         processes.start_all()
         trio.run(soak.run, duration)
+    except* trio.TooSlowError:
+        soak.tally.check(False, "no recovery after the faults")
     finally:
         processes.kill_all()
         if not keep and not soak.tally.violations:
