--- a/medlarrail/programs/entry.py
+++ b/medlarrail/programs/entry.py
@@ -2,7 +2,7 @@
 
 import eliot
 import trio
-from attrs import define, frozen
+from attrs import define
 
 from medlarrail.coordination.access import AccountDirectory, Guard, KeyRing
 from medlarrail.coordination.context_planner import StorePlanner
@@ -20,10 +20,17 @@
 from medlarrail.coordination.service_calls import ServiceCalls
 from medlarrail.coordination.session import Session
 from medlarrail.coordination.state_client import StateClient
+from medlarrail.core.metrics import Sample, get_metrics
 from medlarrail.core.timing import ENTRY_LIST_KEEP_S, IN_FORCE_BOUND_S
 from medlarrail.programs.common import build_program, wait_for_stop_signal
 from medlarrail.programs.monitoring import Monitoring
 from medlarrail.programs.settings import EntrySettings, Keys
+from medlarrail.protocol.status import (
+    ENTRY_STATUS_PATH,
+    CounterStatus,
+    EntryStatus,
+    OwnedStatus,
+)
 from medlarrail.transport.client import HttpClient
 from medlarrail.transport.routes import Request, Routes, route
 from medlarrail.transport.server import HttpServer
@@ -31,33 +38,9 @@
 DRAIN_POLL_S = 0.05
 
 
-@frozen
-class OwnedStatus:
-    """An owned endpoint as its owner sees it."""
-
-    endpoint: str
-    limit: int
-    in_use: int
-    unproven: int
-    queued: int
-    completed: int
-    cold: bool
-    holders_known: bool
-    reported_ago_s: float
-    cached_blocks: int
-
-
-@frozen
-class EntryStatus:
-    """What an entry says of itself."""
-
-    name: str
-    data_centre: str
-    epoch: int
-    lease_valid: bool
-    applied_index: int
-    held_permits: int
-    owned: tuple[OwnedStatus, ...]
+def format_labels(sample: Sample) -> str:
+    """Return the labels of a counter as one text."""
+    return ",".join(f"{name}={value}" for name, value in sample.labels)
 
 
 def describe_owned(owned: OwnedEndpoint, now: float) -> OwnedStatus:
@@ -136,10 +119,11 @@
         )
         return HttpServer(routes, self.settings.server)
 
-    @route("POST", "/v1/status")
+    @route("POST", ENTRY_STATUS_PATH)
     async def handle_status(self, request: Request) -> EntryStatus:
         """Return what this entry knows of itself."""
         now = self.owners.clock()
+        metrics = get_metrics()
         owned = tuple(describe_owned(one, now) for one in self.owners.owned.values())
         return EntryStatus(
             name=self.settings.name,
@@ -148,6 +132,12 @@
             lease_valid=self.session.is_valid(),
             applied_index=self.follower.catalogue.index,
             held_permits=len(self.permits.held),
+            first_token_p50_s=metrics.get_percentile("first_token", 50),
+            first_token_p95_s=metrics.get_percentile("first_token", 95),
+            counters=tuple(
+                CounterStatus(one.name, format_labels(one), one.value)
+                for one in metrics.iterate_samples()
+            ),
             owned=owned,
         )
 
@@ -192,7 +182,7 @@
             "/v1/report": endpoints,
             "/v1/cache-events": endpoints,
             "/v1/leave": endpoints,
-            "/v1/status": operators,
+            ENTRY_STATUS_PATH: operators,
             "/metrics": operators,
         }
     )
--- a/medlarrail/programs/operator.py
+++ b/medlarrail/programs/operator.py
@@ -2,6 +2,7 @@
 
 import secrets
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -38,6 +39,7 @@
     ReplaceRequest,
     StateStatus,
 )
+from medlarrail.protocol.status import ENTRY_STATUS_PATH, EntryStatus
 from medlarrail.state.catalogue import CatalogueImage
 from medlarrail.state.operations import (
     DeleteContract,
@@ -477,35 +479,89 @@
     return found
 
 
+@frozen
+class Status:
+    """The state members and the entries that answer."""
+
+    members: tuple[StateStatus, ...]
+    entries: tuple[EntryStatus, ...]
+
+
+async def fetch_all(state: StateClient) -> Status:
+    """Return the status of the members, and of the entries that they know."""
+    members = await fetch_status(state)
+    sessions = {one.entry: one.url for member in members for one in member.sessions}
+    entries = []
+    for name in sorted(sessions):
+        with suppress(PeerError):
+            entries.append(
+                await state.peers.call(
+                    sessions[name],
+                    ENTRY_STATUS_PATH,
+                    Nothing(),
+                    EntryStatus,
+                    STATUS_TIMEOUT_S,
+                )
+            )
+    return Status(tuple(members), tuple(entries))
+
+
 @app.command("status")
-def show_status(context: typer.Context, as_json: bool = AsJson) -> None:
-    """Show the state members and the sessions of entries.
+def show_status(
+    context: typer.Context,
+    counters: bool = typer.Option(False, help="Show every counter of the entries."),
+    as_json: bool = AsJson,
+) -> None:
+    """Show the state members, the entries and the endpoints.
 
-    Example: medlar status
+    Example: medlar status --counters
     """
-    print_status(run(context, fetch_status), as_json)
+    print_status(run(context, fetch_all), counters, as_json)
 
 
-def print_status(members: list[StateStatus], as_json: bool) -> None:
-    """Print members, then the sessions as the leader sees them."""
-    columns = (
-        "name",
-        "identity",
-        "term",
-        "leader",
-        "has_lease",
-        "commit_index",
-        "snapshot_index",
-        "storage_error",
-    )
-    print_items(members, as_json, columns)
+def print_status(status: Status, counters: bool, as_json: bool) -> None:
+    """Print members, entries and endpoints, and the counters if asked for."""
     if as_json:
+        print_json(status)
         return
-    sessions = [
-        one for member in members if member.has_lease for one in member.sessions
-    ]
-    columns = ("entry", "data_centre", "url", "epoch", "applied_index", "renewed_ago_s")
-    print_items(sessions, as_json, columns)
+    print_items(status.members, False, MEMBER_COLUMNS)
+    print_items(status.entries, False, ENTRY_COLUMNS)
+    owned = [one for entry in status.entries for one in entry.owned]
+    print_items(owned, False, OWNED_COLUMNS)
+    for entry in status.entries if counters else ():
+        typer.echo(f"counters of {entry.name}:")
+        print_items(entry.counters, False, ("name", "labels", "value"))
+
+
+MEMBER_COLUMNS = (
+    "name",
+    "identity",
+    "term",
+    "leader",
+    "has_lease",
+    "commit_index",
+    "snapshot_index",
+    "storage_error",
+)
+ENTRY_COLUMNS = (
+    "name",
+    "data_centre",
+    "lease_valid",
+    "applied_index",
+    "held_permits",
+    "first_token_p50_s",
+    "first_token_p95_s",
+)
+OWNED_COLUMNS = (
+    "endpoint",
+    "limit",
+    "in_use",
+    "queued",
+    "completed",
+    "cold",
+    "holders_known",
+    "reported_ago_s",
+)
 
 
 @app.command("watch")
@@ -522,7 +578,7 @@
     async def work(state: StateClient) -> None:
         shown = 0
         while count == 0 or shown < count:
-            print_status(await fetch_status(state), as_json)
+            print_status(await fetch_all(state), False, as_json)
             shown += 1
             await trio.sleep(WATCH_INTERVAL_S)
 
--- a/medlarrail/testing/processes.py
+++ b/medlarrail/testing/processes.py
@@ -16,7 +16,6 @@
 from medlarrail.coordination.state_client import StateClient
 from medlarrail.core.entities import CallRule, Contract
 from medlarrail.core.errors import MedlarError
-from medlarrail.programs.entry import EntryStatus
 from medlarrail.protocol.control import (
     CHANGE_PATH,
     STATE_STATUS_PATH,
@@ -25,6 +24,7 @@
     Nothing,
     StateStatus,
 )
+from medlarrail.protocol.status import ENTRY_STATUS_PATH, EntryStatus
 from medlarrail.standins.backend import BackendStats
 from medlarrail.state.operations import Operation, SetContract
 from medlarrail.testing.deployment import SERVICE, Deployment
@@ -133,7 +133,7 @@
     async def fetch_entry(self, url: str) -> EntryStatus:
         """Return an entry's status."""
         return await self.client.call(
-            url, "/v1/status", Nothing(), EntryStatus, CALL_TIMEOUT_S
+            url, ENTRY_STATUS_PATH, Nothing(), EntryStatus, CALL_TIMEOUT_S
         )
 
     async def fetch_state(self, url: str) -> StateStatus:
--- a/medlarrail/transport/server.py
+++ b/medlarrail/transport/server.py
@@ -37,6 +37,8 @@
 """Longer than any client of ours keeps an idle connection."""
 LARGEST_HEADER_BYTES = 16 * 1024
 HEARTBEAT_COMMENT = b": heartbeat\n\n"
+STREAM_HEARTBEAT_S = 5.0
+"""Silence after which a stream carries a comment."""
 
 
 @frozen
@@ -192,21 +194,55 @@
 
 
 async def _send_stream(answer: EventStream, receive, send) -> None:
-    """Send the chunks; a caller that goes away cancels the one who makes them."""
+    """Send the chunks; a caller that goes away cancels the one who makes them.
+
+    While there is nothing to send, a comment tells the caller that the
+    connection lives.
+    """
     headers = {
         "content-type": "text/event-stream",
         "cache-control": "no-store",
         **answer.headers,
     }
+    sender = _StreamSender(send)
     await send(_build_start(200, headers))
     async with aclosing(answer.chunks), trio.open_nursery() as nursery:
         nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
+        nursery.start_soon(sender.send_heartbeats)
         async for chunk in answer.chunks:
-            await send({"type": "http.response.body", "body": chunk, "more_body": True})
-        await send({"type": "http.response.body", "body": b""})
+            await sender.send_part(chunk)
+        await sender.send_end()
         nursery.cancel_scope.cancel()
 
 
+@define
+class _StreamSender:
+    """Sends parts of one stream, and heartbeats between them."""
+
+    send: Callable[[dict], Awaitable[None]]
+    sent_at: float = field(factory=trio.current_time)
+    _lock: trio.Lock = field(factory=trio.Lock)
+
+    async def send_part(self, part: bytes) -> None:
+        async with self._lock:
+            self.sent_at = trio.current_time()
+            await self.send(
+                {"type": "http.response.body", "body": part, "more_body": True}
+            )
+
+    async def send_end(self) -> None:
+        async with self._lock:
+            await self.send({"type": "http.response.body", "body": b""})
+
+    async def send_heartbeats(self) -> None:
+        while True:
+            due_at = self.sent_at + STREAM_HEARTBEAT_S
+            if trio.current_time() >= due_at:
+                await self.send_part(HEARTBEAT_COMMENT)
+            else:
+                await trio.sleep_until(due_at)
+
+
 async def _cancel_on_disconnect(receive, scope: trio.CancelScope) -> None:
     while True:
         message = await receive()
--- a/medlarrail/transport/server_test.py
+++ b/medlarrail/transport/server_test.py
@@ -14,6 +14,8 @@
     SlowSender,
     UnknownRoute,
 )
+from medlarrail.testing.relay import Relay
+from medlarrail.transport import server as server_module
 from medlarrail.transport.client import HttpClient
 from medlarrail.transport.routes import EventStream, Routes, route
 from medlarrail.transport.server import HttpServer, ServerLimits, run_until_drained
@@ -133,6 +135,36 @@
         await stream.aclose()
 
 
+class TestSilentConnections:
+    async def test_a_connection_that_went_silent_is_replaced(
+        self, url, client, nursery
+    ):
+        """The pooled connection is dead and nothing says so; new ones work."""
+        relay = Relay("127.0.0.1", 0, int(url.rsplit(":")[-1]))
+        listeners = await nursery.start(relay.run)
+        port = listeners[0].socket.getsockname()[1]
+        relayed = f"http://127.0.0.1:{port}"
+        assert await client.call(relayed, "/echo", Note("1"), Note, 2)
+        relay.lose()
+        started_at = trio.current_time()
+        answer = await client.call(relayed, "/echo", Note("2"), Note, timeout_s=1.0)
+        assert answer == Note("2")
+        assert trio.current_time() - started_at < 1.0
+        assert await client.call(relayed, "/echo", Note("3"), Note, timeout_s=0.2)
+
+    async def test_a_silent_stream_carries_heartbeats(
+        self, url, client, monkeypatch, handlers
+    ):
+        monkeypatch.setattr(server_module, "STREAM_HEARTBEAT_S", 0.05)
+        async with client.open("GET", url + "/stream/1") as stream:
+            parts = stream.iterate()
+            assert await anext(parts) == b"data: 0\n\n"
+            assert await anext(parts) == server_module.HEARTBEAT_COMMENT
+            handlers.release.set()
+            rest = b"".join([part async for part in parts])
+            assert rest.endswith(b"data: end\n\n")
+
+
 class TestDrain:
     async def test_a_running_stream_ends_before_the_server_stops(
         self, server, handlers, url, client, nursery
