Route around a cut data centre sooner, and split the operators' commands

Cause: while a data centre was cut off, requests whose first candidates lay in it were refused (3 silent candidates used up the search; a test failed first), and each ask of an owner that did not answer cost 3 s. Ruled out: shorter leases. They would cost renewals at every entry all the time. Conclusion: what remains is the lease of the entries that are cut off.

--- a/medlarrail/coordination/permit_client.py
+++ b/medlarrail/coordination/permit_client.py
@@ -36,7 +36,8 @@
 HELD_INTERVAL_S = 1.0
 NOTICE_TIMEOUT_S = 1.0
 NOTICES_KEPT = 2000
-CALL_MARGIN_S = 1.0
+ANSWER_MARGIN_S = 0.15
+"""Time for an owner's answer to travel; the call is tried twice."""
 
 
 @define
@@ -104,7 +105,7 @@
             ACQUIRE_PATH,
             request,
             AcquireAnswer,
-            2 * request.wait_s + CALL_MARGIN_S,
+            2 * (request.wait_s + ANSWER_MARGIN_S),
         )
 
     def check(self, held: HeldPermit) -> None:
--- a/medlarrail/coordination/routing.py
+++ b/medlarrail/coordination/routing.py
@@ -15,10 +15,10 @@
 from attrs import define, field, frozen
 
 from medlarrail.coordination.engine_client import EngineClient
-from medlarrail.coordination.fairness import get_weight
 from medlarrail.coordination.follower import Follower
 from medlarrail.coordination.health import PairHealth, RetryBudgets
 from medlarrail.coordination.permit_client import HeldPermit, PermitClient
+from medlarrail.coordination.permit_search import PermitSearch
 from medlarrail.coordination.session import Session
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.core.context import (
@@ -28,39 +28,26 @@
 )
 from medlarrail.core.entities import Contract, Endpoint
 from medlarrail.core.errors import (
-    DeadlineExceeded,
     EndpointOutOfService,
     EndpointRefused,
     EndpointUnreachable,
     MedlarError,
-    NoEndpoint,
-    NotOwner,
-    OwnershipUnsettled,
-    PeerError,
     Refusal,
     RetryBudgetSpent,
     RunDeadlineExceeded,
     RunFailure,
-    SessionClosed,
     StreamBroken,
     StreamSilent,
 )
 from medlarrail.core.metrics import get_metrics
-from medlarrail.core.placement import rank_nodes
-from medlarrail.core.timing import LONGEST_QUEUE_WAIT_S
+from medlarrail.core.placement import get_owner, rank_nodes
 from medlarrail.protocol.openai import CompletionRequest, EngineChunk, EngineRequest
-from medlarrail.protocol.permits import AcquireRequest
 
 REQUEST_ID_BYTES = 12
-CANDIDATES_ASKED = 3
-"""Owners that one attempt asks before it refuses."""
 AFFINITY_BYTES = 1024
 """Leading bytes of a prompt that decide where it goes first."""
 LARGEST_RUNS = 4
 """Dispatches of one request, the first and its retries."""
-ROUND_PAUSE_S = 0.1
-OWNER_ROUNDS = 4
-"""Times that the candidates are gone through while ownership settles."""
 
 
 @frozen
@@ -97,6 +84,10 @@
     permits: PermitClient
     health: PairHealth
     clock: Clock = get_boottime
+    owner_health: PairHealth = field(init=False)
+
+    def __attrs_post_init__(self):
+        self.owner_health = PairHealth(self.health.clock)
 
     def list_candidates(self, target: Target, weight_version: str = ""):
         """Return endpoints in service for ``target``, best first."""
@@ -109,64 +100,20 @@
             and weight_version in ("", one.weight_version)
         }
         ranked = [found[name] for name in rank_nodes(found, target.affinity)]
-        return sorted(ranked, key=lambda one: self.health.is_suspected(one.name))
-
-    async def get_permit(
-        self, target: Target, exclude: set[str], block_keys=None, version: str = ""
-    ) -> tuple[Endpoint, HeldPermit]:
-        """Return an endpoint and a permit for it, or raise the best refusal."""
-        for round_number in range(OWNER_ROUNDS):
-            refusal = await self._ask_round(target, exclude, block_keys, version)
-            if not isinstance(refusal, Refusal | MedlarError):
-                return refusal
-            unsettled = isinstance(
-                refusal, NotOwner | OwnershipUnsettled | SessionClosed | PeerError
-            )
-            if not unsettled or round_number == OWNER_ROUNDS - 1:
-                break
-            if target.get_rest() < ROUND_PAUSE_S * 2:
-                break
-            await trio.sleep(ROUND_PAUSE_S)
-        if isinstance(refusal, Refusal):
-            raise refusal
-        raise NoEndpoint(target=target.serves) from refusal
-
-    async def _ask_round(self, target: Target, exclude, block_keys, version):
-        """Return a permit, or the refusal that asks to come back soonest."""
-        self.session.require()
-        best: MedlarError = NoEndpoint(target=target.serves)
-        candidates = self.list_candidates(target, version)
-        candidates.sort(key=lambda one: one.name in exclude)
-        for endpoint in candidates[:CANDIDATES_ASKED]:
-            if target.get_rest() <= 0:
-                raise DeadlineExceeded()
-            try:
-                keys = block_keys(endpoint) if block_keys else ()
-                held = await self.permits.acquire(
-                    self._build_request(target, endpoint, keys)
-                )
-                return endpoint, held
-            except (Refusal, PeerError, SessionClosed) as error:
-                reason = type(error).__name__
-                get_metrics().count("permits_refused", reason=reason)
-                best = _pick_sooner(best, error)
-        return best
-
-    def _build_request(self, target: Target, endpoint: Endpoint, keys):
-        contract = target.contract
-        rest_s = target.get_rest()
-        wait_s = min(contract.queue_wait_s, LONGEST_QUEUE_WAIT_S, rest_s)
-        return AcquireRequest(
-            permit=self.permits.make_permit_id(),
-            endpoint=endpoint.name,
-            entry=self.session.name,
-            epoch=self.session.require(),
-            account=contract.account,
-            weight=get_weight(contract.share, contract.priority),
-            wait_s=wait_s,
-            hold_s=rest_s + wait_s,
-            block_keys=tuple(keys),
-        )
+        return sorted(ranked, key=lambda one: self._is_suspected(one.name))
+
+    def note_owner_failure(self, endpoint: str) -> None:
+        """Suspect the path to the owner of ``endpoint``."""
+        owner = get_owner(self.follower.catalogue.view, endpoint)
+        if owner is not None:
+            self.owner_health.note_failure(owner.entry)
+
+    def _is_suspected(self, endpoint: str) -> bool:
+        """Return whether the path to an endpoint or to its owner failed."""
+        owner = get_owner(self.follower.catalogue.view, endpoint)
+        if owner is not None and self.owner_health.is_suspected(owner.entry):
+            return True
+        return self.health.is_suspected(endpoint)
 
     def check_dispatch(self, endpoint: Endpoint, held: HeldPermit) -> None:
         """Raise unless a dispatch may happen at this very moment."""
@@ -193,15 +140,6 @@
         self.permits.give_back(held, outcome, incarnation)
 
 
-def _pick_sooner(best: MedlarError, error: MedlarError) -> MedlarError:
-    """Return the refusal that asks the caller to come back sooner."""
-    if isinstance(best, NoEndpoint) or not isinstance(best, Refusal):
-        return error
-    if not isinstance(error, Refusal):
-        return best
-    return min(best, error, key=lambda one: one.retry_after_s)
-
-
 def get_outcome(error: BaseException | None) -> str:
     """Return the outcome of a permitted run that ended with ``error``."""
     if error is None:
@@ -296,9 +234,11 @@
     async def _run_once(self, target: Target) -> AsyncIterator[EngineChunk]:
         """Yield the chunks of one dispatch."""
         version = self.weight_version if self.tokens else ""
-        endpoint, held = await self.router.get_permit(
-            target, self._exclude, self.list_block_keys, version
+        search = PermitSearch(
+            self.router, target, self._exclude, self.list_block_keys, version
         )
+        found = await search.run()
+        endpoint, held = found.endpoint, found.held
         error: BaseException | None = None
         incarnation = ""
         try:
--- a/medlarrail/coordination/routing_test.py
+++ b/medlarrail/coordination/routing_test.py
@@ -13,6 +13,7 @@
 from medlarrail.core.errors import (
     DeadlineExceeded,
     EndpointOutOfService,
+    EndpointSilent,
     EndpointUnreachable,
     MedlarError,
     NoEndpoint,
@@ -193,6 +194,18 @@
             await bench.collect()
         assert caught.value.retry_after_s == 2.0
 
+    async def test_silent_endpoints_do_not_use_up_the_candidates(self, bench):
+        """A cut data centre may hold the first candidates of a prompt."""
+        for name in "abcde":
+            await bench.add(name)
+        target = bench.build_run()._build_target()
+        ranked = [one.name for one in bench.router.list_candidates(target)]
+        bench.permits.refusals = {
+            name: EndpointSilent(endpoint=name) for name in ranked[:4]
+        }
+        assert await bench.collect() == WHOLE
+        assert bench.health.is_suspected(ranked[0])
+
     async def test_an_endpoint_that_cannot_be_reached_is_suspected(self, bench):
         await bench.add("a")
         endpoint = bench.follower.catalogue.endpoints["a"]
--- a/medlarrail/coordination/service_calls.py
+++ b/medlarrail/coordination/service_calls.py
@@ -7,6 +7,7 @@
 from medlarrail.coordination.engine_client import translate_run_errors
 from medlarrail.coordination.health import RetryBudgets
 from medlarrail.coordination.ledger import TOO_LONG, Ledger
+from medlarrail.coordination.permit_search import PermitSearch
 from medlarrail.coordination.routing import LARGEST_RUNS, Router, Target
 from medlarrail.core.codec import decode_error
 from medlarrail.core.entities import CallMode, Contract, LedgerKey, StoredAnswer
@@ -133,7 +134,8 @@
     async def _send(
         self, target: Target, request: ServiceRequest, exclude: set[str], fresh: bool
     ) -> StoredAnswer:
-        endpoint, held = await self.router.get_permit(target, exclude)
+        found = await PermitSearch(self.router, target, exclude).run()
+        endpoint, held = found.endpoint, found.held
         error: BaseException | None = None
         incarnation = ""
         try:
--- /dev/null
+++ b/medlarrail/programs/operator_places.py
@@ -0,0 +1,146 @@
+"""Commands about data centres, endpoints and orders."""
+
+import typer
+
+from medlarrail.core.entities import DesiredVersion
+from medlarrail.programs.operator_shell import (
+    AsJson,
+    CommandId,
+    SeenRevision,
+    build_app,
+    change,
+    fetch_catalogue,
+    run,
+)
+from medlarrail.programs.tables import print_items
+from medlarrail.state.operations import (
+    SetDataCentre,
+    SetDesiredVersion,
+    SetEndpointState,
+)
+
+data_centre_app = build_app("Data centres in and out of service.")
+endpoint_app = build_app("Endpoints in and out of service.")
+order_app = build_app("Orders to endpoints.")
+
+
+@data_centre_app.command("in")
+def take_data_centre_in(
+    context: typer.Context,
+    name: str,
+    command_id: str = CommandId,
+    seen_revision: int = SeenRevision,
+    as_json: bool = AsJson,
+) -> None:
+    """Take a data centre into service.
+
+    Example: medlar data-centre in perth
+    """
+    change(context, SetDataCentre(name, True), command_id, seen_revision, as_json)
+
+
+@data_centre_app.command("out")
+def take_data_centre_out(
+    context: typer.Context,
+    name: str,
+    command_id: str = CommandId,
+    seen_revision: int = SeenRevision,
+    as_json: bool = AsJson,
+) -> None:
+    """Take a data centre out of service; what runs there may end.
+
+    Example: medlar data-centre out perth
+    """
+    change(context, SetDataCentre(name, False), command_id, seen_revision, as_json)
+
+
+@data_centre_app.command("list")
+def list_data_centres(context: typer.Context, as_json: bool = AsJson) -> None:
+    """Show the data centres that were ever taken in or out.
+
+    Example: medlar data-centre list
+    """
+    image = run(context, fetch_catalogue)
+    print_items(image.data_centres, as_json, ("name", "in_service"))
+
+
+@endpoint_app.command("in")
+def take_endpoint_in(
+    context: typer.Context,
+    name: str,
+    command_id: str = CommandId,
+    seen_revision: int = SeenRevision,
+    as_json: bool = AsJson,
+) -> None:
+    """Take an endpoint into service.
+
+    Example: medlar endpoint in engine-1
+    """
+    change(context, SetEndpointState(name, "in"), command_id, seen_revision, as_json)
+
+
+@endpoint_app.command("out")
+def take_endpoint_out(
+    context: typer.Context,
+    name: str,
+    command_id: str = CommandId,
+    seen_revision: int = SeenRevision,
+    as_json: bool = AsJson,
+) -> None:
+    """Take an endpoint out of service; what runs there may end.
+
+    Example: medlar endpoint out engine-1
+    """
+    change(context, SetEndpointState(name, "out"), command_id, seen_revision, as_json)
+
+
+@endpoint_app.command("list")
+def list_endpoints(context: typer.Context, as_json: bool = AsJson) -> None:
+    """Show every endpoint that announced itself.
+
+    Example: medlar endpoint list
+    """
+    image = run(context, fetch_catalogue)
+    columns = (
+        "name",
+        "kind",
+        "serves",
+        "data_centre",
+        "state",
+        "weight_version",
+        "cold_limit",
+        "warm_limit",
+        "checks_fencing",
+        "url",
+    )
+    print_items(image.endpoints, as_json, columns)
+
+
+@order_app.command("load-weights")
+def order_weights(
+    context: typer.Context,
+    model: str,
+    weight_version: str,
+    max_loads: int = typer.Option(2, min=1, help="Loads at once."),
+    floor: int = typer.Option(1, min=0, help="Replicas that keep serving."),
+    command_id: str = CommandId,
+    seen_revision: int = SeenRevision,
+    as_json: bool = AsJson,
+) -> None:
+    """Bring every endpoint of a model to a weight version.
+
+    Example: medlar order load-weights seat-guide v2 --max-loads 3
+    """
+    desired = DesiredVersion(model, weight_version, max_loads, floor)
+    change(context, SetDesiredVersion(desired), command_id, seen_revision, as_json)
+
+
+@order_app.command("list")
+def list_orders(context: typer.Context, as_json: bool = AsJson) -> None:
+    """Show the ordered versions.
+
+    Example: medlar order list
+    """
+    image = run(context, fetch_catalogue)
+    columns = ("model", "weight_version", "max_loads", "floor")
+    print_items(image.desired, as_json, columns)
--- /dev/null
+++ b/medlarrail/programs/operator_status.py
@@ -0,0 +1,143 @@
+"""Commands that show the state of a deployment."""
+
+from contextlib import suppress
+
+import trio
+import typer
+from attrs import frozen
+
+from medlarrail.coordination.state_client import StateClient
+from medlarrail.core.errors import (
+    PeerError,
+)
+from medlarrail.programs.operator_shell import (
+    STATUS_TIMEOUT_S,
+    WATCH_INTERVAL_S,
+    AsJson,
+    run,
+)
+from medlarrail.programs.tables import print_items, print_json
+from medlarrail.protocol.control import (
+    STATE_STATUS_PATH,
+    Nothing,
+    StateStatus,
+)
+from medlarrail.protocol.status import ENTRY_STATUS_PATH, EntryStatus
+
+
+async def fetch_status(state: StateClient) -> list[StateStatus]:
+    """Return the status of every member that answers."""
+    found: list[StateStatus] = []
+    for url in state.urls:
+        try:
+            status = await state.peers.call(
+                url, STATE_STATUS_PATH, Nothing(), StateStatus, STATUS_TIMEOUT_S
+            )
+        except PeerError:
+            continue
+        found.append(status)
+    return found
+
+
+@frozen
+class Status:
+    """The state members and the entries that answer."""
+
+    members: tuple[StateStatus, ...]
+    entries: tuple[EntryStatus, ...]
+
+
+async def fetch_all(state: StateClient) -> Status:
+    """Return the status of the members, and of the entries that they know."""
+    members = await fetch_status(state)
+    sessions = {one.entry: one.url for member in members for one in member.sessions}
+    entries = []
+    for name in sorted(sessions):
+        with suppress(PeerError):
+            entries.append(
+                await state.peers.call(
+                    sessions[name],
+                    ENTRY_STATUS_PATH,
+                    Nothing(),
+                    EntryStatus,
+                    STATUS_TIMEOUT_S,
+                )
+            )
+    return Status(tuple(members), tuple(entries))
+
+
+def show_status(
+    context: typer.Context,
+    counters: bool = typer.Option(False, help="Show every counter of the entries."),
+    as_json: bool = AsJson,
+) -> None:
+    """Show the state members, the entries and the endpoints.
+
+    Example: medlar status --counters
+    """
+    print_status(run(context, fetch_all), counters, as_json)
+
+
+def print_status(status: Status, counters: bool, as_json: bool) -> None:
+    """Print members, entries and endpoints, and the counters if asked for."""
+    if as_json:
+        print_json(status)
+        return
+    print_items(status.members, False, MEMBER_COLUMNS)
+    print_items(status.entries, False, ENTRY_COLUMNS)
+    owned = [one for entry in status.entries for one in entry.owned]
+    print_items(owned, False, OWNED_COLUMNS)
+    for entry in status.entries if counters else ():
+        typer.echo(f"counters of {entry.name}:")
+        print_items(entry.counters, False, ("name", "labels", "value"))
+
+
+MEMBER_COLUMNS = (
+    "name",
+    "identity",
+    "term",
+    "leader",
+    "has_lease",
+    "commit_index",
+    "snapshot_index",
+    "storage_error",
+)
+ENTRY_COLUMNS = (
+    "name",
+    "data_centre",
+    "lease_valid",
+    "applied_index",
+    "held_permits",
+    "first_token_p50_s",
+    "first_token_p95_s",
+)
+OWNED_COLUMNS = (
+    "endpoint",
+    "limit",
+    "in_use",
+    "queued",
+    "completed",
+    "cold",
+    "holders_known",
+    "reported_ago_s",
+)
+
+
+def watch(
+    context: typer.Context,
+    count: int = typer.Option(0, min=0, help="Stop after this many; 0 is never."),
+    as_json: bool = AsJson,
+) -> None:
+    """Show the status again and again.
+
+    Example: medlar watch --count 10
+    """
+
+    async def work(state: StateClient) -> None:
+        shown = 0
+        while count == 0 or shown < count:
+            print_status(await fetch_all(state), False, as_json)
+            shown += 1
+            await trio.sleep(WATCH_INTERVAL_S)
+
+    run(context, work)
--- a/medlarrail/programs/standin.py
+++ b/medlarrail/programs/standin.py
@@ -15,6 +15,7 @@
 )
 from medlarrail.programs.tables import print_items
 from medlarrail.standins.bench import BenchResult, run_bench
+from medlarrail.standins.cut_bench import CutResult, run_cut_bench
 from medlarrail.standins.engine import Engine
 from medlarrail.standins.service import Service
 from medlarrail.standins.settings import StandinSettings
@@ -93,6 +94,19 @@
     print_items(results, as_json, [one.name for one in fields(BenchResult)])
 
 
+@app.command("cut")
+def start_cut_bench(
+    seed: int = typer.Option(1, help="Seed of the load."),
+    as_json: bool = typer.Option(False, "--json", help="Print JSON."),
+) -> None:
+    """Measure service while a data centre is cut off and after it is back.
+
+    Example: medlar-standin cut --seed 1
+    """
+    columns = [one.name for one in fields(CutResult)]
+    print_items(run_cut_bench(seed), as_json, columns)
+
+
 def main() -> None:
     """Entry point."""
     app()
--- a/medlarrail/standins/bench.py
+++ b/medlarrail/standins/bench.py
@@ -7,7 +7,6 @@
 
 import tempfile
 from collections import Counter
-from collections.abc import Callable
 from pathlib import Path
 from random import Random
 
@@ -17,59 +16,45 @@
 
 from medlarrail.coordination.fairness import get_weight
 from medlarrail.coordination.health import PairHealth
-from medlarrail.coordination.permit_client import HeldPermit
+from medlarrail.coordination.permit_search import PermitSearch
 from medlarrail.coordination.routing import Router, Target
 from medlarrail.core.entities import Contract, Endpoint
 from medlarrail.core.errors import (
-    EndpointRefused,
+    EndpointUnreachable,
     MedlarError,
-    Overloaded,
+    NoEndpoint,
     Refusal,
-    StreamBroken,
+    SessionExpired,
 )
 from medlarrail.core.metrics import Metrics
 from medlarrail.protocol.endpoints import LoadReport
-from medlarrail.protocol.permits import AcquireAnswer
+from medlarrail.standins.bench_models import (
+    DATA_CENTRES,
+    REPORT_INTERVAL_S,
+    WORKLOADS,
+    LaggedPermits,
+    SimEndpoint,
+    Workload,
+)
 from medlarrail.state.operations import RegisterEndpoint
 from medlarrail.testing.cluster import Cluster
 from medlarrail.testing.entries import EntryHost
+from medlarrail.transport.client import CONNECT_TIMEOUT_S
 
 MODEL = "model"
 WAYS = ("lagged", "divided", "permits")
 """Local decisions on reports, local decisions on a fixed part, and permits."""
-REPORT_INTERVAL_S = 0.25
 REPORT_LAG_S = 0.25
-DOWN_S = 1.0
 DEADLINE_S = 15.0
 QUEUE_WAIT_S = 1.0
 RESTART_EVERY_S = 4.0
 WARM_UP_S = 6.0
+OTHER_ENTRY_S = 0.01
+"""Time that a caller takes to turn to another entry."""
 OVERLOAD_S = 10.0
 OVERLOAD_FACTOR = 6.0
 
 
-@frozen
-class Workload:
-    """The sizes of one deployment; rates are requests a second."""
-
-    name: str
-    entries: int
-    replicas: int
-    latency_s: float
-    rate_per_s: float
-    prefill_s: float
-    decode_s: float
-    duration_s: float = 60.0
-    accounts: int = 10
-    large_accounts: int = 3
-
-
-WORKLOADS = (
-    Workload("thistlegate", 6, 9, 0.0005, 42.0, 0.15, 0.6),
-    Workload("derwent-valley", 6, 5, 0.0015, 20.0, 0.25, 0.8),
-)
-
-
 @frozen
 class BenchResult:
     """What one way gave under one workload; times in seconds."""
@@ -87,123 +72,6 @@
     messages_per_request: float
 
 
-@define
-class SimEndpoint:
-    """An engine that falls over when it runs more than it bears."""
-
-    endpoint: Endpoint
-    life: int = 1
-    running: int = 0
-    completed: int = 0
-    overruns: int = 0
-    down_until: float = 0.0
-    _broken: trio.Event = field(factory=trio.Event)
-
-    @property
-    def incarnation(self) -> str:
-        """Name of the present life."""
-        return f"i{self.life}"
-
-    def get_bearable(self) -> int:
-        """Return the requests that it bears now."""
-        warmup = self.endpoint.warmup_requests
-        cold, warm = self.endpoint.cold_limit, self.endpoint.warm_limit
-        return cold + int((warm - cold) * min(1.0, self.completed / warmup))
-
-    def restart(self) -> None:
-        """Break what runs and come back cold."""
-        self.life += 1
-        self.running = 0
-        self.completed = 0
-        self.down_until = trio.current_time() + DOWN_S
-        self._broken.set()
-        self._broken = trio.Event()
-
-    async def run(self, prefill_s: float, decode_s: float, on_first) -> None:
-        """Run one request; raises where it is refused or breaks."""
-        if trio.current_time() < self.down_until:
-            raise EndpointRefused(endpoint=self.endpoint.name)
-        if self.running >= self.get_bearable():
-            self.overruns += 1
-            self.restart()
-            raise StreamBroken(endpoint=self.endpoint.name)
-        life, broken = self.life, self._broken
-        self.running += 1
-        for seconds, notify in ((prefill_s, on_first), (decode_s, None)):
-            with trio.move_on_after(seconds):
-                await broken.wait()
-            if self.life != life:
-                raise StreamBroken(endpoint=self.endpoint.name)
-            if notify is not None:
-                notify()
-        self.running -= 1
-        self.completed += 1
-
-
-@define
-class LaggedPermits:
-    """Decides at each entry alone, on load reports that lag.
-
-    It knows every endpoint's latest report, and counts what it sent itself since
-    that report was sampled. With ``parts`` above 1 it admits only that part of an
-    endpoint's limit, and counts only its own requests.
-    """
-
-    clock: Callable[[], float]
-    parts: int = 1
-    mine: Counter = field(factory=Counter)
-    reports: dict[str, LoadReport] = field(factory=dict)
-    sent: dict[str, list[float]] = field(factory=dict)
-    sampled_at: dict[str, float] = field(factory=dict)
-    endpoints: dict[str, Endpoint] = field(factory=dict)
-    number: int = 0
-
-    def make_permit_id(self) -> str:
-        """Return a new id."""
-        self.number += 1
-        return f"p{self.number}"
-
-    def take_report(self, report: LoadReport, sampled_at: float) -> None:
-        """Take a report and forget what was sent before it."""
-        self.reports[report.endpoint] = report
-        self.sampled_at[report.endpoint] = sampled_at
-        recent = [t for t in self.sent.get(report.endpoint, ()) if t > sampled_at]
-        self.sent[report.endpoint] = recent
-
-    async def acquire(self, request) -> HeldPermit:
-        """Admit by the report and what was sent since."""
-        await trio.lowlevel.checkpoint()
-        name = request.endpoint
-        report = self.reports.get(name)
-        completed = report.completed if report else 0
-        running = report.running if report else 0
-        endpoint = self.endpoints[name]
-        grown = min(1.0, completed / endpoint.warmup_requests)
-        spread = endpoint.warm_limit - endpoint.cold_limit
-        limit = endpoint.cold_limit + int(spread * grown)
-        in_use = running + len(self.sent.get(name, ()))
-        if self.parts > 1:
-            limit = max(1, limit // self.parts)
-            in_use = self.mine[name]
-        if in_use >= limit:
-            raise Overloaded(endpoint=name, retry_after_s=REPORT_INTERVAL_S)
-        self.sent.setdefault(name, []).append(self.clock())
-        self.mine[name] += 1
-        answer = AcquireAnswer(request.permit, "", "", 1.0)
-        end = self.clock() + request.hold_s
-        return HeldPermit(request.permit, name, request.account, end, end, answer)
-
-    def check(self, held: HeldPermit) -> None:
-        """Every permit may be used."""
-
-    def note_started(self, held: HeldPermit, incarnation: str) -> None:
-        """Nothing to tell."""
-
-    def give_back(self, held: HeldPermit, outcome: str, incarnation: str = "") -> None:
-        """Count the request as ended."""
-        self.mine[held.endpoint] -= 1
-
-
 @define
 class Bench:
     """One way under one workload."""
@@ -220,17 +88,19 @@
     counts: Counter = field(factory=Counter)
     served: Counter = field(factory=Counter)
     messages: int = 0
+    cut_data_centre: str = ""
 
     async def set_up(self) -> None:
         """Start members, entries and engines."""
         await self.cluster.bootstrap("state-1", "state-2", "state-3")
         for number in range(self.workload.entries):
-            entry = EntryHost(self.cluster, f"entry-{number + 1}")
+            place = pick_data_centre(number)
+            entry = EntryHost(self.cluster, f"entry-{number + 1}", place)
             await entry.start()
             self.entries.append(entry)
             self.routers.append(self._build_router(entry))
         for number in range(self.workload.replicas):
-            await self._add_engine(f"engine-{number + 1}")
+            await self._add_engine(f"engine-{number + 1}", pick_data_centre(number))
         self.cluster.nursery.start_soon(self._report)
         await trio.sleep(3.0)
 
@@ -243,13 +113,13 @@
         health = PairHealth(trio.current_time)
         return Router(entry.session, entry.follower, permits, health, entry.clock)
 
-    async def _add_engine(self, name: str) -> None:
+    async def _add_engine(self, name: str, data_centre: str) -> None:
         endpoint = Endpoint(
             name,
             f"mem://{name}",
             "model",
             MODEL,
-            "leith",
+            data_centre,
             "i1",
             cold_limit=2,
             warm_limit=8,
@@ -291,7 +161,8 @@
             changed = evolve(known, incarnation=report.incarnation)
             await self.cluster.propose(RegisterEndpoint(changed))
         for entry in self.entries:
-            if entry.owners.find_owned(report.endpoint) is not None:
+            owned = entry.owners.find_owned(report.endpoint)
+            if owned is not None and self.can_reach(entry, owned.endpoint):
                 entry.owners.take_report(report)
                 stamps[report.endpoint] = (entry.clock(), entry.session.epoch)
 
@@ -331,14 +202,30 @@
             try:
                 await self._run_once(router, target, started_at)
                 return
+            except (SessionExpired, NoEndpoint):
+                self.counts["refusals"] += 1
+                router = self.random.choice(self.routers)
+                await trio.sleep(OTHER_ENTRY_S)
             except Refusal as error:
                 self.counts["refusals"] += 1
                 await trio.sleep(max(0.05, error.retry_after_s))
             except MedlarError:
                 self.counts["broken"] += 1
 
+    def can_reach(self, entry: EntryHost, endpoint: Endpoint) -> bool:
+        """Return whether no cut lies between an entry and an endpoint."""
+        cut = self.cut_data_centre
+        return (entry.data_centre == cut) == (endpoint.data_centre == cut)
+
+    async def _connect(self, router: Router, endpoint: Endpoint) -> None:
+        """Connect to an endpoint; behind a cut that takes its time and fails."""
+        if not self.can_reach(self.entries[self.routers.index(router)], endpoint):
+            await trio.sleep(CONNECT_TIMEOUT_S)
+            raise EndpointUnreachable(endpoint=endpoint.name)
+
     async def _run_once(self, router: Router, target: Target, started_at) -> None:
-        endpoint, held = await router.get_permit(target, set())
+        found = await PermitSearch(router, target).run()
+        endpoint, held = found.endpoint, found.held
         engine = self.engines[endpoint.name]
         error: BaseException | None = None
         incarnation = engine.incarnation
@@ -349,6 +236,7 @@
 
         try:
             router.check_dispatch(endpoint, held)
+            await self._connect(router, endpoint)
             jitter = self.random.uniform(0.5, 1.5)
             await engine.run(
                 self.workload.prefill_s * jitter,
@@ -419,6 +307,11 @@
         )
 
 
+def pick_data_centre(number: int) -> str:
+    """Return the data centre of the process with this number."""
+    return DATA_CENTRES[number % len(DATA_CENTRES)]
+
+
 async def _run_way(workload: Workload, way: str, seed: int) -> BenchResult:
     with tempfile.TemporaryDirectory() as folder:
         async with trio.open_nursery() as nursery:
--- /dev/null
+++ b/medlarrail/standins/cut_bench.py
@@ -0,0 +1,112 @@
+"""Measures service while a data centre is cut off and after it is back."""
+
+import tempfile
+from pathlib import Path
+from random import Random
+
+import trio
+import trio.testing
+from attrs import define, field, frozen
+
+from medlarrail.core.metrics import Metrics
+from medlarrail.standins.bench import Bench
+from medlarrail.standins.bench_models import DATA_CENTRES, WORKLOADS, Workload
+from medlarrail.testing.cluster import Cluster
+
+PHASE_S = 15.0
+SETTLE_S = 6.0
+LOAD_SHARE = 0.6
+"""Part of the usual load; a quarter of the engines is away during the cut."""
+
+
+@frozen
+class CutResult:
+    """Service in one phase; times in seconds."""
+
+    workload: str
+    phase: str
+    requests: int
+    answered: int
+    first_token_p50_s: float
+    first_token_p95_s: float
+    overruns: int
+
+
+@define
+class CutBench(Bench):
+    """A deployment of which one data centre is cut off for a while."""
+
+    results: list[CutResult] = field(factory=list)
+
+    def cut(self, data_centre: str) -> None:
+        """Cut a data centre off from the others, in silence."""
+        self.cut_data_centre = data_centre
+        network = self.cluster.network
+        inside = {one.url for one in self.entries if one.data_centre == data_centre}
+        members = self.cluster.get_members()
+        inside.update(
+            one.url
+            for number, one in enumerate(members)
+            if DATA_CENTRES[number] == data_centre
+        )
+        for left in inside:
+            for right in set(network.hosts) - inside:
+                network.cut.update({(left, right), (right, left)})
+
+    def heal(self) -> None:
+        """End the cut."""
+        self.cut_data_centre = ""
+        self.cluster.network.heal()
+
+    async def run_phase(self, name: str) -> None:
+        """Run the load for one phase and note what came of it."""
+        self.metrics = Metrics()
+        self.counts.clear()
+        before = sum(one.overruns for one in self.engines.values())
+        rate_per_s = self.workload.rate_per_s * LOAD_SHARE
+        await self.load(rate_per_s, PHASE_S, equal=False)
+        overruns = sum(one.overruns for one in self.engines.values())
+        self.results.append(
+            CutResult(
+                self.workload.name,
+                name,
+                self.counts["requests"],
+                self.counts["answered"],
+                self.metrics.get_percentile("first_token", 50),
+                self.metrics.get_percentile("first_token", 95),
+                overruns - before,
+            )
+        )
+
+    async def run_phases(self) -> list[CutResult]:
+        """Run the load before, during and after a cut."""
+        await self.set_up()
+        await self.load(self.workload.rate_per_s * LOAD_SHARE, SETTLE_S, equal=False)
+        await self.run_phase("before")
+        self.cut(DATA_CENTRES[0])
+        await self.run_phase("cut, first 15 s")
+        await self.run_phase("cut, later")
+        self.heal()
+        await self.run_phase("back, first 15 s")
+        await self.run_phase("back, later")
+        return self.results
+
+
+async def _run(workload: Workload, seed: int) -> list[CutResult]:
+    with tempfile.TemporaryDirectory() as folder:
+        async with trio.open_nursery() as nursery:
+            cluster = Cluster(Path(folder), nursery, seed=seed)
+            cluster.network.delay_s = workload.latency_s
+            bench = CutBench(workload, "permits", Random(seed), cluster)
+            results = await bench.run_phases()
+            nursery.cancel_scope.cancel()
+    return results
+
+
+def run_cut_bench(seed: int) -> list[CutResult]:
+    """Return the phases of a cut under each workload."""
+    results: list[CutResult] = []
+    for workload in WORKLOADS:
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        results += trio.run(_run, workload, seed, clock=clock)
+    return results
--- a/medlarrail/testing/deployment.py
+++ b/medlarrail/testing/deployment.py
@@ -11,7 +11,7 @@
 from medlarrail.coordination.routing import RoutingPolicy
 from medlarrail.core.codec import decode, encode
 from medlarrail.core.entities import Endpoint
-from medlarrail.programs.operator import OperatorSettings
+from medlarrail.programs.operator_shell import OperatorSettings
 from medlarrail.programs.settings import (
     EntrySettings,
     Keys,
