--- a/medlarrail/standins/capacity.py
+++ b/medlarrail/standins/capacity.py
@@ -18,6 +18,7 @@
 from attrs import evolve, frozen
 
 from medlarrail.coordination.fairness import FairQueue
+from medlarrail.coordination.owner_map import OwnerMap
 from medlarrail.core.codec import decode, encode
 from medlarrail.core.entities import (
     CallRule,
@@ -26,6 +27,7 @@
     EntrySession,
     LedgerKey,
     StoredAnswer,
+    View,
 )
 from medlarrail.protocol.control import RENEW_PATH, RenewAnswer, RenewRequest
 from medlarrail.protocol.permits import ACQUIRE_PATH, AcquireAnswer, AcquireRequest
