--- a/medlarrail/coordination/rollout.py
+++ b/medlarrail/coordination/rollout.py
@@ -1,4 +1,4 @@
-"""Brings endpoints to the weight version that operators ordered.
+"""Brings endpoints to the weight versions, adapters and roles that were ordered.
 
 Each owner converges its endpoints: it asks for one of the load slots in the
 log, which keep the limit of loads and the capacity floor for the whole
@@ -18,7 +18,7 @@
 from medlarrail.coordination.session import Session
 from medlarrail.coordination.state_client import StateClient
 from medlarrail.core.codec import decode_error
-from medlarrail.core.entities import DesiredVersion
+from medlarrail.core.entities import DesiredVersion, EndpointOrder
 from medlarrail.core.errors import (
     FencedOff,
     LoadLimit,
@@ -35,7 +35,7 @@
     EndpointReport,
     Order,
 )
-from medlarrail.state.operations import BeginLoad, EndLoad, Envelope
+from medlarrail.state.operations import BeginLoad, EndLoad, Envelope, FinishOrder
 from medlarrail.transport.client import Peers
 
 CHECK_INTERVAL_S = 0.5
@@ -64,6 +64,20 @@
                     desired = self._find_desired(owned)
                     if desired is not None:
                         nursery.start_soon(self._converge, owned, desired)
+                for order in list(self.follower.catalogue.orders.values()):
+                    owned = self.owners.find_owned(order.endpoint)
+                    if owned is not None and not order.done:
+                        nursery.start_soon(self._deliver, owned, order)
+
+    async def _deliver(self, owned: OwnedEndpoint, order: EndpointOrder) -> None:
+        """Send an order to one endpoint and record that it was taken."""
+        try:
+            await self._wait_sole_owner(owned)
+            await self._send_order(owned, order.kind, order.value)
+            await self._propose(FinishOrder(order))
+            eliot.log_message("order:done", endpoint=order.endpoint, kind=order.kind)
+        except MedlarError as error:
+            get_metrics().count("order_failures", type=type(error).__name__)
 
     def _find_desired(self, owned: OwnedEndpoint) -> DesiredVersion | None:
         """Return the version that the endpoint has yet to load, if any."""
@@ -117,7 +131,9 @@
                 if actual.weight_version == desired.weight_version:
                     return True
                 if actual.loading != desired.weight_version:
-                    await self._send_order(owned, desired)
+                    await self._send_order(
+                        owned, "load-weights", desired.weight_version
+                    )
                 await trio.sleep(POLL_INTERVAL_S)
         return False
 
@@ -138,12 +154,12 @@
             ORDER_TIMEOUT_S,
         )
 
-    async def _send_order(self, owned: OwnedEndpoint, desired: DesiredVersion) -> None:
+    async def _send_order(self, owned: OwnedEndpoint, kind: str, value: str) -> None:
         """Send the order, unless ownership or the lease is gone by now."""
         self.session.require()
         if self.owners.find_owned(owned.endpoint.name) is not owned:
             raise OwnershipUnsettled(endpoint=owned.endpoint.name)
-        order = Order("load-weights", desired.weight_version, self.owners.view_epoch)
+        order = Order(kind, value, self.owners.view_epoch)
         try:
             await self.peers.call(
                 owned.endpoint.url, ORDER_PATH, order, EndpointReport, ORDER_TIMEOUT_S
--- a/medlarrail/coordination/rollout_test.py
+++ b/medlarrail/coordination/rollout_test.py
@@ -2,11 +2,11 @@
 
 import pytest
 import trio
-from attrs import define
+from attrs import define, field
 
 from medlarrail.coordination.rollout import Rollout
-from medlarrail.core.entities import DesiredVersion
-from medlarrail.core.errors import FencedOff
+from medlarrail.core.entities import DesiredVersion, EndpointOrder
+from medlarrail.core.errors import FencedOff, NotFound
 from medlarrail.protocol.endpoints import (
     ENDPOINT_STATE_PATH,
     ORDER_PATH,
@@ -14,7 +14,7 @@
     LoadReport,
     Order,
 )
-from medlarrail.state.operations import RegisterEndpoint, SetDesiredVersion
+from medlarrail.state.operations import RegisterEndpoint, SetDesiredVersion, SetOrder
 from medlarrail.testing.builders import build_endpoint
 from medlarrail.testing.cluster import Cluster
 from medlarrail.testing.entries import EntryHost
@@ -35,6 +35,7 @@
     loading: str = ""
     fencing: int = 0
     old_orders: int = 0
+    roles: list = field(factory=list)
 
     def describe(self):
         return EndpointReport("i1", self.version, self.loading)
@@ -51,7 +52,9 @@
             if self.checks_fencing:
                 raise FencedOff(seen=self.fencing)
         self.fencing = max(self.fencing, order.fencing)
-        if not self.loading and order.value != self.version:
+        if order.kind == "set-role":
+            self.roles.append(order.value)
+        elif not self.loading and order.value != self.version:
             self.loading = order.value
             self.deployment.cluster.nursery.start_soon(self.load)
         return self.describe()
@@ -130,6 +133,35 @@
     return await Deployment(Cluster(tmp_path, nursery)).start()
 
 
+class TestOrders:
+    async def get_order(self, deployment):
+        catalogue = (await deployment.cluster.wait_leader()).catalogue
+        return next(iter(catalogue.orders.values()))
+
+    async def test_an_order_is_taken_once_and_again_after_a_restart(
+        self, deployment, autojump_clock
+    ):
+        engine = deployment.engines[0]
+        order = EndpointOrder(engine.name, "set-role", "prefill")
+        await deployment.cluster.propose(SetOrder(order))
+        await trio.sleep(3)
+        assert engine.roles == ["prefill"]
+        assert (await self.get_order(deployment)).done
+        restarted = build_endpoint(
+            name=engine.name, url=f"mem://{engine.name}", incarnation="i2"
+        )
+        await deployment.cluster.propose(RegisterEndpoint(restarted))
+        await trio.sleep(3)
+        assert engine.roles == ["prefill", "prefill"]
+
+    async def test_an_order_for_an_unknown_endpoint_is_refused(
+        self, deployment, autojump_clock
+    ):
+        order = EndpointOrder("nobody", "set-role", "prefill")
+        with pytest.raises(NotFound):
+            await deployment.cluster.propose(SetOrder(order))
+
+
 class TestRollout:
     async def test_every_engine_comes_to_the_version_within_the_limit(
         self, deployment, autojump_clock
--- a/medlarrail/core/entities.py
+++ b/medlarrail/core/entities.py
@@ -9,6 +9,7 @@
 from attrs import field, frozen
 
 CallMode = Literal["repeat", "once"]
+OrderKind = Literal["load-weights", "load-adapter", "set-role"]
 EndpointKind = Literal["model", "service"]
 EndpointState = Literal["in", "leaving", "out"]
 
@@ -130,6 +131,16 @@
     epoch: int
 
 
+@frozen
+class EndpointOrder:
+    """An order to one endpoint; ``done`` once the endpoint has taken it."""
+
+    endpoint: str
+    kind: OrderKind
+    value: str
+    done: bool = False
+
+
 @frozen
 class MemberInfo:
     """A state member: ``identity`` changes when its disk is lost."""
--- a/medlarrail/programs/operator_places.py
+++ b/medlarrail/programs/operator_places.py
@@ -1,8 +1,9 @@
 """Commands about data centres, endpoints and orders."""
 
 import typer
+from attrs import frozen
 
-from medlarrail.core.entities import DesiredVersion
+from medlarrail.core.entities import DesiredVersion, EndpointOrder
 from medlarrail.programs.operator_shell import (
     AsJson,
     CommandId,
@@ -12,13 +13,23 @@
     fetch_catalogue,
     run,
 )
-from medlarrail.programs.tables import print_items
+from medlarrail.programs.tables import print_items, print_json
 from medlarrail.state.operations import (
     SetDataCentre,
     SetDesiredVersion,
     SetEndpointState,
+    SetOrder,
 )
 
+
+@frozen
+class Orders:
+    """Every order, for JSON."""
+
+    versions: tuple[DesiredVersion, ...]
+    endpoints: tuple[EndpointOrder, ...]
+
+
 data_centre_app = build_app("Data centres in and out of service.")
 endpoint_app = build_app("Endpoints in and out of service.")
 order_app = build_app("Orders to endpoints.")
@@ -135,12 +146,50 @@
     change(context, SetDesiredVersion(desired), command_id, seen_revision, as_json)
 
 
+@order_app.command("load-adapter")
+def order_adapter(
+    context: typer.Context,
+    endpoint: str,
+    adapter: str,
+    command_id: str = CommandId,
+    seen_revision: int = SeenRevision,
+    as_json: bool = AsJson,
+) -> None:
+    """Let one endpoint load an adapter.
+
+    Example: medlar order load-adapter engine-1 award-2026
+    """
+    order = SetOrder(EndpointOrder(endpoint, "load-adapter", adapter))
+    change(context, order, command_id, seen_revision, as_json)
+
+
+@order_app.command("set-role")
+def order_role(
+    context: typer.Context,
+    endpoint: str,
+    role: str,
+    command_id: str = CommandId,
+    seen_revision: int = SeenRevision,
+    as_json: bool = AsJson,
+) -> None:
+    """Give one endpoint another role.
+
+    Example: medlar order set-role engine-1 prefill
+    """
+    order = SetOrder(EndpointOrder(endpoint, "set-role", role))
+    change(context, order, command_id, seen_revision, as_json)
+
+
 @order_app.command("list")
 def list_orders(context: typer.Context, as_json: bool = AsJson) -> None:
-    """Show the ordered versions.
+    """Show the ordered versions, adapters and roles.
 
     Example: medlar order list
     """
     image = run(context, fetch_catalogue)
+    if as_json:
+        print_json(Orders(image.desired, image.orders))
+        return
     columns = ("model", "weight_version", "max_loads", "floor")
-    print_items(image.desired, as_json, columns)
+    print_items(image.desired, False, columns)
+    print_items(image.orders, False, ("endpoint", "kind", "value", "done"))
--- /dev/null
+++ b/medlarrail/programs/settings_test.py
@@ -0,0 +1,49 @@
+"""Tests of the settings that are shipped, and of what is checked in settings."""
+
+from pathlib import Path
+
+import pytest
+from attrs import evolve
+
+from medlarrail.programs.common import load_settings
+from medlarrail.programs.settings import (
+    EntrySettings,
+    StateSettings,
+    StoreSettings,
+    iterate_faults,
+)
+
+SHIPPED = Path(__file__).parents[2] / "settings"
+KINDS = {"state": StateSettings, "entry": EntrySettings, "store": StoreSettings}
+FILES = sorted(
+    path for path in SHIPPED.glob("*/*.json") if path.stem.split("-")[0] in KINDS
+)
+
+
+class TestShippedSettings:
+    @pytest.mark.parametrize("path", FILES, ids=lambda path: path.parent.name)
+    def test_they_check_out(self, path):
+        assert load_settings(path, KINDS[path.stem.split("-")[0]])
+
+    def test_both_users_are_there(self):
+        assert {path.parent.name for path in FILES} == {"thistlegate", "derwent-valley"}
+
+
+class TestFaults:
+    def test_each_fault_has_its_place(self):
+        settings = load_settings(FILES[0], EntrySettings)
+        bad = evolve(
+            settings,
+            name="",
+            state_urls=(),
+            listen=evolve(settings.listen, port=0, url="ftp://x"),
+            keys=evolve(settings.keys, cluster="short"),
+        )
+        places = {fault.place for fault in iterate_faults(bad)}
+        assert places == {
+            "$.name",
+            "$.state_urls",
+            "$.listen.port",
+            "$.listen.url",
+            "$.keys.cluster",
+        }
--- a/medlarrail/protocol/endpoints.py
+++ b/medlarrail/protocol/endpoints.py
@@ -1,10 +1,8 @@
 """Messages between endpoints and entries, and orders to endpoints."""
 
-from typing import Literal
-
 from attrs import frozen
 
-from medlarrail.core.entities import Endpoint, Store
+from medlarrail.core.entities import Endpoint, OrderKind, Store
 
 ANNOUNCE_PATH = "/v1/announce"
 ANNOUNCE_STORE_PATH = "/v1/announce-store"
@@ -112,7 +110,7 @@
 class Order:
     """An order to an endpoint; ``fencing`` is the epoch of the owner's view."""
 
-    kind: Literal["load-weights", "load-adapter", "set-role"]
+    kind: OrderKind
     value: str
     fencing: int
 
--- a/medlarrail/standins/backend.py
+++ b/medlarrail/standins/backend.py
@@ -82,6 +82,8 @@
     most_running: int = 0
     fencing: int = 0
     loading: str = ""
+    adapter: str = ""
+    role: str = ""
     down: bool = False
     leaving: bool = False
     runs: dict[str, int] = field(factory=dict)
@@ -104,6 +106,7 @@
             data_centre=self.settings.data_centre,
             incarnation=self.incarnation,
             weight_version=self.weight_version,
+            adapter=self.adapter,
         )
 
     def get_bearable(self) -> int:
@@ -265,6 +268,10 @@
             if not self.loading:
                 self._nursery.start_soon(self._load_weights, order.value)
             self.loading = order.value
+        elif order.kind == "load-adapter":
+            self.adapter = order.value
+        elif order.kind == "set-role":
+            self.role = order.value
         return self._describe_state()
 
     async def _load_weights(self, version: str) -> None:
@@ -273,7 +280,13 @@
         self.loading = ""
 
     def _describe_state(self) -> EndpointReport:
-        return EndpointReport(self.incarnation, self.weight_version, self.loading)
+        return EndpointReport(
+            self.incarnation,
+            self.weight_version,
+            self.loading,
+            self.role,
+            self.adapter,
+        )
 
     @route("POST", ENDPOINT_STATE_PATH)
     async def handle_state(self, request: Request) -> EndpointReport:
--- a/medlarrail/state/catalogue.py
+++ b/medlarrail/state/catalogue.py
@@ -17,6 +17,7 @@
     DataCentre,
     DesiredVersion,
     Endpoint,
+    EndpointOrder,
     EntrySession,
     LedgerKey,
     MemberInfo,
@@ -83,6 +84,7 @@
     stores: tuple[Store, ...] = ()
     desired: tuple[DesiredVersion, ...] = ()
     loads: tuple[WeightLoad, ...] = ()
+    orders: tuple[EndpointOrder, ...] = ()
     revisions: tuple[ObjectRevision, ...] = ()
     results: tuple[CommandResult, ...] = ()
     ledger: tuple[ops.LedgerRecord, ...] = ()
@@ -101,6 +103,8 @@
     stores: dict[str, Store] = field(factory=dict)
     desired: dict[str, DesiredVersion] = field(factory=dict)
     loads: dict[str, WeightLoad] = field(factory=dict)
+    orders: dict[str, EndpointOrder] = field(factory=dict)
+    """Orders by the name of their object."""
     revisions: dict[str, int] = field(factory=dict)
     results: OrderedDict[str, ops.Outcome] = field(factory=OrderedDict)
     ledger: OrderedDict[LedgerKey, ops.LedgerRecord] = field(factory=OrderedDict)
@@ -171,6 +175,7 @@
             stores=tuple(self.stores.values()),
             desired=tuple(self.desired.values()),
             loads=tuple(self.loads.values()),
+            orders=tuple(self.orders.values()),
             revisions=revisions,
             results=results if with_ledger else (),
             ledger=tuple(self.ledger.values()) if with_ledger else (),
@@ -189,6 +194,7 @@
             stores={one.name: one for one in image.stores},
             desired={one.model: one for one in image.desired},
             loads={one.endpoint: one for one in image.loads},
+            orders={ops.SetOrder(one).get_object(): one for one in image.orders},
             revisions={one.name: one.revision for one in image.revisions},
             results=OrderedDict((one.command_id, one.outcome) for one in image.results),
             ledger=OrderedDict((one.key, one) for one in image.ledger),
@@ -255,9 +261,18 @@
         state = "out"
     if known is not None and known.incarnation == announced.incarnation:
         state = known.state
+    else:
+        _renew_orders(catalogue, announced.name)
     catalogue.endpoints[announced.name] = evolve(announced, state=state)
 
 
+def _renew_orders(catalogue: Catalogue, endpoint: str) -> None:
+    """Mark the orders of a restarted endpoint as not done."""
+    for name, order in catalogue.orders.items():
+        if order.endpoint == endpoint:
+            catalogue.orders[name] = evolve(order, done=False)
+
+
 @applies(ops.RemoveEndpoint)
 def apply_endpoint_removal(catalogue: Catalogue, index: int, envelope) -> None:
     """Forget an endpoint, unless it came back as another incarnation."""
@@ -320,6 +335,25 @@
     catalogue.desired[desired.model] = desired
 
 
+@applies(ops.SetOrder)
+def apply_order(catalogue: Catalogue, index: int, envelope) -> None:
+    """Order an adapter or a role for a known endpoint."""
+    operation = envelope.operation
+    if operation.order.endpoint not in catalogue.endpoints:
+        raise NotFound(kind="endpoint", name=operation.order.endpoint)
+    catalogue.orders[operation.get_object()] = operation.order
+
+
+@applies(ops.FinishOrder)
+def apply_order_end(catalogue: Catalogue, index: int, envelope) -> None:
+    """Mark an order as done, unless a newer one took its place."""
+    order = envelope.operation.order
+    name = ops.SetOrder(order).get_object()
+    if catalogue.orders.get(name) != order:
+        raise NotFound(kind="order", name=name)
+    catalogue.orders[name] = evolve(order, done=True)
+
+
 @applies(ops.BeginLoad)
 def apply_load_begin(catalogue: Catalogue, index: int, envelope) -> None:
     """Give a load slot while the limit and the capacity floor allow it."""
--- a/medlarrail/state/operations.py
+++ b/medlarrail/state/operations.py
@@ -14,6 +14,7 @@
     Contract,
     DesiredVersion,
     Endpoint,
+    EndpointOrder,
     EndpointState,
     LedgerKey,
     MemberInfo,
@@ -156,6 +157,24 @@
         return f"order/{self.desired.model}"
 
 
+@frozen
+class SetOrder(Operation):
+    """Orders an adapter or a role for one endpoint."""
+
+    order: EndpointOrder
+
+    def get_object(self) -> str:
+        """See ``Operation``."""
+        return f"order/{self.order.endpoint}/{self.order.kind}"
+
+
+@frozen
+class FinishOrder(Operation):
+    """Records that an endpoint has taken an order."""
+
+    order: EndpointOrder
+
+
 @frozen
 class BeginLoad(Operation):
     """Asks for one of the slots in which weights may be loaded."""
