Ask both stores of a context at once, and fill a lost store again

Cause: a store that lost its disk hid the copy on the other, and stayed empty. Ruled out: a full exchange of indexes after a loss; it costs the link at once for contexts that may never return. A return that finds one copy missing repairs it, in the class of copies. Conclusion: no longer one round trip more, the lookups run side by side.

--- a/medlarrail/coordination/context_planner.py
+++ b/medlarrail/coordination/context_planner.py
@@ -1,9 +1,9 @@
 """An entry's use of the stores: restores before a run, keeping after it."""
 
 import trio
-from attrs import define
+from attrs import define, frozen
 
-from medlarrail.coordination.estimator import Offer, Weights, estimate
+from medlarrail.coordination.estimator import Estimate, Offer, Weights, estimate
 from medlarrail.coordination.follower import Follower
 from medlarrail.coordination.health import PairHealth
 from medlarrail.coordination.permit_client import HeldPermit
@@ -16,10 +16,12 @@
 from medlarrail.protocol.contexts import (
     KEEP_PATH,
     LOOKUP_PATH,
+    MIRROR_PATH,
     RESTORE_PATH,
     KeepRequest,
     LookupAnswer,
     LookupRequest,
+    MirrorRequest,
     RestoreAnswer,
     RestoreRequest,
 )
@@ -32,6 +34,14 @@
 """Time that a restore leaves of the permit's life for the dispatch."""
 
 
+@frozen
+class KeptCopy:
+    """What one store said of a context."""
+
+    store: Store
+    answer: LookupAnswer
+
+
 @define
 class StorePlanner:
     """Decides for each prompt whether its kept context is worth bringing."""
@@ -62,30 +72,24 @@
         cached = held.answer.cached_blocks
         if len(keys) <= cached or not self.follower.catalogue.stores:
             return
-        for store in self.rank_stores(keys[0]):
-            if self.health.is_suspected(store.name):
-                continue
-            try:
-                await self._try_store(run, endpoint, held, store, keys, cached)
-                return
-            except MedlarError as error:
-                self.health.note_failure(store.name)
-                get_metrics().count("restore_failures", type=type(error).__name__)
-
-    async def _try_store(self, run, endpoint, held, store, keys, cached) -> None:
         account = run.contract.account
-        answer = await self.peers.call(
-            store.url,
-            LOOKUP_PATH,
-            LookupRequest(account, keys, endpoint.name),
-            LookupAnswer,
-            LOOKUP_TIMEOUT_S,
-        )
-        self.health.note_success(store.name)
-        missing = answer.blocks - cached
-        if missing <= 0:
+        copies = await self._look_up(account, keys, endpoint.name)
+        if not copies or copies[0].answer.blocks <= cached:
             get_metrics().count("contexts_missed")
             return
+        self._repair(account, keys, copies)
+        best = copies[0]
+        chosen = self._estimate(endpoint, best.answer, cached)
+        get_metrics().count("context_choices", choice=chosen.choice)
+        if chosen.choice == "restore":
+            limit_s = held.use_before - run.router.clock() - DISPATCH_MARGIN_S
+            limit_s = min(limit_s, 2 * chosen.recompute_s)
+            await self._restore(run, endpoint, best.store, keys, cached, limit_s)
+
+    def _estimate(
+        self, endpoint: Endpoint, answer: LookupAnswer, cached: int
+    ) -> Estimate:
+        missing = answer.blocks - cached
         offer = Offer(
             text_bytes=missing * endpoint.block_bytes,
             data_bytes=missing * answer.block_bytes,
@@ -93,12 +97,55 @@
             link_bytes_per_s=answer.rate_bytes_per_s,
             prefill_bytes_per_s=endpoint.prefill_bytes_per_s,
         )
-        chosen = estimate(offer, self.weights)
-        get_metrics().count("context_choices", choice=chosen.choice)
-        if chosen.choice == "restore":
-            limit_s = held.use_before - run.router.clock() - DISPATCH_MARGIN_S
-            limit_s = min(limit_s, 2 * chosen.recompute_s)
-            await self._restore(run, endpoint, store, keys, cached, limit_s)
+        return estimate(offer, self.weights)
+
+    async def _look_up(self, account: str, keys, endpoint: str) -> list["KeptCopy"]:
+        """Ask the stores of a context at once; return what they hold, best first."""
+        copies: list[KeptCopy] = []
+
+        async def ask(store: Store) -> None:
+            request = LookupRequest(account, keys, endpoint)
+            answer = await self._call(store, LOOKUP_PATH, request, LookupAnswer)
+            if answer is not None:
+                copies.append(KeptCopy(store, answer))
+
+        async with trio.open_nursery() as nursery:
+            for store in self._list_reachable(keys[0]):
+                nursery.start_soon(ask, store)
+        copies.sort(key=lambda one: (-one.answer.blocks, one.answer.wait_s))
+        return copies
+
+    def _list_reachable(self, first_key: str) -> list[Store]:
+        return [
+            one
+            for one in self.rank_stores(first_key)
+            if not self.health.is_suspected(one.name)
+        ]
+
+    async def _call(self, store: Store, path: str, request, answer_type):
+        """Return a store's answer, or None and suspect the path to it."""
+        try:
+            answer = await self.peers.call(
+                store.url, path, request, answer_type, LOOKUP_TIMEOUT_S
+            )
+        except MedlarError as error:
+            self.health.note_failure(store.name)
+            get_metrics().count("store_failures", type=type(error).__name__)
+            return None
+        self.health.note_success(store.name)
+        return answer
+
+    def _repair(self, account: str, keys, copies: list["KeptCopy"]) -> None:
+        """Let the store that holds most copy it to one that lost it."""
+        best = copies[0]
+        for other in copies[1:]:
+            if other.answer.blocks < best.answer.blocks:
+                request = MirrorRequest(
+                    account, keys[: best.answer.blocks], other.store.url
+                )
+                self.nursery.start_soon(
+                    self._call, best.store, MIRROR_PATH, request, Nothing
+                )
 
     async def _restore(self, run, endpoint, store, keys, cached, limit_s) -> None:
         if limit_s <= 0:
@@ -129,11 +176,7 @@
             self.nursery.start_soon(self._keep, run, endpoint, keys)
 
     async def _keep(self, run: PromptRun, endpoint: Endpoint, keys) -> None:
-        stores = [
-            one
-            for one in self.rank_stores(keys[0])
-            if not self.health.is_suspected(one.name)
-        ]
+        stores = self._list_reachable(keys[0])
         if not stores:
             return
         request = KeepRequest(
@@ -145,10 +188,4 @@
             keys=keys,
             copy_url=stores[1].url if len(stores) > 1 else "",
         )
-        try:
-            await self.peers.call(
-                stores[0].url, KEEP_PATH, request, Nothing, 4 * LOOKUP_TIMEOUT_S
-            )
-        except MedlarError as error:
-            self.health.note_failure(stores[0].name)
-            get_metrics().count("keep_failures", type=type(error).__name__)
+        await self._call(stores[0], KEEP_PATH, request, Nothing)
--- a/medlarrail/coordination/context_store.py
+++ b/medlarrail/coordination/context_store.py
@@ -13,12 +13,14 @@
     COPY_PATH,
     KEEP_PATH,
     LOOKUP_PATH,
+    MIRROR_PATH,
     RESTORE_PATH,
     STORE_STATUS_PATH,
     CopyRequest,
     KeepRequest,
     LookupAnswer,
     LookupRequest,
+    MirrorRequest,
     RestoreAnswer,
     RestoreRequest,
     StoreStatus,
@@ -32,7 +34,7 @@
     CacheImported,
     CacheKeyList,
 )
-from medlarrail.state.blocks import Block, BlockStore, Extent, build_info
+from medlarrail.state.blocks import Block, BlockStore, Extent, ExtentInfo, build_info
 from medlarrail.transport.client import Peers
 from medlarrail.transport.routes import Request, route
 
@@ -150,9 +152,9 @@
             found = await self._export(message, keys)
             if not found:
                 return
-            await self._commit(message, parent, found)
+            info = await self._commit(message, parent, found)
             if message.copy_url:
-                await self._copy(message, parent, found)
+                await self._copy(message.copy_url, info, found)
             if len(found) < len(keys):
                 return
             parent = found[-1].key
@@ -179,40 +181,65 @@
             self._block_bytes = size / len(found)
         return found
 
-    async def _commit(self, message, parent: str, found: list[Block]) -> None:
+    async def _commit(self, message, parent: str, found: list[Block]) -> ExtentInfo:
         info = build_info(
             message.account, message.model, message.weight_version, parent, found
         )
         try:
             await self.blocks.put(info, found)
-            get_metrics().count("blocks_kept", len(found))
         except StorageFull:
             get_metrics().count("keeps_refused", reason="storage-full")
             raise
+        get_metrics().count("blocks_kept", len(found))
+        return info
 
-    async def _copy(self, message: KeepRequest, parent: str, found) -> None:
-        """Give the second store its copy; one that fails is made up for later."""
+    async def _copy(self, copy_url: str, info: ExtentInfo, found) -> None:
+        """Give another store a copy; one that fails is made up for at a return."""
         copy = CopyRequest(
-            message.account,
-            message.model,
-            message.weight_version,
-            parent,
-            encode_blocks(parent, found),
+            info.account,
+            info.model,
+            info.weight_version,
+            info.parent,
+            encode_blocks(info.parent, found),
         )
 
         async def work() -> Nothing:
             return await self.peers.call(
-                message.copy_url, COPY_PATH, copy, Nothing, KEEP_LIMIT_S
+                copy_url, COPY_PATH, copy, Nothing, KEEP_LIMIT_S
             )
 
-        size = sum(len(one.data) for one in found)
         try:
-            link = self.get_link(message.copy_url)
-            await link.transfer(TransferKind.COPY, size, work)
-            get_metrics().count("link_bytes", size, kind="copy")
+            link = self.get_link(copy_url)
+            await link.transfer(TransferKind.COPY, info.size, work)
+            get_metrics().count("link_bytes", info.size, kind="copy")
         except MedlarError as error:
             get_metrics().count("copy_failures", type=type(error).__name__)
 
+    @route("POST", MIRROR_PATH, MirrorRequest)
+    async def handle_mirror(self, request: Request) -> Nothing:
+        """Copy a held context to a store that lacks it, in the background."""
+        if self._backlog >= LONGEST_BACKLOG:
+            get_metrics().count("keeps_dropped")
+            return Nothing()
+        self._backlog += 1
+        self.nursery.start_soon(self._mirror, request.message)
+        return Nothing()
+
+    async def _mirror(self, message: MirrorRequest) -> None:
+        get_metrics().count("contexts_mirrored")
+        try:
+            for extent in self.blocks.list_chain(message.account, message.keys):
+                generation = self.blocks.pin(extent)
+                try:
+                    found = await self.blocks.read(extent, generation)
+                    await self._copy(message.copy_url, extent.info, found)
+                finally:
+                    self.blocks.unpin(extent)
+        except BlockError as error:
+            get_metrics().count("mirror_failures", type=type(error).__name__)
+        finally:
+            self._backlog -= 1
+
     @route("POST", COPY_PATH, CopyRequest)
     async def handle_copy(self, request: Request) -> Nothing:
         """Take a copy of an extent from another store."""
--- /dev/null
+++ b/medlarrail/coordination/context_store_test.py
@@ -0,0 +1,210 @@
+"""Tests of stores: keeping, copies, restores and repairs, on a fake network."""
+
+import random
+import shutil
+
+import pytest
+import trio
+
+from medlarrail.coordination.context_planner import StorePlanner
+from medlarrail.coordination.context_store import ContextStore
+from medlarrail.coordination.estimator import Offer, Weights, estimate
+from medlarrail.coordination.follower import Follower
+from medlarrail.coordination.health import PairHealth
+from medlarrail.coordination.link import Link
+from medlarrail.core.entities import Store
+from medlarrail.protocol.contexts import (
+    KEEP_PATH,
+    RESTORE_PATH,
+    KeepRequest,
+    RestoreAnswer,
+    RestoreRequest,
+)
+from medlarrail.protocol.control import Nothing
+from medlarrail.protocol.endpoints import (
+    CACHE_EXPORT_PATH,
+    CACHE_IMPORT_PATH,
+    CacheBlock,
+    CacheBlocks,
+    CacheImported,
+    CacheKeyList,
+)
+from medlarrail.state.blocks import SUFFIX, BlockStore
+from medlarrail.state.folder import DataFolder
+from medlarrail.state.journal import run_inline
+from medlarrail.testing.network import FakeNetwork
+from medlarrail.transport.routes import Routes, route
+
+KEYS = tuple(f"key-{number}" for number in range(20))
+
+
+class FakeEngine:
+    """Exports whatever is asked for, and notes what it imports."""
+
+    def __init__(self):
+        self.version = "v1"
+        self.imported = []
+
+    @route("POST", CACHE_EXPORT_PATH, CacheKeyList)
+    async def handle_export(self, request):
+        blocks = [CacheBlock(key, "", "QUJD") for key in request.message.keys]
+        return CacheBlocks(self.version, tuple(blocks))
+
+    @route("POST", CACHE_IMPORT_PATH, CacheBlocks)
+    async def handle_import(self, request):
+        self.imported += [block.key for block in request.message.blocks]
+        return CacheImported(len(request.message.blocks))
+
+
+class Bench:
+    """Two stores and an engine."""
+
+    def __init__(self, path, nursery):
+        self.path = path
+        self.nursery = nursery
+        self.network = FakeNetwork(random.Random(1))
+        self.engine = FakeEngine()
+        self.network.hosts["mem://engine-1"] = Routes.collect(self.engine)
+        self.network.hosts["mem://entry-1"] = Routes()
+        self.peers = self.network.connect("mem://entry-1")
+        self.stores = {name: self.open(name) for name in ("store-1", "store-2")}
+        follower = Follower(self.peers, ())
+        for name in self.stores:
+            found = Store(name, f"mem://{name}", "leith")
+            follower.catalogue.stores[name] = found
+        health = PairHealth(trio.current_time)
+        self.planner = StorePlanner(follower, self.peers, Weights(), nursery, health)
+
+    def open(self, name):
+        folder = DataFolder(self.path / name)
+        blocks = BlockStore(
+            folder, 10**6, 10**6, trio.current_time, run_blocking=run_inline
+        )
+        blocks.open()
+        peers = self.network.connect(f"mem://{name}")
+        store = ContextStore(name, blocks, peers, self.nursery)
+        for target in ("engine-1", "mem://store-1", "mem://store-2"):
+            store.links[target] = Link(trio.current_time)
+        self.network.hosts[f"mem://{name}"] = Routes.collect(store)
+        return store
+
+    async def keep(self, account="lea"):
+        first, second = self.planner.rank_stores(KEYS[0])
+        request = KeepRequest(
+            account, "m", "v1", "engine-1", "mem://engine-1", KEYS, second.url
+        )
+        await self.peers.call(first.url, KEEP_PATH, request, Nothing, 5)
+        await trio.sleep(2)
+
+    async def restore(self, name, account="lea", skip=0, version="v1"):
+        request = RestoreRequest(
+            account, version, "engine-1", "mem://engine-1", KEYS, skip, 5.0
+        )
+        return await self.peers.call(
+            f"mem://{name}", RESTORE_PATH, request, RestoreAnswer, 6
+        )
+
+    def count_held(self, name, account="lea"):
+        return self.stores[name].blocks.find_prefix(account, KEYS)
+
+
+@pytest.fixture
+async def bench(tmp_path, nursery, autojump_clock):
+    return Bench(tmp_path, nursery)
+
+
+class TestKeeping:
+    async def test_a_context_is_kept_twice(self, bench, autojump_clock):
+        await bench.keep()
+        assert bench.count_held("store-1") == bench.count_held("store-2") == 20
+
+    async def test_a_context_of_another_version_is_not_kept(
+        self, bench, autojump_clock
+    ):
+        bench.engine.version = "v2"
+        await bench.keep()
+        assert bench.count_held("store-1") == bench.count_held("store-2") == 0
+
+    async def test_a_store_that_lost_its_disk_is_filled_again_by_a_return(
+        self, bench, autojump_clock
+    ):
+        await bench.keep()
+        shutil.rmtree(bench.path / "store-1")
+        bench.stores["store-1"] = bench.open("store-1")
+        copies = await bench.planner._look_up("lea", KEYS, "engine-1")
+        assert [one.answer.blocks for one in copies] == [20, 0]
+        bench.planner._repair("lea", KEYS, copies)
+        await trio.sleep(2)
+        assert bench.count_held("store-1") == 20
+
+    async def test_one_store_that_does_not_answer_costs_little(
+        self, bench, autojump_clock
+    ):
+        await bench.keep()
+        bench.network.isolate("mem://store-1")
+        started_at = trio.current_time()
+        copies = await bench.planner._look_up("lea", KEYS, "engine-1")
+        assert [one.store.name for one in copies] == ["store-2"]
+        assert trio.current_time() - started_at < 0.2
+
+
+class TestRestores:
+    async def test_a_restore_brings_what_the_engine_lacks(self, bench, autojump_clock):
+        await bench.keep()
+        assert (await bench.restore("store-1", skip=16)).taken == 4
+        assert bench.engine.imported == list(KEYS[16:])
+
+    async def test_another_account_gets_nothing(self, bench, autojump_clock):
+        await bench.keep()
+        assert (await bench.restore("store-1", account="other")).taken == 0
+        assert not bench.engine.imported
+
+    async def test_a_corrupt_extent_never_reaches_the_engine(
+        self, bench, autojump_clock
+    ):
+        await bench.keep()
+        store = bench.stores["store-1"].blocks
+        extent = store.extents[KEYS[15]]
+        path = bench.path / "store-1" / f"{extent.info.key}{SUFFIX}"
+        content = bytearray(path.read_bytes())
+        content[-1] ^= 1
+        path.write_bytes(content)
+        store._drop_data(extent)
+        with pytest.raises(Exception, match="checksum"):
+            await bench.restore("store-1")
+        assert not bench.engine.imported
+        assert bench.count_held("store-1") == 0
+
+    async def test_a_file_put_in_place_of_another_is_found(self, bench, autojump_clock):
+        await bench.keep()
+        folder = bench.path / "store-1"
+        first, second = (folder / f"{KEYS[n]}{SUFFIX}" for n in (15, 19))
+        first.write_bytes(second.read_bytes())
+        reopened = bench.open("store-1").blocks
+        assert reopened.find_prefix("lea", KEYS) == 0
+
+
+class TestEstimator:
+    def build_offer(self, **changes):
+        fields = {
+            "text_bytes": 40_000,
+            "data_bytes": 1_000_000,
+            "wait_s": 0.0,
+            "link_bytes_per_s": 10_000_000.0,
+            "prefill_bytes_per_s": 40_000.0,
+        }
+        return Offer(**{**fields, **changes})
+
+    def test_a_fast_link_beats_recomputing(self):
+        assert estimate(self.build_offer(), Weights()).choice == "restore"
+
+    def test_a_slowed_or_busy_link_is_planned_around(self):
+        slow = self.build_offer(link_bytes_per_s=100_000.0)
+        busy = self.build_offer(wait_s=5.0)
+        assert estimate(slow, Weights()).choice == "recompute"
+        assert estimate(busy, Weights()).choice == "recompute"
+
+    def test_who_minds_recomputing_waits_longer_for_a_link(self):
+        offer = self.build_offer(wait_s=1.5)
+        assert estimate(offer, Weights(1.0, 0.1, 0.1)).choice == "recompute"
+        assert estimate(offer, Weights(0.2, 1.0, 0.1)).choice == "restore"
--- a/medlarrail/protocol/contexts.py
+++ b/medlarrail/protocol/contexts.py
@@ -8,6 +8,7 @@
 RESTORE_PATH = "/internal/context/restore"
 KEEP_PATH = "/internal/context/keep"
 COPY_PATH = "/internal/context/copy"
+MIRROR_PATH = "/internal/context/mirror"
 STORE_STATUS_PATH = "/v1/store"
 
 
@@ -67,6 +68,15 @@
     copy_url: str
 
 
+@frozen
+class MirrorRequest:
+    """Asks to copy a held context to a store that lacks it."""
+
+    account: str
+    keys: tuple[str, ...]
+    copy_url: str
+
+
 @frozen
 class CopyRequest:
     """An extent for the second store; ``parent`` is the key before its blocks."""
--- a/medlarrail/state/blocks.py
+++ b/medlarrail/state/blocks.py
@@ -279,17 +279,6 @@
             key=lambda one: rate(Candidate(one.info.size, one.uses, now - one.used_at)),
         )
 
-    def free_version(self, model: str, weight_version: str) -> int:
-        """Free every extent of another version of ``model``; return how many."""
-        stale = [
-            one
-            for one in self.extents.values()
-            if one.info.model == model and one.info.weight_version != weight_version
-        ]
-        for extent in stale:
-            self.free(extent)
-        return len(stale)
-
 
 def build_info(
     account: str, model: str, weight_version: str, parent: str, blocks: list[Block]
--- a/medlarrail/state/blocks_test.py
+++ b/medlarrail/state/blocks_test.py
@@ -127,10 +127,3 @@
         await put(store, "cd", parent="b")
         await put(store, "ef")
         assert store.find_prefix("lea", tuple("abcd")) == 2
-
-    async def test_other_versions_are_freed(self, tmp_path):
-        store = open_store(tmp_path)
-        await put(store, "ab", version="v1")
-        await put(store, "cd", version="v2")
-        assert store.free_version("seat-guide", "v2") == 1
-        assert set(store.extents) == {"d"}
