Measure ways to keep context against an oracle; count returns served elsewhere

Cause: eviction by value had not been compared with anything. Found: a store did not learn of returns that an engine's cache served, so its most used contexts looked idle; keeping a context again now counts as a use.

--- a/medlarrail/coordination/context_store.py
+++ b/medlarrail/coordination/context_store.py
@@ -145,7 +145,10 @@
             self._backlog -= 1
 
     async def _keep_missing(self, message: KeepRequest) -> None:
-        held = self.blocks.find_prefix(message.account, message.keys)
+        chain = self.blocks.list_chain(message.account, message.keys)
+        for extent in chain:
+            self.blocks.note_use(extent)
+        held = sum(len(one.info.blocks) for one in chain)
         parent = message.keys[held - 1] if held else ""
         for start in range(held, len(message.keys), EXTENT_BLOCKS):
             keys = message.keys[start : start + EXTENT_BLOCKS]
--- a/medlarrail/programs/standin.py
+++ b/medlarrail/programs/standin.py
@@ -16,6 +16,11 @@
 from medlarrail.programs.tables import print_items
 from medlarrail.standins.bench import BenchResult, run_bench
 from medlarrail.standins.capacity import Slope, iterate_slopes
+from medlarrail.standins.context_bench import (
+    ContextResult,
+    run_context_bench,
+    write_report,
+)
 from medlarrail.standins.cut_bench import CutResult, run_cut_bench
 from medlarrail.standins.engine import Engine
 from medlarrail.standins.service import Service
@@ -95,6 +100,22 @@
     print_items(results, as_json, [one.name for one in fields(BenchResult)])
 
 
+@app.command("context")
+def start_context_bench(
+    seed: int = typer.Option(1, help="Seed of the trace."),
+    report: Path = typer.Option(None, help="Folder for a table and a chart."),
+    as_json: bool = typer.Option(False, "--json", help="Print JSON."),
+) -> None:
+    """Compare ways to keep context on one trace of returns.
+
+    Example: medlar-standin context --seed 1 --report report
+    """
+    results = run_context_bench(seed)
+    print_items(results, as_json, [one.name for one in fields(ContextResult)])
+    if report is not None:
+        write_report(results, report)
+
+
 @app.command("cut")
 def start_cut_bench(
     seed: int = typer.Option(1, help="Seed of the load."),
--- a/medlarrail/state/blocks.py
+++ b/medlarrail/state/blocks.py
@@ -23,7 +23,7 @@
 )
 from medlarrail.core.invariants import require
 from medlarrail.core.metrics import get_metrics
-from medlarrail.state.eviction import Candidate, get_policy
+from medlarrail.state.eviction import Candidate, ReturnRates, get_policy
 from medlarrail.state.folder import DataFolder
 from medlarrail.state.journal import (
     HEADER,
@@ -98,6 +98,7 @@
     policy: str = "value"
     run_blocking: RunBlocking = run_in_thread
     extents: dict[str, Extent] = field(factory=dict)
+    rates: ReturnRates = field(factory=ReturnRates)
     memory_used: int = 0
     disk_used: int = 0
     _generation: int = 0
@@ -122,6 +123,7 @@
 
     def _index(self, info: ExtentInfo, data: bytes | None) -> Extent:
         self._generation += 1
+        self.rates.note_kept(info.account)
         extent = Extent(info, self._generation, self.clock(), data=data)
         self.extents[info.key] = extent
         self.disk_used += info.size
@@ -178,9 +180,15 @@
         if extent.freed:
             raise BlockFreed(key=extent.info.key)
         extent.pins += 1
+        self.note_use(extent)
+        return extent.generation
+
+    def note_use(self, extent: Extent) -> None:
+        """Count a return of an extent's context, wherever it was served from."""
+        if not extent.uses:
+            self.rates.note_return(extent.info.account)
         extent.uses += 1
         extent.used_at = self.clock()
-        return extent.generation
 
     def unpin(self, extent: Extent) -> None:
         """Let go of an extent; a freed one's file goes with its last reader."""
--- a/medlarrail/state/blocks_test.py
+++ b/medlarrail/state/blocks_test.py
@@ -89,6 +89,20 @@
         store.unpin(extent)
         assert await read(store, store.extents["b"])
 
+    async def test_a_free_while_the_disk_is_read_is_noticed(self, tmp_path):
+        store = open_store(tmp_path)
+        extent = await put(store, "ab")
+        store._drop_data(extent)
+
+        async def read_slowly(function, *args):
+            content = function(*args)
+            store.free(extent)
+            return content
+
+        store.run_blocking = read_slowly
+        with pytest.raises(BlockFreed):
+            await read(store, extent)
+
     async def test_a_full_disk_evicts_the_least_valuable(self, tmp_path):
         store = open_store(tmp_path, disk=400)
         first = await put(store, "ab")
