Prove that a lease never outlives the leader's count of it

Cause: counting the lease from the receipt of the answer broke no test. Conclusion: the sending is what counts, and a test holds it.

--- a/medlarrail/coordination/ownership_test.py
+++ b/medlarrail/coordination/ownership_test.py
@@ -276,6 +276,23 @@
         with pytest.raises(SessionExpired):
             await owner.acquire(ENDPOINT)
 
+    async def test_a_lease_never_outlives_the_leaders_count_of_it(
+        self, deployment, autojump_clock
+    ):
+        """The entry counts from the sending, the leader from the receipt."""
+        deployment.cluster.network.delay_s = 0.1
+        leader = await deployment.cluster.wait_leader()
+        keeper = deployment.cluster.hosts[leader.name].sessions
+        for _ in range(200):
+            await trio.sleep(0.05)
+            now = trio.current_time()
+            renewed_at = {
+                one.entry: now - one.renewed_ago_s for one in keeper.list_sessions()
+            }
+            for entry in deployment.entries:
+                lease_end = renewed_at[entry.name] + SESSION_LEASE_S
+                assert entry.session.expires_at <= lease_end
+
     async def test_a_leader_change_does_not_expire_live_sessions(
         self, deployment, autojump_clock
     ):
--- a/medlarrail/testing/cluster.py
+++ b/medlarrail/testing/cluster.py
@@ -27,6 +27,7 @@
     """A running member and the scope that kills it."""
 
     member: LogMember
+    sessions: SessionKeeper
     scope: trio.CancelScope
 
 
@@ -68,7 +69,7 @@
         control = StateControl(member, sessions)
         routes = Routes.collect(member, sessions, control, LedgerReader(member))
         self.network.hosts[member.url] = routes
-        self.hosts[name] = Host(member, scope)
+        self.hosts[name] = Host(member, sessions, scope)
         return member
 
     async def _run(self, member, sessions, scope, task_status):
