--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,7 @@
 	python3 -m venv .venv
 	$(PY) -m pip install --quiet --disable-pip-version-check -r requirements.lock
 	$(PY) -m pip install --quiet --disable-pip-version-check --no-deps \
-		--no-build-isolation -e . || \
-	$(PY) -m pip install --quiet --disable-pip-version-check --no-deps -e .
+		--no-build-isolation -e .
 	touch $@
 
 demo: .venv/.ready
--- a/medlarrail/coordination/access.py
+++ b/medlarrail/coordination/access.py
@@ -15,8 +15,6 @@
 from medlarrail.core.metrics import get_metrics
 from medlarrail.transport.routes import Request
 
-INTERNAL_PREFIX = "/internal/"
-
 
 def get_digest(key: str) -> str:
     """Return the SHA-256 digest of a key, in hexadecimal."""
--- a/medlarrail/coordination/engine_client.py
+++ b/medlarrail/coordination/engine_client.py
@@ -35,10 +35,6 @@
 )
 from medlarrail.transport.client import HttpClient, ResponseStream
 
-MANY_REQUESTS = 429
-UNAVAILABLE = 503
-CONFLICT = 409
-
 
 @define
 class EngineStream:
--- a/medlarrail/coordination/ledger.py
+++ b/medlarrail/coordination/ledger.py
@@ -96,7 +96,6 @@
 
     key: LedgerKey
     nonce: str
-    sent: bool = False
 
 
 @define
@@ -156,7 +155,6 @@
     ) -> StoredAnswer:
         try:
             self.session.require()
-            attempt.sent = True
             answer = await send()
         except Refusal as error:
             await self._settle(attempt, "not_dispatched", None)
--- a/medlarrail/core/errors.py
+++ b/medlarrail/core/errors.py
@@ -189,13 +189,6 @@
     endpoint: str = ""
 
 
-@define(slots=False)
-class EndpointSuspected(Refusal):
-    """This entry could not reach the endpoint a moment ago."""
-
-    endpoint: str = ""
-
-
 @define(slots=False)
 class OwnershipUnsettled(Refusal):
     """The endpoint's new owner is still taking over."""
--- a/medlarrail/standins/backend.py
+++ b/medlarrail/standins/backend.py
@@ -31,8 +31,6 @@
 ANNOUNCE_INTERVAL_S = 1.0
 CALL_TIMEOUT_S = 1.0
 INCARNATION_BYTES = 6
-GRACE = 4
-"""Requests beyond the bearable number that a warm back end refuses politely."""
 
 
 @frozen
--- a/medlarrail/standins/engine.py
+++ b/medlarrail/standins/engine.py
@@ -69,8 +69,6 @@
 
     cache: OrderedDict[str, None] = field(factory=OrderedDict)
     sequence: int = -1
-    prefill_bytes: int = 0
-    cached_bytes: int = 0
     _events: list[CacheEvent] = field(factory=list)
     _prefill: trio.Lock = field(factory=trio.Lock)
 
@@ -116,8 +114,6 @@
         data = (message.prompt + message.resume_text).encode()
         cached = self._count_cached(message.root_key, data)
         fresh = len(data) - cached
-        self.prefill_bytes += fresh
-        self.cached_bytes += cached
         async with self._prefill:
             rate = self.settings.endpoint.prefill_bytes_per_s
             await trio.sleep(fresh / rate)
--- a/medlarrail/testing/deployment.py
+++ b/medlarrail/testing/deployment.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 import typer
-from attrs import define, evolve, field, frozen
+from attrs import define, field, frozen
 
 from medlarrail.coordination.access import get_digest
 from medlarrail.coordination.routing import RoutingPolicy
@@ -264,11 +264,6 @@
     return decode((folder / INDEX_FILE).read_bytes(), Deployment)
 
 
-def with_engine(layout: Layout, **changes) -> Layout:
-    """Return ``layout`` with changes made to its engines."""
-    return evolve(layout, engine=evolve(layout.engine, **changes))
-
-
 def main(folder: Path) -> None:
     """Write a deployment and print ``name command...`` for each process."""
     deployment = write_deployment(folder, Layout())
