--- a/medlarrail/coordination/ownership.py
+++ b/medlarrail/coordination/ownership.py
@@ -6,26 +6,22 @@
 have answered, or the leases that they may hold have ended, nothing is granted.
 """
 
-from collections import deque
 from collections.abc import Iterator
 
 import trio
 from attrs import define, field
 
-from medlarrail.coordination.cache_picture import CachePicture
-from medlarrail.coordination.fairness import FairQueue
 from medlarrail.coordination.follower import Follower
 from medlarrail.coordination.limiter import GrantedPermit, Limiter
+from medlarrail.coordination.owned_endpoint import OwnedEndpoint, Waiting
 from medlarrail.coordination.session import Session
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.core.entities import Endpoint, EntrySession
 from medlarrail.core.errors import (
-    EndpointColdStart,
     EndpointOutOfService,
     EndpointSilent,
     MedlarError,
     NotOwner,
-    Overloaded,
     OwnershipUnsettled,
     Refusal,
     SessionClosed,
@@ -56,52 +52,9 @@
 MAINTENANCE_INTERVAL_S = 0.25
 NO_STAMP = -1.0
 LONGEST_QUEUE = 500
-RELEASES_REMEMBERED = 32
-COLD_RETRY_S = 0.5
 UNSETTLED_RETRY_S = 0.5
 
 
-@define
-class Waiting:
-    """A request that waits for a permit."""
-
-    request: AcquireRequest
-    settled: trio.Event = field(factory=trio.Event)
-    error: MedlarError | None = None
-
-
-@define
-class OwnedEndpoint:
-    """An endpoint that this entry owns."""
-
-    limiter: Limiter
-    owned_since: float
-    picture: CachePicture = field(factory=CachePicture)
-    queue: FairQueue = field(factory=FairQueue)
-    waiting: dict[str, Waiting] = field(factory=dict)
-    releases: deque = field(factory=lambda: deque(maxlen=RELEASES_REMEMBERED))
-    awaited: set[str] = field(factory=set)
-    """Entries that have not yet told what they hold."""
-
-    @property
-    def endpoint(self) -> Endpoint:
-        """The endpoint as the catalogue has it."""
-        return self.limiter.endpoint
-
-    def estimate_wait(self, ahead: int) -> float:
-        """Return the seconds after which ``ahead`` more permits come free."""
-        if len(self.releases) < 2:
-            return 0.1 * (ahead + 1) / max(1, self.limiter.get_limit())
-        span = self.limiter.clock() - self.releases[0]
-        return (ahead + 1) * max(span, 0.001) / len(self.releases)
-
-    def fail_all(self, make_error) -> None:
-        """Refuse every queued request at once."""
-        for waiting in list(self.waiting.values()):
-            waiting.error = make_error()
-            waiting.settled.set()
-
-
 @define
 class OwnerTable:
     """The endpoints that the entry of ``session`` owns now."""
@@ -325,14 +278,11 @@
             raise self._build_refusal(owned, expected_s)
 
     def _build_refusal(self, owned: OwnedEndpoint, expected_s: float) -> Refusal:
-        name = owned.endpoint.name
-        if not self.may_grant(owned):
-            return OwnershipUnsettled(endpoint=name, retry_after_s=UNSETTLED_RETRY_S)
-        if owned.limiter.is_cold():
-            return EndpointColdStart(
-                endpoint=name, retry_after_s=max(COLD_RETRY_S, expected_s)
-            )
-        return Overloaded(endpoint=name, retry_after_s=expected_s)
+        if self.may_grant(owned):
+            return owned.build_load_refusal(expected_s)
+        return OwnershipUnsettled(
+            endpoint=owned.endpoint.name, retry_after_s=UNSETTLED_RETRY_S
+        )
 
     async def _wait_granted(self, owned: OwnedEndpoint, waiting: Waiting) -> None:
         permit = waiting.request.permit
--- a/medlarrail/testing/soak.py
+++ b/medlarrail/testing/soak.py
@@ -346,7 +346,9 @@
                 self.tally.check(not stats.bad_blocks, name + "bad blocks")
                 self.tally.check(not stats.overruns, name + "overrun while cold")
                 continue
-            answer = await self.processes.client.fetch("GET", f"{process.url}/metrics")
+            answer = await self.processes.client.fetch(
+                "GET", f"{process.url}/metrics", fresh=True
+            )
             for line in answer.body.decode().splitlines():
                 if line.startswith(
                     ("medlar_invariant_violations_total", "medlar_defec")
