Let the soak wait for a shutdown that the end of its time interrupted

The report of a violation (not ready after the faults) was the harness's own. Ruled out: an entry that does not exit; its log shows the drain, and its end.

--- a/medlarrail/testing/processes.py
+++ b/medlarrail/testing/processes.py
@@ -44,6 +44,7 @@
     client: HttpClient = field(init=False)
     operator: HttpClient = field(init=False)
     running: dict[str, subprocess.Popen] = field(factory=dict)
+    stopping: set[str] = field(factory=set)
 
     def __attrs_post_init__(self):
         self.client = HttpClient(self.deployment.cluster_key)
@@ -75,12 +76,23 @@
         process.wait()
 
     async def stop(self, name: str) -> int:
-        """Ask a process to shut down gracefully; return its exit code."""
-        process = self.running.pop(name)
-        process.send_signal(signal.SIGTERM)
+        """Ask a process to shut down gracefully; return its exit code.
+
+        A cancelled call leaves the process known, so that ``wait_stopped`` can
+        wait for its end.
+        """
+        self.running[name].send_signal(signal.SIGTERM)
+        self.stopping.add(name)
+        return await self.wait_stopped(name)
+
+    async def wait_stopped(self, name: str) -> int:
+        """Return the exit code of a process that was asked to shut down."""
+        process = self.running[name]
         with trio.fail_after(STOP_LIMIT_S):
             while process.poll() is None:
                 await trio.sleep(POLL_S)
+        del self.running[name]
+        self.stopping.discard(name)
         return process.returncode
 
     def kill_all(self) -> None:
--- a/medlarrail/testing/soak.py
+++ b/medlarrail/testing/soak.py
@@ -153,7 +153,9 @@
         names = [
             one.name
             for one in self.processes.deployment.processes
-            if one.role in roles and one.name in self.processes.running
+            if one.role in roles
+            and one.name in self.processes.running
+            and one.name not in self.processes.stopping
         ]
         return self.random.choice(names)
 
@@ -290,6 +292,8 @@
 
     async def recover(self) -> None:
         """Start what is down and see that service comes back."""
+        for name in list(self.processes.stopping):
+            await self.processes.wait_stopped(name)
         for process in self.processes.deployment.processes:
             if process.name not in self.processes.running:
                 self.processes.start(process.name)
