--- a/medlarrail/coordination/permit_search.py
+++ b/medlarrail/coordination/permit_search.py
@@ -131,20 +131,22 @@
         self.router.session.require()
         if self.target.get_rest() <= 0:
             raise DeadlineExceeded()
+        request = self._build_request(endpoint, wait_s)
         try:
-            request = self._build_request(endpoint, wait_s)
-            return Found(endpoint, await self.router.permits.acquire(request))
+            held = await self.router.permits.acquire(request)
         except (Refusal, PeerError, SessionClosed) as error:
             get_metrics().count("permits_refused", reason=type(error).__name__)
             self._note_refusal(endpoint, error)
             return None
+        self.router.note_owner(endpoint.name, answered=True)
+        return Found(endpoint, held)
 
     def _note_refusal(self, endpoint: Endpoint, error: MedlarError) -> None:
         self.refusal = _pick_sooner(self.refusal, error)
         if isinstance(error, EndpointSilent):
             self.router.health.note_failure(endpoint.name)
-        if isinstance(error, PeerError):
-            self.router.note_owner_failure(endpoint.name)
+        answered = not isinstance(error, PeerError)
+        self.router.note_owner(endpoint.name, answered)
 
     def _build_request(self, endpoint: Endpoint, wait_s: float) -> AcquireRequest:
         contract = self.target.contract
--- a/medlarrail/coordination/routing.py
+++ b/medlarrail/coordination/routing.py
@@ -77,7 +77,10 @@
 
 @define
 class Router:
-    """Finds permits for requests."""
+    """Ranks endpoints for requests, and learns which paths fail.
+
+    ``health`` is of the paths to endpoints, ``owner_health`` of those to owners.
+    """
 
     session: Session
     follower: Follower
@@ -102,10 +105,14 @@
         ranked = [found[name] for name in rank_nodes(found, target.affinity)]
         return sorted(ranked, key=lambda one: self._is_suspected(one.name))
 
-    def note_owner_failure(self, endpoint: str) -> None:
-        """Suspect the path to the owner of ``endpoint``."""
+    def note_owner(self, endpoint: str, answered: bool) -> None:
+        """Learn whether the owner of ``endpoint`` answered."""
         owner = self.follower.owner_map.get_owner(endpoint)
-        if owner is not None:
+        if owner is None:
+            return
+        if answered:
+            self.owner_health.note_success(owner.entry)
+        else:
             self.owner_health.note_failure(owner.entry)
 
     def _is_suspected(self, endpoint: str) -> bool:
--- a/medlarrail/coordination/routing_test.py
+++ b/medlarrail/coordination/routing_test.py
@@ -18,6 +18,7 @@
     MedlarError,
     NoEndpoint,
     Overloaded,
+    PeerTimeout,
     RunDeadlineExceeded,
     RunFailure,
     StreamBroken,
@@ -87,6 +88,7 @@
         self.follower = Follower(None, ("mem://none",))
         session = EntrySession("entry-1", "mem://entry-1", "leith", 1)
         self.follower.catalogue.view = View(1, (session,))
+        self.follower.owner_map.update(self.follower.catalogue.view)
         self.health = PairHealth()
         self.router = Router(OpenSession(), self.follower, self.permits, self.health)
         self.budgets = RetryBudgets()
@@ -206,6 +208,18 @@
         assert await bench.collect() == WHOLE
         assert bench.health.is_suspected(ranked[0])
 
+    async def test_an_owner_that_answers_again_is_trusted_again(self, bench):
+        await bench.add("a")
+        owner = bench.router.owner_health
+        bench.permits.refusals = {"a": PeerTimeout(url="mem://entry-1")}
+        for _ in range(3):
+            with pytest.raises(NoEndpoint):
+                await bench.collect()
+        assert owner.is_suspected("entry-1")
+        bench.permits.refusals = {}
+        assert await bench.collect() == WHOLE
+        assert not owner.is_suspected("entry-1")
+
     async def test_an_endpoint_that_cannot_be_reached_is_suspected(self, bench):
         await bench.add("a")
         endpoint = bench.follower.catalogue.endpoints["a"]
--- a/medlarrail/programs/programs_test.py
+++ b/medlarrail/programs/programs_test.py
@@ -9,8 +9,8 @@
 import trio
 
 from medlarrail.standins.engine import make_answer
-from medlarrail.testing.deployment import MODEL, SERVICE, Layout, write_deployment
-from medlarrail.testing.processes import Processes
+from medlarrail.testing.deployment import MODEL, SERVICE, Layout
+from medlarrail.testing.processes import run_deployment
 from medlarrail.transport.client import HttpClient
 
 BIN = Path(sys.executable).parent
@@ -19,19 +19,9 @@
 
 @pytest.fixture(scope="module")
 def processes(tmp_path_factory):
-    folder = tmp_path_factory.mktemp("deployment")
-    processes = Processes(write_deployment(folder, Layout(states=1, stores=1)))
-    processes.start_all()
-    try:
-        trio.run(start, processes)
+    layout = Layout(states=1, stores=1)
+    with run_deployment(tmp_path_factory.mktemp("deployment"), layout) as processes:
         yield processes
-    finally:
-        processes.kill_all()
-
-
-async def start(processes):
-    await processes.bootstrap()
-    await processes.wait_ready()
 
 
 @pytest.fixture(scope="module")
--- a/medlarrail/programs/shutdown_test.py
+++ b/medlarrail/programs/shutdown_test.py
@@ -6,8 +6,8 @@
 from medlarrail.core.timing import OUT_OF_SERVICE_BOUND_S
 from medlarrail.standins.engine import make_answer
 from medlarrail.testing.caller import Caller
-from medlarrail.testing.deployment import MODEL, Layout, write_deployment
-from medlarrail.testing.processes import Processes
+from medlarrail.testing.deployment import MODEL, Layout
+from medlarrail.testing.processes import run_deployment
 
 LONG = 400
 """Tokens of a stream that lasts for about 5 s."""
@@ -15,20 +15,9 @@
 
 @pytest.fixture(scope="module")
 def processes(tmp_path_factory):
-    folder = tmp_path_factory.mktemp("deployment")
     layout = Layout(states=3, entries=3, stores=1, engines=2, services=1)
-    processes = Processes(write_deployment(folder, layout))
-    processes.start_all()
-    try:
-        trio.run(start, processes)
+    with run_deployment(tmp_path_factory.mktemp("deployment"), layout) as processes:
         yield processes
-    finally:
-        processes.kill_all()
-
-
-async def start(processes):
-    await processes.bootstrap()
-    await processes.wait_ready()
 
 
 @pytest.fixture(scope="module")
--- a/medlarrail/testing/processes.py
+++ b/medlarrail/testing/processes.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Iterator
 from pathlib import Path
 
 import trio
@@ -27,7 +28,12 @@
 from medlarrail.protocol.status import ENTRY_STATUS_PATH, EntryStatus
 from medlarrail.standins.backend import BackendStats
 from medlarrail.state.operations import Operation, SetContract
-from medlarrail.testing.deployment import SERVICE, Deployment
+from medlarrail.testing.deployment import (
+    SERVICE,
+    Deployment,
+    Layout,
+    write_deployment,
+)
 from medlarrail.transport.client import HttpClient
 
 START_LIMIT_S = 30.0
@@ -188,3 +194,20 @@
 
 
 ROLES_OF_ENDPOINTS = ("engine", "service")
+
+
+@contextlib.contextmanager
+def run_deployment(folder: Path, layout: Layout) -> Iterator[Processes]:
+    """Run a deployment that is ready, and end it afterwards."""
+
+    async def wait() -> None:
+        await processes.bootstrap()
+        await processes.wait_ready()
+
+    processes = Processes(write_deployment(folder, layout))
+    processes.start_all()
+    try:
+        trio.run(wait)
+        yield processes
+    finally:
+        processes.kill_all()
