Seed the course of the benches

Cause: two runs of a bench with one seed differed by a third at the tail, because the order of trio's tasks and the ids were not seeded.

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,9 @@
 	$(PY) -m medlarrail.testing.soak --seed $(SEED) --duration $(DURATION)
 
 bench: .venv/.ready
-	.venv/bin/medlar-standin bench --seed $(SEED)
+	PYTHONHASHSEED=0 .venv/bin/medlar-standin bench --seed $(SEED)
+	PYTHONHASHSEED=0 .venv/bin/medlar-standin cut --seed $(SEED)
+	PYTHONHASHSEED=0 .venv/bin/medlar-standin context --seed $(SEED)
 
 capacity: .venv/.ready
 	.venv/bin/medlar-standin capacity
--- a/medlarrail/standins/bench.py
+++ b/medlarrail/standins/bench.py
@@ -38,6 +38,7 @@
 )
 from medlarrail.state.operations import RegisterEndpoint
 from medlarrail.testing.cluster import Cluster
+from medlarrail.testing.course import fix_course
 from medlarrail.testing.entries import EntryHost
 from medlarrail.transport.client import CONNECT_TIMEOUT_S
 
@@ -328,6 +329,7 @@
     results = []
     for workload in WORKLOADS:
         for way in WAYS:
+            fix_course(seed)
             clock = trio.testing.MockClock(autojump_threshold=0)
             sized = evolve(workload, duration_s=duration_s)
             results.append(trio.run(_run_way, sized, way, seed, clock=clock))
--- a/medlarrail/standins/cut_bench.py
+++ b/medlarrail/standins/cut_bench.py
@@ -12,6 +12,7 @@
 from medlarrail.standins.bench import Bench
 from medlarrail.standins.bench_models import DATA_CENTRES, WORKLOADS, Workload
 from medlarrail.testing.cluster import Cluster
+from medlarrail.testing.course import fix_course
 
 PHASE_S = 15.0
 SETTLE_S = 6.0
@@ -107,6 +108,7 @@
     """Return the phases of a cut under each workload."""
     results: list[CutResult] = []
     for workload in WORKLOADS:
+        fix_course(seed)
         clock = trio.testing.MockClock(autojump_threshold=0)
         results += trio.run(_run, workload, seed, clock=clock)
     return results
