End a stream whose deadline passes between two chunks with its own error

Cause: the time left was below zero and trio refuses that; the caller got a defect (500) instead of the deadline (504). Calls to the state members had the same trap.

--- a/medlarrail/coordination/ledger.py
+++ b/medlarrail/coordination/ledger.py
@@ -242,7 +242,7 @@
         raise OutcomeUnknown()
 
     async def _read(self, key: LedgerKey, deadline: float) -> LedgerReadAnswer:
-        rest_s = deadline - trio.current_time()
+        rest_s = max(0.0, deadline - trio.current_time())
         try:
             return await self.state.call_leader(
                 LEDGER_READ_PATH,
--- a/medlarrail/coordination/ledger_test.py
+++ b/medlarrail/coordination/ledger_test.py
@@ -128,6 +128,18 @@
 
 
 class TestFailures:
+    async def test_a_repeat_at_the_end_of_its_time_is_unknown(
+        self, deployment, autojump_clock
+    ):
+        deployment.service.delay_s = 3.0
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(deployment.buy, 0)
+            await trio.sleep(0.5)
+            for limit_s in (0.0, 0.001, 0.5):
+                with pytest.raises(OutcomeUnknown):
+                    await deployment.buy(1, limit_s=limit_s)
+        assert deployment.service.runs[KEY] == 1
+
     async def test_what_was_never_sent_may_be_tried_again(
         self, deployment, autojump_clock
     ):
--- a/medlarrail/coordination/routing.py
+++ b/medlarrail/coordination/routing.py
@@ -46,6 +46,7 @@
 REQUEST_ID_BYTES = 12
 AFFINITY_BYTES = 1024
 """Leading bytes of a prompt that decide where it goes first."""
+SHORTEST_WAIT_S = 0.001
 LARGEST_RUNS = 4
 """Dispatches of one request, the first and its retries."""
 
@@ -253,7 +254,8 @@
                 await self.context.restore(self, endpoint, held)
             self.router.check_dispatch(endpoint, held)
             request = self._build_request(endpoint)
-            silence_s = min(self.policy.first_token_silence_s, target.get_rest())
+            rest_s = max(SHORTEST_WAIT_S, target.get_rest())
+            silence_s = min(self.policy.first_token_silence_s, rest_s)
             async with self.engines.open(endpoint, request, silence_s) as stream:
                 incarnation = stream.incarnation
                 self.weight_version = stream.weight_version
@@ -301,8 +303,9 @@
         if self.tokens:
             limit_s = self.policy.token_silence_s
         rest_s = self.deadline - trio.current_time()
-        with trio.move_on_after(min(limit_s, rest_s)):
-            return await anext(chunks, None)
+        if rest_s > 0:
+            with trio.move_on_after(min(limit_s, rest_s)):
+                return await anext(chunks, None)
         if rest_s <= limit_s:
             raise RunDeadlineExceeded(endpoint=endpoint.name)
         raise StreamSilent(endpoint.name, limit_s, self.tokens)
--- a/medlarrail/coordination/routing_test.py
+++ b/medlarrail/coordination/routing_test.py
@@ -171,6 +171,15 @@
             await bench.collect(limit_s=0.5, silence_s=5.0)
         assert trio.current_time() - started_at < 1.5
 
+    async def test_a_deadline_that_passes_between_two_chunks_ends_the_stream(
+        self, bench
+    ):
+        await bench.add("a")
+        run = bench.build_run(limit_s=0.3)
+        with pytest.raises(RunDeadlineExceeded):
+            async for _ in run.iterate():
+                await trio.sleep(0.2)
+
     async def test_a_spent_budget_ends_the_retries(self, bench):
         engine = await bench.add("a", fault="cut", after=0)
         while bench.budgets.spend(build_contract().account):
--- a/medlarrail/coordination/state_client.py
+++ b/medlarrail/coordination/state_client.py
@@ -25,6 +25,7 @@
 T = TypeVar("T")
 RETRY_PAUSE_S = 0.1
 CALL_TIMEOUT_S = 2.5
+SHORTEST_CALL_S = 0.01
 TRANSIENT = (PeerError, NotLeader, CommitUnknown, NotBootstrapped, StorageError)
 
 
@@ -55,7 +56,7 @@
         deadline = trio.current_time() + timeout_s
         while True:
             url = self.pick_url()
-            rest_s = deadline - trio.current_time()
+            rest_s = max(SHORTEST_CALL_S, deadline - trio.current_time())
             try:
                 answer = await self.peers.call(
                     url, path, message, answer_type, min(CALL_TIMEOUT_S, rest_s)
