--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 DURATION ?= 60
 
-.PHONY: demo test lint format soak bench capacity clean
+.PHONY: demo test lint format soak bench bench-cut bench-context capacity clean
 
 .venv/.ready: requirements.lock pyproject.toml
 	python3 -m venv .venv
@@ -31,7 +31,11 @@
 
 bench: .venv/.ready
 	PYTHONHASHSEED=0 .venv/bin/medlar-standin bench --seed $(SEED)
+
+bench-cut: .venv/.ready
 	PYTHONHASHSEED=0 .venv/bin/medlar-standin cut --seed $(SEED)
+
+bench-context: .venv/.ready
 	PYTHONHASHSEED=0 .venv/bin/medlar-standin context --seed $(SEED)
 
 capacity: .venv/.ready
