Let the kernel end connections whose other end went silent

Cause: a caller that took nothing held its stream, its permit's slot at the engine and a task for good, because the server's library shields its writes. Ruled out: a time limit around each write of ours; the shield outlasts it, which a hanging test showed. Before: the new test waited 10 s in vain. Conclusion: the limit is set on the listening socket, and accepted ones inherit it.

--- a/medlarrail/transport/server.py
+++ b/medlarrail/transport/server.py
@@ -37,6 +37,11 @@
 """Longer than any client of ours keeps an idle connection."""
 LARGEST_HEADER_BYTES = 16 * 1024
 HEARTBEAT_COMMENT = b": heartbeat\n\n"
+SILENCE_LIMIT_MS = 20_000
+"""Time in which the other end has to take what was sent to it."""
+KEEP_ALIVE_IDLE_S = 20
+KEEP_ALIVE_INTERVAL_S = 5
+KEEP_ALIVE_PROBES = 3
 STREAM_HEARTBEAT_S = 5.0
 """Silence after which a stream carries a comment."""
 
@@ -121,11 +126,26 @@
 def _bind(host: str, port: int) -> socket.socket:
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    _bound_silence(listener)
     listener.bind((host, port))
     listener.listen(LISTEN_BACKLOG)
     return listener
 
 
+def _bound_silence(listener: socket.socket) -> None:
+    """Let the kernel end accepted connections whose other end went silent.
+
+    The server's library shields its writes from cancellation, so a write to a
+    caller that takes nothing can be ended by the kernel alone.
+    """
+    tcp = socket.IPPROTO_TCP
+    listener.setsockopt(tcp, socket.TCP_USER_TIMEOUT, SILENCE_LIMIT_MS)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    listener.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
+    listener.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
+    listener.setsockopt(tcp, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+
+
 def _build_config(listener: socket.socket, limits: ServerLimits) -> Config:
     config = Config()
     config.bind = [f"fd://{listener.detach()}"]
--- a/medlarrail/transport/server_test.py
+++ b/medlarrail/transport/server_test.py
@@ -52,6 +52,17 @@
     async def stream(self, request):
         return EventStream(self._make_chunks(int(request.tail)))
 
+    @route("GET", "/flood")
+    async def flood(self, request):
+        return EventStream(self._make_flood())
+
+    async def _make_flood(self):
+        try:
+            while True:
+                yield b"x" * 65536
+        finally:
+            self.cancelled.set()
+
     async def _make_chunks(self, count):
         try:
             for number in range(count):
@@ -164,6 +175,20 @@
             rest = b"".join([part async for part in parts])
             assert rest.endswith(b"data: end\n\n")
 
+    async def test_a_caller_that_takes_nothing_does_not_hold_its_stream(
+        self, handlers, nursery, monkeypatch
+    ):
+        monkeypatch.setattr(server_module, "SILENCE_LIMIT_MS", 300)
+        server = HttpServer(Routes.collect(handlers))
+        port = await nursery.start(server.run, "127.0.0.1", 0)
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        await stream.send_all(b"GET /flood HTTP/1.1\r\nhost: x\r\n\r\n")
+        with trio.move_on_after(10):
+            await handlers.cancelled.wait()
+        ended = handlers.cancelled.is_set()
+        await stream.aclose()
+        assert ended
+
 
 class TestDrain:
     async def test_a_running_stream_ends_before_the_server_stops(
