Say once what takes new work, and drop checks that the leader makes already

Cause: "in service and loading no weights" stood in four places; the ledger and the roll-out decoded an outcome's error that the leader raises before it answers, so their copies never ran. Ruled out: keeping the copies as a second line; a committed error reaches the proposer as its type, also for a resent command, and tests show it. Before and after: 148 tests of the parts touched pass; none was changed. Conclusion: behaviour is as it was.

--- a/medlarrail/coordination/ledger.py
+++ b/medlarrail/coordination/ledger.py
@@ -16,7 +16,6 @@
 from medlarrail.coordination.replication import LogMember
 from medlarrail.coordination.session import Session
 from medlarrail.coordination.state_client import StateClient
-from medlarrail.core.codec import decode_error
 from medlarrail.core.entities import LedgerKey, StoredAnswer
 from medlarrail.core.errors import (
     EndpointUnreachable,
@@ -41,7 +40,6 @@
     LedgerDispatch,
     LedgerFinish,
     LedgerRecord,
-    Outcome,
 )
 from medlarrail.transport.routes import Request, route
 
@@ -130,7 +128,7 @@
             nonce=attempt.nonce,
         )
         try:
-            outcome = await self._propose(Envelope(operation), DISPATCH_LIMIT_S)
+            outcome = await self.state.propose(Envelope(operation), DISPATCH_LIMIT_S)
         except trio.Cancelled:
             self._settle_later(attempt, "not_dispatched", None)
             raise
@@ -143,13 +141,6 @@
             raise LedgerUnavailable() from error
         return outcome.record
 
-    async def _propose(self, envelope: Envelope, limit_s: float) -> Outcome:
-        outcome = await self.state.propose(envelope, limit_s)
-        error = decode_error(outcome.error.encode()) if outcome.error else None
-        if error is not None:
-            raise error
-        return outcome
-
     async def _send(
         self, attempt: Attempt, send: Send, deadline: float
     ) -> StoredAnswer:
@@ -183,7 +174,7 @@
         limit_s = max(FINISH_ATTEMPT_S, deadline - trio.current_time())
         envelope = Envelope(LedgerFinish(attempt.key, attempt.nonce, state, answer))
         try:
-            outcome = await self._propose(envelope, min(limit_s, FINISH_ATTEMPT_S))
+            outcome = await self.state.propose(envelope, min(limit_s, FINISH_ATTEMPT_S))
         except MedlarError:
             self._settle_later(attempt, state, answer)
             return False
@@ -214,7 +205,7 @@
         with trio.move_on_after(FINISH_GIVE_UP_S):
             while True:
                 try:
-                    await self._propose(envelope, FINISH_ATTEMPT_S)
+                    await self.state.propose(envelope, FINISH_ATTEMPT_S)
                     return
                 except NotFound:
                     if trio.current_time() > started_at + LATE_DISPATCH_S:
--- a/medlarrail/coordination/ownership.py
+++ b/medlarrail/coordination/ownership.py
@@ -262,9 +262,7 @@
     def _check_open(self, owned: OwnedEndpoint, request: AcquireRequest) -> None:
         """Refuse what cannot be served in time, with the reason."""
         name = request.endpoint
-        if not self.follower.catalogue.is_in_service(owned.endpoint):
-            raise EndpointOutOfService(endpoint=name)
-        if name in self.follower.catalogue.loads:
+        if not self.follower.catalogue.takes_new_work(owned.endpoint):
             raise EndpointOutOfService(endpoint=name)
         if owned.limiter.is_silent():
             raise EndpointSilent(endpoint=name)
@@ -302,9 +300,7 @@
         """Give permits while there is room, in the order of the fair queue."""
         if not self.session.is_valid() or not self.may_grant(owned):
             return
-        if not self.follower.catalogue.is_in_service(owned.endpoint):
-            return
-        if owned.endpoint.name in self.follower.catalogue.loads:
+        if not self.follower.catalogue.takes_new_work(owned.endpoint):
             return
         while owned.queue and owned.limiter.has_room():
             ticket = owned.queue.pop()
--- a/medlarrail/coordination/rollout.py
+++ b/medlarrail/coordination/rollout.py
@@ -17,7 +17,6 @@
 from medlarrail.coordination.ownership import OwnedEndpoint, OwnerTable
 from medlarrail.coordination.session import Session
 from medlarrail.coordination.state_client import StateClient
-from medlarrail.core.codec import decode_error
 from medlarrail.core.entities import DesiredVersion, EndpointOrder
 from medlarrail.core.errors import (
     FencedOff,
@@ -117,9 +116,6 @@
     async def _propose(self, operation) -> int:
         command_id = f"load-{secrets.token_hex(COMMAND_ID_BYTES)}"
         outcome = await self.state.propose(Envelope(operation, command_id))
-        error = decode_error(outcome.error.encode()) if outcome.error else None
-        if error is not None:
-            raise error
         return outcome.index
 
     async def _load(self, owned: OwnedEndpoint, desired: DesiredVersion) -> bool:
--- a/medlarrail/coordination/routing.py
+++ b/medlarrail/coordination/routing.py
@@ -99,8 +99,7 @@
         found = {
             one.name: one
             for one in catalogue.iterate_endpoints(target.kind, target.serves)
-            if catalogue.is_in_service(one)
-            and one.name not in catalogue.loads
+            if catalogue.takes_new_work(one)
             and weight_version in ("", one.weight_version)
         }
         ranked = [found[name] for name in rank_nodes(found, target.affinity)]
--- a/medlarrail/state/appliers.py
+++ b/medlarrail/state/appliers.py
@@ -200,7 +200,7 @@
     serving = [
         one
         for one in catalogue.iterate_endpoints("model", endpoint.serves)
-        if catalogue.is_in_service(one) and one.name not in catalogue.loads
+        if catalogue.takes_new_work(one)
     ]
     if len(serving) - 1 < desired.floor:
         raise LoadLimit()
--- a/medlarrail/state/catalogue.py
+++ b/medlarrail/state/catalogue.py
@@ -141,6 +141,10 @@
         """Return whether new work may go to ``endpoint``."""
         return endpoint.state == "in" and self.is_data_centre_in(endpoint.data_centre)
 
+    def takes_new_work(self, endpoint: Endpoint) -> bool:
+        """Return whether ``endpoint`` is in service and loads no weights."""
+        return self.is_in_service(endpoint) and endpoint.name not in self.loads
+
     def is_data_centre_in(self, name: str) -> bool:
         """Return whether the data centre is in service; unlisted ones are."""
         found = self.data_centres.get(name)
