--- /dev/null
+++ b/medlarrail/cluster/picture.py
@@ -0,0 +1,209 @@
+"""An entry's picture of the deployment: document, endpoints and other entries.
+
+The picture is kept up by one call after the other to the leading state member.
+It never goes back within one life of the process: a document of a lower version
+is passed over, and what an unsettled leader does not list is kept.
+"""
+
+from collections.abc import Callable
+
+import eliot
+import trio
+from attrs import define, field
+
+from medlarrail.cluster.state_client import StateClient
+from medlarrail.core.announcements import Announcement, EndpointNotice, EntryNotice
+from medlarrail.core.clock import Clock, get_boottime
+from medlarrail.core.deployment import Deployment
+from medlarrail.core.entities import DesiredVersion
+from medlarrail.core.errors import MedlarError
+from medlarrail.core.invariants import require
+from medlarrail.core.metrics import get_metrics
+from medlarrail.protocol.pictures import (
+    PICTURE_PATH,
+    PictureAnswer,
+    PictureRequest,
+)
+
+CALL_WAIT_S = 0.5
+"""Time for which a call is held open: the longest a change can go unnoticed when
+a connection dies in silence is this and the time limit of a call."""
+CALL_TIMEOUT_S = 1.6
+RETRY_PAUSE_S = 0.1
+UNSETTLED_PAUSE_S = 0.2
+"""Pause between calls to a leader that has not heard of all endpoints yet; each
+of them returns the whole list."""
+
+
+@define
+class PicturedEndpoint:
+    """An endpoint as this entry knows it."""
+
+    announced: Announcement
+    cold_until: float = float("-inf")
+    loading: bool = False
+
+
+@define
+class Picture:
+    """What this entry knows; ``told_at`` is when a leader last answered."""
+
+    clock: Clock = get_boottime
+    deployment: Deployment | None = None
+    endpoints: dict[str, PicturedEndpoint] = field(factory=dict)
+    entries: tuple[EntryNotice, ...] = ()
+    entry_count: int = 1
+    out_data_centres: frozenset[str] = frozenset()
+    desired: dict[str, DesiredVersion] = field(factory=dict)
+    member_urls: tuple[str, ...] = ()
+    told_at: float = float("-inf")
+    on_deployment: list[Callable[[Deployment], None]] = field(factory=list)
+
+    def get_age(self) -> float:
+        """Return the seconds since a leader last confirmed the picture."""
+        return self.clock() - self.told_at
+
+    def get_version(self) -> int:
+        """Return the version of the document, or -1 where none is known."""
+        return -1 if self.deployment is None else self.deployment.version
+
+    def apply(self, answer: PictureAnswer) -> None:
+        """Bring the picture up to what a leader answered."""
+        self.told_at = self.clock()
+        if answer.deployment is not None:
+            self._take_deployment(answer.deployment)
+        for name in answer.departed:
+            self.endpoints.pop(name, None)
+        for notice in answer.endpoints:
+            self._take_endpoint(notice)
+        if answer.whole and answer.settled:
+            listed = {one.announced.name for one in answer.endpoints}
+            for name in set(self.endpoints) - listed:
+                del self.endpoints[name]
+        if answer.entries is not None:
+            self._take_entries(answer.entries, answer.settled)
+        self.entry_count = max(answer.entry_count, len(self.entries), 1)
+        self.out_data_centres = frozenset(answer.out_data_centres)
+        self.desired = {one.model: one for one in answer.desired}
+        self.member_urls = answer.member_urls
+
+    def _take_deployment(self, fresh: Deployment) -> None:
+        before = self.get_version()
+        if fresh.version <= before:
+            get_metrics().count("deployments_outdated")
+            return
+        require(fresh.version > before, "deployment-never-reverts", str(before))
+        self.deployment = fresh
+        eliot.log_message("deployment:in-force", version=fresh.version, previous=before)
+        for notify in self.on_deployment:
+            notify(fresh)
+
+    def _take_endpoint(self, notice: EndpointNotice) -> None:
+        announced = notice.announced
+        known = self.endpoints.get(announced.name)
+        if known is not None and known.announced.age_key > announced.age_key:
+            return
+        for name, other in list(self.endpoints.items()):
+            same = other.announced.address == announced.address
+            if same and name != announced.name:
+                if other.announced.started_ms > announced.started_ms:
+                    return
+                del self.endpoints[name]
+        cold_until = self.clock() + notice.cold_ms / 1000
+        self.endpoints[announced.name] = PicturedEndpoint(
+            announced, cold_until, notice.loading
+        )
+
+    def _take_entries(self, listed: tuple[EntryNotice, ...], settled: bool) -> None:
+        """Take a list of entries; an unsettled leader's may lack some."""
+        if settled:
+            self.entries = listed
+            return
+        known = {one.address for one in listed}
+        kept = tuple(one for one in self.entries if one.address not in known)
+        self.entries = (*listed, *kept)
+
+
+@define
+class PictureKeeper:
+    """Asks the leading state member again and again."""
+
+    picture: Picture
+    state: StateClient
+    name: str
+    address: str
+    data_centre: str
+    ready: bool = False
+    _epoch: str = ""
+    _endpoints_seen: int = 0
+    _entries_seen: int = 0
+    _configuration_seen: int = 0
+    _settled: bool = False
+    _connected: bool = False
+    _seeds: tuple[str, ...] = field(init=False)
+
+    def __attrs_post_init__(self):
+        self._seeds = self.state.urls
+
+    async def run(self) -> None:
+        """Keep the picture up until cancelled."""
+        while True:
+            try:
+                answer = await self.state.call_leader(
+                    PICTURE_PATH, self._build_request(), PictureAnswer, CALL_TIMEOUT_S
+                )
+            except MedlarError as error:
+                self._note_failure(error)
+                await trio.sleep(RETRY_PAUSE_S)
+                continue
+            self._take(answer)
+            if not answer.settled:
+                await trio.sleep(UNSETTLED_PAUSE_S)
+
+    async def tell(self) -> None:
+        """Tell the leader at once whether this entry is ready."""
+        request = self._build_request(wait_s=0.0)
+        try:
+            answer = await self.state.call_leader(
+                PICTURE_PATH, request, PictureAnswer, CALL_TIMEOUT_S
+            )
+        except MedlarError as error:
+            self._note_failure(error)
+            return
+        self._take(answer)
+
+    def _build_request(self, wait_s: float = CALL_WAIT_S) -> PictureRequest:
+        return PictureRequest(
+            entry=self.name,
+            address=self.address,
+            data_centre=self.data_centre,
+            ready=self.ready,
+            epoch=self._epoch if self._settled else "",
+            endpoints_seen=self._endpoints_seen,
+            entries_seen=self._entries_seen,
+            configuration_seen=self._configuration_seen,
+            deployment_version=self.picture.get_version(),
+            wait_s=wait_s if self._settled else 0.0,
+        )
+
+    def _take(self, answer: PictureAnswer) -> None:
+        self._epoch = answer.epoch
+        self._settled = answer.settled
+        self._endpoints_seen = answer.endpoints_revision
+        self._entries_seen = answer.entries_revision
+        self._configuration_seen = answer.configuration_index
+        self.picture.apply(answer)
+        self.state.urls = tuple(dict.fromkeys((*answer.member_urls, *self._seeds)))
+        if not self._connected:
+            self._connected = True
+            eliot.log_message(
+                "state:regained", leader=self.state.leader_url, epoch=answer.epoch
+            )
+
+    def _note_failure(self, error: MedlarError) -> None:
+        get_metrics().count("picture_failures", type=type(error).__name__)
+        if self._connected:
+            self._connected = False
+            eliot.log_message(
+                "state:lost", reason=str(error), picture_age_s=self.picture.get_age()
+            )
--- /dev/null
+++ b/medlarrail/core/deployment_check.py
@@ -0,0 +1,39 @@
+"""Checks a deployment document whose types are right."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from medlarrail.core.deployment import Deployment, RouteRule
+from medlarrail.core.entities import Fault
+
+
+def iterate_deployment_faults(deployment: Deployment) -> Iterator[Fault]:
+    """Yield what is wrong with a document, each fault with its place."""
+    services = {one.name for one in deployment.services}
+    for number, route in enumerate(deployment.routes):
+        yield from _iterate_route_faults(route, f"$.routes[{number}]", services)
+    places = Counter((one.host, one.prefix) for one in deployment.routes)
+    for (host, prefix), count in places.items():
+        if count > 1:
+            yield Fault("$.routes", f"{count} routes share {host}{prefix}")
+    keys = Counter(key for one in deployment.accounts for key in set(one.keys))
+    for number, account in enumerate(deployment.accounts):
+        if any(keys[key] > 1 for key in account.keys):
+            place = f"$.accounts[{number}].keys"
+            yield Fault(place, "another account has one of these keys")
+
+
+def _iterate_route_faults(
+    route: RouteRule, place: str, services: set[str]
+) -> Iterator[Fault]:
+    for share in route.shares:
+        if share.service not in services:
+            yield Fault(f"{place}.shares", f"unknown service {share.service!r}")
+        if share.weight < 0:
+            yield Fault(f"{place}.shares", "a weight is negative")
+    if sum(share.weight for share in route.shares) <= 0:
+        yield Fault(f"{place}.shares", "the weights add up to 0")
+    if route.timeout_ms <= 0:
+        yield Fault(f"{place}.timeout_ms", "is not above 0")
+    if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
+        yield Fault(f"{place}.prefix", "does not begin and end with a slash")
--- a/medlarrail/core/entities.py
+++ b/medlarrail/core/entities.py
@@ -114,12 +114,16 @@
 
 @frozen
 class DesiredVersion:
-    """The weight version that every endpoint of ``model`` is to load."""
+    """The weight version that every endpoint of ``model`` is to load.
+
+    Versions with an ``ordinal`` only go up: a lower one changes nothing.
+    """
 
     model: str
     weight_version: str
     max_loads: int = 2
     floor: int = 1
+    ordinal: int = 0
 
 
 @frozen
--- a/medlarrail/core/errors.py
+++ b/medlarrail/core/errors.py
@@ -104,6 +104,28 @@
     name: str = ""
 
 
+@define(slots=False)
+class DeploymentInvalid(CallerError):
+    """The deployment document has faults and is not taken."""
+
+    faults: tuple = ()
+
+
+@define(slots=False)
+class MalformedRequest(CallerError):
+    """The request cannot be read as one whole request."""
+
+    problem: str = ""
+
+
+@define(slots=False)
+class OverLongHeader(CallerError):
+    """The head of the request is longer than the limit."""
+
+    status = 431
+    limit_bytes: int = 0
+
+
 @define(slots=False)
 class OverLongBody(CallerError):
     """The body is longer than the limit."""
@@ -222,6 +244,18 @@
     """This process is shutting down; another entry can serve."""
 
 
+@define(slots=False)
+class DeploymentUnknown(Refusal):
+    """This process knows no deployment document yet."""
+
+
+@define(slots=False)
+class RetryLimit(Refusal):
+    """The service's shared budget of retries is spent."""
+
+    service: str = ""
+
+
 @define(slots=False)
 class TooManyConnections(Refusal):
     """The process serves as many requests as its settings allow."""
@@ -285,6 +319,13 @@
     tokens: int = 0
 
 
+@define(slots=False)
+class EndpointFailed(RunFailure):
+    """The endpoint answered with a failure of its own."""
+
+    answered: int = 0
+
+
 @define(slots=False)
 class AnswerTruncated(RunFailure):
     """The answer ended without its terminator or with missing tokens."""
--- a/medlarrail/core/layers_test.py
+++ b/medlarrail/core/layers_test.py
@@ -17,6 +17,7 @@
     "ownership",
     "context",
     "serving",
+    "relay",
     "settings",
     "standins",
     "testing",
--- /dev/null
+++ b/medlarrail/platform/programs.py
@@ -0,0 +1,51 @@
+"""The programs with the platform's interfaces in place of the usual ones."""
+
+from pathlib import Path
+
+import eliot
+import trio
+
+from medlarrail.programs.common import load_or_exit, run_program, start_log
+from medlarrail.settings.daemons import GatewaySettings, StateSettings
+
+PROGRAMS = ("gateway", "state")
+
+
+async def run_gateway(settings: GatewaySettings) -> None:
+    """Run a gateway with the platform's headers, readiness and directory."""
+    from medlarrail.platform.dialect import PlatformDialect
+    from medlarrail.platform.directory import PlatformDirectory
+    from medlarrail.programs.asides import serve_aside
+    from medlarrail.programs.gateway import Gateway
+
+    gateway = Gateway(settings, PlatformDialect())
+    directory = PlatformDirectory(gateway)
+    async with trio.open_nursery() as nursery:
+        await serve_aside(nursery, settings.health_address, directory.answer_ready)
+        if settings.directory_address:
+            await serve_aside(
+                nursery, settings.directory_address, directory.answer_resolve
+            )
+        await gateway.run(nursery)
+        nursery.cancel_scope.cancel()
+
+
+async def run_state(settings: StateSettings) -> None:
+    """Run a state member that answers the platform's control calls."""
+    from medlarrail.platform.control import PlatformControl
+    from medlarrail.programs.state import run_state as run_member
+
+    await run_member(settings, lambda desk: (PlatformControl(desk),))
+
+
+def run_on_platform(name: str, settings_path: Path) -> int:
+    """Run the program ``name`` until it is told to stop."""
+    kind, run = {
+        "gateway": (GatewaySettings, run_gateway),
+        "state": (StateSettings, run_state),
+    }[name]
+    settings = load_or_exit(settings_path, kind)
+    start_log(settings.log_file)
+    eliot.log_message("settings:read", name=settings.name, program=name)
+    run_program(run, settings)
+    return 0
--- /dev/null
+++ b/medlarrail/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as pure functions over typed views, apart from input and output."""
--- /dev/null
+++ b/medlarrail/programs/asides.py
@@ -0,0 +1,35 @@
+"""Small servers beside a daemon's main one, such as that of its metrics."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from medlarrail.core.errors import MedlarError
+from medlarrail.core.metrics import format_prometheus, get_metrics
+from medlarrail.relay.inbound import Exchange, InboundServer
+
+METRICS_TYPE = b"text/plain; version=0.0.4"
+
+
+async def start_metrics(nursery: trio.Nursery, address: str) -> None:
+    """Serve this process's metrics as text on ``address``."""
+
+    async def answer(exchange: Exchange) -> None:
+        headers = [(b"Content-Type", METRICS_TYPE)]
+        await exchange.send_whole(200, headers, format_prometheus(get_metrics()))
+
+    await serve_aside(nursery, address, answer)
+
+
+Answerer = Callable[[Exchange], Awaitable[None]]
+
+
+async def serve_aside(nursery: trio.Nursery, address: str, answer: Answerer) -> None:
+    """Serve ``answer`` on ``host:port``, beside the callers' address."""
+
+    async def answer_error(exchange: Exchange, error: MedlarError) -> None:
+        await exchange.send_whole(error.status, [], b"")
+
+    host, _, port = address.partition(":")
+    server = InboundServer(answer, answer_error)
+    await nursery.start(server.run, host, int(port))
--- a/medlarrail/programs/common.py
+++ b/medlarrail/programs/common.py
@@ -1,7 +1,6 @@
 """What the programs share: settings files, logs, signals and exit codes."""
 
 import signal
-import sys
 from collections.abc import Awaitable, Callable
 from enum import IntEnum
 from pathlib import Path
@@ -12,6 +11,7 @@
 import typer
 
 from medlarrail.core.errors import SettingsInvalid
+from medlarrail.core.logs import open_standard_output
 from medlarrail.settings.loading import load_settings
 
 T = TypeVar("T")
@@ -42,9 +42,9 @@
 
 
 def start_log(log_file: str) -> None:
-    """Write the log as JSON lines to a file, or to standard error."""
+    """Write the log as JSON lines to a file, or to standard output."""
     if not log_file:
-        eliot.to_file(sys.stderr)
+        eliot.add_destinations(open_standard_output())
         return
     eliot.to_file(Path(log_file).open("a", buffering=1))  # noqa: SIM115
 
--- a/medlarrail/programs/entry.py
+++ b/medlarrail/programs/entry.py
@@ -194,7 +194,7 @@
         program = EntryProgram(settings, nursery)
         server = program.build_server()
         listen = settings.listen
-        await nursery.start(server.run, listen.host, listen.port)
+        await nursery.start(server.run, listen.host, listen.bind_port)
         program.start()
         await wait_for_stop_signal()
         await program.drain(server)
--- /dev/null
+++ b/medlarrail/programs/gateway.py
@@ -0,0 +1,95 @@
+"""``medlar-gateway``: an entry for opaque requests."""
+
+import os
+
+import eliot
+import trio
+from attrs import define
+
+from medlarrail.cluster.picture import Picture, PictureKeeper
+from medlarrail.cluster.state_client import StateClient
+from medlarrail.core.deployment import Deployment
+from medlarrail.programs.asides import start_metrics
+from medlarrail.programs.common import build_program, wait_for_stop_signal
+from medlarrail.relay.book import EndpointBook
+from medlarrail.relay.calls import Dialect
+from medlarrail.relay.dialect import StandardDialect
+from medlarrail.relay.drain import drain_gateway
+from medlarrail.relay.front import RelayFront
+from medlarrail.relay.inbound import InboundServer
+from medlarrail.settings.daemons import GatewaySettings
+from medlarrail.transport.client import HttpClient
+
+
+@define(slots=False)
+class Gateway:
+    """The parts of one gateway; ``dialect`` spells the facts of requests."""
+
+    settings: GatewaySettings
+    dialect: Dialect
+
+    def __attrs_post_init__(self):
+        settings = self.settings
+        peers = HttpClient(settings.keys.cluster)
+        self.picture = Picture()
+        address = settings.listen.url.removeprefix("http://")
+        self.keeper = PictureKeeper(
+            self.picture,
+            StateClient(peers, settings.state_urls),
+            name=settings.name,
+            address=address,
+            data_centre=settings.data_centre,
+        )
+        book = EndpointBook(self.picture, settings.data_centre)
+        self.front = RelayFront(self.picture, self.dialect, book, settings.retries)
+        self.server = InboundServer(
+            self.front.answer,
+            self.front.answer_error,
+            max_connections=settings.max_connections,
+        )
+        self.picture.on_deployment.append(self._take_deployment)
+
+    def _take_deployment(self, deployment: Deployment) -> None:
+        self.server.limits = deployment.limits
+        self.keeper.ready = not self.server.draining
+
+    def is_ready(self) -> bool:
+        """Return whether callers may be sent here."""
+        return self.picture.deployment is not None and not self.server.draining
+
+    async def run(self, nursery: trio.Nursery) -> None:
+        """Serve until the stop signal, then drain."""
+        listen = self.settings.listen
+        await nursery.start(self.server.run, listen.host, listen.bind_port)
+        if self.settings.metrics_address:
+            await start_metrics(nursery, self.settings.metrics_address)
+        nursery.start_soon(self.keeper.run)
+        nursery.start_soon(self.front.maintain)
+        await wait_for_stop_signal()
+        eliot.log_message("gateway:draining", name=self.settings.name)
+        self.keeper.ready = False
+        self.server.draining = True
+        nursery.start_soon(self.keeper.tell)
+        await drain_gateway(self.server, self.front, self.settings.drain)
+
+
+async def run_gateway(settings: GatewaySettings) -> None:
+    """Run a gateway until SIGTERM, then drain it."""
+    eliot.log_message("gateway:starting", name=settings.name, pid=os.getpid())
+    async with trio.open_nursery() as nursery:
+        await Gateway(settings, StandardDialect()).run(nursery)
+        nursery.cancel_scope.cancel()
+
+
+app = build_program(
+    "medlar-gateway",
+    "Runs an entry for opaque requests.",
+    "medlar-gateway --settings gateway-1.json",
+    GatewaySettings,
+    run_gateway,
+)
+
+
+def main() -> None:
+    """Entry point."""
+    app()
--- a/medlarrail/programs/state.py
+++ b/medlarrail/programs/state.py
@@ -1,14 +1,18 @@
 """``medlar-state``: a member of the replicated log."""
 
+from collections.abc import Callable, Sequence
 from pathlib import Path
 
 import eliot
 import trio
 
 from medlarrail.cluster.control import StateControl
+from medlarrail.cluster.picture_desk import PictureDesk
 from medlarrail.cluster.sessions import SessionKeeper
+from medlarrail.consensus.membership import MembershipKeeper
 from medlarrail.consensus.replication import LogMember
 from medlarrail.core.errors import StorageDamaged
+from medlarrail.programs.asides import start_metrics
 from medlarrail.programs.common import build_program, wait_for_stop_signal
 from medlarrail.programs.monitoring import Monitoring
 from medlarrail.serving.access import Guard, KeyRing
@@ -42,28 +46,44 @@
     return Guard({"/internal/": cluster, "/v1/": operators, "/metrics": operators})
 
 
-async def run_state(settings: StateSettings) -> None:
+BuildInterfaces = Callable[[PictureDesk], Sequence]
+"""Returns objects whose routes a member serves besides its own."""
+
+
+async def run_state(
+    settings: StateSettings, build_interfaces: BuildInterfaces = lambda desk: ()
+) -> None:
     """Run a state member until SIGTERM."""
     folder = DataFolder(Path(settings.data_folder), settings.quota_bytes)
     peers = HttpClient(settings.keys.cluster)
     member = LogMember(
         settings.name, settings.listen.url, open_or_set_aside(folder), peers
     )
+    desk = PictureDesk(member)
     sessions = SessionKeeper(member)
+    membership = MembershipKeeper(member, settings.seeds, settings.first_start)
     routes = Routes.collect(
         member,
         sessions,
+        desk,
+        membership,
         StateControl(member, sessions),
         LedgerReader(member),
         Monitoring(settings.name),
+        *build_interfaces(desk),
         guard=build_guard(settings.keys),
     )
     server = HttpServer(routes, settings.server)
     listen = settings.listen
     async with trio.open_nursery() as nursery:
-        await nursery.start(server.run, listen.host, listen.port)
+        await nursery.start(server.run, listen.host, listen.bind_port)
         await nursery.start(member.run)
         nursery.start_soon(sessions.run)
+        nursery.start_soon(desk.run)
+        if settings.metrics_address:
+            await start_metrics(nursery, settings.metrics_address)
+        if settings.seeds:
+            nursery.start_soon(membership.run)
         await wait_for_stop_signal()
         nursery.cancel_scope.cancel()
 
--- a/medlarrail/programs/store.py
+++ b/medlarrail/programs/store.py
@@ -75,7 +75,7 @@
             store, Monitoring(settings.name), guard=build_guard(settings.keys)
         )
         server = HttpServer(routes, settings.server)
-        await nursery.start(server.run, listen.host, listen.port)
+        await nursery.start(server.run, listen.host, listen.bind_port)
         nursery.start_soon(announce, settings, client)
         await wait_for_stop_signal()
         await server.wait_idle()
--- /dev/null
+++ b/medlarrail/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Carries opaque requests between callers and endpoints, byte for byte."""
--- /dev/null
+++ b/medlarrail/relay/dialect.py
@@ -0,0 +1,111 @@
+"""The project's own spelling of the facts of requests and answers."""
+
+import orjson
+
+from medlarrail.core.errors import CallerError, MalformedRequest, MedlarError
+from medlarrail.core.errors import Refusal as RefusalError
+from medlarrail.relay.calls import (
+    AnswerFacts,
+    CallFacts,
+    Dispatch,
+    Header,
+    Refusal,
+)
+from medlarrail.relay.headers import get_header, iterate_end_to_end
+
+REQUEST_ID = b"x-request-id"
+DEADLINE = b"x-deadline-ms"
+NOT_RUN = b"x-not-run"
+ACCOUNT = b"x-account"
+ENDPOINT = b"x-endpoint"
+OWN_HEADERS = frozenset((b"authorization", ACCOUNT, ENDPOINT, DEADLINE))
+"""Headers that the system sets itself, whatever the caller sent."""
+
+
+def get_text(headers: tuple[Header, ...], name: bytes) -> str:
+    """Return a header's value, or an empty text."""
+    return (get_header(headers, name) or b"").decode("latin1").strip()
+
+
+def get_number(headers: tuple[Header, ...], name: bytes) -> int | None:
+    """Return a header's whole number; raises ``MalformedRequest`` for another."""
+    text = get_text(headers, name)
+    if not text:
+        return None
+    if not text.isdecimal():
+        raise MalformedRequest(problem=f"{name.decode()} is no whole number")
+    return int(text)
+
+
+def refuse(error: MedlarError) -> Refusal:
+    """Return the final answer that stands for ``error``.
+
+    Only an error that proves that nothing ran is answered with a status that
+    says so, and tells when to come back.
+    """
+    if isinstance(error, RefusalError):
+        status = error.status if error.status in (429, 503) else 503
+        return Refusal(status, type(error).__name__, max(0.05, error.retry_after_s))
+    if isinstance(error, CallerError):
+        return Refusal(error.status, type(error).__name__)
+    status = error.status if error.status in (502, 504) else 502
+    return Refusal(status, type(error).__name__)
+
+
+class StandardDialect:
+    """Common header names, for endpoints that speak no other dialect."""
+
+    def read_call(self, headers: tuple[Header, ...]) -> CallFacts:
+        """See ``Dialect``."""
+        scheme, _, key = get_text(headers, b"authorization").partition(" ")
+        return CallFacts(
+            request_id=get_text(headers, REQUEST_ID),
+            key=key.strip() if scheme.lower() == "bearer" else "",
+            deadline_ms=get_number(headers, DEADLINE),
+            last_event_id=get_text(headers, b"last-event-id"),
+        )
+
+    def write_call(
+        self, headers: tuple[Header, ...], dispatch: Dispatch
+    ) -> list[Header]:
+        """See ``Dialect``."""
+        kept = [
+            (name, value)
+            for name, value in iterate_end_to_end(headers)
+            if name.lower() not in OWN_HEADERS and name.lower() != b"last-event-id"
+        ]
+        kept.append((b"X-Deadline-Ms", str(dispatch.deadline_ms).encode()))
+        kept.append((b"X-Endpoint", dispatch.endpoint.name.encode()))
+        if dispatch.account:
+            kept.append((b"X-Account", dispatch.account.encode()))
+        if dispatch.last_event_id:
+            kept.append((b"Last-Event-Id", dispatch.last_event_id.encode()))
+        return kept
+
+    def read_answer(self, status: int, headers: tuple[Header, ...]) -> AnswerFacts:
+        """See ``Dialect``."""
+        return AnswerFacts(
+            request_id=get_text(headers, REQUEST_ID),
+            genuine=True,
+            not_run=bool(get_text(headers, NOT_RUN)),
+            misdirected=status == 421,
+        )
+
+    def write_answer(self, headers: tuple[Header, ...]) -> list[Header]:
+        """See ``Dialect``."""
+        return list(iterate_end_to_end(headers))
+
+    def write_refusal(
+        self, refusal: Refusal, facts: CallFacts | None
+    ) -> tuple[list[Header], bytes]:
+        """See ``Dialect``."""
+        headers: list[Header] = [(b"Content-Type", b"application/json")]
+        if refusal.retry_after_s > 0:
+            headers.append((b"Retry-After", f"{refusal.retry_after_s:.2f}".encode()))
+        if facts is not None and facts.request_id:
+            headers.append((b"X-Request-Id", facts.request_id.encode("latin1")))
+        return headers, orjson.dumps({"error": refusal.reason})
+
+    def refuse(self, error: MedlarError) -> Refusal:
+        """See ``Dialect``."""
+        return refuse(error)
--- /dev/null
+++ b/medlarrail/relay/front.py
@@ -0,0 +1,317 @@
+"""The way of an opaque request from a caller to an endpoint and back.
+
+A request that may not be repeated is sent on once; it is sent again only where
+the endpoint states that it did not run it, or where no connection was made. A
+refusal is given only while nothing ran.
+"""
+
+import eliot
+import trio
+from attrs import define, field, frozen
+
+from medlarrail.cluster.picture import Picture, PicturedEndpoint
+from medlarrail.core.deployment import Deployment, ServiceRule
+from medlarrail.core.errors import (
+    DeadlineExceeded,
+    DeploymentUnknown,
+    Draining,
+    EndpointRefused,
+    EndpointUnreachable,
+    MalformedRequest,
+    MedlarError,
+    NoEndpoint,
+    RetryLimit,
+    RunDeadlineExceeded,
+    RunFailure,
+    StreamBroken,
+)
+from medlarrail.core.metrics import get_metrics
+from medlarrail.policy.placement import choose_by_context, choose_least_loaded
+from medlarrail.policy.rates import RetryBudget
+from medlarrail.relay.attempt import Attempt, WholeAnswer
+from medlarrail.relay.book import EndpointBook
+from medlarrail.relay.calls import CallFacts, Dialect, Dispatch
+from medlarrail.relay.inbound import Exchange
+from medlarrail.relay.outbound import OutboundPool
+from medlarrail.relay.table import Admitted, RouteTable, choose_service
+
+ANSWER_GRACE_S = 0.08
+"""Time past the deadline for which an endpoint's own answer to it is awaited."""
+FEWEST_CONNECTIONS = 2
+"""Connections that an entry may always have to one endpoint."""
+CONNECTIONS_SHARE = 0.9
+"""Part of an endpoint's limit of connections that all entries together use."""
+LARGEST_ATTEMPTS = 6
+"""Endpoints tried for one request, those included that did not run it."""
+MAINTENANCE_INTERVAL_S = 1.0
+
+
+@frozen
+class RetryPolicy:
+    """The budget of repeats that all gateways share.
+
+    In ``window_s`` seconds a service may get ``ratio`` of its requests and
+    ``slack`` more as repeats.
+    """
+
+    window_s: float = 10.0
+    ratio: float = 0.2
+    slack: float = 10.0
+
+
+@define(eq=False)
+class RelayFront:
+    """Answers callers' requests by this entry's picture of the deployment."""
+
+    picture: Picture
+    dialect: Dialect
+    book: EndpointBook
+    retries: RetryPolicy = field(factory=RetryPolicy)
+    pool: OutboundPool = field(factory=OutboundPool)
+    refuse_new: bool = False
+    table: RouteTable | None = None
+    _budgets: dict[str, RetryBudget] = field(factory=dict)
+
+    def __attrs_post_init__(self):
+        self.picture.on_deployment.append(self._take_deployment)
+
+    def _take_deployment(self, deployment: Deployment) -> None:
+        self.table = RouteTable(deployment)
+
+    def get_budget(self, service: str) -> RetryBudget:
+        """Return this entry's part of a service's budget of repeats."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            policy = self.retries
+            budget = RetryBudget(policy.window_s, policy.ratio, policy.slack)
+            self._budgets[service] = budget
+        return budget
+
+    async def answer(self, exchange: Exchange) -> None:
+        """Answer one request, whatever happens to it."""
+        facts = None
+        relayed = None
+        try:
+            facts = self.dialect.read_call(exchange.request.headers)
+            admitted = self._admit(exchange, facts)
+            relayed = RelayedRequest(self, exchange, facts, admitted)
+            await relayed.run()
+        except MedlarError as error:
+            spare = relayed.spare if relayed is not None else None
+            if spare is not None and not exchange.started:
+                await spare.send(exchange)
+            else:
+                await self.answer_error(exchange, error, facts)
+
+    def _admit(self, exchange: Exchange, facts: CallFacts) -> Admitted:
+        if self.table is None:
+            raise DeploymentUnknown()
+        if self.refuse_new:
+            raise Draining()
+        request = exchange.request
+        if not request.target.startswith(b"/"):
+            raise MalformedRequest(problem="the target is no path")
+        return self.table.admit(request.host, request.path, facts.key)
+
+    async def answer_error(
+        self, exchange: Exchange, error: MedlarError, facts: CallFacts | None = None
+    ) -> None:
+        """Give the final answer that stands for ``error``."""
+        refusal = self.dialect.refuse(error)
+        get_metrics().count("refusals", reason=type(error).__name__)
+        eliot.log_message(
+            "request:refused",
+            request=facts.request_id if facts else "",
+            path=exchange.request.path,
+            status=refusal.status,
+            retry_after_s=refusal.retry_after_s,
+            reason=str(error),
+            version=self.picture.get_version(),
+            picture_age_s=round(self.picture.get_age(), 3),
+        )
+        if exchange.started:
+            exchange.abort()
+            return
+        headers, body = self.dialect.write_refusal(refusal, facts)
+        await exchange.send_whole(refusal.status, headers, body)
+
+    async def maintain(self) -> None:
+        """Close stale connections and forget endpoints that left."""
+        while True:
+            await trio.sleep(MAINTENANCE_INTERVAL_S)
+            self.pool.drop_idle()
+            self.book.forget_departed()
+            present = {one.announced.address for one in self.picture.endpoints.values()}
+            for address in set(self.pool.idle) - present:
+                self.pool.drop_address(address)
+
+    def get_connection_limit(self, service: ServiceRule) -> int:
+        """Return the connections that this entry may have to one endpoint."""
+        if not service.max_connections:
+            return 1 << 30
+        part = service.max_connections * CONNECTIONS_SHARE / self.picture.entry_count
+        return max(FEWEST_CONNECTIONS, int(part))
+
+
+@define(eq=False)
+class RelayedRequest:
+    """One admitted request and its attempts."""
+
+    front: RelayFront
+    exchange: Exchange
+    facts: CallFacts
+    admitted: Admitted
+    deadline: float = field(init=False)
+    """On trio's clock."""
+    service: ServiceRule = field(init=False)
+    tried: list[str] = field(factory=list)
+    runs: int = 0
+    """Attempts that ran or may have run."""
+    sends: int = 0
+    """Attempts that reached an endpoint, those that it rejected included."""
+    failure: MedlarError | None = None
+    spare: WholeAnswer | None = None
+    last_event_id: str = ""
+
+    def __attrs_post_init__(self):
+        route = self.admitted.route
+        limit_ms = route.timeout_ms
+        if self.facts.deadline_ms is not None:
+            limit_ms = min(limit_ms, self.facts.deadline_ms)
+        self.deadline = self.exchange.request.received_at + limit_ms / 1000
+        name = choose_service(route, self.facts.request_id)
+        self.service = self.front.table.services[name]
+        self.last_event_id = self.facts.last_event_id
+
+    def get_rest_s(self) -> float:
+        """Return the seconds left until the deadline."""
+        return self.deadline - trio.current_time()
+
+    async def run(self) -> None:
+        """Try endpoints until the caller has its answer; raises why it has none."""
+        self.front.get_budget(self.service.name).note_request(self.front.book.clock())
+        with trio.move_on_at(self.deadline + ANSWER_GRACE_S) as scope:
+            await self._try_endpoints()
+        if scope.cancelled_caught:
+            get_metrics().count("deadlines_passed", service=self.service.name)
+            raise RunDeadlineExceeded() if self.runs else DeadlineExceeded()
+
+    async def _try_endpoints(self) -> None:
+        while True:
+            endpoint = self._choose()
+            if endpoint is None:
+                raise self.failure or NoEndpoint(target=self.service.name)
+            if await self._attempt(endpoint):
+                return
+            self._check_further()
+
+    def _check_further(self) -> None:
+        """Raise the latest failure unless another attempt is allowed."""
+        allowed = self.runs == 0 or self.may_run_again(self.runs)
+        if not allowed or len(self.tried) >= LARGEST_ATTEMPTS:
+            raise self.failure
+        if self.get_rest_s() <= 0:
+            raise self.failure
+        if self.sends == 0:
+            return
+        budget = self.front.get_budget(self.service.name)
+        entry_count = self.front.picture.entry_count
+        if not budget.spend(self.front.book.clock(), entry_count):
+            get_metrics().count("retries_refused", service=self.service.name)
+            if self.runs:
+                raise self.failure
+            raise RetryLimit(service=self.service.name) from self.failure
+        get_metrics().count("retries", reason=type(self.failure).__name__)
+
+    def may_run_again(self, runs: int | None = None) -> bool:
+        """Return whether after ``runs`` failed runs another one is allowed.
+
+        Without ``runs`` the one that is under way is taken to have failed.
+        """
+        route = self.admitted.route
+        failed = self.runs + 1 if runs is None else runs
+        return route.repeatable and failed < max(1, route.max_attempts)
+
+    def _choose(self) -> PicturedEndpoint | None:
+        """Return the endpoint for the next attempt, or None where there is none."""
+        book = self.front.book
+        limit = self.front.get_connection_limit(self.service)
+        usable = [
+            one
+            for one in book.iterate_usable(self.service)
+            if one.announced.name not in self.tried
+            and book.get_record(one.announced.name).in_flight < limit
+        ]
+        staying = [one for one in usable if not one.loading]
+        usable = staying or usable
+        best_s = book.get_best_answer_s(usable)
+        candidates = [book.describe(one, best_s) for one in usable]
+        entry_count = self.front.picture.entry_count
+        if self.facts.parts:
+            context = self._get_scope() + self.facts.parts[0].identity
+            chosen = choose_by_context(candidates, entry_count, context)
+        else:
+            chosen = choose_least_loaded(candidates, entry_count, self.facts.request_id)
+        if chosen is None:
+            return None
+        return next(one for one in usable if one.announced.name == chosen.name)
+
+    def _get_scope(self) -> str:
+        """Return what separates this account's context from others', if anything."""
+        account = self.admitted.account
+        return f"{account.name}/" if account is not None and account.isolated else ""
+
+    def build_dispatch(self, endpoint: PicturedEndpoint) -> Dispatch:
+        """Return what goes with the request to ``endpoint``."""
+        account = self.admitted.account
+        engine = self.service.engine is not None
+        return Dispatch(
+            endpoint=endpoint.announced,
+            deadline_ms=max(1, int(self.get_rest_s() * 1000)),
+            account=account.name if account is not None else "",
+            priority=self.admitted.priority if engine else None,
+            cache_scope=self._get_scope() if engine else "",
+            last_event_id=self.last_event_id,
+        )
+
+    async def _attempt(self, endpoint: PicturedEndpoint) -> bool:
+        """Send the request once; returns whether the caller has its answer."""
+        name = endpoint.announced.name
+        attempt = Attempt(self, endpoint)
+        self.tried.append(name)
+        try:
+            await attempt.run()
+        except EndpointUnreachable as error:
+            self.front.book.health.note_failure(name)
+            self.failure = error
+        except EndpointRefused as error:
+            self.sends += 1
+            self.failure = error
+        except RunFailure as error:
+            self.sends += 1
+            self.runs += 1
+            self.failure = error
+            if isinstance(error, StreamBroken):
+                self.front.book.health.note_failure(name)
+        else:
+            self._log(attempt, "answered")
+            return True
+        self._log(attempt, str(self.failure))
+        return False
+
+    def _log(self, attempt: Attempt, outcome: str) -> None:
+        request = self.exchange.request
+        eliot.log_message(
+            "request:attempt",
+            request=self.facts.request_id,
+            route=self.admitted.route.name,
+            service=self.service.name,
+            endpoint=attempt.endpoint.announced.name,
+            number=len(self.tried),
+            status=attempt.status,
+            outcome=outcome,
+            first_ms=round(attempt.first_s * 1000, 1),
+            total_ms=round((trio.current_time() - request.received_at) * 1000, 1),
+            version=self.front.picture.get_version(),
+            picture_age_s=round(self.front.picture.get_age(), 3),
+        )
--- /dev/null
+++ b/medlarrail/relay/table.py
@@ -0,0 +1,94 @@
+"""Finds the route and the account of a request in one deployment document."""
+
+import hashlib
+
+from attrs import define, field, frozen
+
+from medlarrail.core.deployment import (
+    AccountRule,
+    Deployment,
+    RouteRule,
+    ServiceRule,
+)
+from medlarrail.core.errors import UnknownRoute, WrongKey
+from medlarrail.core.placement import get_weight
+
+WEIGHT_RANGE = 1 << 64
+
+
+@frozen
+class Admitted:
+    """A request's route and the account that it is served for.
+
+    ``account`` is None on public routes.
+    """
+
+    route: RouteRule
+    account: AccountRule | None
+
+    @property
+    def priority(self) -> int:
+        """Return the rank of the request, 0 first; the account's goes before."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
+
+def _digest(key: str) -> bytes:
+    return hashlib.sha256(key.encode("latin1", "replace")).digest()
+
+
+@define
+class RouteTable:
+    """Routes by host and accounts by the digest of their keys.
+
+    A table of digests takes as long for a nearly right key as for any other.
+    """
+
+    deployment: Deployment
+    services: dict[str, ServiceRule] = field(init=False)
+    _routes: dict[str, list[RouteRule]] = field(init=False)
+    _accounts: dict[bytes, AccountRule] = field(init=False, repr=False)
+
+    def __attrs_post_init__(self):
+        self.services = {one.name: one for one in self.deployment.services}
+        self._routes = {}
+        for route in self.deployment.routes:
+            self._routes.setdefault(route.host.lower(), []).append(route)
+        for routes in self._routes.values():
+            routes.sort(key=lambda one: len(one.prefix), reverse=True)
+        self._accounts = {
+            _digest(key): one for one in self.deployment.accounts for key in one.keys
+        }
+
+    def find_route(self, host: str, path: str) -> RouteRule:
+        """Return the route with the longest prefix; raises ``UnknownRoute``."""
+        for route in self._routes.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        raise UnknownRoute(path=path)
+
+    def admit(self, host: str, path: str, key: str) -> Admitted:
+        """Return what a request is admitted as.
+
+        Raises ``UnknownRoute`` and ``WrongKey``. Without accounts in the document
+        nobody needs a key.
+        """
+        route = self.find_route(host, path)
+        if route.public or not self.deployment.accounts:
+            return Admitted(route, None)
+        account = self._accounts.get(_digest(key)) if key else None
+        if account is None:
+            raise WrongKey()
+        return Admitted(route, account)
+
+
+def choose_service(route: RouteRule, request_id: str) -> str:
+    """Return the service of a request, spread by the weights of the route."""
+    total = sum(share.weight for share in route.shares)
+    point = get_weight(route.name, request_id) / WEIGHT_RANGE * total
+    for share in route.shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return next(one.service for one in reversed(route.shares) if one.weight > 0)
--- a/medlarrail/settings/daemons.py
+++ b/medlarrail/settings/daemons.py
@@ -6,6 +6,8 @@
 
 from medlarrail.context.estimator import Weights
 from medlarrail.core.entities import Fault
+from medlarrail.relay.drain import DrainPolicy
+from medlarrail.relay.front import RetryPolicy
 from medlarrail.serving.front import CallerLimits
 from medlarrail.serving.routing import RoutingPolicy
 from medlarrail.transport.server import ServerLimits
@@ -13,12 +15,23 @@
 
 @frozen
 class Listen:
-    """Where a program listens, and the URL under which others reach it."""
+    """Where a program listens, and the URL under which others reach it.
+
+    Port 0 stands for the port of the URL.
+    """
 
     host: str
     port: int
     url: str
 
+    @property
+    def bind_port(self) -> int:
+        """The port to bind, 0 where neither field has one."""
+        if self.port:
+            return self.port
+        tail = self.url.rpartition(":")[2]
+        return int(tail) if tail.isdigit() else 0
+
 
 @frozen
 class Keys:
@@ -43,6 +56,13 @@
     keys: Keys
     data_folder: str
     quota_bytes: int = 0
+    seeds: tuple[str, ...] = ()
+    """URLs of members to form the cluster with or to ask to be taken in; none
+    where an operator does both."""
+    first_start: bool = False
+    """Whether the whole system starts for the first time, with empty disks."""
+    metrics_address: str = ""
+    """``host:port`` for metrics without a key; empty for none."""
     server: ServerLimits = field(factory=lambda: ServerLimits(body_bytes=256_000_000))
     log_file: str = ""
 
@@ -63,6 +83,29 @@
     log_file: str = ""
 
 
+@frozen
+class GatewaySettings:
+    """Settings of a gateway: an entry for opaque requests.
+
+    ``health_address``, ``directory_address`` and ``metrics_address`` are each a
+    ``host:port`` of their own.
+    """
+
+    name: str
+    data_centre: str
+    listen: Listen
+    keys: Keys
+    state_urls: tuple[str, ...]
+    health_address: str = ""
+    directory_address: str = ""
+    metrics_address: str = ""
+    retries: RetryPolicy = field(factory=RetryPolicy)
+    drain: DrainPolicy = field(factory=DrainPolicy)
+    max_connections: int = 2000
+    """Callers' connections at once: half of the descriptors that a process has."""
+    log_file: str = ""
+
+
 @frozen
 class StoreSettings:
     """Settings of ``medlar-store``; ``eviction`` names a policy."""
@@ -90,7 +133,7 @@
 
 def iterate_listen_faults(listen: Listen):
     """Yield what is wrong with an address."""
-    if not 0 < listen.port < 65536:
+    if not 0 < listen.bind_port < 65536:
         yield Fault("$.listen.port", "not between 1 and 65535")
     if not listen.url.startswith("http://"):
         yield Fault("$.listen.url", "does not start with http://")
--- a/medlarrail/state/appliers.py
+++ b/medlarrail/state/appliers.py
@@ -149,10 +149,22 @@
     catalogue.view = View(index, others)
 
 
+@applies(ops.ReplaceDeployment)
+def apply_deployment(catalogue: Catalogue, index: int, envelope) -> None:
+    """Take up a document of a higher version; any other changes nothing."""
+    fresh = envelope.operation.deployment
+    present = catalogue.deployment
+    if present is None or fresh.version > present.version:
+        catalogue.deployment = fresh
+
+
 @applies(ops.SetDesiredVersion)
 def apply_desired_version(catalogue: Catalogue, index: int, envelope) -> None:
-    """Order a weight version for a model."""
+    """Order a weight version for a model, unless a later one was ordered."""
     desired = envelope.operation.desired
+    present = catalogue.desired.get(desired.model)
+    if desired.ordinal and present is not None and present.ordinal >= desired.ordinal:
+        return
     catalogue.desired[desired.model] = desired
 
 
--- a/medlarrail/state/catalogue.py
+++ b/medlarrail/state/catalogue.py
@@ -11,6 +11,7 @@
 from attrs import define, field, frozen
 
 from medlarrail.core.codec import encode_error
+from medlarrail.core.deployment import Deployment
 from medlarrail.core.entities import (
     Contract,
     DataCentre,
@@ -79,6 +80,7 @@
     revisions: tuple[ObjectRevision, ...] = ()
     results: tuple[CommandResult, ...] = ()
     ledger: tuple[ops.LedgerRecord, ...] = ()
+    deployment: Deployment | None = None
 
 
 @define
@@ -99,6 +101,7 @@
     revisions: dict[str, int] = field(factory=dict)
     results: OrderedDict[str, ops.Outcome] = field(factory=OrderedDict)
     ledger: OrderedDict[LedgerKey, ops.LedgerRecord] = field(factory=OrderedDict)
+    deployment: Deployment | None = None
 
     def apply(self, index: int, envelope: ops.Envelope) -> ops.Outcome:
         """Apply the entry at ``index``; a resent command gets its first outcome."""
@@ -174,6 +177,7 @@
             revisions=revisions,
             results=results if with_ledger else (),
             ledger=tuple(self.ledger.values()) if with_ledger else (),
+            deployment=self.deployment,
         )
 
     @classmethod
@@ -193,6 +197,7 @@
             revisions={one.name: one.revision for one in image.revisions},
             results=OrderedDict((one.command_id, one.outcome) for one in image.results),
             ledger=OrderedDict((one.key, one) for one in image.ledger),
+            deployment=image.deployment,
         )
 
     def is_dispatcher_live(self, record: ops.LedgerRecord) -> bool:
--- a/medlarrail/state/journal.py
+++ b/medlarrail/state/journal.py
@@ -88,6 +88,21 @@
     snapshot: Snapshot | None = None
     entries: list[LogEntry] = field(factory=list)
     run_blocking: RunBlocking = run_in_thread
+    _members_entry: LogEntry | None = field(init=False, default=None)
+    """The latest entry that changes the members, if the log holds one."""
+
+    def __attrs_post_init__(self):
+        self._find_members_entry()
+
+    def _find_members_entry(self) -> None:
+        self._members_entry = next(
+            (
+                entry
+                for entry in reversed(self.entries)
+                if isinstance(entry.envelope.operation, ChangeMembers)
+            ),
+            None,
+        )
 
     @property
     def first_index(self) -> int:
@@ -120,16 +135,14 @@
 
     def get_members(self) -> tuple[MemberInfo, ...]:
         """Return the members by the latest entry, committed or not."""
-        for entry in reversed(self.entries):
-            if isinstance(entry.envelope.operation, ChangeMembers):
-                return entry.envelope.operation.members
+        if self._members_entry is not None:
+            return self._members_entry.envelope.operation.members
         return self.snapshot.members if self.snapshot else ()
 
     def get_members_index(self) -> int:
         """Return the index of the entry that ``get_members`` comes from."""
-        for entry in reversed(self.entries):
-            if isinstance(entry.envelope.operation, ChangeMembers):
-                return entry.index
+        if self._members_entry is not None:
+            return self._members_entry.index
         return self.snapshot.index if self.snapshot else 0
 
     async def save_vote(self, term: int, voted_for: str) -> None:
@@ -154,6 +167,7 @@
         await self.run_blocking(self.folder.append, LOG_FILE, frame)
         del self.entries[first - self.first_index :]
         self.entries.extend(entries)
+        self._find_members_entry()
 
     async def install(self, received: Snapshot) -> None:
         """Replace everything by a snapshot."""
@@ -161,6 +175,7 @@
         await self._save_snapshot(snapshot)
         self.entries.clear()
         self.snapshot = snapshot
+        self._find_members_entry()
         if self.meta.cluster != snapshot.cluster:
             await self._save_meta(evolve(self.meta, cluster=snapshot.cluster))
         await self._rewrite_log()
@@ -176,6 +191,7 @@
         await self._save_snapshot(snapshot)
         del self.entries[: snapshot.base_index - self.first_index + 1]
         self.snapshot = snapshot
+        self._find_members_entry()
         await self._rewrite_log()
 
     async def _save_snapshot(self, snapshot: Snapshot) -> None:
--- a/medlarrail/state/operations.py
+++ b/medlarrail/state/operations.py
@@ -10,6 +10,7 @@
 from attrs import field, frozen
 
 from medlarrail.core.codec import register_tagged
+from medlarrail.core.deployment import Deployment
 from medlarrail.core.entities import (
     Contract,
     DesiredVersion,
@@ -146,6 +147,17 @@
     epoch: int
 
 
+@frozen
+class ReplaceDeployment(Operation):
+    """Replaces the deployment document, unless one as new is in force."""
+
+    deployment: Deployment
+
+    def get_object(self) -> str:
+        """See ``Operation``."""
+        return "deployment"
+
+
 @frozen
 class SetDesiredVersion(Operation):
     """Orders a weight version for a model."""
--- a/medlarrail/transport/server.py
+++ b/medlarrail/transport/server.py
@@ -31,8 +31,8 @@
     Routes,
     format_error,
 )
+from medlarrail.transport.sockets import bind_listener, bound_silence
 
-LISTEN_BACKLOG = 512
 KEEP_ALIVE_S = 75.0
 """Longer than any client of ours keeps an idle connection."""
 LARGEST_HEADER_BYTES = 16 * 1024
@@ -124,26 +124,20 @@
 
 
 def _bind(host: str, port: int) -> socket.socket:
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    _bound_silence(listener)
-    listener.bind((host, port))
-    listener.listen(LISTEN_BACKLOG)
-    return listener
-
-
-def _bound_silence(listener: socket.socket) -> None:
-    """Let the kernel end accepted connections whose other end went silent.
+    """Return a listener whose connections the kernel ends when they go silent.
 
     The server's library shields its writes from cancellation, so a write to a
     caller that takes nothing can be ended by the kernel alone.
     """
-    tcp = socket.IPPROTO_TCP
-    listener.setsockopt(tcp, socket.TCP_USER_TIMEOUT, SILENCE_LIMIT_MS)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    listener.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
-    listener.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
-    listener.setsockopt(tcp, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+    listener = bind_listener(host, port)
+    bound_silence(
+        listener,
+        SILENCE_LIMIT_MS,
+        KEEP_ALIVE_IDLE_S,
+        KEEP_ALIVE_INTERVAL_S,
+        KEEP_ALIVE_PROBES,
+    )
+    return listener
 
 
 def _build_config(listener: socket.socket, limits: ServerLimits) -> Config:
--- /dev/null
+++ b/medlarrail/transport/sockets.py
@@ -0,0 +1,51 @@
+"""Socket options that end connections whose other end went silent."""
+
+import socket
+
+import trio
+
+LISTEN_BACKLOG = 512
+"""Connections that wait to be accepted."""
+
+
+def bound_silence(
+    sock, user_timeout_ms: int, idle_s: int, interval_s: int, probes: int
+) -> None:
+    """Let the kernel end a connection whose other end acknowledges nothing.
+
+    ``user_timeout_ms`` bounds the time that sent bytes stay unacknowledged;
+    after ``idle_s`` seconds without traffic a probe goes out each
+    ``interval_s`` seconds, and ``probes`` unanswered ones end the connection.
+    """
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, user_timeout_ms)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, idle_s)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, interval_s)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, probes)
+
+
+def bind_listener(host: str, port: int) -> socket.socket:
+    """Return a listening socket on ``host:port``."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, port))
+    listener.listen(LISTEN_BACKLOG)
+    return listener
+
+
+async def connect(
+    host: str, port: int, timeout_s: float, user_timeout_ms: int
+) -> trio.SocketStream | None:
+    """Return a connection, or None where none was made within ``timeout_s``."""
+    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    bound_silence(sock, user_timeout_ms, idle_s=1, interval_s=1, probes=2)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    try:
+        with trio.move_on_after(timeout_s):
+            await sock.connect((host, port))
+            return trio.SocketStream(sock)
+    except OSError:
+        pass
+    sock.close()
+    return None
