Keep shared parts of prompts in the stores, and load named weights

Each gateway follows the stores' events and lists, saves a shared part once where there is room and fetches it from there. Scopes hold isolation and weight version.

Ruled out: fetching blindly from where a hash says, since a part that is still being written would be read.

--- a/medlarrail/cluster/picture.py
+++ b/medlarrail/cluster/picture.py
@@ -55,6 +55,8 @@
     entry_count: int = 1
     out_data_centres: frozenset[str] = frozenset()
     desired: dict[str, DesiredVersion] = field(factory=dict)
+    desired_at: dict[str, float] = field(factory=dict)
+    """When this entry heard of each model's present version."""
     member_urls: tuple[str, ...] = ()
     told_at: float = float("-inf")
     on_deployment: list[Callable[[Deployment], None]] = field(factory=list)
@@ -84,7 +86,7 @@
             self._take_entries(answer.entries, answer.settled)
         self.entry_count = max(answer.entry_count, len(self.entries), 1)
         self.out_data_centres = frozenset(answer.out_data_centres)
-        self.desired = {one.model: one for one in answer.desired}
+        self._take_desired(answer.desired)
         self.member_urls = answer.member_urls
 
     def _take_deployment(self, fresh: Deployment) -> None:
@@ -114,6 +116,14 @@
             announced, cold_until, notice.loading
         )
 
+    def _take_desired(self, listed: tuple[DesiredVersion, ...]) -> None:
+        for one in listed:
+            known = self.desired.get(one.model)
+            if known is None or known.ordinal < one.ordinal:
+                self.desired[one.model] = one
+                self.desired_at[one.model] = self.clock()
+                eliot.log_message("weights:named", model=one.model, version=one.ordinal)
+
     def _take_entries(self, listed: tuple[EntryNotice, ...], settled: bool) -> None:
         """Take a list of entries; an unsettled leader's may lack some."""
         if settled:
--- a/medlarrail/cluster/registry.py
+++ b/medlarrail/cluster/registry.py
@@ -11,7 +11,7 @@
 
 from attrs import define, evolve, field
 
-from medlarrail.core.announcements import Announcement, EndpointNotice
+from medlarrail.core.announcements import Announcement, EndpointNotice, ModelWeights
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.core.metrics import get_metrics
 
@@ -115,6 +115,20 @@
         known.revision = self.revision
         return True
 
+    def note_version(self, name: str, model: str, version: int) -> None:
+        """Note a version that an endpoint was seen to have loaded."""
+        known = self.known.get(name)
+        if known is None:
+            return
+        models = tuple(
+            ModelWeights(model, version) if one.model == model else one
+            for one in known.announced.models
+        )
+        if models != known.announced.models:
+            known.announced = evolve(known.announced, models=models)
+            self.revision += 1
+            known.revision = self.revision
+
     def expire(self) -> list[str]:
         """Forget what has been silent for long, and return the names."""
         now = self.clock()
--- a/medlarrail/platform/dialect.py
+++ b/medlarrail/platform/dialect.py
@@ -26,6 +26,7 @@
 SIGNATURE = b"response-signature"
 NOT_RUN = b"not-executed"
 LOAD = b"server-load"
+INSTANCE = b"instance-id"
 VERSIONS = b"weight-versions"
 KEEP_ALIVE = b"keep-alive"
 MISDIRECTED_STATUS = 421
@@ -88,6 +89,8 @@
             "Request-Priority": _clamp_priority(dispatch.priority),
             "Expect-Version": dispatch.weight_version or None,
             "Last-Event-Id": dispatch.last_event_id or None,
+            "Kv-Fetch": _write_addresses(dispatch.fetch),
+            "Kv-Save": _write_addresses(dispatch.save),
         }
         written += [
             (name.encode(), str(value).encode("latin1"))
@@ -103,6 +106,7 @@
             genuine=bool(get_text(headers, SIGNATURE)),
             not_run=get_header(headers, NOT_RUN) is not None,
             misdirected=status == MISDIRECTED_STATUS,
+            endpoint=get_text(headers, INSTANCE),
             load=_read_load(get_text(headers, LOAD)),
             weight_version=_read_int(get_text(headers, VERSIONS)),
             keep_alive_s=_read_keep_alive(get_text(headers, KEEP_ALIVE)),
@@ -128,6 +132,13 @@
         return refuse(error)
 
 
+def _write_addresses(addresses: tuple[str, ...]) -> str | None:
+    """Write one address for each part, with a dash for none."""
+    if not any(addresses):
+        return None
+    return ",".join(one or "-" for one in addresses)
+
+
 def _clamp_priority(priority: int | None) -> int | None:
     return None if priority is None else min(LOWEST_PRIORITY, max(0, priority))
 
--- a/medlarrail/platform/programs.py
+++ b/medlarrail/platform/programs.py
@@ -5,6 +5,7 @@
 import eliot
 import trio
 
+from medlarrail.cluster.picture_desk import PictureDesk
 from medlarrail.programs.common import load_or_exit, run_program, start_log
 from medlarrail.settings.daemons import GatewaySettings, StateSettings
 
@@ -13,12 +14,15 @@
 
 async def run_gateway(settings: GatewaySettings) -> None:
     """Run a gateway with the platform's headers, readiness and directory."""
+    from medlarrail.platform.context_feed import PlatformContextFeed
     from medlarrail.platform.dialect import PlatformDialect
     from medlarrail.platform.directory import PlatformDirectory
     from medlarrail.programs.asides import serve_aside
     from medlarrail.programs.gateway import Gateway
+    from medlarrail.transport.client import HttpClient
 
-    gateway = Gateway(settings, PlatformDialect())
+    feed = PlatformContextFeed(HttpClient())
+    gateway = Gateway(settings, PlatformDialect(), feed)
     directory = PlatformDirectory(gateway)
     async with trio.open_nursery() as nursery:
         await serve_aside(nursery, settings.health_address, directory.answer_ready)
@@ -33,9 +37,15 @@
 async def run_state(settings: StateSettings) -> None:
     """Run a state member that answers the platform's control calls."""
     from medlarrail.platform.control import PlatformControl
+    from medlarrail.platform.orders import PlatformOrders
+    from medlarrail.programs.state import Interfaces
     from medlarrail.programs.state import run_state as run_member
+    from medlarrail.transport.client import HttpClient
 
-    await run_member(settings, lambda desk: (PlatformControl(desk),))
+    def build_interfaces(desk: PictureDesk) -> Interfaces:
+        return Interfaces((PlatformControl(desk),), PlatformOrders(HttpClient()))
+
+    await run_member(settings, build_interfaces)
 
 
 def run_on_platform(name: str, settings_path: Path) -> int:
--- a/medlarrail/policy/placement.py
+++ b/medlarrail/policy/placement.py
@@ -29,13 +29,13 @@
     """An endpoint that may take the request, as this entry sees it.
 
     ``in_flight`` counts this entry's own requests, ``reported`` is the load that
-    the endpoint told a moment ago, ``failure_rate`` lies between 0 and 1, and
-    ``slowness`` is its usual time to an answer over that of the best.
+    the endpoint told a moment ago, if it did, ``failure_rate`` lies between 0 and
+    1, and ``slowness`` is its usual time to an answer over that of the best.
     """
 
     name: str
     in_flight: int = 0
-    reported: float = 0.0
+    reported: float | None = None
     slots: int = 1
     failure_rate: float = 0.0
     slowness: float = 1.0
@@ -46,11 +46,12 @@
 def get_load(candidate: Candidate, entry_count: int) -> float:
     """Return the estimated requests at an endpoint.
 
-    What others send is known from reports only, which lag; this entry's own
-    requests stand for a part of all, so the larger of both estimates counts.
+    What others send is known from reports only, which lag. Without a fresh one
+    this entry's own requests stand for its part of all.
     """
-    own = candidate.in_flight * max(1, entry_count)
-    return max(own, candidate.reported)
+    if candidate.reported is None:
+        return candidate.in_flight * max(1, entry_count)
+    return max(float(candidate.in_flight), candidate.reported)
 
 
 def get_cost(candidate: Candidate, entry_count: int) -> float:
--- a/medlarrail/programs/common.py
+++ b/medlarrail/programs/common.py
@@ -56,6 +56,22 @@
             return
 
 
+async def watch_reloads(path: Path, kind: type, apply: Callable[[Any], None]) -> None:
+    """Read the settings again at each SIGHUP, and hand them to ``apply``.
+
+    Settings with faults change nothing; the log tells each fault.
+    """
+    with trio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for _ in signals:
+            try:
+                settings = load_settings(path, kind)
+            except (OSError, SettingsInvalid) as error:
+                eliot.log_message("settings:rejected", reason=str(error))
+                continue
+            apply(settings)
+            eliot.log_message("settings:reloaded", name=settings.name)
+
+
 def build_program(name: str, summary: str, example: str, kind: type, run) -> Any:
     """Return the command line of a daemon.
 
--- a/medlarrail/programs/gateway.py
+++ b/medlarrail/programs/gateway.py
@@ -13,6 +13,7 @@
 from medlarrail.programs.common import build_program, wait_for_stop_signal
 from medlarrail.relay.book import EndpointBook
 from medlarrail.relay.calls import Dialect
+from medlarrail.relay.context_index import ContextFeed, ContextIndex
 from medlarrail.relay.dialect import StandardDialect
 from medlarrail.relay.drain import drain_gateway
 from medlarrail.relay.front import RelayFront
@@ -27,6 +28,8 @@
 
     settings: GatewaySettings
     dialect: Dialect
+    feed: ContextFeed | None = None
+    """How stores are asked what they hold; none where there are no stores."""
 
     def __attrs_post_init__(self):
         settings = self.settings
@@ -42,6 +45,8 @@
         )
         book = EndpointBook(self.picture, settings.data_centre)
         self.front = RelayFront(self.picture, self.dialect, book, settings.retries)
+        if self.feed is not None:
+            self.front.context = ContextIndex(self.picture, self.feed, settings.name)
         self.server = InboundServer(
             self.front.answer,
             self.front.answer_error,
@@ -65,6 +70,8 @@
             await start_metrics(nursery, self.settings.metrics_address)
         nursery.start_soon(self.keeper.run)
         nursery.start_soon(self.front.maintain)
+        if self.front.context is not None:
+            nursery.start_soon(self.front.context.run)
         await wait_for_stop_signal()
         eliot.log_message("gateway:draining", name=self.settings.name)
         self.keeper.ready = False
--- a/medlarrail/programs/state.py
+++ b/medlarrail/programs/state.py
@@ -1,14 +1,16 @@
 """``medlar-state``: a member of the replicated log."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from pathlib import Path
 
 import eliot
 import trio
+from attrs import frozen
 
 from medlarrail.cluster.control import StateControl
 from medlarrail.cluster.picture_desk import PictureDesk
 from medlarrail.cluster.sessions import SessionKeeper
+from medlarrail.cluster.weight_keeper import WeightKeeper, WeightOrders
 from medlarrail.consensus.membership import MembershipKeeper
 from medlarrail.consensus.replication import LogMember
 from medlarrail.core.errors import StorageDamaged
@@ -46,12 +48,26 @@
     return Guard({"/internal/": cluster, "/v1/": operators, "/metrics": operators})
 
 
-BuildInterfaces = Callable[[PictureDesk], Sequence]
-"""Returns objects whose routes a member serves besides its own."""
+@frozen
+class Interfaces:
+    """What a deployment adds to a member: more routes, and a way to endpoints."""
+
+    routes: tuple = ()
+    """Objects with routes that the member serves besides its own."""
+    weight_orders: WeightOrders | None = None
+
+
+BuildInterfaces = Callable[[PictureDesk], Interfaces]
+
+
+def build_none(desk: PictureDesk) -> Interfaces:
+    """Add nothing to a member."""
+    return Interfaces()
 
 
 async def run_state(
-    settings: StateSettings, build_interfaces: BuildInterfaces = lambda desk: ()
+    settings: StateSettings,
+    build_interfaces: BuildInterfaces = lambda desk: Interfaces(),
 ) -> None:
     """Run a state member until SIGTERM."""
     folder = DataFolder(Path(settings.data_folder), settings.quota_bytes)
@@ -60,6 +76,7 @@
         settings.name, settings.listen.url, open_or_set_aside(folder), peers
     )
     desk = PictureDesk(member)
+    interfaces = build_interfaces(desk)
     sessions = SessionKeeper(member)
     membership = MembershipKeeper(member, settings.seeds, settings.first_start)
     routes = Routes.collect(
@@ -70,7 +87,7 @@
         StateControl(member, sessions),
         LedgerReader(member),
         Monitoring(settings.name),
-        *build_interfaces(desk),
+        *interfaces.routes,
         guard=build_guard(settings.keys),
     )
     server = HttpServer(routes, settings.server)
@@ -80,6 +97,9 @@
         await nursery.start(member.run)
         nursery.start_soon(sessions.run)
         nursery.start_soon(desk.run)
+        if interfaces.weight_orders is not None:
+            keeper = WeightKeeper(desk, interfaces.weight_orders, settings.rollout)
+            nursery.start_soon(keeper.run)
         if settings.metrics_address:
             await start_metrics(nursery, settings.metrics_address)
         if settings.seeds:
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -162,7 +162,7 @@
         async with aclosing(connection.iterate_body()) as parts:
             async for _ in parts:
                 pass
-        if self._facts.misdirected:
+        if self._facts.misdirected and self._facts.endpoint != name:
             known = self.relayed.front.picture.endpoints.get(name)
             if known is self.endpoint:
                 del self.relayed.front.picture.endpoints[name]
--- a/medlarrail/relay/book.py
+++ b/medlarrail/relay/book.py
@@ -85,7 +85,7 @@
         """Return an endpoint as the choice sees it."""
         announced = endpoint.announced
         record = self.get_record(announced.name)
-        reported = 0.0
+        reported = None
         if record.load is not None and self.clock() - record.load_at < REPORT_LIFE_S:
             reported = float(record.load.running + record.load.waiting)
         slowness = 1.0
--- a/medlarrail/relay/calls.py
+++ b/medlarrail/relay/calls.py
@@ -73,6 +73,10 @@
     weight_version: int = 0
     """The version that has to serve the request, 0 for any."""
     last_event_id: str = ""
+    fetch: tuple[str, ...] = ()
+    """For each part of the prompt the address to fetch it from, or empty."""
+    save: tuple[str, ...] = ()
+    """For each part of the prompt the address to save it to, or empty."""
 
 
 @frozen
@@ -96,6 +100,8 @@
     genuine: bool = False
     not_run: bool = False
     misdirected: bool = False
+    endpoint: str = ""
+    """Who answers, where the endpoint says so."""
     load: EndpointLoad | None = None
     weight_version: int = 0
     keep_alive_s: float | None = None
--- a/medlarrail/relay/front.py
+++ b/medlarrail/relay/front.py
@@ -26,11 +26,14 @@
     StreamBroken,
 )
 from medlarrail.core.metrics import get_metrics
+from medlarrail.policy.context import TransferPlan
 from medlarrail.policy.placement import choose_by_context, choose_least_loaded
 from medlarrail.policy.rates import RetryBudget
+from medlarrail.policy.weights import choose_versions
 from medlarrail.relay.attempt import Attempt, WholeAnswer
 from medlarrail.relay.book import EndpointBook
 from medlarrail.relay.calls import CallFacts, Dialect, Dispatch
+from medlarrail.relay.context_index import ContextIndex
 from medlarrail.relay.inbound import Exchange
 from medlarrail.relay.outbound import OutboundPool
 from medlarrail.relay.table import Admitted, RouteTable, choose_service
@@ -68,6 +71,7 @@
     book: EndpointBook
     retries: RetryPolicy = field(factory=RetryPolicy)
     pool: OutboundPool = field(factory=OutboundPool)
+    context: ContextIndex | None = None
     refuse_new: bool = False
     table: RouteTable | None = None
     _budgets: dict[str, RetryBudget] = field(factory=dict)
@@ -243,12 +247,12 @@
             and book.get_record(one.announced.name).in_flight < limit
         ]
         staying = [one for one in usable if not one.loading]
-        usable = staying or usable
+        usable = self._keep_newest(staying or usable)
         best_s = book.get_best_answer_s(usable)
         candidates = [book.describe(one, best_s) for one in usable]
         entry_count = self.front.picture.entry_count
         if self.facts.parts:
-            context = self._get_scope() + self.facts.parts[0].identity
+            context = self._get_scope() + self._get_largest_shared_part()
             chosen = choose_by_context(candidates, entry_count, context)
         else:
             chosen = choose_least_loaded(candidates, entry_count, self.facts.request_id)
@@ -256,6 +260,23 @@
             return None
         return next(one for one in usable if one.announced.name == chosen.name)
 
+    def _get_largest_shared_part(self) -> str:
+        """Return the identity of the part that is worth most where it is kept."""
+        shared = self.facts.parts[:-1] or self.facts.parts
+        return max(shared, key=lambda one: one.tokens).identity
+
+    def _keep_newest(self, usable: list[PicturedEndpoint]) -> list[PicturedEndpoint]:
+        """Return those of the endpoints that have new enough weights."""
+        picture = self.front.picture
+        desired = picture.desired.get(self.facts.model)
+        if desired is None or not desired.ordinal:
+            return usable
+        model = self.facts.model
+        versions = [one.announced.get_version(model) for one in usable]
+        named_s = picture.clock() - picture.desired_at[model]
+        allowed = choose_versions(versions, desired.ordinal, named_s)
+        return [one for one, may in zip(usable, allowed, strict=True) if may]
+
     def _get_scope(self) -> str:
         """Return what separates this account's context from others', if anything."""
         account = self.admitted.account
@@ -265,15 +286,36 @@
         """Return what goes with the request to ``endpoint``."""
         account = self.admitted.account
         engine = self.service.engine is not None
+        version = endpoint.announced.get_version(self.facts.model) if engine else 0
+        scope = f"{self._get_scope()}{version}" if engine else ""
+        plan = self._plan_transfers(endpoint, scope, version)
         return Dispatch(
             endpoint=endpoint.announced,
             deadline_ms=max(1, int(self.get_rest_s() * 1000)),
             account=account.name if account is not None else "",
             priority=self.admitted.priority if engine else None,
-            cache_scope=self._get_scope() if engine else "",
+            cache_scope=scope,
+            weight_version=version,
             last_event_id=self.last_event_id,
+            fetch=plan.fetch,
+            save=plan.save,
         )
 
+    def _plan_transfers(
+        self, endpoint: PicturedEndpoint, scope: str, version: int
+    ) -> TransferPlan:
+        """Return the transfers of the shared parts; the last part is never moved.
+
+        What is kept is made by one weight version, so an endpoint whose version
+        is not known takes part in nothing.
+        """
+        parts = self.facts.parts
+        context = self.front.context
+        if context is None or not version or len(parts) < 2:
+            return TransferPlan()
+        plan = context.plan(scope, parts[:-1], endpoint.announced.data_centre)
+        return TransferPlan((*plan.fetch, ""), (*plan.save, ""))
+
     async def _attempt(self, endpoint: PicturedEndpoint) -> bool:
         """Send the request once; returns whether the caller has its answer."""
         name = endpoint.announced.name
--- a/medlarrail/settings/daemons.py
+++ b/medlarrail/settings/daemons.py
@@ -4,6 +4,7 @@
 
 from attrs import field, frozen
 
+from medlarrail.cluster.weight_keeper import RolloutPolicy
 from medlarrail.context.estimator import Weights
 from medlarrail.core.entities import Fault
 from medlarrail.relay.drain import DrainPolicy
@@ -63,6 +64,7 @@
     """Whether the whole system starts for the first time, with empty disks."""
     metrics_address: str = ""
     """``host:port`` for metrics without a key; empty for none."""
+    rollout: RolloutPolicy = field(factory=RolloutPolicy)
     server: ServerLimits = field(factory=lambda: ServerLimits(body_bytes=256_000_000))
     log_file: str = ""
 
