Read the settings again at SIGHUP

Each daemon now loads and checks its settings anew and hands them to what listens; faults change nothing.

--- a/medlarrail/cluster/picture.py
+++ b/medlarrail/cluster/picture.py
@@ -155,6 +155,11 @@
     def __attrs_post_init__(self):
         self._seeds = self.state.urls
 
+    def set_seeds(self, urls: tuple[str, ...]) -> None:
+        """Ask these members too, beside those that a leader named."""
+        self._seeds = urls
+        self.state.urls = tuple(dict.fromkeys((*self.picture.member_urls, *urls)))
+
     async def run(self) -> None:
         """Keep the picture up until cancelled."""
         while True:
--- a/medlarrail/consensus/membership.py
+++ b/medlarrail/consensus/membership.py
@@ -76,6 +76,10 @@
             await self._complete_forming()
             await self._ask_to_join()
 
+    def reload_seeds(self, settings) -> None:
+        """Ask the seeds of new settings from now on."""
+        self.seeds = settings.seeds
+
     # Forming.
 
     def _is_founder(self) -> bool:
--- a/medlarrail/platform/programs.py
+++ b/medlarrail/platform/programs.py
@@ -6,13 +6,13 @@
 import trio
 
 from medlarrail.cluster.picture_desk import PictureDesk
-from medlarrail.programs.common import load_or_exit, run_program, start_log
+from medlarrail.programs.common import Reloads, load_or_exit, run_daemon, start_log
 from medlarrail.settings.daemons import GatewaySettings, StateSettings
 
 PROGRAMS = ("gateway", "state")
 
 
-async def run_gateway(settings: GatewaySettings) -> None:
+async def run_gateway(settings: GatewaySettings, reloads: Reloads) -> None:
     """Run a gateway with the platform's headers, readiness and directory."""
     from medlarrail.platform.context_feed import PlatformContextFeed
     from medlarrail.platform.dialect import PlatformDialect
@@ -23,6 +23,7 @@
 
     feed = PlatformContextFeed(HttpClient())
     gateway = Gateway(settings, PlatformDialect(), feed)
+    reloads.listeners.append(gateway.reload)
     directory = PlatformDirectory(gateway)
     async with trio.open_nursery() as nursery:
         await serve_aside(nursery, settings.health_address, directory.answer_ready)
@@ -34,7 +35,7 @@
         nursery.cancel_scope.cancel()
 
 
-async def run_state(settings: StateSettings) -> None:
+async def run_state(settings: StateSettings, reloads: Reloads) -> None:
     """Run a state member that answers the platform's control calls."""
     from medlarrail.platform.control import PlatformControl
     from medlarrail.platform.orders import PlatformOrders
@@ -45,7 +46,7 @@
     def build_interfaces(desk: PictureDesk) -> Interfaces:
         return Interfaces((PlatformControl(desk),), PlatformOrders(HttpClient()))
 
-    await run_member(settings, build_interfaces)
+    await run_member(settings, reloads, build_interfaces)
 
 
 def run_on_platform(name: str, settings_path: Path) -> int:
@@ -57,5 +58,5 @@
     settings = load_or_exit(settings_path, kind)
     start_log(settings.log_file)
     eliot.log_message("settings:read", name=settings.name, program=name)
-    run_program(run, settings)
+    run_daemon(run, settings, settings_path)
     return 0
--- a/medlarrail/programs/common.py
+++ b/medlarrail/programs/common.py
@@ -9,6 +9,7 @@
 import eliot
 import trio
 import typer
+from attrs import define, field
 
 from medlarrail.core.errors import SettingsInvalid
 from medlarrail.core.logs import open_standard_output
@@ -56,20 +57,34 @@
             return
 
 
-async def watch_reloads(path: Path, kind: type, apply: Callable[[Any], None]) -> None:
-    """Read the settings again at each SIGHUP, and hand them to ``apply``.
+@define
+class Reloads:
+    """Where a daemon's settings come from, and who wants to hear of new ones."""
 
-    Settings with faults change nothing; the log tells each fault.
-    """
-    with trio.open_signal_receiver(signal.SIGHUP) as signals:
-        async for _ in signals:
-            try:
-                settings = load_settings(path, kind)
-            except (OSError, SettingsInvalid) as error:
-                eliot.log_message("settings:rejected", reason=str(error))
-                continue
-            apply(settings)
-            eliot.log_message("settings:reloaded", name=settings.name)
+    path: Path
+    kind: type
+    listeners: list[Callable[[Any], None]] = field(factory=list)
+
+    async def watch(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Read the settings again at each SIGHUP.
+
+        Settings with faults change nothing; the log tells the faults.
+        """
+        with trio.open_signal_receiver(signal.SIGHUP) as signals:
+            task_status.started()
+            async for _ in signals:
+                self.reload()
+
+    def reload(self) -> None:
+        """Read the settings and hand them to every listener."""
+        try:
+            settings = load_settings(self.path, self.kind)
+        except (OSError, SettingsInvalid) as error:
+            eliot.log_message("settings:rejected", reason=str(error))
+            return
+        for listen in self.listeners:
+            listen(settings)
+        eliot.log_message("settings:reloaded", name=settings.name)
 
 
 def build_program(name: str, summary: str, example: str, kind: type, run) -> Any:
@@ -96,7 +111,7 @@
             raise typer.Exit(ExitCode.USAGE)
         loaded = load_or_exit(settings, kind)
         start_log(loaded.log_file)
-        run_program(run, loaded)
+        run_daemon(run, loaded, settings)
 
     @app.command("check-settings")
     def check(file: Path) -> None:
@@ -110,6 +125,21 @@
     return app
 
 
+def run_daemon(
+    run: Callable[[Any, Reloads], Awaitable[None]], settings: Any, path: Path
+) -> None:
+    """Run a daemon that reads its settings again when it is told to."""
+    reloads = Reloads(path, type(settings))
+
+    async def supervise(loaded: Any) -> None:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(reloads.watch)
+            await run(loaded, reloads)
+            nursery.cancel_scope.cancel()
+
+    run_program(supervise, settings)
+
+
 def run_program(run: Callable[[Any], Awaitable[None]], settings: Any) -> None:
     """Run a daemon until it is told to stop."""
     eliot.log_message("program:started", name=settings.name)
--- a/medlarrail/programs/entry.py
+++ b/medlarrail/programs/entry.py
@@ -15,7 +15,7 @@
 from medlarrail.ownership.permit_client import PermitClient
 from medlarrail.ownership.permit_desk import PermitDesk
 from medlarrail.ownership.rollout import Rollout
-from medlarrail.programs.common import build_program, wait_for_stop_signal
+from medlarrail.programs.common import Reloads, build_program, wait_for_stop_signal
 from medlarrail.programs.monitoring import Monitoring
 from medlarrail.protocol.status import (
     ENTRY_STATUS_PATH,
@@ -188,7 +188,7 @@
     )
 
 
-async def run_entry(settings: EntrySettings) -> None:
+async def run_entry(settings: EntrySettings, reloads: Reloads) -> None:
     """Run an entry until SIGTERM, then drain it."""
     async with trio.open_nursery() as nursery:
         program = EntryProgram(settings, nursery)
--- a/medlarrail/programs/gateway.py
+++ b/medlarrail/programs/gateway.py
@@ -10,7 +10,7 @@
 from medlarrail.cluster.state_client import StateClient
 from medlarrail.core.deployment import Deployment
 from medlarrail.programs.asides import start_metrics
-from medlarrail.programs.common import build_program, wait_for_stop_signal
+from medlarrail.programs.common import Reloads, build_program, wait_for_stop_signal
 from medlarrail.relay.book import EndpointBook
 from medlarrail.relay.calls import Dialect
 from medlarrail.relay.context_index import ContextFeed, ContextIndex
@@ -58,6 +58,10 @@
         self.server.limits = deployment.limits
         self.keeper.ready = not self.server.draining
 
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take up the members that new settings name."""
+        self.keeper.set_seeds(settings.state_urls)
+
     def is_ready(self) -> bool:
         """Return whether callers may be sent here."""
         return self.picture.deployment is not None and not self.server.draining
@@ -80,11 +84,13 @@
         await drain_gateway(self.server, self.front, self.settings.drain)
 
 
-async def run_gateway(settings: GatewaySettings) -> None:
+async def run_gateway(settings: GatewaySettings, reloads: Reloads) -> None:
     """Run a gateway until SIGTERM, then drain it."""
     eliot.log_message("gateway:starting", name=settings.name, pid=os.getpid())
     async with trio.open_nursery() as nursery:
-        await Gateway(settings, StandardDialect()).run(nursery)
+        gateway = Gateway(settings, StandardDialect())
+        reloads.listeners.append(gateway.reload)
+        await gateway.run(nursery)
         nursery.cancel_scope.cancel()
 
 
--- a/medlarrail/programs/state.py
+++ b/medlarrail/programs/state.py
@@ -15,7 +15,7 @@
 from medlarrail.consensus.replication import LogMember
 from medlarrail.core.errors import StorageDamaged
 from medlarrail.programs.asides import start_metrics
-from medlarrail.programs.common import build_program, wait_for_stop_signal
+from medlarrail.programs.common import Reloads, build_program, wait_for_stop_signal
 from medlarrail.programs.monitoring import Monitoring
 from medlarrail.serving.access import Guard, KeyRing
 from medlarrail.serving.ledger import LedgerReader
@@ -67,7 +67,8 @@
 
 async def run_state(
     settings: StateSettings,
-    build_interfaces: BuildInterfaces = lambda desk: Interfaces(),
+    reloads: Reloads,
+    build_interfaces: BuildInterfaces = build_none,
 ) -> None:
     """Run a state member until SIGTERM."""
     folder = DataFolder(Path(settings.data_folder), settings.quota_bytes)
@@ -79,6 +80,7 @@
     interfaces = build_interfaces(desk)
     sessions = SessionKeeper(member)
     membership = MembershipKeeper(member, settings.seeds, settings.first_start)
+    reloads.listeners.append(membership.reload_seeds)
     routes = Routes.collect(
         member,
         sessions,
--- a/medlarrail/programs/store.py
+++ b/medlarrail/programs/store.py
@@ -9,7 +9,7 @@
 from medlarrail.core.entities import Store
 from medlarrail.core.errors import MedlarError
 from medlarrail.core.metrics import get_metrics
-from medlarrail.programs.common import build_program, wait_for_stop_signal
+from medlarrail.programs.common import Reloads, build_program, wait_for_stop_signal
 from medlarrail.programs.monitoring import Monitoring
 from medlarrail.protocol.endpoints import (
     ANNOUNCE_STORE_PATH,
@@ -57,7 +57,7 @@
             await trio.sleep(ANNOUNCE_INTERVAL_S / 4)
 
 
-async def run_store(settings: StoreSettings) -> None:
+async def run_store(settings: StoreSettings, reloads: Reloads) -> None:
     """Run a store until SIGTERM; transfers under way may end."""
     client = HttpClient(settings.keys.cluster)
     blocks = BlockStore(
