--- a/medlarrail/core/logs.py
+++ b/medlarrail/core/logs.py
@@ -22,6 +22,9 @@
 """Bytes that wait for a slow reader before lines are left out."""
 
 
+STANDARD_OUTPUT = 1
+
+
 def write_some(descriptor: int, data: bytes) -> int:
     """Write without waiting; returns the bytes that were taken."""
     try:
@@ -73,6 +76,5 @@
 
 def open_standard_output() -> BoundedLog:
     """Return the log on standard output, which is made not to block."""
-    descriptor = os.dup(1)
-    os.set_blocking(descriptor, False)
-    return BoundedLog(descriptor)
+    os.set_blocking(STANDARD_OUTPUT, False)
+    return BoundedLog(STANDARD_OUTPUT)
