Part long prompts from short ones, start sooner, and clean stores of old weights

Now engines are split between long and short prompts by the memory that each takes; a member's patience counts from the start of its process; a daemon imports only what it runs; the leader frees old context once every endpoint has new weights.

--- a/medlarrail/consensus/replication.py
+++ b/medlarrail/consensus/replication.py
@@ -70,6 +70,9 @@
     clock: Clock = get_boottime
     wall_clock: Clock = get_wall_time
     snapshot_every: int = SNAPSHOT_EVERY
+    started_at: float | None = None
+    """When the process began, on ``clock``: whatever its predecessor promised a
+    leader was promised before. Without it the member counts from now."""
     catalogue: Catalogue = field(init=False)
     commit_index: int = field(init=False)
     elections: Elections = field(init=False)
@@ -88,8 +91,9 @@
 
     def __attrs_post_init__(self):
         self.elections = Elections(self)
-        self.patient_since = self.clock()
-        self.leader_heard_at = self.clock()
+        started_at = self.clock() if self.started_at is None else self.started_at
+        self.patient_since = started_at
+        self.leader_heard_at = started_at
         self._load_snapshot()
 
     def _load_snapshot(self) -> None:
--- a/medlarrail/core/clock.py
+++ b/medlarrail/core/clock.py
@@ -19,3 +19,7 @@
 def get_wall_time() -> float:
     """Return seconds since the Unix epoch, for records that people read."""
     return time.time()
+
+
+PROCESS_STARTED_AT = get_boottime()
+"""When this process began, as early as the project's code can tell."""
--- a/medlarrail/core/errors.py
+++ b/medlarrail/core/errors.py
@@ -248,6 +248,8 @@
 class DeploymentUnknown(Refusal):
     """This process knows no deployment document yet."""
 
+    retry_after_s: float = 1.5
+
 
 @define(slots=False)
 class RetryLimit(Refusal):
--- a/medlarrail/core/metrics.py
+++ b/medlarrail/core/metrics.py
@@ -1,8 +1,7 @@
 """Counters and latency histograms of one process.
 
 Counters are named with labels; latencies go into high dynamic range
-histograms in microseconds. ``format_prometheus`` gives both in the text format
-that Prometheus reads.
+histograms in microseconds. ``core/prometheus.py`` gives both as text.
 """
 
 from collections import Counter
@@ -10,8 +9,6 @@
 
 from attrs import define, field, frozen
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import CounterMetricFamily, SummaryMetricFamily
 
 MICROSECONDS = 1_000_000
 HIGHEST_US = 3_600 * MICROSECONDS
@@ -89,55 +86,3 @@
 def get_metrics() -> Metrics:
     """Return the metrics of this process."""
     return _METRICS
-
-
-class _Collector:
-    """Adapts ``Metrics`` to the Prometheus client library."""
-
-    def __init__(self, metrics: Metrics):
-        self._metrics = metrics
-
-    def collect(self):
-        families: dict[str, CounterMetricFamily] = {}
-        label_names = self._get_label_names()
-        for sample in self._metrics.iterate_samples():
-            names = label_names[sample.name]
-            if sample.name not in families:
-                families[sample.name] = CounterMetricFamily(
-                    f"medlar_{sample.name}", sample.name, labels=names
-                )
-            values = dict(sample.labels)
-            families[sample.name].add_metric(
-                [values.get(name, "") for name in names], sample.value
-            )
-        yield from families.values()
-        yield from self._collect_histograms()
-
-    def _get_label_names(self) -> dict[str, list[str]]:
-        found: dict[str, set[str]] = {}
-        for sample in self._metrics.iterate_samples():
-            found.setdefault(sample.name, set()).update(dict(sample.labels))
-        return {name: sorted(labels) for name, labels in found.items()}
-
-    def _collect_histograms(self):
-        for name in self._metrics.iterate_histograms():
-            family = SummaryMetricFamily(f"medlar_{name}_seconds", name)
-            for percentile in PERCENTILES:
-                family.add_sample(
-                    f"medlar_{name}_seconds",
-                    {"quantile": str(percentile / 100)},
-                    self._metrics.get_percentile(name, percentile),
-                )
-            family.add_sample(
-                f"medlar_{name}_seconds_count",
-                {},
-                self._metrics.get_observations(name),
-            )
-            yield family
-
-
-def format_prometheus(metrics: Metrics) -> bytes:
-    """Return ``metrics`` in the Prometheus text format."""
-    registry = CollectorRegistry()
-    registry.register(_Collector(metrics))
-    return generate_latest(registry)
--- a/medlarrail/core/metrics_test.py
+++ b/medlarrail/core/metrics_test.py
@@ -4,7 +4,8 @@
 
 from medlarrail.core.errors import InvariantViolation
 from medlarrail.core.invariants import VIOLATIONS, require
-from medlarrail.core.metrics import Metrics, format_prometheus, get_metrics
+from medlarrail.core.metrics import Metrics, get_metrics
+from medlarrail.core.prometheus import format_prometheus
 
 
 class TestMetrics:
--- a/medlarrail/platform/__main__.py
+++ b/medlarrail/platform/__main__.py
@@ -5,21 +5,39 @@
 
 import os
 import sys
+from importlib import import_module
 from pathlib import Path
 
 SETTINGS_VARIABLE = "MEDLARRAIL_BOOT"
 """Environment variable with the path of the settings file."""
+PROGRAMS = ("gateway", "state")
+"""Modules beside this one; only the one that is started is imported."""
 
 
 def main() -> int:
-    """Run the program that the first argument names."""
-    from medlarrail.platform.programs import PROGRAMS, run_on_platform
-
+    """Run the program that the first argument names; returns the exit code."""
     name = sys.argv[1] if len(sys.argv) == 2 else ""
     if name not in PROGRAMS:
         print(f"usage: python3 -m medlarrail.platform {'|'.join(PROGRAMS)}")
         return 2
-    return run_on_platform(name, Path(os.environ[SETTINGS_VARIABLE]))
+    return start(name, Path(os.environ[SETTINGS_VARIABLE]))
+
+
+def start(name: str, settings_path: Path) -> int:
+    """Run a program until it is told to stop."""
+    program = import_module(f"medlarrail.platform.{name}")
+    from medlarrail.core.errors import SettingsInvalid
+    from medlarrail.programs.daemon import ExitCode, run_daemon, start_log
+    from medlarrail.settings.loading import load_settings
+
+    try:
+        settings = load_settings(settings_path, program.SETTINGS)
+    except (OSError, SettingsInvalid) as error:
+        print(f"{settings_path}: {error}", file=sys.stderr)
+        return ExitCode.SETTINGS
+    start_log(settings.log_file)
+    run_daemon(program.run, settings, settings_path)
+    return ExitCode.OK
 
 
 if __name__ == "__main__":
--- a/medlarrail/platform/context_feed.py
+++ b/medlarrail/platform/context_feed.py
@@ -2,16 +2,17 @@
 
 from typing import Any
 
+import orjson
 from attrs import define
 
-from medlarrail.core.codec import parse_json
-from medlarrail.core.errors import BadJson, PeerBroken
-from medlarrail.relay.context_index import (
+from medlarrail.cluster.context_feed import (
     HeldEvent,
     HeldEvents,
     HeldList,
     HeldPart,
 )
+from medlarrail.core.codec import parse_json
+from medlarrail.core.errors import BadJson, PeerBroken
 from medlarrail.transport.client import HttpClient
 
 LIST_TIMEOUT_S = 1.5
@@ -19,7 +20,7 @@
 
 @define
 class PlatformContextFeed:
-    """See ``medlarrail.relay.context_index.ContextFeed``."""
+    """See ``medlarrail.cluster.context_feed.ContextFeed``."""
 
     client: HttpClient
 
@@ -63,6 +64,21 @@
         except (KeyError, TypeError, ValueError, IndexError) as error:
             raise PeerBroken(url=url) from error
 
+    async def free_parts(
+        self, address: str, epoch: str, parts: tuple[HeldPart, ...]
+    ) -> None:
+        """Free parts, unless the store restarted; raises ``PeerBroken``."""
+        url = f"http://{address}/kv-free"
+        body = {
+            "parts": [[one.scope, one.identity] for one in parts],
+            "boot-epoch": int(epoch) if epoch.isdecimal() else epoch,
+        }
+        answer = await self.client.fetch(
+            "POST", url, orjson.dumps(body), timeout_s=LIST_TIMEOUT_S
+        )
+        if answer.status not in (200, 202, 409):
+            raise PeerBroken(url=url)
+
 
 def _read_plain(answer, url: str) -> Any:
     if answer.status != 200:
--- a/medlarrail/policy/placement.py
+++ b/medlarrail/policy/placement.py
@@ -13,9 +13,9 @@
 
 from medlarrail.core.placement import get_weight
 
-BUSIER_FACTOR = 1.5
+BUSIER_FACTOR = 1.25
 """How much busier than the mean an endpoint may be and still get its prompts."""
-BUSIER_SLACK = 2.0
+BUSIER_SLACK = 1.0
 """Requests above the mean that are never called busier."""
 FAILING_PENALTY = 30.0
 """Requests in flight that an endpoint that fails all of its requests is worth."""
--- a/medlarrail/programs/asides.py
+++ b/medlarrail/programs/asides.py
@@ -5,7 +5,7 @@
 import trio
 
 from medlarrail.core.errors import MedlarError
-from medlarrail.core.metrics import format_prometheus, get_metrics
+from medlarrail.core.metrics import get_metrics
 from medlarrail.relay.inbound import Exchange, InboundServer
 
 METRICS_TYPE = b"text/plain; version=0.0.4"
@@ -15,6 +15,8 @@
     """Serve this process's metrics as text on ``address``."""
 
     async def answer(exchange: Exchange) -> None:
+        from medlarrail.core.prometheus import format_prometheus
+
         headers = [(b"Content-Type", METRICS_TYPE)]
         await exchange.send_whole(200, headers, format_prometheus(get_metrics()))
 
--- /dev/null
+++ b/medlarrail/programs/daemon.py
@@ -0,0 +1,94 @@
+"""Running a daemon: its log, its signals and its settings."""
+
+import signal
+from collections.abc import Awaitable, Callable
+from enum import IntEnum
+from pathlib import Path
+from typing import Any
+
+import eliot
+import trio
+from attrs import define, field
+
+from medlarrail.core.errors import SettingsInvalid
+from medlarrail.core.logs import open_standard_output
+from medlarrail.settings.loading import load_settings
+
+
+class ExitCode(IntEnum):
+    """Exit codes of every program."""
+
+    OK = 0
+    DEFECT = 1
+    USAGE = 2
+    SETTINGS = 3
+    REFUSED = 4
+    UNAVAILABLE = 5
+    UNKNOWN = 6
+
+
+def start_log(log_file: str) -> None:
+    """Write the log as JSON lines to a file, or to standard output."""
+    if not log_file:
+        eliot.add_destinations(open_standard_output())
+        return
+    eliot.to_file(Path(log_file).open("a", buffering=1))  # noqa: SIM115
+
+
+async def wait_for_stop_signal() -> None:
+    """Return at the first SIGTERM or SIGINT."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            return
+
+
+@define
+class Reloads:
+    """Where a daemon's settings come from, and who wants to hear of new ones."""
+
+    path: Path
+    kind: type
+    listeners: list[Callable[[Any], None]] = field(factory=list)
+
+    async def watch(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Read the settings again at each SIGHUP.
+
+        Settings with faults change nothing; the log tells the faults.
+        """
+        with trio.open_signal_receiver(signal.SIGHUP) as signals:
+            task_status.started()
+            async for _ in signals:
+                self.reload()
+
+    def reload(self) -> None:
+        """Read the settings and hand them to every listener."""
+        try:
+            settings = load_settings(self.path, self.kind)
+        except (OSError, SettingsInvalid) as error:
+            eliot.log_message("settings:rejected", reason=str(error))
+            return
+        for listen in self.listeners:
+            listen(settings)
+        eliot.log_message("settings:reloaded", name=settings.name)
+
+
+def run_daemon(
+    run: Callable[[Any, Reloads], Awaitable[None]], settings: Any, path: Path
+) -> None:
+    """Run a daemon that reads its settings again when it is told to."""
+    reloads = Reloads(path, type(settings))
+
+    async def supervise(loaded: Any) -> None:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(reloads.watch)
+            await run(loaded, reloads)
+            nursery.cancel_scope.cancel()
+
+    run_program(supervise, settings)
+
+
+def run_program(run: Callable[[Any], Awaitable[None]], settings: Any) -> None:
+    """Run a daemon until it is told to stop."""
+    eliot.log_message("program:started", name=settings.name)
+    trio.run(run, settings)
+    eliot.log_message("program:stopped", name=settings.name)
--- a/medlarrail/programs/entry.py
+++ b/medlarrail/programs/entry.py
@@ -15,7 +15,8 @@
 from medlarrail.ownership.permit_client import PermitClient
 from medlarrail.ownership.permit_desk import PermitDesk
 from medlarrail.ownership.rollout import Rollout
-from medlarrail.programs.common import Reloads, build_program, wait_for_stop_signal
+from medlarrail.programs.common import build_program
+from medlarrail.programs.daemon import Reloads, wait_for_stop_signal
 from medlarrail.programs.monitoring import Monitoring
 from medlarrail.protocol.status import (
     ENTRY_STATUS_PATH,
@@ -30,7 +31,8 @@
 from medlarrail.serving.ledger import Ledger
 from medlarrail.serving.routing import Router
 from medlarrail.serving.service_calls import ServiceCalls
-from medlarrail.settings.daemons import EntrySettings, Keys
+from medlarrail.settings.common import Keys
+from medlarrail.settings.entry import EntrySettings
 from medlarrail.transport.client import HttpClient
 from medlarrail.transport.routes import Request, Routes, route
 from medlarrail.transport.server import HttpServer
--- a/medlarrail/programs/gateway.py
+++ b/medlarrail/programs/gateway.py
@@ -6,19 +6,20 @@
 import trio
 from attrs import define
 
+from medlarrail.cluster.context_feed import ContextFeed
 from medlarrail.cluster.picture import Picture, PictureKeeper
 from medlarrail.cluster.state_client import StateClient
 from medlarrail.core.deployment import Deployment
 from medlarrail.programs.asides import start_metrics
-from medlarrail.programs.common import Reloads, build_program, wait_for_stop_signal
+from medlarrail.programs.daemon import Reloads, wait_for_stop_signal
 from medlarrail.relay.book import EndpointBook
 from medlarrail.relay.calls import Dialect
-from medlarrail.relay.context_index import ContextFeed, ContextIndex
+from medlarrail.relay.context_index import ContextIndex
 from medlarrail.relay.dialect import StandardDialect
 from medlarrail.relay.drain import drain_gateway
 from medlarrail.relay.front import RelayFront
 from medlarrail.relay.inbound import InboundServer
-from medlarrail.settings.daemons import GatewaySettings
+from medlarrail.settings.gateway import GatewaySettings
 from medlarrail.transport.client import HttpClient
 
 
@@ -94,15 +95,15 @@
         nursery.cancel_scope.cancel()
 
 
-app = build_program(
-    "medlar-gateway",
-    "Runs an entry for opaque requests.",
-    "medlar-gateway --settings gateway-1.json",
-    GatewaySettings,
-    run_gateway,
-)
-
-
 def main() -> None:
     """Entry point."""
-    app()
+    # Imported here because other ways to start a daemon need no command line.
+    from medlarrail.programs.common import build_program
+
+    build_program(
+        "medlar-gateway",
+        "Runs an entry for opaque requests.",
+        "medlar-gateway --settings gateway-1.json",
+        GatewaySettings,
+        run_gateway,
+    )()
--- a/medlarrail/programs/monitoring.py
+++ b/medlarrail/programs/monitoring.py
@@ -5,7 +5,7 @@
 
 from attrs import define, frozen
 
-from medlarrail.core.metrics import format_prometheus, get_metrics
+from medlarrail.core.metrics import get_metrics
 from medlarrail.transport.routes import Reply, Request, route
 
 PROMETHEUS_TEXT = "text/plain; version=0.0.4"
@@ -30,6 +30,8 @@
     @route("GET", "/metrics")
     async def handle_metrics(self, request: Request) -> Reply:
         """Return counters and latencies as Prometheus text."""
+        from medlarrail.core.prometheus import format_prometheus
+
         return Reply(
             body=format_prometheus(get_metrics()), content_type=PROMETHEUS_TEXT
         )
--- a/medlarrail/programs/operator_shell.py
+++ b/medlarrail/programs/operator_shell.py
@@ -18,7 +18,7 @@
     RevisionConflict,
     SettingsInvalid,
 )
-from medlarrail.programs.common import ExitCode
+from medlarrail.programs.daemon import ExitCode
 from medlarrail.programs.tables import print_json
 from medlarrail.protocol.control import (
     CATALOGUE_PATH,
@@ -27,7 +27,7 @@
     ChangeRequest,
     Nothing,
 )
-from medlarrail.settings.daemons import OperatorSettings
+from medlarrail.settings.operator import OperatorSettings
 from medlarrail.state.catalogue import CatalogueImage
 from medlarrail.state.operations import (
     Operation,
--- a/medlarrail/programs/standin.py
+++ b/medlarrail/programs/standin.py
@@ -7,12 +7,8 @@
 import typer
 from attrs import fields
 
-from medlarrail.programs.common import (
-    load_or_exit,
-    run_program,
-    start_log,
-    wait_for_stop_signal,
-)
+from medlarrail.programs.common import load_or_exit
+from medlarrail.programs.daemon import run_program, start_log, wait_for_stop_signal
 from medlarrail.programs.tables import print_items
 from medlarrail.standins.bench import BenchResult, run_bench
 from medlarrail.standins.capacity import Slope, iterate_slopes
--- a/medlarrail/programs/state.py
+++ b/medlarrail/programs/state.py
@@ -7,19 +7,23 @@
 import trio
 from attrs import frozen
 
+from medlarrail.cluster.context_feed import ContextFeed
 from medlarrail.cluster.control import StateControl
 from medlarrail.cluster.picture_desk import PictureDesk
 from medlarrail.cluster.sessions import SessionKeeper
+from medlarrail.cluster.store_cleaner import StoreCleaner
 from medlarrail.cluster.weight_keeper import WeightKeeper, WeightOrders
 from medlarrail.consensus.membership import MembershipKeeper
 from medlarrail.consensus.replication import LogMember
+from medlarrail.core.clock import PROCESS_STARTED_AT
 from medlarrail.core.errors import StorageDamaged
 from medlarrail.programs.asides import start_metrics
-from medlarrail.programs.common import Reloads, build_program, wait_for_stop_signal
+from medlarrail.programs.daemon import Reloads, wait_for_stop_signal
 from medlarrail.programs.monitoring import Monitoring
 from medlarrail.serving.access import Guard, KeyRing
 from medlarrail.serving.ledger import LedgerReader
-from medlarrail.settings.daemons import Keys, StateSettings
+from medlarrail.settings.common import Keys
+from medlarrail.settings.state import StateSettings
 from medlarrail.state.folder import DataFolder
 from medlarrail.state.journal import Journal, open_journal
 from medlarrail.transport.client import HttpClient
@@ -55,6 +59,7 @@
     routes: tuple = ()
     """Objects with routes that the member serves besides its own."""
     weight_orders: WeightOrders | None = None
+    context_feed: ContextFeed | None = None
 
 
 BuildInterfaces = Callable[[PictureDesk], Interfaces]
@@ -74,7 +79,11 @@
     folder = DataFolder(Path(settings.data_folder), settings.quota_bytes)
     peers = HttpClient(settings.keys.cluster)
     member = LogMember(
-        settings.name, settings.listen.url, open_or_set_aside(folder), peers
+        settings.name,
+        settings.listen.url,
+        open_or_set_aside(folder),
+        peers,
+        started_at=PROCESS_STARTED_AT,
     )
     desk = PictureDesk(member)
     interfaces = build_interfaces(desk)
@@ -102,6 +111,8 @@
         if interfaces.weight_orders is not None:
             keeper = WeightKeeper(desk, interfaces.weight_orders, settings.rollout)
             nursery.start_soon(keeper.run)
+        if interfaces.context_feed is not None:
+            nursery.start_soon(StoreCleaner(desk, interfaces.context_feed).run)
         if settings.metrics_address:
             await start_metrics(nursery, settings.metrics_address)
         if settings.seeds:
@@ -110,15 +121,15 @@
         nursery.cancel_scope.cancel()
 
 
-app = build_program(
-    "medlar-state",
-    "Runs a member of the replicated log.",
-    "medlar-state --settings state-1.json",
-    StateSettings,
-    run_state,
-)
-
-
 def main() -> None:
     """Entry point."""
-    app()
+    # Imported here because other ways to start a daemon need no command line.
+    from medlarrail.programs.common import build_program
+
+    build_program(
+        "medlar-state",
+        "Runs a member of the replicated log.",
+        "medlar-state --settings state-1.json",
+        StateSettings,
+        run_state,
+    )()
--- a/medlarrail/programs/store.py
+++ b/medlarrail/programs/store.py
@@ -9,7 +9,8 @@
 from medlarrail.core.entities import Store
 from medlarrail.core.errors import MedlarError
 from medlarrail.core.metrics import get_metrics
-from medlarrail.programs.common import Reloads, build_program, wait_for_stop_signal
+from medlarrail.programs.common import build_program
+from medlarrail.programs.daemon import Reloads, wait_for_stop_signal
 from medlarrail.programs.monitoring import Monitoring
 from medlarrail.protocol.endpoints import (
     ANNOUNCE_STORE_PATH,
@@ -17,7 +18,8 @@
     AnnounceStoreRequest,
 )
 from medlarrail.serving.access import Guard, KeyRing
-from medlarrail.settings.daemons import Keys, StoreSettings
+from medlarrail.settings.common import Keys
+from medlarrail.settings.store import StoreSettings
 from medlarrail.state.blocks import BlockStore
 from medlarrail.state.folder import DataFolder
 from medlarrail.transport.client import HttpClient
--- a/medlarrail/relay/context_index.py
+++ b/medlarrail/relay/context_index.py
@@ -6,12 +6,12 @@
 """
 
 from collections.abc import Sequence
-from typing import Protocol
 
 import eliot
 import trio
-from attrs import define, field, frozen
+from attrs import define, field
 
+from medlarrail.cluster.context_feed import ContextFeed, HeldEvents, HeldList
 from medlarrail.cluster.picture import Picture
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.core.deployment import Deployment, StoreFacts
@@ -45,56 +45,6 @@
 CALL_MARGIN_S = 0.8
 
 
-@frozen
-class HeldPart:
-    """A part that a store holds whole, under the scope it was saved in."""
-
-    scope: str
-    identity: str
-    tokens: int
-
-
-@frozen
-class HeldList:
-    """All that a store holds; ``partial_tokens`` is room taken by unfinished
-    parts, and ``next_event`` the number to follow events from."""
-
-    epoch: str
-    next_event: int
-    parts: tuple[HeldPart, ...]
-    partial_tokens: int = 0
-
-
-@frozen
-class HeldEvent:
-    """A part came (``tokens`` above 0) or went."""
-
-    part: HeldPart
-    added: bool
-
-
-@frozen
-class HeldEvents:
-    """What changed; after a gap only a whole list tells what is held."""
-
-    epoch: str
-    next_event: int
-    gap: bool
-    events: tuple[HeldEvent, ...]
-
-
-class ContextFeed(Protocol):
-    """Asks stores what they hold."""
-
-    async def read_list(self, address: str) -> HeldList:
-        """Return all that a store holds."""
-
-    async def read_events(
-        self, address: str, since: int, wait_ms: int, timeout_s: float
-    ) -> HeldEvents:
-        """Return what changed since an event, waiting a while for something."""
-
-
 @define(eq=False)
 class StoreIndex:
     """What one store holds, as far as its events have told."""
--- a/medlarrail/relay/front.py
+++ b/medlarrail/relay/front.py
@@ -26,9 +26,15 @@
     StreamBroken,
 )
 from medlarrail.core.metrics import get_metrics
+from medlarrail.core.scopes import ContextScope
 from medlarrail.policy.context import TransferPlan
-from medlarrail.policy.placement import choose_by_context, choose_least_loaded
+from medlarrail.policy.placement import (
+    Candidate,
+    choose_by_context,
+    choose_least_loaded,
+)
 from medlarrail.policy.rates import RetryBudget
+from medlarrail.policy.sizes import WorkMix, count_places, is_long, list_engines
 from medlarrail.policy.weights import choose_versions
 from medlarrail.relay.attempt import Attempt, WholeAnswer
 from medlarrail.relay.book import EndpointBook
@@ -74,6 +80,7 @@
     context: ContextIndex | None = None
     refuse_new: bool = False
     table: RouteTable | None = None
+    mix: WorkMix = field(factory=WorkMix)
     _budgets: dict[str, RetryBudget] = field(factory=dict)
 
     def __attrs_post_init__(self):
@@ -249,10 +256,12 @@
         staying = [one for one in usable if not one.loading]
         usable = self._keep_newest(staying or usable)
         best_s = book.get_best_answer_s(usable)
-        candidates = [book.describe(one, best_s) for one in usable]
+        places = self._count_places()
+        candidates = [book.describe(one, best_s, places) for one in usable]
         entry_count = self.front.picture.entry_count
         if self.facts.parts:
-            context = self._get_scope() + self._get_largest_shared_part()
+            candidates = self._keep_size_class(candidates)
+            context = self._get_scope(0) + self._get_largest_shared_part()
             chosen = choose_by_context(candidates, entry_count, context)
         else:
             chosen = choose_least_loaded(candidates, entry_count, self.facts.request_id)
@@ -260,6 +269,18 @@
             return None
         return next(one for one in usable if one.announced.name == chosen.name)
 
+    def _keep_size_class(self, candidates: list[Candidate]) -> list[Candidate]:
+        """Return the engines for prompts of this length, if any of them answers."""
+        front = self.front
+        names = list_engines(
+            [one.name for one in candidates],
+            self.service.name,
+            is_long(self._count_own_tokens()),
+            front.mix.get_long_share(front.book.clock()),
+        )
+        kept = [one for one in candidates if one.name in names]
+        return kept if any(not one.suspected for one in kept) else candidates
+
     def _get_largest_shared_part(self) -> str:
         """Return the identity of the part that is worth most where it is kept."""
         shared = self.facts.parts[:-1] or self.facts.parts
@@ -277,18 +298,38 @@
         allowed = choose_versions(versions, desired.ordinal, named_s)
         return [one for one, may in zip(usable, allowed, strict=True) if may]
 
-    def _get_scope(self) -> str:
-        """Return what separates this account's context from others', if anything."""
+    def _get_scope(self, version: int) -> str:
+        """Return the name of the scope of this request's context."""
         account = self.admitted.account
-        return f"{account.name}/" if account is not None and account.isolated else ""
+        apart = account is not None and account.isolated
+        name = account.name if apart else ""
+        return str(ContextScope(name, self.facts.model, version))
+
+    def _count_own_tokens(self) -> int:
+        """Return the tokens of the prompt that no other request shares."""
+        shared = sum(part.tokens for part in self.facts.parts[:-1])
+        return max(0, self.facts.prompt_tokens - shared)
+
+    def _count_places(self) -> int:
+        """Return how many requests like this one an engine runs at once, or 0."""
+        engine = self.service.engine
+        if engine is None or not is_long(self._count_own_tokens()):
+            return 0
+        return count_places(
+            engine.slots, engine.memory_tokens, self.facts.prompt_tokens
+        )
 
     def build_dispatch(self, endpoint: PicturedEndpoint) -> Dispatch:
         """Return what goes with the request to ``endpoint``."""
         account = self.admitted.account
         engine = self.service.engine is not None
         version = endpoint.announced.get_version(self.facts.model) if engine else 0
-        scope = f"{self._get_scope()}{version}" if engine else ""
+        scope = self._get_scope(version) if engine else ""
         plan = self._plan_transfers(endpoint, scope, version)
+        if engine:
+            now = self.front.book.clock()
+            tokens = self.facts.prompt_tokens
+            self.front.mix.note(now, self._count_own_tokens(), tokens)
         return Dispatch(
             endpoint=endpoint.announced,
             deadline_ms=max(1, int(self.get_rest_s() * 1000)),
--- a/medlarrail/serving/access_test.py
+++ b/medlarrail/serving/access_test.py
@@ -11,7 +11,7 @@
     KeyRing,
     get_digest,
 )
-from medlarrail.settings.daemons import Keys
+from medlarrail.settings.common import Keys
 from medlarrail.testing.builders import build_contract
 from medlarrail.transport.routes import Request
 
--- /dev/null
+++ b/medlarrail/settings/entry.py
@@ -0,0 +1,25 @@
+"""Settings of an entry."""
+
+from attrs import field, frozen
+
+from medlarrail.context.estimator import Weights
+from medlarrail.serving.front import CallerLimits
+from medlarrail.serving.routing import RoutingPolicy
+from medlarrail.settings.common import Keys, Listen
+from medlarrail.transport.server import ServerLimits
+
+
+@frozen
+class EntrySettings:
+    """Settings of ``medlar-entry``."""
+
+    name: str
+    data_centre: str
+    listen: Listen
+    keys: Keys
+    state_urls: tuple[str, ...]
+    callers: CallerLimits = field(factory=CallerLimits)
+    routing: RoutingPolicy = field(factory=RoutingPolicy)
+    weights: Weights = field(factory=Weights)
+    server: ServerLimits = field(factory=ServerLimits)
+    log_file: str = ""
--- /dev/null
+++ b/medlarrail/settings/gateway.py
@@ -0,0 +1,30 @@
+"""Settings of a gateway."""
+
+from attrs import field, frozen
+
+from medlarrail.relay.drain import DrainPolicy
+from medlarrail.relay.front import RetryPolicy
+from medlarrail.settings.common import Keys, Listen
+
+
+@frozen
+class GatewaySettings:
+    """Settings of a gateway: an entry for opaque requests.
+
+    ``health_address``, ``directory_address`` and ``metrics_address`` are each a
+    ``host:port`` of their own.
+    """
+
+    name: str
+    data_centre: str
+    listen: Listen
+    keys: Keys
+    state_urls: tuple[str, ...]
+    health_address: str = ""
+    directory_address: str = ""
+    metrics_address: str = ""
+    retries: RetryPolicy = field(factory=RetryPolicy)
+    drain: DrainPolicy = field(factory=DrainPolicy)
+    max_connections: int = 2000
+    """Callers' connections at once: half of the descriptors that a process has."""
+    log_file: str = ""
--- a/medlarrail/settings/loading.py
+++ b/medlarrail/settings/loading.py
@@ -5,7 +5,7 @@
 
 from medlarrail.core.codec import decode_settings
 from medlarrail.core.errors import SettingsInvalid
-from medlarrail.settings.daemons import iterate_faults
+from medlarrail.settings.common import iterate_faults
 
 T = TypeVar("T")
 
--- /dev/null
+++ b/medlarrail/settings/operator.py
@@ -0,0 +1,11 @@
+"""Settings of the operators' command line."""
+
+from attrs import frozen
+
+
+@frozen
+class OperatorSettings:
+    """Settings of ``medlar``: the state members and the operator's key."""
+
+    state_urls: tuple[str, ...]
+    key: str
--- a/medlarrail/settings/daemons_test.py
+++ b/medlarrail/settings/settings_test.py
@@ -5,13 +5,11 @@
 import pytest
 from attrs import evolve
 
-from medlarrail.settings.daemons import (
-    EntrySettings,
-    StateSettings,
-    StoreSettings,
-    iterate_faults,
-)
+from medlarrail.settings.common import iterate_faults
+from medlarrail.settings.entry import EntrySettings
 from medlarrail.settings.loading import load_settings
+from medlarrail.settings.state import StateSettings
+from medlarrail.settings.store import StoreSettings
 
 SHIPPED = Path(__file__).parents[2] / "settings"
 KINDS = {"state": StateSettings, "entry": EntrySettings, "store": StoreSettings}
--- /dev/null
+++ b/medlarrail/settings/state.py
@@ -0,0 +1,29 @@
+"""Settings of a state member."""
+
+from attrs import field, frozen
+
+from medlarrail.cluster.weight_keeper import RolloutPolicy
+from medlarrail.settings.common import Keys, Listen
+from medlarrail.transport.server import ServerLimits
+
+
+@frozen
+class StateSettings:
+    """Settings of ``medlar-state``; sizes in bytes."""
+
+    name: str
+    data_centre: str
+    listen: Listen
+    keys: Keys
+    data_folder: str
+    quota_bytes: int = 0
+    seeds: tuple[str, ...] = ()
+    """URLs of members to form the cluster with or to ask to be taken in; none
+    where an operator does both."""
+    first_start: bool = False
+    """Whether the whole system starts for the first time, with empty disks."""
+    metrics_address: str = ""
+    """``host:port`` for metrics without a key; empty for none."""
+    rollout: RolloutPolicy = field(factory=RolloutPolicy)
+    server: ServerLimits = field(factory=lambda: ServerLimits(body_bytes=256_000_000))
+    log_file: str = ""
--- /dev/null
+++ b/medlarrail/settings/store.py
@@ -0,0 +1,25 @@
+"""Settings of a store of kept context."""
+
+from typing import Literal
+
+from attrs import field, frozen
+
+from medlarrail.settings.common import Keys, Listen
+from medlarrail.transport.server import ServerLimits
+
+
+@frozen
+class StoreSettings:
+    """Settings of ``medlar-store``; ``eviction`` names a policy."""
+
+    name: str
+    data_centre: str
+    listen: Listen
+    keys: Keys
+    entry_urls: tuple[str, ...]
+    data_folder: str
+    memory_bytes: int
+    disk_bytes: int
+    eviction: Literal["value", "lru"] = "value"
+    server: ServerLimits = field(factory=lambda: ServerLimits(body_bytes=64_000_000))
+    log_file: str = ""
--- a/medlarrail/standins/settings.py
+++ b/medlarrail/standins/settings.py
@@ -3,7 +3,7 @@
 from attrs import field, frozen
 
 from medlarrail.core.entities import Endpoint
-from medlarrail.settings.daemons import Keys, Listen
+from medlarrail.settings.common import Keys, Listen
 
 
 @frozen
--- a/medlarrail/testing/deployment.py
+++ b/medlarrail/testing/deployment.py
@@ -11,14 +11,11 @@
 from medlarrail.core.entities import Endpoint
 from medlarrail.serving.access import get_digest
 from medlarrail.serving.routing import RoutingPolicy
-from medlarrail.settings.daemons import (
-    EntrySettings,
-    Keys,
-    Listen,
-    OperatorSettings,
-    StateSettings,
-    StoreSettings,
-)
+from medlarrail.settings.common import Keys, Listen
+from medlarrail.settings.entry import EntrySettings
+from medlarrail.settings.operator import OperatorSettings
+from medlarrail.settings.state import StateSettings
+from medlarrail.settings.store import StoreSettings
 from medlarrail.standins.settings import Behaviour, StandinSettings
 
 HOST = "127.0.0.1"
