Refuse only what did not run, and bound heads that arrive whole

Causes, found by tests over loopback: at the deadline a request that was under way was answered 503, which says that it did not run; a rejection by a second endpoint hid that a first one may have run; a head longer than its limit passed where it came in one piece. Each test failed first.

--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -48,6 +48,7 @@
     facts: CallFacts
     admitted: Admitted
     last_event_id: str
+    in_doubt: bool
     spare: WholeAnswer | None
     """An endpoint's own failure, for the caller if no other attempt is made."""
 
@@ -85,6 +86,7 @@
                 announced.address, fresh=not route.repeatable
             )
             record.cold.note_sent(front.book.clock())
+            self.relayed.in_doubt = True
             if route.kind == "once":
                 self.relayed.exchange.detached = True
             await self._exchange(connection)
--- a/medlarrail/relay/front.py
+++ b/medlarrail/relay/front.py
@@ -20,6 +20,7 @@
     MalformedRequest,
     MedlarError,
     NoEndpoint,
+    Refusal,
     RetryLimit,
     RunDeadlineExceeded,
     RunFailure,
@@ -181,6 +182,10 @@
     sends: int = 0
     """Attempts that reached an endpoint, those that it rejected included."""
     failure: MedlarError | None = None
+    run_failure: RunFailure | None = None
+    """How an attempt failed that may have run."""
+    in_doubt: bool = False
+    """Whether an attempt is under way that may run."""
     spare: WholeAnswer | None = None
     last_event_id: str = ""
 
@@ -202,10 +207,18 @@
         """Try endpoints until the caller has its answer; raises why it has none."""
         self.front.get_budget(self.service.name).note_request(self.front.book.clock())
         with trio.move_on_at(self.deadline + ANSWER_GRACE_S) as scope:
-            await self._try_endpoints()
+            try:
+                await self._try_endpoints()
+            except Refusal:
+                if self.run_failure is None:
+                    raise
+                # An earlier attempt may have run, so no refusal would be true.
+                raise self.run_failure from None
         if scope.cancelled_caught:
             get_metrics().count("deadlines_passed", service=self.service.name)
-            raise RunDeadlineExceeded() if self.runs else DeadlineExceeded()
+            if self.runs or self.in_doubt:
+                raise RunDeadlineExceeded()
+            raise DeadlineExceeded()
 
     async def _try_endpoints(self) -> None:
         while True:
@@ -373,12 +386,13 @@
         except RunFailure as error:
             self.sends += 1
             self.runs += 1
-            self.failure = error
+            self.failure = self.run_failure = error
             if isinstance(error, StreamBroken):
                 self.front.book.health.note_failure(name)
         else:
             self._log(attempt, "answered")
             return True
+        self.in_doubt = False
         self._log(attempt, str(self.failure))
         return False
 
--- a/medlarrail/relay/inbound.py
+++ b/medlarrail/relay/inbound.py
@@ -154,6 +154,7 @@
                 return None
             received_at = trio.current_time()
             headers = tuple(head.headers.raw_items())
+            self._check_size(head.target, headers)
             check_framing(headers)
             body = await self._read_body(headers)
         except h11.RemoteProtocolError as error:
@@ -171,6 +172,13 @@
             received_at=received_at,
         )
 
+    def _check_size(self, target: bytes, headers: tuple[Header, ...]) -> None:
+        """Raise ``OverLongHeader`` for a head that arrived whole but is too long."""
+        limit = self.server.limits.header_bytes
+        size = len(target) + sum(len(name) + len(value) + 4 for name, value in headers)
+        if size > limit:
+            raise OverLongHeader(limit_bytes=limit)
+
     async def _read_head(self) -> h11.Request | None:
         """Return the head of a request; None after a clean close or idle time."""
         idle_s = self.server.limits.idle_timeout_ms / 1000
