--- /dev/null
+++ b/medlarrail/platform/platform_test.py
@@ -0,0 +1,425 @@
+"""Tests of the translation between the platform and the project."""
+
+import orjson
+import pytest
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from medlarrail.cluster.context_feed import HeldPart
+from medlarrail.cluster.picture_desk import PictureDesk
+from medlarrail.core.announcements import Announcement
+from medlarrail.core.deployment import Deployment, TrafficShare
+from medlarrail.core.deployment_check import iterate_deployment_faults
+from medlarrail.core.errors import CallerError, DeploymentInvalid, MalformedRequest
+from medlarrail.platform.announcements import decode_announcement
+from medlarrail.platform.context_feed import PlatformContextFeed
+from medlarrail.platform.control import PlatformControl
+from medlarrail.platform.dialect import PlatformDialect
+from medlarrail.platform.documents import decode_deployment
+from medlarrail.platform.orders import PlatformOrders
+from medlarrail.relay.calls import CallFacts, Dispatch, PromptPart, Refusal
+from medlarrail.testing.builders import build_announcement
+from medlarrail.testing.cluster import Cluster
+from medlarrail.transport.client import RawAnswer
+from medlarrail.transport.routes import Request, Routes
+
+ROUTE = {
+    "name": "r1",
+    "host": "a.example",
+    "path-prefix": "/x/",
+    "kind": "streaming",
+    "timeout-ms": 6000,
+    "target-latency-ms": 800,
+    "priority": 1,
+    "traffic-split": [
+        {"service": "llm", "weight": 90},
+        {"service": "app", "weight": 10},
+    ],
+    "max-attempts": 2,
+    "public": False,
+    "sticky": True,
+    "resumable": True,
+    "target-gap-ms": 400,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [
+        {
+            "name": "llm",
+            "health-path": "/healthz",
+            "max-connections": 360,
+            "cold-start-s": 3.0,
+            "cold-per-s": 29.0,
+            "engine": {
+                "slots": 64,
+                "kv-capacity-tokens": 68095,
+                "kv-token-bytes": 18432,
+                "max-in-flight": 12,
+                "models": [{"name": "m"}],
+            },
+        },
+        {"name": "app", "max-connections": 96},
+        {
+            "name": "store",
+            "kv-store-addr": "172.20.0.6:8006",
+            "zone": "leith",
+            "kv-capacity-tokens": 77116,
+            "managed": True,
+            "first_ms": 0.5,
+        },
+    ],
+    "limits": {"max-header-bytes": 9000, "idle-timeout-ms": 15000},
+    "tenants": [{"name": "t1", "api-keys": ["k1", "k2"], "priority": 1}],
+}
+BEAT = {
+    "service": "llm",
+    "address": "10.128.0.9:8080",
+    "zone": "leith",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "cold-remaining-ms": 0,
+    "stage": "colocated",
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "sequence": 4,
+    "born": 1700000000000,
+}
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+def change(document, path, value):
+    """Return a copy of a document with one value changed, or removed."""
+    copy = orjson.loads(orjson.dumps(document))
+    place = copy
+    for step in path[:-1]:
+        place = place[step]
+    if value is None:
+        del place[path[-1]]
+    else:
+        place[path[-1]] = value
+    return orjson.dumps(copy)
+
+
+class TestDocuments:
+    def test_each_field_arrives(self):
+        data = orjson.dumps(CONFIG)
+        document = decode_deployment(data)
+        assert not list(iterate_deployment_faults(document))
+        (route,) = document.routes
+        assert document.version == 7 and document.source == data.decode()
+        assert (route.kind, route.timeout_ms, route.gap_ms) == ("stream", 6000, 400)
+        assert route.shares == (TrafficShare("llm", 90.0), TrafficShare("app", 10.0))
+        assert route.repeatable and route.cached and route.max_attempts == 2
+        assert document.services[0].engine.memory_tokens == 68095
+        assert document.services[2].store.address == "172.20.0.6:8006"
+        assert document.accounts[0].keys == ("k1", "k2")
+        assert document.limits.header_bytes == 9000
+
+    def test_a_route_may_name_one_service(self):
+        route = {**ROUTE, "service": "app"}
+        del route["traffic-split"]
+        document = decode_deployment(orjson.dumps({**CONFIG, "routes": [route]}))
+        assert document.routes[0].shares == (TrafficShare("app"),)
+
+    @pytest.mark.parametrize(
+        "path, value",
+        [
+            (("version",), None),
+            (("version",), "7"),
+            (("version",), True),
+            (("routes",), {}),
+            (("routes", 0), 3),
+            (("routes", 0, "kind"), "other"),
+            (("routes", 0, "host"), None),
+            (("routes", 0, "timeout-ms"), "6000"),
+            (("routes", 0, "traffic-split", 0, "weight"), "much"),
+            (("services", 0, "name"), 5),
+            (("tenants", 0, "api-keys"), [5]),
+            (("limits", "max-header-bytes"), "many"),
+        ],
+    )
+    def test_a_wrong_type_is_a_fault_with_its_place(self, path, value):
+        with pytest.raises(DeploymentInvalid) as caught:
+            decode_deployment(change(CONFIG, path, value))
+        assert caught.value.faults[0].place.startswith("$")
+
+    @given(st.integers(0, 600))
+    def test_a_torn_document_is_invalid(self, size):
+        data = orjson.dumps(CONFIG)
+        with pytest.raises(DeploymentInvalid):
+            decode_deployment(data[: min(size, len(data) - 1)])
+
+    @given(JSON_VALUES)
+    def test_any_json_is_a_document_or_invalid(self, value):
+        try:
+            document = decode_deployment(orjson.dumps(value))
+        except (DeploymentInvalid, orjson.JSONEncodeError, TypeError):
+            return
+        assert isinstance(document, Deployment)
+
+    @given(st.sampled_from(sorted(ROUTE)), JSON_VALUES)
+    def test_any_value_in_a_route(self, name, value):
+        try:
+            data = change(CONFIG, ("routes", 0, name), value)
+            decode_deployment(data)
+        except (DeploymentInvalid, orjson.JSONEncodeError, TypeError):
+            return
+
+
+class TestAnnouncements:
+    def test_each_field_arrives(self):
+        found = decode_announcement("i-1", orjson.dumps(BEAT))
+        assert found.started_ms == 1700000000000 and found.sequence == 4
+        assert found.get_version("m") == 1 and found.slots == 64
+
+    @pytest.mark.parametrize(
+        "name, value",
+        [
+            ("state", "dancing"),
+            ("state", None),
+            ("address", "engine:8080"),
+            ("address", "10.0.0.999:80"),
+            ("address", "10.0.0.1"),
+            ("sequence", "4"),
+            ("sequence", True),
+            ("born", 1.5),
+            ("models", {}),
+            ("models", [3]),
+        ],
+    )
+    def test_what_names_no_endpoint_is_rejected(self, name, value):
+        with pytest.raises(CallerError):
+            decode_announcement("i-1", change(BEAT, (name,), value))
+
+    @given(st.binary(max_size=60))
+    def test_any_bytes(self, data):
+        with pytest.raises(CallerError):
+            decode_announcement("i-1", data)
+
+    @given(st.sampled_from(sorted(BEAT)), JSON_VALUES)
+    def test_any_value_in_a_field(self, name, value):
+        try:
+            found = decode_announcement("i-1", change(BEAT, (name,), value))
+        except (CallerError, orjson.JSONEncodeError, TypeError):
+            return
+        assert isinstance(found, Announcement)
+
+
+class TestDialect:
+    def test_a_call_is_read(self):
+        facts = PlatformDialect().read_call(
+            (
+                (b"Request-Id", b"9c41"),
+                (b"Model", b"m"),
+                (b"Token-Usage", b"1460,80"),
+                (b"Prefix-Hash", b"5c1e:800,91bd:410,e440:250"),
+                (b"Deadline-Ms", b"6000"),
+                (b"Api-Key", b"k1"),
+            )
+        )
+        assert facts.request_id == "9c41" and facts.deadline_ms == 6000
+        assert (facts.prompt_tokens, facts.output_tokens) == (1460, 80)
+        assert facts.parts[1] == PromptPart("91bd", 410)
+
+    @pytest.mark.parametrize(
+        "name, value",
+        [
+            (b"Deadline-Ms", b"-5"),
+            (b"Deadline-Ms", b"1e3"),
+            (b"Token-Usage", b"12"),
+            (b"Token-Usage", b"a,b"),
+            (b"Prefix-Hash", b"5c1e"),
+            (b"Prefix-Hash", b":5"),
+        ],
+    )
+    def test_what_cannot_be_read_is_malformed(self, name, value):
+        with pytest.raises(MalformedRequest):
+            PlatformDialect().read_call(((name, value),))
+
+    @given(st.binary(max_size=20))
+    def test_any_bytes_in_a_header(self, value):
+        for name in (b"Deadline-Ms", b"Token-Usage", b"Prefix-Hash", b"Length-Hint"):
+            try:
+                facts = PlatformDialect().read_call(((name, value),))
+            except MalformedRequest:
+                continue
+            assert isinstance(facts, CallFacts)
+
+    def test_a_caller_sets_none_of_the_systems_headers(self):
+        names = (
+            *("Tenant", "Expect-Instance", "Expect-Version", "Request-Priority"),
+            *("Cache-Salt", "Kv-Fetch", "Kv-Save", "Kv-Until", "Kv-Backup"),
+            *("Kv-From", "Pin-Ms", "Hold", "Api-Key", "Deadline-Ms"),
+            "Last-Event-Id",
+        )
+        sent = tuple((name.encode(), b"caller") for name in names)
+        dispatch = Dispatch(build_announcement(name="i-1"), 500, account="t1")
+        written = dict(PlatformDialect().write_call(sent, dispatch))
+        assert b"caller" not in written.values()
+        assert written[b"Expect-Instance"] == b"i-1"
+        assert written[b"Tenant"] == b"t1" and written[b"Deadline-Ms"] == b"500"
+
+    def test_transfers_stand_in_the_order_of_the_parts(self):
+        dispatch = Dispatch(
+            build_announcement(), 5, fetch=("1.1.1.1:1", "", ""), save=("", "", "")
+        )
+        written = dict(PlatformDialect().write_call((), dispatch))
+        assert written[b"Kv-Fetch"] == b"1.1.1.1:1,-,-"
+        assert b"Kv-Save" not in written
+
+    def test_an_answer_is_read(self):
+        dialect = PlatformDialect()
+        fine = dialect.read_answer(
+            200,
+            (
+                (b"Request-Id", b"r"),
+                (b"Response-Signature", b"s"),
+                (b"Server-Load", b"3,0,8"),
+                (b"Keep-Alive", b"timeout=5"),
+                (b"Weight-Versions", b"2"),
+            ),
+        )
+        assert fine.genuine and fine.load.slots == 8 and fine.keep_alive_s == 5.0
+        assert fine.weight_version == 2 and not fine.not_run
+        full = dialect.read_answer(503, ((b"Not-Executed", b"1"),))
+        assert full.not_run and not full.genuine
+        other = dialect.read_answer(421, ((b"Instance-Id", b"i-2"),))
+        assert other.misdirected and other.endpoint == "i-2"
+
+    def test_a_refusal_tells_when_to_come_back(self):
+        headers, _ = PlatformDialect().write_refusal(
+            Refusal(503, "full", 0.25), CallFacts(request_id="r")
+        )
+        assert (b"Retry-After", b"0.25") in headers and (b"Request-Id", b"r") in headers
+
+
+class FakeClient:
+    """Answers calls from a list and keeps what was asked."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.asked = []
+
+    async def fetch(self, method, url, body=b"", headers=None, **rest):
+        self.asked.append((method, url, body, headers))
+        status, plain = self.answers.pop(0)
+        return RawAnswer(status, {}, orjson.dumps(plain))
+
+
+class TestFeedAndOrders:
+    async def test_lists_and_events(self):
+        client = FakeClient(
+            (
+                200,
+                {
+                    "boot-epoch": 7,
+                    "next": 3,
+                    "held": [["s", "p", 800, "m"]],
+                    "partial": [["s", "q", 16, 320]],
+                },
+            ),
+            (
+                200,
+                {
+                    "boot-epoch": 7,
+                    "next": 5,
+                    "lost": False,
+                    "events": [
+                        [3, "+", "s", "q", 320, "m"],
+                        [4, "-", "s", "p", 0, "m"],
+                    ],
+                },
+            ),
+        )
+        feed = PlatformContextFeed(client)
+        listed = await feed.read_list("a:1")
+        assert listed.parts == (HeldPart("s", "p", 800),)
+        assert listed.partial_tokens == 320
+        batch = await feed.read_events("a:1", 3, 1000, 1.5)
+        assert [one.added for one in batch.events] == [True, False]
+        assert client.asked[1][1].endswith("since=3")
+
+    async def test_an_order_names_holder_fence_and_count(self):
+        client = FakeClient((202, {}))
+        from medlarrail.cluster.weight_keeper import WeightOrder
+
+        order = WeightOrder(build_announcement(name="i-1"), "m", 2, "node-7", 41, 5)
+        assert await PlatformOrders(client).order(order) == "accepted"
+        _, _, body, headers = client.asked[0]
+        plain = orjson.loads(body)
+        assert plain["fencing-token"] == 41 and plain["expect"] == 5
+        assert plain["holder"] == "node-7" and plain["mode"] == "wait"
+        assert headers["expect-instance"] == "i-1"
+
+
+@pytest.fixture
+async def control(tmp_path, nursery, autojump_clock):
+    """Return the routes of the leading member and of another one."""
+    cluster = Cluster(tmp_path, nursery)
+    await cluster.bootstrap("a", "b", "c")
+    leader = await cluster.wait_leader()
+    routes = {}
+    for host in cluster.hosts.values():
+        desk = PictureDesk(host.member, clock=trio.current_time)
+        routes[host.member.name] = Routes.collect(PlatformControl(desk))
+    other = next(name for name in routes if name != leader.name)
+    await trio.sleep(1)
+    return routes[leader.name], routes[other]
+
+
+async def call(routes, method, path, plain=None):
+    body = b"" if plain is None else orjson.dumps(plain)
+    return await routes.answer(Request(method, path, body=body))
+
+
+class TestControl:
+    async def test_a_document_is_read_back_as_it_was_sent(self, control):
+        leading, _ = control
+        assert (await call(leading, "GET", "/config")).status == 503
+        assert (await call(leading, "PUT", "/config", CONFIG)).status == 200
+        assert (await call(leading, "PUT", "/config", CONFIG)).status == 200
+        answer = await call(leading, "GET", "/config")
+        assert answer.status == 200 and orjson.loads(answer.body) == CONFIG
+
+    async def test_an_invalid_document_is_refused_and_not_in_force(self, control):
+        leading, _ = control
+        bad = {**CONFIG, "routes": [{**ROUTE, "timeout-ms": 0}]}
+        assert (await call(leading, "PUT", "/config", bad)).status == 400
+        assert (await call(leading, "GET", "/config")).status == 503
+
+    async def test_another_member_sends_the_caller_to_the_leader(self, control):
+        _, other = control
+        for method, path in (
+            ("PUT", "/config"),
+            ("GET", "/config"),
+            ("PUT", "/instances/i-1"),
+            ("POST", "/evacuate/leith"),
+        ):
+            plain = CONFIG if path == "/config" else BEAT
+            answer = await call(other, method, path, plain)
+            assert answer.status == 307 and answer.headers["location"].endswith(path)
+
+    async def test_announcements_and_departures(self, control):
+        leading, _ = control
+        assert (await call(leading, "PUT", "/instances/i-1", BEAT)).status == 200
+        bad = await call(leading, "PUT", "/instances/i-2", {**BEAT, "state": "?"})
+        assert bad.status == 400
+        assert (await call(leading, "DELETE", "/instances/i-1")).status == 200
+
+    async def test_orders(self, control):
+        leading, _ = control
+        assert (await call(leading, "POST", "/evacuate/leith")).status == 200
+        assert (await call(leading, "DELETE", "/evacuate/leith")).status == 200
+        good = {"model": "m", "version": 2}
+        assert (await call(leading, "POST", "/version-put", good)).status == 200
+        for bad in ({}, {"model": "m", "version": "2"}, [], {"version": 2}):
+            assert (await call(leading, "POST", "/version-put", bad)).status == 400
