Operators' commands for the deployment document, and why no endpoint took a request

The document, announcements and departures have interfaces of the project's own, checked like the platform's. A refusal for lack of an endpoint logs how many were known and what kept each out.

--- a/medlarrail/cluster/control.py
+++ b/medlarrail/cluster/control.py
@@ -6,6 +6,7 @@
 from medlarrail.cluster.sessions import SessionKeeper
 from medlarrail.consensus.bootstrap import bootstrap_cluster, fetch_identity
 from medlarrail.consensus.replication import LogMember
+from medlarrail.core.deployment_check import check_deployment
 from medlarrail.core.entities import MemberInfo
 from medlarrail.core.errors import NotFound
 from medlarrail.core.timing import FOLLOW_WAIT_S
@@ -31,7 +32,7 @@
 )
 from medlarrail.protocol.replication import IDENTITY_PATH, Identity
 from medlarrail.state.catalogue import CatalogueImage
-from medlarrail.state.operations import Envelope
+from medlarrail.state.operations import Envelope, ReplaceDeployment
 from medlarrail.transport.routes import Request, route
 
 CONFIRM_WAIT_S = 1.5
@@ -86,6 +87,8 @@
     async def handle_change(self, request: Request) -> ChangeAnswer:
         """Commit an operator's change and wait a while for the entries."""
         message: ChangeRequest = request.message
+        if isinstance(message.operation, ReplaceDeployment):
+            check_deployment(message.operation.deployment)
         envelope = Envelope(
             message.operation, message.command_id, message.seen_revision
         )
--- a/medlarrail/cluster/picture_desk.py
+++ b/medlarrail/cluster/picture_desk.py
@@ -11,12 +11,16 @@
 from medlarrail.core.announcements import Announcement, EntryNotice
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.core.deployment import Deployment
-from medlarrail.core.deployment_check import iterate_deployment_faults
+from medlarrail.core.deployment_check import check_deployment
 from medlarrail.core.entities import DesiredVersion
-from medlarrail.core.errors import DeploymentInvalid, MedlarError, NotLeader
+from medlarrail.core.errors import MedlarError, NotLeader
 from medlarrail.core.metrics import get_metrics
+from medlarrail.protocol.control import Nothing
 from medlarrail.protocol.pictures import (
+    ANNOUNCEMENTS_PATH,
+    DEPARTURES_PATH,
     PICTURE_PATH,
+    Departure,
     PictureAnswer,
     PictureRequest,
 )
@@ -120,14 +124,24 @@
             eliot.log_message("endpoint:departed", endpoint=name)
             self.wake()
 
+    @route("POST", ANNOUNCEMENTS_PATH, Announcement)
+    async def handle_announcement(self, request: Request) -> Nothing:
+        """Take up an endpoint's announcement in the project's own form."""
+        self.note_announcement(request.message)
+        return Nothing()
+
+    @route("POST", DEPARTURES_PATH, Departure)
+    async def handle_departure(self, request: Request) -> Nothing:
+        """Take up an endpoint's departure in the project's own form."""
+        self.note_departure(request.message.name)
+        return Nothing()
+
     async def replace_deployment(self, deployment: Deployment) -> None:
         """Commit a document; one that is not newer is accepted and has no effect.
 
         Raises ``DeploymentInvalid`` with every fault.
         """
-        faults = tuple(iterate_deployment_faults(deployment))
-        if faults:
-            raise DeploymentInvalid(faults=faults)
+        check_deployment(deployment)
         present = await self.read_deployment()
         if present is not None and present.version >= deployment.version:
             return
--- a/medlarrail/core/deployment_check.py
+++ b/medlarrail/core/deployment_check.py
@@ -5,6 +5,14 @@
 
 from medlarrail.core.deployment import Deployment, RouteRule
 from medlarrail.core.entities import Fault
+from medlarrail.core.errors import DeploymentInvalid
+
+
+def check_deployment(deployment: Deployment) -> None:
+    """Raise ``DeploymentInvalid`` with every fault, if there is one."""
+    faults = tuple(iterate_deployment_faults(deployment))
+    if faults:
+        raise DeploymentInvalid(faults=faults)
 
 
 def iterate_deployment_faults(deployment: Deployment) -> Iterator[Fault]:
--- /dev/null
+++ b/medlarrail/programs/gateway_test.py
@@ -0,0 +1,200 @@
+"""Tests of a state member and a gateway as processes, by their own interfaces."""
+
+import signal
+import socket
+import subprocess
+import sys
+from functools import partial
+from pathlib import Path
+
+import orjson
+import pytest
+import trio
+
+from medlarrail.core.codec import encode
+from medlarrail.core.errors import MedlarError
+from medlarrail.protocol.control import Nothing
+from medlarrail.protocol.pictures import ANNOUNCEMENTS_PATH
+from medlarrail.testing.builders import build_announcement, build_deployment
+from medlarrail.testing.scripted import (
+    ScriptedEndpoint,
+    answer_fine,
+    build_request,
+)
+from medlarrail.transport.client import HttpClient
+
+BIN = Path(sys.executable).parent
+KEY = "a-key-for-this-test"
+PATIENCE_S = 20.0
+
+
+def find_port() -> int:
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        return found.getsockname()[1]
+
+
+class Daemons:
+    """A state member that forms a cluster of its own, and a gateway."""
+
+    def __init__(self, path):
+        self.path = path
+        self.state_port, self.gateway_port = find_port(), find_port()
+        self.state_url = f"http://127.0.0.1:{self.state_port}"
+        self.processes = {}
+
+    def write(self, name, settings):
+        file = self.path / f"{name}.json"
+        file.write_bytes(orjson.dumps(settings))
+        return str(file)
+
+    def start(self):
+        common = {"data_centre": "leith", "keys": {"cluster": KEY}}
+        state = {
+            **common,
+            "name": "state-1",
+            "listen": {"host": "127.0.0.1", "port": 0, "url": self.state_url},
+            "data_folder": str(self.path / "data"),
+            "seeds": [self.state_url],
+            "first_start": True,
+        }
+        gateway = {
+            **common,
+            "name": "gateway-1",
+            "listen": {
+                "host": "127.0.0.1",
+                "port": self.gateway_port,
+                "url": f"http://127.0.0.1:{self.gateway_port}",
+            },
+            "state_urls": [self.state_url],
+            "drain": {"shortest_s": 0.2, "quiet_s": 0.2},
+        }
+        for name, settings in (("state", state), ("gateway", gateway)):
+            log = (self.path / f"{name}.log").open("wb")
+            self.processes[name] = subprocess.Popen(
+                [BIN / f"medlar-{name}", "--settings", self.write(name, settings)],
+                stdout=log,
+            )
+        self.operator = self.write(
+            "operator", {"state_urls": [self.state_url], "key": KEY}
+        )
+
+    def run_medlar(self, *words):
+        return subprocess.run(
+            [BIN / "medlar", "--settings", self.operator, *words],
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+
+    def read_log(self, name):
+        lines = (self.path / f"{name}.log").read_bytes().splitlines()
+        return [orjson.loads(line) for line in lines]
+
+    def stop(self):
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+
+
+@pytest.fixture
+def daemons(tmp_path):
+    made = Daemons(tmp_path)
+    made.start()
+    yield made
+    made.stop()
+
+
+async def ask(port) -> bytes:
+    """Send one request and return the whole answer, empty without a connection."""
+    try:
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+    except OSError:
+        return b""
+    async with stream:
+        await stream.send_all(build_request())
+        received = b""
+        while part := await stream.receive_some(65536):
+            received += part
+        return received
+
+
+async def wait_answer(port, status) -> bytes:
+    with trio.fail_after(PATIENCE_S):
+        while not (answer := await ask(port)).startswith(b"HTTP/1.1 %d" % status):
+            await trio.sleep(0.1)
+    return answer
+
+
+async def test_the_whole_path_and_its_signals(daemons, tmp_path, nursery):
+    endpoint = ScriptedEndpoint("engine-1", answer_fine)
+    await nursery.start(endpoint.run)
+    await wait_answer(daemons.gateway_port, 503)
+    document = orjson.loads(encode(build_deployment(version=4)))
+    file = daemons.write("deployment", document)
+    replaced = await trio.to_thread.run_sync(
+        daemons.run_medlar, "deployment", "replace", file
+    )
+    assert replaced.returncode == 0, replaced.stderr
+    announced = build_announcement(address=f"127.0.0.1:{endpoint.port}")
+    client = HttpClient(KEY)
+    await client.call(daemons.state_url, ANNOUNCEMENTS_PATH, announced, Nothing, 5.0)
+    answer = await wait_answer(daemons.gateway_port, 200)
+    assert answer.endswith(b"fine")
+
+    for process in daemons.processes.values():
+        process.send_signal(signal.SIGHUP)
+    with trio.fail_after(PATIENCE_S):
+        for name in daemons.processes:
+            while not any(
+                one["message_type"] == "settings:reloaded"
+                for one in daemons.read_log(name)
+            ):
+                await trio.sleep(0.1)
+    assert (await ask(daemons.gateway_port)).endswith(b"fine")
+
+    shown = await trio.to_thread.run_sync(daemons.run_medlar, "deployment", "show")
+    assert orjson.loads(shown.stdout)["version"] == 4
+    gateway = daemons.processes["gateway"]
+    gateway.send_signal(signal.SIGTERM)
+    wait = partial(gateway.wait, timeout=PATIENCE_S)
+    assert await trio.to_thread.run_sync(wait) == 0
+    attempts = [
+        one
+        for one in daemons.read_log("gateway")
+        if one["message_type"] == "request:attempt"
+    ]
+    assert attempts and attempts[0]["request"] == "r1" and attempts[0]["version"] == 4
+
+
+async def test_a_wrong_key_announces_nothing(daemons):
+    client = HttpClient("another-key-altogether")
+    with trio.fail_after(PATIENCE_S):
+        while True:
+            try:
+                await client.call(
+                    daemons.state_url,
+                    ANNOUNCEMENTS_PATH,
+                    build_announcement(),
+                    Nothing,
+                    5.0,
+                )
+            except MedlarError as error:
+                if error.status == 401:
+                    return
+            await trio.sleep(0.1)
+
+
+class TestCommand:
+    def test_a_fault_is_told_with_its_place(self, tmp_path):
+        document = orjson.loads(encode(build_deployment()))
+        document["routes"][0]["timeout_ms"] = 0
+        file = tmp_path / "deployment.json"
+        file.write_bytes(orjson.dumps(document))
+        found = subprocess.run(
+            [BIN / "medlar", "deployment", "check", str(file)],
+            capture_output=True,
+            text=True,
+        )
+        assert found.returncode == 3
+        assert "$.routes[0].timeout_ms: is not above 0" in found.stderr
--- a/medlarrail/programs/operator.py
+++ b/medlarrail/programs/operator.py
@@ -6,6 +6,7 @@
 
 from medlarrail.programs import (
     operator_contracts,
+    operator_deployment,
     operator_members,
     operator_places,
     operator_status,
@@ -18,6 +19,7 @@
 )
 app.add_typer(operator_contracts.app, name="contract")
 app.add_typer(operator_places.data_centre_app, name="data-centre")
+app.add_typer(operator_deployment.app, name="deployment")
 app.add_typer(operator_places.endpoint_app, name="endpoint")
 app.add_typer(operator_members.app, name="member")
 app.add_typer(operator_places.order_app, name="order")
--- /dev/null
+++ b/medlarrail/programs/operator_deployment.py
@@ -0,0 +1,78 @@
+"""Commands about the deployment document that gateways serve by."""
+
+from pathlib import Path
+
+import typer
+
+from medlarrail.core.codec import decode_settings
+from medlarrail.core.deployment import Deployment
+from medlarrail.core.deployment_check import check_deployment
+from medlarrail.core.errors import DeploymentInvalid, NotFound, SettingsInvalid
+from medlarrail.programs.daemon import ExitCode
+from medlarrail.programs.operator_shell import (
+    AsJson,
+    CommandId,
+    build_app,
+    change,
+    fetch_catalogue,
+    run,
+)
+from medlarrail.programs.tables import print_json
+from medlarrail.state.operations import ReplaceDeployment
+
+ANY_REVISION = -1
+"""The version of the document decides, not what its author saw."""
+
+app = build_app("The document of routes, services, accounts and limits.")
+
+
+def read_document(path: Path) -> Deployment:
+    """Return the document in a file, or print every fault and exit."""
+    try:
+        document = decode_settings(path.read_bytes(), Deployment)
+        check_deployment(document)
+        return document
+    except OSError as error:
+        typer.echo(f"{path}: {error.strerror}", err=True)
+    except (SettingsInvalid, DeploymentInvalid) as error:
+        for fault in error.faults:
+            typer.echo(f"{path}: {fault}", err=True)
+    raise typer.Exit(ExitCode.SETTINGS)
+
+
+@app.command("replace")
+def replace(
+    context: typer.Context,
+    file: Path,
+    command_id: str = CommandId,
+    as_json: bool = AsJson,
+) -> None:
+    """Replace the document; one that is not newer is accepted without effect.
+
+    Example: medlar deployment replace deployment.json
+    """
+    operation = ReplaceDeployment(read_document(file))
+    change(context, operation, command_id, ANY_REVISION, as_json)
+
+
+@app.command("check")
+def check(file: Path) -> None:
+    """Check a document and tell every fault with its place.
+
+    Example: medlar deployment check deployment.json
+    """
+    document = read_document(file)
+    typer.echo(f"{file}: ok, version {document.version}")
+
+
+@app.command("show")
+def show(context: typer.Context) -> None:
+    """Show the document in force as JSON.
+
+    Example: medlar deployment show
+    """
+    image = run(context, fetch_catalogue)
+    if image.deployment is None:
+        typer.echo(str(NotFound(kind="document", name="deployment")), err=True)
+        raise typer.Exit(ExitCode.REFUSED)
+    print_json(image.deployment)
--- a/medlarrail/programs/state.py
+++ b/medlarrail/programs/state.py
@@ -20,6 +20,7 @@
 from medlarrail.programs.asides import start_metrics
 from medlarrail.programs.daemon import Reloads, wait_for_stop_signal
 from medlarrail.programs.monitoring import Monitoring
+from medlarrail.protocol.pictures import ANNOUNCEMENTS_PATH, DEPARTURES_PATH
 from medlarrail.serving.access import Guard, KeyRing
 from medlarrail.serving.ledger import LedgerReader
 from medlarrail.settings.common import Keys
@@ -49,7 +50,16 @@
     """Return who may call a state member."""
     cluster = KeyRing.from_keys(keys.cluster)
     operators = KeyRing(keys.operators_sha256).merge(cluster)
-    return Guard({"/internal/": cluster, "/v1/": operators, "/metrics": operators})
+    endpoints = KeyRing.from_keys(keys.endpoint).merge(cluster)
+    return Guard(
+        {
+            "/internal/": cluster,
+            "/v1/": operators,
+            ANNOUNCEMENTS_PATH: endpoints,
+            DEPARTURES_PATH: endpoints,
+            "/metrics": operators,
+        }
+    )
 
 
 @frozen
--- a/medlarrail/protocol/pictures.py
+++ b/medlarrail/protocol/pictures.py
@@ -11,6 +11,15 @@
 from medlarrail.core.entities import DesiredVersion
 
 PICTURE_PATH = "/internal/picture"
+ANNOUNCEMENTS_PATH = "/v1/announcements"
+DEPARTURES_PATH = "/v1/departures"
+
+
+@frozen
+class Departure:
+    """Tells that the endpoint ``name`` leaves and takes nothing more."""
+
+    name: str
 
 
 @frozen
--- a/medlarrail/relay/book.py
+++ b/medlarrail/relay/book.py
@@ -1,5 +1,6 @@
 """What this entry learnt of each endpoint from its own requests."""
 
+from collections import Counter
 from collections.abc import Iterator
 
 from attrs import define, field
@@ -66,20 +67,35 @@
 
     def iterate_usable(self, service: ServiceRule) -> Iterator[PicturedEndpoint]:
         """Yield the endpoints of a service that may be sent a request now."""
-        now = self.clock()
-        entry_count = self.picture.entry_count
         for endpoint in self.picture.endpoints.values():
-            announced = endpoint.announced
-            if announced.service != service.name or announced.state != "ready":
-                continue
-            if announced.data_centre in self.picture.out_data_centres:
-                continue
-            if endpoint.cold_until > now and service.cold_per_s > 0:
-                cold = self.get_record(announced.name).cold
-                per_s = service.cold_per_s * COLD_SHARE
-                if not cold.may_send(now, per_s, entry_count):
-                    continue
-            yield endpoint
+            if endpoint.announced.service == service.name:
+                if not self.find_obstacle(endpoint, service):
+                    yield endpoint
+
+    def find_obstacle(self, endpoint: PicturedEndpoint, service: ServiceRule) -> str:
+        """Return why an endpoint may be sent nothing now, or an empty text."""
+        announced = endpoint.announced
+        if announced.state != "ready":
+            return "leaving"
+        if announced.data_centre in self.picture.out_data_centres:
+            return "data centre out"
+        now = self.clock()
+        if endpoint.cold_until > now and service.cold_per_s > 0:
+            cold = self.get_record(announced.name).cold
+            per_s = service.cold_per_s * COLD_SHARE
+            if not cold.may_send(now, per_s, self.picture.entry_count):
+                return "cold"
+        return ""
+
+    def count_obstacles(self, service: ServiceRule) -> dict[str, int]:
+        """Return how many endpoints of a service each obstacle concerns."""
+        return dict(
+            Counter(
+                self.find_obstacle(one, service) or "usable"
+                for one in self.picture.endpoints.values()
+                if one.announced.service == service.name
+            )
+        )
 
     def describe(
         self, endpoint: PicturedEndpoint, best_s: float, places: int = 0
--- a/medlarrail/relay/front.py
+++ b/medlarrail/relay/front.py
@@ -224,6 +224,7 @@
         while True:
             endpoint = self._choose()
             if endpoint is None:
+                self._log_no_endpoint()
                 raise self.failure or NoEndpoint(target=self.service.name)
             if await self._attempt(endpoint):
                 return
@@ -396,14 +397,30 @@
         self._log(attempt, str(self.failure))
         return False
 
+    def _log_no_endpoint(self) -> None:
+        eliot.log_message(
+            "request:no-endpoint",
+            request=self.facts.request_id,
+            route=self.admitted.route.name,
+            service=self.service.name,
+            tried=self.tried,
+            endpoints=self.front.book.count_obstacles(self.service),
+            picture_age_s=round(self.front.picture.get_age(), 3),
+        )
+
     def _log(self, attempt: Attempt, outcome: str) -> None:
         request = self.exchange.request
+        record = self.front.book.get_record(attempt.endpoint.announced.name)
         eliot.log_message(
             "request:attempt",
             request=self.facts.request_id,
             route=self.admitted.route.name,
             service=self.service.name,
+            account=self.admitted.account.name if self.admitted.account else "",
             endpoint=attempt.endpoint.announced.name,
+            in_flight=record.in_flight,
+            reported=record.load.running if record.load is not None else -1,
+            failure_rate=round(record.failure_rate, 3),
             number=len(self.tried),
             status=attempt.status,
             outcome=outcome,
