--- a/medlarrail/relay/book.py
+++ b/medlarrail/relay/book.py
@@ -68,9 +68,9 @@
     def iterate_usable(self, service: ServiceRule) -> Iterator[PicturedEndpoint]:
         """Yield the endpoints of a service that may be sent a request now."""
         for endpoint in self.picture.endpoints.values():
-            if endpoint.announced.service == service.name:
-                if not self.find_obstacle(endpoint, service):
-                    yield endpoint
+            of_service = endpoint.announced.service == service.name
+            if of_service and not self.find_obstacle(endpoint, service):
+                yield endpoint
 
     def find_obstacle(self, endpoint: PicturedEndpoint, service: ServiceRule) -> str:
         """Return why an endpoint may be sent nothing now, or an empty text."""
