--- a/medlarrail/platform/dialect.py
+++ b/medlarrail/platform/dialect.py
@@ -1,7 +1,5 @@
 """The platform's headers, read into and written from the relay's types."""
 
-import orjson
-
 from medlarrail.core.errors import MalformedRequest, MedlarError
 from medlarrail.relay.calls import (
     AnswerFacts,
@@ -12,7 +10,7 @@
     PromptPart,
     Refusal,
 )
-from medlarrail.relay.dialect import get_number, get_text, refuse
+from medlarrail.relay.dialect import get_number, get_text, refuse, write_refusal
 from medlarrail.relay.headers import get_header, iterate_end_to_end
 
 REQUEST_ID = b"request-id"
@@ -112,20 +110,11 @@
             keep_alive_s=_read_keep_alive(get_text(headers, KEEP_ALIVE)),
         )
 
-    def write_answer(self, headers: tuple[Header, ...]) -> list[Header]:
-        """Return the headers that the caller gets of an endpoint's answer."""
-        return list(iterate_end_to_end(headers))
-
     def write_refusal(
         self, refusal: Refusal, facts: CallFacts | None
     ) -> tuple[list[Header], bytes]:
         """Return headers and body of a final answer of the system's own."""
-        headers: list[Header] = [(b"Content-Type", b"application/json")]
-        if refusal.retry_after_s > 0:
-            headers.append((b"Retry-After", f"{refusal.retry_after_s:.2f}".encode()))
-        if facts is not None and facts.request_id:
-            headers.append((b"Request-Id", facts.request_id.encode("latin1")))
-        return headers, orjson.dumps({"error": refusal.reason})
+        return write_refusal(refusal, facts, b"Request-Id")
 
     def refuse(self, error: MedlarError) -> Refusal:
         """Return the final answer that stands for ``error``."""
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -18,6 +18,7 @@
 from medlarrail.core.metrics import get_metrics
 from medlarrail.relay.calls import AnswerFacts, CallFacts, Dispatch, Header
 from medlarrail.relay.events import EventSplitter
+from medlarrail.relay.headers import iterate_end_to_end
 from medlarrail.relay.inbound import Exchange
 from medlarrail.relay.outbound import AnswerHead, OutboundConnection
 from medlarrail.relay.table import Admitted
@@ -184,8 +185,8 @@
                 if size > LARGEST_ANSWER_BYTES:
                     raise AnswerTruncated(endpoint=self.endpoint.announced.name)
         self._note_first()
-        headers = self.relayed.front.dialect.write_answer(head.headers)
-        answer = WholeAnswer(head.status, tuple(headers), b"".join(parts))
+        headers = tuple(iterate_end_to_end(head.headers))
+        answer = WholeAnswer(head.status, headers, b"".join(parts))
         if head.status >= FIRST_FAILURE_STATUS or self.relayed.exchange.started:
             self.relayed.spare = answer
             raise EndpointFailed(
@@ -219,7 +220,7 @@
 
     async def _start(self, exchange: Exchange, head: AnswerHead) -> None:
         if not exchange.started:
-            headers = self.relayed.front.dialect.write_answer(head.headers)
+            headers = list(iterate_end_to_end(head.headers))
             await exchange.send_head(head.status, headers, None)
 
     def _note_first(self) -> None:
--- a/medlarrail/relay/calls.py
+++ b/medlarrail/relay/calls.py
@@ -130,9 +130,6 @@
     def read_answer(self, status: int, headers: tuple[Header, ...]) -> AnswerFacts:
         """Return what the head of an answer says."""
 
-    def write_answer(self, headers: tuple[Header, ...]) -> list[Header]:
-        """Return the headers that the caller gets of an endpoint's answer."""
-
     def write_refusal(
         self, refusal: Refusal, facts: CallFacts | None
     ) -> tuple[list[Header], bytes]:
--- a/medlarrail/relay/dialect.py
+++ b/medlarrail/relay/dialect.py
@@ -52,6 +52,18 @@
     return Refusal(status, type(error).__name__)
 
 
+def write_refusal(
+    refusal: Refusal, facts: CallFacts | None, id_name: bytes
+) -> tuple[list[Header], bytes]:
+    """Return headers and body of a refusal; ``id_name`` carries the request's id."""
+    headers: list[Header] = [(b"Content-Type", b"application/json")]
+    if refusal.retry_after_s > 0:
+        headers.append((b"Retry-After", f"{refusal.retry_after_s:.2f}".encode()))
+    if facts is not None and facts.request_id:
+        headers.append((id_name, facts.request_id.encode("latin1")))
+    return headers, orjson.dumps({"error": refusal.reason})
+
+
 class StandardDialect:
     """Common header names, for endpoints that speak no other dialect."""
 
@@ -91,20 +103,11 @@
             misdirected=status == 421,
         )
 
-    def write_answer(self, headers: tuple[Header, ...]) -> list[Header]:
-        """See ``Dialect``."""
-        return list(iterate_end_to_end(headers))
-
     def write_refusal(
         self, refusal: Refusal, facts: CallFacts | None
     ) -> tuple[list[Header], bytes]:
         """See ``Dialect``."""
-        headers: list[Header] = [(b"Content-Type", b"application/json")]
-        if refusal.retry_after_s > 0:
-            headers.append((b"Retry-After", f"{refusal.retry_after_s:.2f}".encode()))
-        if facts is not None and facts.request_id:
-            headers.append((b"X-Request-Id", facts.request_id.encode("latin1")))
-        return headers, orjson.dumps({"error": refusal.reason})
+        return write_refusal(refusal, facts, b"X-Request-Id")
 
     def refuse(self, error: MedlarError) -> Refusal:
         """See ``Dialect``."""
--- /dev/null
+++ b/medlarrail/relay/relayed.py
@@ -0,0 +1,310 @@
+"""One admitted request on its way to an endpoint and back.
+
+A request that may not be repeated is sent on once; it is sent again only where
+the endpoint states that it did not run it, or where no connection was made. A
+refusal is given only while nothing ran.
+"""
+
+import eliot
+import trio
+from attrs import define, field
+
+from medlarrail.cluster.picture import PicturedEndpoint
+from medlarrail.core.deployment import ServiceRule
+from medlarrail.core.errors import (
+    DeadlineExceeded,
+    EndpointRefused,
+    EndpointUnreachable,
+    MedlarError,
+    NoEndpoint,
+    Refusal,
+    RetryLimit,
+    RunDeadlineExceeded,
+    RunFailure,
+    StreamBroken,
+)
+from medlarrail.core.metrics import get_metrics
+from medlarrail.core.scopes import ContextScope
+from medlarrail.policy.context import TransferPlan
+from medlarrail.policy.placement import (
+    Candidate,
+    choose_by_context,
+    choose_least_loaded,
+)
+from medlarrail.policy.sizes import count_places, is_long, list_engines
+from medlarrail.policy.weights import choose_versions
+from medlarrail.relay.attempt import Attempt, WholeAnswer
+from medlarrail.relay.calls import CallFacts, Dispatch
+from medlarrail.relay.inbound import Exchange
+from medlarrail.relay.table import Admitted, choose_service
+
+ANSWER_GRACE_S = 0.08
+"""Time past the deadline for which an endpoint's own answer to it is awaited."""
+LARGEST_ATTEMPTS = 6
+"""Endpoints tried for one request, those included that did not run it."""
+
+
+@define(eq=False)
+class RelayedRequest:
+    """One admitted request and its attempts."""
+
+    front: "RelayFront"  # noqa: F821
+    exchange: Exchange
+    facts: CallFacts
+    admitted: Admitted
+    deadline: float = field(init=False)
+    """On trio's clock."""
+    service: ServiceRule = field(init=False)
+    tried: list[str] = field(factory=list)
+    runs: int = 0
+    """Attempts that ran or may have run."""
+    sends: int = 0
+    """Attempts that reached an endpoint, those that it rejected included."""
+    failure: MedlarError | None = None
+    run_failure: RunFailure | None = None
+    """How an attempt failed that may have run."""
+    in_doubt: bool = False
+    """Whether an attempt is under way that may run."""
+    spare: WholeAnswer | None = None
+    last_event_id: str = ""
+
+    def __attrs_post_init__(self):
+        route = self.admitted.route
+        limit_ms = route.timeout_ms
+        if self.facts.deadline_ms is not None:
+            limit_ms = min(limit_ms, self.facts.deadline_ms)
+        self.deadline = self.exchange.request.received_at + limit_ms / 1000
+        name = choose_service(route, self.facts.request_id)
+        self.service = self.front.table.services[name]
+        self.last_event_id = self.facts.last_event_id
+
+    def get_rest_s(self) -> float:
+        """Return the seconds left until the deadline."""
+        return self.deadline - trio.current_time()
+
+    async def run(self) -> None:
+        """Try endpoints until the caller has its answer; raises why it has none."""
+        self.front.get_budget(self.service.name).note_request(self.front.book.clock())
+        with trio.move_on_at(self.deadline + ANSWER_GRACE_S) as scope:
+            try:
+                await self._try_endpoints()
+            except Refusal:
+                if self.run_failure is None:
+                    raise
+                # An earlier attempt may have run, so no refusal would be true.
+                raise self.run_failure from None
+        if scope.cancelled_caught:
+            get_metrics().count("deadlines_passed", service=self.service.name)
+            if self.runs or self.in_doubt:
+                raise RunDeadlineExceeded()
+            raise DeadlineExceeded()
+
+    async def _try_endpoints(self) -> None:
+        while True:
+            endpoint = self._choose()
+            if endpoint is None:
+                self._log_no_endpoint()
+                raise self.failure or NoEndpoint(target=self.service.name)
+            if await self._attempt(endpoint):
+                return
+            self._check_further()
+
+    def _check_further(self) -> None:
+        """Raise the latest failure unless another attempt is allowed."""
+        allowed = self.runs == 0 or self.may_run_again(self.runs)
+        if not allowed or len(self.tried) >= LARGEST_ATTEMPTS:
+            raise self.failure
+        if self.get_rest_s() <= 0:
+            raise self.failure
+        if self.sends == 0:
+            return
+        budget = self.front.get_budget(self.service.name)
+        entry_count = self.front.picture.entry_count
+        if not budget.spend(self.front.book.clock(), entry_count):
+            get_metrics().count("retries_refused", service=self.service.name)
+            if self.runs:
+                raise self.failure
+            raise RetryLimit(service=self.service.name) from self.failure
+        get_metrics().count("retries", reason=type(self.failure).__name__)
+
+    def may_run_again(self, runs: int | None = None) -> bool:
+        """Return whether after ``runs`` failed runs another one is allowed.
+
+        Without ``runs`` the one that is under way is taken to have failed.
+        """
+        route = self.admitted.route
+        failed = self.runs + 1 if runs is None else runs
+        return route.repeatable and failed < max(1, route.max_attempts)
+
+    def _choose(self) -> PicturedEndpoint | None:
+        """Return the endpoint for the next attempt, or None where there is none."""
+        book = self.front.book
+        limit = self.front.get_connection_limit(self.service)
+        usable = [
+            one
+            for one in book.iterate_usable(self.service)
+            if one.announced.name not in self.tried
+            and book.get_record(one.announced.name).in_flight < limit
+        ]
+        staying = [one for one in usable if not one.loading]
+        usable = self._keep_newest(staying or usable)
+        best_s = book.get_best_answer_s(usable)
+        places = self._count_places()
+        candidates = [book.describe(one, best_s, places) for one in usable]
+        entry_count = self.front.picture.entry_count
+        if self.facts.parts:
+            candidates = self._keep_size_class(candidates)
+            context = self._get_scope(0) + self._get_largest_shared_part()
+            chosen = choose_by_context(candidates, entry_count, context)
+        else:
+            chosen = choose_least_loaded(candidates, entry_count, self.facts.request_id)
+        if chosen is None:
+            return None
+        return next(one for one in usable if one.announced.name == chosen.name)
+
+    def _keep_size_class(self, candidates: list[Candidate]) -> list[Candidate]:
+        """Return the engines for prompts of this length, if any of them answers."""
+        front = self.front
+        names = list_engines(
+            [one.name for one in candidates],
+            self.service.name,
+            is_long(self._count_own_tokens()),
+            front.mix.get_long_share(front.book.clock()),
+        )
+        kept = [one for one in candidates if one.name in names]
+        return kept if any(not one.suspected for one in kept) else candidates
+
+    def _get_largest_shared_part(self) -> str:
+        """Return the identity of the part that is worth most where it is kept."""
+        shared = self.facts.parts[:-1] or self.facts.parts
+        return max(shared, key=lambda one: one.tokens).identity
+
+    def _keep_newest(self, usable: list[PicturedEndpoint]) -> list[PicturedEndpoint]:
+        """Return those of the endpoints that have new enough weights."""
+        picture = self.front.picture
+        desired = picture.desired.get(self.facts.model)
+        if desired is None or not desired.ordinal:
+            return usable
+        model = self.facts.model
+        versions = [one.announced.get_version(model) for one in usable]
+        named_s = picture.clock() - picture.desired_at[model]
+        allowed = choose_versions(versions, desired.ordinal, named_s)
+        return [one for one, may in zip(usable, allowed, strict=True) if may]
+
+    def _get_scope(self, version: int) -> str:
+        """Return the name of the scope of this request's context."""
+        account = self.admitted.account
+        apart = account is not None and account.isolated
+        name = account.name if apart else ""
+        return str(ContextScope(name, self.facts.model, version))
+
+    def _count_own_tokens(self) -> int:
+        """Return the tokens of the prompt that no other request shares."""
+        shared = sum(part.tokens for part in self.facts.parts[:-1])
+        return max(0, self.facts.prompt_tokens - shared)
+
+    def _count_places(self) -> int:
+        """Return how many requests like this one an engine runs at once, or 0."""
+        engine = self.service.engine
+        if engine is None or not is_long(self._count_own_tokens()):
+            return 0
+        return count_places(
+            engine.slots, engine.memory_tokens, self.facts.prompt_tokens
+        )
+
+    def build_dispatch(self, endpoint: PicturedEndpoint) -> Dispatch:
+        """Return what goes with the request to ``endpoint``."""
+        account = self.admitted.account
+        engine = self.service.engine is not None
+        version = endpoint.announced.get_version(self.facts.model) if engine else 0
+        scope = self._get_scope(version) if engine else ""
+        plan = self._plan_transfers(endpoint, scope, version)
+        if engine:
+            now = self.front.book.clock()
+            tokens = self.facts.prompt_tokens
+            self.front.mix.note(now, self._count_own_tokens(), tokens)
+        return Dispatch(
+            endpoint=endpoint.announced,
+            deadline_ms=max(1, int(self.get_rest_s() * 1000)),
+            account=account.name if account is not None else "",
+            priority=self.admitted.priority if engine else None,
+            cache_scope=scope,
+            weight_version=version,
+            last_event_id=self.last_event_id,
+            fetch=plan.fetch,
+            save=plan.save,
+        )
+
+    def _plan_transfers(
+        self, endpoint: PicturedEndpoint, scope: str, version: int
+    ) -> TransferPlan:
+        """Return the transfers of the shared parts; the last part is never moved.
+
+        What is kept is made by one weight version, so an endpoint whose version
+        is not known takes part in nothing.
+        """
+        parts = self.facts.parts
+        context = self.front.context
+        if context is None or not version or len(parts) < 2:
+            return TransferPlan()
+        plan = context.plan(scope, parts[:-1], endpoint.announced.data_centre)
+        return TransferPlan((*plan.fetch, ""), (*plan.save, ""))
+
+    async def _attempt(self, endpoint: PicturedEndpoint) -> bool:
+        """Send the request once; returns whether the caller has its answer."""
+        name = endpoint.announced.name
+        attempt = Attempt(self, endpoint)
+        self.tried.append(name)
+        try:
+            await attempt.run()
+        except EndpointUnreachable as error:
+            self.front.book.health.note_failure(name)
+            self.failure = error
+        except EndpointRefused as error:
+            self.sends += 1
+            self.failure = error
+        except RunFailure as error:
+            self.sends += 1
+            self.runs += 1
+            self.failure = self.run_failure = error
+            if isinstance(error, StreamBroken):
+                self.front.book.health.note_failure(name)
+        else:
+            self._log(attempt, "answered")
+            return True
+        self.in_doubt = False
+        self._log(attempt, str(self.failure))
+        return False
+
+    def _log_no_endpoint(self) -> None:
+        eliot.log_message(
+            "request:no-endpoint",
+            request=self.facts.request_id,
+            route=self.admitted.route.name,
+            service=self.service.name,
+            tried=self.tried,
+            endpoints=self.front.book.count_obstacles(self.service),
+            picture_age_s=round(self.front.picture.get_age(), 3),
+        )
+
+    def _log(self, attempt: Attempt, outcome: str) -> None:
+        request = self.exchange.request
+        record = self.front.book.get_record(attempt.endpoint.announced.name)
+        eliot.log_message(
+            "request:attempt",
+            request=self.facts.request_id,
+            route=self.admitted.route.name,
+            service=self.service.name,
+            account=self.admitted.account.name if self.admitted.account else "",
+            endpoint=attempt.endpoint.announced.name,
+            in_flight=record.in_flight,
+            reported=record.load.running if record.load is not None else -1,
+            failure_rate=round(record.failure_rate, 3),
+            number=len(self.tried),
+            status=attempt.status,
+            outcome=outcome,
+            first_ms=round(attempt.first_s * 1000, 1),
+            total_ms=round((trio.current_time() - request.received_at) * 1000, 1),
+            version=self.front.picture.get_version(),
+            picture_age_s=round(self.front.picture.get_age(), 3),
+        )
