--- a/medlarrail/relay/relay_test.py
+++ b/medlarrail/relay/relay_test.py
@@ -5,6 +5,7 @@
 from attrs import evolve
 
 from medlarrail.core.deployment import RequestLimits
+from medlarrail.core.metrics import get_metrics
 from medlarrail.testing.builders import build_deployment, build_route
 from medlarrail.testing.scripted import (
     answer_fine,
@@ -437,9 +438,11 @@
         await stream.send_all(build_request())
         await stream.receive_some(1000)
         await stream.aclose()
+        before = get_metrics().get_count("requests_abandoned")
         with trio.fail_after(0.5):
-            while endpoint.open_now:
+            while endpoint.open_now or not before:
                 await trio.sleep(0.01)
+                before = get_metrics().get_count("requests_abandoned")
 
     async def test_a_caller_that_leaves_does_not_stop_what_runs_once(self, nursery):
         finished = trio.Event()
--- a/medlarrail/relay/relayed.py
+++ b/medlarrail/relay/relayed.py
@@ -84,6 +84,13 @@
 
     async def run(self) -> None:
         """Try endpoints until the caller has its answer; raises why it has none."""
+        try:
+            await self._run_in_time()
+        except trio.Cancelled:
+            self._log_abandoned()
+            raise
+
+    async def _run_in_time(self) -> None:
         self.front.get_budget(self.service.name).note_request(self.front.book.clock())
         with trio.move_on_at(self.deadline + ANSWER_GRACE_S) as scope:
             try:
@@ -276,6 +283,21 @@
         self._log(attempt, str(self.failure))
         return False
 
+    def _log_abandoned(self) -> None:
+        """Log a request whose caller left before it had its answer."""
+        get_metrics().count("requests_abandoned", service=self.service.name)
+        received_at = self.exchange.request.received_at
+        eliot.log_message(
+            "request:abandoned",
+            request=self.facts.request_id,
+            route=self.admitted.route.name,
+            service=self.service.name,
+            tried=self.tried,
+            started=self.exchange.started,
+            total_ms=round((trio.current_time() - received_at) * 1000, 1),
+            version=self.front.picture.get_version(),
+        )
+
     def _log_no_endpoint(self) -> None:
         eliot.log_message(
             "request:no-endpoint",
