--- a/medlarrail/relay/relayed.py
+++ b/medlarrail/relay/relayed.py
@@ -84,11 +84,17 @@
 
     async def run(self) -> None:
         """Try endpoints until the caller has its answer; raises why it has none."""
+        ended = False
         try:
             await self._run_in_time()
-        except trio.Cancelled:
-            self._log_abandoned()
+            ended = True
+        except MedlarError:
+            ended = True
             raise
+        finally:
+            # The caller left: by a cancellation, or by a write that broke.
+            if not ended:
+                self._log_abandoned()
 
     async def _run_in_time(self) -> None:
         self.front.get_budget(self.service.name).note_request(self.front.book.clock())
