Remove what nothing calls in the relay

Reading the change again: an error, a constant and a method had no caller, and one question took an argument that its only caller always gave. No behaviour changes.

--- a/medlarrail/relay/events.py
+++ b/medlarrail/relay/events.py
@@ -3,8 +3,6 @@
 from attrs import define, field
 
 BOUNDARIES = (b"\n\n", b"\r\n\r\n", b"\r\r")
-LARGEST_EVENT_BYTES = 1_000_000
-"""Bytes of one event that are held back until its end."""
 
 
 @define
@@ -39,10 +37,6 @@
                 self.last_id = value.strip().decode("latin1")
                 return
 
-    def forget_rest(self) -> None:
-        """Drop the beginning of an event whose run broke off."""
-        self._rest = b""
-
     @property
     def has_rest(self) -> bool:
         """Whether an event was begun and not ended."""
--- a/medlarrail/relay/inbound.py
+++ b/medlarrail/relay/inbound.py
@@ -42,10 +42,6 @@
 ABANDON_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 
-class CallerGone(MedlarError):
-    """The caller closed its connection."""
-
-
 @define(eq=False)
 class Exchange:
     """One request and the writing of its answer.
--- a/medlarrail/relay/relayed.py
+++ b/medlarrail/relay/relayed.py
@@ -124,7 +124,7 @@
 
     def _check_further(self) -> None:
         """Raise the latest failure unless another attempt is allowed."""
-        allowed = self.runs == 0 or self.may_run_again(self.runs)
+        allowed = self.runs == 0 or self._may_run_again()
         if not allowed or len(self.tried) >= LARGEST_ATTEMPTS:
             raise self.failure
         if self.get_rest_s() <= 0:
@@ -140,14 +140,10 @@
             raise RetryLimit(service=self.service.name) from self.failure
         get_metrics().count("retries", reason=type(self.failure).__name__)
 
-    def may_run_again(self, runs: int | None = None) -> bool:
-        """Return whether after ``runs`` failed runs another one is allowed.
-
-        Without ``runs`` the one that is under way is taken to have failed.
-        """
+    def _may_run_again(self) -> bool:
+        """Return whether another run is allowed after those that failed."""
         route = self.admitted.route
-        failed = self.runs + 1 if runs is None else runs
-        return route.repeatable and failed < max(1, route.max_attempts)
+        return route.repeatable and self.runs < max(1, route.max_attempts)
 
     def _choose(self) -> PicturedEndpoint | None:
         """Return the endpoint for the next attempt, or None where there is none."""
