--- /dev/null
+++ b/medlarrail/consensus/membership_test.py
@@ -0,0 +1,231 @@
+"""Tests of clusters that form and repair themselves."""
+
+import random
+import shutil
+
+import pytest
+import trio
+
+from medlarrail.core.entities import Contract
+from medlarrail.core.errors import MedlarError
+from medlarrail.state.operations import Envelope, SetContract
+from medlarrail.testing.cluster import Cluster
+
+NAMES = ("a", "b", "c", "d", "e")
+SEEDS = ("a", "b", "c")
+
+
+async def form(tmp_path, nursery, seed=1, order=NAMES) -> Cluster:
+    """Return a cluster that formed itself, its members started in ``order``."""
+    cluster = Cluster(
+        tmp_path, nursery, seed=seed, snapshot_every=40, seeds=SEEDS, first_start=True
+    )
+    for name in order:
+        await cluster.start(name)
+        await trio.sleep(0.1)
+    await wait_voters(cluster, 5)
+    cluster.first_start = False
+    return cluster
+
+
+async def wait_voters(cluster, count, without=()):
+    """Return once the leader lists ``count`` voters and none of ``without``."""
+    with trio.fail_after(60):
+        while True:
+            leader = await cluster.wait_leader()
+            voters = set(leader.list_voters())
+            pending = leader.journal.get_members_index() > leader.commit_index
+            if len(voters) == count and not voters & set(without) and not pending:
+                return
+            await trio.sleep(0.1)
+
+
+class TestForming:
+    @pytest.mark.parametrize("seed", range(1, 6))
+    async def test_any_order_of_starting(self, seed, tmp_path, nursery, autojump_clock):
+        order = random.Random(seed).sample(NAMES, len(NAMES))
+        cluster = await form(tmp_path, nursery, seed, order)
+        clusters = {one.journal.meta.cluster for one in cluster.get_members()}
+        assert len(clusters) == 1
+
+    async def test_a_later_start_founds_nothing(
+        self, tmp_path, nursery, autojump_clock
+    ):
+        cluster = Cluster(tmp_path, nursery, seeds=SEEDS, first_start=False)
+        for name in NAMES:
+            await cluster.start(name)
+        await trio.sleep(10)
+        assert not any(one.journal.meta.cluster for one in cluster.get_members())
+
+    async def test_a_founder_that_dies_midway_finishes_later(
+        self, tmp_path, nursery, autojump_clock
+    ):
+        cluster = Cluster(tmp_path, nursery, seeds=SEEDS, first_start=True)
+        for name in SEEDS:
+            await cluster.start(name)
+        founder = cluster.hosts["a"].member
+        while not founder.journal.meta.cluster:
+            await trio.sleep(0.001)
+        cluster.kill("a")
+        cluster.first_start = False
+        await trio.sleep(1)
+        await cluster.start("a")
+        leader = await cluster.wait_leader()
+        assert leader.journal.meta.cluster == founder.journal.meta.cluster
+
+
+class TestRepair:
+    async def test_a_wiped_member_comes_back_as_another(
+        self, tmp_path, nursery, autojump_clock
+    ):
+        cluster = await form(tmp_path, nursery)
+        await cluster.propose(SetContract(Contract("kept")))
+        old = cluster.hosts["b"].member.identity
+        cluster.kill("b")
+        shutil.rmtree(tmp_path / "b")
+        fresh = await cluster.start("b")
+        await wait_voters(cluster, 5, without=(old,))
+        assert fresh.identity != old
+        await cluster.wait_all_applied()
+        assert "kept" in fresh.catalogue.contracts
+
+    async def test_one_at_another_address_takes_the_place(
+        self, tmp_path, nursery, autojump_clock
+    ):
+        cluster = await form(tmp_path, nursery)
+        gone = cluster.hosts["d"].member.identity
+        cluster.kill("d")
+        await cluster.start("f")
+        await wait_voters(cluster, 5, without=(gone,))
+
+    async def test_a_frozen_member_that_was_replaced_may_come_back(
+        self, tmp_path, nursery, autojump_clock
+    ):
+        cluster = await form(tmp_path, nursery)
+        gone = cluster.hosts["d"].member.identity
+        cluster.kill("d")
+        await cluster.start("f")
+        await wait_voters(cluster, 5, without=(gone,))
+        back = await cluster.start("d")
+        with trio.fail_after(30):
+            leader = await cluster.wait_leader()
+            while leader.find_member(back.identity) is None:
+                await trio.sleep(0.2)
+        assert len(leader.list_voters()) == 5
+
+    async def test_all_killed_at_once_come_back(
+        self, tmp_path, nursery, autojump_clock
+    ):
+        cluster = await form(tmp_path, nursery)
+        await cluster.propose(SetContract(Contract("kept")))
+        for name in NAMES:
+            cluster.kill(name)
+        for name in NAMES:
+            await cluster.start(name)
+        started_at = trio.current_time()
+        leader = await cluster.wait_leader()
+        assert trio.current_time() - started_at < 6
+        await leader.confirm_reads()
+        assert "kept" in leader.catalogue.contracts
+
+    async def test_stale_seeds_are_borne(self, tmp_path, nursery, autojump_clock):
+        cluster = await form(tmp_path, nursery)
+        cluster.seeds = ("x", "y", "e")
+        old = cluster.hosts["a"].member.identity
+        cluster.kill("a")
+        shutil.rmtree(tmp_path / "a")
+        await cluster.start("a")
+        await wait_voters(cluster, 5, without=(old,))
+
+
+class RandomRepairs:
+    """Disks are lost, members replaced, frozen out and cut off, one at a time."""
+
+    def __init__(self, cluster, seed, tmp_path):
+        self.cluster = cluster
+        self.random = random.Random(seed)
+        self.path = tmp_path
+        self.accepted = []
+        self.names = list(NAMES)
+        self.number = 0
+
+    async def change(self):
+        while True:
+            self.number += 1
+            account = f"account-{self.number}"
+            envelope = Envelope(SetContract(Contract(account)), account)
+            while account not in self.accepted:
+                members = self.cluster.get_members()
+                try:
+                    await self.random.choice(members).propose(envelope)
+                    self.accepted.append(account)
+                except (MedlarError, IndexError):
+                    await trio.sleep(0.1)
+            await trio.sleep(self.random.uniform(0.05, 0.4))
+
+    async def check_lease(self):
+        while True:
+            holders = [one for one in self.cluster.get_members() if one.has_lease()]
+            assert len(holders) <= 1, [one.name for one in holders]
+            await trio.sleep(0.01)
+
+    async def disturb(self):
+        for _ in range(8):
+            await trio.sleep(self.random.uniform(1, 4))
+            name = self.random.choice(self.names)
+            action = self.random.choice(
+                (self.wipe, self.replace, self.restart, self.isolate, self.kill_all)
+            )
+            await action(name)
+            await self.wait_whole()
+
+    async def wait_whole(self):
+        """Return once five voters are listed and all of them answer."""
+        self.cluster.network.heal()
+        await wait_voters(self.cluster, 5)
+
+    async def wipe(self, name):
+        self.cluster.kill(name)
+        shutil.rmtree(self.path / name)
+        await trio.sleep(self.random.uniform(0, 2))
+        await self.cluster.start(name)
+
+    async def replace(self, name):
+        self.cluster.kill(name)
+        self.names.remove(name)
+        self.number += 1
+        fresh = f"m{self.number}"
+        self.names.append(fresh)
+        await self.cluster.start(fresh)
+        await trio.sleep(8)
+
+    async def restart(self, name):
+        self.cluster.kill(name)
+        await trio.sleep(self.random.uniform(0, 8))
+        await self.cluster.start(name)
+
+    async def isolate(self, name):
+        self.cluster.network.isolate(self.cluster.get_url(name))
+        await trio.sleep(self.random.uniform(0.5, 9))
+
+    async def kill_all(self, name):
+        for one in self.names:
+            self.cluster.kill(one)
+        await trio.sleep(self.random.uniform(0, 1))
+        for one in self.names:
+            await self.cluster.start(one)
+
+
+@pytest.mark.parametrize("seed", range(1, 7))
+async def test_random_repairs_lose_nothing(seed, tmp_path, nursery, autojump_clock):
+    cluster = await form(tmp_path, nursery, seed)
+    run = RandomRepairs(cluster, seed, tmp_path)
+    async with trio.open_nursery() as inner:
+        inner.start_soon(run.change)
+        inner.start_soon(run.check_lease)
+        await run.disturb()
+        inner.cancel_scope.cancel()
+    leader = await cluster.wait_leader()
+    await leader.confirm_reads()
+    assert set(run.accepted) <= set(leader.catalogue.contracts)
+    assert len(run.accepted) > 20
--- a/medlarrail/testing/builders.py
+++ b/medlarrail/testing/builders.py
@@ -2,6 +2,14 @@
 
 from attrs import evolve
 
+from medlarrail.core.announcements import Announcement, ModelWeights
+from medlarrail.core.deployment import (
+    AccountRule,
+    Deployment,
+    RouteRule,
+    ServiceRule,
+    TrafficShare,
+)
 from medlarrail.core.entities import CallRule, Contract, Endpoint
 
 _ENDPOINT = Endpoint(
@@ -29,3 +37,48 @@
 def build_contract(**changes) -> Contract:
     """Return a contract with ``changes`` made to a usual one."""
     return evolve(_CONTRACT, **changes)
+
+
+_ANNOUNCEMENT = Announcement(
+    name="engine-1",
+    service="guide",
+    address="127.0.0.1:9001",
+    data_centre="leith",
+    started_ms=1000,
+    sequence=1,
+    state="ready",
+    slots=4,
+    models=(ModelWeights("seat-guide", 1),),
+)
+
+_ROUTE = RouteRule(
+    name="ask",
+    host="tickets.example",
+    prefix="/ask/",
+    kind="repeat",
+    timeout_ms=2000,
+    shares=(TrafficShare("guide"),),
+    max_attempts=2,
+)
+
+_DEPLOYMENT = Deployment(
+    version=1,
+    routes=(_ROUTE,),
+    services=(ServiceRule("guide"),),
+    accounts=(AccountRule("lea-college", ("key-1",)),),
+)
+
+
+def build_announcement(**changes) -> Announcement:
+    """Return an announcement with ``changes`` made to a usual one."""
+    return evolve(_ANNOUNCEMENT, **changes)
+
+
+def build_route(**changes) -> RouteRule:
+    """Return a route with ``changes`` made to a usual one."""
+    return evolve(_ROUTE, **changes)
+
+
+def build_deployment(**changes) -> Deployment:
+    """Return a deployment document with ``changes`` made to a usual one."""
+    return evolve(_DEPLOYMENT, **changes)
--- a/medlarrail/testing/cluster.py
+++ b/medlarrail/testing/cluster.py
@@ -9,6 +9,7 @@
 from medlarrail.cluster.control import StateControl
 from medlarrail.cluster.sessions import SessionKeeper
 from medlarrail.consensus.bootstrap import bootstrap_cluster
+from medlarrail.consensus.membership import MembershipKeeper
 from medlarrail.consensus.replication import LogMember
 from medlarrail.core.errors import MedlarError, NotFound
 from medlarrail.serving.ledger import LedgerReader
@@ -40,6 +41,10 @@
     seed: int = 1
     quota_bytes: int = 0
     snapshot_every: int = 2000
+    seeds: tuple[str, ...] = ()
+    """Names of the members that all are told; with any, members form the cluster
+    and look after it by themselves."""
+    first_start: bool = False
     network: FakeNetwork = field(init=False)
     hosts: dict[str, Host] = field(factory=dict)
 
@@ -65,17 +70,23 @@
         )
         scope = trio.CancelScope()
         sessions = SessionKeeper(member)
-        await self.nursery.start(self._run, member, sessions, scope)
+        seeds = tuple(self.get_url(name) for name in self.seeds)
+        membership = MembershipKeeper(member, seeds, self.first_start)
+        tasks = [sessions.run, membership.run] if seeds else [sessions.run]
+        await self.nursery.start(self._run, member, tasks, scope)
         control = StateControl(member, sessions)
-        routes = Routes.collect(member, sessions, control, LedgerReader(member))
+        routes = Routes.collect(
+            member, sessions, control, membership, LedgerReader(member)
+        )
         self.network.hosts[member.url] = routes
         self.hosts[name] = Host(member, sessions, scope)
         return member
 
-    async def _run(self, member, sessions, scope, task_status):
+    async def _run(self, member, tasks, scope, task_status):
         with scope:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(sessions.run)
+                for run in tasks:
+                    nursery.start_soon(run)
                 await member.run(task_status=task_status)
 
     async def bootstrap(self, *names: str) -> None:
--- a/medlarrail/transport/routes.py
+++ b/medlarrail/transport/routes.py
@@ -100,9 +100,15 @@
     @classmethod
     def collect(cls, *owners: Any, guard=None) -> "Routes":
         """Return the routes that the methods of ``owners`` are marked with."""
-        found = [one for owner in owners for one in _iterate_marked(owner)]
-        found.sort(key=lambda one: (one.path.endswith("*"), -len(one.path)))
-        return cls(found, guard)
+        collected = cls(guard=guard)
+        for owner in owners:
+            collected.add(owner)
+        return collected
+
+    def add(self, owner: Any) -> None:
+        """Serve the routes that the methods of ``owner`` are marked with, too."""
+        self.routes.extend(_iterate_marked(owner))
+        self.routes.sort(key=lambda one: (one.path.endswith("*"), -len(one.path)))
 
     def find(self, request: Request) -> tuple[Route, Request]:
         """Return the route of ``request`` and the request with its tail."""
