Log what an entry knew when it sent to a cold endpoint

Cause: the logs of the overloaded cold endpoints cannot tell whether an entry took the endpoint for warm, divided the rate by too few entries, or sent more than its part.

--- a/medlarrail/policy/rate_limits.py
+++ b/medlarrail/policy/rate_limits.py
@@ -92,3 +92,7 @@
     def record_sent(self, now: float) -> None:
         """Record a sent request."""
         self._sent.add(now)
+
+    def count_sent(self, now: float) -> int:
+        """Return the number of requests sent in the last second."""
+        return self._sent.get(now)
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -16,6 +16,7 @@
     StreamBroken,
 )
 from medlarrail.core.metrics import get_metrics
+from medlarrail.relay.endpoint_stats import ColdSend
 from medlarrail.relay.events import EventSplitter
 from medlarrail.relay.headers import iterate_end_to_end
 from medlarrail.relay.inbound import ServerExchange
@@ -85,6 +86,8 @@
     """Seconds from sending the request to the first byte of the body."""
     dispatch: DispatchMetadata | None = None
     """The metadata sent with the request, None before it is sent."""
+    cold_send: ColdSend | None = None
+    """Set if the endpoint was cold when the request was sent."""
     _metadata: AnswerMetadata = field(factory=AnswerMetadata)
     _tracked_prompt: TrackedPrompt | None = None
     _started_at: float = 0.0
@@ -101,7 +104,7 @@
             connection = await relay.pool.acquire(
                 announced.address, new_connection=not route.repeatable
             )
-            record.cold_rate.record_sent(relay.endpoint_stats.clock())
+            self.cold_send = relay.endpoint_stats.record_sent(self.endpoint)
             self.relayed.may_be_running = True
             if route.kind == "once":
                 self.relayed.exchange.detached = True
--- a/medlarrail/relay/endpoint_stats.py
+++ b/medlarrail/relay/endpoint_stats.py
@@ -3,11 +3,12 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from medlarrail.cluster.cluster_view import ClusterView, EndpointView
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.core.deployment import ServiceRule
+from medlarrail.core.metrics import get_metrics
 from medlarrail.ownership.path_health import PathHealth
 from medlarrail.policy.placement import Candidate
 from medlarrail.policy.rate_limits import ColdRateLimit
@@ -23,6 +24,20 @@
 that have just joined and delayed messages."""
 
 
+@frozen
+class ColdSend:
+    """What this entry knew when it sent a request to a cold endpoint.
+
+    ``remaining_ms`` is the remaining cold start, ``sent`` the number of this entry's
+    requests to the endpoint in the last second including this one, and
+    ``entry_count`` the number of entries that the cold rate was divided by.
+    """
+
+    remaining_ms: float
+    sent: int
+    entry_count: int
+
+
 @define
 class EndpointRecord:
     """Statistics of one endpoint's answers to this entry; times in seconds."""
@@ -90,6 +105,21 @@
                 return "cold"
         return ""
 
+    def record_sent(self, endpoint: EndpointView) -> ColdSend | None:
+        """Record a request that is sent to an endpoint; returns None if it is warm."""
+        now = self.clock()
+        cold_rate = self.get_record(endpoint.announced.name).cold_rate
+        cold_rate.record_sent(now)
+        if endpoint.cold_until <= now:
+            return None
+        cold_send = ColdSend(
+            remaining_ms=round((endpoint.cold_until - now) * 1000, 1),
+            sent=cold_rate.count_sent(now),
+            entry_count=self.cluster_view.entry_count,
+        )
+        get_metrics().count("cold_requests", service=endpoint.announced.service)
+        return cold_send
+
     def count_unavailable(self, service: ServiceRule) -> dict[str, int]:
         """Return how many endpoints each reason excludes; the others are ``usable``."""
         return dict(
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -7,7 +7,7 @@
 
 import eliot
 import trio
-from attrs import define, field
+from attrs import asdict, define, field
 
 from medlarrail.cluster.cluster_view import EndpointView
 from medlarrail.core.deployment import ServiceRule
@@ -299,6 +299,7 @@
             failure_rate=round(record.failure_rate, 3),
             number=len(self.tried),
             prompt_tokens=self.metadata.prompt_tokens,
+            cold=asdict(attempt.cold_send) if attempt.cold_send else None,
             transfers=attempt.dispatch.describe_transfers() if attempt.dispatch else [],
             status=attempt.status,
             outcome=outcome,
