--- a/medlarrail/testing/builders.py
+++ b/medlarrail/testing/builders.py
@@ -1,8 +1,11 @@
 """Builders of test data."""
 
+from collections.abc import Sequence
+
 from attrs import evolve
 
-from medlarrail.core.announcements import Announcement, ModelWeights
+from medlarrail.cluster.cluster_view import ClusterView
+from medlarrail.core.announcements import Announcement, ModelWeights, RegisteredEntry
 from medlarrail.core.deployment import (
     AccountRule,
     Deployment,
@@ -11,6 +14,8 @@
     TrafficShare,
 )
 from medlarrail.core.entities import CallRule, Contract, Endpoint
+from medlarrail.protocol.cluster_view import ClusterViewAnswer
+from medlarrail.relay.endpoint_stats import EndpointStats
 
 _ENDPOINT = Endpoint(
     name="engine-1",
@@ -82,3 +87,27 @@
 def build_deployment(**changes) -> Deployment:
     """Return a deployment document with ``changes`` applied to the default one."""
     return evolve(_DEPLOYMENT, **changes)
+
+
+def build_endpoint_stats(
+    entry: str, listed: Sequence[str] = (), settled: bool = True
+) -> EndpointStats:
+    """Return the endpoint statistics of ``entry`` when a leader lists the others.
+
+    A leader that is not ``settled`` may not have heard from all entries yet.
+    """
+    cluster_view = ClusterView()
+    registered = tuple(RegisteredEntry(name, "", "leith") for name in listed)
+    cluster_view.apply(
+        ClusterViewAnswer(
+            epoch="m1-1",
+            settled=settled,
+            whole=True,
+            endpoints_revision=0,
+            entries_revision=1,
+            configuration_index=0,
+            entries=registered,
+            entry_count=max(1, len(listed)),
+        )
+    )
+    return EndpointStats(cluster_view, "leith")
