Divide the cold rate into parts that add up to it

Callers saw late answers; endpoints that had just restarted got 38 to 47 requests in one second where 36.5 are allowed and 21 are borne.

Cause: each entry divided the cold rate by the number of entries but could always send one request a second. The parts of 65 entries added up to 65, of 82 to 82. The announcement of a cold endpoint reaches all entries at once, and all prefer it while the other endpoints are full. Below 22 entries the parts stay within the rate, which is why sites of 6 and 7 entries never showed it. Change: entries rank themselves for each endpoint by rendezvous hashing, and the rate is divided into whole parts by rank: with 65 entries, 12 get one request a second for a given endpoint and the others none. The division no longer depends on the number of entries, and entries with different lists still agree on most ranks.

--- a/medlarrail/policy/rate_limits.py
+++ b/medlarrail/policy/rate_limits.py
@@ -1,7 +1,7 @@
 """Sliding-window counters and the rate limits based on them.
 
 Handles retry storms and cold starts: every entry stays within its own share of a
-limit on all entries together, so no coordination is needed.
+limit on all entries together, so no coordination is needed. ``shares`` divides it.
 """
 
 from collections import deque
@@ -81,13 +81,9 @@
 
     _sent: SlidingCount = field(factory=lambda: SlidingCount(1.0))
 
-    def may_send(self, now: float, per_s: float, entry_count: int) -> bool:
-        """Return whether one more request stays within this entry's share.
-
-        ``per_s`` is the limit for all entries; each may send at least one per second.
-        """
-        limit = max(1.0, per_s / max(1, entry_count))
-        return self._sent.get(now) + 1 <= limit
+    def may_send(self, now: float, share: int) -> bool:
+        """Return whether one more request stays within ``share`` requests a second."""
+        return self._sent.get(now) + 1 <= share
 
     def record_sent(self, now: float) -> None:
         """Record a sent request."""
--- a/medlarrail/policy/rate_limits_test.py
+++ b/medlarrail/policy/rate_limits_test.py
@@ -3,6 +3,7 @@
 import random
 
 from medlarrail.policy.rate_limits import ColdRateLimit, RetryBudget, SlidingCount
+from medlarrail.policy.shares import get_share
 
 ENTRIES = 7
 
@@ -77,9 +78,9 @@
         now = 0.0
         while now < 5.0:
             now += rng.expovariate(400)
-            entry = rng.choice(entries)
-            if entry.may_send(now, 28 * 0.6, ENTRIES):
-                entry.record_sent(now)
+            rank = rng.randrange(ENTRIES)
+            if entries[rank].may_send(now, get_share(16, ENTRIES, rank)):
+                entries[rank].record_sent(now)
                 sent.append(now)
         max_rate = max(sum(end - 1.0 < at <= end for at in sent) for end in sent)
         assert max_rate <= 28 * 1.5 + 5
--- a/medlarrail/programs/gateway.py
+++ b/medlarrail/programs/gateway.py
@@ -48,7 +48,9 @@
             data_centre=settings.data_centre,
             work_address=settings.work_address,
         )
-        endpoint_stats = EndpointStats(self.cluster_view, settings.data_centre)
+        endpoint_stats = EndpointStats(
+            self.cluster_view, settings.data_centre, settings.name
+        )
         self.relay = RequestRelay(
             self.cluster_view,
             self.header_codec,
--- a/medlarrail/relay/cold_endpoints_test.py
+++ b/medlarrail/relay/cold_endpoints_test.py
@@ -72,10 +72,10 @@
     return [build_endpoint_stats(name, names[:listed_count]) for name in names]
 
 
-def send_if_available(entry: EndpointStats, now: float) -> bool:
-    """Send a request of one entry at ``now`` if its limit allows."""
-    entry.clock = entry.cluster_view.clock = lambda: now
-    endpoint = EndpointView(build_announcement(name="engine-1"), cold_until=COLD_S)
+def send_if_available(entry: EndpointStats, now: float, name: str = "engine-1") -> bool:
+    """Send a request of one entry to a cold endpoint if its limit allows."""
+    entry.clock = lambda: now
+    endpoint = EndpointView(build_announcement(name=name), cold_until=COLD_S)
     if entry.get_unavailable_reason(endpoint, SERVICE):
         return False
     entry.record_sent(endpoint)
@@ -112,6 +112,20 @@
         sent = [send_if_available(entry, 0.0) for entry in build_entries(82)]
         assert 0 < sum(sent) <= COLD_PER_S
 
+    @pytest.mark.parametrize("number", range(1, 21))
+    def test_entries_that_are_cut_off_keep_their_old_parts(self, number):
+        """The others share the rate again; both lists hold at the same time."""
+        names = [f"gateway-{index}" for index in range(65)]
+        cut_off, others = names[:16], names[16:]
+        entries = [build_endpoint_stats(name, names) for name in cut_off]
+        entries += [build_endpoint_stats(name, others) for name in others]
+        sent = sum(
+            send_if_available(entry, 0.01 * attempt, f"engine-{number}")
+            for attempt in range(50)
+            for entry in entries
+        )
+        assert 0 < sent <= COLD_PER_S
+
 
 class SlowPool(OutboundPool):
     """A pool whose connections take some time to open."""
--- a/medlarrail/relay/endpoint_stats.py
+++ b/medlarrail/relay/endpoint_stats.py
@@ -12,6 +12,8 @@
 from medlarrail.ownership.path_health import PathHealth
 from medlarrail.policy.placement import Candidate
 from medlarrail.policy.rate_limits import ColdRateLimit
+from medlarrail.policy.shares import get_share
+from medlarrail.relay.entry_rank import EntryRank
 from medlarrail.relay.metadata import EndpointLoad
 
 EWMA_WEIGHT = 0.15
@@ -59,16 +61,22 @@
 
 @define
 class EndpointStats:
-    """Endpoint records by name; builds the candidates for a request from them."""
+    """Endpoint records by name; builds the candidates for a request from them.
+
+    ``entry`` is the name of this entry.
+    """
 
     cluster_view: ClusterView
     data_centre: str
+    entry: str
     clock: Clock = get_boottime
     health: PathHealth = field(init=False)
+    rank: EntryRank = field(init=False)
     records: dict[str, EndpointRecord] = field(factory=dict)
 
     def __attrs_post_init__(self):
         self.health = PathHealth(self.clock)
+        self.rank = EntryRank(self.cluster_view, self.entry)
 
     def get_record(self, name: str) -> EndpointRecord:
         """Return the record of an endpoint, creating it if necessary."""
@@ -100,11 +108,19 @@
         now = self.clock()
         if endpoint.cold_until > now and service.cold_per_s > 0:
             cold_rate = self.get_record(announced.name).cold_rate
-            per_s = service.cold_per_s * COLD_RATE_RATIO
-            if not cold_rate.may_send(now, per_s, self.cluster_view.entry_count):
+            if not cold_rate.may_send(now, self._get_cold_share(endpoint, service)):
                 return "cold"
         return ""
 
+    def _get_cold_share(self, endpoint: EndpointView, service: ServiceRule) -> int:
+        """Return this entry's part of the cold rate, in requests per second.
+
+        The parts of all entries add up to at least one request per second.
+        """
+        limit = max(1, int(service.cold_per_s * COLD_RATE_RATIO))
+        rank = self.rank.get(endpoint.announced.name)
+        return get_share(limit, self.cluster_view.entry_count, rank)
+
     def record_sent(self, endpoint: EndpointView) -> ColdSend | None:
         """Record a request that is sent to an endpoint; returns None if it is warm."""
         now = self.clock()
--- a/medlarrail/testing/builders.py
+++ b/medlarrail/testing/builders.py
@@ -110,4 +110,4 @@
             entry_count=max(1, len(listed)),
         )
     )
-    return EndpointStats(cluster_view, "leith")
+    return EndpointStats(cluster_view, "leith", entry)
--- a/medlarrail/testing/scripted_endpoints.py
+++ b/medlarrail/testing/scripted_endpoints.py
@@ -195,7 +195,7 @@
     relay = RequestRelay(
         cluster_view,
         header_codec or DefaultHeaderCodec(),
-        EndpointStats(cluster_view, "leith"),
+        EndpointStats(cluster_view, "leith", "gateway-1"),
         RetryPolicy(10.0, 0.2, 50.0),
         isolation,
     )
