Reserve a cold endpoint's limit when it is chosen

Callers were sent to a cold endpoint beside the entry's own limit.

Cause: an entry checked its part of the cold rate when it chose the endpoint and recorded the request once it had a connection. All requests that were waiting for a connection passed the same check. Change: an attempt reserves the limit before its first checkpoint and is counted as sent from the moment of sending; a failed connection gives the reservation back.

--- a/medlarrail/policy/rate_limits.py
+++ b/medlarrail/policy/rate_limits.py
@@ -5,6 +5,8 @@
 """
 
 from collections import deque
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 from attrs import define, field
 
@@ -77,13 +79,27 @@
 
 @define
 class ColdRateLimit:
-    """This entry's share of the request rate allowed for one cold endpoint."""
+    """This entry's share of the request rate allowed for one cold endpoint.
+
+    A request is reserved when its endpoint is chosen and counted from when it is
+    sent, which may be later: a connection has to be opened first.
+    """
 
     _sent: SlidingCount = field(factory=lambda: SlidingCount(1.0))
+    _reserved: int = 0
 
     def may_send(self, now: float, share: int) -> bool:
         """Return whether one more request stays within ``share`` requests a second."""
-        return self._sent.get(now) + 1 <= share
+        return self._reserved + self._sent.get(now) + 1 <= share
+
+    @contextmanager
+    def reserve(self) -> Iterator[None]:
+        """Count one request as if it were sent now, until the block ends."""
+        self._reserved += 1
+        try:
+            yield
+        finally:
+            self._reserved -= 1
 
     def record_sent(self, now: float) -> None:
         """Record a sent request."""
--- a/medlarrail/policy/rate_limits_test.py
+++ b/medlarrail/policy/rate_limits_test.py
@@ -85,3 +85,14 @@
         max_rate = max(sum(end - 1.0 < at <= end for at in sent) for end in sent)
         assert max_rate <= 28 * 1.5 + 5
         assert len(sent) > 5 * 10
+
+    def test_reservations_count_until_they_are_sent_or_given_up(self):
+        limit = ColdRateLimit()
+        with limit.reserve():
+            assert limit.may_send(0.0, 2)
+            assert not limit.may_send(0.0, 1)
+        assert limit.may_send(0.0, 1)
+        with limit.reserve():
+            limit.record_sent(0.5)
+        assert not limit.may_send(1.0, 1)
+        assert limit.may_send(2.0, 1)
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -93,7 +93,11 @@
     _started_at: float = 0.0
 
     async def run(self) -> None:
-        """Send the request and relay the answer to the caller."""
+        """Send the request and relay the answer to the caller.
+
+        Reserves the endpoint before the first checkpoint, since other requests are
+        checked against the same limits meanwhile.
+        """
         announced = self.endpoint.announced
         relay = self.relayed.relay
         route = self.relayed.admission.route
@@ -101,10 +105,11 @@
         record.in_flight += 1
         connection = None
         try:
-            connection = await relay.pool.acquire(
-                announced.address, new_connection=not route.repeatable
-            )
-            self.cold_send = relay.endpoint_stats.record_sent(self.endpoint)
+            with record.cold_rate.reserve():
+                connection = await relay.pool.acquire(
+                    announced.address, new_connection=not route.repeatable
+                )
+                self.cold_send = relay.endpoint_stats.record_sent(self.endpoint)
             self.relayed.may_be_running = True
             if route.kind == "once":
                 self.relayed.exchange.detached = True
