Wait for a settled list of entries before sending to cold endpoints

Callers of entries that have just started were sent to cold endpoints beyond the cold rate, when the leader had just been elected too.

Cause: a new leader counts the entries that have called it so far, and an entry that has just started knows no others. Each divided the cold rate by the number of entries that had called before it. Found while looking for limits that are divided by an outdated number of entries. Later elections do not matter, since an entry then keeps the entries that it knows.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -61,6 +61,9 @@
     endpoints: dict[str, EndpointView] = field(factory=dict)
     entries: tuple[RegisteredEntry, ...] = ()
     entry_count: int = 1
+    entries_settled: bool = False
+    """Whether a settled leader has listed the entries to this process; before that,
+    there may be many more than are known."""
     out_data_centres: frozenset[str] = frozenset()
     desired: dict[str, DesiredVersion] = field(factory=dict)
     desired_received_at: dict[str, float] = field(factory=dict)
@@ -152,6 +155,7 @@
         """Apply a list of entries; that of an unsettled leader may be incomplete."""
         if settled:
             self.entries = listed
+            self.entries_settled = True
             return
         listed_addresses = {entry.address for entry in listed}
         retained = tuple(
--- a/medlarrail/relay/cold_endpoints_test.py
+++ b/medlarrail/relay/cold_endpoints_test.py
@@ -13,6 +13,7 @@
 from medlarrail.relay.outbound import OutboundConnection, OutboundPool
 from medlarrail.testing.builders import (
     build_announcement,
+    build_cluster_view_answer,
     build_deployment,
     build_endpoint_stats,
 )
@@ -37,6 +38,7 @@
     harness = await start_relay(nursery, deployment)
     await harness.add(answer_ok)
     cluster_view = harness.relay.cluster_view
+    cluster_view.entries_settled = True
     cluster_view.endpoints["engine-1"].cold_until = cluster_view.clock() + COLD_S
     return harness
 
@@ -162,3 +164,12 @@
             for entry in entries
         )
         assert sent <= COLD_PER_S
+
+    def test_a_cold_endpoint_is_used_once_a_settled_leader_has_listed_the_entries(self):
+        stats = build_endpoint_stats("gateway-1", ["gateway-1"], settled=False)
+        assert not send_if_available(stats, 0.0)
+        answer = build_cluster_view_answer(["gateway-1"])
+        stats.cluster_view.apply(answer)
+        assert send_if_available(stats, 0.0)
+        stats.cluster_view.apply(evolve(answer, settled=False))
+        assert send_if_available(stats, 0.1)
--- a/medlarrail/relay/endpoint_stats.py
+++ b/medlarrail/relay/endpoint_stats.py
@@ -115,8 +115,11 @@
     def _get_cold_share(self, endpoint: EndpointView, service: ServiceRule) -> int:
         """Return this entry's part of the cold rate, in requests per second.
 
-        The parts of all entries add up to at least one request per second.
+        The parts of all entries add up to at least one request per second. An entry
+        that does not know yet how many entries there are has none.
         """
+        if not self.cluster_view.entries_settled:
+            return 0
         limit = max(1, int(service.cold_per_s * COLD_RATE_RATIO))
         rank = self.rank.get(endpoint.announced.name)
         return get_share(limit, self.cluster_view.entry_count, rank)
--- a/medlarrail/testing/builders.py
+++ b/medlarrail/testing/builders.py
@@ -89,25 +89,29 @@
     return evolve(_DEPLOYMENT, **changes)
 
 
-def build_endpoint_stats(
-    entry: str, listed: Sequence[str] = (), settled: bool = True
-) -> EndpointStats:
-    """Return the endpoint statistics of ``entry`` when a leader lists the others.
+def build_cluster_view_answer(
+    listed: Sequence[str] = (), settled: bool = True
+) -> ClusterViewAnswer:
+    """Return a leader's answer that lists entries by their names.
 
     A leader that is not ``settled`` may not have heard from all entries yet.
     """
-    cluster_view = ClusterView()
-    registered = tuple(RegisteredEntry(name, "", "leith") for name in listed)
-    cluster_view.apply(
-        ClusterViewAnswer(
-            epoch="m1-1",
-            settled=settled,
-            whole=True,
-            endpoints_revision=0,
-            entries_revision=1,
-            configuration_index=0,
-            entries=registered,
-            entry_count=max(1, len(listed)),
-        )
+    return ClusterViewAnswer(
+        epoch="m1-1",
+        settled=settled,
+        whole=True,
+        endpoints_revision=0,
+        entries_revision=1,
+        configuration_index=0,
+        entries=tuple(RegisteredEntry(name, "", "leith") for name in listed),
+        entry_count=max(1, len(listed)),
     )
+
+
+def build_endpoint_stats(
+    entry: str, listed: Sequence[str] = (), settled: bool = True
+) -> EndpointStats:
+    """Return the endpoint statistics of ``entry`` when a leader lists ``listed``."""
+    cluster_view = ClusterView()
+    cluster_view.apply(build_cluster_view_answer(listed, settled))
     return EndpointStats(cluster_view, "leith", entry)
