Divide the connections of an endpoint into parts that add up to them

Callers would see refused connections at an endpoint once there are more entries than half of the connections that it accepts; no site has so many entries yet.

Cause: the same as for the cold rate: each entry could always open two connections to an endpoint. 390 entries could open 780 where 600 are accepted. Evidence: found by asking each divided limit for the sum of its parts at 1, 7, 12, 82 and 390 entries. Change: the connections are divided by rank as the cold rate is. Where there are fewer than entries, some entries do not use the endpoint. On the users' sites the part of an entry stays as it was or grows by one.

--- a/medlarrail/relay/endpoint_choice.py
+++ b/medlarrail/relay/endpoint_choice.py
@@ -98,15 +98,19 @@
     def _list_available(self) -> list[EndpointView]:
         """Return the untried endpoints; loading ones only if there are no others."""
         stats = self.relay.endpoint_stats
-        limit = self.relay.get_connection_limit(self.service)
         available = [
             endpoint
             for endpoint in stats.iterate_available(self.service)
             if endpoint.announced.name not in self.relayed.tried
-            and stats.get_record(endpoint.announced.name).in_flight < limit
+            and self._has_free_connection(endpoint.announced.name)
         ]
         return [endpoint for endpoint in available if not endpoint.loading] or available
 
+    def _has_free_connection(self, endpoint: str) -> bool:
+        """Return whether this entry may open another connection to ``endpoint``."""
+        limit = self.relay.get_connection_limit(self.service, endpoint)
+        return self.relay.endpoint_stats.get_record(endpoint).in_flight < limit
+
     def _build_candidates(self, available: list[EndpointView]) -> list[Candidate]:
         """Return candidates for the endpoints whose weights this request may use."""
         stats = self.relay.endpoint_stats
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -19,6 +19,7 @@
 from medlarrail.policy.isolation import IsolationPolicy
 from medlarrail.policy.prompt_length import PromptMix
 from medlarrail.policy.rate_limits import RetryBudget
+from medlarrail.policy.shares import get_share
 from medlarrail.policy.workload import ReportingGroup
 from medlarrail.relay.context_index import ContextIndex
 from medlarrail.relay.endpoint_stats import EndpointStats
@@ -30,8 +31,6 @@
 from medlarrail.relay.workload_reporter import WorkloadReporter
 from medlarrail.relay.workload_tracker import WorkloadTracker
 
-MIN_CONNECTIONS = 2
-"""Connections to one endpoint that an entry may always open."""
 CONNECTION_LIMIT_RATIO = 0.9
 """Fraction of an endpoint's connection limit that all entries together use."""
 MAINTENANCE_INTERVAL_S = 1.0
@@ -169,13 +168,14 @@
             for address in set(self.pool.idle) - present:
                 self.pool.close_address(address)
 
-    def get_connection_limit(self, service: ServiceRule) -> int:
-        """Return the maximum number of connections from this entry to one endpoint."""
+    def get_connection_limit(self, service: ServiceRule, endpoint: str) -> int:
+        """Return the maximum number of connections from this entry to ``endpoint``.
+
+        The limits of all entries add up to at most ``max_connections``. Where that is
+        too little for every entry, some may not use the endpoint.
+        """
         if not service.max_connections:
             return 1 << 30
-        limit = (
-            service.max_connections
-            * CONNECTION_LIMIT_RATIO
-            / self.cluster_view.entry_count
-        )
-        return max(MIN_CONNECTIONS, int(limit))
+        total = max(1, int(service.max_connections * CONNECTION_LIMIT_RATIO))
+        rank = self.endpoint_stats.rank.get(endpoint)
+        return get_share(total, self.cluster_view.entry_count, rank)
