Wait for the engine that runs a request before stopping it in a test

Cause: the test waited until the entry held a permit, then read at once which engine runs a request. The permit is granted before the request is sent, so on a busy machine no engine reported one yet: IndexError at serving_engines[0]. Change: the test polls the engines until one reports a running request, for 10 s at most, and stops that one; what it demands of the stop and of later requests is unchanged.

--- a/medlarrail/programs/shutdown_test.py
+++ b/medlarrail/programs/shutdown_test.py
@@ -46,6 +46,21 @@
     return results[0]
 
 
+async def find_serving_engine(processes):
+    """Return the name of the engine that runs a request, once there is one.
+
+    A held permit is not enough: the request may still be on its way to the engine.
+    """
+    with trio.fail_after(10):
+        while True:
+            for process in processes.deployment.processes:
+                if process.role == "engine":
+                    stats = await processes.fetch_backend(process.url)
+                    if stats.running:
+                        return process.name
+            await trio.sleep(0.02)
+
+
 def is_complete(result):
     return result.complete and result.text == make_answer(
         "a long answer", "v1", LONG_ANSWER_TOKENS
@@ -87,16 +102,11 @@
         self, processes, key
     ):
         caller = Caller(key, processes.deployment.list_urls("entry"))
-        serving_engines = []
 
         async def stop():
-            for process in processes.deployment.processes:
-                if process.role == "engine":
-                    stats = await processes.fetch_backend(process.url)
-                    if stats.running:
-                        serving_engines.append(process.name)
+            engine = await find_serving_engine(processes)
             with trio.fail_after(OUT_OF_SERVICE_BOUND_S + 20):
-                assert await processes.stop(serving_engines[0]) == 0
+                assert await processes.stop(engine) == 0
             for number in range(5):
                 result = await caller.ask(MODEL, f"after {number}", 2)
                 assert result.complete, result.error
