--- a/medlarrail/policy/rate_limits_test.py
+++ b/medlarrail/policy/rate_limits_test.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from medlarrail.policy.rate_limits import ColdRateLimit, RetryBudget, SlidingCount
 from medlarrail.policy.shares import get_share
 
@@ -53,10 +55,11 @@
             max_excess = max(max_excess, retry_count - (0.2 * request_count + 54))
         return max_excess, len(retries)
 
-    def test_retry_storm_stays_within_the_shared_budget(self):
-        max_excess, retries = self.replay_storm(ENTRIES)
+    @pytest.mark.parametrize("entries", [1, 7, 12, 82, 390])
+    def test_retry_storm_stays_within_the_shared_budget(self, entries):
+        max_excess, retries = self.replay_storm(entries, per_s=50 * entries / ENTRIES)
         assert max_excess < 0
-        assert retries > 100
+        assert retries > 100 * entries / ENTRIES
 
     def test_unannounced_entries_stay_within_the_budget(self):
         budgets = [RetryBudget(10.0, 0.2, 54.0) for _ in range(ENTRIES + 2)]
