Find the logged attempts of a test by their request ids

Cause: eliot keeps messages while there is no destination and delivers them to the first one, so in a run of all tests this test also got the attempts of other tests and failed: too many values to unpack. Alone it passed. Change: the test sends its requests with ids of their own and looks them up.

--- a/medlarrail/relay/cold_endpoints_test.py
+++ b/medlarrail/relay/cold_endpoints_test.py
@@ -52,17 +52,18 @@
         messages = []
         eliot.add_destinations(messages.append)
         try:
-            await harness.send(build_request())
+            await harness.send(build_request(X_Request_Id="cold-1"))
             harness.relay.cluster_view.endpoints["engine-1"].cold_until = 0.0
-            await harness.send(build_request())
+            await harness.send(build_request(X_Request_Id="warm-1"))
         finally:
             eliot.remove_destination(messages.append)
-        attempts = [
-            message["cold"]
+        # eliot also delivers what other tests logged while there was no destination.
+        logged = {
+            message["request"]: message["cold"]
             for message in messages
             if message["message_type"] == "request:attempt"
-        ]
-        cold, warm = attempts
+        }
+        cold, warm = logged["cold-1"], logged["warm-1"]
         assert 0 < cold.pop("remaining_ms") <= COLD_S * 1000
         assert cold == {"sent": 1, "entry_count": 4}
         assert warm is None
