--- a/medlarrail/relay/cold_endpoints_test.py
+++ b/medlarrail/relay/cold_endpoints_test.py
@@ -69,10 +69,10 @@
         assert warm is None
 
 
-def build_entries(count: int, listed_count: int | None = None) -> list[EndpointStats]:
-    """Return the statistics of ``count`` entries that know the first of each other."""
+def build_entries(count: int) -> list[EndpointStats]:
+    """Return the endpoint statistics of ``count`` entries that know each other."""
     names = [f"gateway-{number}" for number in range(count)]
-    return [build_endpoint_stats(name, names[:listed_count]) for name in names]
+    return [build_endpoint_stats(name, names) for name in names]
 
 
 def send_if_available(entry: EndpointStats, now: float, name: str = "engine-1") -> bool:
