List a failing test: an idle connection beside a new one exceeds the limit

Cause: the limit of connections to an endpoint counts those in use. A request that may not be repeated opens a new connection although one is idle.

--- a/medlarrail/relay/connection_limit_test.py
+++ b/medlarrail/relay/connection_limit_test.py
@@ -5,7 +5,16 @@
 from medlarrail.core.deployment import ServiceRule
 from medlarrail.relay.header_codec import DefaultHeaderCodec
 from medlarrail.relay.request_relay import RequestRelay
-from medlarrail.testing.builders import build_endpoint_stats
+from medlarrail.testing.builders import (
+    build_deployment,
+    build_endpoint_stats,
+    build_route,
+)
+from medlarrail.testing.scripted_endpoints import (
+    answer_ok,
+    build_request,
+    start_relay,
+)
 
 
 def build_relays(count: int) -> list[RequestRelay]:
@@ -31,3 +40,22 @@
             for relay in build_relays(entry_count)
         ]
         assert 0 < sum(limits) <= max_connections
+
+    async def test_an_idle_connection_beside_a_new_one_exceeds_the_limit(self, nursery):
+        """A request that may not be repeated never uses an idle connection."""
+        ask = build_route()
+        buy = build_route(name="buy", prefix="/buy/", kind="once", max_attempts=1)
+        service = ServiceRule("guide", max_connections=1)
+        harness = await start_relay(
+            nursery, build_deployment(routes=(ask, buy), services=(service,))
+        )
+        open_connections = []
+
+        async def count_and_answer(connection, request):
+            open_connections.append(endpoint.open_connections)
+            await answer_ok(connection, request)
+
+        endpoint = await harness.add(count_and_answer)
+        await harness.send(build_request("/ask/1"))
+        await harness.send(build_request("/buy/1", "POST", b"x"))
+        assert open_connections == [1, 1]
