--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -18,7 +18,7 @@
 from medlarrail.core.metrics import get_metrics
 from medlarrail.relay.endpoint_stats import ColdSend
 from medlarrail.relay.events import EventSplitter
-from medlarrail.relay.headers import iterate_end_to_end
+from medlarrail.relay.headers import Framing, iterate_end_to_end
 from medlarrail.relay.inbound import ServerExchange
 from medlarrail.relay.metadata import (
     AnswerMetadata,
@@ -86,6 +86,12 @@
     """Seconds from sending the request to the first byte of the body."""
     dispatch: DispatchMetadata | None = None
     """The metadata sent with the request, None before it is sent."""
+    framing: Framing | None = None
+    """The framing of the answer, None before its head was received."""
+    body_bytes: int = 0
+    """Bytes of the body received so far."""
+    partial_event: bool = False
+    """Whether the bytes received of a stream end inside an event."""
     cold_send: ColdSend | None = None
     """Set if the endpoint was cold when the request was sent."""
     _metadata: AnswerMetadata = field(factory=AnswerMetadata)
@@ -172,6 +178,7 @@
     def _read_metadata(self, head: AnswerHead) -> None:
         relay = self.relayed.relay
         self.status = head.status
+        self.framing = head.framing
         self._metadata = relay.header_codec.read_answer(head.status, head.headers)
         record = relay.endpoint_stats.get_record(self.endpoint.announced.name)
         if self._metadata.load is not None:
@@ -206,13 +213,12 @@
     ) -> None:
         """Buffer the answer, and send it to the caller once it is complete."""
         parts: list[bytes] = []
-        size = 0
         async with aclosing(connection.iterate_body()) as body:
             async for part in body:
                 self._record_first_byte()
                 parts.append(part)
-                size += len(part)
-                if size > MAX_ANSWER_BYTES:
+                self.body_bytes += len(part)
+                if self.body_bytes > MAX_ANSWER_BYTES:
                     raise AnswerTruncated(endpoint=self.endpoint.announced.name)
         self._record_first_byte()
         headers = tuple(iterate_end_to_end(head.headers))
@@ -234,13 +240,16 @@
         try:
             async with aclosing(connection.iterate_body()) as body:
                 async for part in body:
-                    events = splitter.split(part) if resumable else part
+                    self.body_bytes += len(part)
+                    complete = splitter.split(part)
+                    self.partial_event = splitter.has_partial_event
+                    events = complete if resumable else part
                     if events:
                         self._record_first_byte()
                         await self._send_head(exchange, head)
                         await exchange.send_part(events)
                         self.relayed.last_event_id = splitter.last_id
-            if resumable and splitter.has_partial_event:
+            if resumable and self.partial_event:
                 raise StreamBroken(endpoint=self.endpoint.announced.name)
         except StreamBroken:
             get_metrics().count("streams_broken", resumable=str(resumable))
--- a/medlarrail/relay/outbound.py
+++ b/medlarrail/relay/outbound.py
@@ -14,6 +14,7 @@
 
 from medlarrail.core.errors import EndpointUnreachable, StreamBroken
 from medlarrail.core.metrics import get_metrics
+from medlarrail.relay.headers import Framing, get_framing
 from medlarrail.relay.metadata import Header
 from medlarrail.transport.sockets import connect
 
@@ -41,6 +42,7 @@
 
     status: int
     headers: tuple[Header, ...] = field(repr=False)
+    framing: Framing
 
 
 @define(eq=False)
@@ -55,6 +57,8 @@
         )
     )
     idle_until: float = 0.0
+    _method: bytes = b""
+    """Method of the current request."""
     request_sent: bool = False
     """Whether the whole request was sent."""
     answer_ended: bool = False
@@ -65,6 +69,7 @@
     ) -> None:
         """Send a complete request; a broken connection is reported on reading."""
         self.request_sent = self.answer_ended = False
+        self._method = method
         if body or method not in (b"GET", b"HEAD", b"DELETE"):
             headers = [*headers, (b"Content-Length", str(len(body)).encode())]
         request = h11.Request(method=method, target=target, headers=headers)
@@ -84,7 +89,8 @@
             event = await self._read_event()
             if isinstance(event, h11.Response):
                 headers = tuple(event.headers.raw_items())
-                return AnswerHead(event.status_code, headers)
+                framing = get_framing(self._method, event.status_code, headers)
+                return AnswerHead(event.status_code, headers, framing)
             if not isinstance(event, h11.InformationalResponse):
                 raise StreamBroken(endpoint=self.address)
 
