Keep the framing of an answer that ends with its connection

Callers got 200 with a Content-Length or a last chunk for answers that had neither, also when the endpoint had broken them off.

Cause: the end of the connection was taken for the end of the answer, and the answer was then framed as complete. The framing of what the endpoint sent was not looked at. Change: the head of an answer has its framing. An answer without a length or chunks goes on without them, and the caller's connection closes after it. A resumed stream that began in chunks continues at another endpoint if the second part is unframed, or is cut, as its last chunk would claim what is not known. Weighed: to run a repeatable request again costs a retry for each unframed answer, most of which are complete, and the budget allows one in five.

--- a/medlarrail/core/errors.py
+++ b/medlarrail/core/errors.py
@@ -342,6 +342,11 @@
     tokens: int = 0
 
 
+@define(slots=False)
+class EndUnproven(RunFailure):
+    """The answer ended with its connection and may be incomplete."""
+
+
 @define(slots=False)
 class AnswerCrossed(RunFailure):
     """The endpoint answered another request."""
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -12,6 +12,7 @@
     AnswerTruncated,
     EndpointFailed,
     EndpointRefused,
+    EndUnproven,
     MedlarError,
     StreamBroken,
 )
@@ -37,16 +38,20 @@
 
 
 @frozen
-class WholeAnswer:
-    """A complete endpoint answer, as it is sent to the caller."""
+class BufferedAnswer:
+    """An endpoint's answer with all of its body, as it is sent to the caller."""
 
     status: int
     headers: tuple[Header, ...]
     body: bytes
+    framing: Framing
+    """``LENGTH``, or ``CLOSE`` if the endpoint did not prove the end of the body."""
 
     async def send(self, exchange: ServerExchange) -> None:
         """Send the answer to the caller."""
-        await exchange.send_whole(self.status, list(self.headers), self.body)
+        await exchange.send_whole(
+            self.status, list(self.headers), self.body, self.framing
+        )
 
 
 class AttemptRequest(Protocol):
@@ -58,7 +63,7 @@
     admission: Admission
     last_event_id: str
     may_be_running: bool
-    fallback_answer: WholeAnswer | None
+    fallback_answer: BufferedAnswer | None
     """An endpoint's error answer, sent to the caller if no other attempt is made."""
 
     def build_dispatch(self, endpoint: EndpointView) -> DispatchMetadata:
@@ -173,7 +178,7 @@
         if is_stream and head.status < 300:
             await self._relay_stream(connection, head)
         else:
-            await self._relay_whole(connection, head)
+            await self._relay_buffered(connection, head)
 
     def _read_metadata(self, head: AnswerHead) -> None:
         relay = self.relayed.relay
@@ -208,10 +213,14 @@
                 del self.relayed.relay.cluster_view.endpoints[name]
         raise EndpointRefused(endpoint=name, reason=f"status {head.status}")
 
-    async def _relay_whole(
+    async def _relay_buffered(
         self, connection: OutboundConnection, head: AnswerHead
     ) -> None:
-        """Buffer the answer, and send it to the caller once it is complete."""
+        """Buffer the answer, and send it to the caller once it has ended.
+
+        A length is stated only if the endpoint's framing proves that nothing is
+        missing.
+        """
         parts: list[bytes] = []
         async with aclosing(connection.iterate_body()) as body:
             async for part in body:
@@ -222,7 +231,8 @@
                     raise AnswerTruncated(endpoint=self.endpoint.announced.name)
         self._record_first_byte()
         headers = tuple(iterate_end_to_end(head.headers))
-        answer = WholeAnswer(head.status, headers, b"".join(parts))
+        framing = Framing.LENGTH if head.framing.proves_end else Framing.CLOSE
+        answer = BufferedAnswer(head.status, headers, b"".join(parts), framing)
         if head.status >= MIN_FAILURE_STATUS or self.relayed.exchange.started:
             self.relayed.fallback_answer = answer
             raise EndpointFailed(
@@ -255,12 +265,16 @@
             get_metrics().count("streams_broken", resumable=str(resumable))
             raise
         await self._send_head(exchange, head)
+        if exchange.framing.proves_end and not head.framing.proves_end:
+            raise EndUnproven(endpoint=self.endpoint.announced.name)
         await exchange.end()
 
     async def _send_head(self, exchange: ServerExchange, head: AnswerHead) -> None:
-        if not exchange.started:
-            headers = list(iterate_end_to_end(head.headers))
-            await exchange.send_head(head.status, headers, None)
+        if exchange.started:
+            return
+        headers = list(iterate_end_to_end(head.headers))
+        framing = Framing.CHUNKED if head.framing is Framing.LENGTH else head.framing
+        await exchange.send_head(head.status, headers, framing)
 
     def _record_first_byte(self) -> None:
         if not self.first_byte_s:
--- a/medlarrail/relay/headers.py
+++ b/medlarrail/relay/headers.py
@@ -39,6 +39,11 @@
     CLOSE = "close"
     """By the end of the connection, which does not prove that the body is complete."""
 
+    @property
+    def proves_end(self) -> bool:
+        """Whether a body that ended early can be told from a complete one."""
+        return self is not Framing.CLOSE
+
 
 def get_header(headers: tuple[Header, ...], name: bytes) -> bytes | None:
     """Return the first value of a header, or None; ``name`` is in lower case."""
--- a/medlarrail/relay/inbound.py
+++ b/medlarrail/relay/inbound.py
@@ -23,7 +23,7 @@
     SlowSender,
 )
 from medlarrail.core.metrics import get_metrics
-from medlarrail.relay.headers import check_framing, get_header
+from medlarrail.relay.headers import Framing, check_framing, get_header
 from medlarrail.relay.metadata import Header, InboundRequest
 from medlarrail.transport.sockets import bind_listener, set_dead_peer_timeouts
 
@@ -57,21 +57,29 @@
     detached: bool = False
     caller_left: bool = False
     started: bool = False
+    framing: Framing | None = None
+    """The framing of the answer, None before it was started."""
 
     async def send_head(
-        self, status: int, headers: list[Header], length: int | None
+        self, status: int, headers: list[Header], framing: Framing, length: int = 0
     ) -> None:
-        """Send the status and headers; the body is chunked if ``length`` is None."""
+        """Send the status and headers; ``length`` is sent with ``Framing.LENGTH``.
+
+        With ``Framing.CLOSE``, the connection is closed after the answer.
+        """
         self.started = True
-        framing: list[Header] = []
-        if length is not None:
-            framing.append((b"Content-Length", str(length).encode()))
-        elif self.request.method != b"HEAD":
-            framing.append((b"Transfer-Encoding", b"chunked"))
+        self.framing = framing
+        framing_headers: list[Header] = []
+        if framing is Framing.LENGTH:
+            framing_headers.append((b"Content-Length", str(length).encode()))
+        elif framing is Framing.CHUNKED:
+            framing_headers.append((b"Transfer-Encoding", b"chunked"))
+        elif framing is Framing.CLOSE:
+            self.connection.frame_by_close()
         if self.connection.server.draining:
-            framing.append(CLOSE_HEADER)
+            framing_headers.append(CLOSE_HEADER)
         await self.connection.send(
-            h11.Response(status_code=status, headers=[*headers, *framing])
+            h11.Response(status_code=status, headers=[*headers, *framing_headers])
         )
 
     async def send_part(self, part: bytes) -> None:
@@ -82,9 +90,15 @@
         """Complete the answer."""
         await self.connection.send(h11.EndOfMessage())
 
-    async def send_whole(self, status: int, headers: list[Header], body: bytes) -> None:
-        """Send a complete answer."""
-        await self.send_head(status, headers, len(body))
+    async def send_whole(
+        self,
+        status: int,
+        headers: list[Header],
+        body: bytes,
+        framing: Framing = Framing.LENGTH,
+    ) -> None:
+        """Send an answer with all of its body."""
+        await self.send_head(status, headers, framing, len(body))
         if body and self.request.method != b"HEAD":
             await self.send_part(body)
         await self.end()
@@ -279,6 +293,11 @@
         if data:
             await self.stream.send_all(data)
 
+    def frame_by_close(self) -> None:
+        """Make the end of the connection end the body of the next answer."""
+        # h11 sends a body without a length in chunks, except to HTTP/1.0 peers.
+        self.protocol.their_http_version = b"1.0"
+
     async def _linger(self) -> None:
         """Drain incoming bytes, so that closing does not reset the connection."""
         if self.aborted:
--- a/medlarrail/relay/incomplete_answers_test.py
+++ b/medlarrail/relay/incomplete_answers_test.py
@@ -11,6 +11,7 @@
 from medlarrail.testing.scripted_endpoints import (
     RelayHarness,
     build_request,
+    build_script,
     get_value,
     start_relay,
 )
@@ -186,6 +187,30 @@
             assert (answer.status, answer.body) == (200, BODY)
             assert answer.ending != "broken"
 
+    @pytest.mark.parametrize("kind", DEPLOYMENTS)
+    async def test_complete_unframed_answer_arrives(self, nursery, kind):
+        """Callers must not lose the answers of endpoints that state no length."""
+        harness = await start_relay(nursery, DEPLOYMENTS[kind])
+        whole = len(BODY)
+        script = partial(send_cut_answer, framing="close", cut=whole, end="close")
+        endpoint = await harness.add(script)
+        for _ in range(3):
+            answer = await call(harness, build_request(close=False))
+            assert answer == ReceivedAnswer(200, BODY, "closed")
+        assert len(endpoint.requests) == 3
+
+    async def test_end_of_a_resumed_stream_is_not_proven(self, nursery):
+        """A stream that began in chunks must not get the last one for a mere close."""
+        deployment = build_deployment(
+            routes=(build_route(kind="stream", resumable=True, max_attempts=2),)
+        )
+        harness = await start_relay(nursery, deployment)
+        broken = partial(send_cut_answer, framing="chunked", cut=20, end="reset")
+        unproven = partial(send_cut_answer, framing="close", cut=48, end="close")
+        await harness.add(build_script(broken, unproven))
+        answer = await call(harness, build_request())
+        assert answer.ending == "broken"
+
 
 class TestAttemptLog:
     async def test_log_tells_how_an_answer_ended(self, nursery):
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -27,7 +27,7 @@
 from medlarrail.core.metrics import get_metrics
 from medlarrail.core.scopes import ContextScope
 from medlarrail.policy.context import TransferPlan
-from medlarrail.relay.attempt import Attempt, WholeAnswer
+from medlarrail.relay.attempt import Attempt, BufferedAnswer
 from medlarrail.relay.endpoint_choice import EndpointChooser
 from medlarrail.relay.inbound import ServerExchange
 from medlarrail.relay.metadata import DispatchMetadata, RequestMetadata
@@ -64,7 +64,7 @@
     """Failure of the latest attempt that may have run."""
     may_be_running: bool = False
     """Whether an attempt in progress may be running at its endpoint."""
-    fallback_answer: WholeAnswer | None = None
+    fallback_answer: BufferedAnswer | None = None
     last_event_id: str = ""
     chooser: EndpointChooser = field(init=False)
 
