Reset connections on which an answer without length or chunks breaks off

Callers of HTTP/1.0, and of answers that end with their connection, got a regular close for an answer that had been cut: the same end as a complete one has.

Cause: a cut answer was ended by closing the connection, which shows only where a length or chunks are missing. The same close followed when the caller had closed its sending side, when the process shut down or was killed. Change: from the head to the end of such an answer, any close resets the connection, by SO_LINGER, so that the end of the process does so too. Answers in chunks are closed as before, since a reset may discard events that the caller has not read. The fuzz test takes a reset for what it is to a caller, an answer that broke off; it asserts the same as before.

--- a/medlarrail/relay/inbound.py
+++ b/medlarrail/relay/inbound.py
@@ -25,7 +25,11 @@
 from medlarrail.core.metrics import get_metrics
 from medlarrail.relay.headers import Framing, check_framing, get_header
 from medlarrail.relay.metadata import Header, InboundRequest
-from medlarrail.transport.sockets import bind_listener, set_dead_peer_timeouts
+from medlarrail.transport.sockets import (
+    bind_listener,
+    set_dead_peer_timeouts,
+    set_reset_on_close,
+)
 
 READ_BYTES = 65536
 """Maximum bytes per read from a socket."""
@@ -65,8 +69,11 @@
     ) -> None:
         """Send the status and headers; ``length`` is sent with ``Framing.LENGTH``.
 
-        With ``Framing.CLOSE``, the connection is closed after the answer.
+        With ``Framing.CLOSE``, the connection is closed after the answer. The same
+        replaces ``Framing.CHUNKED`` for callers that do not know chunks.
         """
+        if framing is Framing.CHUNKED and not self.connection.knows_chunks:
+            framing = Framing.CLOSE
         self.started = True
         self.framing = framing
         framing_headers: list[Header] = []
@@ -89,6 +96,8 @@
     async def end(self) -> None:
         """Complete the answer."""
         await self.connection.send(h11.EndOfMessage())
+        if self.framing is Framing.CLOSE:
+            self.connection.allow_regular_close()
 
     async def send_whole(
         self,
@@ -293,14 +302,28 @@
         if data:
             await self.stream.send_all(data)
 
+    @property
+    def knows_chunks(self) -> bool:
+        """Whether the caller can receive a body in chunks."""
+        return (self.protocol.their_http_version or b"1.0") >= b"1.1"
+
     def frame_by_close(self) -> None:
-        """Make the end of the connection end the body of the next answer."""
+        """Make a regular close end the body of the next answer.
+
+        Until ``allow_regular_close`` is called, any close resets the connection, also
+        if this process ends: the caller takes a regular one for the end of the body.
+        """
         # h11 sends a body without a length in chunks, except to HTTP/1.0 peers.
         self.protocol.their_http_version = b"1.0"
+        set_reset_on_close(self.stream, True)
+
+    def allow_regular_close(self) -> None:
+        """Close the connection regularly from now on; see ``frame_by_close``."""
+        set_reset_on_close(self.stream, False)
 
     async def _linger(self) -> None:
         """Drain incoming bytes, so that closing does not reset the connection."""
-        if self.aborted:
+        if self.aborted or self.protocol.our_state is h11.SEND_BODY:
             return
         with trio.move_on_after(LINGER_TIMEOUT_S):
             await self.stream.send_eof()
--- a/medlarrail/relay/relay_fuzz_test.py
+++ b/medlarrail/relay/relay_fuzz_test.py
@@ -5,6 +5,7 @@
 """
 
 import re
+from contextlib import suppress
 from functools import partial
 
 import h11
@@ -229,7 +230,10 @@
     async with trio.open_nursery() as nursery:
         harness = await start_relay(nursery, build_deployment(routes=(route,)))
         endpoint = await harness.add(build_script(send_raw, answer_ok))
-        first = await harness.send(build_request(method="POST", body=b"x"))
+        first = b""
+        # A reset shows the caller that the answer broke off.
+        with suppress(trio.BrokenResourceError):
+            first = await harness.send(build_request(method="POST", body=b"x"))
         second = await harness.send(
             build_request(method="POST", body=b"y", X_Request_Id="r2")
         )
--- a/medlarrail/transport/sockets.py
+++ b/medlarrail/transport/sockets.py
@@ -1,6 +1,7 @@
 """Socket options that close connections to unresponsive peers."""
 
 import socket
+import struct
 
 import trio
 
@@ -25,6 +26,11 @@
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, probes)
 
 
+def set_reset_on_close(sock, reset: bool) -> None:
+    """Set whether closing the connection, or ending the process, resets it."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", reset, 0))
+
+
 def bind_listener(host: str, port: int) -> socket.socket:
     """Return a listening socket on ``host:port``."""
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
