Treat a stream that ends inside an event as broken off on every route

Callers of a stream that may not be resumed got its last chunk, and before that a part of an event, for a stream that its endpoint had broken off.

Cause: only resumable streams were split into events, so only they were checked for a partial event at the end. Change: all streams are. Only complete events go to the caller, so a stream that breaks off before the first is a 502. The search for the end of an event goes on where it stopped instead of from the start, and complete comments after the last event don't count as a part of one.

--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -243,7 +243,7 @@
     async def _relay_stream(
         self, connection: OutboundConnection, head: AnswerHead
     ) -> None:
-        """Relay events as they arrive; only complete ones on resumable routes."""
+        """Relay complete events as they arrive."""
         exchange = self.relayed.exchange
         splitter = EventSplitter(self.relayed.last_event_id)
         resumable = self.relayed.admission.route.resumable
@@ -251,20 +251,21 @@
             async with aclosing(connection.iterate_body()) as body:
                 async for part in body:
                     self.body_bytes += len(part)
-                    complete = splitter.split(part)
-                    self.partial_event = splitter.has_partial_event
-                    events = complete if resumable else part
-                    if events:
+                    if events := splitter.split(part):
                         self._record_first_byte()
                         await self._send_head(exchange, head)
                         await exchange.send_part(events)
                         self.relayed.last_event_id = splitter.last_id
-            if resumable and self.partial_event:
+            if splitter.has_partial_event:
                 raise StreamBroken(endpoint=self.endpoint.announced.name)
         except StreamBroken:
             get_metrics().count("streams_broken", resumable=str(resumable))
             raise
+        finally:
+            self.partial_event = splitter.has_partial_event
         await self._send_head(exchange, head)
+        if remainder := splitter.take_remainder():
+            await exchange.send_part(remainder)
         if exchange.framing.proves_end and not head.framing.proves_end:
             raise EndUnproven(endpoint=self.endpoint.announced.name)
         await exchange.end()
--- a/medlarrail/relay/events.py
+++ b/medlarrail/relay/events.py
@@ -3,6 +3,7 @@
 from attrs import define, field
 
 EVENT_BOUNDARIES = (b"\n\n", b"\r\n\r\n", b"\r\r")
+LONGEST_BOUNDARY = max(map(len, EVENT_BOUNDARIES))
 
 
 @define
@@ -16,20 +17,19 @@
     """
 
     last_id: str = ""
-    _buffer: bytes = field(default=b"", repr=False)
+    _buffer: bytearray = field(factory=bytearray, repr=False)
 
     def split(self, data: bytes) -> bytes:
         """Append ``data`` and return the events that are now complete."""
+        searched = max(0, len(self._buffer) - LONGEST_BOUNDARY + 1)
         self._buffer += data
         end = max(
-            (
-                position + len(boundary)
-                if (position := self._buffer.rfind(boundary)) >= 0
-                else 0
-            )
+            position + len(boundary) if position >= 0 else 0
             for boundary in EVENT_BOUNDARIES
+            for position in [self._buffer.rfind(boundary, searched)]
         )
-        events, self._buffer = self._buffer[:end], self._buffer[end:]
+        events = bytes(self._buffer[:end])
+        del self._buffer[:end]
         if events:
             self._update_last_id(events)
         return events
@@ -41,7 +41,19 @@
                 self.last_id = value.strip().decode("latin1")
                 return
 
+    def take_remainder(self) -> bytes:
+        """Return and remove the bytes after the last complete event."""
+        remainder = bytes(self._buffer)
+        self._buffer.clear()
+        return remainder
+
     @property
     def has_partial_event(self) -> bool:
-        """Whether the buffer holds an incomplete event."""
-        return bool(self._buffer.strip())
+        """Whether the remainder is part of an event, not only comments or newlines."""
+        lines = self._buffer.splitlines(keepends=True)
+        return any(line.strip() and not _is_comment(line) for line in lines)
+
+
+def _is_comment(line: bytes) -> bool:
+    """Return whether ``line`` is a complete comment."""
+    return line.startswith(b":") and line.endswith((b"\n", b"\r"))
