Bound the answers to our own calls

Cause: calls to peers, stores and engines bounded the time of an answer but not its size, so one without end filled the memory for as long as the call may take: up to 20 s. Change: an answer of more than 16 MB (reports and orders 1 MB, an engine's refusal 64 KB, an event of its stream 1 MB) fails like one that breaks off, and is counted.

--- a/medlarrail/platform/orders.py
+++ b/medlarrail/platform/orders.py
@@ -9,6 +9,8 @@
 from medlarrail.core.errors import BadJson, PeerBroken
 from medlarrail.transport.client import HttpClient
 
+MAX_ANSWER_BYTES = 1_000_000
+"""Maximum size of a report, which lists the running requests."""
 CALL_TIMEOUT_S = 1.0
 """Timeout of one call; an order that times out may still be carried out."""
 RESULT_BY_STATUS: dict[int, OrderResult] = {
@@ -29,7 +31,9 @@
     async def read_state(self, endpoint: Announcement) -> EngineState:
         """Return the loaded weight versions and order state of an endpoint."""
         url = f"http://{endpoint.address}/report"
-        answer = await self.client.fetch("GET", url, timeout_s=CALL_TIMEOUT_S)
+        answer = await self.client.fetch(
+            "GET", url, timeout_s=CALL_TIMEOUT_S, max_bytes=MAX_ANSWER_BYTES
+        )
         try:
             payload = parse_json(answer.body)
             versions = tuple(
@@ -61,5 +65,6 @@
             headers={"expect-instance": order.endpoint.name},
             timeout_s=CALL_TIMEOUT_S,
             new_connection=True,
+            max_bytes=MAX_ANSWER_BYTES,
         )
         return RESULT_BY_STATUS.get(answer.status, "rejected")
--- a/medlarrail/protocol/openai.py
+++ b/medlarrail/protocol/openai.py
@@ -11,8 +11,11 @@
 from attrs import field, frozen
 
 from medlarrail.core.codec import encode, to_plain
+from medlarrail.core.errors import BadJson
 
 DONE = b"[DONE]"
+MAX_EVENT_BYTES = 1_000_000
+"""Maximum size of one event of an engine's stream."""
 COMPLETIONS_PATH = "/v1/completions"
 CHAT_PATH = "/v1/chat/completions"
 
@@ -154,10 +157,15 @@
 
 
 async def iterate_events(parts):
-    """Yield the data of each server-sent event in a stream of bytes."""
+    """Yield the data of each server-sent event in a stream of bytes.
+
+    Raises ``BadJson`` for an event of more than ``MAX_EVENT_BYTES``.
+    """
     buffer = b""
     async for part in parts:
         buffer += part
+        if len(buffer) > MAX_EVENT_BYTES:
+            raise BadJson(problem="event too long")
         while (end := buffer.find(b"\n\n")) >= 0:
             event, buffer = buffer[:end], buffer[end + 2 :]
             if event.startswith(b"data: "):
--- a/medlarrail/serving/engine_client.py
+++ b/medlarrail/serving/engine_client.py
@@ -35,6 +35,9 @@
 )
 from medlarrail.transport.client import HttpClient, ResponseStream
 
+MAX_REFUSAL_BYTES = 65536
+"""Maximum size of an engine's error answer."""
+
 
 @define
 class EngineStream:
@@ -137,7 +140,7 @@
 
 async def read_refusal(name: str, response: ResponseStream) -> MedlarError:
     """Return the error for an endpoint's answer with a status other than 200."""
-    body = b"".join([part async for part in response.iterate()])
+    body = await response.read(MAX_REFUSAL_BYTES)
     error = decode_error(body)
     if error is not None and error.run == "no":
         return EndpointRefused(endpoint=name, reason=type(error).__name__)
--- a/medlarrail/transport/client.py
+++ b/medlarrail/transport/client.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import aclosing, asynccontextmanager
 from typing import Protocol, TypeVar
 
 import httpcore
@@ -28,6 +28,8 @@
 CONNECT_TIMEOUT_S = 0.5
 IDLE_EXPIRY_S = 15.0
 MAX_CONNECTIONS_PER_PEER = 256
+MAX_ANSWER_BYTES = 16_000_000
+"""Maximum size of an answer that is read as a whole."""
 FIRST_ATTEMPT_SHARE = 0.5
 """Share of the timeout for the first attempt, over a pooled connection."""
 
@@ -43,7 +45,7 @@
 
 @frozen
 class RawAnswer:
-    """A complete answer with an undecoded body."""
+    """An answer with all of its body, undecoded."""
 
     status: int
     headers: dict[str, str]
@@ -117,8 +119,12 @@
         headers: dict[str, str] | None = None,
         timeout_s: float = 5.0,
         new_connection: bool = False,
+        max_bytes: int = MAX_ANSWER_BYTES,
     ) -> RawAnswer:
-        """Return the complete answer to one request; raises ``PeerError``."""
+        """Return the answer to one request; raises ``PeerError``.
+
+        An answer of more than ``max_bytes`` raises ``PeerBroken``.
+        """
         with trio.move_on_after(timeout_s):
             async with self.open(
                 method,
@@ -128,7 +134,7 @@
                 read_timeout_s=timeout_s,
                 new_connection=new_connection,
             ) as stream:
-                data = b"".join([part async for part in stream.iterate()])
+                data = await stream.read(max_bytes)
                 return RawAnswer(stream.status, stream.headers, data)
         raise PeerTimeout(url=url)
 
@@ -236,6 +242,17 @@
             for name, value in self._response.headers
         }
 
+    async def read(self, max_bytes: int = MAX_ANSWER_BYTES) -> bytes:
+        """Return the whole body; raises ``PeerBroken`` beyond ``max_bytes``."""
+        body = bytearray()
+        async with aclosing(self.iterate()) as parts:
+            async for part in parts:
+                body += part
+                if len(body) > max_bytes:
+                    get_metrics().count("peer_answers_too_long")
+                    raise PeerBroken(url=self.url)
+        return bytes(body)
+
     async def iterate(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive."""
         with _translate_errors(self.url):
