Take answers without a length or chunks for incomplete in our own calls

A caller could get an incomplete answer of a plain service for as long as its idempotency key lives, and a process could act on half of a peer's answer.

The client joined what arrived until the connection ended, and the ledger stored it as final. Change: an answer tells whether its framing proves its end. Between our own processes it always does, so another is broken off. A service's is a run that may have failed: entries always state a length to callers, so they cannot pass on that it is missing. JSON objects of stores, reports and orders are accepted as before, since a cut one is not valid. Evidence: test_cut_answer_of_a_peer_is_taken_as_complete failed before.

--- a/medlarrail/serving/service_calls.py
+++ b/medlarrail/serving/service_calls.py
@@ -11,6 +11,7 @@
     AnswerNotKept,
     EndpointRefused,
     EndpointUnreachable,
+    EndUnproven,
     IdempotencyKeyMissing,
     MedlarError,
     RetryBudgetSpent,
@@ -192,6 +193,8 @@
         refusal = decode_error(answer.body) if answer.status >= 400 else None
         if refusal is not None and refusal.run == "no" and answer.status in (429, 503):
             raise EndpointRefused(endpoint=name, reason=type(refusal).__name__)
+        if not answer.end_proven:
+            raise EndUnproven(endpoint=name)
         content_type = answer.headers.get("content-type", "")
         return StoredAnswer(
             answer.status, content_type, answer.body.decode(BODY_ENCODING)
--- a/medlarrail/transport/client.py
+++ b/medlarrail/transport/client.py
@@ -30,6 +30,7 @@
 MAX_CONNECTIONS_PER_PEER = 256
 MAX_ANSWER_BYTES = 16_000_000
 """Maximum size of an answer that is read as a whole."""
+STATUSES_WITHOUT_BODY = (204, 304)
 FIRST_ATTEMPT_SHARE = 0.5
 """Share of the timeout for the first attempt, over a pooled connection."""
 
@@ -50,6 +51,8 @@
     status: int
     headers: dict[str, str]
     body: bytes
+    end_proven: bool = True
+    """Whether the answer had a length or chunks, so that nothing can be missing."""
 
     def raise_for_error(self, url: str) -> None:
         """Raise the typed error that the answer represents, if any."""
@@ -98,19 +101,26 @@
         body = b"" if message is None else encode(message)
         deadline = trio.current_time() + timeout_s
         try:
-            answer = await self.fetch(
+            answer = await self._fetch_proven(
                 method, url + path, body, timeout_s=timeout_s * FIRST_ATTEMPT_SHARE
             )
         except (PeerTimeout, PeerBroken) as error:
             get_metrics().count("peer_second_tries", reason=type(error).__name__)
             self._retire(_get_base_url(url))
             remaining_s = max(0.01, deadline - trio.current_time())
-            answer = await self.fetch(
+            answer = await self._fetch_proven(
                 method, url + path, body, timeout_s=remaining_s, new_connection=True
             )
         answer.raise_for_error(url)
         return decode(answer.body, answer_type)
 
+    async def _fetch_proven(self, method: str, url: str, *args, **options) -> RawAnswer:
+        """Return an answer that is known to be complete, as each of a peer's is."""
+        answer = await self.fetch(method, url, *args, **options)
+        if not answer.end_proven:
+            raise PeerBroken(url=url)
+        return answer
+
     async def fetch(
         self,
         method: str,
@@ -135,7 +145,8 @@
                 new_connection=new_connection,
             ) as stream:
                 data = await stream.read(max_bytes)
-                return RawAnswer(stream.status, stream.headers, data)
+                proven = stream.end_proven or method == "HEAD"
+                return RawAnswer(stream.status, stream.headers, data, proven)
         raise PeerTimeout(url=url)
 
     @asynccontextmanager
@@ -242,6 +253,12 @@
             for name, value in self._response.headers
         }
 
+    @property
+    def end_proven(self) -> bool:
+        """Whether a body that ended early can be told from a complete one."""
+        framed = "content-length" in self.headers or "transfer-encoding" in self.headers
+        return framed or self.status in STATUSES_WITHOUT_BODY
+
     async def read(self, max_bytes: int = MAX_ANSWER_BYTES) -> bytes:
         """Return the whole body; raises ``PeerBroken`` beyond ``max_bytes``."""
         body = bytearray()
--- a/medlarrail/transport/client_test.py
+++ b/medlarrail/transport/client_test.py
@@ -4,6 +4,7 @@
 import trio
 
 from medlarrail.core.errors import PeerBroken
+from medlarrail.protocol.control import EmptyMessage
 from medlarrail.testing.scripted_endpoints import HOST, Script, ScriptedEndpoint
 from medlarrail.transport.client import HttpClient
 
@@ -15,6 +16,16 @@
     return f"http://{HOST}:{endpoint.port}"
 
 
+def close_after(data: bytes) -> Script:
+    """Return a script that sends ``data`` and closes the connection."""
+
+    async def run(connection, request):
+        await connection.send(data)
+        await connection.stream.aclose()
+
+    return run
+
+
 def send_endlessly(head: bytes) -> Script:
     """Return a script that sends ``head`` and a body without end."""
 
@@ -26,6 +37,31 @@
     return run
 
 
+class TestIncompleteAnswers:
+    @pytest.mark.parametrize(
+        "framing", [b"", b"Content-Length: 3\r\n", b"Transfer-Encoding: chunked\r\n"]
+    )
+    async def test_cut_answer_of_a_peer_is_taken_as_complete(self, nursery, framing):
+        """The bytes that arrived are a valid message, so only the framing tells."""
+        data = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n"
+        data += b"2\r\n{}\r\n" if b"chunked" in framing else b"{}"
+        url = await start_peer(nursery, close_after(data))
+        with pytest.raises(PeerBroken):
+            await HttpClient().call(url, "/x", EmptyMessage(), EmptyMessage, 2.0)
+
+    @pytest.mark.parametrize(
+        "framing, proven",
+        [(b"", False), (b"Content-Length: 2\r\n", True)],
+    )
+    async def test_fetched_answer_tells_whether_it_is_complete(
+        self, nursery, framing, proven
+    ):
+        data = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n{}"
+        url = await start_peer(nursery, close_after(data))
+        answer = await HttpClient().fetch("GET", url + "/x")
+        assert (answer.body, answer.end_proven) == (b"{}", proven)
+
+
 class TestEndlessAnswers:
     async def test_endless_answer_is_read_until_the_timeout(self, nursery):
         url = await start_peer(nursery, send_endlessly(b"HTTP/1.1 200 OK\r\n\r\n"))
