--- a/medlarrail/transport/server_test.py
+++ b/medlarrail/transport/server_test.py
@@ -9,6 +9,7 @@
     BadField,
     Overloaded,
     OverLongBody,
+    PeerBroken,
     PeerTimeout,
     PeerUnreachable,
     SlowSender,
@@ -56,6 +57,14 @@
     async def flood(self, request):
         return EventStream(self._make_flood())
 
+    @route("GET", "/failing")
+    async def fail(self, request):
+        return EventStream(self._fail_after_an_event())
+
+    async def _fail_after_an_event(self):
+        yield b"data: 1\n\n"
+        raise Overloaded(endpoint="engine-1")
+
     async def _make_flood(self):
         try:
             while True:
@@ -122,6 +131,11 @@
         with pytest.raises(OverLongBody):
             await client.call(url, "/echo", Note("x" * 2000), Note, timeout_s=2)
 
+    async def test_stream_that_fails_ends_regularly(self, url, client):
+        """A caller must not take the events so far for the whole stream."""
+        with pytest.raises(PeerBroken):
+            await client.fetch("GET", url + "/failing")
+
     async def test_a_call_without_a_key_is_well_formed(self, url):
         answer = await HttpClient().call(url, "/echo", Note("hi"), Note, timeout_s=2)
         assert answer == Note("hi")
