Determine the framing of an answer in one place

Cause: the relay and the client of our own calls each decided it. Change: transport/framing.py, used by both. No decision changes.

--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -21,7 +21,7 @@
 from medlarrail.core.metrics import get_metrics
 from medlarrail.relay.endpoint_stats import ColdSend
 from medlarrail.relay.events import EventSplitter
-from medlarrail.relay.headers import Framing, iterate_end_to_end
+from medlarrail.relay.headers import iterate_end_to_end
 from medlarrail.relay.inbound import ServerExchange
 from medlarrail.relay.metadata import (
     AnswerMetadata,
@@ -32,6 +32,7 @@
 from medlarrail.relay.outbound import AnswerHead, OutboundConnection
 from medlarrail.relay.table import Admission
 from medlarrail.relay.workload_tracker import TrackedPrompt
+from medlarrail.transport.framing import Framing
 
 MAX_EVENT_BYTES = 1_000_000
 """Maximum size of one event of a stream."""
--- a/medlarrail/relay/headers.py
+++ b/medlarrail/relay/headers.py
@@ -1,7 +1,6 @@
 """Hop-by-hop headers, and detection of ambiguous message framing."""
 
 from collections.abc import Iterator
-from enum import StrEnum
 
 from medlarrail.core.errors import MalformedRequest
 from medlarrail.relay.metadata import Header
@@ -26,41 +25,11 @@
 """Headers that every request needs, so a Connection header cannot strip them."""
 
 
-STATUSES_WITHOUT_BODY = frozenset((204, 304))
-
-
-class Framing(StrEnum):
-    """How the end of a message's body is determined."""
-
-    NONE = "none"
-    """The message has no body."""
-    LENGTH = "length"
-    CHUNKED = "chunked"
-    CLOSE = "close"
-    """By the end of the connection, which does not prove that the body is complete."""
-
-    @property
-    def proves_end(self) -> bool:
-        """Whether a body that ended early can be told from a complete one."""
-        return self is not Framing.CLOSE
-
-
 def get_header(headers: tuple[Header, ...], name: bytes) -> bytes | None:
     """Return the first value of a header, or None; ``name`` is in lower case."""
     return next((value for key, value in headers if key.lower() == name), None)
 
 
-def get_framing(method: bytes, status: int, headers: tuple[Header, ...]) -> Framing:
-    """Return the framing of the answer to a request with ``method`` (RFC 9112, 6.3)."""
-    if method == b"HEAD" or status in STATUSES_WITHOUT_BODY:
-        return Framing.NONE
-    if get_header(headers, b"transfer-encoding") is not None:
-        return Framing.CHUNKED
-    if get_header(headers, b"content-length") is not None:
-        return Framing.LENGTH
-    return Framing.CLOSE
-
-
 def iterate_end_to_end(headers: tuple[Header, ...]) -> Iterator[Header]:
     """Yield the end-to-end headers."""
     connection_options = {
--- a/medlarrail/relay/inbound.py
+++ b/medlarrail/relay/inbound.py
@@ -23,8 +23,9 @@
     SlowSender,
 )
 from medlarrail.core.metrics import get_metrics
-from medlarrail.relay.headers import Framing, check_framing, get_header
+from medlarrail.relay.headers import check_framing, get_header
 from medlarrail.relay.metadata import Header, InboundRequest
+from medlarrail.transport.framing import Framing
 from medlarrail.transport.sockets import (
     bind_listener,
     set_dead_peer_timeouts,
--- a/medlarrail/relay/outbound.py
+++ b/medlarrail/relay/outbound.py
@@ -18,8 +18,8 @@
     StreamBroken,
 )
 from medlarrail.core.metrics import get_metrics
-from medlarrail.relay.headers import Framing, get_framing
 from medlarrail.relay.metadata import Header
+from medlarrail.transport.framing import Framing, get_framing
 from medlarrail.transport.sockets import connect
 
 CONNECT_TIMEOUT_S = 0.25
--- a/medlarrail/serving/service_calls.py
+++ b/medlarrail/serving/service_calls.py
@@ -193,7 +193,7 @@
         refusal = decode_error(answer.body) if answer.status >= 400 else None
         if refusal is not None and refusal.run == "no" and answer.status in (429, 503):
             raise EndpointRefused(endpoint=name, reason=type(refusal).__name__)
-        if not answer.end_proven:
+        if not answer.framing.proves_end:
             raise EndUnproven(endpoint=name)
         content_type = answer.headers.get("content-type", "")
         return StoredAnswer(
--- a/medlarrail/serving/service_calls_test.py
+++ b/medlarrail/serving/service_calls_test.py
@@ -6,6 +6,7 @@
 from medlarrail.protocol.endpoints import REQUEST_ID_HEADER
 from medlarrail.serving.service_calls import ServiceCalls, ServiceRequest
 from medlarrail.transport.client import RawAnswer
+from medlarrail.transport.framing import Framing
 
 
 class TestAnswers:
@@ -18,6 +19,6 @@
         headers = {REQUEST_ID_HEADER: "r1"}
         complete = RawAnswer(200, headers, b"{}")
         assert calls._read_answer("office-1", request, complete).status == 200
-        cut = RawAnswer(200, headers, b"{}", end_proven=False)
+        cut = RawAnswer(200, headers, b"{}", framing=Framing.CLOSE)
         with pytest.raises(EndUnproven):
             calls._read_answer("office-1", request, cut)
--- a/medlarrail/transport/client.py
+++ b/medlarrail/transport/client.py
@@ -23,6 +23,7 @@
     PeerUnreachable,
 )
 from medlarrail.core.metrics import get_metrics
+from medlarrail.transport.framing import Framing, get_framing
 
 T = TypeVar("T")
 CONNECT_TIMEOUT_S = 0.5
@@ -30,7 +31,6 @@
 MAX_CONNECTIONS_PER_PEER = 256
 MAX_ANSWER_BYTES = 16_000_000
 """Maximum size of an answer that is read as a whole."""
-STATUSES_WITHOUT_BODY = (204, 304)
 FIRST_ATTEMPT_SHARE = 0.5
 """Share of the timeout for the first attempt, over a pooled connection."""
 
@@ -51,8 +51,7 @@
     status: int
     headers: dict[str, str]
     body: bytes
-    end_proven: bool = True
-    """Whether the answer had a length or chunks, so that nothing can be missing."""
+    framing: Framing = Framing.LENGTH
 
     def raise_for_error(self, url: str) -> None:
         """Raise the typed error that the answer represents, if any."""
@@ -117,7 +116,7 @@
     async def _fetch_proven(self, method: str, url: str, *args, **options) -> RawAnswer:
         """Return an answer that is known to be complete, as each of a peer's is."""
         answer = await self.fetch(method, url, *args, **options)
-        if not answer.end_proven:
+        if not answer.framing.proves_end:
             raise PeerBroken(url=url)
         return answer
 
@@ -145,8 +144,7 @@
                 new_connection=new_connection,
             ) as stream:
                 data = await stream.read(max_bytes)
-                proven = stream.end_proven or method == "HEAD"
-                return RawAnswer(stream.status, stream.headers, data, proven)
+                return RawAnswer(stream.status, stream.headers, data, stream.framing)
         raise PeerTimeout(url=url)
 
     @asynccontextmanager
@@ -177,7 +175,7 @@
             with _translate_errors(url):
                 response = await pool.connections.handle_async_request(request)
             try:
-                yield ResponseStream(url, response)
+                yield ResponseStream(url, method.encode(), response)
             finally:
                 with trio.CancelScope(shield=True):
                     await response.aclose()
@@ -238,6 +236,7 @@
     """A response whose body arrives in parts."""
 
     url: str
+    _method: bytes
     _response: httpcore.Response
 
     @property
@@ -254,10 +253,9 @@
         }
 
     @property
-    def end_proven(self) -> bool:
-        """Whether a body that ended early can be told from a complete one."""
-        framed = "content-length" in self.headers or "transfer-encoding" in self.headers
-        return framed or self.status in STATUSES_WITHOUT_BODY
+    def framing(self) -> Framing:
+        """What shows the end of the body."""
+        return get_framing(self._method, self.status, self._response.headers)
 
     async def read(self, max_bytes: int = MAX_ANSWER_BYTES) -> bytes:
         """Return the whole body; raises ``PeerBroken`` beyond ``max_bytes``."""
--- a/medlarrail/transport/client_test.py
+++ b/medlarrail/transport/client_test.py
@@ -7,6 +7,7 @@
 from medlarrail.protocol.control import EmptyMessage
 from medlarrail.testing.scripted_endpoints import HOST, Script, ScriptedEndpoint
 from medlarrail.transport.client import HttpClient
+from medlarrail.transport.framing import Framing
 
 
 async def start_peer(nursery: trio.Nursery, script: Script) -> str:
@@ -50,16 +51,16 @@
             await HttpClient().call(url, "/x", EmptyMessage(), EmptyMessage, 2.0)
 
     @pytest.mark.parametrize(
-        "framing, proven",
-        [(b"", False), (b"Content-Length: 2\r\n", True)],
+        "header, framing",
+        [(b"", Framing.CLOSE), (b"Content-Length: 2\r\n", Framing.LENGTH)],
     )
     async def test_fetched_answer_tells_whether_it_is_complete(
-        self, nursery, framing, proven
+        self, nursery, header, framing
     ):
-        data = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n{}"
+        data = b"HTTP/1.1 200 OK\r\n" + header + b"\r\n{}"
         url = await start_peer(nursery, close_after(data))
         answer = await HttpClient().fetch("GET", url + "/x")
-        assert (answer.body, answer.end_proven) == (b"{}", proven)
+        assert (answer.body, answer.framing) == (b"{}", framing)
 
 
 class TestEndlessAnswers:
