Run the tests of the control calls on the mock clock

Two of these tests failed once each, with 503 from a leader without a lease.

Cause: only the fixture asked for the mock clock, and pytest-trio uses the clocks that a test itself asks for. The tests ran on the real clock, 1.25 s each, and the blocking writes of their three members, beside other work, took longer than a lease. Change: the tests ask for the clock.

--- a/medlarrail/platform/platform_test.py
+++ b/medlarrail/platform/platform_test.py
@@ -476,7 +476,7 @@
 
 
 class TestControl:
-    async def test_a_document_is_returned_as_it_was_sent(self, control):
+    async def test_a_document_is_returned_as_it_was_sent(self, control, autojump_clock):
         leading, _ = control
         assert (await call(leading, "GET", "/config")).status == 503
         assert (await call(leading, "PUT", "/config", CONFIG)).status == 200
@@ -484,13 +484,17 @@
         answer = await call(leading, "GET", "/config")
         assert answer.status == 200 and orjson.loads(answer.body) == CONFIG
 
-    async def test_an_invalid_document_is_rejected_and_not_applied(self, control):
+    async def test_an_invalid_document_is_rejected_and_not_applied(
+        self, control, autojump_clock
+    ):
         leading, _ = control
         bad = {**CONFIG, "routes": [{**ROUTE, "timeout-ms": 0}]}
         assert (await call(leading, "PUT", "/config", bad)).status == 400
         assert (await call(leading, "GET", "/config")).status == 503
 
-    async def test_a_follower_redirects_the_caller_to_the_leader(self, control):
+    async def test_a_follower_redirects_the_caller_to_the_leader(
+        self, control, autojump_clock
+    ):
         _, follower = control
         for method, path in (
             ("PUT", "/config"),
@@ -502,14 +506,14 @@
             answer = await call(follower, method, path, payload)
             assert answer.status == 307 and answer.headers["location"].endswith(path)
 
-    async def test_announcements_and_departures(self, control):
+    async def test_announcements_and_departures(self, control, autojump_clock):
         leading, _ = control
         assert (await call(leading, "PUT", "/instances/i-1", HEARTBEAT)).status == 200
         bad = await call(leading, "PUT", "/instances/i-2", {**HEARTBEAT, "state": "?"})
         assert bad.status == 400
         assert (await call(leading, "DELETE", "/instances/i-1")).status == 200
 
-    async def test_orders(self, control):
+    async def test_orders(self, control, autojump_clock):
         leading, _ = control
         assert (await call(leading, "POST", "/evacuate/leith")).status == 200
         assert (await call(leading, "DELETE", "/evacuate/leith")).status == 200
