--- a/medlarrail/cluster/cluster_view_test.py
+++ b/medlarrail/cluster/cluster_view_test.py
@@ -123,7 +123,7 @@
 
 
 class TestClusterViewServer:
-    async def test_change_reaches_entry_immediately(self, harness):
+    async def test_change_reaches_entry_immediately(self, harness, autojump_clock):
         view_client = harness.start_entry("e1")
         view_server = await harness.get_view_server()
         await trio.sleep(SETTLE_S + 1)
@@ -137,14 +137,14 @@
         endpoint = view_client.cluster_view.endpoints["engine-1"]
         assert endpoint.announced.state == "leaving"
 
-    async def test_invalid_document_is_rejected(self, harness):
+    async def test_invalid_document_is_rejected(self, harness, autojump_clock):
         view_server = await harness.get_view_server()
         invalid = build_deployment(version=9, routes=(build_route(timeout_ms=0),))
         with pytest.raises(DeploymentInvalid):
             await view_server.replace_deployment(invalid)
         assert await view_server.read_deployment() is None
 
-    async def test_first_document_of_a_version_stays(self, harness):
+    async def test_first_document_of_a_version_stays(self, harness, autojump_clock):
         view_server = await harness.get_view_server()
         first = build_deployment(version=2, source="first")
         await view_server.replace_deployment(first)
@@ -156,7 +156,7 @@
         )
         assert (await view_server.read_deployment()).source == "first"
 
-    async def test_member_without_lease_answers_no_read(self, harness):
+    async def test_member_without_lease_answers_no_read(self, harness, autojump_clock):
         leader = await harness.cluster.wait_leader()
         other = next(
             candidate
@@ -170,7 +170,7 @@
         with pytest.raises(NotLeader):
             await harness.view_servers[leader.name].read_deployment()
 
-    async def test_silent_entry_is_no_longer_listed(self, harness):
+    async def test_silent_entry_is_no_longer_listed(self, harness, autojump_clock):
         first, second = harness.start_entry("e1"), harness.start_entry("e2")
         await trio.sleep(SETTLE_S + 2)
         assert len(first.cluster_view.entries) == 2
@@ -182,7 +182,9 @@
         assert [entry.name for entry in first.cluster_view.entries] == ["e1"]
         assert second.cluster_view.get_age_s() > ENTRY_TIMEOUT_S
 
-    async def test_new_leader_removes_nothing_before_it_is_settled(self, harness):
+    async def test_new_leader_removes_nothing_before_it_is_settled(
+        self, harness, autojump_clock
+    ):
         view_client = harness.start_entry("e1")
         view_server = await harness.get_view_server()
         await trio.sleep(SETTLE_S + 1)
@@ -195,13 +197,13 @@
         await trio.sleep(SETTLE_S + 1)
         assert "engine-1" not in view_client.cluster_view.endpoints
 
-    async def test_weight_versions_only_increase(self, harness):
+    async def test_weight_versions_only_increase(self, harness, autojump_clock):
         view_server = await harness.get_view_server()
         await view_server.set_desired_version("m", 3)
         await view_server.set_desired_version("m", 2)
         assert view_server.member.catalogue.desired["m"].ordinal == 3
 
-    async def test_age_counts_from_send_time_of_call(self, harness):
+    async def test_age_counts_from_send_time_of_call(self, harness, autojump_clock):
         """A long poll may be held open before it is answered, so the content of the
         answer may be as old as the call; counting from the answer would hide that."""
         view_client = harness.start_entry("e1")
--- a/medlarrail/cluster/weight_rollout_test.py
+++ b/medlarrail/cluster/weight_rollout_test.py
@@ -218,14 +218,18 @@
         await trio.sleep(SETTLE_S + 1)
         return view_server, stores
 
-    async def test_nothing_is_freed_while_endpoint_has_old_weights(self, setting):
+    async def test_nothing_is_freed_while_endpoint_has_old_weights(
+        self, setting, autojump_clock
+    ):
         view_server, stores = setting
         announce(view_server, count=2)
         await view_server.set_desired_version("m", 2)
         await trio.sleep(8)
         assert not stores.freed
 
-    async def test_old_context_is_freed_once_all_have_new_weights(self, setting):
+    async def test_old_context_is_freed_once_all_have_new_weights(
+        self, setting, autojump_clock
+    ):
         view_server, stores = setting
         announce(view_server, count=2)
         await view_server.set_desired_version("m", 2)
