--- a/medlarrail/testing/scripted_endpoints.py
+++ b/medlarrail/testing/scripted_endpoints.py
@@ -20,6 +20,7 @@
 from medlarrail.relay.metadata import HeaderCodec
 from medlarrail.relay.request_relay import RequestRelay, RetryPolicy
 from medlarrail.testing.builders import build_announcement, build_deployment
+from medlarrail.transport.sockets import set_reset_on_close
 
 HOST = "127.0.0.1"
 READ_BYTES = 65536
@@ -39,11 +40,8 @@
 
     def reset(self) -> None:
         """Close the connection with a reset."""
-        sock = self.stream.socket
-        sock.setsockopt(
-            trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
-        )
-        sock.close()
+        set_reset_on_close(self.stream, True)
+        self.stream.socket.close()
 
 
 @define(eq=False)
