Log the shared parts of a prompt and the incarnation of its endpoint

The logs of the crashed engines could not tell which part the broken requests shared, nor which start of an endpoint an attempt was sent to.

--- a/medlarrail/relay/metadata.py
+++ b/medlarrail/relay/metadata.py
@@ -59,16 +59,21 @@
     length_hint: int = 0
     last_event_id: str = ""
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """The parts that other requests may share: all but the last."""
+        return self.parts[:-1]
+
     @property
     def own_tokens(self) -> int:
         """The tokens of the prompt that are not shared with other requests."""
-        shared = sum(part.tokens for part in self.parts[:-1])
+        shared = sum(part.tokens for part in self.shared_parts)
         return max(0, self.prompt_tokens - shared)
 
     @property
     def largest_shared_part(self) -> PromptPart:
         """The largest shared part, which saves most if cached; requires ``parts``."""
-        shared = self.parts[:-1] or self.parts
+        shared = self.shared_parts or self.parts
         return max(shared, key=lambda part: part.tokens)
 
 
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -300,6 +300,8 @@
             failure_rate=round(record.failure_rate, 3),
             number=len(self.tried),
             prompt_tokens=self.metadata.prompt_tokens,
+            shared_parts=[part.identity for part in self.metadata.shared_parts],
+            started_ms=attempt.endpoint.announced.started_ms,
             cold=asdict(attempt.cold_send) if attempt.cold_send else None,
             transfers=attempt.dispatch.describe_transfers() if attempt.dispatch else [],
             status=attempt.status,
