--- a/medlarrail/platform/crashing_parts_test.py
+++ b/medlarrail/platform/crashing_parts_test.py
@@ -1,14 +1,24 @@
 """Tests of requests whose prompt has a part that crashes engines."""
 
 import eliot
+import trio
+from attrs import define, field
 
 from medlarrail.platform.header_codec import PlatformHeaderCodec
 from medlarrail.testing.builders import build_deployment, build_route
-from medlarrail.testing.scripted_endpoints import start_relay
+from medlarrail.testing.crashing_engines import CrashingFleet, start_fleet
+from medlarrail.testing.scripted_endpoints import RelayHarness, start_relay
 
+CONTACT_S = 3.0
+"""Time in which a gateway that is in touch learns of everything."""
+CRASHES = 5
+"""Crashes after which the users count further requests with the part."""
+MAX_LATER_REQUESTS = 3
+"""Requests with the part that may reach engines later than ``CONTACT_S``."""
 DEPLOYMENT = build_deployment(
     routes=(build_route(kind="stream", resumable=True, timeout_ms=1000),)
 )
+REQUEST_PAUSE_S = 0.1
 
 
 def build_prompt(request_id: str, *parts: str) -> bytes:
@@ -22,6 +32,35 @@
     ).encode()
 
 
+@define(eq=False)
+class Callers:
+    """Callers that send prompts to the gateways in turn."""
+
+    fleet: CrashingFleet
+    nursery: trio.Nursery
+    statuses: dict[str, int] = field(factory=dict)
+    """Status of each answer by request ID."""
+    _count: int = 0
+
+    def send(self, *parts: str) -> str:
+        """Start to send a prompt and return its request ID."""
+        self._count += 1
+        request_id = f"r{self._count}"
+        gateway = self.fleet.gateways[self._count % len(self.fleet.gateways)]
+        self.nursery.start_soon(self._send, gateway, request_id, parts)
+        return request_id
+
+    async def _send(
+        self, gateway: RelayHarness, request_id: str, parts: tuple[str, ...]
+    ) -> None:
+        answer = b""
+        try:
+            answer = await gateway.send(build_prompt(request_id, *parts))
+        except trio.BrokenResourceError:
+            pass
+        self.statuses[request_id] = int(answer.split(b" ")[1]) if answer else 0
+
+
 class TestObservability:
     async def test_a_broken_attempt_logs_the_shared_parts(self, nursery):
         harness = await start_relay(nursery, DEPLOYMENT, PlatformHeaderCodec())
@@ -44,3 +83,48 @@
         ]
         assert message["shared_parts"] == ["a", "b"]
         assert message["started_ms"] == 1000
+
+
+async def send_mixed(callers: Callers, seconds: float) -> list[str]:
+    """Send crashing and sound prompts in turn; return the IDs of the sound ones."""
+    sound = []
+    end_at = trio.current_time() + seconds
+    while trio.current_time() < end_at:
+        callers.send("first", "caller", "bad")
+        for middle in ("caller", "other"):
+            sound.append(callers.send("first", middle))
+            await trio.sleep(REQUEST_PAUSE_S / 2)
+    return sound
+
+
+class TestCrashingPart:
+    async def test_a_part_of_a_prompt_crashes_one_engine_after_the_other(
+        self, nursery, tmp_path
+    ):
+        """Each crash was blamed on the endpoint, and the next one got the request."""
+        fleet = await start_fleet(nursery, tmp_path, DEPLOYMENT, PlatformHeaderCodec())
+        fleet.crashing_part = "bad"
+        callers = Callers(fleet, nursery)
+        await send_mixed(callers, CONTACT_S + 2.0)
+        assert fleet.crashes
+        later = [
+            request
+            for request in fleet.received
+            if "bad" in request.parts
+            and len(fleet.crashes) >= CRASHES
+            and request.at > fleet.crashes[CRASHES - 1] + CONTACT_S
+        ]
+        assert len(later) <= MAX_LATER_REQUESTS
+
+    async def test_requests_beside_a_crashing_part_are_not_served(
+        self, nursery, tmp_path
+    ):
+        """They share the caller, the first part or both, and crash nothing."""
+        fleet = await start_fleet(nursery, tmp_path, DEPLOYMENT, PlatformHeaderCodec())
+        fleet.crashing_part = "bad"
+        callers = Callers(fleet, nursery)
+        await send_mixed(callers, 2 * CONTACT_S)
+        sound = await send_mixed(callers, 1.0)
+        await trio.sleep(1.0)
+        served = [callers.statuses[request_id] == 200 for request_id in sound]
+        assert sum(served) >= 0.5 * len(served)
--- /dev/null
+++ b/medlarrail/testing/crashing_engines.py
@@ -0,0 +1,195 @@
+"""Engines that crash on one part of a prompt, behind several gateways.
+
+A state member on an in-memory network registers the engines and serves the gateways'
+cluster views; requests and answers go over loopback.
+"""
+
+from collections.abc import Callable
+from pathlib import Path
+
+import trio
+from attrs import define, field, frozen
+
+from medlarrail.cluster.cluster_view import ClusterViewClient
+from medlarrail.cluster.cluster_view_server import ClusterViewServer
+from medlarrail.cluster.state_client import StateClient
+from medlarrail.core.deployment import Deployment
+from medlarrail.relay.metadata import HeaderCodec
+from medlarrail.testing.builders import build_announcement
+from medlarrail.testing.cluster import Cluster
+from medlarrail.testing.scripted_endpoints import (
+    HOST,
+    RelayHarness,
+    get_value,
+    read_request,
+    start_relay,
+)
+from medlarrail.transport.sockets import set_reset_on_close
+
+CRASH_DELAY_S = 0.02
+"""Time from the head of an answer to the crash."""
+ANSWER_S = 0.03
+"""Time that an engine works on a request without the crashing part."""
+RESTART_S = 0.6
+"""Time from a crash until the next incarnation accepts connections."""
+START_TIMEOUT_S = 10.0
+MEMBER = "m1"
+HEAD = b"HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n"
+EVENT = b"id: 1\ndata: x\n\n"
+
+
+@frozen
+class ReceivedRequest:
+    """A request that reached an engine; ``at`` is on trio's clock."""
+
+    at: float
+    request_id: str
+    parts: tuple[str, ...]
+
+
+def parse_parts(request: bytes) -> tuple[str, ...]:
+    """Return the identities of the parts of a raw request's prompt."""
+    prompt = (get_value(request, b"prefix-hash") or b"").decode()
+    return tuple(item.partition(":")[0] for item in prompt.split(",") if item)
+
+
+@define(eq=False)
+class CrashingEngine:
+    """An engine that crashes when it begins an answer on its fleet's crashing part.
+
+    Each incarnation has a name and a port of its own.
+    """
+
+    number: int
+    fleet: "CrashingFleet"
+    incarnation: int = 0
+    _streams: set[trio.SocketStream] = field(factory=set)
+    _crashed: trio.Event = field(factory=trio.Event)
+
+    @property
+    def name(self) -> str:
+        """Name of the current incarnation."""
+        return f"engine-{self.number}-{self.incarnation}"
+
+    async def run(self) -> None:
+        """Serve until cancelled; start again some time after each crash."""
+        while True:
+            await self._run_incarnation()
+            await trio.sleep(RESTART_S)
+            self.fleet.view_server.record_departure(self.name)
+
+    async def _run_incarnation(self) -> None:
+        self._crashed = trio.Event()
+        self.incarnation += 1
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        port = listeners[0].socket.getsockname()[1]
+        self.fleet.view_server.record_announcement(
+            build_announcement(
+                name=self.name, address=f"{HOST}:{port}", started_ms=self.incarnation
+            )
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.serve_listeners, self._serve, listeners)
+            await self._crashed.wait()
+            listeners[0].socket.close()
+            for stream in self._streams:
+                set_reset_on_close(stream, True)
+                stream.socket.close()
+            self._streams.clear()
+            nursery.cancel_scope.cancel()
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        self._streams.add(stream)
+        try:
+            while request := await read_request(stream):
+                await self._answer(stream, request)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            self._streams.discard(stream)
+
+    async def _answer(self, stream: trio.SocketStream, request: bytes) -> None:
+        request_id = get_value(request, b"request-id")
+        parts = parse_parts(request)
+        now = trio.current_time()
+        self.fleet.received.append(ReceivedRequest(now, request_id.decode(), parts))
+        head = HEAD + b"Request-Id: " + request_id + b"\r\n\r\n"
+        if self.fleet.crashing_part in parts[:-1]:
+            await stream.send_all(head)
+            await trio.sleep(CRASH_DELAY_S)
+            if not self._crashed.is_set():
+                self.fleet.crashes.append(trio.current_time())
+                self._crashed.set()
+            await trio.sleep_forever()
+        await trio.sleep(ANSWER_S)
+        chunk = b"%x\r\n%s\r\n" % (len(EVENT), EVENT)
+        await stream.send_all(head + chunk + b"0\r\n\r\n")
+
+
+@define(eq=False)
+class CrashingFleet:
+    """Gateways, engines and what the engines received.
+
+    ``crashes`` holds the times of all crashes, on trio's clock. No engine crashes while
+    ``crashing_part`` is empty.
+    """
+
+    view_server: ClusterViewServer
+    cluster: Cluster
+    nursery: trio.Nursery
+    crashing_part: str = ""
+    gateways: list[RelayHarness] = field(factory=list)
+    received: list[ReceivedRequest] = field(factory=list)
+    crashes: list[float] = field(factory=list)
+
+    async def start_gateway(self, deployment: Deployment, codec: HeaderCodec) -> None:
+        """Start a gateway that polls the state member."""
+        name = f"gateway-{len(self.gateways) + 1}"
+        harness = await start_relay(self.nursery, deployment, codec, name=name)
+        peers = self.cluster.network.connect(f"mem://{name}")
+        view_client = ClusterViewClient(
+            harness.relay.cluster_view,
+            StateClient(peers, (self.cluster.get_url(MEMBER),)),
+            name,
+            f"{HOST}:{harness.port}",
+            "leith",
+            ready=True,
+        )
+        self.nursery.start_soon(view_client.run)
+        self.gateways.append(harness)
+
+    def get_received(
+        self, matches: Callable[[ReceivedRequest], bool]
+    ) -> list[ReceivedRequest]:
+        """Return the requests that reached engines and match."""
+        return [request for request in self.received if matches(request)]
+
+    def is_serving(self) -> bool:
+        """Return whether every gateway knows an engine."""
+        return all(gateway.relay.cluster_view.endpoints for gateway in self.gateways)
+
+
+async def start_fleet(
+    nursery: trio.Nursery,
+    path: Path,
+    deployment: Deployment,
+    codec: HeaderCodec,
+    gateways: int = 3,
+    engines: int = 4,
+) -> CrashingFleet:
+    """Start a state member below ``path``, gateways and engines that do not crash."""
+    cluster = Cluster(path, nursery)
+    await cluster.bootstrap(MEMBER)
+    member = await cluster.wait_leader()
+    view_server = ClusterViewServer(member, clock=trio.current_time)
+    cluster.network.hosts[member.url].add(view_server)
+    nursery.start_soon(view_server.run)
+    fleet = CrashingFleet(view_server, cluster, nursery)
+    for _ in range(gateways):
+        await fleet.start_gateway(deployment, codec)
+    for number in range(engines):
+        nursery.start_soon(CrashingEngine(number + 1, fleet).run)
+    with trio.fail_after(START_TIMEOUT_S):
+        while not fleet.is_serving():
+            await trio.sleep(0.02)
+    return fleet
--- a/medlarrail/testing/scripted_endpoints.py
+++ b/medlarrail/testing/scripted_endpoints.py
@@ -187,13 +187,14 @@
     deployment: Deployment | None = None,
     header_codec: HeaderCodec | None = None,
     isolation: IsolationPolicy = IsolationPolicy("last-known"),
+    name: str = "gateway-1",
 ) -> RelayHarness:
     """Start a relay without endpoints; by default it works without a leader."""
     cluster_view = ClusterView()
     relay = RequestRelay(
         cluster_view,
         header_codec or DefaultHeaderCodec(),
-        EndpointStats(cluster_view, "leith", "gateway-1"),
+        EndpointStats(cluster_view, "leith", name),
         RetryPolicy(10.0, 0.2, 50.0),
         isolation,
     )
