--- a/medlarrail/programs/operator.py
+++ b/medlarrail/programs/operator.py
@@ -5,6 +5,7 @@
 import typer
 
 from medlarrail.programs import (
+    operator_blocked,
     operator_contracts,
     operator_deployment,
     operator_members,
@@ -17,6 +18,7 @@
     "Controls a medlarrail deployment.\n\n"
     "Example: medlar --settings operator.json contract list"
 )
+app.add_typer(operator_blocked.app, name="blocked")
 app.add_typer(operator_contracts.app, name="contract")
 app.add_typer(operator_resources.data_centre_app, name="data-centre")
 app.add_typer(operator_deployment.app, name="deployment")
--- a/medlarrail/programs/output.py
+++ b/medlarrail/programs/output.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 import typer
-from attrs import asdict, fields, frozen
+from attrs import fields, frozen
 from rich.console import Console
 from rich.table import Table
 
@@ -33,8 +33,7 @@
     names = list(columns)
     table = Table(*[name.replace("_", " ") for name in names], box=None)
     for item in items:
-        row = asdict(item, recurse=False)
-        table.add_row(*[format_cell(row[name]) for name in names])
+        table.add_row(*[format_cell(getattr(item, name)) for name in names])
     Console(width=WIDTH, highlight=False).print(table)
 
 
--- a/medlarrail/programs/programs_test.py
+++ b/medlarrail/programs/programs_test.py
@@ -186,6 +186,14 @@
         again = run_medlar(processes, *arguments, "--seen-revision", "0")
         assert orjson.loads(first.stdout) == orjson.loads(again.stdout)
 
+    def test_blocked_parts_are_listed_and_released(self, processes):
+        listed = run_medlar(processes, "blocked", "list", "--json")
+        assert orjson.loads(listed.stdout) == {"items": []}
+        shown = run_medlar(processes, "blocked", "list")
+        assert "trials" in shown.stdout
+        missing = run_medlar(processes, "blocked", "release", "guide+a1")
+        assert missing.returncode == 4 and "NotFound" in missing.stderr
+
     def test_status_shows_the_leader(self, processes):
         result = run_medlar(processes, "status", "--json")
         status = orjson.loads(result.stdout)
