--- a/medlarrail/programs/gateway.py
+++ b/medlarrail/programs/gateway.py
@@ -58,7 +58,7 @@
             settings.retries,
             settings.isolation,
         )
-        self.relay.crashes.state = self.view_client.state
+        self.relay.connect_state(self.view_client.state)
         self.relay.workload = WorkloadTracker(settings.name)
         if settings.work_address:
             work_socket = DatagramSocket(settings.work_address, settings.keys.cluster)
--- /dev/null
+++ b/medlarrail/relay/blocked_prompts.py
@@ -0,0 +1,89 @@
+"""Refuses prompts with parts that crash endpoints."""
+
+from collections.abc import Sequence
+
+import eliot
+from attrs import define, field
+
+from medlarrail.cluster.cluster_view import ClusterView
+from medlarrail.cluster.state_client import StateClient
+from medlarrail.core.clock import Clock, get_wall_time
+from medlarrail.core.entities import BlockedParts, SharedPart
+from medlarrail.core.errors import MedlarError, PromptBlocked
+from medlarrail.core.metrics import get_metrics
+from medlarrail.protocol.crashes import TRIALS_PATH, TrialAnswer, TrialRequest
+from medlarrail.relay.metadata import PromptPart
+
+CALL_TIMEOUT_S = 1.0
+MIN_RETRY_AFTER_S = 1.0
+
+
+@define(eq=False)
+class BlockedPrompts:
+    """The blocked prompts as known to the entry ``name``.
+
+    Without ``state``, no trial is made.
+    """
+
+    cluster_view: ClusterView
+    name: str
+    state: StateClient | None = None
+    wall_clock: Clock = get_wall_time
+    _asking: set[str] = field(factory=set)
+    """Blocked parts for which a trial is being requested."""
+
+    def find(self, service: str, parts: Sequence[PromptPart]) -> BlockedParts | None:
+        """Return the blocked parts that a prompt has all of, or None."""
+        if not self.cluster_view.blocked:
+            return None
+        keys = {part.key for part in parts}
+        for key in keys:
+            for blocked in self.cluster_view.blocked.get(SharedPart(service, key), ()):
+                if keys.issuperset(blocked.parts):
+                    return blocked
+        return None
+
+    def require_trial_due(self, service: str, parts: Sequence[PromptPart]) -> None:
+        """Raise ``PromptBlocked`` for a blocked prompt unless a trial is due."""
+        blocked = self.find(service, parts)
+        if blocked is None:
+            return
+        is_due = self.wall_clock() >= blocked.trial_at_s
+        if not is_due or blocked.name in self._asking or self.state is None:
+            raise self._build_refusal(blocked)
+
+    async def request_trial(self, service: str, parts: Sequence[PromptPart]) -> None:
+        """Raise ``PromptBlocked`` for a blocked prompt unless it is the next trial.
+
+        At most one request in the whole deployment is sent for each trial.
+        """
+        self.require_trial_due(service, parts)
+        blocked = self.find(service, parts)
+        if blocked is None:
+            return
+        self._asking.add(blocked.name)
+        try:
+            granted = await self._ask_leader(blocked)
+        finally:
+            self._asking.discard(blocked.name)
+        if not granted:
+            raise self._build_refusal(blocked)
+        eliot.log_message("prompt-parts:trial", name=blocked.name)
+
+    async def _ask_leader(self, blocked: BlockedParts) -> bool:
+        request = TrialRequest(self.name, blocked.name)
+        try:
+            answer = await self.state.call_leader(
+                TRIALS_PATH, request, TrialAnswer, CALL_TIMEOUT_S
+            )
+        except MedlarError as error:
+            get_metrics().count("trial_call_failures", type=type(error).__name__)
+            return False
+        return answer.granted
+
+    def _build_refusal(self, blocked: BlockedParts) -> PromptBlocked:
+        get_metrics().count("prompts_blocked", service=blocked.service)
+        wait_s = blocked.trial_at_s - self.wall_clock()
+        return PromptBlocked(
+            parts=blocked.parts, retry_after_s=max(MIN_RETRY_AFTER_S, wait_s)
+        )
--- a/medlarrail/relay/metadata.py
+++ b/medlarrail/relay/metadata.py
@@ -11,9 +11,11 @@
 
 from medlarrail.core.announcements import Announcement
 from medlarrail.core.errors import MedlarError
+from medlarrail.core.placement import get_weight
 
 Header = tuple[bytes, bytes]
 """Name and value as sent on the wire."""
+MAX_KEY_CHARS = 32
 
 
 @frozen
@@ -40,6 +42,13 @@
     identity: str
     tokens: int
 
+    @property
+    def key(self) -> str:
+        """The identity, or a hash of a long one, for messages and stored data."""
+        if len(self.identity) <= MAX_KEY_CHARS:
+            return self.identity
+        return f"{get_weight(self.identity, 'part'):016x}"
+
 
 @frozen
 class RequestMetadata:
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -122,7 +122,7 @@
             if endpoint is None:
                 self._log_no_endpoint()
                 raise self.failure or NoEndpoint(target=self.service.name)
-            await self.relay.crashes.request_trial(
+            await self.relay.blocked_prompts.request_trial(
                 self.service.name, self.metadata.shared_parts
             )
             if await self._attempt(endpoint):
@@ -136,7 +136,7 @@
         """
         began_at = trio.current_time()
         while True:
-            self.relay.crashes.require_trial_due(
+            self.relay.blocked_prompts.require_trial_due(
                 self.service.name, self.metadata.shared_parts
             )
             if (choice := self.chooser.choose()).action != "wait":
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -7,6 +7,7 @@
 from attrs import define, field, frozen
 
 from medlarrail.cluster.cluster_view import ClusterView
+from medlarrail.cluster.state_client import StateClient
 from medlarrail.core.deployment import Deployment, ServiceRule
 from medlarrail.core.errors import (
     DeploymentUnknown,
@@ -21,6 +22,7 @@
 from medlarrail.policy.rate_limits import RetryBudget
 from medlarrail.policy.shares import get_share
 from medlarrail.policy.workload import ReportingGroup
+from medlarrail.relay.blocked_prompts import BlockedPrompts
 from medlarrail.relay.context_index import ContextIndex
 from medlarrail.relay.crash_reporter import CrashReporter
 from medlarrail.relay.endpoint_stats import EndpointStats
@@ -68,12 +70,13 @@
     table: RouteTable | None = None
     prompt_mix: PromptMix = field(factory=PromptMix)
     crashes: CrashReporter = field(init=False)
+    blocked_prompts: BlockedPrompts = field(init=False)
     _budgets: dict[str, RetryBudget] = field(factory=dict)
 
     def __attrs_post_init__(self):
-        self.crashes = CrashReporter(
-            self.cluster_view, self.pool, self.endpoint_stats.entry
-        )
+        entry = self.endpoint_stats.entry
+        self.crashes = CrashReporter(self.cluster_view, self.pool, entry)
+        self.blocked_prompts = BlockedPrompts(self.cluster_view, entry)
         self.cluster_view.deployment_listeners.append(self._update_route_table)
 
     def _update_route_table(self, deployment: Deployment) -> None:
@@ -160,6 +163,10 @@
             )
         return self.reporter.find_group()
 
+    def connect_state(self, state: StateClient) -> None:
+        """Set the client with which crashes are reported."""
+        self.crashes.state = self.blocked_prompts.state = state
+
     async def maintain(self) -> None:
         """Close stale connections and drop departed endpoints until cancelled."""
         while True:
--- a/medlarrail/testing/crashing_engines.py
+++ b/medlarrail/testing/crashing_engines.py
@@ -167,7 +167,7 @@
             "leith",
             ready=True,
         )
-        harness.relay.crashes.state = view_client.state
+        harness.relay.connect_state(view_client.state)
         await self.nursery.start(harness.relay.crashes.run)
         self.nursery.start_soon(view_client.run)
         self.gateways.append(harness)
