--- a/medlarrail/platform/header_codec.py
+++ b/medlarrail/platform/header_codec.py
@@ -6,6 +6,7 @@
     get_header_int,
     get_header_text,
     parse_digits,
+    parse_limit,
     write_refusal,
 )
 from medlarrail.relay.headers import get_header, iterate_end_to_end
@@ -30,6 +31,7 @@
 RESPONSE_SIGNATURE = b"response-signature"
 NOT_EXECUTED = b"not-executed"
 SERVER_LOAD = b"server-load"
+SERVER_LIMIT = b"server-limit"
 INSTANCE_ID = b"instance-id"
 WEIGHT_VERSIONS = b"weight-versions"
 KEEP_ALIVE = b"keep-alive"
@@ -116,6 +118,7 @@
             load=_parse_load(get_header_text(headers, SERVER_LOAD)),
             weight_version=_parse_int(get_header_text(headers, WEIGHT_VERSIONS)),
             keep_alive_s=_parse_keep_alive(get_header_text(headers, KEEP_ALIVE)),
+            limit_per_s=parse_limit(get_header_text(headers, SERVER_LIMIT)),
         )
 
     def write_refusal(
--- a/medlarrail/relay/header_codec.py
+++ b/medlarrail/relay/header_codec.py
@@ -4,6 +4,7 @@
 
 from medlarrail.core.errors import CallerError, MalformedRequest, MedlarError
 from medlarrail.core.errors import Refusal as RefusalError
+from medlarrail.core.metrics import get_metrics
 from medlarrail.relay.headers import get_header, iterate_end_to_end
 from medlarrail.relay.metadata import (
     AnswerMetadata,
@@ -16,10 +17,12 @@
 REQUEST_ID = b"x-request-id"
 DEADLINE = b"x-deadline-ms"
 NOT_RUN = b"x-not-run"
+LIMIT = b"x-limit-per-s"
 ACCOUNT = b"x-account"
 ENDPOINT = b"x-endpoint"
 OVERRIDDEN_HEADERS = frozenset((b"authorization", ACCOUNT, ENDPOINT, DEADLINE))
 """Headers that the relay sets itself, replacing any value from the caller."""
+MAX_LIMIT_PER_S = 1e6
 MAX_DIGITS = 18
 """Maximum digits of a number in a header, so that it fits a signed 64-bit integer."""
 
@@ -49,6 +52,20 @@
     return int(text) if is_valid else None
 
 
+def parse_limit(text: str) -> float | None:
+    """Return a limit in requests per second, or None for an unusable value."""
+    if not text:
+        return None
+    try:
+        limit = float(text)
+    except ValueError:
+        limit = -1.0
+    if not 0 <= limit <= MAX_LIMIT_PER_S:
+        get_metrics().count("limits_unreadable")
+        return None
+    return limit
+
+
 def build_refusal(error: MedlarError) -> Refusal:
     """Return the error answer for ``error``.
 
@@ -114,6 +131,7 @@
             verified=True,
             not_run=bool(get_header_text(headers, NOT_RUN)),
             misdirected=status == 421,
+            limit_per_s=parse_limit(get_header_text(headers, LIMIT)),
         )
 
     def write_refusal(
--- a/medlarrail/relay/metadata.py
+++ b/medlarrail/relay/metadata.py
@@ -139,6 +139,9 @@
     load: EndpointLoad | None = None
     weight_version: int = 0
     keep_alive_s: float | None = None
+    limit_per_s: float | None = None
+    """Requests per second that the endpoint accepts from all entries together, or None
+    if it names no limit."""
 
 
 @frozen
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -319,6 +319,7 @@
             started_ms=attempt.endpoint.announced.started_ms,
             cold=asdict(attempt.cold_send) if attempt.cold_send else None,
             transfers=attempt.dispatch.describe_transfers() if attempt.dispatch else [],
+            limit_per_s=attempt.limit_per_s,
             status=attempt.status,
             framing=attempt.framing,
             body_bytes=attempt.body_bytes,
