--- a/medlarrail/platform/crashing_parts_test.py
+++ b/medlarrail/platform/crashing_parts_test.py
@@ -11,8 +11,9 @@
 from medlarrail.testing.crashing_engines import (
     CrashingFleet,
     EngineHeaders,
-    start_fleet,
+    start_crashing_fleet,
 )
+from medlarrail.testing.fleet import start_fleet
 from medlarrail.testing.scripted_endpoints import RelayHarness, start_relay
 
 CONTACT_S = 3.0
@@ -43,7 +44,7 @@
 class Callers:
     """Callers that send prompts to the gateways in turn."""
 
-    fleet: CrashingFleet
+    crashing: CrashingFleet
     nursery: trio.Nursery
     statuses: dict[str, int] = field(factory=dict)
     """Status of each answer by request ID."""
@@ -53,7 +54,8 @@
         """Start to send a prompt and return its request ID."""
         self._count += 1
         request_id = f"r{self._count}"
-        gateway = self.fleet.gateways[self._count % len(self.fleet.gateways)]
+        gateways = self.crashing.fleet.gateways
+        gateway = gateways[self._count % len(gateways)]
         self.nursery.start_soon(self._send, gateway, request_id, parts)
         return request_id
 
@@ -94,9 +96,10 @@
 
 async def start_callers(nursery: trio.Nursery, path: Path) -> Callers:
     """Return the callers of a fleet whose engines crash on the part ``bad``."""
-    fleet = await start_fleet(nursery, path, DEPLOYMENT, PlatformHeaderCodec(), HEADERS)
-    fleet.crashing_part = "bad"
-    return Callers(fleet, nursery)
+    fleet = await start_fleet(nursery, path, DEPLOYMENT, PlatformHeaderCodec())
+    crashing = await start_crashing_fleet(fleet, HEADERS)
+    crashing.crashing_part = "bad"
+    return Callers(crashing, nursery)
 
 
 async def send_mixed(callers: Callers, seconds: float) -> list[str]:
@@ -117,15 +120,15 @@
     ):
         """Each crash was blamed on the endpoint, and the next one got the request."""
         callers = await start_callers(nursery, tmp_path)
-        fleet = callers.fleet
+        crashing = callers.crashing
         await send_mixed(callers, CONTACT_S + 2.0)
-        assert fleet.crashes
+        assert crashing.crashes
         later = [
             request
-            for request in fleet.received
+            for request in crashing.received
             if "bad" in request.parts
-            and len(fleet.crashes) >= CRASHES
-            and request.at > fleet.crashes[CRASHES - 1] + CONTACT_S
+            and len(crashing.crashes) >= CRASHES
+            and request.at > crashing.crashes[CRASHES - 1] + CONTACT_S
         ]
         assert len(later) <= MAX_LATER_REQUESTS
 
--- a/medlarrail/platform/platform_test.py
+++ b/medlarrail/platform/platform_test.py
@@ -326,8 +326,10 @@
                 (b"Server-Load", b"3,0,8"),
                 (b"Keep-Alive", b"timeout=5"),
                 (b"Weight-Versions", b"2"),
+                (b"Server-Limit", b"1.4"),
             ),
         )
+        assert complete.limit_per_s == 1.4
         assert (
             complete.verified
             and complete.load.slots == 8
--- a/medlarrail/testing/crashing_engines.py
+++ b/medlarrail/testing/crashing_engines.py
@@ -1,30 +1,11 @@
-"""Engines that crash on one part of a prompt, behind several gateways.
-
-A state member on an in-memory network registers the engines and serves the gateways'
-cluster views; requests and answers go over loopback.
-"""
-
-from collections.abc import Callable
-from pathlib import Path
+"""Engines that crash on one part of a prompt, behind a fleet of gateways."""
 
 import trio
 from attrs import define, field, frozen
 
-from medlarrail.cluster.cluster_view import ClusterViewClient
-from medlarrail.cluster.cluster_view_server import ClusterViewServer
-from medlarrail.cluster.crash_watch import CrashWatch
-from medlarrail.cluster.state_client import StateClient
-from medlarrail.core.deployment import Deployment
-from medlarrail.relay.metadata import HeaderCodec
 from medlarrail.testing.builders import build_announcement
-from medlarrail.testing.cluster import Cluster
-from medlarrail.testing.scripted_endpoints import (
-    HOST,
-    RelayHarness,
-    get_value,
-    read_request,
-    start_relay,
-)
+from medlarrail.testing.fleet import Fleet
+from medlarrail.testing.scripted_endpoints import HOST, get_value, read_request
 from medlarrail.transport.sockets import set_reset_on_close
 
 CRASH_DELAY_S = 0.02
@@ -33,8 +14,6 @@
 """Time that an engine works on a request without the crashing part."""
 RESTART_S = 0.6
 """Time from a crash until the next incarnation accepts connections."""
-START_TIMEOUT_S = 10.0
-MEMBER = "m1"
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
 EVENT = b"id: 1\ndata: x\n\n"
 
@@ -70,7 +49,7 @@
     """
 
     number: int
-    fleet: "CrashingFleet"
+    crashing: "CrashingFleet"
     incarnation: int = 0
     _streams: set[trio.SocketStream] = field(factory=set)
     _crashed: trio.Event = field(factory=trio.Event)
@@ -85,14 +64,14 @@
         while True:
             await self._run_incarnation()
             await trio.sleep(RESTART_S)
-            self.fleet.view_server.record_departure(self.name)
+            self.crashing.fleet.view_server.record_departure(self.name)
 
     async def _run_incarnation(self) -> None:
         self._crashed = trio.Event()
         self.incarnation += 1
         listeners = await trio.open_tcp_listeners(0, host=HOST)
         port = listeners[0].socket.getsockname()[1]
-        self.fleet.view_server.record_announcement(
+        self.crashing.fleet.view_server.record_announcement(
             build_announcement(
                 name=self.name, address=f"{HOST}:{port}", started_ms=self.incarnation
             )
@@ -118,18 +97,18 @@
             self._streams.discard(stream)
 
     async def _answer(self, stream: trio.SocketStream, request: bytes) -> None:
-        headers = self.fleet.headers
+        headers = self.crashing.headers
         request_id = get_value(request, headers.request_id)
         parts = parse_parts(get_value(request, headers.parts).decode())
         now = trio.current_time()
-        self.fleet.received.append(ReceivedRequest(now, request_id.decode(), parts))
+        self.crashing.received.append(ReceivedRequest(now, request_id.decode(), parts))
         id_line = headers.request_id + b": " + request_id + b"\r\n"
         head = HEAD + headers.added + id_line + b"\r\n"
-        if self.fleet.crashing_part in parts[:-1]:
+        if self.crashing.crashing_part in parts[:-1]:
             await stream.send_all(head)
             await trio.sleep(CRASH_DELAY_S)
             if not self._crashed.is_set():
-                self.fleet.crashes.append(trio.current_time())
+                self.crashing.crashes.append(trio.current_time())
                 self._crashed.set()
             await trio.sleep_forever()
         await trio.sleep(ANSWER_S)
@@ -139,74 +118,25 @@
 
 @define(eq=False)
 class CrashingFleet:
-    """Gateways, engines and what the engines received.
+    """Engines behind a fleet of gateways, and what the engines received.
 
     ``crashes`` holds the times of all crashes, on trio's clock. No engine crashes while
     ``crashing_part`` is empty.
     """
 
-    view_server: ClusterViewServer
-    cluster: Cluster
-    nursery: trio.Nursery
+    fleet: Fleet
     headers: EngineHeaders
     crashing_part: str = ""
-    gateways: list[RelayHarness] = field(factory=list)
     received: list[ReceivedRequest] = field(factory=list)
     crashes: list[float] = field(factory=list)
 
-    async def start_gateway(self, deployment: Deployment, codec: HeaderCodec) -> None:
-        """Start a gateway that polls the state member."""
-        name = f"gateway-{len(self.gateways) + 1}"
-        harness = await start_relay(self.nursery, deployment, codec, name=name)
-        peers = self.cluster.network.connect(f"mem://{name}")
-        view_client = ClusterViewClient(
-            harness.relay.cluster_view,
-            StateClient(peers, (self.cluster.get_url(MEMBER),)),
-            name,
-            f"{HOST}:{harness.port}",
-            "leith",
-            ready=True,
-        )
-        harness.relay.connect_state(view_client.state)
-        await self.nursery.start(harness.relay.crashes.run)
-        self.nursery.start_soon(view_client.run)
-        self.gateways.append(harness)
-
-    def get_received(
-        self, matches: Callable[[ReceivedRequest], bool]
-    ) -> list[ReceivedRequest]:
-        """Return the requests that reached engines and match."""
-        return [request for request in self.received if matches(request)]
-
-    def is_serving(self) -> bool:
-        """Return whether every gateway knows an engine."""
-        return all(gateway.relay.cluster_view.endpoints for gateway in self.gateways)
-
-
-async def start_fleet(
-    nursery: trio.Nursery,
-    path: Path,
-    deployment: Deployment,
-    codec: HeaderCodec,
-    headers: EngineHeaders,
-    gateways: int = 3,
-    engines: int = 4,
+
+async def start_crashing_fleet(
+    fleet: Fleet, headers: EngineHeaders, engines: int = 4
 ) -> CrashingFleet:
-    """Start a state member below ``path``, gateways and engines that do not crash."""
-    cluster = Cluster(path, nursery)
-    await cluster.bootstrap(MEMBER)
-    member = await cluster.wait_leader()
-    view_server = ClusterViewServer(member, clock=trio.current_time)
-    crash_watch = CrashWatch(view_server)
-    for handlers in (view_server, crash_watch):
-        cluster.network.hosts[member.url].add(handlers)
-        nursery.start_soon(handlers.run)
-    fleet = CrashingFleet(view_server, cluster, nursery, headers)
-    for _ in range(gateways):
-        await fleet.start_gateway(deployment, codec)
+    """Start engines that do not crash yet, and wait until each gateway knows one."""
+    crashing = CrashingFleet(fleet, headers)
     for number in range(engines):
-        nursery.start_soon(CrashingEngine(number + 1, fleet).run)
-    with trio.fail_after(START_TIMEOUT_S):
-        while not fleet.is_serving():
-            await trio.sleep(0.02)
-    return fleet
+        fleet.nursery.start_soon(CrashingEngine(number + 1, crashing).run)
+    await fleet.wait(lambda gateway: bool(gateway.relay.cluster_view.endpoints))
+    return crashing
--- /dev/null
+++ b/medlarrail/testing/fleet.py
@@ -0,0 +1,78 @@
+"""Several gateways on loopback that follow one state member.
+
+The state member is on an in-memory network; requests and answers go over loopback.
+"""
+
+from collections.abc import Callable
+from pathlib import Path
+
+import trio
+from attrs import define, field
+
+from medlarrail.cluster.cluster_view import ClusterViewClient
+from medlarrail.cluster.cluster_view_server import ClusterViewServer
+from medlarrail.cluster.crash_watch import CrashWatch
+from medlarrail.cluster.state_client import StateClient
+from medlarrail.core.deployment import Deployment
+from medlarrail.relay.header_codec import DefaultHeaderCodec
+from medlarrail.relay.metadata import HeaderCodec
+from medlarrail.testing.cluster import Cluster
+from medlarrail.testing.scripted_endpoints import HOST, RelayHarness, start_relay
+
+MEMBER = "m1"
+START_TIMEOUT_S = 10.0
+
+
+@define(eq=False)
+class Fleet:
+    """Gateways and the state member that they follow."""
+
+    view_server: ClusterViewServer
+    cluster: Cluster
+    nursery: trio.Nursery
+    gateways: list[RelayHarness] = field(factory=list)
+
+    async def start_gateway(self, deployment: Deployment, codec: HeaderCodec) -> None:
+        """Start a gateway that polls the state member."""
+        name = f"gateway-{len(self.gateways) + 1}"
+        harness = await start_relay(self.nursery, deployment, codec, name=name)
+        peers = self.cluster.network.connect(f"mem://{name}")
+        view_client = ClusterViewClient(
+            harness.relay.cluster_view,
+            StateClient(peers, (self.cluster.get_url(MEMBER),)),
+            name,
+            f"{HOST}:{harness.port}",
+            "leith",
+            ready=True,
+        )
+        harness.relay.connect_state(view_client.state)
+        await self.nursery.start(harness.relay.crashes.run)
+        self.nursery.start_soon(view_client.run)
+        self.gateways.append(harness)
+
+    async def wait(self, is_reached: Callable[[RelayHarness], bool]) -> None:
+        """Wait until every gateway is in some state."""
+        with trio.fail_after(START_TIMEOUT_S):
+            while not all(map(is_reached, self.gateways)):
+                await trio.sleep(0.02)
+
+
+async def start_fleet(
+    nursery: trio.Nursery,
+    path: Path,
+    deployment: Deployment,
+    codec: HeaderCodec | None = None,
+    gateways: int = 3,
+) -> Fleet:
+    """Start a state member below ``path``, and gateways without endpoints."""
+    cluster = Cluster(path, nursery)
+    await cluster.bootstrap(MEMBER)
+    member = await cluster.wait_leader()
+    view_server = ClusterViewServer(member, clock=trio.current_time)
+    for handlers in (view_server, CrashWatch(view_server)):
+        cluster.network.hosts[member.url].add(handlers)
+        nursery.start_soon(handlers.run)
+    fleet = Fleet(view_server, cluster, nursery)
+    for _ in range(gateways):
+        await fleet.start_gateway(deployment, codec or DefaultHeaderCodec())
+    return fleet
