Keep the rate that an endpoint names, with all gateways together

Callers saw little: an engine in need that had named 12.3 requests a second went on getting 37, and one that had named 2.6 got 10.

Cause: no code read the header. The endpoint's load, the failures and the context decided alone.

Now the rate is read with each answer that the endpoint itself gave, and kept where the endpoint is chosen, for first attempts, repeats and requests that wait for a connection, with the same reservation as the cold rate. The latest statement counts; a refusal names no end, a new incarnation does. Each gateway reports changes to the leader, which lists them to all: one without a part gets no answers that could tell it. If every endpoint is limited, the request is refused at once with the time until the next one may be sent.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -46,6 +46,9 @@
     announced: Announcement
     cold_until: float = float("-inf")
     loading: bool = False
+    limit_per_s: float | None = None
+    """The rate that the endpoint named, as the leader listed it."""
+    limit_changed_at: float = float("-inf")
 
 
 @define
@@ -94,7 +97,7 @@
         for name in answer.departed:
             self.endpoints.pop(name, None)
         for registered in answer.endpoints:
-            self._apply_endpoint(registered)
+            self._apply_endpoint(registered, answer.settled)
         if answer.whole and answer.settled:
             listed = {registered.announced.name for registered in answer.endpoints}
             for name in set(self.endpoints) - listed:
@@ -127,7 +130,7 @@
         for notify in self.deployment_listeners:
             notify(deployment)
 
-    def _apply_endpoint(self, registered: RegisteredEndpoint) -> None:
+    def _apply_endpoint(self, registered: RegisteredEndpoint, settled: bool) -> None:
         announced = registered.announced
         previous = self.endpoints.get(announced.name)
         if (
@@ -142,9 +145,28 @@
                     return
                 del self.endpoints[name]
         cold_until = self.clock() + registered.cold_ms / 1000
-        self.endpoints[announced.name] = EndpointView(
-            announced, cold_until, registered.loading
-        )
+        endpoint = EndpointView(announced, cold_until, registered.loading)
+        self._apply_limit(endpoint, previous, registered.limit_per_s, settled)
+        self.endpoints[announced.name] = endpoint
+
+    def _apply_limit(
+        self,
+        endpoint: EndpointView,
+        previous: EndpointView | None,
+        listed: float | None,
+        settled: bool,
+    ) -> None:
+        """Apply the listed rate; an unsettled leader may not have been told it yet."""
+        endpoint.limit_per_s = listed
+        endpoint.limit_changed_at = self.clock()
+        if (
+            previous is None
+            or previous.announced.started_ms != endpoint.announced.started_ms
+        ):
+            return
+        if listed == previous.limit_per_s or (listed is None and not settled):
+            endpoint.limit_per_s = previous.limit_per_s
+            endpoint.limit_changed_at = previous.limit_changed_at
 
     def _apply_desired(self, listed: tuple[DesiredVersion, ...]) -> None:
         for desired in listed:
--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -20,9 +20,11 @@
     ANNOUNCEMENTS_PATH,
     CLUSTER_VIEW_PATH,
     DEPARTURES_PATH,
+    LIMITS_PATH,
     ClusterViewAnswer,
     ClusterViewRequest,
     DepartureNotice,
+    LimitReport,
 )
 from medlarrail.protocol.control import EmptyMessage
 from medlarrail.state.operations import (
@@ -150,6 +152,23 @@
         self.record_departure(request.message.name)
         return EmptyMessage()
 
+    @route("POST", LIMITS_PATH, LimitReport)
+    async def handle_limit(self, request: Request) -> EmptyMessage:
+        """Record the rate that an endpoint named in an answer to an entry."""
+        report: LimitReport = request.message
+        self.require_leading()
+        if self.registry.set_limit(
+            report.endpoint, report.started_ms, report.limit_per_s
+        ):
+            eliot.log_message(
+                "endpoint:limit-named",
+                entry=report.entry,
+                endpoint=report.endpoint,
+                limit_per_s=report.limit_per_s,
+            )
+            self.notify_waiters()
+        return EmptyMessage()
+
     async def replace_deployment(self, deployment: Deployment) -> None:
         """Commit a deployment document; one that is not newer is accepted and ignored.
 
--- a/medlarrail/cluster/registry.py
+++ b/medlarrail/cluster/registry.py
@@ -33,6 +33,7 @@
     revision: int
     cold_until: float = float("-inf")
     loading: bool = False
+    limit_per_s: float | None = None
 
 
 @define
@@ -65,7 +66,9 @@
         record = EndpointRecord(announced, now, self.revision, cold_until)
         if previous is not None:
             record.revision = previous.revision
-            record.loading = previous.loading and not _is_restarted(previous, announced)
+            if not _is_restarted(previous, announced):
+                record.loading = previous.loading
+                record.limit_per_s = previous.limit_per_s
         self.endpoints[announced.name] = record
         self.departed.pop(announced.name, None)
         if previous is None or _differs(previous, record):
@@ -122,6 +125,18 @@
         record.revision = self.revision
         return True
 
+    def set_limit(self, name: str, started_ms: int, per_s: float | None) -> bool:
+        """Set the rate that an endpoint named; return whether this changed."""
+        record = self.endpoints.get(name)
+        if record is None or record.announced.started_ms != started_ms:
+            return False
+        if record.limit_per_s == per_s:
+            return False
+        record.limit_per_s = per_s
+        self.revision += 1
+        record.revision = self.revision
+        return True
+
     def record_version(self, name: str, model: str, version: int) -> None:
         """Record a weight version that an endpoint reported as loaded."""
         record = self.endpoints.get(name)
@@ -158,7 +173,11 @@
             if record.revision > since:
                 cold_ms = max(0, int((record.cold_until - now) * 1000))
                 yield RegisteredEndpoint(
-                    record.announced, record.revision, cold_ms, record.loading
+                    record.announced,
+                    record.revision,
+                    cold_ms,
+                    record.loading,
+                    record.limit_per_s,
                 )
 
     def iterate_departed(self, since: int) -> Iterator[str]:
--- a/medlarrail/core/announcements.py
+++ b/medlarrail/core/announcements.py
@@ -54,13 +54,15 @@
     ``revision`` is the registry's change counter at the latest change of this
     endpoint, and ``cold_ms`` the sender's estimate of the remaining cold start, in
     milliseconds from the sending. ``loading`` is set while an order to load other
-    weights is in progress.
+    weights is in progress. ``limit_per_s`` is the rate of requests that the endpoint
+    named for all entries together, None for no limit.
     """
 
     announced: Announcement
     revision: int
     cold_ms: int = 0
     loading: bool = False
+    limit_per_s: float | None = None
 
 
 @frozen
--- a/medlarrail/policy/rate_limits_test.py
+++ b/medlarrail/policy/rate_limits_test.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from medlarrail.policy.rate_limits import ColdRateLimit, RetryBudget, SlidingCount
+from medlarrail.policy.rate_limits import RetryBudget, SendLimit, SendRate, SlidingCount
 from medlarrail.policy.shares import get_share
 
 ENTRIES = 7
@@ -72,17 +72,17 @@
         assert RetryBudget(10.0, 0.2, 54.0).try_consume(0.0, ENTRIES)
 
 
-class TestColdRateLimit:
+class TestSendRate:
     def test_burst_on_a_cold_endpoint_stays_within_its_rate(self):
         """A data centre returns with cold endpoints while many callers send at once."""
         rng = random.Random(9)
-        entries = [ColdRateLimit() for _ in range(ENTRIES)]
+        entries = [SendRate() for _ in range(ENTRIES)]
         sent = []
         now = 0.0
         while now < 5.0:
             now += rng.expovariate(400)
             rank = rng.randrange(ENTRIES)
-            if entries[rank].may_send(now, get_share(16, ENTRIES, rank)):
+            if entries[rank].may_send(now, SendLimit(get_share(16, ENTRIES, rank))):
                 entries[rank].record_sent(now)
                 sent.append(now)
         max_rate = max(sum(end - 1.0 < at <= end for at in sent) for end in sent)
@@ -90,12 +90,12 @@
         assert len(sent) > 5 * 10
 
     def test_reservations_count_until_they_are_sent_or_given_up(self):
-        limit = ColdRateLimit()
+        limit = SendRate()
         with limit.reserve():
-            assert limit.may_send(0.0, 2)
-            assert not limit.may_send(0.0, 1)
-        assert limit.may_send(0.0, 1)
+            assert limit.may_send(0.0, SendLimit(2))
+            assert not limit.may_send(0.0, SendLimit(1))
+        assert limit.may_send(0.0, SendLimit(1))
         with limit.reserve():
             limit.record_sent(0.5)
-        assert not limit.may_send(1.0, 1)
-        assert limit.may_send(2.0, 1)
+        assert not limit.may_send(1.0, SendLimit(1))
+        assert limit.may_send(2.0, SendLimit(1))
--- a/medlarrail/protocol/cluster_view.py
+++ b/medlarrail/protocol/cluster_view.py
@@ -13,6 +13,7 @@
 CLUSTER_VIEW_PATH = "/internal/picture"
 ANNOUNCEMENTS_PATH = "/v1/announcements"
 DEPARTURES_PATH = "/v1/departures"
+LIMITS_PATH = "/internal/limits"
 
 
 @frozen
@@ -22,6 +23,16 @@
     name: str
 
 
+@frozen
+class LimitReport:
+    """Reports the rate that an incarnation of an endpoint named, None for none."""
+
+    entry: str
+    endpoint: str
+    started_ms: int
+    limit_per_s: float | None = None
+
+
 @frozen
 class ClusterViewRequest:
     """The revisions that the entry has; ``wait_s`` bounds the wait for newer ones.
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -124,7 +124,7 @@
         record.in_flight += 1
         connection = None
         try:
-            with record.cold_rate.reserve():
+            with record.send_rate.reserve():
                 connection = await relay.pool.acquire(
                     announced.address, new_connection=not route.repeatable
                 )
@@ -199,6 +199,7 @@
             record.load = self._metadata.load
             record.load_at = relay.endpoint_stats.clock()
         relay.endpoint_stats.health.record_success(self.endpoint.announced.name)
+        self._record_named_rate()
         expected = self.relayed.metadata.request_id
         rejected = self._metadata.not_run or self._metadata.misdirected
         if expected and self._metadata.request_id != expected and not rejected:
@@ -208,6 +209,16 @@
                 received=self._metadata.request_id,
             )
 
+    def _record_named_rate(self) -> None:
+        """Record the rate that the answer names; only a run proves that it ended."""
+        metadata = self._metadata
+        is_run = metadata.verified and not metadata.not_run
+        if metadata.misdirected or (self.limit_per_s is None and not is_run):
+            return
+        relay = self.relayed.relay
+        relay.endpoint_stats.record_named_rate(self.endpoint, self.limit_per_s)
+        relay.limits.record(self.endpoint, self.limit_per_s)
+
     async def _handle_rejection(
         self, connection: OutboundConnection, head: AnswerHead
     ) -> None:
--- a/medlarrail/relay/endpoint_stats.py
+++ b/medlarrail/relay/endpoint_stats.py
@@ -11,7 +11,12 @@
 from medlarrail.core.metrics import get_metrics
 from medlarrail.ownership.path_health import PathHealth
 from medlarrail.policy.placement import Candidate
-from medlarrail.policy.rate_limits import ColdRateLimit
+from medlarrail.policy.rate_limits import (
+    LONG_WINDOW_S,
+    SendLimit,
+    SendRate,
+    get_named_limit,
+)
 from medlarrail.policy.shares import get_share
 from medlarrail.relay.entry_rank import EntryRank
 from medlarrail.relay.metadata import EndpointLoad
@@ -40,6 +45,16 @@
     entry_count: int
 
 
+@frozen
+class NamedRate:
+    """The rate that an incarnation of an endpoint named to this entry, None for none,
+    and when."""
+
+    per_s: float | None
+    started_ms: int
+    named_at: float
+
+
 @define
 class EndpointRecord:
     """Statistics of one endpoint's answers to this entry; times in seconds."""
@@ -49,7 +64,8 @@
     failure_rate: float = 0.0
     load: EndpointLoad | None = None
     load_at: float = float("-inf")
-    cold_rate: ColdRateLimit = field(factory=ColdRateLimit)
+    named_rate: NamedRate | None = None
+    send_rate: SendRate = field(factory=SendRate)
 
     def record_answer(self, seconds: float, failed: bool) -> None:
         """Update the moving averages with one answer."""
@@ -82,12 +98,19 @@
         """Return the record of an endpoint, creating it if necessary."""
         return self.records.setdefault(name, EndpointRecord())
 
-    def drop_departed(self) -> None:
-        """Drop the records of departed endpoints without in-flight requests."""
-        for name in list(self.records):
-            departed = name not in self.cluster_view.endpoints
-            if departed and self.records[name].in_flight == 0:
-                del self.records[name]
+    def drop_departed(self) -> list[str]:
+        """Drop the records of departed endpoints without in-flight requests.
+
+        Returns their names.
+        """
+        dropped = [
+            name
+            for name, record in self.records.items()
+            if name not in self.cluster_view.endpoints and record.in_flight == 0
+        ]
+        for name in dropped:
+            del self.records[name]
+        return dropped
 
     def iterate_available(self, service: ServiceRule) -> Iterator[EndpointView]:
         """Yield the endpoints of a service that can accept a request now."""
@@ -106,12 +129,62 @@
         if announced.data_centre in self.cluster_view.out_data_centres:
             return "data centre out"
         now = self.clock()
+        send_rate = self.get_record(announced.name).send_rate
         if endpoint.cold_until > now and service.cold_per_s > 0:
-            cold_rate = self.get_record(announced.name).cold_rate
-            if not cold_rate.may_send(now, self._get_cold_share(endpoint, service)):
+            share = self._get_cold_share(endpoint, service)
+            if not send_rate.may_send(now, SendLimit(share)):
                 return "cold"
+        limit = self._get_named_limit(endpoint)
+        if limit is not None and not send_rate.may_send(now, limit):
+            return "limited"
         return ""
 
+    def record_named_rate(self, endpoint: EndpointView, per_s: float | None) -> None:
+        """Record the rate in an answer of an endpoint, None if it named none."""
+        announced = endpoint.announced
+        self.get_record(announced.name).named_rate = NamedRate(
+            per_s, announced.started_ms, self.clock()
+        )
+
+    def _get_named_limit(self, endpoint: EndpointView) -> SendLimit | None:
+        """Return this entry's part of the rate that an endpoint named, if it did.
+
+        The latest statement holds: that of an answer to this entry, or the one that the
+        leader listed.
+        """
+        named = self.get_record(endpoint.announced.name).named_rate
+        per_s = endpoint.limit_per_s
+        if (
+            named is not None
+            and named.started_ms == endpoint.announced.started_ms
+            and named.named_at >= endpoint.limit_changed_at
+        ):
+            per_s = named.per_s
+        if per_s is None:
+            return None
+        if not self.cluster_view.entries_settled:
+            return SendLimit(0, LONG_WINDOW_S)
+        rank = self.rank.get(endpoint.announced.name)
+        return get_named_limit(per_s, self.cluster_view.entry_count, rank)
+
+    def get_wait_s(self, service: ServiceRule) -> float | None:
+        """Return the time until the first limited endpoint may get another request.
+
+        Returns None if no endpoint of the service is limited by the rate it named.
+        """
+        now = self.clock()
+        return min(
+            (
+                self.get_record(endpoint.announced.name).send_rate.get_wait_s(
+                    now, self._get_named_limit(endpoint)
+                )
+                for endpoint in self.cluster_view.endpoints.values()
+                if endpoint.announced.service == service.name
+                and self.get_unavailable_reason(endpoint, service) == "limited"
+            ),
+            default=None,
+        )
+
     def _get_cold_share(self, endpoint: EndpointView, service: ServiceRule) -> int:
         """Return this entry's part of the cold rate, in requests per second.
 
@@ -127,13 +200,13 @@
     def record_sent(self, endpoint: EndpointView) -> ColdSend | None:
         """Record a request that is sent to an endpoint; returns None if it is warm."""
         now = self.clock()
-        cold_rate = self.get_record(endpoint.announced.name).cold_rate
-        cold_rate.record_sent(now)
+        send_rate = self.get_record(endpoint.announced.name).send_rate
+        send_rate.record_sent(now)
         if endpoint.cold_until <= now:
             return None
         cold_send = ColdSend(
             remaining_ms=round((endpoint.cold_until - now) * 1000, 1),
-            sent=cold_rate.count_sent(now),
+            sent=send_rate.count_sent(now),
             entry_count=self.cluster_view.entry_count,
         )
         get_metrics().count("cold_requests", service=endpoint.announced.service)
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -121,7 +121,7 @@
             endpoint = await self._wait_for_dispatch()
             if endpoint is None:
                 self._log_no_endpoint()
-                raise self.failure or NoEndpoint(target=self.service.name)
+                raise self.failure or self._build_no_endpoint()
             await self.relay.blocked_prompts.request_trial(
                 self.service.name, self.metadata.shared_parts
             )
@@ -129,6 +129,13 @@
                 return
             self._check_retry()
 
+    def _build_no_endpoint(self) -> NoEndpoint:
+        error = NoEndpoint(target=self.service.name)
+        wait_s = self.relay.endpoint_stats.get_wait_s(self.service)
+        if wait_s is not None:
+            error.retry_after_s = wait_s
+        return error
+
     async def _wait_for_dispatch(self) -> EndpointView | None:
         """Wait until the request may be dispatched, and return the endpoint.
 
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -27,6 +27,7 @@
 from medlarrail.relay.crash_reporter import CrashReporter
 from medlarrail.relay.endpoint_stats import EndpointStats
 from medlarrail.relay.inbound import ServerExchange
+from medlarrail.relay.limit_reporter import LimitReporter
 from medlarrail.relay.metadata import HeaderCodec, RequestMetadata
 from medlarrail.relay.outbound import OutboundPool
 from medlarrail.relay.relayed_request import RelayedRequest
@@ -71,12 +72,14 @@
     prompt_mix: PromptMix = field(factory=PromptMix)
     crashes: CrashReporter = field(init=False)
     blocked_prompts: BlockedPrompts = field(init=False)
+    limits: LimitReporter = field(init=False)
     _budgets: dict[str, RetryBudget] = field(factory=dict)
 
     def __attrs_post_init__(self):
         entry = self.endpoint_stats.entry
         self.crashes = CrashReporter(self.cluster_view, self.pool, entry)
         self.blocked_prompts = BlockedPrompts(self.cluster_view, entry)
+        self.limits = LimitReporter(entry, self.cluster_view.clock)
         self.cluster_view.deployment_listeners.append(self._update_route_table)
 
     def _update_route_table(self, deployment: Deployment) -> None:
@@ -164,15 +167,23 @@
         return self.reporter.find_group()
 
     def connect_state(self, state: StateClient) -> None:
-        """Set the client with which crashes are reported."""
-        self.crashes.state = self.blocked_prompts.state = state
+        """Set the client for reports to the leading state member."""
+        self.crashes.state = self.blocked_prompts.state = self.limits.state = state
+
+    async def run_reporters(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Report crashes and named rates to the leader until cancelled."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.crashes.run)
+            nursery.start_soon(self.limits.run)
+            task_status.started()
 
     async def maintain(self) -> None:
         """Close stale connections and drop departed endpoints until cancelled."""
         while True:
             await trio.sleep(MAINTENANCE_INTERVAL_S)
             self.pool.close_expired()
-            self.endpoint_stats.drop_departed()
+            for name in self.endpoint_stats.drop_departed():
+                self.limits.drop(name)
             present = {
                 endpoint.announced.address
                 for endpoint in self.cluster_view.endpoints.values()
--- a/medlarrail/testing/fleet.py
+++ b/medlarrail/testing/fleet.py
@@ -46,7 +46,7 @@
             ready=True,
         )
         harness.relay.connect_state(view_client.state)
-        await self.nursery.start(harness.relay.crashes.run)
+        await self.nursery.start(harness.relay.run_reporters)
         self.nursery.start_soon(view_client.run)
         self.gateways.append(harness)
 
