--- a/medlarrail/cluster/crash_ledger.py
+++ b/medlarrail/cluster/crash_ledger.py
@@ -24,6 +24,10 @@
 """Time for which a part is suspected before it may be blocked: entries report
 completed answers meanwhile."""
 
+SEARCH_PERIOD_S = 5.0
+"""Time for which causes are searched after a change, so that a commit that failed is
+made again."""
+
 
 @frozen
 class Incarnation:
@@ -60,6 +64,7 @@
     clock: Clock = get_boottime
     revision: int = 0
     crashes: dict[Incarnation, RecordedCrash] = field(factory=dict)
+    _changed_at: float = float("-inf")
     _suspected_since: dict[SharedPart, float] = field(factory=dict)
 
     def clear(self) -> None:
@@ -104,7 +109,12 @@
         if expired:
             self._update_suspects()
 
+    def has_news(self) -> bool:
+        """Return whether the evidence changed so recently that a cause may be found."""
+        return self.clock() - self._changed_at < SEARCH_PERIOD_S
+
     def _update_suspects(self) -> None:
+        self._changed_at = self.clock()
         counts: dict[SharedPart, int] = {}
         for crash in self.crashes.values():
             for key in crash.parts:
--- a/medlarrail/cluster/crash_watch.py
+++ b/medlarrail/cluster/crash_watch.py
@@ -135,14 +135,19 @@
             await trio.sleep(CHECK_INTERVAL_S)
             try:
                 self.view_server.require_leading()
-                self.view_server.crash_ledger.drop_expired()
-                for cause in self.view_server.crash_ledger.find_causes():
-                    await self._block_cause(cause)
+                await self._block_causes()
             except NotLeader:
                 continue
             except MedlarError as error:
                 get_metrics().count("block_failures", type=type(error).__name__)
 
+    async def _block_causes(self) -> None:
+        ledger = self.view_server.crash_ledger
+        ledger.drop_expired()
+        if ledger.has_news():
+            for cause in ledger.find_causes():
+                await self._block_cause(cause)
+
     async def _block_cause(self, cause: CrashCause) -> None:
         for blocked in self._blocked.values():
             if blocked.service == cause.service and set(blocked.parts) <= cause.parts:
