--- a/medlarrail/relay/limit_reporter.py
+++ b/medlarrail/relay/limit_reporter.py
@@ -83,9 +83,10 @@
             )
         except MedlarError as error:
             get_metrics().count("limit_report_failures", type=type(error).__name__)
-            self._sent.pop(report.endpoint)
-            self._waiting.setdefault(report.endpoint, report)
-            self._changed.set()
+            # The endpoint may have departed meanwhile.
+            if self._sent.pop(report.endpoint, None) is not None:
+                self._waiting.setdefault(report.endpoint, report)
+                self._changed.set()
 
     def drop(self, endpoint: str) -> None:
         """Forget the reports on an endpoint that has departed."""
--- a/medlarrail/relay/named_limits_test.py
+++ b/medlarrail/relay/named_limits_test.py
@@ -360,7 +360,7 @@
 
     async def call_leader(self, path, report, answer_type, timeout_s):
         """See ``StateClient``."""
-        await trio.lowlevel.checkpoint()
+        await trio.sleep(0.05)
         if self.failures:
             self.failures -= 1
             raise PeerTimeout(url="mem://leader")
@@ -383,6 +383,17 @@
         await trio.sleep(2.0)
         assert reporter.state.reports == [1.4]
 
+    async def test_a_report_on_a_departed_endpoint_ends_the_process(
+        self, nursery, autojump_clock
+    ):
+        """The endpoint departed while the leader did not take the report."""
+        reporter = await self.start(nursery, failures=3)
+        reporter.record(EndpointView(build_announcement()), 1.4)
+        await trio.sleep(0.02)
+        reporter.drop("engine-1")
+        await trio.sleep(2.0)
+        assert reporter.state.reports == []
+
     async def test_each_answer_is_reported(self, nursery, autojump_clock):
         """A rate that the leader lists is reported once a second, for a new leader."""
         reporter = await self.start(nursery)
