--- a/medlarrail/cluster/crash_ledger.py
+++ b/medlarrail/cluster/crash_ledger.py
@@ -23,7 +23,6 @@
 CLEARANCE_S = 0.3
 """Time for which a part is suspected before it may be blocked: entries report
 completed answers meanwhile."""
-
 SEARCH_PERIOD_S = 5.0
 """Time for which causes are searched after a change, so that a commit that failed is
 made again."""
--- a/medlarrail/relay/crash_reporter.py
+++ b/medlarrail/relay/crash_reporter.py
@@ -172,7 +172,9 @@
         await trio.lowlevel.checkpoint()
         keys = self._completed.pop(service)
         report = CompletionReport(self.name, service, tuple(sorted(keys)))
-        await self._send(COMPLETIONS_PATH, report)
+        with trio.move_on_after(REPORT_PERIOD_S):
+            while not await self._send(COMPLETIONS_PATH, report):
+                await trio.sleep(REPORT_PAUSE_S)
 
     async def _send(self, path: str, report: CrashReport | CompletionReport) -> bool:
         """Send a report to the leader; returns whether it was received."""
--- a/medlarrail/relay/crash_reporter_test.py
+++ b/medlarrail/relay/crash_reporter_test.py
@@ -125,6 +125,15 @@
             CompletionReport("gateway-1", "guide", ("b",))
         ]
 
+    async def test_a_completed_trial_is_lost_with_the_leader(self, nursery):
+        reporter = build_reporter()
+        reporter.state.failures = 2
+        await nursery.start(reporter.run)
+        reporter.cluster_view.suspects = frozenset({SharedPart("guide", "b")})
+        reporter.record_completed("guide", PARTS)
+        await trio.sleep(0.5)
+        assert len(reporter.state.messages) == 1
+
     async def test_the_answer_to_a_late_trial_unblocks_nothing(self, nursery):
         """The crashes are too old for the list of suspects by then."""
         reporter = build_reporter()
