Take unframed answers for whole only if the endpoint goes on

An answer without a length or chunks ends with its connection, also when its endpoint crashes. It cleared its parts as if it were complete, so a crashing part was never blocked where engines answer in that way; an empty one was no evidence of the crash either. Now such an answer clears its parts if the endpoint still accepts connections.

--- a/medlarrail/platform/crashing_parts_test.py
+++ b/medlarrail/platform/crashing_parts_test.py
@@ -102,6 +102,61 @@
     return Callers(crashing, nursery)
 
 
+@define
+class Recorder:
+    """Counts what a relay records of its attempts; see ``CrashReporter``."""
+
+    broken: int = 0
+    completed: int = 0
+    unproven: int = 0
+
+    def record_broken(self, *arguments) -> None:
+        """Count a request that broke off."""
+        self.broken += 1
+
+    def record_completed(self, *arguments) -> None:
+        """Count a request that was answered completely."""
+        self.completed += 1
+
+    def record_unproven(self, *arguments) -> None:
+        """Count an answer whose end is not proven."""
+        self.unproven += 1
+
+
+async def record_answer(nursery: trio.Nursery, answer: bytes) -> Recorder:
+    """Return what a relay records of an answer after which the connection is closed."""
+    harness = await start_relay(nursery, DEPLOYMENT, PlatformHeaderCodec())
+    harness.relay.crashes = Recorder()
+
+    async def send_and_close(connection, request):
+        await connection.send(answer)
+        await connection.stream.aclose()
+
+    await harness.add(send_and_close)
+    await harness.send(build_prompt("r1", "a", "b"))
+    return harness.relay.crashes
+
+
+class TestEvidence:
+    """An answer without a length or chunks may end because its endpoint crashed."""
+
+    HEAD = b"HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nRequest-Id: r1\r\n"
+    EVENT = b"id: 1\ndata: x\n\n"
+
+    async def test_an_unframed_answer_clears_its_parts(self, nursery):
+        recorded = await record_answer(nursery, self.HEAD + b"\r\n" + self.EVENT)
+        assert recorded == Recorder(unproven=1)
+
+    async def test_an_unframed_answer_without_a_body_is_no_evidence(self, nursery):
+        recorded = await record_answer(nursery, self.HEAD + b"\r\n")
+        assert recorded == Recorder(broken=1)
+
+    async def test_a_framed_answer_does_not_clear_its_parts(self, nursery):
+        length = b"Content-Length: %d\r\n\r\n" % len(self.EVENT)
+        recorded = await record_answer(nursery, self.HEAD + length + self.EVENT)
+        assert recorded == Recorder(completed=1)
+
+
 async def send_mixed(callers: Callers, seconds: float) -> list[str]:
     """Send crashing and sound prompts in turn; return the IDs of the sound ones."""
     sound = []
--- a/medlarrail/relay/crash_reporter.py
+++ b/medlarrail/relay/crash_reporter.py
@@ -153,14 +153,36 @@
                 return
             await trio.sleep(REPORT_PAUSE_S)
 
-    def record_completed(self, service: str, parts: Sequence[PromptPart]) -> None:
-        """Report the suspected parts of a prompt that was answered completely."""
+    def record_unproven(
+        self, announced: Announcement, parts: Sequence[PromptPart]
+    ) -> None:
+        """Record an answer whose end is not proven: whole if the endpoint goes on."""
+        watched = self._list_watched(announced.service, parts)
+        if self._nursery is not None and watched and self._check_count < MAX_CHECKS:
+            self._nursery.start_soon(self._check_unproven, announced, parts)
+
+    async def _check_unproven(
+        self, announced: Announcement, parts: Sequence[PromptPart]
+    ) -> None:
+        self._check_count += 1
+        try:
+            await trio.sleep(CHECK_DELAY_S)
+            if not await self._is_unreachable(announced.address):
+                self.record_completed(announced.service, parts)
+        finally:
+            self._check_count -= 1
+
+    def _list_watched(self, service: str, parts: Sequence[PromptPart]) -> set[str]:
         keys = {part.key for part in parts}
-        watched = {
+        return {
             key
             for key in keys
             if self.cluster_view.is_watched(SharedPart(service, key))
         }
+
+    def record_completed(self, service: str, parts: Sequence[PromptPart]) -> None:
+        """Report the suspected parts of a prompt that was answered completely."""
+        watched = self._list_watched(service, parts)
         if self._nursery is None or not watched:
             return
         waiting = self._completed.setdefault(service, set())
--- a/medlarrail/relay/crash_reporter_test.py
+++ b/medlarrail/relay/crash_reporter_test.py
@@ -1,5 +1,6 @@
 """Tests of what an entry takes for a crash, and of blocked prompts."""
 
+import pytest
 import trio
 from attrs import define, evolve, field
 
@@ -134,6 +135,21 @@
         await trio.sleep(0.5)
         assert len(reporter.state.messages) == 1
 
+    @pytest.mark.parametrize("crashed", [False, True])
+    async def test_the_last_bytes_before_a_crash_clear_their_parts(
+        self, nursery, crashed
+    ):
+        """An answer without a length or chunks ends with its connection."""
+        reporter = build_reporter()
+        await nursery.start(reporter.run)
+        endpoint = await start_endpoint(nursery)
+        port = await get_closed_port() if crashed else endpoint.port
+        reporter.cluster_view.suspects = frozenset({SharedPart("guide", "b")})
+        announced = build_announcement(address=f"{HOST}:{port}")
+        reporter.record_unproven(announced, PARTS)
+        await trio.sleep(0.2)
+        assert len(reporter.state.messages) == (0 if crashed else 1)
+
     async def test_the_answer_to_a_late_trial_unblocks_nothing(self, nursery):
         """The crashes are too old for the list of suspects by then."""
         reporter = build_reporter()
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -268,19 +268,34 @@
             if isinstance(error, StreamBroken | AnswerTooLong):
                 self.relay.endpoint_stats.health.record_failure(name)
             if isinstance(error, StreamBroken):
-                self.relay.crashes.record_broken(
-                    endpoint.announced, self.metadata.model, self.metadata.shared_parts
-                )
+                self._record_broken(endpoint)
         else:
-            self.relay.crashes.record_completed(
-                self.service.name, self.metadata.shared_parts
-            )
+            self._record_answered(attempt)
             self._log_attempt(attempt, "answered")
             return True
         self.may_be_running = False
         self._log_attempt(attempt, str(self.failure))
         return False
 
+    def _record_answered(self, attempt: Attempt) -> None:
+        """Record an answer as evidence for its parts.
+
+        An answer that ends with its connection may be what came before the endpoint
+        crashed.
+        """
+        parts = self.metadata.shared_parts
+        if attempt.framing.proves_end:
+            self.relay.crashes.record_completed(self.service.name, parts)
+        elif attempt.body_bytes:
+            self.relay.crashes.record_unproven(attempt.endpoint.announced, parts)
+        else:
+            self._record_broken(attempt.endpoint)
+
+    def _record_broken(self, endpoint: EndpointView) -> None:
+        self.relay.crashes.record_broken(
+            endpoint.announced, self.metadata.model, self.metadata.shared_parts
+        )
+
     def _log_abandoned(self) -> None:
         """Log a request whose caller disconnected before it was answered."""
         get_metrics().count("requests_abandoned", service=self.service.name)
