--- a/medlarrail/relay/blocked_prompts.py
+++ b/medlarrail/relay/blocked_prompts.py
@@ -43,22 +43,27 @@
                     return blocked
         return None
 
-    def require_trial_due(self, service: str, parts: Sequence[PromptPart]) -> None:
-        """Raise ``PromptBlocked`` for a blocked prompt unless a trial is due."""
+    def require_trial_due(
+        self, service: str, parts: Sequence[PromptPart]
+    ) -> BlockedParts | None:
+        """Return the blocked parts of a prompt whose trial is due, None if it has none.
+
+        Raises ``PromptBlocked`` for a blocked prompt without a due trial.
+        """
         blocked = self.find(service, parts)
         if blocked is None:
-            return
+            return None
         is_due = self.wall_clock() >= blocked.trial_at_s
         if not is_due or blocked.name in self._asking or self.state is None:
             raise self._build_refusal(blocked)
+        return blocked
 
     async def request_trial(self, service: str, parts: Sequence[PromptPart]) -> None:
         """Raise ``PromptBlocked`` for a blocked prompt unless it is the next trial.
 
         At most one request in the whole deployment is sent for each trial.
         """
-        self.require_trial_due(service, parts)
-        blocked = self.find(service, parts)
+        blocked = self.require_trial_due(service, parts)
         if blocked is None:
             return
         self._asking.add(blocked.name)
