Count the separate crashes of a part once

The score and the check for crashes without the part counted them each. A part that fails the check has the score 0, which is below the least that counts. Behaviour unchanged; crashing_parts_test.py passes.

--- a/medlarrail/policy/crashing_parts.py
+++ b/medlarrail/policy/crashing_parts.py
@@ -81,9 +81,9 @@
         for part in crash.parts:
             explained.setdefault(part, []).append(index)
     scores = {
-        part: count_separate(crashes[index].at for index in indices)
+        part: _get_score(crashes, indices)
         for part, indices in explained.items()
-        if len(indices) >= MIN_CRASHES and _explains_most(crashes, indices)
+        if len(indices) >= MIN_CRASHES
     }
     best = max(scores.values(), default=0)
     if best < MIN_CRASHES:
@@ -94,15 +94,19 @@
     return frozenset(leading)
 
 
-def _explains_most(crashes: Sequence[Crash], indices: Sequence[int]) -> bool:
-    """Return whether few crashes happened without those at ``indices`` meanwhile."""
+def _get_score(crashes: Sequence[Crash], indices: Sequence[int]) -> int:
+    """Return the number of separate crashes at ``indices``.
+
+    Returns 0 if too many others happened meanwhile.
+    """
     times = [crashes[index].at for index in indices]
     first, last = min(times), max(times)
     count = count_separate(times)
     meanwhile = count_separate(
         crash.at for crash in crashes if first <= crash.at <= last
     )
-    return meanwhile - count <= MISSES_PER_CRASH * (count - MIN_CRASHES)
+    few_missed = meanwhile - count <= MISSES_PER_CRASH * (count - MIN_CRASHES)
+    return count if few_missed else 0
 
 
 def get_trial_delay_s(trials: int) -> float:
