Wake the entries' calls only if the suspected parts changed

Each report of a crash or of a complete answer woke the waiting call of every entry, which had nothing to tell and waited on. The ledger now says whether its list changed, as the registry does. The answers are the same; the tests of the crash watch, the cluster view and the crashing parts pass.

--- a/medlarrail/cluster/crash_ledger.py
+++ b/medlarrail/cluster/crash_ledger.py
@@ -73,8 +73,8 @@
 
     def record_crash(
         self, incarnation: Incarnation, crash: RecordedCrash, blocked: Iterable[str]
-    ) -> None:
-        """Record a crash, or further parts of it.
+    ) -> bool:
+        """Record a crash, or further parts of it; return whether the suspects changed.
 
         Parts in ``blocked`` explain it: it is no evidence against the others.
         """
@@ -86,13 +86,16 @@
             recorded.parts = set(sorted(explained or recorded.parts)[:MAX_PARTS])
         while len(self.crashes) > MAX_CRASHES:
             del self.crashes[next(iter(self.crashes))]
-        self._update_suspects()
+        return self._update_suspects()
+
+    def record_completed(self, service: str, parts: Iterable[str]) -> bool:
+        """Clear parts: requests with them were answered completely.
 
-    def record_completed(self, service: str, parts: Iterable[str]) -> None:
-        """Clear parts: requests with them were answered completely."""
+        Returns whether the suspects changed.
+        """
         for crash in self._iterate_crashes(service):
             crash.parts.difference_update(parts)
-        self._update_suspects()
+        return self._update_suspects()
 
     def _iterate_crashes(self, service: str) -> Iterator[RecordedCrash]:
         for crash in self.crashes.values():
@@ -112,22 +115,24 @@
         """Return whether the evidence changed so recently that a cause may be found."""
         return self.clock() - self._changed_at < SEARCH_PERIOD_S
 
-    def _update_suspects(self) -> None:
-        self._changed_at = self.clock()
+    def _update_suspects(self) -> bool:
+        """Determine the suspects anew; return whether they changed."""
+        now = self.clock()
+        self._changed_at = now
         counts: dict[SharedPart, int] = {}
         for crash in self.crashes.values():
             for key in crash.parts:
                 part = SharedPart(crash.service, key)
                 counts[part] = counts.get(part, 0) + 1
-        now = self.clock()
         suspects = {
             part: self._suspected_since.get(part, now)
             for part, count in counts.items()
             if count >= MIN_SUSPECT_CRASHES
         }
-        if suspects.keys() != self._suspected_since.keys():
-            self.revision += 1
+        changed = suspects.keys() != self._suspected_since.keys()
+        self.revision += changed
         self._suspected_since = suspects
+        return changed
 
     def list_suspects(self) -> tuple[SharedPart, ...]:
         """Return the parts that were there at more than one crash."""
--- a/medlarrail/cluster/crash_watch.py
+++ b/medlarrail/cluster/crash_watch.py
@@ -60,7 +60,7 @@
             age_s=report.age_s,
             parts=list(report.parts),
         )
-        ledger.record_crash(
+        changed = ledger.record_crash(
             Incarnation(report.endpoint, report.started_ms),
             RecordedCrash(
                 report.service,
@@ -70,7 +70,8 @@
             ),
             self._list_single_parts(report.service),
         )
-        self.view_server.notify_waiters()
+        if changed:
+            self.view_server.notify_waiters()
         return EmptyMessage()
 
     def _list_single_parts(self, service: str) -> list[str]:
@@ -86,8 +87,9 @@
         """Clear parts of which an entry has relayed a complete answer."""
         report: CompletionReport = request.message
         self.view_server.require_leading()
-        self.view_server.crash_ledger.record_completed(report.service, report.parts)
-        self.view_server.notify_waiters()
+        ledger = self.view_server.crash_ledger
+        if ledger.record_completed(report.service, report.parts):
+            self.view_server.notify_waiters()
         for blocked in list(self._blocked.values()):
             if blocked.service == report.service:
                 await self._clear(blocked, set(report.parts))
