Mark a changed endpoint in one place of the registry

The named rate wrote the step again that announcements, loads and versions had each. Behaviour unchanged; the tests of cluster/ and of the named limits pass.

--- a/medlarrail/cluster/registry.py
+++ b/medlarrail/cluster/registry.py
@@ -72,8 +72,7 @@
         self.endpoints[announced.name] = record
         self.departed.pop(announced.name, None)
         if previous is None or _differs(previous, record):
-            self.revision += 1
-            record.revision = self.revision
+            self._mark_changed(record)
             return True
         return False
 
@@ -115,14 +114,17 @@
         self.departed[name] = DepartedEndpoint(started_ms, self.clock(), self.revision)
         return True
 
+    def _mark_changed(self, record: EndpointRecord) -> None:
+        self.revision += 1
+        record.revision = self.revision
+
     def set_loading(self, name: str, loading: bool) -> bool:
         """Set whether an endpoint is loading weights; return whether this changed."""
         record = self.endpoints.get(name)
         if record is None or record.loading == loading:
             return False
         record.loading = loading
-        self.revision += 1
-        record.revision = self.revision
+        self._mark_changed(record)
         return True
 
     def set_limit(self, name: str, started_ms: int, per_s: float | None) -> bool:
@@ -133,8 +135,7 @@
         if record.limit_per_s == per_s:
             return False
         record.limit_per_s = per_s
-        self.revision += 1
-        record.revision = self.revision
+        self._mark_changed(record)
         return True
 
     def record_version(self, name: str, model: str, version: int) -> None:
@@ -148,8 +149,7 @@
         )
         if models != record.announced.models:
             record.announced = evolve(record.announced, models=models)
-            self.revision += 1
-            record.revision = self.revision
+            self._mark_changed(record)
 
     def expire(self) -> list[str]:
         """Remove endpoints that have been silent too long, and return their names."""
