Derive the limit of an attempt from its answer; drop a field that nothing reads

The attempt kept a copy of the limit beside the answer's metadata, and the received requests of the crashing engines an ID that no test uses. Behaviour unchanged; the tests of the relay, the named limits, the crash reports and the crashing parts pass.

--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -103,14 +103,17 @@
     """Bytes of the body received so far."""
     partial_event: bool = False
     """Whether the bytes received of a stream end inside an event."""
-    limit_per_s: float | None = None
-    """The limit that the endpoint named in this answer."""
     cold_send: ColdSend | None = None
     """Set if the endpoint was cold when the request was sent."""
     _metadata: AnswerMetadata = field(factory=AnswerMetadata)
     _tracked_prompt: TrackedPrompt | None = None
     _started_at: float = 0.0
 
+    @property
+    def limit_per_s(self) -> float | None:
+        """The limit that the endpoint named in this answer."""
+        return self._metadata.limit_per_s
+
     async def run(self) -> None:
         """Send the request and relay the answer to the caller.
 
@@ -193,7 +196,6 @@
         self.status = head.status
         self.framing = head.framing
         self._metadata = relay.header_codec.read_answer(head.status, head.headers)
-        self.limit_per_s = self._metadata.limit_per_s
         record = relay.endpoint_stats.get_record(self.endpoint.announced.name)
         if self._metadata.load is not None:
             record.load = self._metadata.load
--- a/medlarrail/relay/crash_reporter_test.py
+++ b/medlarrail/relay/crash_reporter_test.py
@@ -1,4 +1,4 @@
-"""Tests of what an entry takes for a crash, and of blocked prompts."""
+"""Tests of what an entry takes for a crash, and of what it reports."""
 
 import pytest
 import trio
@@ -8,9 +8,7 @@
 from medlarrail.core.entities import BlockedParts, SharedPart
 from medlarrail.core.errors import PeerTimeout
 from medlarrail.protocol.crashes import CompletionReport, CrashReport
-from medlarrail.relay.crash_reporter import (
-    CrashReporter,
-)
+from medlarrail.relay.crash_reporter import CrashReporter
 from medlarrail.relay.metadata import PromptPart
 from medlarrail.relay.outbound import OutboundPool
 from medlarrail.testing.builders import build_announcement, build_cluster_view_answer
--- a/medlarrail/testing/crashing_engines.py
+++ b/medlarrail/testing/crashing_engines.py
@@ -32,7 +32,6 @@
     """A request that reached an engine; ``at`` is on trio's clock."""
 
     at: float
-    request_id: str
     parts: tuple[str, ...]
 
 
@@ -100,8 +99,7 @@
         headers = self.crashing.headers
         request_id = get_value(request, headers.request_id)
         parts = parse_parts(get_value(request, headers.parts).decode())
-        now = trio.current_time()
-        self.crashing.received.append(ReceivedRequest(now, request_id.decode(), parts))
+        self.crashing.received.append(ReceivedRequest(trio.current_time(), parts))
         id_line = headers.request_id + b": " + request_id + b"\r\n"
         head = HEAD + headers.added + id_line + b"\r\n"
         if self.crashing.crashing_part in parts[:-1]:
