--- a/medlarrail/platform/crashing_parts_test.py
+++ b/medlarrail/platform/crashing_parts_test.py
@@ -2,7 +2,6 @@
 
 from pathlib import Path
 
-import eliot
 import trio
 from attrs import define, field
 
@@ -14,6 +13,7 @@
     start_crashing_fleet,
 )
 from medlarrail.testing.fleet import start_fleet
+from medlarrail.testing.logs import collect_messages
 from medlarrail.testing.scripted_endpoints import RelayHarness, start_relay
 
 CONTACT_S = 3.0
@@ -78,17 +78,10 @@
             await connection.stream.aclose()
 
         await harness.add(close)
-        messages = []
-        eliot.add_destinations(messages.append)
-        try:
+        with collect_messages("request:attempt") as attempts:
             await harness.send(build_prompt("observed", "a", "b"))
-        finally:
-            eliot.remove_destination(messages.append)
         (message,) = [
-            message
-            for message in messages
-            if message["message_type"] == "request:attempt"
-            and message["request"] == "observed"
+            attempt for attempt in attempts if attempt["request"] == "observed"
         ]
         assert message["shared_parts"] == ["a", "b"]
         assert message["started_ms"] == 1000
--- a/medlarrail/relay/cold_endpoints_test.py
+++ b/medlarrail/relay/cold_endpoints_test.py
@@ -2,7 +2,6 @@
 
 import random
 
-import eliot
 import pytest
 import trio
 from attrs import evolve
@@ -17,6 +16,7 @@
     build_deployment,
     build_endpoint_stats,
 )
+from medlarrail.testing.logs import collect_messages
 from medlarrail.testing.scripted_endpoints import (
     RelayHarness,
     answer_ok,
@@ -49,20 +49,11 @@
     ):
         harness = await start_cold_relay(nursery)
         harness.relay.cluster_view.entry_count = 4
-        messages = []
-        eliot.add_destinations(messages.append)
-        try:
+        with collect_messages("request:attempt") as attempts:
             await harness.send(build_request(X_Request_Id="cold-1"))
             harness.relay.cluster_view.endpoints["engine-1"].cold_until = 0.0
             await harness.send(build_request(X_Request_Id="warm-1"))
-        finally:
-            eliot.remove_destination(messages.append)
-        # eliot also delivers what other tests logged while there was no destination.
-        logged = {
-            message["request"]: message["cold"]
-            for message in messages
-            if message["message_type"] == "request:attempt"
-        }
+        logged = {attempt["request"]: attempt["cold"] for attempt in attempts}
         cold, warm = logged["cold-1"], logged["warm-1"]
         assert 0 < cold.pop("remaining_ms") <= COLD_S * 1000
         assert cold == {"sent": 1, "entry_count": 4}
--- a/medlarrail/relay/incomplete_answers_test.py
+++ b/medlarrail/relay/incomplete_answers_test.py
@@ -2,12 +2,12 @@
 
 from functools import partial
 
-import eliot
 import pytest
 import trio
 from attrs import frozen
 
 from medlarrail.testing.builders import build_deployment, build_route
+from medlarrail.testing.logs import collect_messages
 from medlarrail.testing.scripted_endpoints import (
     RelayHarness,
     build_request,
@@ -237,21 +237,12 @@
 class TestAttemptLog:
     async def test_log_tells_how_an_answer_ended(self, nursery):
         """The logs could not tell a missing length from a missing check of events."""
-        messages = []
-        eliot.add_destinations(messages.append)
-        try:
+        with collect_messages("request:attempt") as attempts:
             harness = await start_relay(nursery, FIXED_STREAM)
             script = partial(send_cut_answer, framing="close", cut=20, end="close")
             await harness.add(script)
             await call(harness, build_request(X_Request_Id="cut-1"))
-        finally:
-            eliot.remove_destination(messages.append)
-        (attempt,) = [
-            message
-            for message in messages
-            if message.get("request") == "cut-1"
-            and message["message_type"] == "request:attempt"
-        ]
+        (attempt,) = [attempt for attempt in attempts if attempt["request"] == "cut-1"]
         assert attempt["framing"] == "close"
         assert attempt["body_bytes"] == 20
         assert attempt["partial_event"] is True
--- a/medlarrail/relay/named_limits_test.py
+++ b/medlarrail/relay/named_limits_test.py
@@ -2,7 +2,6 @@
 
 import random
 
-import eliot
 import pytest
 import trio
 from attrs import define, evolve, field
@@ -24,6 +23,7 @@
     build_endpoint_stats,
 )
 from medlarrail.testing.fleet import Fleet, start_fleet
+from medlarrail.testing.logs import collect_messages
 from medlarrail.testing.scripted_endpoints import (
     HOST,
     ScriptedEndpoint,
@@ -48,17 +48,10 @@
     async def test_an_attempt_logs_the_limit_that_was_named(self, nursery):
         harness = await start_relay(nursery)
         await harness.add(name_limit("2.5"))
-        messages = []
-        eliot.add_destinations(messages.append)
-        try:
+        with collect_messages("request:attempt") as attempts:
             await harness.send(build_request(X_Request_Id="limited"))
-        finally:
-            eliot.remove_destination(messages.append)
         (message,) = [
-            message
-            for message in messages
-            if message["message_type"] == "request:attempt"
-            and message["request"] == "limited"
+            attempt for attempt in attempts if attempt["request"] == "limited"
         ]
         assert message["limit_per_s"] == 2.5
 
