Log the time without requests that an endpoint asks for

An endpoint that rejects a request with 503 may state in Retry-After for how long it wants no more. The logs could not tell whether a gateway had received such an answer. Nothing acts on the time yet.

--- a/medlarrail/platform/header_codec.py
+++ b/medlarrail/platform/header_codec.py
@@ -7,6 +7,7 @@
     get_header_text,
     parse_digits,
     parse_limit,
+    parse_retry_after,
     write_refusal,
 )
 from medlarrail.relay.headers import get_header, iterate_end_to_end
@@ -35,6 +36,7 @@
 INSTANCE_ID = b"instance-id"
 WEIGHT_VERSIONS = b"weight-versions"
 KEEP_ALIVE = b"keep-alive"
+RETRY_AFTER = b"retry-after"
 MISDIRECTED_STATUS = 421
 
 RESERVED_HEADERS = frozenset(
@@ -119,6 +121,9 @@
             weight_version=_parse_int(get_header_text(headers, WEIGHT_VERSIONS)),
             keep_alive_s=_parse_keep_alive(get_header_text(headers, KEEP_ALIVE)),
             limit_per_s=parse_limit(get_header_text(headers, SERVER_LIMIT)),
+            retry_after_s=parse_retry_after(
+                status, get_header_text(headers, RETRY_AFTER)
+            ),
         )
 
     def write_refusal(
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -114,6 +114,11 @@
         """The limit that the endpoint named in this answer."""
         return self._metadata.limit_per_s
 
+    @property
+    def retry_after_s(self) -> float | None:
+        """The time without requests that the endpoint asked for in this answer."""
+        return self._metadata.retry_after_s
+
     async def run(self) -> None:
         """Send the request and relay the answer to the caller.
 
--- a/medlarrail/relay/header_codec.py
+++ b/medlarrail/relay/header_codec.py
@@ -18,11 +18,14 @@
 DEADLINE = b"x-deadline-ms"
 NOT_RUN = b"x-not-run"
 LIMIT = b"x-limit-per-s"
+RETRY_AFTER = b"retry-after"
 ACCOUNT = b"x-account"
 ENDPOINT = b"x-endpoint"
 OVERRIDDEN_HEADERS = frozenset((b"authorization", ACCOUNT, ENDPOINT, DEADLINE))
 """Headers that the relay sets itself, replacing any value from the caller."""
 MAX_LIMIT_PER_S = 1e6
+MAX_RETRY_AFTER_S = 86_400.0
+UNAVAILABLE_STATUS = 503
 MAX_DIGITS = 18
 """Maximum digits of a number in a header, so that it fits a signed 64-bit integer."""
 
@@ -54,16 +57,31 @@
 
 def parse_limit(text: str) -> float | None:
     """Return a limit in requests per second, or None for an unusable value."""
+    return _parse_decimal(text, MAX_LIMIT_PER_S, "limits_unreadable")
+
+
+def parse_retry_after(status: int, text: str) -> float | None:
+    """Return the seconds for which an endpoint wants no requests, None for none.
+
+    Only a 503 states it, and only as a number; a date is unusable.
+    """
+    if status != UNAVAILABLE_STATUS:
+        return None
+    return _parse_decimal(text, MAX_RETRY_AFTER_S, "retry_after_unreadable")
+
+
+def _parse_decimal(text: str, maximum: float, counter: str) -> float | None:
+    """Return a number from 0 to ``maximum``; counts any other text but an empty one."""
     if not text:
         return None
     try:
-        limit = float(text)
+        number = float(text)
     except ValueError:
-        limit = -1.0
-    if not 0 <= limit <= MAX_LIMIT_PER_S:
-        get_metrics().count("limits_unreadable")
+        number = -1.0
+    if not 0 <= number <= maximum:
+        get_metrics().count(counter)
         return None
-    return limit
+    return number
 
 
 def build_refusal(error: MedlarError) -> Refusal:
@@ -132,6 +150,9 @@
             not_run=bool(get_header_text(headers, NOT_RUN)),
             misdirected=status == 421,
             limit_per_s=parse_limit(get_header_text(headers, LIMIT)),
+            retry_after_s=parse_retry_after(
+                status, get_header_text(headers, RETRY_AFTER)
+            ),
         )
 
     def write_refusal(
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -342,6 +342,7 @@
             cold=asdict(attempt.cold_send) if attempt.cold_send else None,
             transfers=attempt.dispatch.describe_transfers() if attempt.dispatch else [],
             limit_per_s=attempt.limit_per_s,
+            retry_after_s=attempt.retry_after_s,
             status=attempt.status,
             framing=attempt.framing,
             body_bytes=attempt.body_bytes,
