Leave endpoints alone for the time that they ask for

Callers saw rejections, and lost requests with a spent budget of repeats, while other endpoints stood idle: an endpoint that answered 503 with Retry-After went on getting its usual load from the gateway that it had told, and rejected it.

Cause: no code read the header.

The choice of endpoints, which every request of a gateway passes, leaves such an endpoint out until the latest end, for this incarnation alone, and the sending checks it again once a connection is there. Afterwards the gateways return one after the other, and each adds requests as they are accepted. If all endpoints asked for time, callers are refused at once with the shortest of the times. The answer counts neither as a failure nor as a fast answer.

--- a/medlarrail/core/errors.py
+++ b/medlarrail/core/errors.py
@@ -302,6 +302,13 @@
     endpoint: str = ""
 
 
+@define(slots=False)
+class EndpointBackingOff(Refusal):
+    """The endpoint asked for a time without requests, so nothing was sent."""
+
+    endpoint: str = ""
+
+
 @define(slots=False)
 class LedgerUnavailable(Refusal):
     """The at-most-once ledger cannot be asked; this request was not dispatched."""
--- a/medlarrail/programs/gateway.py
+++ b/medlarrail/programs/gateway.py
@@ -49,7 +49,10 @@
             work_address=settings.work_address,
         )
         endpoint_stats = EndpointStats(
-            self.cluster_view, settings.data_centre, settings.name
+            self.cluster_view,
+            settings.data_centre,
+            settings.name,
+            back_off_policy=settings.back_off,
         )
         self.relay = RequestRelay(
             self.cluster_view,
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -11,6 +11,7 @@
     AnswerCrossed,
     AnswerTooLong,
     AnswerTruncated,
+    EndpointBackingOff,
     EndpointFailed,
     EndpointRefused,
     EndUnproven,
@@ -85,9 +86,9 @@
 class Attempt:
     """One attempt to run ``relayed`` at ``endpoint``.
 
-    ``run`` raises ``EndpointUnreachable`` if nothing was sent, ``EndpointRefused``
-    if the endpoint states that it did not run the request, and a ``RunFailure`` if
-    it may have run.
+    ``run`` raises ``EndpointUnreachable`` or ``EndpointBackingOff`` if nothing was
+    sent, ``EndpointRefused`` if the endpoint states that it did not run the request,
+    and a ``RunFailure`` if it may have run.
     """
 
     relayed: AttemptRequest
@@ -105,6 +106,7 @@
     """Whether the bytes received of a stream end inside an event."""
     cold_send: ColdSend | None = None
     """Set if the endpoint was cold when the request was sent."""
+    _is_unanswered: bool = False
     _metadata: AnswerMetadata = field(factory=AnswerMetadata)
     _tracked_prompt: TrackedPrompt | None = None
     _started_at: float = 0.0
@@ -130,12 +132,18 @@
         route = self.relayed.admission.route
         record = relay.endpoint_stats.get_record(announced.name)
         record.in_flight += 1
+        record.unanswered += 1
+        self._is_unanswered = True
         connection = None
         try:
             with record.send_rate.reserve():
                 connection = await relay.pool.acquire(
                     announced.address, new_connection=not route.repeatable
                 )
+                # It may have asked for this while the connection was opened.
+                stats = relay.endpoint_stats
+                if stats.back_offs.is_active(announced, stats.clock()):
+                    raise EndpointBackingOff(endpoint=announced.name)
                 self.cold_send = relay.endpoint_stats.record_sent(self.endpoint)
             self.relayed.may_be_running = True
             if route.kind == "once":
@@ -143,11 +151,19 @@
             await self._run_exchange(connection)
         finally:
             record.in_flight -= 1
+            self._end_wait()
             if self._tracked_prompt is not None:
                 relay.workload.end(self._tracked_prompt)
             if connection is not None:
                 relay.pool.release(connection, self._metadata.keep_alive_s)
 
+    def _end_wait(self) -> None:
+        """Record that the request no longer waits for the beginning of its answer."""
+        if self._is_unanswered:
+            self._is_unanswered = False
+            name = self.endpoint.announced.name
+            self.relayed.relay.endpoint_stats.get_record(name).unanswered -= 1
+
     async def _run_exchange(self, connection: OutboundConnection) -> None:
         request = self.relayed.exchange.request
         self.dispatch = self.relayed.build_dispatch(self.endpoint)
@@ -179,7 +195,9 @@
             failed = failure is not None and not rejected
         finally:
             seconds = self.first_byte_s or trio.current_time() - self._started_at
-            record.record_answer(seconds, failed)
+            # An endpoint that asks for time has not failed, nor is it fast.
+            if self.retry_after_s is None:
+                record.record_answer(seconds, failed)
         if failure is not None:
             raise failure
 
@@ -198,6 +216,7 @@
 
     def _read_metadata(self, head: AnswerHead) -> None:
         relay = self.relayed.relay
+        self._end_wait()
         self.status = head.status
         self.framing = head.framing
         self._metadata = relay.header_codec.read_answer(head.status, head.headers)
@@ -207,6 +226,7 @@
             record.load_at = relay.endpoint_stats.clock()
         relay.endpoint_stats.health.record_success(self.endpoint.announced.name)
         self._record_named_rate()
+        self._record_retry_after()
         expected = self.relayed.metadata.request_id
         rejected = self._metadata.not_run or self._metadata.misdirected
         if expected and self._metadata.request_id != expected and not rejected:
@@ -216,6 +236,18 @@
                 received=self._metadata.request_id,
             )
 
+    def _record_retry_after(self) -> None:
+        """Record whether the answer asks for a time without requests."""
+        metadata = self._metadata
+        announced = self.endpoint.announced
+        stats = self.relayed.relay.endpoint_stats
+        now = stats.clock()
+        if metadata.retry_after_s:
+            if metadata.endpoint in ("", announced.name):
+                stats.back_offs.record_requested(announced, metadata.retry_after_s, now)
+        elif not metadata.not_run and not metadata.misdirected:
+            stats.back_offs.record_accepted(announced, now)
+
     def _record_named_rate(self) -> None:
         """Record the rate that the answer names; only a run proves that it ended."""
         metadata = self._metadata
--- a/medlarrail/relay/endpoint_stats.py
+++ b/medlarrail/relay/endpoint_stats.py
@@ -10,6 +10,7 @@
 from medlarrail.core.deployment import ServiceRule
 from medlarrail.core.metrics import get_metrics
 from medlarrail.ownership.path_health import PathHealth
+from medlarrail.policy.back_off import BackOffPolicy
 from medlarrail.policy.placement import Candidate
 from medlarrail.policy.rate_limits import (
     LONG_WINDOW_S,
@@ -18,6 +19,7 @@
     get_named_limit,
 )
 from medlarrail.policy.shares import get_share
+from medlarrail.relay.back_offs import BackOffs
 from medlarrail.relay.entry_rank import EntryRank
 from medlarrail.relay.metadata import EndpointLoad
 
@@ -60,6 +62,8 @@
     """Statistics of one endpoint's answers to this entry; times in seconds."""
 
     in_flight: int = 0
+    unanswered: int = 0
+    """Requests in flight whose answers have not begun."""
     answer_s: float = 0.0
     failure_rate: float = 0.0
     load: EndpointLoad | None = None
@@ -86,6 +90,8 @@
     data_centre: str
     entry: str
     clock: Clock = get_boottime
+    back_off_policy: BackOffPolicy = field(factory=BackOffPolicy)
+    back_offs: BackOffs = field(init=False)
     health: PathHealth = field(init=False)
     rank: EntryRank = field(init=False)
     records: dict[str, EndpointRecord] = field(factory=dict)
@@ -93,6 +99,7 @@
     def __attrs_post_init__(self):
         self.health = PathHealth(self.clock)
         self.rank = EntryRank(self.cluster_view, self.entry)
+        self.back_offs = BackOffs(self.cluster_view, self.rank, self.back_off_policy)
 
     def get_record(self, name: str) -> EndpointRecord:
         """Return the record of an endpoint, creating it if necessary."""
@@ -103,6 +110,7 @@
 
         Returns their names.
         """
+        self.back_offs.drop_ended(self.clock())
         dropped = [
             name
             for name, record in self.records.items()
@@ -129,13 +137,18 @@
         if announced.data_centre in self.cluster_view.out_data_centres:
             return "data centre out"
         now = self.clock()
-        send_rate = self.get_record(announced.name).send_rate
+        record = self.get_record(announced.name)
+        reason = self.back_offs.get_unavailable_reason(
+            announced, record.unanswered, now
+        )
+        if reason:
+            return reason
         if endpoint.cold_until > now and service.cold_per_s > 0:
             share = self._get_cold_share(endpoint, service)
-            if not send_rate.may_send(now, SendLimit(share)):
+            if not record.send_rate.may_send(now, SendLimit(share)):
                 return "cold"
         limit = self._get_named_limit(endpoint)
-        if limit is not None and not send_rate.may_send(now, limit):
+        if limit is not None and not record.send_rate.may_send(now, limit):
             return "limited"
         return ""
 
@@ -168,22 +181,24 @@
         return get_named_limit(per_s, self.cluster_view.entry_count, rank)
 
     def get_wait_s(self, service: ServiceRule) -> float | None:
-        """Return the time until the first limited endpoint may get another request.
+        """Return the time until the first endpoint may get another request.
 
-        Returns None if no endpoint of the service is limited by the rate it named.
+        Counts the endpoints of the service that are limited by the rate they named or
+        wanted no requests for some time; returns None if there are none.
         """
+        return min(self._iterate_waits(service), default=None)
+
+    def _iterate_waits(self, service: ServiceRule) -> Iterator[float]:
         now = self.clock()
-        return min(
-            (
-                self.get_record(endpoint.announced.name).send_rate.get_wait_s(
-                    now, self._get_named_limit(endpoint)
-                )
-                for endpoint in self.cluster_view.endpoints.values()
-                if endpoint.announced.service == service.name
-                and self.get_unavailable_reason(endpoint, service) == "limited"
-            ),
-            default=None,
-        )
+        for endpoint in self.cluster_view.endpoints.values():
+            if endpoint.announced.service != service.name:
+                continue
+            reason = self.get_unavailable_reason(endpoint, service)
+            if reason in ("backing off", "returning"):
+                yield self.back_offs.get(endpoint.announced).get_wait_s(now)
+            elif reason == "limited":
+                send_rate = self.get_record(endpoint.announced.name).send_rate
+                yield send_rate.get_wait_s(now, self._get_named_limit(endpoint))
 
     def _get_cold_share(self, endpoint: EndpointView, service: ServiceRule) -> int:
         """Return this entry's part of the cold rate, in requests per second.
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -14,6 +14,7 @@
 from medlarrail.core.errors import (
     AnswerTooLong,
     DeadlineExceeded,
+    EndpointBackingOff,
     EndpointRefused,
     EndpointUnreachable,
     MedlarError,
@@ -121,7 +122,7 @@
             endpoint = await self._wait_for_dispatch()
             if endpoint is None:
                 self._log_no_endpoint()
-                raise self.failure or self._build_no_endpoint()
+                raise self._build_failure()
             await self.relay.blocked_prompts.request_trial(
                 self.service.name, self.metadata.shared_parts
             )
@@ -129,11 +130,15 @@
                 return
             self._check_retry()
 
-    def _build_no_endpoint(self) -> NoEndpoint:
-        error = NoEndpoint(target=self.service.name)
+    def _build_failure(self) -> MedlarError:
+        """Return the error of a request for which no endpoint is left.
+
+        A refusal states the time until an endpoint may be used again, if that is known.
+        """
+        error = self.failure or NoEndpoint(target=self.service.name)
         wait_s = self.relay.endpoint_stats.get_wait_s(self.service)
-        if wait_s is not None:
-            error.retry_after_s = wait_s
+        if wait_s is not None and isinstance(error, Refusal):
+            error.retry_after_s = min(wait_s, self.get_remaining_s())
         return error
 
     async def _wait_for_dispatch(self) -> EndpointView | None:
@@ -258,6 +263,8 @@
         except EndpointUnreachable as error:
             self.relay.endpoint_stats.health.record_failure(name)
             self.failure = error
+        except EndpointBackingOff as error:
+            self.failure = error
         except EndpointRefused as error:
             self.sends += 1
             self.failure = error
--- a/medlarrail/settings/common.py
+++ b/medlarrail/settings/common.py
@@ -59,6 +59,9 @@
         )
     if not getattr(settings, "state_urls", ("set",)):
         faults.append(ValidationFault("$.state_urls", "is empty"))
+    back_off = getattr(settings, "back_off", None)
+    if back_off is not None and back_off.max_s < 0:
+        faults.append(ValidationFault("$.back_off.max_s", "is negative"))
     return faults
 
 
--- a/medlarrail/settings/gateway.py
+++ b/medlarrail/settings/gateway.py
@@ -2,6 +2,7 @@
 
 from attrs import field, frozen
 
+from medlarrail.policy.back_off import BackOffPolicy
 from medlarrail.policy.isolation import IsolationPolicy
 from medlarrail.relay.drain import DrainPolicy
 from medlarrail.relay.request_relay import RetryPolicy
@@ -28,6 +29,7 @@
     """``host:port`` for exchanging reports of work at engines between gateways;
     without it each gateway knows only its own work."""
     retries: RetryPolicy = field(factory=RetryPolicy)
+    back_off: BackOffPolicy = field(factory=BackOffPolicy)
     drain: DrainPolicy = field(factory=DrainPolicy)
     isolation: IsolationPolicy = field(factory=IsolationPolicy)
     max_connections: int = 2000
