Log crashes of all endpoints, and a fingerprint of the requests that broke

The logs could not tell whether one request was there at each crash: attempts had nothing that identifies a request across attempts, and the crash of an endpoint that runs no prompts was not looked for. A request is identified by a keyed hash of its method, host, path, query, account, model, prompt parts and body. It is computed only when a connection broke. Crash reports hold it beside the parts of prompts; nothing acts on it yet, and the search for crashing parts leaves it out.

--- a/medlarrail/cluster/crash_ledger.py
+++ b/medlarrail/cluster/crash_ledger.py
@@ -9,7 +9,7 @@
 from attrs import define, field, frozen
 
 from medlarrail.core.clock import Clock, get_boottime
-from medlarrail.core.entities import SharedPart
+from medlarrail.core.entities import SharedPart, is_request_key
 from medlarrail.policy.crashing_parts import Crash, find_crashing_parts
 
 RETENTION_S = 120.0
@@ -45,6 +45,10 @@
     at: float
     parts: set[str] = field(factory=set)
 
+    def list_prompt_parts(self) -> list[str]:
+        """Return the keys of prompt parts, without those of whole requests."""
+        return [key for key in self.parts if not is_request_key(key)]
+
 
 @frozen
 class CrashCause:
@@ -144,7 +148,7 @@
         services = {crash.service: crash.model for crash in self.crashes.values()}
         for service, model in services.items():
             crashes = [
-                Crash(crash.at, frozenset(crash.parts))
+                Crash(crash.at, frozenset(crash.list_prompt_parts()))
                 for crash in self._iterate_crashes(service)
             ]
             for parts in find_crashing_parts(crashes):
--- a/medlarrail/core/entities.py
+++ b/medlarrail/core/entities.py
@@ -126,9 +126,18 @@
     ordinal: int = 0
 
 
+REQUEST_KEY_PREFIX = "request:"
+"""Begins the keys of whole requests, which no part of a prompt has."""
+
+
+def is_request_key(key: str) -> bool:
+    """Return whether a key is that of a whole request and not of a prompt part."""
+    return key.startswith(REQUEST_KEY_PREFIX)
+
+
 @frozen
 class SharedPart:
-    """A part of the prompts of a service, by its key."""
+    """A part of the prompts of a service, or a whole request, by its key."""
 
     service: str
     key: str
--- a/medlarrail/programs/gateway.py
+++ b/medlarrail/programs/gateway.py
@@ -61,6 +61,7 @@
             settings.retries,
             settings.isolation,
         )
+        self.relay.fingerprint_secret = settings.keys.cluster.encode()
         self.relay.connect_state(self.view_client.state)
         self.relay.workload = WorkloadTracker(settings.name)
         if settings.work_address:
--- a/medlarrail/relay/crash_reporter.py
+++ b/medlarrail/relay/crash_reporter.py
@@ -1,4 +1,4 @@
-"""Reports crashed endpoints and the prompts that ran there.
+"""Reports crashed endpoints and the requests that ran there.
 
 A broken connection alone is no crash: connections are reset and answers cut while the
 endpoint goes on. It has crashed if it accepts no connections any more, or if another
@@ -14,7 +14,7 @@
 from medlarrail.cluster.cluster_view import ClusterView
 from medlarrail.cluster.state_client import StateClient
 from medlarrail.core.announcements import Announcement
-from medlarrail.core.entities import SharedPart
+from medlarrail.core.entities import SharedPart, is_request_key
 from medlarrail.core.errors import EndpointUnreachable, MedlarError
 from medlarrail.core.metrics import get_metrics
 from medlarrail.protocol.control import EmptyMessage
@@ -24,6 +24,7 @@
     CompletionReport,
     CrashReport,
 )
+from medlarrail.relay.fingerprint import RequestFingerprint
 from medlarrail.relay.metadata import PromptPart
 from medlarrail.relay.outbound import OutboundPool
 
@@ -41,10 +42,13 @@
 MAX_REPORTED_PARTS = 400
 """Maximum parts in one report, about 12 KB."""
 
+Suspect = PromptPart | RequestFingerprint
+"""What may have crashed an endpoint: a shared part of a prompt, or a whole request."""
+
 
 @define
 class BrokenEndpoint:
-    """An endpoint at which requests broke off, with the parts of their prompts."""
+    """An endpoint at which requests broke off, with the keys of what they held."""
 
     announced: Announcement
     model: str
@@ -77,7 +81,7 @@
             await trio.sleep_forever()
 
     def record_broken(
-        self, announced: Announcement, model: str, parts: Sequence[PromptPart]
+        self, announced: Announcement, model: str, parts: Sequence[Suspect]
     ) -> None:
         """Record a request that broke off at an endpoint, and check the endpoint."""
         if self._nursery is None or not parts:
@@ -132,7 +136,8 @@
     async def _report_crash(self, broken: BrokenEndpoint) -> None:
         announced = broken.announced
         get_metrics().count("endpoint_crashes", service=announced.service)
-        parts = tuple(sorted(broken.keys)[:MAX_REPORTED_PARTS])
+        keys = sorted(broken.keys, key=lambda key: (not is_request_key(key), key))
+        parts = tuple(keys[:MAX_REPORTED_PARTS])
         eliot.log_message(
             "endpoint:crashed",
             endpoint=announced.name,
@@ -154,7 +159,7 @@
             await trio.sleep(REPORT_PAUSE_S)
 
     def record_unproven(
-        self, announced: Announcement, parts: Sequence[PromptPart]
+        self, announced: Announcement, parts: Sequence[Suspect]
     ) -> None:
         """Record an answer whose end is not proven: whole if the endpoint goes on."""
         watched = self._list_watched(announced.service, parts)
@@ -162,7 +167,7 @@
             self._nursery.start_soon(self._check_unproven, announced, parts)
 
     async def _check_unproven(
-        self, announced: Announcement, parts: Sequence[PromptPart]
+        self, announced: Announcement, parts: Sequence[Suspect]
     ) -> None:
         self._check_count += 1
         try:
@@ -172,7 +177,7 @@
         finally:
             self._check_count -= 1
 
-    def _list_watched(self, service: str, parts: Sequence[PromptPart]) -> set[str]:
+    def _list_watched(self, service: str, parts: Sequence[Suspect]) -> set[str]:
         keys = {part.key for part in parts}
         return {
             key
@@ -180,7 +185,7 @@
             if self.cluster_view.is_watched(SharedPart(service, key))
         }
 
-    def record_completed(self, service: str, parts: Sequence[PromptPart]) -> None:
+    def record_completed(self, service: str, parts: Sequence[Suspect]) -> None:
         """Report the suspected parts of a prompt that was answered completely."""
         watched = self._list_watched(service, parts)
         if self._nursery is None or not watched:
--- a/medlarrail/relay/metadata.py
+++ b/medlarrail/relay/metadata.py
@@ -10,6 +10,7 @@
 from attrs import field, frozen
 
 from medlarrail.core.announcements import Announcement
+from medlarrail.core.entities import is_request_key
 from medlarrail.core.errors import MedlarError
 from medlarrail.core.placement import get_weight
 
@@ -45,7 +46,8 @@
     @property
     def key(self) -> str:
         """The identity, or a hash of a long one, for messages and stored data."""
-        if len(self.identity) <= MAX_KEY_CHARS:
+        is_plain = len(self.identity) <= MAX_KEY_CHARS
+        if is_plain and not is_request_key(self.identity):
             return self.identity
         return f"{get_weight(self.identity, 'part'):016x}"
 
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -5,6 +5,8 @@
 refusal is returned only if nothing has run.
 """
 
+from functools import cached_property
+
 import eliot
 import trio
 from attrs import asdict, define, field
@@ -31,6 +33,7 @@
 from medlarrail.policy.context import TransferPlan
 from medlarrail.relay.attempt import Attempt, BufferedAnswer
 from medlarrail.relay.endpoint_choice import EndpointChooser
+from medlarrail.relay.fingerprint import RequestFingerprint, get_fingerprint
 from medlarrail.relay.inbound import ServerExchange
 from medlarrail.relay.metadata import DispatchMetadata, RequestMetadata
 from medlarrail.relay.table import Admission, choose_service
@@ -81,6 +84,17 @@
         self.last_event_id = self.metadata.last_event_id
         self.chooser = EndpointChooser(self)
 
+    @cached_property
+    def fingerprint(self) -> RequestFingerprint:
+        """The fingerprint, which is computed only if the request may be a suspect."""
+        account = self.admission.account
+        return get_fingerprint(
+            self.exchange.request,
+            account.name if account is not None else "",
+            self.metadata,
+            self.relay.fingerprint_secret,
+        )
+
     def get_remaining_s(self) -> float:
         """Return the seconds left until the deadline."""
         return self.deadline - trio.current_time()
@@ -299,8 +313,9 @@
             self._record_broken(attempt.endpoint)
 
     def _record_broken(self, endpoint: EndpointView) -> None:
+        suspects = (*self.metadata.shared_parts, self.fingerprint)
         self.relay.crashes.record_broken(
-            endpoint.announced, self.metadata.model, self.metadata.shared_parts
+            endpoint.announced, self.metadata.model, suspects
         )
 
     def _log_abandoned(self) -> None:
@@ -331,6 +346,7 @@
 
     def _log_attempt(self, attempt: Attempt, outcome: str) -> None:
         request = self.exchange.request
+        is_broken = isinstance(self.failure, StreamBroken)
         record = self.relay.endpoint_stats.get_record(attempt.endpoint.announced.name)
         eliot.log_message(
             "request:attempt",
@@ -350,6 +366,7 @@
             transfers=attempt.dispatch.describe_transfers() if attempt.dispatch else [],
             limit_per_s=attempt.limit_per_s,
             retry_after_s=attempt.retry_after_s,
+            fingerprint=self.fingerprint.digest if is_broken else "",
             status=attempt.status,
             framing=attempt.framing,
             body_bytes=attempt.body_bytes,
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -68,6 +68,8 @@
     workload: WorkloadTracker = field(factory=lambda: WorkloadTracker(""))
     reporter: WorkloadReporter | None = None
     draining: bool = False
+    fingerprint_secret: bytes = field(default=b"", repr=False)
+    """Key of the fingerprints of requests, the same at all entries."""
     table: RouteTable | None = None
     prompt_mix: PromptMix = field(factory=PromptMix)
     crashes: CrashReporter = field(init=False)
