--- a/medlarrail/testing/crashing_engines.py
+++ b/medlarrail/testing/crashing_engines.py
@@ -1,11 +1,18 @@
 """Engines that crash on one part of a prompt, behind a fleet of gateways."""
 
+from collections.abc import Callable
+
 import trio
 from attrs import define, field, frozen
 
 from medlarrail.testing.builders import build_announcement
 from medlarrail.testing.fleet import Fleet
-from medlarrail.testing.scripted_endpoints import HOST, get_value, read_request
+from medlarrail.testing.scripted_endpoints import (
+    HOST,
+    build_answer,
+    get_value,
+    read_request,
+)
 from medlarrail.transport.sockets import set_reset_on_close
 
 CRASH_DELAY_S = 0.02
@@ -95,6 +102,14 @@
         finally:
             self._streams.discard(stream)
 
+    async def _crash(self) -> None:
+        """Crash soon; does not return."""
+        await trio.sleep(CRASH_DELAY_S)
+        if not self._crashed.is_set():
+            self.crashing.crashes.append(trio.current_time())
+            self._crashed.set()
+        await trio.sleep_forever()
+
     async def _answer(self, stream: trio.SocketStream, request: bytes) -> None:
         headers = self.crashing.headers
         request_id = get_value(request, headers.request_id)
@@ -104,16 +119,24 @@
         head = HEAD + headers.added + id_line + b"\r\n"
         if self.crashing.crashing_part in parts[:-1]:
             await stream.send_all(head)
-            await trio.sleep(CRASH_DELAY_S)
-            if not self._crashed.is_set():
-                self.crashing.crashes.append(trio.current_time())
-                self._crashed.set()
-            await trio.sleep_forever()
+            await self._crash()
         await trio.sleep(ANSWER_S)
         chunk = b"%x\r\n%s\r\n" % (len(EVENT), EVENT)
         await stream.send_all(head + chunk + b"0\r\n\r\n")
 
 
+@define(eq=False)
+class CrashingService(CrashingEngine):
+    """An endpoint of a plain service that crashes when it runs a crashing request."""
+
+    async def _answer(self, stream: trio.SocketStream, request: bytes) -> None:
+        self.crashing.requests.append((trio.current_time(), request))
+        if self.crashing.is_crashing(request):
+            await self._crash()
+        await trio.sleep(ANSWER_S)
+        await stream.send_all(build_answer(request))
+
+
 @define(eq=False)
 class CrashingFleet:
     """Engines behind a fleet of gateways, and what the engines received.
@@ -127,14 +150,21 @@
     crashing_part: str = ""
     received: list[ReceivedRequest] = field(factory=list)
     crashes: list[float] = field(factory=list)
+    is_crashing: Callable[[bytes], bool] = lambda request: False
+    """Whether a plain service crashes under a request."""
+    requests: list[tuple[float, bytes]] = field(factory=list)
+    """Requests that reached a plain service, with their times."""
 
 
 async def start_crashing_fleet(
-    fleet: Fleet, headers: EngineHeaders, engines: int = 4
+    fleet: Fleet,
+    headers: EngineHeaders,
+    engines: int = 4,
+    engine_type: type[CrashingEngine] = CrashingEngine,
 ) -> CrashingFleet:
     """Start engines that do not crash yet, and wait until each gateway knows one."""
     crashing = CrashingFleet(fleet, headers)
     for number in range(engines):
-        fleet.nursery.start_soon(CrashingEngine(number + 1, crashing).run)
+        fleet.nursery.start_soon(engine_type(number + 1, crashing).run)
     await fleet.wait(lambda gateway: bool(gateway.relay.cluster_view.endpoints))
     return crashing
