Block a request that crashes the endpoints that run it

Callers saw a service without endpoints: one request crashed each endpoint, and came again with the same path, caller and body when they were back.

Cause: crashes were blamed on endpoints and on parts of prompts only; nothing connected the attempts of a request without parts.

Crash reports now hold the fingerprints of the requests that broke. A complete answer clears a request. One that was there at two separate crashes is sent only as a trial that the leader grants, one at a time for each service, and only its own trial blocks it: the requests beside it complete theirs. The block is in the replicated log, like those of parts, and callers are refused at once without an invitation to repeat.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -19,7 +19,12 @@
 )
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.core.deployment import Deployment
-from medlarrail.core.entities import BlockedParts, DesiredVersion, SharedPart
+from medlarrail.core.entities import (
+    BlockedParts,
+    DesiredVersion,
+    SharedPart,
+    is_request_key,
+)
 from medlarrail.core.errors import MedlarError
 from medlarrail.core.invariants import require
 from medlarrail.core.metrics import get_metrics
@@ -72,7 +77,11 @@
     desired_received_at: dict[str, float] = field(factory=dict)
     """When this entry received the desired version of each model."""
     suspects: frozenset[SharedPart] = frozenset()
-    """Parts of prompts that may crash endpoints."""
+    """Parts of prompts and whole requests that may crash endpoints."""
+    trial_requests: frozenset[SharedPart] = frozenset()
+    """Requests that may only be sent as trials."""
+    watched_services: frozenset[str] = frozenset()
+    """Services with suspected or blocked requests, whose requests are identified."""
     blocked: dict[SharedPart, list[BlockedParts]] = field(factory=dict)
     """Blocked sets of parts by their first part."""
     member_urls: tuple[str, ...] = ()
@@ -109,8 +118,12 @@
         self._apply_desired(answer.desired)
         if answer.suspects is not None:
             self.suspects = frozenset(answer.suspects)
+            self._update_watched_services()
+        if answer.trial_requests is not None:
+            self.trial_requests = frozenset(answer.trial_requests)
         if answer.blocked is not None:
             self._apply_blocked(answer.blocked)
+            self._update_watched_services()
         self.member_urls = answer.member_urls
 
     def _apply_deployment(self, deployment: Deployment) -> None:
@@ -191,9 +204,20 @@
             first = SharedPart(blocked.service, blocked.parts[0])
             self.blocked.setdefault(first, []).append(blocked)
 
+    def _update_watched_services(self) -> None:
+        self.watched_services = frozenset(
+            part.service
+            for part in self.suspects | self._blocked_parts
+            if is_request_key(part.key)
+        )
+
+    def is_blocked(self, part: SharedPart) -> bool:
+        """Return whether ``part`` is blocked, by itself or with others."""
+        return part in self._blocked_parts
+
     def is_watched(self, part: SharedPart) -> bool:
-        """Return whether complete answers to prompts with ``part`` are reported."""
-        return part in self.suspects or part in self._blocked_parts
+        """Return whether complete answers to requests with ``part`` are reported."""
+        return part in self.suspects or self.is_blocked(part)
 
     def _apply_entries(
         self, listed: tuple[RegisteredEntry, ...], settled: bool
--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -285,6 +285,7 @@
             desired=tuple(catalogue.desired.values()),
             suspects_revision=ledger.revision,
             suspects=ledger.list_suspects() if suspected else None,
+            trial_requests=ledger.list_trial_requests() if suspected else None,
             blocked=tuple(catalogue.blocked.values()) if configured else None,
             member_urls=tuple(info.url for info in self.member.journal.get_members()),
         )
--- a/medlarrail/cluster/crash_ledger.py
+++ b/medlarrail/cluster/crash_ledger.py
@@ -1,4 +1,4 @@
-"""Recent crashes of endpoints and the parts of prompts that may have caused them.
+"""Recent crashes of endpoints and the prompt parts or requests that may be the cause.
 
 Kept by the leading state member in memory. What it concludes, the blocked parts, is in
 the replicated log.
@@ -11,6 +11,7 @@
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.core.entities import SharedPart, is_request_key
 from medlarrail.policy.crashing_parts import Crash, find_crashing_parts
+from medlarrail.policy.crashing_requests import needs_trial
 
 RETENTION_S = 120.0
 """Age up to which a crash is evidence."""
@@ -69,6 +70,7 @@
     crashes: dict[Incarnation, RecordedCrash] = field(factory=dict)
     _changed_at: float = float("-inf")
     _suspected_since: dict[SharedPart, float] = field(factory=dict)
+    _trial_requests: set[SharedPart] = field(factory=set)
 
     def clear(self) -> None:
         """Forget all crashes."""
@@ -131,15 +133,62 @@
         suspects = {
             part: self._suspected_since.get(part, now)
             for part, count in counts.items()
-            if count >= MIN_SUSPECT_CRASHES
+            if count >= MIN_SUSPECT_CRASHES or is_request_key(part.key)
         }
-        changed = suspects.keys() != self._suspected_since.keys()
+        trial_requests = self._find_trial_requests(counts)
+        changed = (
+            suspects.keys() != self._suspected_since.keys()
+            or trial_requests != self._trial_requests
+        )
         self.revision += changed
         self._suspected_since = suspects
+        self._trial_requests = trial_requests
         return changed
 
+    def _find_trial_requests(self, counts: dict[SharedPart, int]) -> set[SharedPart]:
+        """Return the requests that may only be sent as trials."""
+        return {
+            request
+            for request, count in counts.items()
+            if count > 1
+            and is_request_key(request.key)
+            and needs_trial(self._iterate_times(request))
+        }
+
+    def _iterate_times(self, request: SharedPart) -> Iterator[float]:
+        for crash in self._iterate_crashes(request.service):
+            if request.key in crash.parts:
+                yield crash.at
+
+    def needs_trial(self, request: SharedPart) -> bool:
+        """Return whether a request may only be sent as a trial."""
+        return request in self._trial_requests
+
+    def list_trial_requests(self) -> tuple[SharedPart, ...]:
+        """Return the requests that may only be sent as trials."""
+        return tuple(self._trial_requests)
+
+    def count_crashes(self, request: SharedPart) -> int:
+        """Return the number of crashes at which a request was there."""
+        return sum(1 for _ in self._iterate_times(request))
+
+    def is_only_suspect(self, request: SharedPart, since: float) -> bool:
+        """Return whether a request crashed an endpoint by itself after ``since``.
+
+        It did if no other request that needs a trial was there.
+        """
+        return any(
+            crash.at >= since
+            and request.key in crash.parts
+            and not any(
+                SharedPart(request.service, key) in self._trial_requests
+                for key in crash.parts - {request.key}
+            )
+            for crash in self._iterate_crashes(request.service)
+        )
+
     def list_suspects(self) -> tuple[SharedPart, ...]:
-        """Return the parts that were there at more than one crash."""
+        """Return the parts of more than one crash, and the requests of any."""
         return tuple(self._suspected_since)
 
     def find_causes(self) -> list[CrashCause]:
--- a/medlarrail/cluster/crash_watch.py
+++ b/medlarrail/cluster/crash_watch.py
@@ -11,18 +11,22 @@
 
 from medlarrail.cluster.cluster_view_server import ClusterViewServer
 from medlarrail.cluster.crash_ledger import CrashCause, Incarnation, RecordedCrash
+from medlarrail.cluster.request_trials import RequestTrials
 from medlarrail.core.clock import Clock, get_wall_time
-from medlarrail.core.entities import BlockedParts
+from medlarrail.core.entities import BlockedParts, SharedPart, is_request_key
 from medlarrail.core.errors import MedlarError, NotLeader
 from medlarrail.core.metrics import get_metrics
 from medlarrail.policy.crashing_parts import get_trial_delay_s
+from medlarrail.policy.crashing_requests import get_request_trial_delay_s
 from medlarrail.protocol.control import EmptyMessage
 from medlarrail.protocol.crashes import (
     COMPLETIONS_PATH,
     CRASHES_PATH,
+    REQUEST_TRIALS_PATH,
     TRIALS_PATH,
     CompletionReport,
     CrashReport,
+    RequestTrialRequest,
     TrialAnswer,
     TrialRequest,
 )
@@ -32,15 +36,25 @@
 CHECK_INTERVAL_S = 0.1
 
 
+def _get_trial_delay_s(blocked: BlockedParts, trials: int) -> float:
+    if any(map(is_request_key, blocked.parts)):
+        return get_request_trial_delay_s(trials)
+    return get_trial_delay_s(trials)
+
+
 @define(eq=False)
 class CrashWatch:
     """Handlers of the reports, and the task that blocks parts."""
 
     view_server: ClusterViewServer
     wall_clock: Clock = get_wall_time
+    _trials: RequestTrials = field(init=False)
     _being_tried: set[str] = field(factory=set)
     """Blocked parts for which a trial is being committed."""
 
+    def __attrs_post_init__(self):
+        self._trials = RequestTrials(self.view_server.crash_ledger)
+
     @property
     def _blocked(self) -> dict[str, BlockedParts]:
         return self.view_server.member.catalogue.blocked
@@ -70,6 +84,7 @@
             ),
             self._list_single_parts(report.service),
         )
+        self._trials.record_crash(report.service, set(report.parts))
         if changed:
             self.view_server.notify_waiters()
         return EmptyMessage()
@@ -88,6 +103,7 @@
         report: CompletionReport = request.message
         self.view_server.require_leading()
         ledger = self.view_server.crash_ledger
+        self._trials.record_completed(report.service, set(report.parts))
         if ledger.record_completed(report.service, report.parts):
             self.view_server.notify_waiters()
         for blocked in list(self._blocked.values()):
@@ -124,13 +140,30 @@
                 evolve(
                     blocked,
                     trials=trials,
-                    trial_at_s=now_s + get_trial_delay_s(trials),
+                    trial_at_s=now_s + _get_trial_delay_s(blocked, trials),
                 )
             )
         finally:
             self._being_tried.discard(name)
         return TrialAnswer(True)
 
+    @route("POST", REQUEST_TRIALS_PATH, RequestTrialRequest)
+    async def handle_request_trial(self, request: Request) -> TrialAnswer:
+        """Grant a suspected request if no other of its service is on trial."""
+        message: RequestTrialRequest = request.message
+        await self.view_server.member.confirm_reads()
+        self.view_server.require_leading()
+        suspect = SharedPart(message.service, message.key)
+        if self._is_blocked(suspect):
+            return TrialAnswer(False)
+        return TrialAnswer(self._trials.grant(suspect))
+
+    def _is_blocked(self, request: SharedPart) -> bool:
+        return any(
+            blocked.service == request.service and blocked.parts == (request.key,)
+            for blocked in self._blocked.values()
+        )
+
     async def run(self) -> None:
         """Block the parts that crash endpoints while this member leads."""
         while True:
@@ -146,6 +179,8 @@
     async def _block_causes(self) -> None:
         ledger = self.view_server.crash_ledger
         ledger.drop_expired()
+        for request in self._trials.take_failed():
+            await self._block_request(request)
         if ledger.has_news():
             for cause in ledger.find_causes():
                 await self._block_cause(cause)
@@ -164,6 +199,17 @@
             )
         )
 
+    async def _block_request(self, request: SharedPart) -> None:
+        await self._block(
+            BlockedParts(
+                request.service,
+                "",
+                (request.key,),
+                self.view_server.crash_ledger.count_crashes(request),
+                trial_at_s=self.wall_clock() + get_request_trial_delay_s(0),
+            )
+        )
+
     async def _block(self, blocked: BlockedParts) -> None:
         await self.view_server.commit(BlockParts(blocked))
         eliot.log_message(
--- a/medlarrail/core/errors.py
+++ b/medlarrail/core/errors.py
@@ -272,6 +272,21 @@
     parts: tuple = ()
 
 
+@define(slots=False)
+class RequestBlocked(Refusal):
+    """Endpoints crash under this request, so it is not sent again."""
+
+    request: str = ""
+    retry_after_s: float | None = None
+
+
+@define(slots=False)
+class RequestOnTrial(Refusal):
+    """Endpoints crashed beside this request; a trial decides on it."""
+
+    request: str = ""
+
+
 @define(slots=False)
 class TooManyConnections(Refusal):
     """The process serves as many requests as its settings allow."""
--- a/medlarrail/protocol/cluster_view.py
+++ b/medlarrail/protocol/cluster_view.py
@@ -81,7 +81,10 @@
     """Number of entries that may be serving, including the leaving ones."""
     suspects_revision: int = 0
     suspects: tuple[SharedPart, ...] | None = None
-    """Parts of prompts that may crash endpoints; None if nothing changed."""
+    """Parts of prompts and whole requests that may crash endpoints; None if nothing
+    changed."""
+    trial_requests: tuple[SharedPart, ...] | None = None
+    """Requests that may only be sent as trials; None if nothing changed."""
     blocked: tuple[BlockedParts, ...] | None = None
     """None if nothing changed."""
     deployment: Deployment | None = None
--- a/medlarrail/protocol/crashes.py
+++ b/medlarrail/protocol/crashes.py
@@ -5,6 +5,7 @@
 CRASHES_PATH = "/internal/crashes"
 COMPLETIONS_PATH = "/internal/crashes/completions"
 TRIALS_PATH = "/internal/crashes/trials"
+REQUEST_TRIALS_PATH = "/internal/crashes/request-trials"
 
 
 @frozen
@@ -12,7 +13,7 @@
     """Reports that an endpoint crashed while prompts with ``parts`` ran there.
 
     ``started_ms`` identifies its incarnation. The crash was noticed ``age_s`` seconds
-    before the report was sent. Parts are given by their keys.
+    before the report was sent. Parts and whole requests are given by their keys.
     """
 
     entry: str
@@ -41,6 +42,15 @@
     name: str
 
 
+@frozen
+class RequestTrialRequest:
+    """Asks for permission to send a suspected request once, given by its key."""
+
+    entry: str
+    service: str
+    key: str
+
+
 @frozen
 class TrialAnswer:
     """Whether the request may be sent."""
--- a/medlarrail/relay/blocked_prompts.py
+++ b/medlarrail/relay/blocked_prompts.py
@@ -1,4 +1,4 @@
-"""Refuses prompts with parts that crash endpoints."""
+"""Refuses prompts with parts that crash endpoints, and requests that crash them."""
 
 from collections.abc import Sequence
 
@@ -8,11 +8,11 @@
 from medlarrail.cluster.cluster_view import ClusterView
 from medlarrail.cluster.state_client import StateClient
 from medlarrail.core.clock import Clock, get_wall_time
-from medlarrail.core.entities import BlockedParts, SharedPart
-from medlarrail.core.errors import MedlarError, PromptBlocked
+from medlarrail.core.entities import BlockedParts, SharedPart, is_request_key
+from medlarrail.core.errors import MedlarError, PromptBlocked, RequestBlocked
 from medlarrail.core.metrics import get_metrics
 from medlarrail.protocol.crashes import TRIALS_PATH, TrialAnswer, TrialRequest
-from medlarrail.relay.metadata import PromptPart
+from medlarrail.relay.crash_reporter import Suspect
 
 CALL_TIMEOUT_S = 1.0
 MIN_RETRY_AFTER_S = 1.0
@@ -32,7 +32,7 @@
     _asking: set[str] = field(factory=set)
     """Blocked parts for which a trial is being requested."""
 
-    def find(self, service: str, parts: Sequence[PromptPart]) -> BlockedParts | None:
+    def find(self, service: str, parts: Sequence[Suspect]) -> BlockedParts | None:
         """Return the blocked parts that a prompt has all of, or None."""
         if not self.cluster_view.blocked:
             return None
@@ -44,7 +44,7 @@
         return None
 
     def require_trial_due(
-        self, service: str, parts: Sequence[PromptPart]
+        self, service: str, parts: Sequence[Suspect]
     ) -> BlockedParts | None:
         """Return the blocked parts of a prompt whose trial is due, None if it has none.
 
@@ -58,7 +58,7 @@
             raise self._build_refusal(blocked)
         return blocked
 
-    async def request_trial(self, service: str, parts: Sequence[PromptPart]) -> None:
+    async def request_trial(self, service: str, parts: Sequence[Suspect]) -> None:
         """Raise ``PromptBlocked`` for a blocked prompt unless it is the next trial.
 
         At most one request in the whole deployment is sent for each trial.
@@ -86,7 +86,10 @@
             return False
         return answer.granted
 
-    def _build_refusal(self, blocked: BlockedParts) -> PromptBlocked:
+    def _build_refusal(self, blocked: BlockedParts) -> PromptBlocked | RequestBlocked:
+        if is_request_key(blocked.parts[0]):
+            get_metrics().count("requests_blocked", service=blocked.service)
+            return RequestBlocked(request=blocked.parts[0])
         get_metrics().count("prompts_blocked", service=blocked.service)
         wait_s = blocked.trial_at_s - self.wall_clock()
         return PromptBlocked(
--- a/medlarrail/relay/crashing_requests_test.py
+++ b/medlarrail/relay/crashing_requests_test.py
@@ -102,9 +102,7 @@
 
 def count_later(callers: Callers, mark: str) -> int:
     """Return the attempts that count: some time after the third crash."""
-    at = [
-        at for at, request in callers.crashing.requests if get_mark(request) == mark
-    ]
+    at = [at for at, request in callers.crashing.requests if get_mark(request) == mark]
     if len(at) < CRASHES:
         return 0
     return sum(time > at[CRASHES - 1] + CONTACT_S for time in at)
--- a/medlarrail/relay/header_codec.py
+++ b/medlarrail/relay/header_codec.py
@@ -92,6 +92,8 @@
     """
     if isinstance(error, RefusalError):
         status = error.status if error.status in (429, 503) else 503
+        if error.retry_after_s is None:
+            return Refusal(status, type(error).__name__)
         return Refusal(status, type(error).__name__, max(0.05, error.retry_after_s))
     if isinstance(error, CallerError):
         return Refusal(error.status, type(error).__name__)
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -32,6 +32,7 @@
 from medlarrail.core.scopes import ContextScope
 from medlarrail.policy.context import TransferPlan
 from medlarrail.relay.attempt import Attempt, BufferedAnswer
+from medlarrail.relay.crash_reporter import Suspect
 from medlarrail.relay.endpoint_choice import EndpointChooser
 from medlarrail.relay.fingerprint import RequestFingerprint, get_fingerprint
 from medlarrail.relay.inbound import ServerExchange
@@ -71,6 +72,8 @@
     """Whether an attempt in progress may be running at its endpoint."""
     fallback_answer: BufferedAnswer | None = None
     last_event_id: str = ""
+    is_trial: bool = False
+    """Whether the leader granted this request as a trial."""
     chooser: EndpointChooser = field(init=False)
 
     def __attrs_post_init__(self):
@@ -137,13 +140,24 @@
             if endpoint is None:
                 self._log_no_endpoint()
                 raise self._build_failure()
-            await self.relay.blocked_prompts.request_trial(
-                self.service.name, self.metadata.shared_parts
-            )
+            await self._request_trial()
             if await self._attempt(endpoint):
                 return
             self._check_retry()
 
+    async def _request_trial(self) -> None:
+        """Ask for permission to send a request that may crash its endpoint.
+
+        A trial that was granted lasts until the request has run.
+        """
+        if self.is_trial and not self.runs:
+            return
+        suspects = self._list_watched_suspects()
+        await self.relay.blocked_prompts.request_trial(self.service.name, suspects)
+        self.is_trial = await self.relay.suspected_requests.request_trial(
+            self.service.name, suspects
+        )
+
     def _build_failure(self) -> MedlarError:
         """Return the error of a request for which no endpoint is left.
 
@@ -163,7 +177,7 @@
         began_at = trio.current_time()
         while True:
             self.relay.blocked_prompts.require_trial_due(
-                self.service.name, self.metadata.shared_parts
+                self.service.name, self._list_watched_suspects()
             )
             if (choice := self.chooser.choose()).action != "wait":
                 break
@@ -304,14 +318,21 @@
         An answer that ends with its connection may be what came before the endpoint
         crashed.
         """
-        parts = self.metadata.shared_parts
+        suspects = self._list_watched_suspects()
         if attempt.framing.proves_end:
-            self.relay.crashes.record_completed(self.service.name, parts)
+            self.relay.crashes.record_completed(self.service.name, suspects)
         elif attempt.body_bytes:
-            self.relay.crashes.record_unproven(attempt.endpoint.announced, parts)
+            self.relay.crashes.record_unproven(attempt.endpoint.announced, suspects)
         else:
             self._record_broken(attempt.endpoint)
 
+    def _list_watched_suspects(self) -> tuple[Suspect, ...]:
+        """Return what may crash endpoints, with this request if any is watched."""
+        parts = self.metadata.shared_parts
+        if self.service.name in self.relay.cluster_view.watched_services:
+            return (*parts, self.fingerprint)
+        return parts
+
     def _record_broken(self, endpoint: EndpointView) -> None:
         suspects = (*self.metadata.shared_parts, self.fingerprint)
         self.relay.crashes.record_broken(
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -31,6 +31,7 @@
 from medlarrail.relay.metadata import HeaderCodec, RequestMetadata
 from medlarrail.relay.outbound import OutboundPool
 from medlarrail.relay.relayed_request import RelayedRequest
+from medlarrail.relay.suspected_requests import SuspectedRequests
 from medlarrail.relay.table import Admission, RouteTable
 from medlarrail.relay.workload_reporter import WorkloadReporter
 from medlarrail.relay.workload_tracker import WorkloadTracker
@@ -74,6 +75,7 @@
     prompt_mix: PromptMix = field(factory=PromptMix)
     crashes: CrashReporter = field(init=False)
     blocked_prompts: BlockedPrompts = field(init=False)
+    suspected_requests: SuspectedRequests = field(init=False)
     limits: LimitReporter = field(init=False)
     _budgets: dict[str, RetryBudget] = field(factory=dict)
 
@@ -81,6 +83,7 @@
         entry = self.endpoint_stats.entry
         self.crashes = CrashReporter(self.cluster_view, self.pool, entry)
         self.blocked_prompts = BlockedPrompts(self.cluster_view, entry)
+        self.suspected_requests = SuspectedRequests(self.cluster_view, entry)
         self.limits = LimitReporter(entry, self.cluster_view.clock)
         self.cluster_view.deployment_listeners.append(self._update_route_table)
 
@@ -170,7 +173,8 @@
 
     def connect_state(self, state: StateClient) -> None:
         """Set the client for reports to the leading state member."""
-        self.crashes.state = self.blocked_prompts.state = self.limits.state = state
+        self.crashes.state = self.blocked_prompts.state = state
+        self.suspected_requests.state = self.limits.state = state
 
     async def run_reporters(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Report crashes and named rates to the leader until cancelled."""
