Judge a trial by its crash, however late, and keep a granted trial until it ran

Found by reading the change: a trial that was still queued after 1 s was forgotten when the next one began, so its crash decided nothing and the request got another. And a retrial of a blocked request was lost if its endpoint could not be reached. Each trial is now awaited by itself for 10 s; only the beginning of the next waits 1 s.

--- a/medlarrail/cluster/crash_watch.py
+++ b/medlarrail/cluster/crash_watch.py
@@ -84,7 +84,7 @@
             ),
             self._list_single_parts(report.service),
         )
-        self._trials.record_crash(report.service, set(report.parts))
+        self._trials.record_crash(report.service, report.parts)
         if changed:
             self.view_server.notify_waiters()
         return EmptyMessage()
@@ -103,7 +103,7 @@
         report: CompletionReport = request.message
         self.view_server.require_leading()
         ledger = self.view_server.crash_ledger
-        self._trials.record_completed(report.service, set(report.parts))
+        self._trials.record_completed(report.service, report.parts)
         if ledger.record_completed(report.service, report.parts):
             self.view_server.notify_waiters()
         for blocked in list(self._blocked.values()):
--- a/medlarrail/cluster/request_trials.py
+++ b/medlarrail/cluster/request_trials.py
@@ -1,5 +1,7 @@
 """Trials of requests that may crash endpoints, on the leading state member."""
 
+from collections.abc import Iterable
+
 import eliot
 from attrs import define, field
 
@@ -8,6 +10,8 @@
 
 MAX_TRIAL_S = 1.0
 """Time after which a trial without a result no longer holds up others."""
+RESULT_TIMEOUT_S = 10.0
+"""Time after which a request without a result may be tried again."""
 DECISION_DELAY_S = 0.3
 """Time after a trial's crash for all entries to report what else ran there."""
 
@@ -20,40 +24,53 @@
     started_at: float
     crashed_at: float | None = None
 
+    def is_awaited(self, now: float) -> bool:
+        """Return whether no other trial of the service may begin."""
+        return self.crashed_at is not None or now - self.started_at < MAX_TRIAL_S
+
 
 @define(eq=False)
 class RequestTrials:
     """The trials of a ledger's suspected requests, one at a time for each service."""
 
     ledger: CrashLedger
-    _open: dict[str, OpenTrial] = field(factory=dict)
-    """By service."""
+    _open: dict[SharedPart, OpenTrial] = field(factory=dict)
 
     def grant(self, request: SharedPart) -> bool:
         """Return whether a request may be sent now; starts a trial if it needs one."""
         if not self.ledger.needs_trial(request):
             return True
         now = self.ledger.clock()
-        trial = self._open.get(request.service)
-        if trial is not None and (
-            trial.crashed_at is not None or now - trial.started_at < MAX_TRIAL_S
+        self._drop_unresolved(now)
+        if request in self._open or any(
+            trial.request.service == request.service and trial.is_awaited(now)
+            for trial in self._open.values()
         ):
             return False
-        self._open[request.service] = OpenTrial(request, now)
+        self._open[request] = OpenTrial(request, now)
         eliot.log_message("request:trial", service=request.service, request=request.key)
         return True
 
-    def record_crash(self, service: str, keys: set[str]) -> None:
+    def _drop_unresolved(self, now: float) -> None:
+        unresolved = [
+            request
+            for request, trial in self._open.items()
+            if trial.crashed_at is None and now - trial.started_at >= RESULT_TIMEOUT_S
+        ]
+        for request in unresolved:
+            del self._open[request]
+
+    def record_crash(self, service: str, keys: Iterable[str]) -> None:
         """Record the crash of an endpoint on which requests with these keys ran."""
-        trial = self._open.get(service)
-        if trial is not None and trial.request.key in keys:
-            trial.crashed_at = self.ledger.clock()
+        for key in keys:
+            trial = self._open.get(SharedPart(service, key))
+            if trial is not None and trial.crashed_at is None:
+                trial.crashed_at = self.ledger.clock()
 
-    def record_completed(self, service: str, keys: set[str]) -> None:
-        """End the trial of a request that was answered completely."""
-        trial = self._open.get(service)
-        if trial is not None and trial.request.key in keys:
-            del self._open[service]
+    def record_completed(self, service: str, keys: Iterable[str]) -> None:
+        """End the trials of requests that were answered completely."""
+        for key in keys:
+            self._open.pop(SharedPart(service, key), None)
 
     def take_failed(self) -> list[SharedPart]:
         """Return and end the trials whose crash can be judged.
@@ -69,7 +86,7 @@
             and now - trial.crashed_at >= DECISION_DELAY_S
         ]
         for trial in judged:
-            del self._open[trial.request.service]
+            del self._open[trial.request]
         return [
             trial.request
             for trial in judged
--- a/medlarrail/cluster/request_trials_test.py
+++ b/medlarrail/cluster/request_trials_test.py
@@ -9,6 +9,7 @@
 from medlarrail.cluster.request_trials import (
     DECISION_DELAY_S,
     MAX_TRIAL_S,
+    RESULT_TIMEOUT_S,
     RequestTrials,
 )
 from medlarrail.core.entities import REQUEST_KEY_PREFIX, SharedPart
@@ -118,6 +119,23 @@
         watched.now += MAX_TRIAL_S
         assert watched.grant("b")
 
+    def test_a_late_crash_does_not_decide_the_trial(self):
+        """Another request's trial had begun meanwhile."""
+        watched = crash_twice("a", "b")
+        assert watched.grant("a")
+        watched.now += MAX_TRIAL_S
+        assert watched.grant("b")
+        watched.complete("b")
+        assert not watched.grant("a")
+        watched.crash("a")
+        assert watched.wait(JUDGED_S) == ["a"]
+
+    def test_a_lost_trial_is_the_last(self):
+        watched = crash_twice("a")
+        assert watched.grant("a")
+        watched.now += RESULT_TIMEOUT_S
+        assert watched.grant("a")
+
     def test_endpoints_that_end_together_count_as_several_crashes(self):
         watched = Watched()
         for _ in range(5):
--- a/medlarrail/relay/blocked_prompts.py
+++ b/medlarrail/relay/blocked_prompts.py
@@ -58,14 +58,15 @@
             raise self._build_refusal(blocked)
         return blocked
 
-    async def request_trial(self, service: str, parts: Sequence[Suspect]) -> None:
-        """Raise ``PromptBlocked`` for a blocked prompt unless it is the next trial.
+    async def request_trial(self, service: str, parts: Sequence[Suspect]) -> bool:
+        """Return whether the request is the next trial of blocked parts.
 
-        At most one request in the whole deployment is sent for each trial.
+        Raises ``PromptBlocked`` or ``RequestBlocked`` for any other blocked one. At
+        most one request in the whole deployment is sent for each trial.
         """
         blocked = self.require_trial_due(service, parts)
         if blocked is None:
-            return
+            return False
         self._asking.add(blocked.name)
         try:
             granted = await self._ask_leader(blocked)
@@ -74,6 +75,7 @@
         if not granted:
             raise self._build_refusal(blocked)
         eliot.log_message("prompt-parts:trial", name=blocked.name)
+        return True
 
     async def _ask_leader(self, blocked: BlockedParts) -> bool:
         request = TrialRequest(self.name, blocked.name)
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -152,11 +152,12 @@
         """
         if self.is_trial and not self.runs:
             return
+        relay = self.relay
         suspects = self._list_watched_suspects()
-        await self.relay.blocked_prompts.request_trial(self.service.name, suspects)
-        self.is_trial = await self.relay.suspected_requests.request_trial(
-            self.service.name, suspects
-        )
+        name = self.service.name
+        is_retried = await relay.blocked_prompts.request_trial(name, suspects)
+        is_suspected = await relay.suspected_requests.request_trial(name, suspects)
+        self.is_trial = is_retried or is_suspected
 
     def _build_failure(self) -> MedlarError:
         """Return the error of a request for which no endpoint is left.
