--- a/medlarrail/cluster/crash_watch_test.py
+++ b/medlarrail/cluster/crash_watch_test.py
@@ -6,15 +6,17 @@
 
 from medlarrail.cluster.cluster_view_server import ClusterViewServer
 from medlarrail.cluster.crash_watch import CrashWatch
-from medlarrail.core.entities import DesiredVersion
+from medlarrail.core.entities import REQUEST_KEY_PREFIX, DesiredVersion
 from medlarrail.policy.crashing_parts import get_trial_delay_s
 from medlarrail.protocol.control import EmptyMessage
 from medlarrail.protocol.crashes import (
     COMPLETIONS_PATH,
     CRASHES_PATH,
+    REQUEST_TRIALS_PATH,
     TRIALS_PATH,
     CompletionReport,
     CrashReport,
+    RequestTrialRequest,
     TrialAnswer,
     TrialRequest,
 )
@@ -181,3 +183,79 @@
         )
         assert await watched.try_part()
         assert not await watched.try_part()
+
+
+REQUEST = REQUEST_KEY_PREFIX + "d1"
+
+
+class TestRequests:
+    async def crash(self, watched: WatchedCluster, count: int) -> None:
+        """Report crashes under one request, each at another endpoint."""
+        for _ in range(count):
+            await watched.crash((REQUEST,))
+            await trio.sleep(0.2)
+
+    async def try_request(self, watched: WatchedCluster) -> bool:
+        """Ask to send the suspected request and return whether it was granted."""
+        request = RequestTrialRequest("entry", "guide", REQUEST)
+        answer = await watched.call(REQUEST_TRIALS_PATH, request, TrialAnswer)
+        return answer.granted
+
+    async def block(self, watched: WatchedCluster) -> None:
+        """Report crashes until the request is blocked."""
+        await self.crash(watched, 2)
+        assert await self.try_request(watched)
+        await trio.sleep(0.05)
+        await self.crash(watched, 1)
+        await trio.sleep(BLOCK_WAIT_S)
+        assert await watched.list_blocked() == [(REQUEST,)]
+
+    async def test_a_request_is_blocked_without_a_trial(self, watched, autojump_clock):
+        """Endpoints that crash in turn take a popular request with them."""
+        await self.crash(watched, 5)
+        await trio.sleep(BLOCK_WAIT_S)
+        assert await watched.list_blocked() == []
+        assert await self.try_request(watched)
+        await watched.complete((REQUEST,))
+        await trio.sleep(BLOCK_WAIT_S)
+        assert await watched.list_blocked() == []
+
+    async def test_a_new_leader_forgets_the_blocked_request(
+        self, watched, autojump_clock
+    ):
+        await self.block(watched)
+        leader = await watched.cluster.wait_leader()
+        watched.cluster.kill(leader.name)
+        await trio.sleep(5.0)
+        assert await watched.list_blocked() == [(REQUEST,)]
+        assert not await self.try_request(watched)
+
+    async def test_a_new_leader_allows_more_than_three_attempts(
+        self, watched, autojump_clock
+    ):
+        """It has none of the evidence, so the request runs as if it were new."""
+        await self.crash(watched, 2)
+        leader = await watched.cluster.wait_leader()
+        watched.cluster.kill(leader.name)
+        await trio.sleep(5.0)
+        await self.block(watched)
+
+    async def test_a_blocked_request_is_tried_again_and_again(
+        self, watched, autojump_clock
+    ):
+        await self.block(watched)
+        granted = 0
+        for _ in range(200):
+            granted += await watched.try_part(REQUEST)
+            await trio.sleep(1.0)
+        assert granted == 1
+
+    async def test_a_request_stays_blocked_although_its_trial_completed(
+        self, watched, autojump_clock
+    ):
+        await self.block(watched)
+        await trio.sleep(60.0)
+        assert await watched.try_part(REQUEST)
+        await watched.complete((REQUEST,))
+        assert await watched.list_blocked() == []
+        assert await self.try_request(watched)
--- a/medlarrail/relay/crashing_requests_test.py
+++ b/medlarrail/relay/crashing_requests_test.py
@@ -6,10 +6,19 @@
 
 import pytest
 import trio
-from attrs import define, field
+from attrs import define, evolve, field
 
 from medlarrail.core.deployment import AccountRule
-from medlarrail.testing.builders import build_deployment, build_route
+from medlarrail.core.entities import BlockedParts, SharedPart
+from medlarrail.policy.crashing_requests import NEVER_S
+from medlarrail.relay import relayed_request
+from medlarrail.relay.fingerprint import RequestFingerprint
+from medlarrail.relay.request_relay import RequestRelay
+from medlarrail.testing.builders import (
+    build_cluster_view_answer,
+    build_deployment,
+    build_route,
+)
 from medlarrail.testing.crashing_engines import (
     CrashingFleet,
     CrashingService,
@@ -17,7 +26,13 @@
     start_crashing_fleet,
 )
 from medlarrail.testing.fleet import start_fleet
-from medlarrail.testing.scripted_endpoints import RelayHarness, build_request, get_value
+from medlarrail.testing.scripted_endpoints import (
+    RelayHarness,
+    answer_ok,
+    build_request,
+    get_value,
+    start_relay,
+)
 
 CONTACT_S = 3.0
 """Time in which a gateway that is in touch learns of everything."""
@@ -155,3 +170,60 @@
         await send_mixed(callers, crashing, SOUND)
         later = [count_later(callers, f"crash{number}") for number in range(count)]
         assert max(later) <= MAX_LATER_REQUESTS
+
+
+REQUEST = "request:d1"
+SUSPECT = SharedPart("guide", REQUEST)
+
+
+def apply_answer(relay: RequestRelay, **changes) -> None:
+    """Let a leader list suspected or blocked requests to a relay."""
+    answer = evolve(build_cluster_view_answer(), whole=False, **changes)
+    relay.cluster_view.apply(answer)
+
+
+class TestRefusals:
+    async def start(self, nursery, monkeypatch) -> RelayHarness:
+        """Return a relay, without a leader, all requests of which have one key."""
+        monkeypatch.setattr(RequestFingerprint, "key", REQUEST)
+        harness = await start_relay(nursery)
+        await harness.add(answer_ok)
+        return harness
+
+    async def test_a_blocked_request_invites_its_caller_to_repeat_it(
+        self, nursery, monkeypatch
+    ):
+        harness = await self.start(nursery, monkeypatch)
+        blocked = BlockedParts("guide", "", (REQUEST,), 3, trial_at_s=NEVER_S * 10)
+        apply_answer(harness.relay, blocked=(blocked,))
+        answer = await harness.send(build_request())
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert b"RequestBlocked" in answer
+        assert get_value(answer, b"retry-after") is None
+        assert not harness.endpoints[0].requests
+
+    async def test_a_suspected_request_is_sent_without_a_leader(
+        self, nursery, monkeypatch
+    ):
+        harness = await self.start(nursery, monkeypatch)
+        apply_answer(harness.relay, suspects=(SUSPECT,), trial_requests=(SUSPECT,))
+        answer = await harness.send(build_request())
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert float(get_value(answer, b"retry-after")) > 0
+        assert not harness.endpoints[0].requests
+
+    async def test_a_watched_request_is_held_up(self, nursery, monkeypatch):
+        """One crash makes no trial."""
+        harness = await self.start(nursery, monkeypatch)
+        apply_answer(harness.relay, suspects=(SUSPECT,), trial_requests=())
+        answer = await harness.send(build_request())
+        assert answer.startswith(b"HTTP/1.1 200")
+
+    async def test_requests_are_hashed_though_none_is_watched(
+        self, nursery, monkeypatch
+    ):
+        harness = await start_relay(nursery)
+        await harness.add(answer_ok)
+        monkeypatch.setattr(relayed_request, "get_fingerprint", None)
+        answer = await harness.send(build_request())
+        assert answer.startswith(b"HTTP/1.1 200")
