Ask for trials in one place, and start scripted endpoints of a fleet in one

Two modules repeated the call to the leader, and two test modules the start of an endpoint. RequestTrialRequest is now SuspectTrialRequest. No decision has changed; 152 tests of trials, blocked parts, named rates, back-offs and layers pass.

--- a/medlarrail/cluster/crash_watch.py
+++ b/medlarrail/cluster/crash_watch.py
@@ -26,7 +26,7 @@
     TRIALS_PATH,
     CompletionReport,
     CrashReport,
-    RequestTrialRequest,
+    SuspectTrialRequest,
     TrialAnswer,
     TrialRequest,
 )
@@ -147,10 +147,10 @@
             self._being_tried.discard(name)
         return TrialAnswer(True)
 
-    @route("POST", REQUEST_TRIALS_PATH, RequestTrialRequest)
+    @route("POST", REQUEST_TRIALS_PATH, SuspectTrialRequest)
     async def handle_request_trial(self, request: Request) -> TrialAnswer:
         """Grant a suspected request if no other of its service is on trial."""
-        message: RequestTrialRequest = request.message
+        message: SuspectTrialRequest = request.message
         await self.view_server.member.confirm_reads()
         self.view_server.require_leading()
         suspect = SharedPart(message.service, message.key)
--- a/medlarrail/cluster/crash_watch_test.py
+++ b/medlarrail/cluster/crash_watch_test.py
@@ -16,7 +16,7 @@
     TRIALS_PATH,
     CompletionReport,
     CrashReport,
-    RequestTrialRequest,
+    SuspectTrialRequest,
     TrialAnswer,
     TrialRequest,
 )
@@ -197,7 +197,7 @@
 
     async def try_request(self, watched: WatchedCluster) -> bool:
         """Ask to send the suspected request and return whether it was granted."""
-        request = RequestTrialRequest("entry", "guide", REQUEST)
+        request = SuspectTrialRequest("entry", "guide", REQUEST)
         answer = await watched.call(REQUEST_TRIALS_PATH, request, TrialAnswer)
         return answer.granted
 
--- a/medlarrail/programs/operator_blocked.py
+++ b/medlarrail/programs/operator_blocked.py
@@ -1,4 +1,4 @@
-"""Commands for parts of prompts that are blocked because endpoints crash on them."""
+"""Commands for prompt parts and requests that are blocked: endpoints crash on them."""
 
 import typer
 
--- a/medlarrail/protocol/crashes.py
+++ b/medlarrail/protocol/crashes.py
@@ -43,7 +43,7 @@
 
 
 @frozen
-class RequestTrialRequest:
+class SuspectTrialRequest:
     """Asks for permission to send a suspected request once, given by its key."""
 
     entry: str
--- a/medlarrail/relay/blocked_prompts.py
+++ b/medlarrail/relay/blocked_prompts.py
@@ -9,12 +9,12 @@
 from medlarrail.cluster.state_client import StateClient
 from medlarrail.core.clock import Clock, get_wall_time
 from medlarrail.core.entities import BlockedParts, SharedPart, is_request_key
-from medlarrail.core.errors import MedlarError, PromptBlocked, RequestBlocked
+from medlarrail.core.errors import PromptBlocked, RequestBlocked
 from medlarrail.core.metrics import get_metrics
-from medlarrail.protocol.crashes import TRIALS_PATH, TrialAnswer, TrialRequest
+from medlarrail.protocol.crashes import TRIALS_PATH, TrialRequest
 from medlarrail.relay.crash_reporter import Suspect
+from medlarrail.relay.trial_client import ask_for_trial
 
-CALL_TIMEOUT_S = 1.0
 MIN_RETRY_AFTER_S = 1.0
 
 
@@ -69,7 +69,9 @@
             return False
         self._asking.add(blocked.name)
         try:
-            granted = await self._ask_leader(blocked)
+            granted = await ask_for_trial(
+                self.state, TRIALS_PATH, TrialRequest(self.name, blocked.name)
+            )
         finally:
             self._asking.discard(blocked.name)
         if not granted:
@@ -77,17 +79,6 @@
         eliot.log_message("prompt-parts:trial", name=blocked.name)
         return True
 
-    async def _ask_leader(self, blocked: BlockedParts) -> bool:
-        request = TrialRequest(self.name, blocked.name)
-        try:
-            answer = await self.state.call_leader(
-                TRIALS_PATH, request, TrialAnswer, CALL_TIMEOUT_S
-            )
-        except MedlarError as error:
-            get_metrics().count("trial_call_failures", type=type(error).__name__)
-            return False
-        return answer.granted
-
     def _build_refusal(self, blocked: BlockedParts) -> PromptBlocked | RequestBlocked:
         if is_request_key(blocked.parts[0]):
             get_metrics().count("requests_blocked", service=blocked.service)
--- a/medlarrail/relay/named_limits_test.py
+++ b/medlarrail/relay/named_limits_test.py
@@ -25,8 +25,6 @@
 from medlarrail.testing.fleet import Fleet, start_fleet
 from medlarrail.testing.logs import collect_messages
 from medlarrail.testing.scripted_endpoints import (
-    HOST,
-    ScriptedEndpoint,
     build_answer,
     build_request,
     build_script,
@@ -101,15 +99,8 @@
     times: list[float] = field(factory=list)
     named_at: float = float("inf")
 
-    async def start(self, fleet: Fleet) -> None:
-        """Listen, and announce the endpoint to the fleet's state member."""
-        endpoint = ScriptedEndpoint(self.name, self._answer)
-        await fleet.nursery.start(endpoint.run)
-        address = f"{HOST}:{endpoint.port}"
-        announcement = build_announcement(name=self.name, address=address, slots=32)
-        fleet.view_server.record_announcement(announcement)
-
-    async def _answer(self, connection, request: bytes) -> None:
+    async def answer(self, connection, request: bytes) -> None:
+        """Answer as a script does."""
         now = trio.current_time()
         self.times.append(now)
         await trio.sleep(self.answer_s)
@@ -129,13 +120,8 @@
         LimitedEngine("engine-3", answer_s=0.01),
     ]
     for engine in engines:
-        await engine.start(fleet)
-    await fleet.wait(
-        lambda gateway: (
-            len(gateway.relay.cluster_view.endpoints) == len(engines)
-            and gateway.relay.cluster_view.entries_settled
-        )
-    )
+        await fleet.add_endpoint(engine.name, engine.answer)
+    await fleet.wait_for_endpoints(len(engines))
     return fleet, engines
 
 
--- a/medlarrail/relay/retry_after_test.py
+++ b/medlarrail/relay/retry_after_test.py
@@ -29,9 +29,7 @@
 from medlarrail.testing.fleet import Fleet, start_fleet
 from medlarrail.testing.logs import collect_messages
 from medlarrail.testing.scripted_endpoints import (
-    HOST,
     RelayHarness,
-    ScriptedEndpoint,
     answer_ok,
     build_answer,
     build_request,
@@ -113,16 +111,8 @@
     _asked: dict[str, list[tuple[float, float]]] = field(factory=dict)
     """For each gateway, spans in which it may hardly send."""
 
-    async def start(self, fleet: Fleet) -> None:
-        """Listen, and announce the endpoint to the fleet's state member."""
-        endpoint = ScriptedEndpoint(self.name, self._answer)
-        await fleet.nursery.start(endpoint.run)
-        announcement = build_announcement(
-            name=self.name, address=f"{HOST}:{endpoint.port}", slots=32
-        )
-        fleet.view_server.record_announcement(announcement)
-
-    async def _answer(self, connection, request: bytes) -> None:
+    async def answer(self, connection, request: bytes) -> None:
+        """Answer as a script does."""
         now = trio.current_time()
         gateway = get_value(request, b"x-sent-to").decode()
         self.arrivals += 1
@@ -155,13 +145,8 @@
         for number in range(others)
     ]
     for endpoint in endpoints:
-        await endpoint.start(fleet)
-    await fleet.wait(
-        lambda gateway: (
-            len(gateway.relay.cluster_view.endpoints) == len(endpoints)
-            and gateway.relay.cluster_view.entries_settled
-        )
-    )
+        await fleet.add_endpoint(endpoint.name, endpoint.answer)
+    await fleet.wait_for_endpoints(len(endpoints))
     return fleet, overloaded
 
 
--- a/medlarrail/relay/suspected_requests.py
+++ b/medlarrail/relay/suspected_requests.py
@@ -7,16 +7,12 @@
 from medlarrail.cluster.cluster_view import ClusterView
 from medlarrail.cluster.state_client import StateClient
 from medlarrail.core.entities import SharedPart
-from medlarrail.core.errors import MedlarError, RequestOnTrial
+from medlarrail.core.errors import RequestOnTrial
 from medlarrail.core.metrics import get_metrics
-from medlarrail.protocol.crashes import (
-    REQUEST_TRIALS_PATH,
-    RequestTrialRequest,
-    TrialAnswer,
-)
+from medlarrail.protocol.crashes import REQUEST_TRIALS_PATH, SuspectTrialRequest
 from medlarrail.relay.crash_reporter import Suspect
+from medlarrail.relay.trial_client import ask_for_trial
 
-CALL_TIMEOUT_S = 1.0
 RETRY_AFTER_S = 0.3
 """Time to the next trial of the service, which may be this request's."""
 
@@ -48,17 +44,9 @@
         return is_trial
 
     async def _require_granted(self, part: SharedPart) -> None:
-        if self.state is None or not await self._ask_leader(part):
+        request = SuspectTrialRequest(self.name, part.service, part.key)
+        if self.state is None or not await ask_for_trial(
+            self.state, REQUEST_TRIALS_PATH, request
+        ):
             get_metrics().count("requests_on_trial", service=part.service)
             raise RequestOnTrial(request=part.key, retry_after_s=RETRY_AFTER_S)
-
-    async def _ask_leader(self, part: SharedPart) -> bool:
-        request = RequestTrialRequest(self.name, part.service, part.key)
-        try:
-            answer = await self.state.call_leader(
-                REQUEST_TRIALS_PATH, request, TrialAnswer, CALL_TIMEOUT_S
-            )
-        except MedlarError as error:
-            get_metrics().count("trial_call_failures", type=type(error).__name__)
-            return False
-        return answer.granted
--- a/medlarrail/testing/fleet.py
+++ b/medlarrail/testing/fleet.py
@@ -16,8 +16,15 @@
 from medlarrail.core.deployment import Deployment
 from medlarrail.relay.header_codec import DefaultHeaderCodec
 from medlarrail.relay.metadata import HeaderCodec
+from medlarrail.testing.builders import build_announcement
 from medlarrail.testing.cluster import Cluster
-from medlarrail.testing.scripted_endpoints import HOST, RelayHarness, start_relay
+from medlarrail.testing.scripted_endpoints import (
+    HOST,
+    RelayHarness,
+    Script,
+    ScriptedEndpoint,
+    start_relay,
+)
 
 MEMBER = "m1"
 START_TIMEOUT_S = 10.0
@@ -50,6 +57,23 @@
         self.nursery.start_soon(view_client.run)
         self.gateways.append(harness)
 
+    async def add_endpoint(self, name: str, script: Script) -> None:
+        """Start a scripted endpoint and announce it to the state member."""
+        endpoint = ScriptedEndpoint(name, script)
+        await self.nursery.start(endpoint.run)
+        address = f"{HOST}:{endpoint.port}"
+        announcement = build_announcement(name=name, address=address, slots=32)
+        self.view_server.record_announcement(announcement)
+
+    async def wait_for_endpoints(self, count: int) -> None:
+        """Wait until every gateway knows the endpoints and the other gateways."""
+        await self.wait(
+            lambda gateway: (
+                len(gateway.relay.cluster_view.endpoints) == count
+                and gateway.relay.cluster_view.entries_settled
+            )
+        )
+
     async def wait(self, is_reached: Callable[[RelayHarness], bool]) -> None:
         """Wait until every gateway is in some state."""
         with trio.fail_after(START_TIMEOUT_S):
