--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -106,7 +106,6 @@
     """Whether the bytes received of a stream end inside an event."""
     cold_send: ColdSend | None = None
     """Set if the endpoint was cold when the request was sent."""
-    _is_unanswered: bool = False
     _metadata: AnswerMetadata = field(factory=AnswerMetadata)
     _tracked_prompt: TrackedPrompt | None = None
     _started_at: float = 0.0
@@ -133,7 +132,6 @@
         record = relay.endpoint_stats.get_record(announced.name)
         record.in_flight += 1
         record.unanswered += 1
-        self._is_unanswered = True
         connection = None
         try:
             with record.send_rate.reserve():
@@ -151,19 +149,13 @@
             await self._run_exchange(connection)
         finally:
             record.in_flight -= 1
-            self._end_wait()
+            if not self.status:
+                record.unanswered -= 1
             if self._tracked_prompt is not None:
                 relay.workload.end(self._tracked_prompt)
             if connection is not None:
                 relay.pool.release(connection, self._metadata.keep_alive_s)
 
-    def _end_wait(self) -> None:
-        """Record that the request no longer waits for the beginning of its answer."""
-        if self._is_unanswered:
-            self._is_unanswered = False
-            name = self.endpoint.announced.name
-            self.relayed.relay.endpoint_stats.get_record(name).unanswered -= 1
-
     async def _run_exchange(self, connection: OutboundConnection) -> None:
         request = self.relayed.exchange.request
         self.dispatch = self.relayed.build_dispatch(self.endpoint)
@@ -216,11 +208,11 @@
 
     def _read_metadata(self, head: AnswerHead) -> None:
         relay = self.relayed.relay
-        self._end_wait()
+        record = relay.endpoint_stats.get_record(self.endpoint.announced.name)
+        record.unanswered -= 1
         self.status = head.status
         self.framing = head.framing
         self._metadata = relay.header_codec.read_answer(head.status, head.headers)
-        record = relay.endpoint_stats.get_record(self.endpoint.announced.name)
         if self._metadata.load is not None:
             record.load = self._metadata.load
             record.load_at = relay.endpoint_stats.clock()
