Count the crashes of all suspects in one pass

Each change of the evidence went through all crashes once more for each suspected request. The times of the crashes are now collected with their counts.

--- a/medlarrail/cluster/crash_ledger.py
+++ b/medlarrail/cluster/crash_ledger.py
@@ -125,17 +125,21 @@
         """Determine the suspects anew; return whether they changed."""
         now = self.clock()
         self._changed_at = now
-        counts: dict[SharedPart, int] = {}
+        times: dict[SharedPart, list[float]] = {}
         for crash in self.crashes.values():
             for key in crash.parts:
                 part = SharedPart(crash.service, key)
-                counts[part] = counts.get(part, 0) + 1
+                times.setdefault(part, []).append(crash.at)
         suspects = {
             part: self._suspected_since.get(part, now)
-            for part, count in counts.items()
-            if count >= MIN_SUSPECT_CRASHES or is_request_key(part.key)
+            for part, crash_times in times.items()
+            if len(crash_times) >= MIN_SUSPECT_CRASHES or is_request_key(part.key)
+        }
+        trial_requests = {
+            part
+            for part, crash_times in times.items()
+            if is_request_key(part.key) and needs_trial(crash_times)
         }
-        trial_requests = self._find_trial_requests(counts)
         changed = (
             suspects.keys() != self._suspected_since.keys()
             or trial_requests != self._trial_requests
@@ -145,21 +149,6 @@
         self._trial_requests = trial_requests
         return changed
 
-    def _find_trial_requests(self, counts: dict[SharedPart, int]) -> set[SharedPart]:
-        """Return the requests that may only be sent as trials."""
-        return {
-            request
-            for request, count in counts.items()
-            if count > 1
-            and is_request_key(request.key)
-            and needs_trial(self._iterate_times(request))
-        }
-
-    def _iterate_times(self, request: SharedPart) -> Iterator[float]:
-        for crash in self._iterate_crashes(request.service):
-            if request.key in crash.parts:
-                yield crash.at
-
     def needs_trial(self, request: SharedPart) -> bool:
         """Return whether a request may only be sent as a trial."""
         return request in self._trial_requests
@@ -170,7 +159,10 @@
 
     def count_crashes(self, request: SharedPart) -> int:
         """Return the number of crashes at which a request was there."""
-        return sum(1 for _ in self._iterate_times(request))
+        return sum(
+            request.key in crash.parts
+            for crash in self._iterate_crashes(request.service)
+        )
 
     def is_only_suspect(self, request: SharedPart, since: float) -> bool:
         """Return whether a request crashed an endpoint by itself after ``since``.
