--- a/medlarrail/cluster/crash_watch.py
+++ b/medlarrail/cluster/crash_watch.py
@@ -13,7 +13,7 @@
 from medlarrail.cluster.crash_ledger import CrashCause, Incarnation, RecordedCrash
 from medlarrail.cluster.request_trials import RequestTrials
 from medlarrail.core.clock import Clock, get_wall_time
-from medlarrail.core.entities import BlockedParts, SharedPart, is_request_key
+from medlarrail.core.entities import BlockedParts, SharedPart
 from medlarrail.core.errors import MedlarError, NotLeader
 from medlarrail.core.metrics import get_metrics
 from medlarrail.policy.crashing_parts import get_trial_delay_s
@@ -37,7 +37,7 @@
 
 
 def _get_trial_delay_s(blocked: BlockedParts, trials: int) -> float:
-    if any(map(is_request_key, blocked.parts)):
+    if blocked.is_request:
         return get_request_trial_delay_s(trials)
     return get_trial_delay_s(trials)
 
@@ -90,7 +90,7 @@
         return EmptyMessage()
 
     def _list_single_parts(self, service: str) -> list[str]:
-        """Return the parts of a service that are blocked by themselves."""
+        """Return the parts and requests of a service that are blocked by themselves."""
         return [
             blocked.parts[0]
             for blocked in self._blocked.values()
@@ -153,17 +153,11 @@
         message: SuspectTrialRequest = request.message
         await self.view_server.member.confirm_reads()
         self.view_server.require_leading()
-        suspect = SharedPart(message.service, message.key)
-        if self._is_blocked(suspect):
+        if message.key in self._list_single_parts(message.service):
             return TrialAnswer(False)
+        suspect = SharedPart(message.service, message.key)
         return TrialAnswer(self._trials.grant(suspect))
 
-    def _is_blocked(self, request: SharedPart) -> bool:
-        return any(
-            blocked.service == request.service and blocked.parts == (request.key,)
-            for blocked in self._blocked.values()
-        )
-
     async def run(self) -> None:
         """Block the parts that crash endpoints while this member leads."""
         while True:
--- a/medlarrail/core/entities.py
+++ b/medlarrail/core/entities.py
@@ -164,6 +164,11 @@
         """The name in commands and logs."""
         return "+".join((self.service, *self.parts))
 
+    @property
+    def is_request(self) -> bool:
+        """Whether a whole request is blocked; it is blocked by itself."""
+        return is_request_key(self.parts[0])
+
 
 @frozen
 class WeightLoad:
--- a/medlarrail/relay/blocked_prompts.py
+++ b/medlarrail/relay/blocked_prompts.py
@@ -8,7 +8,7 @@
 from medlarrail.cluster.cluster_view import ClusterView
 from medlarrail.cluster.state_client import StateClient
 from medlarrail.core.clock import Clock, get_wall_time
-from medlarrail.core.entities import BlockedParts, SharedPart, is_request_key
+from medlarrail.core.entities import BlockedParts, SharedPart
 from medlarrail.core.errors import PromptBlocked, RequestBlocked
 from medlarrail.core.metrics import get_metrics
 from medlarrail.protocol.crashes import TRIALS_PATH, TrialRequest
@@ -80,7 +80,7 @@
         return True
 
     def _build_refusal(self, blocked: BlockedParts) -> PromptBlocked | RequestBlocked:
-        if is_request_key(blocked.parts[0]):
+        if blocked.is_request:
             get_metrics().count("requests_blocked", service=blocked.service)
             return RequestBlocked(request=blocked.parts[0])
         get_metrics().count("prompts_blocked", service=blocked.service)
