Look for a suspected request only while there is one

Each request compared the keys of all its parts with an empty list. A request has one fingerprint, so at most one of its keys is on trial, and one lookup finds it.

--- a/medlarrail/relay/suspected_requests.py
+++ b/medlarrail/relay/suspected_requests.py
@@ -28,25 +28,32 @@
     name: str
     state: StateClient | None = None
 
-    async def request_trial(self, service: str, suspects: Sequence[Suspect]) -> bool:
-        """Return whether the request is a trial that the leader has granted.
+    def find(self, service: str, suspects: Sequence[Suspect]) -> SharedPart | None:
+        """Return the request if it may only be sent as a trial.
 
-        Raises ``RequestOnTrial`` for a suspected request that is not granted. One that
-        is blocked already has trials of its own.
+        One that is blocked already has trials of its own.
         """
-        is_trial = False
+        if not self.cluster_view.trial_requests:
+            return None
         for suspect in suspects:
             part = SharedPart(service, suspect.key)
             is_on_trial = part in self.cluster_view.trial_requests
             if is_on_trial and not self.cluster_view.is_blocked(part):
-                await self._require_granted(part)
-                is_trial = True
-        return is_trial
+                return part
+        return None
+
+    async def request_trial(self, service: str, suspects: Sequence[Suspect]) -> bool:
+        """Return whether the request is a trial that the leader has granted.
 
-    async def _require_granted(self, part: SharedPart) -> None:
-        request = SuspectTrialRequest(self.name, part.service, part.key)
+        Raises ``RequestOnTrial`` for a suspected request that is not granted.
+        """
+        suspect = self.find(service, suspects)
+        if suspect is None:
+            return False
+        request = SuspectTrialRequest(self.name, service, suspect.key)
         if self.state is None or not await ask_for_trial(
             self.state, REQUEST_TRIALS_PATH, request
         ):
-            get_metrics().count("requests_on_trial", service=part.service)
-            raise RequestOnTrial(request=part.key, retry_after_s=RETRY_AFTER_S)
+            get_metrics().count("requests_on_trial", service=service)
+            raise RequestOnTrial(request=suspect.key, retry_after_s=RETRY_AFTER_S)
+        return True
