Keep what a request tells of crashes in a module of its own

The relayed request decided on attempts and also kept the fingerprint, the trial and the evidence of its answers. The methods moved to CrashEvidence unchanged.

--- a/medlarrail/relay/crashing_requests_test.py
+++ b/medlarrail/relay/crashing_requests_test.py
@@ -11,7 +11,7 @@
 from medlarrail.core.deployment import AccountRule
 from medlarrail.core.entities import BlockedParts, SharedPart
 from medlarrail.policy.crashing_requests import NEVER_S
-from medlarrail.relay import relayed_request
+from medlarrail.relay import crash_evidence
 from medlarrail.relay.fingerprint import RequestFingerprint
 from medlarrail.relay.request_relay import RequestRelay
 from medlarrail.testing.builders import (
@@ -224,6 +224,6 @@
     ):
         harness = await start_relay(nursery)
         await harness.add(answer_ok)
-        monkeypatch.setattr(relayed_request, "get_fingerprint", None)
+        monkeypatch.setattr(crash_evidence, "get_fingerprint", None)
         answer = await harness.send(build_request())
         assert answer.startswith(b"HTTP/1.1 200")
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -5,8 +5,6 @@
 refusal is returned only if nothing has run.
 """
 
-from functools import cached_property
-
 import eliot
 import trio
 from attrs import asdict, define, field
@@ -32,9 +30,8 @@
 from medlarrail.core.scopes import ContextScope
 from medlarrail.policy.context import TransferPlan
 from medlarrail.relay.attempt import Attempt, BufferedAnswer
-from medlarrail.relay.crash_reporter import Suspect
+from medlarrail.relay.crash_evidence import CrashEvidence
 from medlarrail.relay.endpoint_choice import EndpointChooser
-from medlarrail.relay.fingerprint import RequestFingerprint, get_fingerprint
 from medlarrail.relay.inbound import ServerExchange
 from medlarrail.relay.metadata import DispatchMetadata, RequestMetadata
 from medlarrail.relay.table import Admission, choose_service
@@ -72,8 +69,7 @@
     """Whether an attempt in progress may be running at its endpoint."""
     fallback_answer: BufferedAnswer | None = None
     last_event_id: str = ""
-    is_trial: bool = False
-    """Whether the leader granted this request as a trial."""
+    evidence: CrashEvidence = field(init=False)
     chooser: EndpointChooser = field(init=False)
 
     def __attrs_post_init__(self):
@@ -85,19 +81,9 @@
         name = choose_service(route, self.metadata.request_id)
         self.service = self.relay.table.services[name]
         self.last_event_id = self.metadata.last_event_id
+        self.evidence = CrashEvidence(self)
         self.chooser = EndpointChooser(self)
 
-    @cached_property
-    def fingerprint(self) -> RequestFingerprint:
-        """The fingerprint, which is computed only if the request may be a suspect."""
-        account = self.admission.account
-        return get_fingerprint(
-            self.exchange.request,
-            account.name if account is not None else "",
-            self.metadata,
-            self.relay.fingerprint_secret,
-        )
-
     def get_remaining_s(self) -> float:
         """Return the seconds left until the deadline."""
         return self.deadline - trio.current_time()
@@ -140,25 +126,11 @@
             if endpoint is None:
                 self._log_no_endpoint()
                 raise self._build_failure()
-            await self._request_trial()
+            await self.evidence.request_trial()
             if await self._attempt(endpoint):
                 return
             self._check_retry()
 
-    async def _request_trial(self) -> None:
-        """Ask for permission to send a request that may crash its endpoint.
-
-        A trial that was granted lasts until the request has run.
-        """
-        if self.is_trial and not self.runs:
-            return
-        relay = self.relay
-        suspects = self._list_watched_suspects()
-        name = self.service.name
-        is_retried = await relay.blocked_prompts.request_trial(name, suspects)
-        is_suspected = await relay.suspected_requests.request_trial(name, suspects)
-        self.is_trial = is_retried or is_suspected
-
     def _build_failure(self) -> MedlarError:
         """Return the error of a request for which no endpoint is left.
 
@@ -177,9 +149,7 @@
         """
         began_at = trio.current_time()
         while True:
-            self.relay.blocked_prompts.require_trial_due(
-                self.service.name, self._list_watched_suspects()
-            )
+            self.evidence.require_not_blocked()
             if (choice := self.chooser.choose()).action != "wait":
                 break
             await trio.sleep(DISPATCH_POLL_INTERVAL_S)
@@ -304,42 +274,15 @@
             if isinstance(error, StreamBroken | AnswerTooLong):
                 self.relay.endpoint_stats.health.record_failure(name)
             if isinstance(error, StreamBroken):
-                self._record_broken(endpoint)
+                self.evidence.record_broken(endpoint)
         else:
-            self._record_answered(attempt)
+            self.evidence.record_answered(attempt)
             self._log_attempt(attempt, "answered")
             return True
         self.may_be_running = False
         self._log_attempt(attempt, str(self.failure))
         return False
 
-    def _record_answered(self, attempt: Attempt) -> None:
-        """Record an answer as evidence for its parts.
-
-        An answer that ends with its connection may be what came before the endpoint
-        crashed.
-        """
-        suspects = self._list_watched_suspects()
-        if attempt.framing.proves_end:
-            self.relay.crashes.record_completed(self.service.name, suspects)
-        elif attempt.body_bytes:
-            self.relay.crashes.record_unproven(attempt.endpoint.announced, suspects)
-        else:
-            self._record_broken(attempt.endpoint)
-
-    def _list_watched_suspects(self) -> tuple[Suspect, ...]:
-        """Return what may crash endpoints, with this request if any is watched."""
-        parts = self.metadata.shared_parts
-        if self.service.name in self.relay.cluster_view.watched_services:
-            return (*parts, self.fingerprint)
-        return parts
-
-    def _record_broken(self, endpoint: EndpointView) -> None:
-        suspects = (*self.metadata.shared_parts, self.fingerprint)
-        self.relay.crashes.record_broken(
-            endpoint.announced, self.metadata.model, suspects
-        )
-
     def _log_abandoned(self) -> None:
         """Log a request whose caller disconnected before it was answered."""
         get_metrics().count("requests_abandoned", service=self.service.name)
@@ -388,7 +331,7 @@
             transfers=attempt.dispatch.describe_transfers() if attempt.dispatch else [],
             limit_per_s=attempt.limit_per_s,
             retry_after_s=attempt.retry_after_s,
-            fingerprint=self.fingerprint.digest if is_broken else "",
+            fingerprint=self.evidence.fingerprint.digest if is_broken else "",
             status=attempt.status,
             framing=attempt.framing,
             body_bytes=attempt.body_bytes,
