--- a/medlarrail/relay/named_limits_test.py
+++ b/medlarrail/relay/named_limits_test.py
@@ -22,7 +22,12 @@
     build_deployment,
     build_endpoint_stats,
 )
-from medlarrail.testing.fleet import Fleet, start_fleet
+from medlarrail.testing.fleet import (
+    Fleet,
+    count_served,
+    send_steadily,
+    start_fleet,
+)
 from medlarrail.testing.logs import collect_messages
 from medlarrail.testing.scripted_endpoints import (
     build_answer,
@@ -69,7 +74,6 @@
 """Time from the first naming after which the rate has to be kept here."""
 PLAY_S = 6.0
 WINDOW_S = 4.0
-REQUESTS_PER_S = 50.0
 SERVICE = ServiceRule("guide")
 
 
@@ -125,22 +129,6 @@
     return fleet, engines
 
 
-async def send_steadily(fleet: Fleet, seconds: float) -> list[int]:
-    """Send requests to the gateways in turn; return the status of each answer."""
-    statuses = []
-
-    async def send(gateway, request_id: str) -> None:
-        answer = await gateway.send(build_request(X_Request_Id=request_id))
-        statuses.append(int(answer.split(b" ")[1]))
-
-    async with trio.open_nursery() as callers:
-        for number in range(int(seconds * REQUESTS_PER_S)):
-            gateway = fleet.gateways[number % len(fleet.gateways)]
-            callers.start_soon(send, gateway, f"r{number}")
-            await trio.sleep(1 / REQUESTS_PER_S)
-    return statuses
-
-
 class TestNamedLimit:
     @pytest.mark.parametrize("limit", ["11.5", "1.4"])
     async def test_an_endpoint_gets_more_than_the_rate_that_it_named(
@@ -149,11 +137,11 @@
         """It went on getting its usual load from all gateways."""
         fleet, engines = await start_engines(nursery, tmp_path, gateways=7)
         engines[0].limit = limit
-        statuses = await send_steadily(fleet, PLAY_S)
+        answers = await send_steadily(fleet, PLAY_S)
         limited = engines[0]
         times = [at for at in limited.times if at > limited.named_at + CONTACT_S]
         assert 0 < count_worst_window(times) <= get_allowed(float(limit))
-        assert statuses.count(200) == len(statuses)
+        assert count_served(answers) == len(answers)
 
     async def test_entries_without_a_part_never_learn_that_a_limit_ended(
         self, nursery, tmp_path
--- a/medlarrail/relay/retry_after_test.py
+++ b/medlarrail/relay/retry_after_test.py
@@ -26,10 +26,15 @@
     build_endpoint_stats,
     build_route,
 )
-from medlarrail.testing.fleet import Fleet, start_fleet
+from medlarrail.testing.fleet import (
+    REQUESTS_PER_S,
+    Fleet,
+    count_served,
+    send_steadily,
+    start_fleet,
+)
 from medlarrail.testing.logs import collect_messages
 from medlarrail.testing.scripted_endpoints import (
-    RelayHarness,
     answer_ok,
     build_answer,
     build_request,
@@ -88,7 +93,6 @@
 """Time after an endpoint's answer from which the users count requests."""
 ALLOWED_REQUESTS = 2
 """Requests of one gateway that the users then allow."""
-REQUESTS_PER_S = 50.0
 
 
 @define(eq=False)
@@ -150,28 +154,6 @@
     return fleet, overloaded
 
 
-async def send_steadily(fleet: Fleet, seconds: float) -> list[bytes]:
-    """Send requests to the gateways in turn; return the answers."""
-    answers = []
-
-    async def send(gateway: RelayHarness, number: int) -> None:
-        name = gateway.relay.endpoint_stats.entry
-        request = build_request(X_Request_Id=f"r{number}", X_Sent_To=name)
-        answers.append(await gateway.send(request))
-
-    async with trio.open_nursery() as callers:
-        for number in range(int(seconds * REQUESTS_PER_S)):
-            gateway = fleet.gateways[number % len(fleet.gateways)]
-            callers.start_soon(send, gateway, number)
-            await trio.sleep(1 / REQUESTS_PER_S)
-    return answers
-
-
-def count_served(answers: list[bytes]) -> int:
-    """Return the number of answers with status 200."""
-    return sum(answer.startswith(b"HTTP/1.1 200") for answer in answers)
-
-
 class TestRequestedBackOff:
     @pytest.mark.parametrize("gateways", [1, 7])
     @pytest.mark.parametrize("retry_after_s", [1.2, 2.5])
--- a/medlarrail/testing/fleet.py
+++ b/medlarrail/testing/fleet.py
@@ -23,11 +23,14 @@
     RelayHarness,
     Script,
     ScriptedEndpoint,
+    build_request,
     start_relay,
 )
 
 MEMBER = "m1"
 START_TIMEOUT_S = 10.0
+REQUESTS_PER_S = 50.0
+"""Rate of ``send_steadily``."""
 
 
 @define(eq=False)
@@ -100,3 +103,28 @@
     for _ in range(gateways):
         await fleet.start_gateway(deployment, codec or DefaultHeaderCodec())
     return fleet
+
+
+async def send_steadily(fleet: Fleet, seconds: float) -> list[bytes]:
+    """Send requests to the gateways in turn; return the answers.
+
+    ``X-Sent-To`` in a request names its gateway.
+    """
+    answers = []
+
+    async def send(gateway: RelayHarness, number: int) -> None:
+        name = gateway.relay.endpoint_stats.entry
+        request = build_request(X_Request_Id=f"r{number}", X_Sent_To=name)
+        answers.append(await gateway.send(request))
+
+    async with trio.open_nursery() as callers:
+        for number in range(int(seconds * REQUESTS_PER_S)):
+            gateway = fleet.gateways[number % len(fleet.gateways)]
+            callers.start_soon(send, gateway, number)
+            await trio.sleep(1 / REQUESTS_PER_S)
+    return answers
+
+
+def count_served(answers: list[bytes]) -> int:
+    """Return the number of answers with status 200."""
+    return sum(answer.startswith(b"HTTP/1.1 200") for answer in answers)
