Count idle connections in the limit of an endpoint's connections

Cause: the limit of an entry counted requests in flight. Connections kept for reuse came on top, and requests that may not be repeated always open new ones, so an entry could hold twice its part.

Change: the pool opens no connection beyond the entry's part; it closes an idle one to make room, or the request goes to another endpoint.

--- a/medlarrail/core/errors.py
+++ b/medlarrail/core/errors.py
@@ -324,6 +324,13 @@
     endpoint: str = ""
 
 
+@define(slots=False)
+class ConnectionsUsedUp(Refusal):
+    """This entry may open no more connections to the endpoint, so nothing was sent."""
+
+    endpoint: str = ""
+
+
 @define(slots=False)
 class LedgerUnavailable(Refusal):
     """The at-most-once ledger cannot be asked; this request was not dispatched."""
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -7,6 +7,7 @@
 from attrs import define, field, frozen
 
 from medlarrail.cluster.cluster_view import EndpointView
+from medlarrail.core.deployment import ServiceRule
 from medlarrail.core.errors import (
     AnswerCrossed,
     AnswerTooLong,
@@ -68,6 +69,7 @@
     exchange: ServerExchange
     metadata: RequestMetadata
     admission: Admission
+    service: ServiceRule
     last_event_id: str
     may_be_running: bool
     fallback_answer: BufferedAnswer | None
@@ -86,9 +88,9 @@
 class Attempt:
     """One attempt to run ``relayed`` at ``endpoint``.
 
-    ``run`` raises ``EndpointUnreachable`` or ``EndpointBackingOff`` if nothing was
-    sent, ``EndpointRefused`` if the endpoint states that it did not run the request,
-    and a ``RunFailure`` if it may have run.
+    ``run`` raises ``EndpointUnreachable``, ``ConnectionsUsedUp`` or
+    ``EndpointBackingOff`` if nothing was sent, ``EndpointRefused`` if the endpoint
+    states that it did not run the request, and a ``RunFailure`` if it may have run.
     """
 
     relayed: AttemptRequest
@@ -136,7 +138,11 @@
         try:
             with record.send_rate.reserve():
                 connection = await relay.pool.acquire(
-                    announced.address, new_connection=not route.repeatable
+                    announced.address,
+                    new_connection=not route.repeatable,
+                    limit=relay.get_connection_limit(
+                        self.relayed.service, announced.name
+                    ),
                 )
                 # It may have asked for this while the connection was opened.
                 stats = relay.endpoint_stats
--- a/medlarrail/relay/cold_endpoints_test.py
+++ b/medlarrail/relay/cold_endpoints_test.py
@@ -124,9 +124,11 @@
 class SlowPool(OutboundPool):
     """A pool whose connections take some time to open."""
 
-    async def acquire(self, address: str, new_connection: bool) -> OutboundConnection:
+    async def acquire(
+        self, address: str, new_connection: bool, limit: int | None = None
+    ) -> OutboundConnection:
         await trio.sleep(0.05)
-        return await super().acquire(address, new_connection)
+        return await super().acquire(address, new_connection, limit)
 
 
 class TestReservation:
--- a/medlarrail/relay/outbound.py
+++ b/medlarrail/relay/outbound.py
@@ -14,6 +14,7 @@
 
 from medlarrail.core.errors import (
     AnswerTooLong,
+    ConnectionsUsedUp,
     EndpointUnreachable,
     StreamBroken,
 )
@@ -171,10 +172,14 @@
         """Return the number of open connections to an endpoint, including idle ones."""
         return self.open_count.get(address, 0)
 
-    async def acquire(self, address: str, new_connection: bool) -> OutboundConnection:
+    async def acquire(
+        self, address: str, new_connection: bool, limit: int | None = None
+    ) -> OutboundConnection:
         """Return an idle connection, or a new one if none is alive or required.
 
-        Raises ``EndpointUnreachable``, in which case nothing has been sent.
+        At most ``limit`` connections to the address are open, idle ones included; an
+        idle one is closed to make room. Raises ``ConnectionsUsedUp`` and
+        ``EndpointUnreachable``; in both cases nothing has been sent.
         """
         idle = self.idle.get(address)
         while idle and not new_connection:
@@ -183,8 +188,19 @@
                 connection.protocol.start_next_cycle()
                 return connection
             self.discard(connection)
+        if limit is not None:
+            self._make_room(address, limit)
         return await self._open(address)
 
+    def _make_room(self, address: str, limit: int) -> None:
+        """Close idle connections until another one may be opened."""
+        idle = self.idle.get(address)
+        while self.count_open(address) >= limit:
+            if not idle:
+                raise ConnectionsUsedUp(endpoint=address)
+            get_metrics().count("idle_connections_displaced")
+            self.discard(idle.popleft())
+
     async def _open(self, address: str) -> OutboundConnection:
         host, _, port = address.partition(":")
         self.open_count[address] = self.count_open(address) + 1
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -13,6 +13,7 @@
 from medlarrail.core.deployment import ServiceRule
 from medlarrail.core.errors import (
     AnswerTooLong,
+    ConnectionsUsedUp,
     DeadlineExceeded,
     EndpointBackingOff,
     EndpointRefused,
@@ -262,7 +263,7 @@
         except EndpointUnreachable as error:
             self.relay.endpoint_stats.health.record_failure(name)
             self.failure = error
-        except EndpointBackingOff as error:
+        except (ConnectionsUsedUp, EndpointBackingOff) as error:
             self.failure = error
         except EndpointRefused as error:
             self.sends += 1
--- a/medlarrail/relay/retry_after_test.py
+++ b/medlarrail/relay/retry_after_test.py
@@ -359,9 +359,9 @@
         acquire = OutboundPool.acquire
         waits = iter((0.0, 0.2, 0.2, 0.2))
 
-        async def acquire_slowly(pool, address, new_connection):
+        async def acquire_slowly(pool, address, new_connection, limit=None):
             await trio.sleep(next(waits))
-            return await acquire(pool, address, new_connection)
+            return await acquire(pool, address, new_connection, limit)
 
         monkeypatch.setattr(OutboundPool, "acquire", acquire_slowly)
         answers = []
