Collect changes before they are sent to all entries

Ruled out: no leader (one led from 9 s on), invalid configurations (none).

Change: the leader collects what it tells the entries, apart from the configuration, for a time in proportion to their number, at most 300 answers a second; entries collect their reports on complete answers likewise. The suspects are determined once for a publication and not with each report. A part is blocked only after these delays have passed as well.

--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -4,7 +4,7 @@
 
 import eliot
 import trio
-from attrs import define, field
+from attrs import define, field, frozen
 
 from medlarrail.cluster.crash_ledger import CrashLedger
 from medlarrail.cluster.registry import EndpointRegistry
@@ -13,9 +13,10 @@
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.core.deployment import Deployment
 from medlarrail.core.deployment_check import check_deployment
-from medlarrail.core.entities import DesiredVersion
+from medlarrail.core.entities import DesiredVersion, SharedPart
 from medlarrail.core.errors import MedlarError, NotLeader
 from medlarrail.core.metrics import get_metrics
+from medlarrail.policy.notification import get_update_interval_s
 from medlarrail.protocol.cluster_view import (
     ANNOUNCEMENTS_PATH,
     CLUSTER_VIEW_PATH,
@@ -69,6 +70,17 @@
     revision: int = 0
 
 
+@frozen
+class Publication:
+    """The revisions from which on changes are sent to entries, and the suspects."""
+
+    endpoints_revision: int = 0
+    entries_revision: int = 0
+    suspects_revision: int = 0
+    suspects: tuple[SharedPart, ...] = ()
+    trial_requests: tuple[SharedPart, ...] = ()
+
+
 @define(eq=False)
 class ClusterViewServer:
     """State of the leader that is not in the log, and the handlers that serve it."""
@@ -81,6 +93,9 @@
     entries_revision: int = 0
     configuration_index: int = field(init=False)
     _term: int = -1
+    _publication: Publication = field(factory=Publication)
+    _published_at: float = float("-inf")
+    _publication_due: trio.Event = field(factory=trio.Event)
     _changed: trio.Event = field(factory=trio.Event)
 
     def __attrs_post_init__(self):
@@ -92,13 +107,44 @@
     def _on_applied(self, entry: LogEntry, outcome: Outcome) -> None:
         if isinstance(entry.envelope.operation, CONFIGURATION_OPERATIONS):
             self.configuration_index = entry.index
-            self.notify_waiters()
+            self._publish()
 
     def notify_waiters(self) -> None:
+        """Send what has changed to the entries, later if they have just been told.
+
+        All changes until then are sent together.
+        """
+        if self.clock() >= self._get_next_publication():
+            self._publish()
+        else:
+            self._publication_due.set()
+
+    def _get_next_publication(self) -> float:
+        return self._published_at + get_update_interval_s(len(self.entries))
+
+    def _publish(self) -> None:
         """Wake every waiting call to check for changes."""
+        ledger = self.crash_ledger
+        # A report may have waited at its entry, and the suspects here.
+        ledger.max_report_delay_s = 2 * get_update_interval_s(len(self.entries))
+        self._publication = Publication(
+            self.registry.revision,
+            self.entries_revision,
+            ledger.revision,
+            ledger.list_suspects(),
+            ledger.list_trial_requests(),
+        )
+        self._published_at = self.clock()
         self._changed.set()
         self._changed = trio.Event()
 
+    async def _publish_when_due(self) -> None:
+        while True:
+            await self._publication_due.wait()
+            self._publication_due = trio.Event()
+            await trio.sleep(max(0.0, self._get_next_publication() - self.clock()))
+            self._publish()
+
     def require_leading(self) -> None:
         """Raise ``NotLeader`` unless this member leads; clear state in a new term."""
         leadership = self.member.require_lease()
@@ -108,6 +154,7 @@
             self.crash_ledger.clear()
             self.entries.clear()
             self.entries_revision += 1
+            self._publish()
 
     def is_settled(self) -> bool:
         """Return whether every live endpoint and entry had time to announce itself."""
@@ -245,12 +292,13 @@
             self.notify_waiters()
 
     def _has_changes(self, message: ClusterViewRequest) -> bool:
+        publication = self._publication
         return (
             message.epoch != self._get_epoch()
-            or message.endpoints_seen != self.registry.revision
-            or message.entries_seen != self.entries_revision
             or message.configuration_seen != self.configuration_index
-            or message.suspects_seen != self.crash_ledger.revision
+            or message.endpoints_seen < publication.endpoints_revision
+            or message.entries_seen < publication.entries_revision
+            or message.suspects_seen < publication.suspects_revision
         )
 
     def _build_answer(self, message: ClusterViewRequest) -> ClusterViewAnswer:
@@ -261,8 +309,9 @@
         newer = document is not None and document.version > message.deployment_version
         listed = whole or message.entries_seen != self.entries_revision
         configured = whole or message.configuration_seen != self.configuration_index
-        ledger = self.crash_ledger
-        suspected = whole or message.suspects_seen != ledger.revision
+        publication = self._publication
+        suspected = whole or message.suspects_seen != publication.suspects_revision
+        get_metrics().count("views_sent")
         return ClusterViewAnswer(
             epoch=self._get_epoch(),
             settled=self.is_settled(),
@@ -283,9 +332,9 @@
                 )
             ),
             desired=tuple(catalogue.desired.values()),
-            suspects_revision=ledger.revision,
-            suspects=ledger.list_suspects() if suspected else None,
-            trial_requests=ledger.list_trial_requests() if suspected else None,
+            suspects_revision=publication.suspects_revision,
+            suspects=publication.suspects if suspected else None,
+            trial_requests=publication.trial_requests if suspected else None,
             blocked=tuple(catalogue.blocked.values()) if configured else None,
             member_urls=tuple(info.url for info in self.member.journal.get_members()),
         )
@@ -299,7 +348,12 @@
         )
 
     async def run(self) -> None:
-        """Remove silent entries and endpoints while this member leads."""
+        """Publish changes, and remove silent entries and endpoints while leading."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._publish_when_due)
+            await self._remove_expired()
+
+    async def _remove_expired(self) -> None:
         listed: tuple[RegisteredEntry, ...] = ()
         while True:
             await trio.sleep(EXPIRY_CHECK_INTERVAL_S)
--- a/medlarrail/cluster/crash_ledger.py
+++ b/medlarrail/cluster/crash_ledger.py
@@ -23,7 +23,7 @@
 """Crashes from which on a part is suspected, and completed answers are reported."""
 CLEARANCE_S = 0.3
 """Time for which a part is suspected before it may be blocked: entries report
-completed answers meanwhile."""
+completed answers meanwhile. The delay of their reports comes on top."""
 SEARCH_PERIOD_S = 5.0
 """Time for which causes are searched after a change, so that a commit that failed is
 made again."""
@@ -63,11 +63,18 @@
 
 @define(eq=False)
 class CrashLedger:
-    """Crashes by incarnation; ``revision`` changes with the list of suspects."""
+    """Crashes by incarnation; ``revision`` changes with the list of suspects.
+
+    The suspects are determined when they are asked for, and not with each report.
+    """
 
     clock: Clock = get_boottime
-    revision: int = 0
     crashes: dict[Incarnation, RecordedCrash] = field(factory=dict)
+    max_report_delay_s: float = 0.0
+    """Longest time for which suspects and reports of them are collected."""
+    _revision: int = 0
+    _is_outdated: bool = False
+    """Whether crashes changed since the suspects were determined."""
     _changed_at: float = float("-inf")
     _suspected_since: dict[SharedPart, float] = field(factory=dict)
     _trial_requests: set[SharedPart] = field(factory=set)
@@ -75,12 +82,16 @@
     def clear(self) -> None:
         """Forget all crashes."""
         self.crashes.clear()
-        self._update_suspects()
+        self._record_change()
+
+    def _record_change(self) -> None:
+        self._changed_at = self.clock()
+        self._is_outdated = True
 
     def record_crash(
         self, incarnation: Incarnation, crash: RecordedCrash, blocked: Iterable[str]
-    ) -> bool:
-        """Record a crash, or further parts of it; return whether the suspects changed.
+    ) -> None:
+        """Record a crash, or further parts of it.
 
         Parts in ``blocked`` explain it: it is no evidence against the others.
         """
@@ -92,16 +103,21 @@
             recorded.parts = set(sorted(explained or recorded.parts)[:MAX_PARTS])
         while len(self.crashes) > MAX_CRASHES:
             del self.crashes[next(iter(self.crashes))]
-        return self._update_suspects()
+        self._record_change()
 
     def record_completed(self, service: str, parts: Iterable[str]) -> bool:
         """Clear parts: requests with them were answered completely.
 
-        Returns whether the suspects changed.
+        Returns whether any of them was suspected.
         """
+        changed = False
         for crash in self._iterate_crashes(service):
-            crash.parts.difference_update(parts)
-        return self._update_suspects()
+            if not crash.parts.isdisjoint(parts):
+                crash.parts.difference_update(parts)
+                changed = True
+        if changed:
+            self._record_change()
+        return changed
 
     def _iterate_crashes(self, service: str) -> Iterator[RecordedCrash]:
         for crash in self.crashes.values():
@@ -115,16 +131,24 @@
         for incarnation in expired:
             del self.crashes[incarnation]
         if expired:
-            self._update_suspects()
+            self._record_change()
 
     def has_news(self) -> bool:
         """Return whether the evidence changed so recently that a cause may be found."""
         return self.clock() - self._changed_at < SEARCH_PERIOD_S
 
-    def _update_suspects(self) -> bool:
-        """Determine the suspects anew; return whether they changed."""
+    @property
+    def revision(self) -> int:
+        """Number of changes of the list of suspects."""
+        self._update_suspects()
+        return self._revision
+
+    def _update_suspects(self) -> None:
+        """Determine the suspects anew if crashes have changed."""
+        if not self._is_outdated:
+            return
+        self._is_outdated = False
         now = self.clock()
-        self._changed_at = now
         times: dict[SharedPart, list[float]] = {}
         for crash in self.crashes.values():
             for key in crash.parts:
@@ -144,17 +168,18 @@
             suspects.keys() != self._suspected_since.keys()
             or trial_requests != self._trial_requests
         )
-        self.revision += changed
+        self._revision += changed
         self._suspected_since = suspects
         self._trial_requests = trial_requests
-        return changed
 
     def needs_trial(self, request: SharedPart) -> bool:
         """Return whether a request may only be sent as a trial."""
+        self._update_suspects()
         return request in self._trial_requests
 
     def list_trial_requests(self) -> tuple[SharedPart, ...]:
         """Return the requests that may only be sent as trials."""
+        self._update_suspects()
         return tuple(self._trial_requests)
 
     def count_crashes(self, request: SharedPart) -> int:
@@ -169,6 +194,7 @@
 
         It did if no other request that needs a trial was there.
         """
+        self._update_suspects()
         return any(
             crash.at >= since
             and request.key in crash.parts
@@ -181,10 +207,12 @@
 
     def list_suspects(self) -> tuple[SharedPart, ...]:
         """Return the parts of more than one crash, and the requests of any."""
+        self._update_suspects()
         return tuple(self._suspected_since)
 
     def find_causes(self) -> list[CrashCause]:
         """Return the causes that are certain enough to block."""
+        self._update_suspects()
         causes = []
         services = {crash.service: crash.model for crash in self.crashes.values()}
         for service, model in services.items():
@@ -200,8 +228,9 @@
 
     def _is_established(self, service: str, parts: frozenset[str]) -> bool:
         now = self.clock()
+        clearance_s = CLEARANCE_S + self.max_report_delay_s
         return all(
             now - self._suspected_since.get(SharedPart(service, key), now)
-            >= CLEARANCE_S
+            >= clearance_s
             for key in parts
         )
--- a/medlarrail/cluster/crash_watch.py
+++ b/medlarrail/cluster/crash_watch.py
@@ -74,7 +74,7 @@
             age_s=report.age_s,
             parts=list(report.parts),
         )
-        changed = ledger.record_crash(
+        ledger.record_crash(
             Incarnation(report.endpoint, report.started_ms),
             RecordedCrash(
                 report.service,
@@ -85,8 +85,7 @@
             self._list_single_parts(report.service),
         )
         self._trials.record_crash(report.service, report.parts)
-        if changed:
-            self.view_server.notify_waiters()
+        self.view_server.notify_waiters()
         return EmptyMessage()
 
     def _list_single_parts(self, service: str) -> list[str]:
--- a/medlarrail/cluster/crash_watch_test.py
+++ b/medlarrail/cluster/crash_watch_test.py
@@ -4,10 +4,14 @@
 import trio
 from attrs import define, field
 
-from medlarrail.cluster.cluster_view_server import ClusterViewServer
+from medlarrail.cluster.cluster_view import CALL_WAIT_S, ClusterView, ClusterViewClient
+from medlarrail.cluster.cluster_view_server import SETTLE_S, ClusterViewServer
 from medlarrail.cluster.crash_watch import CrashWatch
+from medlarrail.cluster.state_client import StateClient
 from medlarrail.core.entities import REQUEST_KEY_PREFIX, DesiredVersion
+from medlarrail.core.metrics import get_metrics
 from medlarrail.policy.crashing_parts import get_trial_delay_s
+from medlarrail.policy.notification import MAX_UPDATES_PER_S
 from medlarrail.protocol.control import EmptyMessage
 from medlarrail.protocol.crashes import (
     COMPLETIONS_PATH,
@@ -259,3 +263,50 @@
         await watched.complete((REQUEST,))
         assert await watched.list_blocked() == []
         assert await self.try_request(watched)
+
+
+ENTRY_COUNT = 66
+CRASHED_ENDPOINTS = 15
+PERIODIC_CALLS_PER_S = 1 / CALL_WAIT_S
+"""Calls of one entry without any change."""
+
+
+class TestManyEntries:
+    async def test_a_lost_data_centre_floods_the_leader(
+        self, nursery, tmp_path, autojump_clock
+    ):
+        """Each of 66 entries reported the requests that it had at 15 endpoints. Each
+        report changed the suspects, and each change was sent to all entries at once, so
+        that calls timed out and a configuration waited for 5 s."""
+        watched = WatchedCluster(Cluster(tmp_path, nursery))
+        await watched.start(nursery)
+        leader = await watched.cluster.wait_leader()
+        peers = watched.cluster.network.connect("mem://entry")
+        views = [ClusterView(trio.current_time) for _ in range(ENTRY_COUNT)]
+        for number, view in enumerate(views):
+            name = f"entry-{number}"
+            state = StateClient(peers, (leader.url,))
+            client = ClusterViewClient(view, state, name, f"{name}:80", "leith")
+            nursery.start_soon(client.run)
+        await trio.sleep(SETTLE_S + 1.0)
+        sent_before = get_metrics().get_count("views_sent")
+
+        async def report(entry: int) -> None:
+            for endpoint in range(CRASHED_ENDPOINTS):
+                await trio.sleep(2.0 / CRASHED_ENDPOINTS)
+                key = f"{REQUEST_KEY_PREFIX}{entry}-{endpoint}"
+                message = CrashReport(
+                    f"entry-{entry}", f"engine-{endpoint}", 1, "guide", "m", 0.1, (key,)
+                )
+                await watched.call(CRASHES_PATH, message)
+
+        async with trio.open_nursery() as reports:
+            for entry in range(ENTRY_COUNT):
+                reports.start_soon(report, entry)
+            await trio.sleep(2.5)
+            sent = get_metrics().get_count("views_sent") - sent_before
+        periodic = ENTRY_COUNT * PERIODIC_CALLS_PER_S * 2.5
+        assert sent <= MAX_UPDATES_PER_S * 2.5 + periodic + ENTRY_COUNT
+        await trio.sleep(1.0)
+        expected = ENTRY_COUNT * CRASHED_ENDPOINTS
+        assert {len(view.suspects) for view in views} == {expected}
--- a/medlarrail/relay/crash_reporter.py
+++ b/medlarrail/relay/crash_reporter.py
@@ -17,6 +17,7 @@
 from medlarrail.core.entities import SharedPart, is_request_key
 from medlarrail.core.errors import EndpointUnreachable, MedlarError
 from medlarrail.core.metrics import get_metrics
+from medlarrail.policy.notification import get_update_interval_s
 from medlarrail.protocol.control import EmptyMessage
 from medlarrail.protocol.crashes import (
     COMPLETIONS_PATH,
@@ -190,18 +191,22 @@
         watched = self._list_watched(service, parts)
         if self._nursery is None or not watched:
             return
-        waiting = self._completed.setdefault(service, set())
-        if not waiting:
+        if service not in self._completed:
+            self._completed[service] = set()
             self._nursery.start_soon(self._report_completed, service)
-        waiting |= watched
+        self._completed[service] |= watched
 
     async def _report_completed(self, service: str) -> None:
+        """Report what is waiting, in batches, until nothing is."""
         await trio.lowlevel.checkpoint()
-        keys = self._completed.pop(service)
-        report = CompletionReport(self.name, service, tuple(sorted(keys)))
-        with trio.move_on_after(REPORT_PERIOD_S):
-            while not await self._send(COMPLETIONS_PATH, report):
-                await trio.sleep(REPORT_PAUSE_S)
+        while keys := self._completed[service]:
+            self._completed[service] = set()
+            report = CompletionReport(self.name, service, tuple(sorted(keys)))
+            with trio.move_on_after(REPORT_PERIOD_S):
+                while not await self._send(COMPLETIONS_PATH, report):
+                    await trio.sleep(REPORT_PAUSE_S)
+            await trio.sleep(get_update_interval_s(self.cluster_view.entry_count))
+        del self._completed[service]
 
     async def _send(self, path: str, report: CrashReport | CompletionReport) -> bool:
         """Send a report to the leader; returns whether it was received."""
--- a/medlarrail/relay/crash_reporter_test.py
+++ b/medlarrail/relay/crash_reporter_test.py
@@ -1,5 +1,7 @@
 """Tests of what an entry takes for a crash, and of what it reports."""
 
+import math
+
 import pytest
 import trio
 from attrs import define, evolve, field
@@ -7,6 +9,7 @@
 from medlarrail.cluster.cluster_view import ClusterView, EndpointView
 from medlarrail.core.entities import BlockedParts, SharedPart
 from medlarrail.core.errors import PeerTimeout
+from medlarrail.policy.notification import MAX_UPDATES_PER_S
 from medlarrail.protocol.crashes import CompletionReport, CrashReport
 from medlarrail.relay.crash_reporter import CrashReporter
 from medlarrail.relay.metadata import PromptPart
@@ -124,6 +127,21 @@
             CompletionReport("gateway-1", "guide", ("b",))
         ]
 
+    async def test_each_complete_answer_is_reported_by_many_entries(self, nursery):
+        """Every prompt had the suspected part, and each of 66 entries reported each of
+        its answers until the leader's next list arrived."""
+        reporter = build_reporter()
+        await nursery.start(reporter.run)
+        cluster_view = reporter.cluster_view
+        cluster_view.suspects = frozenset({SharedPart("guide", "b")})
+        cluster_view.entry_count = 66
+        started_at = trio.current_time()
+        for _ in range(100):
+            reporter.record_completed("guide", PARTS)
+            await trio.sleep(0.01)
+        most = 1 + math.ceil(trio.current_time() - started_at) * MAX_UPDATES_PER_S / 66
+        assert 1 < len(reporter.state.messages) <= most
+
     async def test_a_completed_trial_is_lost_with_the_leader(self, nursery):
         reporter = build_reporter()
         reporter.state.failures = 2
