Let other gateways carry the requests of a partitioned one

Cause: a gateway reached endpoints by itself only. Partitioned from all of them, while callers still reached it, it served nobody.

Change: when new connections to three different endpoints of a service, or to all of a smaller one, fail in a row, the gateway offers each request to up to three other gateways, in its own data centre first and in others after a refusal. The forwarded request is the caller's own with its deadline reduced and with a keyed hash that binds it to the sender. It is admitted by the document of the gateway that carries it and never forwarded again. Only connections made end the suspicion: two in a row, by the requests or by a probe each 250 ms. A partitioned gateway reports no crashed endpoints. If no other gateway reaches the service either, requests are tried locally as before.

--- a/medlarrail/core/errors.py
+++ b/medlarrail/core/errors.py
@@ -331,6 +331,31 @@
     endpoint: str = ""
 
 
+@define(slots=False)
+class ServiceUnreachable(Refusal):
+    """This entry reaches no endpoint of the service, nor does the one that asked."""
+
+    service: str = ""
+    retry_after_s: float | None = None
+
+
+@define(slots=False)
+class TooManyCarried(Refusal):
+    """This entry carries as many requests of other entries as it may."""
+
+    entry: str = ""
+
+
+@define(slots=False)
+class PeerRefused(Refusal):
+    """Another entry refused to carry the request, so nothing ran."""
+
+    entry: str = ""
+    reason: str = ""
+    answered: int = 0
+    retry_after_s: float | None = None
+
+
 @define(slots=False)
 class LedgerUnavailable(Refusal):
     """The at-most-once ledger cannot be asked; this request was not dispatched."""
--- a/medlarrail/platform/header_codec.py
+++ b/medlarrail/platform/header_codec.py
@@ -8,6 +8,7 @@
     parse_digits,
     parse_limit,
     parse_retry_after,
+    write_forwarded,
     write_refusal,
 )
 from medlarrail.relay.headers import get_header, iterate_end_to_end
@@ -109,6 +110,14 @@
         ]
         return outgoing
 
+    def write_forwarded(
+        self, headers: tuple[Header, ...], deadline_ms: int, last_event_id: str
+    ) -> list[Header]:
+        """Return a caller's headers for another gateway."""
+        return write_forwarded(
+            headers, (DEADLINE_MS, deadline_ms), (LAST_EVENT_ID, last_event_id)
+        )
+
     def read_answer(self, status: int, headers: tuple[Header, ...]) -> AnswerMetadata:
         """Parse the status and headers of an endpoint's answer."""
         return AnswerMetadata(
--- a/medlarrail/programs/gateway.py
+++ b/medlarrail/programs/gateway.py
@@ -60,8 +60,8 @@
             endpoint_stats,
             settings.retries,
             settings.isolation,
+            secret=settings.keys.cluster.encode(),
         )
-        self.relay.fingerprint_secret = settings.keys.cluster.encode()
         self.relay.connect_state(self.view_client.state)
         self.relay.workload = WorkloadTracker(settings.name)
         if settings.work_address:
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -122,6 +122,10 @@
         """The time without requests that the endpoint asked for in this answer."""
         return self._metadata.retry_after_s
 
+    def _get_failure_status(self) -> int | None:
+        """Return the lowest status after which another attempt may be made, if any."""
+        return MIN_FAILURE_STATUS
+
     async def run(self) -> None:
         """Send the request and relay the answer to the caller.
 
@@ -144,6 +148,8 @@
                         self.relayed.service, announced.name
                     ),
                 )
+                if not connection.reused:
+                    relay.forwarder.record_connected(announced.service)
                 # It may have asked for this while the connection was opened.
                 stats = relay.endpoint_stats
                 if stats.back_offs.is_active(announced, stats.clock()):
@@ -176,19 +182,7 @@
         failed = True
         failure: MedlarError | None = None
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(
-                    connection.send,
-                    request.method,
-                    request.target,
-                    headers,
-                    request.body,
-                )
-                try:
-                    await self._relay_answer(connection)
-                except MedlarError as error:
-                    failure = error
-                nursery.cancel_scope.cancel()
+            failure = await self._exchange(connection, headers)
             rejected = isinstance(failure, EndpointRefused)
             failed = failure is not None and not rejected
         finally:
@@ -199,6 +193,23 @@
         if failure is not None:
             raise failure
 
+    async def _exchange(
+        self, connection: OutboundConnection, headers: list[Header]
+    ) -> MedlarError | None:
+        """Send the request and relay the answer; return what failed."""
+        request = self.relayed.exchange.request
+        failure: MedlarError | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                connection.send, request.method, request.target, headers, request.body
+            )
+            try:
+                await self._relay_answer(connection)
+            except MedlarError as error:
+                failure = error
+            nursery.cancel_scope.cancel()
+        return failure
+
     async def _relay_answer(self, connection: OutboundConnection) -> None:
         head = await connection.read_head()
         self._read_metadata(head)
@@ -206,6 +217,11 @@
             await self._handle_rejection(connection, head)
         if not self._metadata.verified:
             raise AnswerTruncated(endpoint=self.endpoint.announced.name)
+        await self._relay_body(connection, head)
+
+    async def _relay_body(
+        self, connection: OutboundConnection, head: AnswerHead
+    ) -> None:
         is_stream = self.relayed.admission.route.kind == "stream"
         if is_stream and head.status < 300:
             await self._relay_stream(connection, head)
@@ -292,7 +308,9 @@
         headers = tuple(iterate_end_to_end(head.headers))
         framing = Framing.LENGTH if head.framing.proves_end else Framing.CLOSE
         answer = BufferedAnswer(head.status, headers, bytes(buffer), framing)
-        if head.status >= MIN_FAILURE_STATUS or self.relayed.exchange.started:
+        failure_status = self._get_failure_status()
+        failed = failure_status is not None and head.status >= failure_status
+        if failed or self.relayed.exchange.started:
             self.relayed.fallback_answer = answer
             raise EndpointFailed(
                 endpoint=self.endpoint.announced.name, answered=head.status
--- a/medlarrail/relay/crash_evidence.py
+++ b/medlarrail/relay/crash_evidence.py
@@ -30,7 +30,7 @@
             self.relayed.exchange.request,
             account.name if account is not None else "",
             self.relayed.metadata,
-            self.relayed.relay.fingerprint_secret,
+            self.relayed.relay.secret,
         )
 
     def list_watched(self) -> tuple[Suspect, ...]:
--- a/medlarrail/relay/crash_reporter.py
+++ b/medlarrail/relay/crash_reporter.py
@@ -26,6 +26,7 @@
     CrashReport,
 )
 from medlarrail.relay.fingerprint import RequestFingerprint
+from medlarrail.relay.forwarding import Forwarder
 from medlarrail.relay.metadata import PromptPart
 from medlarrail.relay.outbound import OutboundPool
 
@@ -68,6 +69,8 @@
     pool: OutboundPool
     name: str
     state: StateClient | None = None
+    forwarder: Forwarder | None = None
+    """Tells whether this entry is partitioned from the endpoints of a service."""
     _broken: dict[tuple[str, int], BrokenEndpoint] = field(factory=dict)
     _check_count: int = 0
     _completed: dict[str, set[str]] = field(factory=dict)
@@ -104,6 +107,7 @@
             await trio.sleep(CHECK_DELAY_S)
             del self._broken[key]
             crashed = await self._is_unreachable(broken.announced.address)
+            crashed = crashed and not self._is_partitioned(broken.announced)
             while not crashed and self._get_age_s(broken) < RESTART_WINDOW_S:
                 await trio.sleep(RESTART_POLL_S)
                 crashed = self._is_replaced(broken.announced)
@@ -123,6 +127,13 @@
         self.pool.discard(connection)
         return False
 
+    def _is_partitioned(self, announced: Announcement) -> bool:
+        """Record an unreachable endpoint; return whether the whole service is."""
+        if self.forwarder is None:
+            return False
+        self.forwarder.record_unreachable(announced)
+        return self.forwarder.is_partitioned(announced.service)
+
     def _is_replaced(self, announced: Announcement) -> bool:
         return any(
             endpoint.announced.address == announced.address
--- a/medlarrail/relay/header_codec.py
+++ b/medlarrail/relay/header_codec.py
@@ -19,6 +19,7 @@
 NOT_RUN = b"x-not-run"
 LIMIT = b"x-limit-per-s"
 RETRY_AFTER = b"retry-after"
+LAST_EVENT_ID = b"last-event-id"
 ACCOUNT = b"x-account"
 ENDPOINT = b"x-endpoint"
 OVERRIDDEN_HEADERS = frozenset((b"authorization", ACCOUNT, ENDPOINT, DEADLINE))
@@ -113,6 +114,28 @@
     return headers, orjson.dumps({"error": refusal.reason})
 
 
+def write_forwarded(
+    headers: tuple[Header, ...],
+    deadline: tuple[bytes, int],
+    last_event: tuple[bytes, str],
+) -> list[Header]:
+    """Return a caller's headers with another deadline and last event.
+
+    ``deadline`` and ``last_event`` are the names of the headers in lower case and their
+    values; an empty event is left out.
+    """
+    replaced = (deadline[0], last_event[0])
+    outgoing = [
+        (name, value)
+        for name, value in iterate_end_to_end(headers)
+        if name.lower() not in replaced
+    ]
+    outgoing.append((deadline[0], str(deadline[1]).encode()))
+    if last_event[1]:
+        outgoing.append((last_event[0], last_event[1].encode("latin1")))
+    return outgoing
+
+
 class DefaultHeaderCodec:
     """Common header names, for endpoints without a header codec of their own."""
 
@@ -123,7 +146,7 @@
             request_id=get_header_text(headers, REQUEST_ID),
             key=key.strip() if scheme.lower() == "bearer" else "",
             deadline_ms=get_header_int(headers, DEADLINE),
-            last_event_id=get_header_text(headers, b"last-event-id"),
+            last_event_id=get_header_text(headers, LAST_EVENT_ID),
         )
 
     def write_request(
@@ -133,8 +156,7 @@
         result = [
             (name, value)
             for name, value in iterate_end_to_end(headers)
-            if name.lower() not in OVERRIDDEN_HEADERS
-            and name.lower() != b"last-event-id"
+            if name.lower() not in OVERRIDDEN_HEADERS and name.lower() != LAST_EVENT_ID
         ]
         result.append((b"X-Deadline-Ms", str(dispatch.deadline_ms).encode()))
         result.append((b"X-Endpoint", dispatch.endpoint.name.encode()))
@@ -144,6 +166,14 @@
             result.append((b"Last-Event-Id", dispatch.last_event_id.encode()))
         return result
 
+    def write_forwarded(
+        self, headers: tuple[Header, ...], deadline_ms: int, last_event_id: str
+    ) -> list[Header]:
+        """See ``HeaderCodec``."""
+        return write_forwarded(
+            headers, (DEADLINE, deadline_ms), (LAST_EVENT_ID, last_event_id)
+        )
+
     def read_answer(self, status: int, headers: tuple[Header, ...]) -> AnswerMetadata:
         """See ``HeaderCodec``."""
         return AnswerMetadata(
--- a/medlarrail/relay/metadata.py
+++ b/medlarrail/relay/metadata.py
@@ -21,7 +21,10 @@
 
 @frozen
 class InboundRequest:
-    """A complete request from a caller; ``received_at`` is on trio's clock."""
+    """A complete request from a caller; ``received_at`` is on trio's clock.
+
+    ``forwarded_by`` is the entry that a caller sent it to, empty for this one.
+    """
 
     method: bytes
     target: bytes
@@ -29,6 +32,7 @@
     headers: tuple[Header, ...] = field(repr=False)
     body: bytes = field(repr=False)
     received_at: float
+    forwarded_by: str = ""
 
     @property
     def path(self) -> str:
@@ -169,6 +173,14 @@
     ) -> list[Header]:
         """Return the headers to send to an endpoint."""
 
+    def write_forwarded(
+        self, headers: tuple[Header, ...], deadline_ms: int, last_event_id: str
+    ) -> list[Header]:
+        """Return a caller's headers for another entry, with what is left of its time.
+
+        ``last_event_id`` is the event after which a stream goes on, or empty.
+        """
+
     def read_answer(self, status: int, headers: tuple[Header, ...]) -> AnswerMetadata:
         """Return the metadata from the head of an answer."""
 
--- a/medlarrail/relay/outbound.py
+++ b/medlarrail/relay/outbound.py
@@ -6,7 +6,7 @@
 """
 
 from collections import deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import h11
 import trio
@@ -47,6 +47,10 @@
 )
 
 
+Connector = Callable[[str, int, float, int], Awaitable[trio.SocketStream | None]]
+"""See ``medlarrail.transport.sockets.connect``."""
+
+
 @frozen
 class AnswerHead:
     """Status and headers of an answer as received."""
@@ -68,6 +72,8 @@
         )
     )
     idle_until: float = 0.0
+    reused: bool = False
+    """Whether it was used for an earlier request."""
     _method: bytes = b""
     """Method of the current request."""
     request_sent: bool = False
@@ -165,6 +171,7 @@
 class OutboundPool:
     """Idle connections by address, and the number of open connections to each."""
 
+    connect: Connector = connect
     idle: dict[str, deque[OutboundConnection]] = field(factory=dict)
     open_count: dict[str, int] = field(factory=dict)
 
@@ -186,6 +193,7 @@
             connection = idle.pop()
             if connection.is_alive():
                 connection.protocol.start_next_cycle()
+                connection.reused = True
                 return connection
             self.discard(connection)
         if limit is not None:
@@ -206,7 +214,9 @@
         self.open_count[address] = self.count_open(address) + 1
         stream = None
         try:
-            stream = await connect(host, int(port), CONNECT_TIMEOUT_S, USER_TIMEOUT_MS)
+            stream = await self.connect(
+                host, int(port), CONNECT_TIMEOUT_S, USER_TIMEOUT_MS
+            )
         finally:
             if stream is None:
                 self._record_closed(address)
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -5,11 +5,14 @@
 refusal is returned only if nothing has run.
 """
 
+from collections.abc import Collection
+
 import eliot
 import trio
 from attrs import asdict, define, field
 
 from medlarrail.cluster.cluster_view import EndpointView
+from medlarrail.core.announcements import Announcement
 from medlarrail.core.deployment import ServiceRule
 from medlarrail.core.errors import (
     AnswerTooLong,
@@ -21,18 +24,22 @@
     MedlarError,
     NoEndpoint,
     Overloaded,
+    PeerRefused,
     Refusal,
     RetryLimit,
     RunDeadlineExceeded,
     RunFailure,
+    ServiceUnreachable,
     StreamBroken,
 )
 from medlarrail.core.metrics import get_metrics
 from medlarrail.core.scopes import ContextScope
 from medlarrail.policy.context import TransferPlan
+from medlarrail.policy.peer_choice import Peer
 from medlarrail.relay.attempt import Attempt, BufferedAnswer
 from medlarrail.relay.crash_evidence import CrashEvidence
 from medlarrail.relay.endpoint_choice import EndpointChooser
+from medlarrail.relay.forwarding import UNAVAILABLE_REASONS, ForwardedAttempt
 from medlarrail.relay.inbound import ServerExchange
 from medlarrail.relay.metadata import DispatchMetadata, RequestMetadata
 from medlarrail.relay.table import Admission, choose_service
@@ -63,6 +70,7 @@
     """Attempts that ran or may have run."""
     sends: int = 0
     """Attempts that reached an endpoint, including rejected ones."""
+    forwardings: int = 0
     failure: MedlarError | None = None
     run_failure: RunFailure | None = None
     """Failure of the latest attempt that may have run."""
@@ -104,9 +112,11 @@
                 self._log_abandoned()
 
     async def _run_until_deadline(self) -> None:
-        self.relay.get_budget(self.service.name).record_request(
-            self.relay.endpoint_stats.clock()
-        )
+        # The entry that a caller sent it to has counted it.
+        if not self.exchange.request.forwarded_by:
+            self.relay.get_budget(self.service.name).record_request(
+                self.relay.endpoint_stats.clock()
+            )
         with trio.move_on_at(self.deadline + DEADLINE_GRACE_S) as scope:
             try:
                 await self._try_endpoints()
@@ -123,6 +133,8 @@
 
     async def _try_endpoints(self) -> None:
         while True:
+            if await self._forward_if_needed():
+                return
             endpoint = await self._wait_for_dispatch()
             if endpoint is None:
                 self._log_no_endpoint()
@@ -132,6 +144,70 @@
                 return
             self._check_retry()
 
+    async def _forward_if_needed(self) -> bool:
+        """Let another entry run a request that this one cannot send.
+
+        Returns whether the caller was answered.
+        """
+        service = self.service.name
+        is_forwarded = bool(self.exchange.request.forwarded_by)
+        if self.relay.forwarder.is_partitioned(service):
+            if is_forwarded:
+                raise ServiceUnreachable(service=service)
+            return await self._forward(())
+        return False
+
+    async def _forward(self, names: Collection[str]) -> bool:
+        """Let another entry run the request; returns whether the caller was answered.
+
+        Asks the entries ``names``, or all if there are none. Returns False if no other
+        entry reaches the service either. Raises the refusal of an entry that does, or a
+        ``RunFailure``.
+        """
+        if self.forwardings > self.runs:
+            # Other entries have refused it, and it has not run since.
+            return False
+        self.forwardings += 1
+        forwarder = self.relay.forwarder
+        for peer in forwarder.iterate_choices(names):
+            attempt = ForwardedAttempt(self, self._build_peer_view(peer))
+            try:
+                with forwarder.count_in_flight(peer):
+                    await attempt.run()
+            except EndpointUnreachable as error:
+                self.failure = self.failure or error
+            except PeerRefused as error:
+                self.failure = error
+                if error.reason not in UNAVAILABLE_REASONS:
+                    self._log_forwarded(peer, attempt, str(error))
+                    raise
+            except RunFailure as error:
+                self._log_forwarded(peer, attempt, str(error))
+                self._record_run_failure(error)
+                self._check_retry()
+            else:
+                self._log_forwarded(peer, attempt, "answered")
+                return True
+            self._log_forwarded(peer, attempt, str(self.failure))
+            forwarder.record_unavailable(peer)
+            self.may_be_running = False
+        get_metrics().count("forwardings_failed", service=self.service.name)
+        return False
+
+    def _build_peer_view(self, peer: Peer) -> EndpointView:
+        """Return another entry as the endpoint of an attempt."""
+        return EndpointView(
+            Announcement(
+                name=peer.name,
+                service=self.service.name,
+                address=peer.address,
+                data_centre=peer.data_centre,
+                started_ms=0,
+                sequence=0,
+                state="ready",
+            )
+        )
+
     def _build_failure(self) -> MedlarError:
         """Return the error of a request for which no endpoint is left.
 
@@ -262,6 +338,7 @@
             await attempt.run()
         except EndpointUnreachable as error:
             self.relay.endpoint_stats.health.record_failure(name)
+            self.relay.forwarder.record_unreachable(endpoint.announced)
             self.failure = error
         except (ConnectionsUsedUp, EndpointBackingOff) as error:
             self.failure = error
@@ -269,13 +346,12 @@
             self.sends += 1
             self.failure = error
         except RunFailure as error:
-            self.sends += 1
-            self.runs += 1
-            self.failure = self.run_failure = error
+            self._record_run_failure(error)
             if isinstance(error, StreamBroken | AnswerTooLong):
                 self.relay.endpoint_stats.health.record_failure(name)
             if isinstance(error, StreamBroken):
                 self.evidence.record_broken(endpoint)
+                self.relay.forwarder.record_unreachable(endpoint.announced)
         else:
             self.evidence.record_answered(attempt)
             self._log_attempt(attempt, "answered")
@@ -284,6 +360,23 @@
         self._log_attempt(attempt, str(self.failure))
         return False
 
+    def _record_run_failure(self, error: RunFailure) -> None:
+        self.sends += 1
+        self.runs += 1
+        self.failure = self.run_failure = error
+
+    def _log_forwarded(self, peer: Peer, attempt: ForwardedAttempt, outcome: str):
+        get_metrics().count("requests_forwarded", service=self.service.name)
+        eliot.log_message(
+            "request:forwarded",
+            request=self.metadata.request_id,
+            service=self.service.name,
+            entry=peer.name,
+            status=attempt.status,
+            outcome=outcome,
+            first_ms=round(attempt.first_byte_s * 1000, 1),
+        )
+
     def _log_abandoned(self) -> None:
         """Log a request whose caller disconnected before it was answered."""
         get_metrics().count("requests_abandoned", service=self.service.name)
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -15,6 +15,7 @@
     MalformedRequest,
     MedlarError,
     PictureOutdated,
+    TooManyCarried,
 )
 from medlarrail.core.metrics import get_metrics
 from medlarrail.policy.isolation import IsolationPolicy
@@ -26,6 +27,7 @@
 from medlarrail.relay.context_index import ContextIndex
 from medlarrail.relay.crash_reporter import CrashReporter
 from medlarrail.relay.endpoint_stats import EndpointStats
+from medlarrail.relay.forwarding import MAX_CARRIED, OWN_ANSWER, Forwarder
 from medlarrail.relay.inbound import ServerExchange
 from medlarrail.relay.limit_reporter import LimitReporter
 from medlarrail.relay.metadata import HeaderCodec, RequestMetadata
@@ -69,14 +71,15 @@
     workload: WorkloadTracker = field(factory=lambda: WorkloadTracker(""))
     reporter: WorkloadReporter | None = None
     draining: bool = False
-    fingerprint_secret: bytes = field(default=b"", repr=False)
-    """Key of the fingerprints of requests, the same at all entries."""
+    secret: bytes = field(default=b"", repr=False)
+    """Key of the fingerprints and proofs of requests, the same at all entries."""
     table: RouteTable | None = None
     prompt_mix: PromptMix = field(factory=PromptMix)
     crashes: CrashReporter = field(init=False)
     blocked_prompts: BlockedPrompts = field(init=False)
     suspected_requests: SuspectedRequests = field(init=False)
     limits: LimitReporter = field(init=False)
+    forwarder: Forwarder = field(init=False)
     _budgets: dict[str, RetryBudget] = field(factory=dict)
 
     def __attrs_post_init__(self):
@@ -85,6 +88,14 @@
         self.blocked_prompts = BlockedPrompts(self.cluster_view, entry)
         self.suspected_requests = SuspectedRequests(self.cluster_view, entry)
         self.limits = LimitReporter(entry, self.cluster_view.clock)
+        self.forwarder = Forwarder(
+            self.cluster_view,
+            entry,
+            self.endpoint_stats.data_centre,
+            self.pool,
+            self.secret,
+        )
+        self.crashes.forwarder = self.forwarder
         self.cluster_view.deployment_listeners.append(self._update_route_table)
 
     def _update_route_table(self, deployment: Deployment) -> None:
@@ -101,6 +112,18 @@
 
     async def answer(self, exchange: ServerExchange) -> None:
         """Answer one request, with an error answer if it fails."""
+        exchange.request = self.forwarder.take_proof(exchange.request)
+        if not exchange.request.forwarded_by:
+            await self._answer(exchange)
+            return
+        get_metrics().count("requests_carried")
+        self.forwarder.carried += 1
+        try:
+            await self._answer(exchange)
+        finally:
+            self.forwarder.carried -= 1
+
+    async def _answer(self, exchange: ServerExchange) -> None:
         metadata = None
         relayed = None
         try:
@@ -121,6 +144,8 @@
             raise DeploymentUnknown()
         if self.draining:
             raise Draining()
+        if exchange.request.forwarded_by and self.forwarder.carried > MAX_CARRIED:
+            raise TooManyCarried(entry=self.forwarder.entry)
         self.require_confirmed()
         request = exchange.request
         if not request.target.startswith(b"/"):
@@ -161,6 +186,8 @@
             exchange.abort()
             return
         headers, body = self.header_codec.write_refusal(refusal, metadata)
+        if exchange.request.forwarded_by:
+            headers.append((OWN_ANSWER, type(error).__name__.encode()))
         await exchange.send_whole(refusal.status, headers, body)
 
     def find_group(self) -> ReportingGroup:
@@ -177,10 +204,11 @@
         self.suspected_requests.state = self.limits.state = state
 
     async def run_reporters(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
-        """Report crashes and named rates to the leader until cancelled."""
+        """Report crashes and named rates, and probe endpoints, until cancelled."""
         async with trio.open_nursery() as nursery:
             await nursery.start(self.crashes.run)
             nursery.start_soon(self.limits.run)
+            nursery.start_soon(self.forwarder.run)
             task_status.started()
 
     async def maintain(self) -> None:
@@ -188,6 +216,7 @@
         while True:
             await trio.sleep(MAINTENANCE_INTERVAL_S)
             self.pool.close_expired()
+            self.forwarder.pool.close_expired()
             for name in self.endpoint_stats.drop_departed():
                 self.limits.drop(name)
             present = {
--- a/medlarrail/testing/scripted_endpoints.py
+++ b/medlarrail/testing/scripted_endpoints.py
@@ -24,6 +24,7 @@
 
 HOST = "127.0.0.1"
 READ_BYTES = 65536
+CLUSTER_KEY = b"cluster-key"
 Script = Callable[["ScriptedConnection", bytes], Awaitable[None]]
 
 
@@ -197,6 +198,7 @@
         EndpointStats(cluster_view, "leith", name),
         RetryPolicy(10.0, 0.2, 50.0),
         isolation,
+        secret=CLUSTER_KEY,
     )
     server = InboundServer(relay.answer, relay.answer_error)
 
