Keep connections to endpoints that fall silent for a second and go on

Cause: the user timeout of 1 s also decides when keep-alive probes give up, whatever their number, so the kernel closed the connections to an endpoint whose machine stood still for 1.5 s, and its streams were cut and run again.

The first probe after that closes the connection.

Before: the options close a silent connection after 1.0 s.

--- a/medlarrail/relay/outbound.py
+++ b/medlarrail/relay/outbound.py
@@ -25,8 +25,9 @@
 
 CONNECT_TIMEOUT_S = 0.25
 """Connection timeout: many round trips, yet short compared to any latency target."""
-USER_TIMEOUT_MS = 1000
-"""Maximum time for an endpoint's kernel to acknowledge sent data."""
+USER_TIMEOUT_MS = 2000
+"""Maximum time for an endpoint's kernel to acknowledge sent data or a keep-alive probe.
+Sound endpoints fall silent for a second or so and go on."""
 READ_BYTES = 65536
 MAX_HEAD_BYTES = 65536
 """Maximum bytes before the body, including informational (1xx) heads."""
--- a/medlarrail/transport/sockets.py
+++ b/medlarrail/transport/sockets.py
@@ -16,7 +16,9 @@
 
     ``user_timeout_ms`` bounds the time that sent data stays unacknowledged. After
     ``idle_s`` seconds without traffic, a keep-alive probe is sent every
-    ``interval_s`` seconds; ``probes`` unanswered ones close the connection.
+    ``interval_s`` seconds. The first probe after ``user_timeout_ms`` without an answer
+    closes the connection: while a user timeout is set, the kernel ignores the number
+    of ``probes``.
     """
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, user_timeout_ms)
