Divide the room of endpoints that fall over if they have to reject

Cause: no code read the header by which an endpoint says how many rejections a second it bears. Under overload each gateway sent on what its endpoints rejected.

Change: while endpoints of a service say so, each gateway has a whole part of the room of each endpoint, that is of the requests that it runs at a time, and leaves an endpoint that rejects a request alone for a second. What exceeds the part waits at the gateway, the urgent first, and is refused at once with the time to wait if its turn would come too late. Gateways without a part hand their requests to those with one. An answer without the header ends it.

After: within the bound with 1, 7 and 82 gateways at three times the room, and at least 0.9 of the endpoints' capacity is used. Not done: telling gateways through the leader. Each learns from the answers that it passes on.

--- a/medlarrail/platform/header_codec.py
+++ b/medlarrail/platform/header_codec.py
@@ -7,6 +7,7 @@
     get_header_text,
     parse_digits,
     parse_limit,
+    parse_max_rejections,
     parse_retry_after,
     write_forwarded,
     write_refusal,
@@ -34,6 +35,7 @@
 NOT_EXECUTED = b"not-executed"
 SERVER_LOAD = b"server-load"
 SERVER_LIMIT = b"server-limit"
+SERVER_BRITTLE = b"server-brittle"
 INSTANCE_ID = b"instance-id"
 WEIGHT_VERSIONS = b"weight-versions"
 KEEP_ALIVE = b"keep-alive"
@@ -130,6 +132,9 @@
             weight_version=_parse_int(get_header_text(headers, WEIGHT_VERSIONS)),
             keep_alive_s=_parse_keep_alive(get_header_text(headers, KEEP_ALIVE)),
             limit_per_s=parse_limit(get_header_text(headers, SERVER_LIMIT)),
+            max_rejections_per_s=parse_max_rejections(
+                get_header_text(headers, SERVER_BRITTLE)
+            ),
             retry_after_s=parse_retry_after(
                 status, get_header_text(headers, RETRY_AFTER)
             ),
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -161,6 +161,9 @@
             await self._run_exchange(connection)
         finally:
             record.in_flight -= 1
+            if self._started_at and not self._metadata.not_run:
+                record.record_end(trio.current_time() - self._started_at)
+            relay.get_room_queue(announced.service).notify()
             if not self.status:
                 record.unanswered -= 1
             if self._tracked_prompt is not None:
@@ -240,6 +243,7 @@
             record.load_at = relay.endpoint_stats.clock()
         relay.endpoint_stats.health.record_success(self.endpoint.announced.name)
         self._record_named_rate()
+        self._record_rejection_limit()
         self._record_retry_after()
         expected = self.relayed.metadata.request_id
         rejected = self._metadata.not_run or self._metadata.misdirected
@@ -262,6 +266,17 @@
         elif not metadata.not_run and not metadata.misdirected:
             stats.back_offs.record_accepted(announced, now)
 
+    def _record_rejection_limit(self) -> None:
+        """Record how many rejections the endpoint bears; it says so in each answer."""
+        metadata = self._metadata
+        per_s = metadata.max_rejections_per_s
+        is_own = metadata.verified or metadata.not_run
+        if metadata.misdirected or (per_s is None and not is_own):
+            return
+        self.relayed.relay.endpoint_stats.record_rejection_limit(
+            self.endpoint.announced, per_s, metadata.not_run
+        )
+
     def _record_named_rate(self) -> None:
         """Record the rate that the answer names; only a run proves that it ended."""
         metadata = self._metadata
--- /dev/null
+++ b/medlarrail/relay/brittle_endpoints_test.py
@@ -0,0 +1,109 @@
+"""Tests of endpoints that fall over if they have to reject many requests."""
+
+import pytest
+import trio
+
+from medlarrail.core.metrics import get_metrics
+from medlarrail.platform.header_codec import PlatformHeaderCodec
+from medlarrail.relay.header_codec import DefaultHeaderCodec, parse_max_rejections
+from medlarrail.testing.brittle_endpoints import BrittleEndpoint
+from medlarrail.testing.builders import build_deployment, build_route
+from medlarrail.testing.partitioned_site import start_site
+
+ENDPOINT_COUNT = 3
+SLOTS = 6
+RUN_S = 0.3
+CAPACITY_PER_S = ENDPOINT_COUNT * SLOTS / RUN_S
+OVERLOAD = 3.0
+MAX_FALLS = 2 + ENDPOINT_COUNT / 10
+CONTACT_S = 2.0
+"""Time after the first statement from which the queues may be shorter, and endpoints
+may fall over."""
+MEASURED_S = 3.0
+MIN_THROUGHPUT = 0.9
+
+
+async def start_brittle_site(nursery, gateways: int, max_rejections: float | None):
+    """Return a site and its endpoints, with queues as long as their batches."""
+    route = build_route(timeout_ms=1500)
+    deployment = build_deployment(routes=(route,))
+    site = await start_site(nursery, deployment, gateways, endpoints=0)
+    endpoints = [
+        BrittleEndpoint(site, SLOTS, RUN_S, SLOTS, max_rejections)
+        for _ in range(ENDPOINT_COUNT)
+    ]
+    for endpoint in endpoints:
+        await site.add_endpoint(endpoint.answer, slots=SLOTS)
+    return site, endpoints
+
+
+class TestOverload:
+    @pytest.mark.parametrize("max_rejections", [0, 3])
+    @pytest.mark.parametrize("gateways", [1, 7, 82])
+    async def test_an_overload_makes_brittle_endpoints_fall_over(
+        self, nursery, gateways, max_rejections
+    ):
+        """Each request was sent, and the endpoints rejected two of three."""
+        site, endpoints = await start_brittle_site(nursery, gateways, max_rejections)
+        per_s = OVERLOAD * CAPACITY_PER_S
+        sent = await site.send_steadily(CONTACT_S, per_s)
+        for endpoint in endpoints:
+            endpoint.queue = 0
+            endpoint.may_fall = True
+        served_before = sum(endpoint.served for endpoint in endpoints)
+        started_at = trio.current_time()
+        sent += await site.send_steadily(MEASURED_S, per_s)
+        seconds = trio.current_time() - started_at
+        served = sum(endpoint.served for endpoint in endpoints) - served_before
+        assert sum(endpoint.falls for endpoint in endpoints) <= MAX_FALLS
+        assert served >= MIN_THROUGHPUT * CAPACITY_PER_S * min(seconds, MEASURED_S)
+        for request in sent:
+            assert site.runs[request.request_id] <= 1
+
+    async def test_requests_wait_that_cannot_be_served(self, nursery):
+        """What would be served too late is refused at once, with the time to wait."""
+        site, _ = await start_brittle_site(nursery, 1, 3)
+        await site.send_steadily(0.5, 20)
+        sent = await site.send_steadily(1.5, OVERLOAD * CAPACITY_PER_S)
+        refused = [
+            request
+            for request in sent
+            if request.answer.startswith((b"HTTP/1.1 503", b"HTTP/1.1 429"))
+        ]
+        assert len(refused) > 0.2 * len(sent)
+        assert sorted(request.seconds for request in refused)[len(refused) // 2] < 0.1
+        assert all(b"Retry-After" in request.answer for request in refused)
+
+    async def test_the_limit_outlasts_the_statement(self, nursery):
+        """An answer without the header ends it."""
+        site, endpoints = await start_brittle_site(nursery, 1, 3)
+        stats = site.gateways[0].relay.endpoint_stats
+        await site.send_steadily(0.5, 40)
+        assert stats.is_room_divided("guide")
+        for endpoint in endpoints:
+            endpoint.max_rejections = None
+        await site.send_steadily(1.0, 40)
+        views = stats.cluster_view.endpoints.values()
+        assert not any(
+            stats._is_brittle(view.announced, stats.clock()) for view in views
+        )
+
+
+class TestStatement:
+    @pytest.mark.parametrize("text", ["-1", "nan", "inf", "1e99", "many"])
+    def test_an_unreadable_number_means_that_any_is_borne(self, text):
+        assert parse_max_rejections(text) == 0.0
+        assert get_metrics().get_count("max_rejections_unreadable") == 1
+
+    @pytest.mark.parametrize(
+        "codec, name",
+        [
+            (DefaultHeaderCodec(), b"X-Max-Rejections-Per-S"),
+            (PlatformHeaderCodec(), b"Server-Brittle"),
+        ],
+    )
+    def test_the_header_is_not_read(self, codec, name):
+        for status in (200, 429, 503):
+            headers = ((name, b"4"),)
+            assert codec.read_answer(status, headers).max_rejections_per_s == 4.0
+        assert codec.read_answer(200, ()).max_rejections_per_s is None
--- a/medlarrail/relay/entry_rank.py
+++ b/medlarrail/relay/entry_rank.py
@@ -26,8 +26,8 @@
     cluster_view: ClusterView
     entry: str
     _listed: tuple[RegisteredEntry, ...] | None = None
-    _ring: list[int] = field(factory=list)
-    """Sorted positions of the entries."""
+    _ring: list[tuple[int, str]] = field(factory=list)
+    """Sorted positions of the entries with their names."""
     _own_index: int = 0
     _ranks: dict[str, int] = field(factory=dict)
 
@@ -37,14 +37,26 @@
             self._build_ring()
         rank = self._ranks.get(endpoint)
         if rank is None:
-            start = bisect(self._ring, get_weight(endpoint, RING_KEY))
-            rank = (self._own_index - start) % len(self._ring)
+            rank = (self._own_index - self._get_start(endpoint)) % len(self._ring)
             self._ranks[endpoint] = rank
         return rank
 
+    def list_first(self, endpoint: str, count: int) -> list[str]:
+        """Return the names of the ``count`` entries of the lowest ranks."""
+        if self.cluster_view.entries is not self._listed:
+            self._build_ring()
+        start = self._get_start(endpoint)
+        ranked = self._ring[start:] + self._ring[:start]
+        return [name for _, name in ranked[:count]]
+
+    def _get_start(self, endpoint: str) -> int:
+        return bisect(self._ring, (get_weight(endpoint, RING_KEY), ""))
+
     def _build_ring(self) -> None:
         self._listed = self.cluster_view.entries
         names = {self.entry, *(entry.name for entry in self._listed)}
-        self._ring = sorted(get_weight(name, RING_KEY) for name in names)
-        self._own_index = self._ring.index(get_weight(self.entry, RING_KEY))
+        self._ring = sorted((get_weight(name, RING_KEY), name) for name in names)
+        self._own_index = self._ring.index(
+            (get_weight(self.entry, RING_KEY), self.entry)
+        )
         self._ranks.clear()
--- a/medlarrail/relay/forwarding.py
+++ b/medlarrail/relay/forwarding.py
@@ -344,6 +344,9 @@
             )
         if not metadata.verified:
             raise AnswerTruncated(endpoint=name)
+        self.relayed.relay.endpoint_stats.record_carried_limit(
+            self.relayed.service.name, metadata.max_rejections_per_s
+        )
 
     async def _handle_refusal(
         self, connection: OutboundConnection, head: AnswerHead, reason: str
--- a/medlarrail/relay/header_codec.py
+++ b/medlarrail/relay/header_codec.py
@@ -18,6 +18,7 @@
 DEADLINE = b"x-deadline-ms"
 NOT_RUN = b"x-not-run"
 LIMIT = b"x-limit-per-s"
+MAX_REJECTIONS = b"x-max-rejections-per-s"
 RETRY_AFTER = b"retry-after"
 LAST_EVENT_ID = b"last-event-id"
 ACCOUNT = b"x-account"
@@ -61,6 +62,17 @@
     return _parse_decimal(text, MAX_LIMIT_PER_S, "limits_unreadable")
 
 
+def parse_max_rejections(text: str) -> float | None:
+    """Return the rejections per second that an endpoint bears, None for any number.
+
+    An unreadable or negative number counts as 0: the endpoint says that there is one.
+    """
+    if not text:
+        return None
+    number = _parse_decimal(text, MAX_LIMIT_PER_S, "max_rejections_unreadable")
+    return 0.0 if number is None else number
+
+
 def parse_retry_after(status: int, text: str) -> float | None:
     """Return the seconds for which an endpoint wants no requests, None for none.
 
@@ -182,6 +194,9 @@
             not_run=bool(get_header_text(headers, NOT_RUN)),
             misdirected=status == 421,
             limit_per_s=parse_limit(get_header_text(headers, LIMIT)),
+            max_rejections_per_s=parse_max_rejections(
+                get_header_text(headers, MAX_REJECTIONS)
+            ),
             retry_after_s=parse_retry_after(
                 status, get_header_text(headers, RETRY_AFTER)
             ),
--- a/medlarrail/relay/metadata.py
+++ b/medlarrail/relay/metadata.py
@@ -148,6 +148,9 @@
     limit_per_s: float | None = None
     """Requests per second that the endpoint accepts from all entries together, or None
     if it names no limit."""
+    max_rejections_per_s: float | None = None
+    """Rejections per second beyond which the endpoint falls over, or None if it bears
+    any number."""
     retry_after_s: float | None = None
     """Seconds for which the endpoint wants no requests from this entry, or None if it
     asks for no such time."""
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -34,6 +34,7 @@
 )
 from medlarrail.core.metrics import get_metrics
 from medlarrail.core.scopes import ContextScope
+from medlarrail.policy.admission_room import decide_wait, get_wait_s
 from medlarrail.policy.context import TransferPlan
 from medlarrail.policy.peer_choice import Peer
 from medlarrail.relay.attempt import Attempt, BufferedAnswer
@@ -155,7 +156,17 @@
             if is_forwarded:
                 raise ServiceUnreachable(service=service)
             return await self._forward(())
-        return False
+        stats = self.relay.endpoint_stats
+        lacks_room = stats.is_room_divided(service) and not stats.get_room(service)
+        if not lacks_room or is_forwarded:
+            return False
+        holders = stats.list_room_holders(service)
+        try:
+            return bool(holders) and await self._forward(holders)
+        except PeerRefused as error:
+            if error.reason == Overloaded.__name__:
+                stats.record_room_used_up(service)
+            raise
 
     async def _forward(self, names: Collection[str]) -> bool:
         """Let another entry run the request; returns whether the caller was answered.
@@ -227,6 +238,7 @@
         began_at = trio.current_time()
         while True:
             self.evidence.require_not_blocked()
+            await self._wait_for_room()
             if (choice := self.chooser.choose()).action != "wait":
                 break
             await trio.sleep(DISPATCH_POLL_INTERVAL_S)
@@ -248,6 +260,45 @@
             )
         return choice.endpoint
 
+    async def _wait_for_room(self) -> None:
+        """Wait for this entry's part of the room, if the endpoints' room is divided.
+
+        Raises ``Overloaded`` if the request would be served too late.
+        """
+        service = self.service.name
+        stats = self.relay.endpoint_stats
+        if not stats.is_room_divided(service):
+            return
+        queue = self.relay.get_room_queue(service)
+        hold_s = stats.get_hold_s(service)
+        room = stats.get_room(service)
+        with queue.join(self.admission.priority, self.deadline) as waiter:
+            ahead = queue.count_ahead(waiter)
+            left_s = self.get_remaining_s()
+            refused = not room or decide_wait(ahead, room, hold_s, left_s) == "refuse"
+            while stats.is_room_divided(service):
+                reasons = self._list_untried_reasons()
+                if "no room" not in reasons and "" not in reasons:
+                    return
+                ahead = queue.count_ahead(waiter)
+                if not ahead and "" in reasons:
+                    return
+                if refused or self.get_remaining_s() < hold_s:
+                    raise Overloaded(
+                        endpoint=service, retry_after_s=get_wait_s(ahead, room, hold_s)
+                    )
+                await queue.wait_changed(DISPATCH_POLL_INTERVAL_S)
+
+    def _list_untried_reasons(self) -> set[str]:
+        """Return why untried endpoints cannot take the request; empty if one can."""
+        stats = self.relay.endpoint_stats
+        return {
+            stats.get_unavailable_reason(endpoint, self.service)
+            for endpoint in self.relay.cluster_view.endpoints.values()
+            if endpoint.announced.service == self.service.name
+            and endpoint.announced.name not in self.tried
+        }
+
     def _check_retry(self) -> None:
         """Raise the latest failure unless another attempt is allowed."""
         allowed = self.runs == 0 or self._may_retry_run()
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -33,6 +33,7 @@
 from medlarrail.relay.metadata import HeaderCodec, RequestMetadata
 from medlarrail.relay.outbound import OutboundPool
 from medlarrail.relay.relayed_request import RelayedRequest
+from medlarrail.relay.room_queue import RoomQueue
 from medlarrail.relay.suspected_requests import SuspectedRequests
 from medlarrail.relay.table import Admission, RouteTable
 from medlarrail.relay.workload_reporter import WorkloadReporter
@@ -81,6 +82,7 @@
     limits: LimitReporter = field(init=False)
     forwarder: Forwarder = field(init=False)
     _budgets: dict[str, RetryBudget] = field(factory=dict)
+    _room_queues: dict[str, RoomQueue] = field(factory=dict)
 
     def __attrs_post_init__(self):
         entry = self.endpoint_stats.entry
@@ -110,6 +112,10 @@
             self._budgets[service] = budget
         return budget
 
+    def get_room_queue(self, service: str) -> RoomQueue:
+        """Return the requests that wait for room at the endpoints of a service."""
+        return self._room_queues.setdefault(service, RoomQueue())
+
     async def answer(self, exchange: ServerExchange) -> None:
         """Answer one request, with an error answer if it fails."""
         exchange.request = self.forwarder.take_proof(exchange.request)
