Find parts in stores that a gateway does not follow

Cause: a store supports 12 event calls, so 10 gateways follow each one. Of 191 gateways each knew the contents of one store in 19 and read again what the others held.

Change: every part has a home among the stores, chosen by hashing over all of them, and the next one if that is full. One follower of that store, chosen by the part, answers whether it holds the part and who may save it, with a datagram that also counts pending saves. Each prompt costs one or two messages for each shared part, whatever the number of gateways and stores. What a reply says is used for 0.3 s; nothing is saved in a restarted store for 3.5 s, and a follower's index counts for 1.6 s. Deployments in which every gateway follows every store work as before. Space for requested saves is counted by their tokens, not as 512 each.

Before: 18 of 240 pairs of entry and store follow each other (40 entries, 6 stores). After: all 400 look-ups find what is held, one of 40 concurrent requests saves a part, and no store has more event calls than it supports.

--- a/medlarrail/policy/context.py
+++ b/medlarrail/policy/context.py
@@ -105,24 +105,31 @@
     """Return the store to save a part to, or an empty string if none is needed."""
     if part.held_at or part.saving:
         return ""
-    needed_tokens = -(-part.tokens // BLOCK_TOKENS) * BLOCK_TOKENS
-    candidates = [
-        store
-        for store in stores
-        if store.savable
-        and store.free_tokens >= needed_tokens
-        and is_worthwhile(part.tokens, store)
-    ]
-    target = min(
+    candidates = [store for store in stores if can_save(part.tokens, store)]
+    homes = rank_homes(part, candidates)
+    return homes[0].address if homes else ""
+
+
+def can_save(tokens: int, store: StoreView) -> bool:
+    """Return whether a store has room for a part and may be saved to."""
+    needed_tokens = -(-tokens // BLOCK_TOKENS) * BLOCK_TOKENS
+    return store.savable and store.free_tokens >= needed_tokens
+
+
+def rank_homes(part: PartView, stores: Sequence[StoreView]) -> list[StoreView]:
+    """Return the stores that a part belongs to, the preferred one first."""
+    candidates = [store for store in stores if is_worthwhile(part.tokens, store)]
+    if not candidates:
+        return []
+    is_small = _is_small(part, candidates)
+    return sorted(
         candidates,
         key=lambda store: (
             part.tokens > store.capacity_tokens * SMALL_PART_RATIO,
-            store.first_ms if _is_small(part, candidates) else -store.capacity_tokens,
+            store.first_ms if is_small else -store.capacity_tokens,
             -get_weight(store.address, part.identity),
         ),
-        default=None,
     )
-    return "" if target is None else target.address
 
 
 def _is_small(part: PartView, stores: Sequence[StoreView]) -> bool:
--- a/medlarrail/programs/gateway.py
+++ b/medlarrail/programs/gateway.py
@@ -73,6 +73,8 @@
             self.relay.context = ContextIndex(
                 self.cluster_view, self.context_store_client, settings.name
             )
+        if self.relay.context is not None and self.relay.reporter is not None:
+            self.relay.connect_part_directory(settings.work_address)
         self.server = InboundServer(
             self.relay.answer,
             self.relay.answer_error,
--- a/medlarrail/relay/context_index.py
+++ b/medlarrail/relay/context_index.py
@@ -6,10 +6,11 @@
 """
 
 from collections.abc import Sequence
+from typing import Literal
 
 import eliot
 import trio
-from attrs import define, field
+from attrs import define, field, frozen
 
 from medlarrail.cluster.cluster_view import ClusterView
 from medlarrail.cluster.context_store_client import (
@@ -17,6 +18,7 @@
     StoreEventBatch,
     StoreListing,
 )
+from medlarrail.core.announcements import RegisteredEntry
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.core.deployment import Deployment, StoreSpec
 from medlarrail.core.errors import MedlarError
@@ -26,6 +28,7 @@
     PartView,
     StoreView,
     TransferPlan,
+    can_save,
     plan_transfers,
 )
 from medlarrail.relay.metadata import PromptPart
@@ -50,6 +53,23 @@
 """Time allowed for a call in addition to its long poll."""
 
 
+ClaimStatus = Literal["held", "saving", "save", "full", "unknown"]
+"""Whether a store holds a part, is getting it, may get it now, or has no room; unknown
+if its contents are not known here."""
+
+
+@frozen
+class PendingSave:
+    """A requested save of so many tokens, which is not known to be complete."""
+
+    requested_at: float
+    tokens: int
+
+    def is_expired(self, now: float) -> bool:
+        """Return whether the save may be requested again."""
+        return now - self.requested_at >= SAVE_TIMEOUT_S
+
+
 @define(eq=False)
 class StoreIndex:
     """Content of one store, as known from its lists and events."""
@@ -62,12 +82,27 @@
     listed_at: float = float("-inf")
     partial_tokens: int = 0
     held: dict[tuple[str, str], int] = field(factory=dict)
-    pending_saves: dict[tuple[str, str], float] = field(factory=dict)
+    pending_saves: dict[tuple[str, str], PendingSave] = field(factory=dict)
     reachable: bool = False
+    _held_tokens: int = 0
 
     def count_used_tokens(self) -> int:
-        """Return the number of tokens in use."""
-        return sum(self.held.values()) + self.partial_tokens
+        """Return the number of tokens in use or reserved by requested saves."""
+        pending = sum(save.tokens for save in self.pending_saves.values())
+        return self._held_tokens + self.partial_tokens + pending
+
+    def is_saving(self, key: tuple[str, str], now: float) -> bool:
+        """Return whether a requested save of a part may be in progress."""
+        save = self.pending_saves.get(key)
+        return save is not None and not save.is_expired(now)
+
+    def drop_expired_saves(self, now: float) -> None:
+        """Drop the requested saves that were lost."""
+        expired = [
+            key for key, save in self.pending_saves.items() if save.is_expired(now)
+        ]
+        for key in expired:
+            del self.pending_saves[key]
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the index is recent enough to use."""
@@ -81,6 +116,7 @@
         """Replace the index with a full list."""
         self._set_epoch(listed.epoch, now)
         self.held = {(part.scope, part.identity): part.tokens for part in listed.parts}
+        self._held_tokens = sum(self.held.values())
         self.partial_tokens = listed.partial_tokens
         self.next_event = listed.next_event
         self.listed_at = self.synced_at = now
@@ -94,10 +130,10 @@
         for event in batch.events:
             key = (event.part.scope, event.part.identity)
             self.pending_saves.pop(key, None)
+            self._held_tokens -= self.held.pop(key, 0)
             if event.added and event.part.tokens > 0:
                 self.held[key] = event.part.tokens
-            else:
-                self.held.pop(key, None)
+                self._held_tokens += event.part.tokens
         self.next_event = batch.next_event
         self.synced_at = now
 
@@ -112,6 +148,7 @@
         """Discard the index until the next full list."""
         self.synced_at = self.listed_at = float("-inf")
         self.held.clear()
+        self._held_tokens = 0
 
 
 @define(eq=False)
@@ -124,6 +161,9 @@
     clock: Clock = get_boottime
     stores: dict[str, StoreIndex] = field(factory=dict)
     _scopes: dict[str, trio.CancelScope] = field(factory=dict)
+    _ranked_entries: tuple[RegisteredEntry, ...] | None = None
+    _followers: dict[str, list[str]] = field(factory=dict)
+    """By the address of the store, for ``_ranked_entries``."""
     _changed: trio.Event = field(factory=trio.Event)
 
     def __attrs_post_init__(self):
@@ -179,9 +219,24 @@
 
     def _may_follow(self, index: StoreIndex) -> bool:
         """Return whether the store's open-call limit allows this entry to follow it."""
-        names = {entry.name for entry in self.cluster_view.entries} | {self.name}
-        ranked = rank_nodes(names, index.spec.address)
-        return self.name in ranked[: max(1, index.spec.event_calls - RESERVED_CALLS)]
+        return self.is_follower(self.name, index.spec)
+
+    def is_follower(self, entry: str, spec: StoreSpec) -> bool:
+        """Return whether an entry may follow the events of a store."""
+        return entry in self.list_followers(spec)
+
+    def list_followers(self, spec: StoreSpec) -> list[str]:
+        """Return the entries that may follow the events of a store."""
+        if self.cluster_view.entries is not self._ranked_entries:
+            self._ranked_entries = self.cluster_view.entries
+            self._followers.clear()
+        followers = self._followers.get(spec.address)
+        if followers is None:
+            names = {entry.name for entry in self.cluster_view.entries} | {self.name}
+            ranked = rank_nodes(names, spec.address)
+            followers = ranked[: max(1, spec.event_calls - RESERVED_CALLS)]
+            self._followers[spec.address] = followers
+        return followers
 
     async def _poll(self, index: StoreIndex) -> None:
         address = index.spec.address
@@ -222,7 +277,9 @@
         plan = plan_transfers(views, stores, data_centre)
         for part, target in zip(parts, plan.save, strict=True):
             if target:
-                self.stores[target].pending_saves[scope, part.identity] = now
+                self.stores[target].pending_saves[scope, part.identity] = PendingSave(
+                    now, part.tokens
+                )
                 get_metrics().count("parts_saved")
         fetched = sum(bool(source) for source in plan.fetch)
         get_metrics().count("parts_fetched", fetched)
@@ -236,6 +293,37 @@
             for index in self.stores.values()
         )
 
+    def list_homes(self) -> list[StoreView]:
+        """Return all stores as empty ones, followed here or not."""
+        return [
+            StoreView(
+                spec.address,
+                spec.data_centre,
+                spec.capacity_tokens,
+                spec.capacity_tokens,
+                spec.first_ms,
+            )
+            for spec in (index.spec for index in self.stores.values())
+        ]
+
+    def claim(self, address: str, scope: str, part: PromptPart) -> ClaimStatus:
+        """Return whether a store holds a part; ``save`` asks the caller to save it."""
+        now = self.clock()
+        index = self.stores.get(address)
+        if index is None or not index.is_fresh(now):
+            return "unknown"
+        if index.holds(scope, part):
+            return "held"
+        key = (scope, part.identity)
+        if index.is_saving(key, now):
+            return "saving"
+        view = self._build_store_view(index, now)
+        if not can_save(part.tokens, view):
+            return "full"
+        index.pending_saves[key] = PendingSave(now, part.tokens)
+        get_metrics().count("parts_saved")
+        return "save"
+
     def _build_part_view(self, scope: str, part: PromptPart, now: float) -> PartView:
         key = (scope, part.identity)
         held_at = tuple(
@@ -243,29 +331,14 @@
             for address, index in self.stores.items()
             if index.holds(scope, part)
         )
-        saving = any(
-            now - index.pending_saves.get(key, float("-inf")) < SAVE_TIMEOUT_S
-            for index in self.stores.values()
-        )
+        saving = any(index.is_saving(key, now) for index in self.stores.values())
         return PartView(part.identity, part.tokens, held_at, saving)
 
     def _build_store_view(self, index: StoreIndex, now: float) -> StoreView:
         spec = index.spec
         fresh = index.is_fresh(now)
-        pending_save_count = sum(
-            now - at < SAVE_TIMEOUT_S for at in index.pending_saves.values()
-        )
-        if len(index.pending_saves) > MAX_PENDING_SAVES:
-            index.pending_saves = {
-                key: at
-                for key, at in index.pending_saves.items()
-                if now - at < SAVE_TIMEOUT_S
-            }
-        free = (
-            spec.capacity_tokens
-            - index.count_used_tokens()
-            - pending_save_count * TOKENS_PER_PENDING_SAVE
-        )
+        index.drop_expired_saves(now)
+        free = spec.capacity_tokens - index.count_used_tokens()
         return StoreView(
             address=spec.address,
             data_centre=spec.data_centre,
@@ -275,9 +348,3 @@
             fetchable=fresh,
             savable=fresh and now - index.epoch_seen_at > SAVE_DELAY_S,
         )
-
-
-MAX_PENDING_SAVES = 256
-"""Number of pending saves above which expired ones are dropped."""
-TOKENS_PER_PENDING_SAVE = 512
-"""Tokens reserved for each pending save."""
--- a/medlarrail/relay/endpoint_choice.py
+++ b/medlarrail/relay/endpoint_choice.py
@@ -222,7 +222,13 @@
             for candidate in candidates
         )
         part = self.metadata.largest_shared_part
-        held = context.is_held(self.relayed.get_scope(version), part)
+        scope = self.relayed.get_scope(version)
+        located = self.relayed.find_located(scope)
+        if located is not None:
+            index = self.metadata.shared_parts.index(part)
+            held = bool(located.plan.fetch[index])
+        else:
+            held = context.is_held(scope, part)
         return Prompt(tokens, max(0, tokens - part.tokens) if held else tokens)
 
     def _get_time_budget(self) -> TimeBudget:
--- /dev/null
+++ b/medlarrail/relay/part_directory.py
@@ -0,0 +1,187 @@
+"""Finds the parts of prompts in stores that this entry does not follow.
+
+A store supports few callers of its events, so of many entries only some follow each
+store. Every part has a home among the stores, and one of the followers of that store
+answers for it: whether the store holds all of the part, and who may save it. Entries
+ask it with a datagram for each prompt, so the number of messages depends on neither the
+number of entries nor that of stores. A lost message costs a prefill.
+"""
+
+from collections.abc import Sequence
+from itertools import count
+
+import trio
+from attrs import define, field, frozen
+
+from medlarrail.cluster.cluster_view import ClusterView
+from medlarrail.core.clock import Clock, get_boottime
+from medlarrail.core.codec import decode, encode
+from medlarrail.core.errors import CallerError
+from medlarrail.core.metrics import get_metrics
+from medlarrail.core.placement import get_weight
+from medlarrail.policy.context import PartView, TransferPlan, rank_homes
+from medlarrail.relay.context_index import ClaimStatus, ContextIndex
+from medlarrail.relay.metadata import PromptPart
+from medlarrail.transport.datagrams import DatagramSocket
+
+QUERY_PREFIX = b"Q"
+REPLY_PREFIX = b"R"
+REPLY_TIMEOUT_S = 0.05
+"""Maximum wait for a reply: several round trips, yet short compared to the prefill of
+a part."""
+LOCATION_TTL_S = 0.3
+"""Age up to which replies are used. With the age of a follower's index it is well below
+the time for which nothing is saved in a store that has restarted."""
+MAX_HOMES = 2
+"""Stores that a part may be in: its home, or the next one if that is full."""
+
+
+@frozen
+class PartQuery:
+    """Asks whether a store holds a part, and to save it there if it does not."""
+
+    number: int
+    reply_to: str
+    store: str
+    scope: str
+    identity: str
+    tokens: int
+
+
+@frozen
+class PartReply:
+    """The answer to the query of this number."""
+
+    number: int
+    status: ClaimStatus
+
+
+@frozen
+class LocatedParts:
+    """Transfers of the shared parts of a prompt, as found at ``located_at``."""
+
+    scope: str
+    located_at: float
+    plan: TransferPlan
+
+
+@define
+class OpenQuery:
+    """A query that waits for its reply."""
+
+    answered: trio.Event = field(factory=trio.Event)
+    status: ClaimStatus = "unknown"
+
+
+@define(eq=False)
+class PartDirectory:
+    """Asks other entries for parts, and answers for the stores that are followed here.
+
+    ``work_address`` is the address of ``datagram_socket`` as others know it.
+    """
+
+    cluster_view: ClusterView
+    index: ContextIndex
+    datagram_socket: DatagramSocket
+    work_address: str
+    clock: Clock = get_boottime
+    _numbers: count = field(factory=lambda: count(1))
+    _open: dict[int, OpenQuery] = field(factory=dict)
+
+    def is_needed(self) -> bool:
+        """Return whether there are stores that this entry may not follow."""
+        return any(
+            not self.index.is_follower(self.index.name, index.spec)
+            for index in self.index.stores.values()
+        )
+
+    async def locate(self, scope: str, parts: Sequence[PromptPart]) -> LocatedParts:
+        """Return where to fetch the parts from, and where to save those not stored."""
+        located_at = self.clock()
+        statuses: dict[str, tuple[str, str]] = {}
+
+        async def locate_part(part: PromptPart) -> None:
+            statuses[part.identity] = await self._locate_part(scope, part)
+
+        async with trio.open_nursery() as nursery:
+            for part in parts:
+                nursery.start_soon(locate_part, part)
+        transfers = [statuses[part.identity] for part in parts]
+        plan = TransferPlan(
+            fetch=tuple(fetch for fetch, _ in transfers),
+            save=tuple(save for _, save in transfers),
+        )
+        return LocatedParts(scope, located_at, plan)
+
+    async def _locate_part(self, scope: str, part: PromptPart) -> tuple[str, str]:
+        """Return the store to fetch a part from and the one to save it to, or empty."""
+        view = PartView(part.identity, part.tokens)
+        for store in rank_homes(view, self.index.list_homes())[:MAX_HOMES]:
+            status = await self._claim(store.address, scope, part)
+            get_metrics().count("parts_located", status=status)
+            if status == "held":
+                return store.address, ""
+            if status == "save":
+                return "", store.address
+            if status == "saving":
+                return "", ""
+        return "", ""
+
+    async def _claim(self, store: str, scope: str, part: PromptPart) -> ClaimStatus:
+        followers = self.index.list_followers(self.index.stores[store].spec)
+        name = max(followers, key=lambda follower: get_weight(follower, part.identity))
+        if name == self.index.name:
+            return self.index.claim(store, scope, part)
+        address = next(
+            (
+                entry.work_address
+                for entry in self.cluster_view.entries
+                if entry.name == name
+            ),
+            "",
+        )
+        if not address:
+            return "unknown"
+        query = PartQuery(
+            next(self._numbers),
+            self.work_address,
+            store,
+            scope,
+            part.identity,
+            part.tokens,
+        )
+        return await self._ask(address, query)
+
+    async def _ask(self, address: str, query: PartQuery) -> ClaimStatus:
+        open_query = self._open[query.number] = OpenQuery()
+        try:
+            await self.datagram_socket.send(address, QUERY_PREFIX + encode(query))
+            with trio.move_on_after(REPLY_TIMEOUT_S):
+                await open_query.answered.wait()
+        finally:
+            del self._open[query.number]
+        return open_query.status
+
+    async def handle_query(self, body: bytes) -> None:
+        """Answer another entry's query."""
+        try:
+            query = decode(body, PartQuery)
+        except CallerError as error:
+            get_metrics().count("queries_unreadable", type=type(error).__name__)
+            return
+        part = PromptPart(query.identity, query.tokens)
+        status = self.index.claim(query.store, query.scope, part)
+        reply = PartReply(query.number, status)
+        await self.datagram_socket.send(query.reply_to, REPLY_PREFIX + encode(reply))
+
+    async def handle_reply(self, body: bytes) -> None:
+        """Pass a reply to the query that waits for it; a late one is dropped."""
+        try:
+            reply = decode(body, PartReply)
+        except CallerError as error:
+            get_metrics().count("replies_unreadable", type=type(error).__name__)
+            return
+        open_query = self._open.get(reply.number)
+        if open_query is not None:
+            open_query.status = reply.status
+            open_query.answered.set()
--- /dev/null
+++ b/medlarrail/relay/part_directory_test.py
@@ -0,0 +1,230 @@
+"""Tests of finding parts in stores that an entry does not follow."""
+
+from collections import Counter
+
+import pytest
+import trio
+from attrs import define, evolve, field
+
+from medlarrail.cluster.cluster_view import ClusterView
+from medlarrail.cluster.context_store_client import (
+    StoredPart,
+    StoreEvent,
+    StoreEventBatch,
+    StoreListing,
+)
+from medlarrail.core.announcements import RegisteredEntry
+from medlarrail.core.deployment import ServiceRule, StoreSpec
+from medlarrail.core.metrics import get_metrics
+from medlarrail.relay.context_index import SAVE_DELAY_S, ContextIndex
+from medlarrail.relay.metadata import PromptPart
+from medlarrail.relay.part_directory import (
+    QUERY_PREFIX,
+    REPLY_PREFIX,
+    PartDirectory,
+)
+from medlarrail.relay.workload_reporter import WorkloadReporter
+from medlarrail.relay.workload_tracker import WorkloadTracker
+from medlarrail.testing.builders import build_cluster_view_answer, build_deployment
+from medlarrail.transport.datagrams import DatagramSocket
+
+KEY = "a-key-for-this-test"
+HOST = "127.0.0.1"
+ENTRY_COUNT = 40
+STORE_COUNT = 6
+EVENT_CALLS = 5
+"""Calls that a store supports: three entries follow each, in all 18 of 240."""
+SCOPE = "scope-1"
+PARTS = [PromptPart(f"part-{number}", 12_800) for number in range(60)]
+
+
+@define(eq=False)
+class FakeStores:
+    """Stores that support few event calls at a time; records the most of each."""
+
+    parts: dict[str, dict[str, int]] = field(factory=dict)
+    events: dict[str, list[StoreEvent]] = field(factory=dict)
+    epochs: Counter[str] = field(factory=Counter)
+    open_calls: Counter[str] = field(factory=Counter)
+    most_calls: int = 0
+
+    def save(self, address: str, part: PromptPart) -> None:
+        """Add a complete part."""
+        self.parts.setdefault(address, {})[part.identity] = part.tokens
+        stored = StoredPart(SCOPE, part.identity, part.tokens)
+        self.events.setdefault(address, []).append(StoreEvent(stored, added=True))
+
+    def restart(self, address: str) -> None:
+        """Restart a store without its contents."""
+        self.parts[address] = {}
+        self.events[address] = []
+        self.epochs[address] += 1
+
+    async def read_list(self, address: str) -> StoreListing:
+        """See ``ContextStoreClient``."""
+        await trio.sleep(0.001)
+        held = self.parts.get(address, {}).items()
+        listed = tuple(StoredPart(SCOPE, identity, tokens) for identity, tokens in held)
+        next_event = len(self.events.get(address, ()))
+        return StoreListing(str(self.epochs[address]), next_event, listed)
+
+    async def read_events(
+        self, address: str, since: int, wait_ms: int, timeout_s: float
+    ) -> StoreEventBatch:
+        """See ``ContextStoreClient``."""
+        self.open_calls[address] += 1
+        self.most_calls = max(self.most_calls, self.open_calls[address])
+        try:
+            with trio.move_on_after(wait_ms / 1000):
+                while len(self.events.get(address, ())) <= since:
+                    await trio.sleep(0.02)
+        finally:
+            self.open_calls[address] -= 1
+        events = self.events.get(address, [])
+        return StoreEventBatch(
+            str(self.epochs[address]), len(events), False, tuple(events[since:])
+        )
+
+
+@define(eq=False)
+class Directories:
+    """The directories of many entries before the same stores."""
+
+    nursery: trio.Nursery
+    stores: FakeStores = field(factory=FakeStores)
+    directories: list[PartDirectory] = field(factory=list)
+
+    async def start(self) -> None:
+        """Start all entries, and wait until they know the stores' contents."""
+        services = tuple(
+            ServiceRule(
+                f"store-{number}",
+                store=StoreSpec(
+                    f"{HOST}:{7000 + number}",
+                    "leith",
+                    capacity_tokens=400_000,
+                    link_mbps=1000.0,
+                    event_calls=EVENT_CALLS,
+                    managed=True,
+                ),
+            )
+            for number in range(STORE_COUNT)
+        )
+        deployment = evolve(build_deployment(), version=9, services=services)
+        entries = [
+            await self._start_entry(f"entry-{number}") for number in range(ENTRY_COUNT)
+        ]
+        answer = build_cluster_view_answer([entry.name for entry in entries])
+        for directory in self.directories:
+            directory.cluster_view.apply(evolve(answer, entries=tuple(entries)))
+            directory.cluster_view.apply(
+                evolve(answer, entries=None, deployment=deployment)
+            )
+        await trio.sleep(SAVE_DELAY_S + 0.5)
+
+    async def _start_entry(self, name: str) -> RegisteredEntry:
+        cluster_view = ClusterView(trio.current_time)
+        datagram_socket = DatagramSocket(f"{HOST}:0", KEY)
+        reporter = WorkloadReporter(
+            cluster_view, WorkloadTracker(name), datagram_socket
+        )
+        await self.nursery.start(reporter.run)
+        index = ContextIndex(cluster_view, self.stores, name, trio.current_time)
+        self.nursery.start_soon(index.run)
+        work_address = f"{HOST}:{datagram_socket.get_port()}"
+        directory = PartDirectory(
+            cluster_view, index, datagram_socket, work_address, trio.current_time
+        )
+        reporter.handlers[QUERY_PREFIX] = directory.handle_query
+        reporter.handlers[REPLY_PREFIX] = directory.handle_reply
+        self.directories.append(directory)
+        return RegisteredEntry(name, "", "leith", work_address)
+
+    async def locate(self, number: int, part: PromptPart):
+        """Return the plan of one entry for one part."""
+        located = await self.directories[number].locate(SCOPE, [part])
+        return located.plan
+
+
+@pytest.fixture
+async def directories(nursery) -> Directories:
+    directories = Directories(nursery)
+    await directories.start()
+    return directories
+
+
+class TestManyEntries:
+    async def test_stored_parts_are_known_to_few_entries(self, directories):
+        """Three of 40 entries followed each store, and all others prefilled its parts
+        again."""
+        saves = Counter()
+        for number, part in enumerate(PARTS):
+            (save,) = (await directories.locate(number % ENTRY_COUNT, part)).save
+            saves[save] += 1
+            directories.stores.save(save, part)
+        assert len(saves) == STORE_COUNT
+        await trio.sleep(1.0)
+        found = 0
+        for number in range(ENTRY_COUNT):
+            for part in PARTS[number % 6 :: 6]:
+                found += bool((await directories.locate(number, part)).fetch[0])
+        assert found == ENTRY_COUNT * 10
+        assert directories.stores.most_calls <= EVENT_CALLS
+
+    async def test_a_part_is_saved_by_many_entries_at_once(self, directories):
+        saves = []
+
+        async def locate(number: int) -> None:
+            saves.append((await directories.locate(number, PARTS[0])).save[0])
+
+        async with trio.open_nursery() as callers:
+            for number in range(ENTRY_COUNT):
+                callers.start_soon(locate, number)
+        assert sum(map(bool, saves)) == 1
+
+    async def test_a_full_store_keeps_its_parts_out(self, directories):
+        """They go to the next store, and are found there."""
+        part = PARTS[0]
+        first = (await directories.locate(0, part)).save[0]
+        directories.stores.save(first, PromptPart("large", 395_000))
+        await trio.sleep(1.5)
+        part = PromptPart(part.identity, 12_801)
+        for directory in directories.directories:
+            directory.index.stores[first].pending_saves.clear()
+        second = (await directories.locate(1, part)).save[0]
+        assert second not in ("", first)
+        directories.stores.save(second, part)
+        await trio.sleep(1.0)
+        assert (await directories.locate(2, part)).fetch == (second,)
+
+    async def test_a_restarted_store_is_read(self, directories):
+        """Its followers know at once, and save nothing until nobody relies on it."""
+        part = PARTS[0]
+        save = (await directories.locate(0, part)).save[0]
+        directories.stores.save(save, part)
+        await trio.sleep(1.0)
+        assert (await directories.locate(1, part)).fetch == (save,)
+        directories.stores.restart(save)
+        await trio.sleep(1.5)
+        plan = await directories.locate(2, part)
+        assert plan.fetch == ("",) and plan.save != (save,)
+
+    async def test_a_lost_message_delays_a_request(self, directories):
+        cluster_view = directories.directories[0].cluster_view
+        cluster_view.entries = tuple(
+            evolve(entry, work_address=f"{HOST}:9") for entry in cluster_view.entries
+        )
+        started_at = trio.current_time()
+        for part in PARTS[:10]:
+            plan = await directories.locate(0, part)
+            assert plan.fetch == ("",)
+        assert trio.current_time() - started_at < 10 * 0.15
+
+    async def test_an_unreadable_message_ends_the_receiver(self, directories):
+        sender, receiver = directories.directories[:2]
+        for prefix in (QUERY_PREFIX, REPLY_PREFIX):
+            await sender.datagram_socket.send(receiver.work_address, prefix + b"{}x")
+        await trio.sleep(0.1)
+        assert get_metrics().get_count("queries_unreadable") == 1
+        assert get_metrics().get_count("replies_unreadable") == 1
+        assert (await directories.locate(0, PARTS[0])).save != ("",)
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -43,6 +43,7 @@
 from medlarrail.relay.forwarding import UNAVAILABLE_REASONS, ForwardedAttempt
 from medlarrail.relay.inbound import ServerExchange
 from medlarrail.relay.metadata import DispatchMetadata, RequestMetadata
+from medlarrail.relay.part_directory import LOCATION_TTL_S, LocatedParts
 from medlarrail.relay.table import Admission, choose_service
 from medlarrail.relay.workload_tracker import TrackedPrompt
 
@@ -79,6 +80,7 @@
     """Whether an attempt in progress may be running at its endpoint."""
     fallback_answer: BufferedAnswer | None = None
     last_event_id: str = ""
+    located: LocatedParts | None = None
     evidence: CrashEvidence = field(init=False)
     chooser: EndpointChooser = field(init=False)
 
@@ -239,6 +241,7 @@
         while True:
             self.evidence.require_not_blocked()
             await self._wait_for_room()
+            await self._locate_parts()
             if (choice := self.chooser.choose()).action != "wait":
                 break
             await trio.sleep(DISPATCH_POLL_INTERVAL_S)
@@ -260,6 +263,39 @@
             )
         return choice.endpoint
 
+    async def _locate_parts(self) -> None:
+        """Find the shared parts of the prompt for the newest weights in the stores.
+
+        Done before the endpoint is chosen, since nothing may be awaited between the
+        choice and the reservation.
+        """
+        directory = self.relay.parts
+        parts = self.metadata.shared_parts
+        if directory is None or self.service.engine is None or not parts:
+            return
+        version = self._get_newest_version()
+        scope = self.get_scope(version)
+        if version and directory.is_needed() and not self.find_located(scope):
+            self.located = await directory.locate(scope, parts)
+
+    def _get_newest_version(self) -> int:
+        return max(
+            (
+                endpoint.announced.get_version(self.metadata.model)
+                for endpoint in self.relay.cluster_view.endpoints.values()
+                if endpoint.announced.service == self.service.name
+            ),
+            default=0,
+        )
+
+    def find_located(self, scope: str) -> LocatedParts | None:
+        """Return where the parts were found, unless that is too old."""
+        located = self.located
+        if located is None or located.scope != scope:
+            return None
+        age_s = self.relay.parts.clock() - located.located_at
+        return located if age_s <= LOCATION_TTL_S else None
+
     async def _wait_for_room(self) -> None:
         """Wait for this entry's part of the room, if the endpoints' room is divided.
 
@@ -377,7 +413,15 @@
         context = self.relay.context
         if context is None or not version or len(parts) < 2:
             return TransferPlan()
-        plan = context.plan(scope, parts[:-1], endpoint.announced.data_centre)
+        directory = self.relay.parts
+        if directory is not None and directory.is_needed():
+            located = self.find_located(scope)
+            self.located = None
+            if located is None:
+                return TransferPlan()
+            plan = located.plan
+        else:
+            plan = context.plan(scope, parts[:-1], endpoint.announced.data_centre)
         return TransferPlan((*plan.fetch, ""), (*plan.save, ""))
 
     async def _attempt(self, endpoint: EndpointView) -> bool:
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -32,6 +32,11 @@
 from medlarrail.relay.limit_reporter import LimitReporter
 from medlarrail.relay.metadata import HeaderCodec, RequestMetadata
 from medlarrail.relay.outbound import OutboundPool
+from medlarrail.relay.part_directory import (
+    QUERY_PREFIX,
+    REPLY_PREFIX,
+    PartDirectory,
+)
 from medlarrail.relay.relayed_request import RelayedRequest
 from medlarrail.relay.room_queue import RoomQueue
 from medlarrail.relay.suspected_requests import SuspectedRequests
@@ -69,6 +74,7 @@
     isolation: IsolationPolicy = field(factory=IsolationPolicy)
     pool: OutboundPool = field(factory=OutboundPool)
     context: ContextIndex | None = None
+    parts: PartDirectory | None = None
     workload: WorkloadTracker = field(factory=lambda: WorkloadTracker(""))
     reporter: WorkloadReporter | None = None
     draining: bool = False
@@ -204,6 +210,17 @@
             )
         return self.reporter.find_group()
 
+    def connect_part_directory(self, work_address: str) -> None:
+        """Find parts in stores that others follow, over the socket of the reports."""
+        self.parts = PartDirectory(
+            self.cluster_view,
+            self.context,
+            self.reporter.datagram_socket,
+            work_address,
+        )
+        self.reporter.handlers[QUERY_PREFIX] = self.parts.handle_query
+        self.reporter.handlers[REPLY_PREFIX] = self.parts.handle_reply
+
     def connect_state(self, state: StateClient) -> None:
         """Set the client for reports to the leading state member."""
         self.crashes.state = self.blocked_prompts.state = state
--- a/medlarrail/relay/workload_reporter.py
+++ b/medlarrail/relay/workload_reporter.py
@@ -1,6 +1,6 @@
 """Exchanges workload reports with the other entries."""
 
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 
 import eliot
 import trio
@@ -22,6 +22,9 @@
 """Maximum engines in one report, about 3 KB; those with the most tokens are kept."""
 
 
+DatagramHandler = Callable[[bytes], Awaitable[None]]
+
+
 @define(eq=False)
 class WorkloadReporter:
     """Sends and receives reports within this entry's group."""
@@ -29,6 +32,8 @@
     cluster_view: ClusterView
     tracker: WorkloadTracker
     datagram_socket: DatagramSocket
+    handlers: dict[bytes, DatagramHandler] = field(factory=dict)
+    """Handlers of other messages by the first byte of their datagrams."""
     _changed: trio.Event = field(factory=trio.Event)
     _live_peers: frozenset[str] = frozenset()
 
@@ -85,6 +90,10 @@
     async def _receive_reports(self) -> None:
         while True:
             body = await self.datagram_socket.receive()
+            handle = self.handlers.get(body[:1])
+            if handle is not None:
+                await handle(body[1:])
+                continue
             try:
                 self.tracker.store_report(decode(body, WorkloadReport))
             except CallerError as error:
