Forward a request that reached none of the endpoints

Cause: on a path that loses every third packet a request fails at all three endpoints now and then, without a suspected partition: 6 of 100 in one run of test_a_lossy_path_flaps, whose bound was 5.

Change: such a request is offered to other gateways before it is refused.

--- a/medlarrail/relay/forwarding_test.py
+++ b/medlarrail/relay/forwarding_test.py
@@ -132,14 +132,15 @@
         assert all(request.is_served for request in sent)
 
     async def test_a_lossy_path_flaps(self, nursery):
-        """Every third attempt to connect fails, which is no partition."""
+        """Every third attempt to connect fails, which is no partition. A request that
+        reached no endpoint failed, though other gateways lose nothing."""
         site = await start_site(nursery, DEPLOYMENT, gateways=2)
         site.paths[0].loss_rate = 1 / 3
         sent = await site.send_steadily(2.0, 50, "/buy/1", "POST")
         suspicions = get_metrics().get_count("partitions_suspected", service="guide")
         # The process may stand still beside load, and all timeouts then end together.
         assert suspicions <= 1
-        assert sum(request.is_served for request in sent) >= 0.95 * len(sent)
+        assert sum(request.is_served for request in sent) >= 0.98 * len(sent)
 
     async def test_a_stream_is_lost_with_the_path(self, nursery):
         """It goes on at an endpoint that another gateway reaches."""
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -140,6 +140,8 @@
                 return
             endpoint = await self._wait_for_dispatch()
             if endpoint is None:
+                if await self._forward_unsent():
+                    return
                 self._log_no_endpoint()
                 raise self._build_failure()
             await self.evidence.request_trial()
@@ -170,6 +172,16 @@
                 stats.record_room_used_up(service)
             raise
 
+    async def _forward_unsent(self) -> bool:
+        """Let another entry run a request that reached none of the endpoints.
+
+        A path that loses packets fails some requests at all of them.
+        """
+        is_unsent = isinstance(self.failure, EndpointUnreachable) and not self.sends
+        if not is_unsent or self.exchange.request.forwarded_by:
+            return False
+        return await self._forward(())
+
     async def _forward(self, names: Collection[str]) -> bool:
         """Let another entry run the request; returns whether the caller was answered.
 
