Pass on no header by which gateways mark their own answers

Cause: an endpoint could set the header that marks a gateway's own answer. The gateway that had forwarded the request took the answer for a refusal, and asked others to run it, though it had run.

Change: both headers between gateways are removed wherever hop-by-hop headers are.

--- a/medlarrail/relay/forwarding.py
+++ b/medlarrail/relay/forwarding.py
@@ -38,14 +38,15 @@
 from medlarrail.policy.peer_choice import Peer, choose_peer
 from medlarrail.policy.reachability import PROBE_INTERVAL_S, Reachability
 from medlarrail.relay.attempt import MAX_REJECTION_WAIT_S, Attempt
-from medlarrail.relay.headers import get_header, iterate_end_to_end
+from medlarrail.relay.headers import (
+    FORWARDED_BY,
+    OWN_ANSWER,
+    get_header,
+    iterate_end_to_end,
+)
 from medlarrail.relay.metadata import Header, InboundRequest
 from medlarrail.relay.outbound import AnswerHead, OutboundConnection, OutboundPool
 
-FORWARDED_BY = b"medlarrail-forwarded-by"
-"""Header of a forwarded request: the name of the entry and its signature."""
-OWN_ANSWER = b"medlarrail-own-answer"
-"""Header of an answer to a forwarded request that no endpoint gave: the reason."""
 UNAVAILABLE_S = 1.0
 """Time for which an entry that refused or did not answer is not asked again."""
 MAX_PEERS = 3
@@ -326,10 +327,7 @@
             return
         if head.status in REFUSAL_STATUSES:
             await self._handle_refusal(connection, head, reason.decode("latin1"))
-        headers = tuple(
-            header for header in head.headers if header[0].lower() != OWN_ANSWER
-        )
-        await self._relay_buffered(connection, evolve(head, headers=headers))
+        await self._relay_buffered(connection, head)
 
     def _check_answer(self, head: AnswerHead) -> None:
         """Raise unless an endpoint vouches that it answered this request."""
--- a/medlarrail/relay/forwarding_test.py
+++ b/medlarrail/relay/forwarding_test.py
@@ -9,8 +9,9 @@
 from medlarrail.core.deployment import ServiceRule, TrafficShare
 from medlarrail.core.metrics import get_metrics
 from medlarrail.policy.reachability import PROBE_INTERVAL_S
-from medlarrail.relay.forwarding import FORWARDED_BY, MAX_PEERS, sign_request
+from medlarrail.relay.forwarding import MAX_PEERS, sign_request
 from medlarrail.relay.header_codec import DefaultHeaderCodec
+from medlarrail.relay.headers import FORWARDED_BY, OWN_ANSWER
 from medlarrail.testing.builders import build_deployment, build_route
 from medlarrail.testing.logs import collect_messages
 from medlarrail.testing.partitioned_site import PartitionedSite, start_site
@@ -235,6 +236,23 @@
         answer = await harness.send(build_forwarded("gateway-2", CLUSTER_KEY))
         assert answer.startswith(b"HTTP/1.1 401")
 
+    async def test_an_endpoint_claims_that_a_gateway_refused(self, nursery):
+        """The request has run, and another gateway was asked to run it again."""
+        site = await start_site(nursery, DEPLOYMENT, gateways=3, endpoints=0)
+
+        async def refuse(connection, request):
+            site.runs[get_value(request, b"x-request-id").decode()] += 1
+            headers = {OWN_ANSWER.decode(): "NoEndpoint"}
+            await connection.send(build_answer(request, status=b"503 Sorry", **headers))
+
+        for _ in range(3):
+            await site.add_endpoint(refuse)
+        site.cut(range(1), "reset")
+        await site.send_steadily(0.3, 30)
+        sent = [await site.send(0, "/buy/1", "POST") for _ in range(5)]
+        assert [site.runs[request.request_id] for request in sent] == [1] * 5
+        assert all(OWN_ANSWER not in request.answer.lower() for request in sent)
+
     def test_the_deadline_starts_anew_at_each_gateway(self):
         headers = ((b"X-Deadline-Ms", b"900"), (b"Last-Event-Id", b"3"), (b"A", b"b"))
         written = DefaultHeaderCodec().write_forwarded(headers, 350, "7")
--- a/medlarrail/relay/headers.py
+++ b/medlarrail/relay/headers.py
@@ -5,8 +5,14 @@
 from medlarrail.core.errors import MalformedRequest
 from medlarrail.relay.metadata import Header
 
+FORWARDED_BY = b"medlarrail-forwarded-by"
+"""Header of a forwarded request: the name of the entry and its signature."""
+OWN_ANSWER = b"medlarrail-own-answer"
+"""Header of an answer to a forwarded request that no endpoint gave: the reason."""
 HOP_BY_HOP_HEADERS = frozenset(
     (
+        FORWARDED_BY,
+        OWN_ANSWER,
         b"connection",
         b"keep-alive",
         b"proxy-connection",
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -27,7 +27,8 @@
 from medlarrail.relay.context_index import ContextIndex
 from medlarrail.relay.crash_reporter import CrashReporter
 from medlarrail.relay.endpoint_stats import EndpointStats
-from medlarrail.relay.forwarding import MAX_CARRIED, OWN_ANSWER, Forwarder
+from medlarrail.relay.forwarding import MAX_CARRIED, Forwarder
+from medlarrail.relay.headers import OWN_ANSWER
 from medlarrail.relay.inbound import ServerExchange
 from medlarrail.relay.limit_reporter import LimitReporter
 from medlarrail.relay.metadata import HeaderCodec, RequestMetadata
