Let up to 24 gateways share engines for long prompts

Cause: gateways schedule long prompts with what eight of them report to each other, and each such group has engines of its own. Of 66 gateways each group had four or five engines, of 191 one or two: prompts queued in one group beside idle engines of another. Nine gateways were two groups.

Change: groups of up to 24. A test compared names that sort by length at more than ten; it names them with three digits now.

--- a/medlarrail/policy/workload.py
+++ b/medlarrail/policy/workload.py
@@ -15,9 +15,11 @@
 from medlarrail.core.placement import get_weight, rank_nodes
 from medlarrail.policy.prompt_length import PREFILL_TOKENS_PER_MS
 
-GROUP_SIZE = 8
+GROUP_SIZE = 24
 """Maximum entries per reporting group. With more entries, each group uses its own
-engines, so the message rate of an entry does not grow with the deployment."""
+engines, so the message rate of an entry does not grow with the deployment. In small
+groups of one or two engines, prompts queue in one group beside idle engines of
+another."""
 AFFINITY_TOKENS = 1024
 """Extra pending tokens with which an engine is still preferred for a context that it
 has served before: the prefill chunk of the engines."""
--- a/medlarrail/policy/workload_test.py
+++ b/medlarrail/policy/workload_test.py
@@ -225,8 +225,8 @@
 
 class TestGroups:
     def test_few_entries_are_one_group(self):
-        names = [f"e{number}" for number in range(GROUP_SIZE)]
-        assert find_group(names, "e3").entries == tuple(names)
+        names = [f"e{number:03}" for number in range(GROUP_SIZE)]
+        assert find_group(names, "e003").entries == tuple(names)
 
     def test_groups_stay_small_and_partition_the_engines(self):
         names = [f"e{number:03}" for number in range(65)]
@@ -243,3 +243,29 @@
         names = [f"e{number:03}" for number in range(65)]
         for name in names:
             assert find_group(names, name).list_engines(["only"], "guide") == ["only"]
+
+    def test_prompts_queue_beside_idle_engines_of_other_groups(self):
+        """66 entries sent 95 long prompts a second to 35 engines in groups of eight,
+        with four engines each, and one in ten waited 1.3 s."""
+        small, current = (replay_groups(size) for size in (8, GROUP_SIZE))
+        assert current[int(0.9 * len(current))] < 0.75 * small[int(0.9 * len(small))]
+
+
+def replay_groups(
+    group_size: int, entry_count: int = 66, engine_count: int = 35, rate: float = 95.0
+) -> list[float]:
+    """Return the sorted times to the first token, with groups of at most so many.
+
+    The engine with the least to read of a prompt's group is chosen.
+    """
+    rng = random.Random(5)
+    group_count = -(-entry_count // group_size)
+    engines = [SimulatedEngine(f"e{number}") for number in range(engine_count)]
+    times = []
+    now = 0.0
+    while (now := now + rng.expovariate(rate)) < 60.0:
+        group = engines[rng.randrange(entry_count) % group_count :: group_count]
+        tokens = int(min(50_000, rng.lognormvariate(9.4, 0.7)))
+        engine = min(group, key=lambda engine: engine.free_at)
+        times.append(engine.take(now, tokens))
+    return sorted(times)
