Split what a request does beside its attempts into modules of their own

Scripted endpoints listen at a loopback address of their run of the tests, so that a gateway of another run cannot send to a port that the kernel has given on. That such a request caused the TypeError in incomplete_answers_test once is a hypothesis and not shown.

Tests of forwarding, divided room, the part directory, prompts and layers: passed.

--- a/medlarrail/programs/gateway_test.py
+++ b/medlarrail/programs/gateway_test.py
@@ -23,6 +23,7 @@
     build_route,
 )
 from medlarrail.testing.scripted_endpoints import (
+    HOST,
     ScriptedEndpoint,
     answer_ok,
     build_request,
@@ -145,7 +146,7 @@
         daemons.run_medlar, "deployment", "replace", file
     )
     assert replaced.returncode == 0, replaced.stderr
-    announced = build_announcement(address=f"127.0.0.1:{endpoint.port}")
+    announced = build_announcement(address=f"{HOST}:{endpoint.port}")
     client = HttpClient(KEY)
     await client.call(
         daemons.state_url, ANNOUNCEMENTS_PATH, announced, EmptyMessage, 5.0
@@ -186,7 +187,7 @@
     document = orjson.loads(encode(build_deployment(routes=routes)))
     file = daemons.write("deployment", document)
     await trio.to_thread.run_sync(daemons.run_medlar, "deployment", "replace", file)
-    announced = build_announcement(address=f"127.0.0.1:{endpoint.port}")
+    announced = build_announcement(address=f"{HOST}:{endpoint.port}")
     client = HttpClient(KEY)
     await client.call(
         daemons.state_url, ANNOUNCEMENTS_PATH, announced, EmptyMessage, 5.0
--- a/medlarrail/relay/connection_limit_test.py
+++ b/medlarrail/relay/connection_limit_test.py
@@ -14,6 +14,7 @@
     build_route,
 )
 from medlarrail.testing.scripted_endpoints import (
+    HOST,
     RelayHarness,
     answer_ok,
     build_request,
@@ -106,7 +107,7 @@
             nursery, build_deployment(routes=(ONCE_ROUTE,), services=(service,))
         )
         endpoint = await harness.add(answer_ok)
-        address = f"127.0.0.1:{endpoint.port}"
+        address = f"{HOST}:{endpoint.port}"
         with pytest.raises(ConnectionsUsedUp):
             await harness.relay.pool.acquire(address, new_connection=True, limit=0)
         assert endpoint.connections == 0
--- a/medlarrail/relay/endpoint_choice.py
+++ b/medlarrail/relay/endpoint_choice.py
@@ -223,7 +223,7 @@
         )
         part = self.metadata.largest_shared_part
         scope = self.relayed.get_scope(version)
-        located = self.relayed.find_located(scope)
+        located = self.relayed.part_location.find(scope)
         if located is not None:
             index = self.metadata.shared_parts.index(part)
             held = bool(located.plan.fetch[index])
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -5,14 +5,11 @@
 refusal is returned only if nothing has run.
 """
 
-from collections.abc import Collection
-
 import eliot
 import trio
 from attrs import asdict, define, field
 
 from medlarrail.cluster.cluster_view import EndpointView
-from medlarrail.core.announcements import Announcement
 from medlarrail.core.deployment import ServiceRule
 from medlarrail.core.errors import (
     AnswerTooLong,
@@ -24,26 +21,23 @@
     MedlarError,
     NoEndpoint,
     Overloaded,
-    PeerRefused,
     Refusal,
     RetryLimit,
     RunDeadlineExceeded,
     RunFailure,
-    ServiceUnreachable,
     StreamBroken,
 )
 from medlarrail.core.metrics import get_metrics
 from medlarrail.core.scopes import ContextScope
-from medlarrail.policy.admission_room import decide_wait, get_wait_s
 from medlarrail.policy.context import TransferPlan
-from medlarrail.policy.peer_choice import Peer
 from medlarrail.relay.attempt import Attempt, BufferedAnswer
 from medlarrail.relay.crash_evidence import CrashEvidence
 from medlarrail.relay.endpoint_choice import EndpointChooser
-from medlarrail.relay.forwarding import UNAVAILABLE_REASONS, ForwardedAttempt
 from medlarrail.relay.inbound import ServerExchange
 from medlarrail.relay.metadata import DispatchMetadata, RequestMetadata
-from medlarrail.relay.part_directory import LOCATION_TTL_S, LocatedParts
+from medlarrail.relay.part_location import PartLocation
+from medlarrail.relay.request_forwarding import RequestForwarding
+from medlarrail.relay.room_wait import RoomWait
 from medlarrail.relay.table import Admission, choose_service
 from medlarrail.relay.workload_tracker import TrackedPrompt
 
@@ -72,7 +66,6 @@
     """Attempts that ran or may have run."""
     sends: int = 0
     """Attempts that reached an endpoint, including rejected ones."""
-    forwardings: int = 0
     failure: MedlarError | None = None
     run_failure: RunFailure | None = None
     """Failure of the latest attempt that may have run."""
@@ -80,7 +73,9 @@
     """Whether an attempt in progress may be running at its endpoint."""
     fallback_answer: BufferedAnswer | None = None
     last_event_id: str = ""
-    located: LocatedParts | None = None
+    forwarding: RequestForwarding = field(init=False)
+    room_wait: RoomWait = field(init=False)
+    part_location: PartLocation = field(init=False)
     evidence: CrashEvidence = field(init=False)
     chooser: EndpointChooser = field(init=False)
 
@@ -95,6 +90,9 @@
         self.last_event_id = self.metadata.last_event_id
         self.evidence = CrashEvidence(self)
         self.chooser = EndpointChooser(self)
+        self.forwarding = RequestForwarding(self)
+        self.room_wait = RoomWait(self)
+        self.part_location = PartLocation(self)
 
     def get_remaining_s(self) -> float:
         """Return the seconds left until the deadline."""
@@ -136,102 +134,18 @@
 
     async def _try_endpoints(self) -> None:
         while True:
-            if await self._forward_if_needed():
+            if await self.forwarding.run_if_needed():
                 return
             endpoint = await self._wait_for_dispatch()
             if endpoint is None:
-                if await self._forward_unsent():
+                if await self.forwarding.run_if_unsent():
                     return
                 self._log_no_endpoint()
                 raise self._build_failure()
             await self.evidence.request_trial()
             if await self._attempt(endpoint):
                 return
-            self._check_retry()
-
-    async def _forward_if_needed(self) -> bool:
-        """Let another entry run a request that this one cannot send.
-
-        Returns whether the caller was answered.
-        """
-        service = self.service.name
-        is_forwarded = bool(self.exchange.request.forwarded_by)
-        if self.relay.forwarder.is_partitioned(service):
-            if is_forwarded:
-                raise ServiceUnreachable(service=service)
-            return await self._forward(())
-        stats = self.relay.endpoint_stats
-        lacks_room = stats.is_room_divided(service) and not stats.get_room(service)
-        if not lacks_room or is_forwarded:
-            return False
-        holders = stats.list_room_holders(service)
-        try:
-            return bool(holders) and await self._forward(holders)
-        except PeerRefused as error:
-            if error.reason == Overloaded.__name__:
-                stats.record_room_used_up(service)
-            raise
-
-    async def _forward_unsent(self) -> bool:
-        """Let another entry run a request that reached none of the endpoints.
-
-        A path that loses packets fails some requests at all of them.
-        """
-        is_unsent = isinstance(self.failure, EndpointUnreachable) and not self.sends
-        if not is_unsent or self.exchange.request.forwarded_by:
-            return False
-        return await self._forward(())
-
-    async def _forward(self, names: Collection[str]) -> bool:
-        """Let another entry run the request; returns whether the caller was answered.
-
-        Asks the entries ``names``, or all if there are none. Returns False if no other
-        entry reaches the service either. Raises the refusal of an entry that does, or a
-        ``RunFailure``.
-        """
-        if self.forwardings > self.runs:
-            # Other entries have refused it, and it has not run since.
-            return False
-        self.forwardings += 1
-        forwarder = self.relay.forwarder
-        for peer in forwarder.iterate_choices(names):
-            attempt = ForwardedAttempt(self, self._build_peer_view(peer))
-            try:
-                with forwarder.count_in_flight(peer):
-                    await attempt.run()
-            except EndpointUnreachable as error:
-                self.failure = self.failure or error
-            except PeerRefused as error:
-                self.failure = error
-                if error.reason not in UNAVAILABLE_REASONS:
-                    self._log_forwarded(peer, attempt, str(error))
-                    raise
-            except RunFailure as error:
-                self._log_forwarded(peer, attempt, str(error))
-                self._record_run_failure(error)
-                self._check_retry()
-            else:
-                self._log_forwarded(peer, attempt, "answered")
-                return True
-            self._log_forwarded(peer, attempt, str(self.failure))
-            forwarder.record_unavailable(peer)
-            self.may_be_running = False
-        get_metrics().count("forwardings_failed", service=self.service.name)
-        return False
-
-    def _build_peer_view(self, peer: Peer) -> EndpointView:
-        """Return another entry as the endpoint of an attempt."""
-        return EndpointView(
-            Announcement(
-                name=peer.name,
-                service=self.service.name,
-                address=peer.address,
-                data_centre=peer.data_centre,
-                started_ms=0,
-                sequence=0,
-                state="ready",
-            )
-        )
+            self.check_retry()
 
     def _build_failure(self) -> MedlarError:
         """Return the error of a request for which no endpoint is left.
@@ -252,8 +166,8 @@
         began_at = trio.current_time()
         while True:
             self.evidence.require_not_blocked()
-            await self._wait_for_room()
-            await self._locate_parts()
+            await self.room_wait.run()
+            await self.part_location.run()
             if (choice := self.chooser.choose()).action != "wait":
                 break
             await trio.sleep(DISPATCH_POLL_INTERVAL_S)
@@ -275,79 +189,7 @@
             )
         return choice.endpoint
 
-    async def _locate_parts(self) -> None:
-        """Find the shared parts of the prompt for the newest weights in the stores.
-
-        Done before the endpoint is chosen, since nothing may be awaited between the
-        choice and the reservation.
-        """
-        directory = self.relay.parts
-        parts = self.metadata.shared_parts
-        if directory is None or self.service.engine is None or not parts:
-            return
-        version = self._get_newest_version()
-        scope = self.get_scope(version)
-        if version and directory.is_needed() and not self.find_located(scope):
-            self.located = await directory.locate(scope, parts)
-
-    def _get_newest_version(self) -> int:
-        return max(
-            (
-                endpoint.announced.get_version(self.metadata.model)
-                for endpoint in self.relay.cluster_view.endpoints.values()
-                if endpoint.announced.service == self.service.name
-            ),
-            default=0,
-        )
-
-    def find_located(self, scope: str) -> LocatedParts | None:
-        """Return where the parts were found, unless that is too old."""
-        located = self.located
-        if located is None or located.scope != scope:
-            return None
-        age_s = self.relay.parts.clock() - located.located_at
-        return located if age_s <= LOCATION_TTL_S else None
-
-    async def _wait_for_room(self) -> None:
-        """Wait for this entry's part of the room, if the endpoints' room is divided.
-
-        Raises ``Overloaded`` if the request would be served too late.
-        """
-        service = self.service.name
-        stats = self.relay.endpoint_stats
-        if not stats.is_room_divided(service):
-            return
-        queue = self.relay.get_room_queue(service)
-        hold_s = stats.get_hold_s(service)
-        room = stats.get_room(service)
-        with queue.join(self.admission.priority, self.deadline) as waiter:
-            ahead = queue.count_ahead(waiter)
-            left_s = self.get_remaining_s()
-            refused = not room or decide_wait(ahead, room, hold_s, left_s) == "refuse"
-            while stats.is_room_divided(service):
-                reasons = self._list_untried_reasons()
-                if "no room" not in reasons and "" not in reasons:
-                    return
-                ahead = queue.count_ahead(waiter)
-                if not ahead and "" in reasons:
-                    return
-                if refused or self.get_remaining_s() < hold_s:
-                    raise Overloaded(
-                        endpoint=service, retry_after_s=get_wait_s(ahead, room, hold_s)
-                    )
-                await queue.wait_changed(DISPATCH_POLL_INTERVAL_S)
-
-    def _list_untried_reasons(self) -> set[str]:
-        """Return why untried endpoints cannot take the request; empty if one can."""
-        stats = self.relay.endpoint_stats
-        return {
-            stats.get_unavailable_reason(endpoint, self.service)
-            for endpoint in self.relay.cluster_view.endpoints.values()
-            if endpoint.announced.service == self.service.name
-            and endpoint.announced.name not in self.tried
-        }
-
-    def _check_retry(self) -> None:
+    def check_retry(self) -> None:
         """Raise the latest failure unless another attempt is allowed."""
         allowed = self.runs == 0 or self._may_retry_run()
         if not allowed or len(self.tried) >= MAX_ATTEMPTS:
@@ -427,8 +269,7 @@
             return TransferPlan()
         directory = self.relay.parts
         if directory is not None and directory.is_needed():
-            located = self.find_located(scope)
-            self.located = None
+            located = self.part_location.take(scope)
             if located is None:
                 return TransferPlan()
             plan = located.plan
@@ -453,7 +294,7 @@
             self.sends += 1
             self.failure = error
         except RunFailure as error:
-            self._record_run_failure(error)
+            self.record_run_failure(error)
             if isinstance(error, StreamBroken | AnswerTooLong):
                 self.relay.endpoint_stats.health.record_failure(name)
             if isinstance(error, StreamBroken):
@@ -467,23 +308,12 @@
         self._log_attempt(attempt, str(self.failure))
         return False
 
-    def _record_run_failure(self, error: RunFailure) -> None:
+    def record_run_failure(self, error: RunFailure) -> None:
+        """Record an attempt that may have run."""
         self.sends += 1
         self.runs += 1
         self.failure = self.run_failure = error
 
-    def _log_forwarded(self, peer: Peer, attempt: ForwardedAttempt, outcome: str):
-        get_metrics().count("requests_forwarded", service=self.service.name)
-        eliot.log_message(
-            "request:forwarded",
-            request=self.metadata.request_id,
-            service=self.service.name,
-            entry=peer.name,
-            status=attempt.status,
-            outcome=outcome,
-            first_ms=round(attempt.first_byte_s * 1000, 1),
-        )
-
     def _log_abandoned(self) -> None:
         """Log a request whose caller disconnected before it was answered."""
         get_metrics().count("requests_abandoned", service=self.service.name)
--- a/medlarrail/testing/paths.py
+++ b/medlarrail/testing/paths.py
@@ -10,12 +10,12 @@
 from attrs import define, field
 
 from medlarrail.testing.fault_proxy import FaultProxy
+from medlarrail.testing.scripted_endpoints import HOST
 from medlarrail.transport.sockets import connect, set_reset_on_close
 
 CutMode = Literal["", "hanging", "reset", "refused"]
 """``hanging``: packets are lost. ``reset``: open connections are reset and new ones
 refused. ``refused``: open connections continue to work, and new ones are refused."""
-HOST = "127.0.0.1"
 
 
 @define(eq=False)
--- a/medlarrail/testing/scripted_endpoints.py
+++ b/medlarrail/testing/scripted_endpoints.py
@@ -4,6 +4,7 @@
 may write any bytes, whether or not they are a complete answer.
 """
 
+import os
 from collections.abc import Awaitable, Callable
 from functools import partial
 
@@ -22,7 +23,22 @@
 from medlarrail.testing.builders import build_announcement, build_deployment
 from medlarrail.transport.sockets import set_reset_on_close
 
-HOST = "127.0.0.1"
+
+def get_run_address(process_id: int) -> str:
+    """Return a loopback address of one run of the tests.
+
+    The kernel gives the port of an endpoint that has ended to another one, and a
+    gateway of another run may go on sending to it.
+
+    >>> get_run_address(70000)
+    '127.2.17.113'
+    """
+    high, low = divmod(process_id, 1 << 16)
+    return f"127.{1 + high % 254}.{low >> 8}.{1 + (low & 0xFF) % 254}"
+
+
+HOST = get_run_address(os.getpid())
+"""Loopback address of everything that listens in this run."""
 READ_BYTES = 65536
 CLUSTER_KEY = b"cluster-key"
 Script = Callable[["ScriptedConnection", bytes], Awaitable[None]]
