Keep divided room apart from the statistics of endpoints

What endpoints say of rejections, the parts of their room and the time for which requests occupy them stand in divided_room.

--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -162,7 +162,9 @@
         finally:
             record.in_flight -= 1
             if self._started_at and not self._metadata.not_run:
-                record.record_end(trio.current_time() - self._started_at)
+                relay.endpoint_stats.room.record_end(
+                    announced, trio.current_time() - self._started_at
+                )
             relay.get_room_queue(announced.service).notify()
             if not self.status:
                 record.unanswered -= 1
@@ -273,7 +275,7 @@
         is_own = metadata.verified or metadata.not_run
         if metadata.misdirected or (per_s is None and not is_own):
             return
-        self.relayed.relay.endpoint_stats.record_rejection_limit(
+        self.relayed.relay.endpoint_stats.room.record_statement(
             self.endpoint.announced, per_s, metadata.not_run
         )
 
--- a/medlarrail/relay/brittle_endpoints_test.py
+++ b/medlarrail/relay/brittle_endpoints_test.py
@@ -79,14 +79,12 @@
         site, endpoints = await start_brittle_site(nursery, 1, 3)
         stats = site.gateways[0].relay.endpoint_stats
         await site.send_steadily(0.5, 40)
-        assert stats.is_room_divided("guide")
+        assert stats.room.is_divided("guide")
         for endpoint in endpoints:
             endpoint.max_rejections = None
         await site.send_steadily(1.0, 40)
         views = stats.cluster_view.endpoints.values()
-        assert not any(
-            stats._is_brittle(view.announced, stats.clock()) for view in views
-        )
+        assert not any(stats.room.is_limited(view.announced) for view in views)
 
 
 class TestStatement:
--- a/medlarrail/relay/endpoint_stats.py
+++ b/medlarrail/relay/endpoint_stats.py
@@ -3,16 +3,13 @@
 from collections import Counter
 from collections.abc import Iterator
 
-import eliot
 from attrs import define, field, frozen
 
 from medlarrail.cluster.cluster_view import ClusterView, EndpointView
-from medlarrail.core.announcements import Announcement
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.core.deployment import ServiceRule
 from medlarrail.core.metrics import get_metrics
 from medlarrail.ownership.path_health import PathHealth
-from medlarrail.policy.admission_room import STATEMENT_TTL_S, RejectionLimit
 from medlarrail.policy.back_off import BackOffPolicy
 from medlarrail.policy.placement import Candidate
 from medlarrail.policy.rate_limits import (
@@ -23,6 +20,7 @@
 )
 from medlarrail.policy.shares import get_share
 from medlarrail.relay.back_offs import BackOffs
+from medlarrail.relay.divided_room import DividedRoom
 from medlarrail.relay.entry_rank import EntryRank
 from medlarrail.relay.metadata import EndpointLoad
 
@@ -73,14 +71,6 @@
     load_at: float = float("-inf")
     named_rate: NamedRate | None = None
     send_rate: SendRate = field(factory=SendRate)
-    rejection_limit: RejectionLimit = field(factory=RejectionLimit)
-    hold_s: float = 0.0
-    """Moving average of the time for which a request occupies the endpoint."""
-
-    def record_end(self, seconds: float) -> None:
-        """Update the moving average with a request that has run."""
-        mean = self.hold_s or seconds
-        self.hold_s = mean + EWMA_WEIGHT * (seconds - mean)
 
     def record_answer(self, seconds: float, failed: bool) -> None:
         """Update the moving averages with one answer."""
@@ -105,13 +95,13 @@
     back_offs: BackOffs = field(init=False)
     health: PathHealth = field(init=False)
     rank: EntryRank = field(init=False)
+    room: DividedRoom = field(init=False)
     records: dict[str, EndpointRecord] = field(factory=dict)
-    _limits_named_at: dict[str, float] = field(factory=dict)
-    """When an endpoint of a service last said that it bears few rejections."""
 
     def __attrs_post_init__(self):
         self.health = PathHealth(self.clock)
         self.rank = EntryRank(self.cluster_view, self.entry)
+        self.room = DividedRoom(self.cluster_view, self.rank, lambda: self.clock())
         self.back_offs = BackOffs(self.cluster_view, self.rank, self.back_off_policy)
 
     def get_record(self, name: str) -> EndpointRecord:
@@ -131,6 +121,7 @@
         ]
         for name in dropped:
             del self.records[name]
+            self.room.drop(name)
         return dropped
 
     def iterate_available(self, service: ServiceRule) -> Iterator[EndpointView]:
@@ -163,104 +154,10 @@
         limit = self._get_named_limit(endpoint)
         if limit is not None and not record.send_rate.may_send(now, limit):
             return "limited"
-        if self._is_brittle(announced, now) and not self._has_room(announced, now):
+        if not self.room.may_send(announced, record.in_flight, now):
             return "no room"
         return ""
 
-    # Endpoints that bear few rejections.
-
-    def record_rejection_limit(
-        self, announced: Announcement, per_s: float | None, is_rejection: bool
-    ) -> None:
-        """Record the rejections that an endpoint bears, None for any number.
-
-        ``is_rejection`` tells whether it said so in rejecting a request.
-        """
-        now = self.clock()
-        limit = self.get_record(announced.name).rejection_limit
-        if per_s is not None and now - self._get_named_at(announced.service) > (
-            STATEMENT_TTL_S
-        ):
-            get_metrics().count("rejection_limits_named", service=announced.service)
-            eliot.log_message(
-                "endpoint:rejection-limit", endpoint=announced.name, per_s=per_s
-            )
-        limit.record(per_s, now)
-        if per_s is not None:
-            self._limits_named_at[announced.service] = now
-            if is_rejection:
-                limit.rejected_at = now
-
-    def record_carried_limit(self, service: str, per_s: float | None) -> None:
-        """Record the rejections that an endpoint bears by an answer to another entry.
-
-        This entry has no part of the room, so it hears of the end from others.
-        """
-        if per_s is None:
-            self._limits_named_at.pop(service, None)
-        else:
-            self._limits_named_at[service] = self.clock()
-
-    def record_room_used_up(self, service: str) -> None:
-        """Record that another entry has no room left: it is still divided."""
-        if service in self._limits_named_at:
-            self._limits_named_at[service] = self.clock()
-
-    def _get_named_at(self, service: str) -> float:
-        return self._limits_named_at.get(service, float("-inf"))
-
-    def is_room_divided(self, service: str) -> bool:
-        """Return whether endpoints of ``service`` fall over if they have to reject."""
-        return self.clock() - self._get_named_at(service) < STATEMENT_TTL_S
-
-    def _is_brittle(self, announced: Announcement, now: float) -> bool:
-        limit = self.get_record(announced.name).rejection_limit
-        return limit.is_in_force(now, self._get_named_at(announced.service))
-
-    def _has_room(self, announced: Announcement, now: float) -> bool:
-        record = self.get_record(announced.name)
-        return self.cluster_view.entries_settled and record.rejection_limit.has_room(
-            now,
-            record.in_flight,
-            announced.slots,
-            self.cluster_view.entry_count,
-            self.rank.get(announced.name),
-        )
-
-    def get_room(self, service: str) -> int:
-        """Return this entry's part of the room of all endpoints of ``service``."""
-        return sum(
-            get_share(
-                announced.slots,
-                self.cluster_view.entry_count,
-                self.rank.get(announced.name),
-            )
-            for announced in self._iterate_ready(service)
-        )
-
-    def list_room_holders(self, service: str) -> set[str]:
-        """Return the entries with a part of the room of any endpoint."""
-        return {
-            entry
-            for announced in self._iterate_ready(service)
-            for entry in self.rank.list_first(announced.name, announced.slots)
-        }
-
-    def _iterate_ready(self, service: str) -> Iterator[Announcement]:
-        for endpoint in self.cluster_view.endpoints.values():
-            announced = endpoint.announced
-            if announced.service == service and announced.state == "ready":
-                yield announced
-
-    def get_hold_s(self, service: str) -> float:
-        """Return the mean time for which a request occupies an endpoint."""
-        times = [
-            record.hold_s
-            for announced in self._iterate_ready(service)
-            if (record := self.get_record(announced.name)).hold_s > 0
-        ]
-        return sum(times) / len(times) if times else 0.0
-
     def record_named_rate(self, endpoint: EndpointView, per_s: float | None) -> None:
         """Record the rate in an answer of an endpoint, None if it named none."""
         announced = endpoint.announced
--- a/medlarrail/relay/forwarding.py
+++ b/medlarrail/relay/forwarding.py
@@ -342,7 +342,7 @@
             )
         if not metadata.verified:
             raise AnswerTruncated(endpoint=name)
-        self.relayed.relay.endpoint_stats.record_carried_limit(
+        self.relayed.relay.endpoint_stats.room.record_carried_statement(
             self.relayed.service.name, metadata.max_rejections_per_s
         )
 
--- a/medlarrail/relay/request_forwarding.py
+++ b/medlarrail/relay/request_forwarding.py
@@ -37,16 +37,16 @@
             if is_forwarded:
                 raise ServiceUnreachable(service=service)
             return await self._forward(())
-        stats = self.relayed.relay.endpoint_stats
-        lacks_room = stats.is_room_divided(service) and not stats.get_room(service)
+        room = self.relayed.relay.endpoint_stats.room
+        lacks_room = room.is_divided(service) and not room.get_part(service)
         if not lacks_room or is_forwarded:
             return False
-        holders = stats.list_room_holders(service)
+        holders = room.list_holders(service)
         try:
             return bool(holders) and await self._forward(holders)
         except PeerRefused as error:
             if error.reason == Overloaded.__name__:
-                stats.record_room_used_up(service)
+                room.record_used_up(service)
             raise
 
     async def run_if_unsent(self) -> bool:
--- a/medlarrail/relay/room_wait.py
+++ b/medlarrail/relay/room_wait.py
@@ -22,19 +22,18 @@
         Raises ``Overloaded`` if the request would be served too late.
         """
         service = self.relayed.service.name
-        stats = self.relayed.relay.endpoint_stats
-        if not stats.is_room_divided(service):
+        room = self.relayed.relay.endpoint_stats.room
+        if not room.is_divided(service):
             return
         queue = self.relayed.relay.get_room_queue(service)
-        hold_s = stats.get_hold_s(service)
-        room = stats.get_room(service)
-        with queue.join(
-            self.relayed.admission.priority, self.relayed.deadline
-        ) as waiter:
+        hold_s = room.get_hold_s(service)
+        part = room.get_part(service)
+        priority = self.relayed.admission.priority
+        with queue.join(priority, self.relayed.deadline) as waiter:
             ahead = queue.count_ahead(waiter)
             left_s = self.relayed.get_remaining_s()
-            refused = not room or decide_wait(ahead, room, hold_s, left_s) == "refuse"
-            while stats.is_room_divided(service):
+            refused = not part or decide_wait(ahead, part, hold_s, left_s) == "refuse"
+            while room.is_divided(service):
                 reasons = self._list_untried_reasons()
                 if "no room" not in reasons and "" not in reasons:
                     return
@@ -43,7 +42,7 @@
                     return
                 if refused or self.relayed.get_remaining_s() < hold_s:
                     raise Overloaded(
-                        endpoint=service, retry_after_s=get_wait_s(ahead, room, hold_s)
+                        endpoint=service, retry_after_s=get_wait_s(ahead, part, hold_s)
                     )
                 await queue.wait_changed(POLL_INTERVAL_S)
 
