--- a/medlarrail/relay/part_directory_test.py
+++ b/medlarrail/relay/part_directory_test.py
@@ -1,6 +1,7 @@
 """Tests of finding parts in stores that an entry does not follow."""
 
 from collections import Counter
+from collections.abc import Sequence
 
 import pytest
 import trio
@@ -20,6 +21,7 @@
 from medlarrail.relay.context_index import SAVE_DELAY_S, ContextIndex
 from medlarrail.relay.metadata import PromptPart
 from medlarrail.relay.part_directory import (
+    MAX_HOMES,
     QUERY_PREFIX,
     REPLY_PREFIX,
     REPLY_TIMEOUT_S,
@@ -89,6 +91,29 @@
         )
 
 
+def apply_entries(
+    cluster_view: ClusterView, entries: Sequence[RegisteredEntry]
+) -> None:
+    """Make an entry know the others and the stores."""
+    services = tuple(
+        ServiceRule(
+            f"store-{number}",
+            store=StoreSpec(
+                f"{HOST}:{7000 + number}",
+                "leith",
+                capacity_tokens=400_000,
+                link_mbps=1000.0,
+                event_calls=EVENT_CALLS,
+                managed=True,
+            ),
+        )
+        for number in range(STORE_COUNT)
+    )
+    deployment = evolve(build_deployment(), version=9, services=services)
+    answer = build_cluster_view_answer([entry.name for entry in entries])
+    cluster_view.apply(evolve(answer, entries=tuple(entries), deployment=deployment))
+
+
 @define(eq=False)
 class Directories:
     """The directories of many entries before the same stores."""
@@ -99,30 +124,11 @@
 
     async def start(self) -> None:
         """Start all entries, and wait until they know the stores' contents."""
-        services = tuple(
-            ServiceRule(
-                f"store-{number}",
-                store=StoreSpec(
-                    f"{HOST}:{7000 + number}",
-                    "leith",
-                    capacity_tokens=400_000,
-                    link_mbps=1000.0,
-                    event_calls=EVENT_CALLS,
-                    managed=True,
-                ),
-            )
-            for number in range(STORE_COUNT)
-        )
-        deployment = evolve(build_deployment(), version=9, services=services)
         entries = [
             await self._start_entry(f"entry-{number}") for number in range(ENTRY_COUNT)
         ]
-        answer = build_cluster_view_answer([entry.name for entry in entries])
         for directory in self.directories:
-            directory.cluster_view.apply(evolve(answer, entries=tuple(entries)))
-            directory.cluster_view.apply(
-                evolve(answer, entries=None, deployment=deployment)
-            )
+            apply_entries(directory.cluster_view, entries)
         await trio.sleep(SAVE_DELAY_S + 0.5)
 
     async def _start_entry(self, name: str) -> RegisteredEntry:
@@ -234,3 +240,44 @@
         assert get_metrics().get_count("queries_unreadable") == 1
         assert get_metrics().get_count("replies_unreadable") == 1
         assert (await directories.locate(0, PARTS[0])).save != ("",)
+
+
+@define
+class SilentSocket:
+    """Loses all messages; ``sent`` counts them."""
+
+    sent: int = 0
+
+    async def send(self, address: str, body: bytes) -> None:
+        """See ``DatagramSocket``."""
+        await trio.lowlevel.checkpoint()
+        self.sent += 1
+
+
+class TestLostMessages:
+    async def test_lost_messages_hold_a_request_beyond_the_limit(
+        self, nursery, autojump_clock
+    ):
+        """On exact time: one limit for each store that a part may be in."""
+        cluster_view = ClusterView(trio.current_time)
+        index = ContextIndex(cluster_view, FakeStores(), "entry-0", trio.current_time)
+        nursery.start_soon(index.run)
+        datagram_socket = SilentSocket()
+        directory = PartDirectory(
+            cluster_view, index, datagram_socket, f"{HOST}:1", trio.current_time
+        )
+        apply_entries(
+            cluster_view,
+            [
+                RegisteredEntry(f"entry-{number}", "", "leith", f"{HOST}:9")
+                for number in range(ENTRY_COUNT)
+            ],
+        )
+        await trio.sleep(SAVE_DELAY_S)
+        for part in PARTS[:10]:
+            started_at = trio.current_time()
+            located = await directory.locate(SCOPE, [part])
+            waited_s = trio.current_time() - started_at
+            assert located.plan.fetch == ("",)
+            assert waited_s <= MAX_HOMES * REPLY_TIMEOUT_S + 1e-9
+        assert datagram_socket.sent > 0
