Answer every request before a gateway's shutdown ends

Cause: requests were accepted for 6 s of a shutdown and ended with the process after 7.5 s, whether or not they had been answered.

Change: during a shutdown a request is refused at once, also while it waits for its turn, if the longest recent run of its route would not end in time. Shortly before the end, requests that still wait for their endpoint get an error answer: a refusal if they were not sent, else one that says that they may have run.

--- a/medlarrail/core/errors.py
+++ b/medlarrail/core/errors.py
@@ -430,6 +430,11 @@
     status = 504
 
 
+@define(slots=False)
+class RunInterrupted(RunFailure):
+    """The gateway shut down before the endpoint had answered."""
+
+
 @define(slots=False)
 class OutcomeUnknown(RunFailure):
     """A call that may not be repeated was dispatched and its outcome is unknown."""
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -162,9 +162,9 @@
         finally:
             record.in_flight -= 1
             if self._started_at and not self._metadata.not_run:
-                relay.endpoint_stats.room.record_end(
-                    announced, trio.current_time() - self._started_at
-                )
+                seconds = trio.current_time() - self._started_at
+                relay.endpoint_stats.room.record_end(announced, seconds)
+                relay.shutdown.run_times.record(route.name, seconds)
             relay.get_room_queue(announced.service).notify()
             if not self.status:
                 record.unanswered -= 1
--- a/medlarrail/relay/drain.py
+++ b/medlarrail/relay/drain.py
@@ -10,6 +10,9 @@
 from medlarrail.relay.request_relay import RequestRelay
 
 POLL_INTERVAL_S = 0.05
+ANSWER_MARGIN_S = 0.2
+"""Time before the end of the shutdown at which requests that still wait for an endpoint
+are answered with an error, so that the answers reach their callers."""
 
 
 @frozen
@@ -18,7 +21,8 @@
 
     Callers cache their list of gateways, so new requests are accepted for at least
     ``shortest_s``, then until none has arrived for ``quiet_s``, and for
-    ``longest_s`` at most. ``limit_s`` bounds the whole shutdown.
+    ``longest_s`` at most. ``limit_s`` bounds the whole shutdown. Requests that would
+    not be answered by then are refused.
     """
 
     shortest_s: float = 2.5
@@ -33,13 +37,18 @@
     """Keep serving until callers have moved away, then wait for active requests."""
     started_at = trio.current_time()
     server.draining = True
-    with trio.move_on_after(policy.limit_s):
+    answers_due_at = started_at + policy.limit_s - ANSWER_MARGIN_S
+    relay.shutdown.begin(answers_due_at)
+    with trio.move_on_at(answers_due_at):
         with trio.move_on_after(policy.longest_s):
             await trio.sleep(policy.shortest_s)
             await _wait_until_quiet(lambda: server.started_count, policy.quiet_s)
         relay.draining = True
-        while server.active:
-            await trio.sleep(POLL_INTERVAL_S)
+        await _wait_until_idle(server)
+    relay.draining = True
+    relay.shutdown.interrupt()
+    with trio.move_on_at(started_at + policy.limit_s):
+        await _wait_until_idle(server)
     eliot.log_message(
         "gateway:drained",
         seconds=round(trio.current_time() - started_at, 2),
@@ -48,6 +57,11 @@
     )
 
 
+async def _wait_until_idle(server: InboundServer) -> None:
+    while server.active:
+        await trio.sleep(POLL_INTERVAL_S)
+
+
 async def _wait_until_quiet(count: Callable[[], int], quiet_s: float) -> None:
     """Return once ``count`` has not changed for ``quiet_s`` seconds."""
     previous = count()
--- a/medlarrail/relay/drain_test.py
+++ b/medlarrail/relay/drain_test.py
@@ -3,32 +3,94 @@
 import trio
 
 from medlarrail.relay.drain import DrainPolicy, drain_gateway
+from medlarrail.testing.builders import build_deployment, build_route
 from medlarrail.testing.scripted_endpoints import (
+    Script,
     answer_ok,
+    build_answer,
     build_request,
     build_script,
+    get_value,
     start_relay,
 )
 
 POLICY = DrainPolicy(shortest_s=0.2, quiet_s=0.2, longest_s=0.6, limit_s=0.8)
 
 
+def get_status(answer: bytes) -> bytes:
+    """Return the status of a complete answer with a length, b"" of any other."""
+    head, _, body = answer.partition(b"\r\n\r\n")
+    length = get_value(head, b"content-length")
+    return head.split()[1] if length and int(length) == len(body) else b""
+
+
+def build_delayed(seconds: float) -> Script:
+    """Return a script that answers after ``seconds``."""
+
+    async def answer_late(connection, request):
+        await trio.sleep(seconds)
+        await answer_ok(connection, request)
+
+    return answer_late
+
+
 class TestDrain:
     async def test_a_request_accepted_late_in_the_shutdown_is_cut(self, nursery):
         """New requests are accepted until shortly before the shutdown is over."""
 
-        async def answer_late(connection, request):
-            await trio.sleep(0.5)
-            await answer_ok(connection, request)
-
         harness = await start_relay(nursery)
-        await harness.add(build_script(answer_ok, answer_ok, answer_late))
+        await harness.add(build_script(answer_ok, answer_ok, build_delayed(0.5)))
+        statuses = []
 
         async def call():
             for _ in range(3):
                 await trio.sleep(0.15)
-                await harness.send(build_request())
+                statuses.append(get_status(await harness.send(build_request())))
 
         nursery.start_soon(call)
         await drain_gateway(harness.server, harness.relay, POLICY)
         assert harness.server.active == 0
+        # It may have run, so it is not refused.
+        assert statuses == [b"200", b"200", b"502"]
+
+    async def test_a_request_that_would_be_cut_is_refused_at_once(self, nursery):
+        """The latest answers took longer than the rest of the shutdown."""
+        harness = await start_relay(nursery)
+        endpoint = await harness.add(build_delayed(0.4))
+        await harness.send(build_request())
+        nursery.start_soon(drain_gateway, harness.server, harness.relay, POLICY)
+        await trio.sleep(0.05)
+        assert get_status(await harness.send(build_request())) == b"200"
+        sent_at = trio.current_time()
+        assert get_status(await harness.send(build_request())) == b"503"
+        assert trio.current_time() - sent_at < 0.1
+        assert len(endpoint.requests) == 2
+
+    async def test_a_rejected_request_is_not_sent_again_if_it_would_be_cut(
+        self, nursery
+    ):
+        """An endpoint rejects it after a while; the time left is too short."""
+
+        async def reject_late(connection, request):
+            await trio.sleep(0.3)
+            await connection.send(build_answer(request, status=b"503", X_Not_Run="1"))
+
+        harness = await start_relay(nursery)
+        endpoint = await harness.add(build_script(build_delayed(0.35), reject_late))
+        await harness.send(build_request())
+        nursery.start_soon(drain_gateway, harness.server, harness.relay, POLICY)
+        await trio.sleep(0.05)
+        second_endpoint = await harness.add(reject_late)
+        assert get_status(await harness.send(build_request())) == b"503"
+        assert len(endpoint.requests) - 1 + len(second_endpoint.requests) == 1
+
+    async def test_work_that_runs_once_is_not_refused_after_it_was_sent(self, nursery):
+        """The endpoint still works on it when the shutdown ends."""
+        once = build_route(name="buy", prefix="/buy/", kind="once", max_attempts=1)
+        harness = await start_relay(nursery, build_deployment(routes=(once,)))
+        endpoint = await harness.add(build_delayed(2.0))
+        nursery.start_soon(drain_gateway, harness.server, harness.relay, POLICY)
+        request = build_request("/buy/1", method="POST", body=b"{}")
+        assert get_status(await harness.send(request)) == b"502"
+        assert len(endpoint.requests) == 1
+        assert harness.server.active == 0
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -15,6 +15,7 @@
     AnswerTooLong,
     ConnectionsUsedUp,
     DeadlineExceeded,
+    Draining,
     EndpointBackingOff,
     EndpointRefused,
     EndpointUnreachable,
@@ -25,6 +26,7 @@
     RetryLimit,
     RunDeadlineExceeded,
     RunFailure,
+    RunInterrupted,
     StreamBroken,
 )
 from medlarrail.core.metrics import get_metrics
@@ -73,6 +75,9 @@
     """Whether an attempt in progress may be running at its endpoint."""
     fallback_answer: BufferedAnswer | None = None
     last_event_id: str = ""
+    interrupted: bool = False
+    """Whether the gateway has ended this request to shut down."""
+    _scope: trio.CancelScope | None = None
     forwarding: RequestForwarding = field(init=False)
     room_wait: RoomWait = field(init=False)
     part_location: PartLocation = field(init=False)
@@ -101,6 +106,7 @@
     async def run(self) -> None:
         """Try endpoints until the caller is answered; raises the error otherwise."""
         ended = False
+        self.relay.shutdown.active.add(self)
         try:
             await self._run_until_deadline()
             ended = True
@@ -108,10 +114,17 @@
             ended = True
             raise
         finally:
+            self.relay.shutdown.active.discard(self)
             # The caller disconnected: cancellation, or a failed write.
             if not ended:
                 self._log_abandoned()
 
+    def interrupt(self) -> None:
+        """End this request with an error answer, unless its answer has begun."""
+        if self._scope is not None and not self.exchange.started:
+            self.interrupted = True
+            self._scope.cancel()
+
     async def _run_until_deadline(self) -> None:
         # The entry that a caller sent it to has counted it.
         if not self.exchange.request.forwarded_by:
@@ -119,6 +132,7 @@
                 self.relay.endpoint_stats.clock()
             )
         with trio.move_on_at(self.deadline + DEADLINE_GRACE_S) as scope:
+            self._scope = scope
             try:
                 await self._try_endpoints()
             except Refusal:
@@ -126,6 +140,11 @@
                     raise
                 # An earlier attempt may have run, so a refusal would be wrong.
                 raise self.run_failure from None
+        if scope.cancelled_caught and self.interrupted:
+            get_metrics().count("requests_interrupted", service=self.service.name)
+            if self.runs or self.may_be_running:
+                raise RunInterrupted()
+            raise Draining()
         if scope.cancelled_caught:
             get_metrics().count("deadlines_passed", service=self.service.name)
             if self.runs or self.may_be_running:
@@ -166,6 +185,7 @@
         began_at = trio.current_time()
         while True:
             self.evidence.require_not_blocked()
+            self.relay.shutdown.require_time(self.admission.route.name)
             await self.room_wait.run()
             await self.part_location.run()
             if (choice := self.chooser.choose()).action != "wait":
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -40,6 +40,7 @@
 )
 from medlarrail.relay.relayed_request import RelayedRequest
 from medlarrail.relay.room_queue import RoomQueue
+from medlarrail.relay.shutdown import Shutdown
 from medlarrail.relay.suspected_requests import SuspectedRequests
 from medlarrail.relay.table import Admission, RouteTable
 from medlarrail.relay.workload_reporter import WorkloadReporter
@@ -79,6 +80,7 @@
     workload: WorkloadTracker = field(factory=lambda: WorkloadTracker(""))
     reporter: WorkloadReporter | None = None
     draining: bool = False
+    shutdown: Shutdown = field(factory=Shutdown)
     secret: bytes = field(default=b"", repr=False)
     """Key of the fingerprints and proofs of requests, the same at all entries."""
     table: RouteTable | None = None
