Report crashed endpoints though a gateway reaches none of the service

Cause: endpoints that all crash look like a partition of the gateway, and a partitioned gateway reports no crashes.

Change: during a suspected partition an endpoint has crashed if the other entries that were asked to carry a request do not reach the service either, or if the leader does not list the endpoint any more.

Before: 2 of the 3 cases of the new test failed.

--- a/medlarrail/relay/crash_reporter.py
+++ b/medlarrail/relay/crash_reporter.py
@@ -2,7 +2,9 @@
 
 A broken connection alone is no crash: connections are reset and answers cut while the
 endpoint goes on. It has crashed if it accepts no connections any more, or if another
-incarnation has announced itself in its place.
+incarnation has announced itself in its place. An entry that reaches no endpoint of the
+service may be partitioned from them: then it has crashed only if no other entry that
+was asked reaches the service either, or if the leader no longer lists it.
 """
 
 from collections.abc import Sequence
@@ -106,11 +108,14 @@
         try:
             await trio.sleep(CHECK_DELAY_S)
             del self._broken[key]
-            crashed = await self._is_unreachable(broken.announced.address)
-            crashed = crashed and not self._is_partitioned(broken.announced)
+            announced = broken.announced
+            unreached = await self._is_unreachable(announced.address)
+            crashed = unreached and not self._is_partitioned(announced)
             while not crashed and self._get_age_s(broken) < RESTART_WINDOW_S:
                 await trio.sleep(RESTART_POLL_S)
-                crashed = self._is_replaced(broken.announced)
+                crashed = self._is_replaced(announced) or (
+                    unreached and await self._is_gone_for_all(announced)
+                )
         finally:
             self._check_count -= 1
         if crashed:
@@ -134,6 +139,15 @@
         self.forwarder.record_unreachable(announced)
         return self.forwarder.is_partitioned(announced.service)
 
+    async def _is_gone_for_all(self, announced: Announcement) -> bool:
+        """Return whether others, too, say that an endpoint is gone."""
+        current = self.cluster_view.endpoints.get(announced.name)
+        if current is None or current.announced.started_ms != announced.started_ms:
+            return True
+        return self.forwarder.is_outage(
+            announced.service
+        ) and await self._is_unreachable(announced.address)
+
     def _is_replaced(self, announced: Announcement) -> bool:
         return any(
             endpoint.announced.address == announced.address
--- a/medlarrail/relay/crash_reporter_test.py
+++ b/medlarrail/relay/crash_reporter_test.py
@@ -11,7 +11,7 @@
 from medlarrail.core.errors import PeerTimeout
 from medlarrail.policy.notification import MAX_UPDATES_PER_S
 from medlarrail.protocol.crashes import CompletionReport, CrashReport
-from medlarrail.relay.crash_reporter import CrashReporter
+from medlarrail.relay.crash_reporter import RESTART_POLL_S, CrashReporter
 from medlarrail.relay.metadata import PromptPart
 from medlarrail.relay.outbound import OutboundPool
 from medlarrail.testing.builders import build_announcement, build_cluster_view_answer
@@ -42,6 +42,24 @@
         return answer_type()
 
 
+@define
+class FakeForwarder:
+    """A forwarder of a gateway that reaches no endpoint."""
+
+    outage: bool = False
+
+    def record_unreachable(self, announced):
+        """See ``Forwarder``."""
+
+    def is_partitioned(self, service):
+        """See ``Forwarder``."""
+        return True
+
+    def is_outage(self, service):
+        """See ``Forwarder``."""
+        return self.outage
+
+
 def build_reporter() -> CrashReporter:
     """Return a reporter that is not running."""
     cluster_view = ClusterView(trio.current_time)
@@ -151,6 +169,27 @@
         await trio.sleep(0.5)
         assert len(reporter.state.messages) == 1
 
+    @pytest.mark.parametrize("evidence", ["none", "outage", "departed"])
+    async def test_endpoints_that_all_crash_are_taken_for_a_partition(
+        self, nursery, evidence
+    ):
+        """Every gateway lost all endpoints at once, took that for a partition and
+        reported none, and what crashed them was sent on."""
+        reporter = build_reporter()
+        reporter.forwarder = FakeForwarder()
+        await nursery.start(reporter.run)
+        announced = build_announcement(address=f"{HOST}:{await get_closed_port()}")
+        reporter.cluster_view.endpoints["engine-1"] = EndpointView(announced)
+        reporter.record_broken(announced, "m", PARTS)
+        await trio.sleep(0.2)
+        assert not reporter.state.messages
+        if evidence == "outage":
+            reporter.forwarder.outage = True
+        elif evidence == "departed":
+            del reporter.cluster_view.endpoints["engine-1"]
+        await trio.sleep(2 * RESTART_POLL_S)
+        assert len(reporter.state.messages) == (evidence != "none")
+
     @pytest.mark.parametrize("crashed", [False, True])
     async def test_the_last_bytes_before_a_crash_clear_their_parts(
         self, nursery, crashed
--- a/medlarrail/relay/forwarding.py
+++ b/medlarrail/relay/forwarding.py
@@ -68,6 +68,8 @@
 )
 """Refusals by which another entry says that it cannot carry requests now."""
 MAX_RETRY_AFTER_S = 60.0
+OUTAGE_TTL_S = 1.0
+"""Age up to which the refusals of other entries tell that a service is down."""
 
 
 def sign_request(
@@ -107,6 +109,8 @@
     _in_flight: Counter[str] = field(factory=Counter)
     _unavailable_until: dict[str, float] = field(factory=dict)
     _partition_suspected: trio.Event = field(factory=trio.Event)
+    _outage_seen_at: dict[str, float] = field(factory=dict)
+    """When the other entries last said that they do not reach a service either."""
 
     # Reachability of the endpoints.
 
@@ -137,6 +141,22 @@
         if was_partitioned and not reachability.is_partitioned:
             eliot.log_message("service:reachable", service=service)
 
+    def record_outage(self, service: str) -> None:
+        """Record that the other entries that were asked do not reach ``service``."""
+        self._outage_seen_at[service] = self.clock()
+
+    def record_carried(self, service: str) -> None:
+        """Record that another entry reaches ``service``."""
+        self._outage_seen_at.pop(service, None)
+
+    def is_outage(self, service: str) -> bool:
+        """Return whether neither this entry nor others that it asked reach a service.
+
+        Then its endpoints are down, and this entry need not be partitioned from them.
+        """
+        seen_at = self._outage_seen_at.get(service, float("-inf"))
+        return self.is_partitioned(service) and self.clock() - seen_at < OUTAGE_TTL_S
+
     def _iterate_endpoints(self, service: str) -> Iterator[EndpointView]:
         for endpoint in self.cluster_view.endpoints.values():
             if endpoint.announced.service == service:
--- a/medlarrail/relay/request_forwarding.py
+++ b/medlarrail/relay/request_forwarding.py
@@ -73,6 +73,8 @@
             return False
         self._forwardings += 1
         forwarder = self.relayed.relay.forwarder
+        service = self.relayed.service.name
+        is_unreachable_elsewhere = False
         for peer in forwarder.iterate_choices(names):
             attempt = ForwardedAttempt(self.relayed, self._build_peer_view(peer))
             try:
@@ -86,16 +88,20 @@
                 self.relayed.failure = error
                 if error.reason not in UNAVAILABLE_REASONS:
                     raise
+                is_unreachable_elsewhere |= error.reason == ServiceUnreachable.__name__
             except RunFailure as error:
                 self.relayed.record_run_failure(error)
                 self._log(peer, attempt, str(error))
                 self.relayed.check_retry()
             else:
                 self._log(peer, attempt, "answered")
+                forwarder.record_carried(service)
                 return True
             forwarder.record_unavailable(peer)
             self.relayed.may_be_running = False
-        get_metrics().count("forwardings_failed", service=self.relayed.service.name)
+        if is_unreachable_elsewhere:
+            forwarder.record_outage(service)
+        get_metrics().count("forwardings_failed", service=service)
         return False
 
     def _build_peer_view(self, peer: Peer) -> EndpointView:
