Tell new gateways which endpoints fall over if they have to reject

Cause: a gateway learned only from its own answers that endpoints fall over if they have to reject. One that had just restarted sent what it liked to endpoints that were full.

Change: each poll of the leader says of which services an entry was told so, and each answer lists those that any entry named in the last 1.6 s. What is listed counts while the entry has had no answer of the service for 2 s. No messages are added.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -73,6 +73,9 @@
     """Whether a settled leader has listed the entries to this process; before that,
     there may be many more than are known."""
     out_data_centres: frozenset[str] = frozenset()
+    limited_services: frozenset[str] = frozenset()
+    """Services whose endpoints told any entry that they fall over if they have to
+    reject many requests."""
     desired: dict[str, DesiredVersion] = field(factory=dict)
     desired_received_at: dict[str, float] = field(factory=dict)
     """When this entry received the desired version of each model."""
@@ -115,6 +118,7 @@
             self._apply_entries(answer.entries, answer.settled)
         self.entry_count = max(answer.entry_count, len(self.entries), 1)
         self.out_data_centres = frozenset(answer.out_data_centres)
+        self.limited_services = frozenset(answer.limited_services)
         self._apply_desired(answer.desired)
         if answer.suspects is not None:
             self.suspects = frozenset(answer.suspects)
@@ -245,6 +249,8 @@
     data_centre: str
     work_address: str = ""
     ready: bool = False
+    list_limited_services: Callable[[], tuple[str, ...]] = tuple
+    """Returns the services of which this entry was told that they are limited."""
     _epoch: str = ""
     _endpoints_seen: int = 0
     _entries_seen: int = 0
@@ -308,6 +314,7 @@
             deployment_version=self.cluster_view.get_version(),
             wait_s=wait_s if self._settled else 0.0,
             work_address=self.work_address,
+            limited_services=self.list_limited_services(),
         )
 
     def _apply_answer(self, answer: ClusterViewAnswer, sent_at: float) -> None:
--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -58,6 +58,9 @@
 """Time within which a new leader hears from every endpoint and entry: three
 announcements of the slowest."""
 EXPIRY_CHECK_INTERVAL_S = 0.25
+LIMITED_SERVICE_TTL_S = 1.6
+"""Time for which a service is listed as limited after an entry has said so: three
+calls."""
 
 
 @define
@@ -92,6 +95,8 @@
     entries: dict[str, EntryRecord] = field(factory=dict)
     entries_revision: int = 0
     configuration_index: int = field(init=False)
+    _limited_at: dict[str, float] = field(factory=dict)
+    """When an entry last said that a service is limited."""
     _term: int = -1
     _publication: Publication = field(factory=Publication)
     _published_at: float = float("-inf")
@@ -153,6 +158,7 @@
             self.registry.clear()
             self.crash_ledger.clear()
             self.entries.clear()
+            self._limited_at.clear()
             self.entries_revision += 1
             self._publish()
 
@@ -277,6 +283,7 @@
         previous = self.entries.get(message.entry)
         now = self.clock()
         listed = previous is not None and now - previous.last_call_at <= ENTRY_TIMEOUT_S
+        self._limited_at.update(dict.fromkeys(message.limited_services, now))
         record = EntryRecord(registered, message.ready, now)
         self.entries[message.entry] = record
         unchanged = (
@@ -331,6 +338,7 @@
                     if not data_centre.in_service
                 )
             ),
+            limited_services=self._list_limited_services(),
             desired=tuple(catalogue.desired.values()),
             suspects_revision=publication.suspects_revision,
             suspects=publication.suspects if suspected else None,
@@ -339,6 +347,10 @@
             member_urls=tuple(info.url for info in self.member.journal.get_members()),
         )
 
+    def _list_limited_services(self) -> tuple[str, ...]:
+        oldest = self.clock() - LIMITED_SERVICE_TTL_S
+        return tuple(name for name, at in self._limited_at.items() if at >= oldest)
+
     def _list_entries(self) -> tuple[RegisteredEntry, ...]:
         now = self.clock()
         return tuple(
--- a/medlarrail/cluster/cluster_view_test.py
+++ b/medlarrail/cluster/cluster_view_test.py
@@ -6,6 +6,7 @@
 from medlarrail.cluster.cluster_view import CALL_WAIT_S, ClusterView, ClusterViewClient
 from medlarrail.cluster.cluster_view_server import (
     ENTRY_TIMEOUT_S,
+    LIMITED_SERVICE_TTL_S,
     SETTLE_S,
     ClusterViewServer,
 )
@@ -219,3 +220,18 @@
             await trio.sleep(0.1)
             ages.append(view_client.cluster_view.get_age_s())
         assert ages[-1] > 2.0
+
+    async def test_a_new_entry_does_not_know_what_endpoints_told_the_others(
+        self, harness, autojump_clock
+    ):
+        """Endpoints that fall over if they have to reject say so in their answers
+        only; an entry that starts during an overload gets rejections first."""
+        told = harness.start_entry("e1")
+        told.list_limited_services = lambda: ("guide",)
+        await trio.sleep(SETTLE_S + 1)
+        started = harness.start_entry("e2")
+        await trio.sleep(CALL_WAIT_S)
+        assert started.cluster_view.limited_services == {"guide"}
+        told.list_limited_services = tuple
+        await trio.sleep(LIMITED_SERVICE_TTL_S + 2 * CALL_WAIT_S)
+        assert not started.cluster_view.limited_services
--- a/medlarrail/programs/gateway.py
+++ b/medlarrail/programs/gateway.py
@@ -64,6 +64,7 @@
             secret=settings.keys.cluster.encode(),
         )
         self.relay.connect_state(self.view_client.state)
+        self.view_client.list_limited_services = endpoint_stats.room.list_limited
         self.relay.workload = WorkloadTracker(settings.name)
         if settings.work_address:
             work_socket = DatagramSocket(settings.work_address, settings.keys.cluster)
--- a/medlarrail/protocol/cluster_view.py
+++ b/medlarrail/protocol/cluster_view.py
@@ -55,6 +55,9 @@
     work_address: str = ""
     """Address for work reports from other entries; empty for none."""
     suspects_seen: int = 0
+    limited_services: tuple[str, ...] = ()
+    """Services whose endpoints told this entry that they fall over if they have to
+    reject many requests."""
 
 
 @frozen
@@ -89,5 +92,7 @@
     """None if nothing changed."""
     deployment: Deployment | None = None
     out_data_centres: tuple[str, ...] = ()
+    limited_services: tuple[str, ...] = ()
+    """Services whose endpoints told any entry so."""
     desired: tuple[DesiredVersion, ...] = ()
     member_urls: tuple[str, ...] = ()
--- a/medlarrail/relay/brittle_endpoints_test.py
+++ b/medlarrail/relay/brittle_endpoints_test.py
@@ -5,10 +5,12 @@
 
 from medlarrail.core.metrics import get_metrics
 from medlarrail.platform.header_codec import PlatformHeaderCodec
+from medlarrail.relay.divided_room import DividedRoom
 from medlarrail.relay.header_codec import DefaultHeaderCodec, parse_max_rejections
 from medlarrail.testing.brittle_endpoints import BrittleEndpoint
 from medlarrail.testing.builders import build_deployment, build_route
 from medlarrail.testing.partitioned_site import start_site
+from medlarrail.testing.scripted_endpoints import RelayHarness
 
 ENDPOINT_COUNT = 3
 SLOTS = 6
@@ -37,6 +39,16 @@
     return site, endpoints
 
 
+def forget_limits(gateway: RelayHarness) -> None:
+    """Let a gateway forget what endpoints said, as one that has restarted.
+
+    The leader tells it what the endpoints said to the others.
+    """
+    stats = gateway.relay.endpoint_stats
+    stats.cluster_view.limited_services = frozenset(stats.room.list_limited())
+    stats.room = DividedRoom(stats.cluster_view, stats.rank, stats.clock)
+
+
 class TestOverload:
     @pytest.mark.parametrize("max_rejections", [0, 3])
     @pytest.mark.parametrize("gateways", [1, 7, 82])
@@ -60,6 +72,27 @@
         for request in sent:
             assert site.runs[request.request_id] <= 1
 
+    @pytest.mark.parametrize("max_rejections", [0, 3])
+    async def test_restarted_gateways_make_brittle_endpoints_fall_over(
+        self, nursery, max_rejections
+    ):
+        """A gateway that has just started has heard of no limit."""
+        site, endpoints = await start_brittle_site(nursery, 7, max_rejections)
+        per_s = OVERLOAD * CAPACITY_PER_S
+        await site.send_steadily(CONTACT_S, per_s)
+        for endpoint in endpoints:
+            endpoint.queue = 0
+            endpoint.may_fall = True
+
+        async def restart_in_turn():
+            for gateway in site.gateways:
+                await trio.sleep(MEASURED_S / len(site.gateways))
+                forget_limits(gateway)
+
+        nursery.start_soon(restart_in_turn)
+        await site.send_steadily(MEASURED_S, per_s)
+        assert sum(endpoint.falls for endpoint in endpoints) <= MAX_FALLS
+
     async def test_requests_wait_that_cannot_be_served(self, nursery):
         """What would be served too late is refused at once, with the time to wait."""
         site, _ = await start_brittle_site(nursery, 1, 3)
--- a/medlarrail/relay/divided_room.py
+++ b/medlarrail/relay/divided_room.py
@@ -1,7 +1,8 @@
 """The room of endpoints that fall over if they have to reject many requests.
 
 While endpoints of a service say so, each entry has a part of the room of each of them;
-see ``policy/admission_room``.
+see ``policy/admission_room``. An entry that has heard nothing from them, for example
+because it has just started, goes by what they told the others.
 """
 
 from collections.abc import Iterator
@@ -18,6 +19,8 @@
 from medlarrail.policy.shares import get_share
 from medlarrail.relay.entry_rank import EntryRank
 
+HEARSAY_DELAY_S = 2.0
+"""Time without an answer of a service after which the statements to others count."""
 NO_STATEMENT = RejectionLimit()
 """Stands for an endpoint that has said nothing; never changed."""
 
@@ -33,6 +36,8 @@
     """By endpoint."""
     _named_at: dict[str, float] = field(factory=dict)
     """When an endpoint of a service last said that it bears few rejections."""
+    _heard_at: dict[str, float] = field(factory=dict)
+    """When an endpoint of a service last said anything of this."""
     _hold_s: dict[str, float] = field(factory=dict)
     """Moving average of the time for which a request occupies an endpoint, by
     service."""
@@ -48,6 +53,7 @@
         ``is_rejection`` tells whether it said so in rejecting a request.
         """
         now = self.clock()
+        self._heard_at[announced.service] = now
         limit = self._limits.setdefault(announced.name, RejectionLimit())
         if per_s is not None and now - self._get_named_at(announced.service) > (
             STATEMENT_TTL_S
@@ -67,6 +73,7 @@
 
         This entry has no part of the room, so it hears of the end from others.
         """
+        self._heard_at[service] = self.clock()
         if per_s is None:
             self._named_at.pop(service, None)
         else:
@@ -78,20 +85,35 @@
             self._named_at[service] = self.clock()
 
     def _get_named_at(self, service: str) -> float:
+        if service in self.cluster_view.limited_services:
+            now = self.clock()
+            if now - self._heard_at.get(service, float("-inf")) > HEARSAY_DELAY_S:
+                return now
         return self._named_at.get(service, float("-inf"))
 
+    def list_limited(self) -> tuple[str, ...]:
+        """Return the services whose endpoints told this entry that they are limited."""
+        oldest = self.clock() - STATEMENT_TTL_S
+        return tuple(name for name, at in self._named_at.items() if at > oldest)
+
     def is_divided(self, service: str) -> bool:
         """Return whether endpoints of ``service`` fall over if they have to reject."""
         return self.clock() - self._get_named_at(service) < STATEMENT_TTL_S
 
     def is_limited(self, announced: Announcement) -> bool:
         """Return whether an endpoint falls over if it has to reject much."""
+        service = announced.service
+        if (
+            service not in self._named_at
+            and service not in self.cluster_view.limited_services
+        ):
+            return False
         limit = self._get_limit(announced.name)
         return limit.is_in_force(self.clock(), self._get_named_at(announced.service))
 
     def may_send(self, announced: Announcement, in_flight: int, now: float) -> bool:
         """Return whether one more request may be sent beside those ``in_flight``."""
-        if announced.service not in self._named_at or not self.is_limited(announced):
+        if not self.is_limited(announced):
             return True
         return self.cluster_view.entries_settled and self._get_limit(
             announced.name
