--- a/medlarrail/platform/prompts_test.py
+++ b/medlarrail/platform/prompts_test.py
@@ -195,3 +195,92 @@
     answer = await harness.send(PROMPT)
     assert answer.startswith(b"HTTP/1.1 200") and b"data: a" in answer
     assert b"data: x" in answer and len(second.requests) == 1
+
+
+class FixedWorkloadDirectory:
+    """Directory of a large deployment that replies with fixed workloads."""
+
+    def __init__(self, **unread):
+        self.unread = unread
+        self.asked = []
+
+    def is_needed(self):
+        return True
+
+    async def find(self, engines):
+        self.asked.append(tuple(engines))
+        await trio.sleep(0.002)
+        return {
+            name.replace("_", "-"): EngineTokens(name.replace("_", "-"), unread, unread)
+            for name, unread in self.unread.items()
+        }
+
+
+class TestManyGateways:
+    async def test_prompts_go_to_an_engine_that_others_fill(self, nursery):
+        """Only the coordinator knows of the prompts of the other gateways."""
+        harness = await start_prompt_relay(nursery, FixedContextStoreClient())
+        harness.relay.workloads = FixedWorkloadDirectory(engine_1=60_000, engine_2=0)
+        for _ in range(5):
+            await harness.send(PROMPT)
+        busy, idle = harness.endpoints
+        assert not busy.requests and len(idle.requests) == 5
+
+    async def test_engines_that_did_not_reply_are_used(self, nursery):
+        harness = await start_prompt_relay(nursery, FixedContextStoreClient())
+        harness.relay.workloads = FixedWorkloadDirectory(engine_2=5_000)
+        await harness.send(PROMPT)
+        assert not harness.endpoints[0].requests
+
+    async def test_without_replies_no_prompt_is_served(self, nursery):
+        """What the gateway knows itself decides: its own prompts."""
+        harness = await start_prompt_relay(nursery, FixedContextStoreClient())
+        harness.relay.workloads = FixedWorkloadDirectory()
+        harness.relay.workload.begin("engine-1", 60_000, 60_000)
+        answer = await harness.send(PROMPT)
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert not harness.endpoints[0].requests
+
+    async def test_a_found_engine_that_rejects_ends_the_request(self, nursery):
+        """The engines that were asked for are tried; another one is left."""
+
+        async def reject(connection, request):
+            await connection.send(
+                b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+                b"Request-Id: r1\r\nContent-Length: 0\r\n\r\n"
+            )
+
+        harness = await start_prompt_relay(
+            nursery, FixedContextStoreClient(), engines=0
+        )
+        await harness.add(reject, models=(ModelWeights("m", 1),))
+        await harness.add(send_one_event, models=(ModelWeights("m", 1),))
+        harness.relay.workloads = FixedWorkloadDirectory(engine_1=0)
+        answer = await harness.send(PROMPT)
+        assert answer.startswith(b"HTTP/1.1 200")
+
+    async def test_a_waiting_prompt_does_not_look_again(self, nursery):
+        harness = await start_prompt_relay(nursery, FixedContextStoreClient())
+        directory = FixedWorkloadDirectory(engine_1=30_000, engine_2=30_000)
+        harness.relay.workloads = directory
+        answers = []
+
+        async def ask():
+            answers.append(await harness.send(PROMPT))
+
+        nursery.start_soon(ask)
+        await trio.sleep(0.5)
+        assert not answers and 2 <= len(directory.asked) <= 6
+        directory.unread = {"engine_1": 0}
+        with trio.fail_after(2):
+            while not answers:
+                await trio.sleep(0.02)
+        assert answers[0].startswith(b"HTTP/1.1 200")
+
+    async def test_short_prompts_and_plain_requests_are_looked_up(self, nursery):
+        harness = await start_prompt_relay(nursery, FixedContextStoreClient())
+        directory = FixedWorkloadDirectory(engine_1=0)
+        harness.relay.workloads = directory
+        short = PROMPT.replace(b"b2:4200", b"b2:200").replace(b"17000", b"13000")
+        assert (await harness.send(short)).startswith(b"HTTP/1.1 200")
+        assert not directory.asked
--- a/medlarrail/programs/standin.py
+++ b/medlarrail/programs/standin.py
@@ -18,6 +18,11 @@
 )
 from medlarrail.standins.engine import Engine
 from medlarrail.standins.partition_bench import PartitionResult, run_partition_bench
+from medlarrail.standins.placement_bench import (
+    PlacementResult,
+    run_placement_bench,
+    write_chart,
+)
 from medlarrail.standins.routing_bench import BenchResult, run_bench
 from medlarrail.standins.service import Service
 from medlarrail.standins.settings import StandinSettings
@@ -127,6 +132,22 @@
     print_items(run_partition_bench(seed), as_json, columns)
 
 
+@app.command("placement")
+def start_placement_bench(
+    seed: int = typer.Option(1, help="Seed of the load."),
+    chart: Path = typer.Option(None, help="File for a chart in SVG."),
+    as_json: bool = typer.Option(False, "--json", help="Print JSON."),
+) -> None:
+    """Compare ways to place long prompts at several sizes of a deployment.
+
+    Example: medlar-standin placement --seed 1 --chart docs/placement.svg
+    """
+    results = list(run_placement_bench(seed))
+    print_items(results, as_json, [field.name for field in fields(PlacementResult)])
+    if chart is not None:
+        write_chart(results, chart)
+
+
 @app.command("capacity")
 def start_capacity(
     as_json: bool = typer.Option(False, "--json", help="Print JSON."),
