Send nothing more to an endpoint that says it is leaving

Cause: no code read the header by which an endpoint says in its answers that it is leaving. Gateways learned it from the leader's list only, which comes later and may be of an older announcement.

Change: an incarnation that said so gets nothing new from this gateway: not after its announcement says that it is ready, not if it is listed again, not if its connection was being opened meanwhile. What runs there goes on. A gateway that passes on the answer which another one relayed records it, too. If all endpoints leave, requests are refused at once.

--- a/medlarrail/platform/header_codec.py
+++ b/medlarrail/platform/header_codec.py
@@ -36,6 +36,7 @@
 SERVER_LOAD = b"server-load"
 SERVER_LIMIT = b"server-limit"
 SERVER_BRITTLE = b"server-brittle"
+SERVER_LEAVING = b"server-leaving"
 INSTANCE_ID = b"instance-id"
 WEIGHT_VERSIONS = b"weight-versions"
 KEEP_ALIVE = b"keep-alive"
@@ -135,6 +136,7 @@
             max_rejections_per_s=parse_max_rejections(
                 get_header_text(headers, SERVER_BRITTLE)
             ),
+            leaving=get_header_text(headers, SERVER_LEAVING) == "1",
             retry_after_s=parse_retry_after(
                 status, get_header_text(headers, RETRY_AFTER)
             ),
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -14,6 +14,7 @@
     AnswerTruncated,
     EndpointBackingOff,
     EndpointFailed,
+    EndpointOutOfService,
     EndpointRefused,
     EndUnproven,
     MedlarError,
@@ -88,9 +89,10 @@
 class Attempt:
     """One attempt to run ``relayed`` at ``endpoint``.
 
-    ``run`` raises ``EndpointUnreachable``, ``ConnectionsUsedUp`` or
-    ``EndpointBackingOff`` if nothing was sent, ``EndpointRefused`` if the endpoint
-    states that it did not run the request, and a ``RunFailure`` if it may have run.
+    ``run`` raises ``EndpointUnreachable``, ``ConnectionsUsedUp``,
+    ``EndpointBackingOff`` or ``EndpointOutOfService`` if nothing was sent,
+    ``EndpointRefused`` if the endpoint states that it did not run the request, and a
+    ``RunFailure`` if it may have run.
     """
 
     relayed: AttemptRequest
@@ -150,10 +152,12 @@
                 )
                 if not connection.reused:
                     relay.forwarder.record_connected(announced.service)
-                # It may have asked for this while the connection was opened.
+                # It may have said so while the connection was opened.
                 stats = relay.endpoint_stats
                 if stats.back_offs.is_active(announced, stats.clock()):
                     raise EndpointBackingOff(endpoint=announced.name)
+                if stats.leaving.has(announced):
+                    raise EndpointOutOfService(endpoint=announced.name)
                 self.cold_send = relay.endpoint_stats.record_sent(self.endpoint)
             self.relayed.may_be_running = True
             if route.kind == "once":
@@ -247,6 +251,7 @@
         self._record_named_rate()
         self._record_rejection_limit()
         self._record_retry_after()
+        self._record_leaving()
         if not self._metadata.not_run and not self._metadata.misdirected:
             self._require_own_answer(self._metadata)
 
@@ -272,6 +277,13 @@
         elif not metadata.not_run and not metadata.misdirected:
             stats.back_offs.record_accepted(announced, now)
 
+    def _record_leaving(self) -> None:
+        """Record that the endpoint is leaving, unless another one has answered."""
+        metadata = self._metadata
+        announced = self.endpoint.announced
+        if metadata.leaving and metadata.endpoint in ("", announced.name):
+            self.relayed.relay.endpoint_stats.leaving.record(announced)
+
     def _record_rejection_limit(self) -> None:
         """Record how many rejections the endpoint bears; it says so in each answer."""
         metadata = self._metadata
--- a/medlarrail/relay/endpoint_stats.py
+++ b/medlarrail/relay/endpoint_stats.py
@@ -23,6 +23,7 @@
 from medlarrail.relay.back_offs import BackOffs
 from medlarrail.relay.divided_room import DividedRoom
 from medlarrail.relay.entry_rank import EntryRank
+from medlarrail.relay.leaving_endpoints import LeavingEndpoints
 from medlarrail.relay.metadata import EndpointLoad
 
 LOAD_REPORT_TTL_S = 1.0
@@ -93,11 +94,13 @@
     health: PathHealth = field(init=False)
     rank: EntryRank = field(init=False)
     room: DividedRoom = field(init=False)
+    leaving: LeavingEndpoints = field(init=False)
     records: dict[str, EndpointRecord] = field(factory=dict)
 
     def __attrs_post_init__(self):
         self.health = PathHealth(self.clock)
         self.rank = EntryRank(self.cluster_view, self.entry)
+        self.leaving = LeavingEndpoints(lambda: self.clock())
         self.room = DividedRoom(self.cluster_view, self.rank, lambda: self.clock())
         self.back_offs = BackOffs(self.cluster_view, self.rank, self.back_off_policy)
 
@@ -114,6 +117,7 @@
         Returns their names.
         """
         self.back_offs.drop_ended(self.clock())
+        self.leaving.drop_departed(self.cluster_view.endpoints)
         dropped = [
             name
             for name, record in self.records.items()
@@ -136,7 +140,7 @@
     ) -> str:
         """Return why an endpoint cannot accept a request now, or an empty string."""
         announced = endpoint.announced
-        if announced.state != "ready":
+        if announced.state != "ready" or self.leaving.has(announced):
             return "leaving"
         if announced.data_centre in self.cluster_view.out_data_centres:
             return "data centre out"
--- a/medlarrail/relay/forwarding.py
+++ b/medlarrail/relay/forwarding.py
@@ -42,7 +42,7 @@
     get_header,
     iterate_end_to_end,
 )
-from medlarrail.relay.metadata import Header, InboundRequest
+from medlarrail.relay.metadata import AnswerMetadata, Header, InboundRequest
 from medlarrail.relay.outbound import AnswerHead, OutboundConnection, OutboundPool
 
 SIGNATURE_BYTES = 24
@@ -351,10 +351,18 @@
         self._require_own_answer(metadata)
         if not metadata.verified:
             raise AnswerTruncated(endpoint=self.endpoint.announced.name)
+        self._record_leaving_endpoint(metadata)
         self.relayed.relay.endpoint_stats.room.record_carried_statement(
             self.relayed.service.name, metadata.max_rejections_per_s
         )
 
+    def _record_leaving_endpoint(self, metadata: AnswerMetadata) -> None:
+        """Record the endpoint behind the other entry, which says that it is leaving."""
+        relay = self.relayed.relay
+        view = relay.cluster_view.endpoints.get(metadata.endpoint)
+        if metadata.leaving and view is not None:
+            relay.endpoint_stats.leaving.record(view.announced)
+
     async def _handle_refusal(
         self, connection: OutboundConnection, head: AnswerHead, reason: str
     ) -> None:
--- a/medlarrail/relay/header_codec.py
+++ b/medlarrail/relay/header_codec.py
@@ -17,6 +17,7 @@
 REQUEST_ID = b"x-request-id"
 DEADLINE = b"x-deadline-ms"
 NOT_RUN = b"x-not-run"
+LEAVING = b"x-leaving"
 LIMIT = b"x-limit-per-s"
 MAX_REJECTIONS = b"x-max-rejections-per-s"
 RETRY_AFTER = b"retry-after"
@@ -193,10 +194,12 @@
             verified=True,
             not_run=bool(get_header_text(headers, NOT_RUN)),
             misdirected=status == 421,
+            endpoint=get_header_text(headers, ENDPOINT),
             limit_per_s=parse_limit(get_header_text(headers, LIMIT)),
             max_rejections_per_s=parse_max_rejections(
                 get_header_text(headers, MAX_REJECTIONS)
             ),
+            leaving=get_header_text(headers, LEAVING) == "1",
             retry_after_s=parse_retry_after(
                 status, get_header_text(headers, RETRY_AFTER)
             ),
--- a/medlarrail/relay/metadata.py
+++ b/medlarrail/relay/metadata.py
@@ -151,6 +151,8 @@
     max_rejections_per_s: float | None = None
     """Rejections per second beyond which the endpoint falls over, or None if it bears
     any number."""
+    leaving: bool = False
+    """Whether the endpoint says that it is leaving and wants no more requests."""
     retry_after_s: float | None = None
     """Seconds for which the endpoint wants no requests from this entry, or None if it
     asks for no such time."""
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -17,6 +17,7 @@
     DeadlineExceeded,
     Draining,
     EndpointBackingOff,
+    EndpointOutOfService,
     EndpointRefused,
     EndpointUnreachable,
     MedlarError,
@@ -312,7 +313,7 @@
             self.relay.endpoint_stats.health.record_failure(name)
             self.relay.forwarder.record_unreachable(endpoint.announced)
             self.failure = error
-        except (ConnectionsUsedUp, EndpointBackingOff) as error:
+        except (ConnectionsUsedUp, EndpointBackingOff, EndpointOutOfService) as error:
             self.failure = error
         except EndpointRefused as error:
             self.sends += 1
