Let other tasks run after a quarter of a millisecond of decoding

Cause: bytes of an answer were decoded for up to 50 protocol events before other tasks ran, however long an event takes, and each turn of the event loop of another request waited for that. Informational heads were bounded by bytes only: 64 KB hold two thousand.

Change: the time of a turn is bounded, and informational heads by their number.

A test with slowed decoding counts the turns instead of timing them.

--- a/medlarrail/relay/endless_answers_test.py
+++ b/medlarrail/relay/endless_answers_test.py
@@ -1,13 +1,16 @@
 """Tests of endpoints that send bytes without end until their connection is closed."""
 
 import itertools
+import time
 import tracemalloc
 
+import h11
 import pytest
 import trio
 
 from medlarrail.core.deployment import ServiceRule, TrafficShare
 from medlarrail.core.metrics import get_metrics
+from medlarrail.relay.outbound import MAX_INFORMATIONAL_HEADS, MAX_TURN_S
 from medlarrail.testing.builders import build_deployment, build_route
 from medlarrail.testing.scripted_endpoints import (
     answer_ok,
@@ -177,3 +180,54 @@
     answer = await harness.send(build_request())
     assert answer.split(b" ")[1] == b"200"
     return trio.current_time() - started_at
+
+
+class TestOutboundConnection:
+    @pytest.mark.parametrize("heads", [MAX_INFORMATIONAL_HEADS, 60])
+    async def test_informational_heads_are_read_up_to_the_bytes_of_a_head(
+        self, nursery, heads
+    ):
+        """Each takes as long to decode as an answer, and 64 KB hold two thousand."""
+
+        async def send_heads(connection, request):
+            await connection.send(b"HTTP/1.1 103 Early\r\n\r\n" * heads)
+            await answer_ok(connection, request)
+
+        harness = await start_relay(nursery, REPEAT)
+        await harness.add(send_heads)
+        answer = await harness.send(build_request())
+        expected = b"200" if heads == MAX_INFORMATIONAL_HEADS else b"502"
+        assert answer.split(b" ")[1] == expected
+
+    async def test_a_slow_machine_decodes_fifty_events_in_one_turn(
+        self, nursery, monkeypatch
+    ):
+        """Other tasks ran once in fifty events, however long one takes."""
+        event_s = 4 * MAX_TURN_S
+        next_event = h11.Connection.next_event
+        events = turns = 0
+
+        def decode_slowly(protocol):
+            nonlocal events
+            if protocol.our_role is h11.CLIENT:
+                events += 1
+                time.sleep(event_s)
+            return next_event(protocol)
+
+        async def count_turns():
+            nonlocal turns
+            while True:
+                await trio.lowlevel.checkpoint()
+                turns += 1
+
+        async def send_chunks(connection, request):
+            chunks = b"1\r\nx\r\n" * 100 + b"0\r\n\r\n"
+            await connection.send(CHUNKED_HEAD + b"\r\n" + chunks)
+
+        harness = await start_relay(nursery, REPEAT)
+        await harness.add(send_chunks)
+        monkeypatch.setattr(h11.Connection, "next_event", decode_slowly)
+        nursery.start_soon(count_turns)
+        answer = await harness.send(build_request())
+        assert answer.endswith(b"x" * 100)
+        assert events >= 100 and turns >= events - 10
--- a/medlarrail/relay/outbound.py
+++ b/medlarrail/relay/outbound.py
@@ -33,9 +33,11 @@
 """Maximum bytes before the body, including informational (1xx) heads."""
 MAX_ANSWER_BYTES = 16_000_000
 """Maximum bytes of an answer with its framing."""
-MAX_EVENTS_PER_TURN = 50
-"""Maximum protocol events read before other tasks run: an endpoint may send many in
-few bytes."""
+MAX_INFORMATIONAL_HEADS = 16
+"""Informational (1xx) heads before the answer: endpoints send one or two."""
+MAX_TURN_S = 0.00025
+"""Time for which received bytes are decoded before other tasks run: an endpoint may
+send many events in few bytes, and each turn of the event loop delays all requests."""
 MAX_IDLE_S = 4.0
 """Maximum idle time of a reused connection; applies alone if the endpoint does not
 announce its keep-alive time."""
@@ -83,7 +85,7 @@
     """Whether the answer was received completely."""
     _received_bytes: int = 0
     """Bytes received since the request was sent."""
-    _events_in_turn: int = 0
+    _turn_began_at: float = 0.0
 
     async def send(
         self, method: bytes, target: bytes, headers: list[Header], body: bytes
@@ -107,7 +109,7 @@
 
     async def read_head(self) -> AnswerHead:
         """Return the head of the answer; raises ``RunFailure``."""
-        while True:
+        for _ in range(1 + MAX_INFORMATIONAL_HEADS):
             event = await self._read_event(MAX_HEAD_BYTES)
             if isinstance(event, h11.Response):
                 headers = tuple(event.headers.raw_items())
@@ -115,6 +117,7 @@
                 return AnswerHead(event.status_code, headers, framing)
             if not isinstance(event, h11.InformationalResponse):
                 raise StreamBroken(endpoint=self.address)
+        raise AnswerTooLong(endpoint=self.address, limit_bytes=MAX_HEAD_BYTES)
 
     async def iterate_body(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body.
@@ -132,10 +135,9 @@
 
     async def _read_event(self, limit_bytes: int):
         """Return the next event; at most ``limit_bytes`` are received for it."""
-        self._events_in_turn += 1
-        if self._events_in_turn > MAX_EVENTS_PER_TURN:
-            self._events_in_turn = 0
+        if trio.current_time() - self._turn_began_at > MAX_TURN_S:
             await trio.lowlevel.checkpoint()
+            self._turn_began_at = trio.current_time()
         try:
             while (event := self.protocol.next_event()) is h11.NEED_DATA:
                 await self._receive(limit_bytes)
@@ -148,7 +150,7 @@
             raise AnswerTooLong(endpoint=self.address, limit_bytes=limit_bytes)
         data = await self.stream.receive_some(READ_BYTES)
         self._received_bytes += len(data)
-        self._events_in_turn = 0
+        self._turn_began_at = trio.current_time()
         self.protocol.receive_data(data)
 
     def is_reusable(self) -> bool:
