--- a/medlarrail/relay/workload_tracker.py
+++ b/medlarrail/relay/workload_tracker.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from itertools import chain
 
-from attrs import define, evolve, field, frozen
+from attrs import define, field, frozen
 
 from medlarrail.core.clock import Clock, get_boottime, get_wall_time
 
@@ -149,7 +149,13 @@
 
         An entry that reports nothing has nothing there.
         """
-        return self.sum_engines(1).get(name) or EngineTokens(name)
+        self.drop_expired()
+        there = [
+            tokens
+            for tokens in chain(self._iterate_own(), self._iterate_peers())
+            if tokens.engine == name
+        ]
+        return _add_up(name, there)
 
     def list_own(self) -> list[EngineTokens]:
         """Return this entry's own workload at each engine."""
@@ -165,12 +171,16 @@
 
     @staticmethod
     def _sum(engine_tokens: Iterable[EngineTokens]) -> dict[str, EngineTokens]:
-        totals: dict[str, EngineTokens] = {}
+        by_engine: dict[str, list[EngineTokens]] = {}
         for tokens in engine_tokens:
-            previous = totals.get(tokens.engine, EngineTokens(tokens.engine))
-            totals[tokens.engine] = evolve(
-                previous,
-                unread=previous.unread + tokens.unread,
-                held=previous.held + tokens.held,
-            )
-        return totals
+            by_engine.setdefault(tokens.engine, []).append(tokens)
+        return {name: _add_up(name, there) for name, there in by_engine.items()}
+
+
+def _add_up(engine: str, there: list[EngineTokens]) -> EngineTokens:
+    """Return the sum of the tokens at one engine."""
+    return EngineTokens(
+        engine,
+        sum(tokens.unread for tokens in there),
+        sum(tokens.held for tokens in there),
+    )
