Let four of many gateways follow each store

Cause: if not all gateways can follow a store, ten did, and each read all its events up to four times a second, though the others ask only one of them for a part.

Change: four followers then. Deployments in which all can follow all are as before.

Before: 10 of 66 (and of 390) gateways follow a store; after: 4.

--- a/medlarrail/relay/context_index.py
+++ b/medlarrail/relay/context_index.py
@@ -47,6 +47,10 @@
 """Time between two full lists, which recover from lost events."""
 SAVE_TIMEOUT_S = 3.0
 """Time for which a requested save is not requested again."""
+MAX_FOLLOWERS = 4
+"""Followers of a store that not all entries can follow. The others ask one of them for
+each part, so more of them would only repeat the calls; one that restarts leaves a
+quarter of the parts unknown until it has read the list."""
 RESERVED_CALLS = 2
 """Open event calls of a store that entries leave to other clients."""
 CALL_TIMEOUT_MARGIN_S = 0.8
@@ -229,8 +233,10 @@
         followers = self._followers.get(spec.address)
         if followers is None:
             names = {entry.name for entry in self.cluster_view.entries} | {self.name}
-            ranked = rank_nodes(names, spec.address)
-            followers = ranked[: max(1, spec.event_calls - RESERVED_CALLS)]
+            followers = rank_nodes(names, spec.address)
+            calls = max(1, spec.event_calls - RESERVED_CALLS)
+            if len(followers) > calls:
+                followers = followers[: min(calls, MAX_FOLLOWERS)]
             self._followers[spec.address] = followers
         return followers
 
--- a/medlarrail/relay/part_directory_test.py
+++ b/medlarrail/relay/part_directory_test.py
@@ -280,3 +280,23 @@
             assert located.plan.fetch == ("",)
             assert waited_s <= MAX_HOMES * REPLY_TIMEOUT_S + 1e-9
         assert datagram_socket.sent > 0
+
+
+class TestFollowers:
+    @pytest.mark.parametrize("count, followers", [(10, 10), (11, 4), (390, 4)])
+    def test_every_open_call_of_a_store_is_used(self, count, followers):
+        """Ten of 66 entries followed each store, and each read all its events."""
+        names = [f"entry-{number:03}" for number in range(count)]
+        indexes = []
+        for name in names:
+            cluster_view = ClusterView()
+            apply_entries(
+                cluster_view,
+                [RegisteredEntry(listed, "", "leith") for listed in names],
+            )
+            indexes.append(ContextIndex(cluster_view, FakeStores(), name))
+        spec = StoreSpec(f"{HOST}:7000", "leith", 400_000, 1000.0, 12)
+        assert sum(index.name in index.list_followers(spec) for index in indexes) == (
+            followers
+        )
+        assert len({tuple(index.list_followers(spec)) for index in indexes}) == 1
