Hold requests for a moment at a gateway that has just started

Of the 0.3 s after the election one pause of 0.1 s came after a member had named the leader.

After a redirect the leader is called at once.

--- a/medlarrail/cluster/state_client.py
+++ b/medlarrail/cluster/state_client.py
@@ -54,6 +54,7 @@
     ) -> T:
         """Return the leader's answer; raises the last error at the deadline."""
         deadline = trio.current_time() + timeout_s
+        redirected = False
         while True:
             url = self.pick_url()
             remaining_s = max(MIN_CALL_TIMEOUT_S, deadline - trio.current_time())
@@ -66,7 +67,11 @@
                 self.record_failure(error)
                 if trio.current_time() + RETRY_PAUSE_S >= deadline:
                     raise
-                await trio.sleep(RETRY_PAUSE_S)
+                # A member that names the leader saves the pause, but only once in a
+                # row: two may name each other.
+                redirected = bool(self.leader_url) and not redirected
+                if not redirected:
+                    await trio.sleep(RETRY_PAUSE_S)
                 continue
             self.leader_url = url
             return answer
--- a/medlarrail/programs/gateway.py
+++ b/medlarrail/programs/gateway.py
@@ -19,6 +19,7 @@
 from medlarrail.relay.inbound import InboundServer
 from medlarrail.relay.metadata import HeaderCodec
 from medlarrail.relay.request_relay import RequestRelay
+from medlarrail.relay.startup_hold import StartupHold
 from medlarrail.relay.workload_directory import WorkloadDirectory
 from medlarrail.relay.workload_reporter import WorkloadReporter
 from medlarrail.relay.workload_tracker import WorkloadTracker
@@ -106,6 +107,7 @@
     async def run(self, nursery: trio.Nursery) -> None:
         """Serve until the stop signal, then drain."""
         listen = self.settings.listen
+        self.relay.startup = StartupHold()
         await nursery.start(self.server.run, listen.host, listen.bind_port)
         if self.settings.metrics_address:
             await start_metrics(nursery, self.settings.metrics_address)
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -187,6 +187,7 @@
         Raises ``Overloaded`` for a prompt that cannot be served in time.
         """
         began_at = trio.current_time()
+        await self._wait_for_endpoints()
         while True:
             self.evidence.require_not_blocked()
             self.relay.shutdown.require_time(self.admission.route.name)
@@ -214,6 +215,18 @@
             )
         return choice.endpoint
 
+    async def _wait_for_endpoints(self) -> None:
+        """Wait a moment for the service's first endpoint, if this entry is new."""
+        startup = self.relay.startup
+        if startup is not None and not self.tried:
+            await startup.wait(self._knows_endpoint, self.get_remaining_s())
+
+    def _knows_endpoint(self) -> bool:
+        return any(
+            endpoint.announced.service == self.service.name
+            for endpoint in self.relay.cluster_view.endpoints.values()
+        )
+
     def check_retry(self) -> None:
         """Raise the latest failure unless another attempt is allowed."""
         allowed = self.runs == 0 or self._may_retry_run()
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -40,6 +40,7 @@
 from medlarrail.relay.relayed_request import RelayedRequest
 from medlarrail.relay.room_queue import RoomQueue
 from medlarrail.relay.shutdown import Shutdown
+from medlarrail.relay.startup_hold import DEFAULT_LEFT_S, StartupHold
 from medlarrail.relay.suspected_requests import SuspectedRequests
 from medlarrail.relay.table import Admission, RouteTable
 from medlarrail.relay.workload_directory import WorkloadDirectory
@@ -84,6 +85,8 @@
     workloads: WorkloadDirectory | None = None
     draining: bool = False
     shutdown: Shutdown = field(factory=Shutdown)
+    startup: StartupHold | None = None
+    """Set while the entry runs as a process that may have to wait for a leader."""
     secret: bytes = field(default=b"", repr=False)
     """Key of the fingerprints and proofs of requests, the same at all entries."""
     table: RouteTable | None = None
@@ -149,6 +152,7 @@
         relayed = None
         try:
             metadata = self.header_codec.read_request(exchange.request.headers)
+            await self._wait_for_deployment(metadata)
             admission = self._admit(exchange, metadata)
             relayed = RelayedRequest(self, exchange, metadata, admission)
             await relayed.run()
@@ -160,6 +164,15 @@
                 tried = relayed.tried if relayed is not None else ()
                 await self.answer_error(exchange, error, metadata, tried)
 
+    async def _wait_for_deployment(self, metadata: RequestMetadata) -> None:
+        """Wait a moment for the first deployment document, if this entry is new."""
+        if self.table is not None or self.startup is None or self.draining:
+            return
+        left_s = DEFAULT_LEFT_S
+        if metadata.deadline_ms is not None:
+            left_s = metadata.deadline_ms / 1000
+        await self.startup.wait(lambda: self.table is not None, left_s)
+
     def _admit(self, exchange: ServerExchange, metadata: RequestMetadata) -> Admission:
         if self.table is None:
             raise DeploymentUnknown()
