Wait half a second before all entries' refusals count as an outage

Change: other entries have to refuse for half a second without one that carries a request. The state of the evidence stands in the policy.

--- a/medlarrail/policy/reachability.py
+++ b/medlarrail/policy/reachability.py
@@ -22,6 +22,13 @@
 """Time between two attempts to connect during a suspected partition."""
 
 
+OUTAGE_MIN_S = 0.5
+"""Time for which other entries have to say that they do not reach a service either: one
+that is slow for a moment says so, too."""
+OUTAGE_TTL_S = 1.0
+"""Age up to which the latest of them counts."""
+
+
 @define
 class Reachability:
     """What attempts to connect tell of the paths to one service; times in seconds."""
@@ -30,6 +37,8 @@
     _failed_at: dict[str, float] = field(factory=dict)
     """Latest failure by endpoint."""
     _connections: int = 0
+    _outage_since: float | None = None
+    _outage_seen_at: float = float("-inf")
 
     def record_failed(self, endpoint: str, endpoint_count: int, now: float) -> None:
         """Record that ``endpoint``, one of ``endpoint_count``, was not reached."""
@@ -44,6 +53,26 @@
         if len(self._failed_at) >= needed:
             self.is_partitioned = True
 
+    def record_outage(self, now: float) -> None:
+        """Record that the other entries that were asked do not reach the service."""
+        if self._outage_since is None or now - self._outage_seen_at > OUTAGE_TTL_S:
+            self._outage_since = now
+        self._outage_seen_at = now
+
+    def record_carried(self) -> None:
+        """Record that another entry reaches the service."""
+        self._outage_since = None
+
+    def is_outage(self, now: float) -> bool:
+        """Return whether neither this entry nor others reach the service.
+
+        Then its endpoints are down, and this entry need not be partitioned from them.
+        """
+        if not self.is_partitioned or self._outage_since is None:
+            return False
+        is_recent = now - self._outage_seen_at <= OUTAGE_TTL_S
+        return is_recent and self._outage_seen_at - self._outage_since >= OUTAGE_MIN_S
+
     def record_connected(self) -> None:
         """Record that a connection was made to some endpoint."""
         self._connections += 1
--- a/medlarrail/policy/reachability_test.py
+++ b/medlarrail/policy/reachability_test.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from medlarrail.policy.reachability import FAILURE_TTL_S, MIN_CONNECTIONS, Reachability
+from medlarrail.policy.reachability import (
+    FAILURE_TTL_S,
+    MIN_CONNECTIONS,
+    OUTAGE_TTL_S,
+    Reachability,
+)
 
 
 class TestReachability:
@@ -80,3 +85,33 @@
             else:
                 reachability.record_connected()
             assert not reachability.is_partitioned
+
+
+class TestOutage:
+    def build(self) -> Reachability:
+        """Return the state of an entry that reaches none of three endpoints."""
+        reachability = Reachability()
+        for name in ("e1", "e2", "e3"):
+            reachability.record_failed(name, 3, 0.0)
+        return reachability
+
+    def test_another_entry_that_is_slow_for_a_moment_makes_an_outage(self):
+        """The only other entry failed to connect for a moment beside load, and the
+        endpoints, which ran, were reported as crashed."""
+        reachability = self.build()
+        for now in (0.1, 0.2, 0.4):
+            reachability.record_outage(now)
+            assert not reachability.is_outage(now)
+        reachability.record_carried()
+        reachability.record_outage(0.7)
+        assert not reachability.is_outage(0.7)
+
+    def test_an_outage_is_seen_by_all_entries_for_some_time(self):
+        reachability = self.build()
+        for now in (0.1, 0.4, 0.7):
+            reachability.record_outage(now)
+        assert reachability.is_outage(0.8)
+        assert not reachability.is_outage(0.7 + 2 * OUTAGE_TTL_S)
+        for _ in range(MIN_CONNECTIONS):
+            reachability.record_connected()
+        assert not reachability.is_outage(0.8)
--- a/medlarrail/relay/forwarding.py
+++ b/medlarrail/relay/forwarding.py
@@ -68,8 +68,6 @@
 )
 """Refusals by which another entry says that it cannot carry requests now."""
 MAX_RETRY_AFTER_S = 60.0
-OUTAGE_TTL_S = 1.0
-"""Age up to which the refusals of other entries tell that a service is down."""
 
 
 def sign_request(
@@ -109,8 +107,6 @@
     _in_flight: Counter[str] = field(factory=Counter)
     _unavailable_until: dict[str, float] = field(factory=dict)
     _partition_suspected: trio.Event = field(factory=trio.Event)
-    _outage_seen_at: dict[str, float] = field(factory=dict)
-    """When the other entries last said that they do not reach a service either."""
 
     # Reachability of the endpoints.
 
@@ -143,19 +139,20 @@
 
     def record_outage(self, service: str) -> None:
         """Record that the other entries that were asked do not reach ``service``."""
-        self._outage_seen_at[service] = self.clock()
+        reachability = self._reachability.get(service)
+        if reachability is not None:
+            reachability.record_outage(self.clock())
 
     def record_carried(self, service: str) -> None:
         """Record that another entry reaches ``service``."""
-        self._outage_seen_at.pop(service, None)
+        reachability = self._reachability.get(service)
+        if reachability is not None:
+            reachability.record_carried()
 
     def is_outage(self, service: str) -> bool:
-        """Return whether neither this entry nor others that it asked reach a service.
-
-        Then its endpoints are down, and this entry need not be partitioned from them.
-        """
-        seen_at = self._outage_seen_at.get(service, float("-inf"))
-        return self.is_partitioned(service) and self.clock() - seen_at < OUTAGE_TTL_S
+        """Return whether neither this entry nor the others reach a service."""
+        reachability = self._reachability.get(service)
+        return reachability is not None and reachability.is_outage(self.clock())
 
     def _iterate_endpoints(self, service: str) -> Iterator[EndpointView]:
         for endpoint in self.cluster_view.endpoints.values():
