Count requests that were given up as running for a moment

A gateway gave the place of such a request to the next one at once, but the endpoint went on with it for a moment.

Change: it counts as running for another half second.

Before: the new test's endpoint rejects the request after the one that was given up, and falls over. After: it is served.

--- a/medlarrail/policy/admission_room.py
+++ b/medlarrail/policy/admission_room.py
@@ -9,15 +9,19 @@
 An endpoint that rejects a request all the same is left alone for a while.
 """
 
+from collections import deque
 from typing import Literal
 
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 from medlarrail.policy.shares import get_share
 
 REJECTION_PAUSE_S = 1.0
 """Time for which an entry leaves an endpoint alone that rejected one of its requests:
 the span in which the endpoint counts them."""
+ABANDONED_S = 0.5
+"""Time for which a request that was given up on is counted as running: its endpoint
+notices that later than the entry."""
 STATEMENT_TTL_S = 5.0
 """Age up to which a statement of an endpoint counts. Each of its answers renews it."""
 
@@ -38,6 +42,16 @@
     per_s: float | None = None
     said_at: float = float("-inf")
     rejected_at: float = float("-inf")
+    _abandoned_at: deque[float] = field(factory=deque)
+
+    def record_abandoned(self, now: float) -> None:
+        """Record a request of this entry that may still run, though it was given up."""
+        self._drop_ended(now)
+        self._abandoned_at.append(now)
+
+    def _drop_ended(self, now: float) -> None:
+        while self._abandoned_at and now - self._abandoned_at[0] > ABANDONED_S:
+            self._abandoned_at.popleft()
 
     def record(self, per_s: float | None, now: float) -> None:
         """Record the statement in an answer."""
@@ -60,7 +74,9 @@
         """Return whether the entry of this rank may send one more request."""
         if now - self.rejected_at < REJECTION_PAUSE_S:
             return False
-        return in_flight < get_share(slots, entry_count, rank)
+        self._drop_ended(now)
+        running = in_flight + len(self._abandoned_at)
+        return running < get_share(slots, entry_count, rank)
 
 
 @frozen
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -169,6 +169,8 @@
                 seconds = trio.current_time() - self._started_at
                 relay.endpoint_stats.room.record_end(announced, seconds)
                 relay.shutdown.run_times.record(route.name, seconds)
+                if not connection.answer_ended:
+                    relay.endpoint_stats.room.record_abandoned(announced)
             relay.get_room_queue(announced.service).notify()
             if not self.status:
                 record.unanswered -= 1
--- a/medlarrail/relay/brittle_endpoints_test.py
+++ b/medlarrail/relay/brittle_endpoints_test.py
@@ -10,7 +10,7 @@
 from medlarrail.testing.brittle_endpoints import BrittleEndpoint
 from medlarrail.testing.builders import build_deployment, build_route
 from medlarrail.testing.partitioned_site import start_site
-from medlarrail.testing.scripted_endpoints import RelayHarness
+from medlarrail.testing.scripted_endpoints import RelayHarness, build_request
 
 ENDPOINT_COUNT = 3
 SLOTS = 6
@@ -93,6 +93,20 @@
         await site.send_steadily(MEASURED_S, per_s)
         assert sum(endpoint.falls for endpoint in endpoints) <= MAX_FALLS
 
+    async def test_a_request_that_was_given_up_leaves_no_room(self, nursery):
+        """Its endpoint went on for a moment, and rejected the next one."""
+        site, _ = await start_brittle_site(nursery, 1, 0)
+        endpoint = BrittleEndpoint(site, 1, RUN_S, 0, 0, may_fall=True)
+        site.gateways[0].relay.cluster_view.endpoints.clear()
+        await site.add_endpoint(endpoint.answer, slots=1)
+        first = await site.send(0, "/ask/1", "GET")
+        assert first.is_served
+        gateway = site.gateways[0]
+        given_up = await gateway.send(build_request(X_Deadline_Ms="50"))
+        assert given_up.startswith(b"HTTP/1.1 504")
+        last = await site.send(0, "/ask/1", "GET")
+        assert last.is_served and endpoint.falls == 0
+
     async def test_requests_wait_that_cannot_be_served(self, nursery):
         """What would be served too late is refused at once, with the time to wait."""
         site, _ = await start_brittle_site(nursery, 1, 3)
--- a/medlarrail/relay/divided_room.py
+++ b/medlarrail/relay/divided_room.py
@@ -150,6 +150,12 @@
             if announced.service == service and announced.state == "ready":
                 yield announced
 
+    def record_abandoned(self, announced: Announcement) -> None:
+        """Record that a request at an endpoint was given up before its answer ended."""
+        limit = self._limits.get(announced.name)
+        if limit is not None:
+            limit.record_abandoned(self.clock())
+
     def record_end(self, announced: Announcement, seconds: float) -> None:
         """Record the time for which a request has occupied an endpoint."""
         mean = self._hold_s.get(announced.service, seconds)
