Take no late or second reply for the answer to a query

Cause: a process counted its queries by datagram from 1, and its replies came to the port of the process before. A late reply to that one could answer another query, and tell that a store holds a part that is being written; a second copy replaced the first before the asker had read it.

Change: the numbers begin anywhere, and the first reply ends the query.

--- a/medlarrail/transport/datagram_queries.py
+++ b/medlarrail/transport/datagram_queries.py
@@ -4,6 +4,7 @@
 """
 
 from itertools import count
+from random import getrandbits
 from typing import Any, Protocol
 
 import trio
@@ -12,6 +13,8 @@
 from medlarrail.core.codec import encode
 from medlarrail.transport.datagrams import DatagramSocket, decode_datagram
 
+NUMBER_BITS = 48
+
 
 class Reply(Protocol):
     """The reply to the query of this number."""
@@ -37,7 +40,8 @@
     datagram_socket: DatagramSocket
     prefix: bytes
     reply_type: type
-    _numbers: count = field(factory=lambda: count(1))
+    _numbers: count = field(factory=lambda: count(getrandbits(NUMBER_BITS)))
+    """Begins anywhere, since a reply may be late and meant for the process before."""
     _open: dict[int, OpenQuery] = field(factory=dict)
 
     def get_number(self) -> int:
@@ -52,13 +56,18 @@
             with trio.move_on_after(timeout_s):
                 await open_query.answered.wait()
         finally:
-            del self._open[query.number]
+            self._open.pop(query.number, None)
         return open_query.reply
 
     def handle_reply(self, body: bytes) -> None:
-        """Pass a reply to the query that waits for it; a late one is dropped."""
+        """Pass a reply to the query that waits for it.
+
+        A late one and further copies are dropped.
+        """
         reply = decode_datagram(body, self.reply_type, "replies_unreadable")
-        open_query = self._open.get(reply.number) if reply is not None else None
+        if reply is None:
+            return
+        open_query = self._open.pop(reply.number, None)
         if open_query is not None:
             open_query.reply = reply
             open_query.answered.set()
