Keep the limit that an endpoint itself named until it says otherwise

An answer that another entry relayed, of any endpoint of the service, ended the statement of an endpoint that this entry had heard itself.

Before: the new test failed. After: it passes.

--- a/medlarrail/relay/brittle_endpoints_test.py
+++ b/medlarrail/relay/brittle_endpoints_test.py
@@ -10,7 +10,12 @@
 from medlarrail.testing.brittle_endpoints import BrittleEndpoint
 from medlarrail.testing.builders import build_deployment, build_route
 from medlarrail.testing.partitioned_site import start_site
-from medlarrail.testing.scripted_endpoints import RelayHarness, build_request
+from medlarrail.testing.scripted_endpoints import (
+    RelayHarness,
+    answer_ok,
+    build_request,
+    start_relay,
+)
 
 ENDPOINT_COUNT = 3
 SLOTS = 6
@@ -135,6 +140,18 @@
 
 
 class TestStatement:
+    async def test_an_answer_to_another_entry_ends_an_endpoints_own_statement(
+        self, nursery
+    ):
+        """That answer may be of another endpoint, which bears any rejections."""
+        harness = await start_relay(nursery)
+        await harness.add(answer_ok)
+        announced = harness.relay.cluster_view.endpoints["engine-1"].announced
+        room = harness.relay.endpoint_stats.room
+        room.record_statement(announced, 3.0, False)
+        room.record_carried_statement("guide", None)
+        assert room.is_limited(announced)
+
     @pytest.mark.parametrize("text", ["-1", "nan", "inf", "1e99", "many"])
     def test_an_unreadable_number_means_that_any_is_borne(self, text):
         assert parse_max_rejections(text) == 0.0
--- a/medlarrail/relay/divided_room.py
+++ b/medlarrail/relay/divided_room.py
@@ -102,12 +102,6 @@
 
     def is_limited(self, announced: Announcement) -> bool:
         """Return whether an endpoint falls over if it has to reject much."""
-        service = announced.service
-        if (
-            service not in self._named_at
-            and service not in self.cluster_view.limited_services
-        ):
-            return False
         limit = self._get_limit(announced.name)
         return limit.is_in_force(self.clock(), self._get_named_at(announced.service))
 
