Leave work out of the way of each request once a gateway has started

Whether a service has an endpoint was looked up for each request of a gateway, though only one that has just started lets requests wait; its age is asked first now. A check that the computation of named limits makes itself is gone.

Nothing else changes. Tests of startup, limits, connections, back-offs, prompts, policy and layers: passed.

--- a/medlarrail/policy/reachability.py
+++ b/medlarrail/policy/reachability.py
@@ -20,8 +20,6 @@
 three lets single ones through."""
 PROBE_INTERVAL_S = 0.25
 """Time between two attempts to connect during a suspected partition."""
-
-
 OUTAGE_MIN_S = 0.5
 """Time for which other entries have to say that they do not reach a service either: one
 that is slow for a moment says so, too."""
--- a/medlarrail/relay/endpoint_stats.py
+++ b/medlarrail/relay/endpoint_stats.py
@@ -155,10 +155,9 @@
             share = self._get_cold_share(endpoint, service)
             if not record.send_rate.may_send(now, SendLimit(share)):
                 return "cold"
-        if record.named_rate is not None or endpoint.limit_per_s is not None:
-            limit = self._get_named_limit(endpoint)
-            if limit is not None and not record.send_rate.may_send(now, limit):
-                return "limited"
+        limit = self._get_named_limit(endpoint)
+        if limit is not None and not record.send_rate.may_send(now, limit):
+            return "limited"
         if not self.room.may_send(announced, record.in_flight, now):
             return "no room"
         return ""
--- a/medlarrail/relay/startup_hold.py
+++ b/medlarrail/relay/startup_hold.py
@@ -24,11 +24,9 @@
 
     async def wait(self, is_ready: Callable[[], bool], left_s: float) -> None:
         """Return once ``is_ready``, or if a request with ``left_s`` may not wait."""
-        if is_ready():
-            return
         age_s = trio.current_time() - self.started_at
         hold_s = get_hold_s(age_s, left_s, self.held)
-        if not hold_s:
+        if not hold_s or is_ready():
             return
         self.held += 1
         began_at = trio.current_time()
