Log why a leader ends, why an election fails and what a member starts with

A cluster without a leader left no line that names the reason: failed elections and unanswered appends were not logged. A failed election now logs what each voter answered, the end of a leadership how long ago each member answered, and a member at its start its term, last entry and voters. The test failed before.

--- a/medlarrail/consensus/elections.py
+++ b/medlarrail/consensus/elections.py
@@ -14,6 +14,7 @@
 
 from functools import partial
 
+import eliot
 import trio
 from attrs import define
 
@@ -35,6 +36,8 @@
 the skew with which members detect it plus the duration of an election."""
 RESTART_PROBE_TIMEOUT_S = 0.2
 """Time limit of the probes for a full restart: many round trips within a region."""
+GRANTED = "granted"
+REFUSED = "refused"
 
 
 @define(eq=False)
@@ -151,11 +154,13 @@
         """Request votes from the other voters; return whether a quorum granted them."""
         member = self.member
         granted = {member.identity}
+        results: dict[str, str] = {}
         async with trio.open_nursery() as nursery:
 
             async def request_vote(peer: MemberInfo) -> None:
                 request = self._build_request(peer, term, only_probe, all_restarted)
-                if await self._request_vote(peer, request):
+                results[peer.name] = await self._request_vote(peer, request)
+                if results[peer.name] == GRANTED:
                     granted.add(peer.identity)
                 if member.is_quorum(granted):
                     nursery.cancel_scope.cancel()
@@ -163,7 +168,18 @@
             for peer in member.journal.get_members():
                 if peer.voter and peer.identity != member.identity:
                     nursery.start_soon(request_vote, peer)
-        return member.is_quorum(granted)
+        if member.is_quorum(granted):
+            return True
+        eliot.log_message(
+            "election:failed",
+            member=member.name,
+            term=term,
+            only_probe=only_probe,
+            last_index=member.journal.last_index,
+            last_term=member.journal.last_term,
+            results=results,
+        )
+        return False
 
     def _build_request(
         self,
@@ -183,17 +199,18 @@
             all_restarted=all_restarted,
         )
 
-    async def _request_vote(self, peer: MemberInfo, request: VoteRequest) -> bool:
+    async def _request_vote(self, peer: MemberInfo, request: VoteRequest) -> str:
+        """Return ``GRANTED``, ``REFUSED`` or the type of the error."""
         member = self.member
         try:
             answer = await member.peers.call(
                 peer.url, VOTE_PATH, request, VoteAnswer, RPC_TIMEOUT_S
             )
-        except MedlarError:
-            return False
+        except MedlarError as error:
+            return type(error).__name__
         if not request.only_probe:
             await member.adopt_term(answer.term)
-        return answer.granted
+        return GRANTED if answer.granted else REFUSED
 
     async def vote(self, message: VoteRequest) -> VoteAnswer:
         """Grant or refuse a vote; a pre-vote probe changes no state."""
--- a/medlarrail/consensus/leadership.py
+++ b/medlarrail/consensus/leadership.py
@@ -118,6 +118,19 @@
             return False
         return self.get_lease_end() + ELECTION_TIMEOUT_MAX_S < now
 
+    def list_answer_ages(self) -> dict[str, float]:
+        """Return the age in seconds of each listed peer's latest answer, by name.
+
+        A peer that has not answered this leader is left out.
+        """
+        now = self.member.clock()
+        return {
+            peer.name: round(now - self.progress[peer.identity].answered_at, 3)
+            for peer in self.member.journal.get_members()
+            if peer.identity in self.progress
+            and self.progress[peer.identity].answered_at >= self.elected_at
+        }
+
     # Proposals.
 
     def add_proposal(self, envelope: Envelope) -> Proposal:
--- a/medlarrail/consensus/replication.py
+++ b/medlarrail/consensus/replication.py
@@ -218,7 +218,14 @@
         self.leader = None
         self.election_timeout_since = self.clock()
         leadership.end()
-        eliot.log_message("leader:stepped-down", member=self.name, reason=reason)
+        eliot.log_message(
+            "leader:stepped-down",
+            member=self.name,
+            reason=reason,
+            term=leadership.term,
+            led_s=round(self.clock() - leadership.elected_at, 3),
+            answered_ago_s=leadership.list_answer_ages(),
+        )
         get_metrics().count("leader_step_downs", reason=reason)
 
     def handle_storage_error(self, error: StorageError) -> None:
--- a/medlarrail/consensus/replication_test.py
+++ b/medlarrail/consensus/replication_test.py
@@ -27,6 +27,7 @@
 )
 from medlarrail.state.operations import Envelope, SetContract
 from medlarrail.testing.cluster import Cluster
+from medlarrail.testing.logs import collect_messages
 
 NAMES = ("leith", "perth", "tay")
 
@@ -249,3 +250,25 @@
     voter = MemberInfo(repaired.identity, lost.name, lost.url)
     await leader.change_member(voter)
     await leader.change_member(lost, remove=True)
+
+
+class TestLogs:
+    async def test_log_does_not_tell_why_there_is_no_leader(
+        self, tmp_path, nursery, autojump_clock
+    ):
+        """Guards against a cluster without a leader whose logs name no reason."""
+        cluster = Cluster(tmp_path, nursery)
+        await cluster.bootstrap(*NAMES)
+        leader = await cluster.wait_leader()
+        with collect_messages("leader:stepped-down") as ends:
+            cluster.network.isolate(leader.url)
+            await trio.sleep(6)
+        assert ends[0]["reason"] == "quorum-lost"
+        assert all(age_s > 1 for age_s in ends[0]["answered_ago_s"].values())
+        for name in NAMES:
+            if name != leader.name:
+                cluster.network.isolate(cluster.get_url(name))
+        with collect_messages("election:failed") as failures:
+            await trio.sleep(6)
+        results = {result for line in failures for result in line["results"].values()}
+        assert results == {"PeerTimeout"}
--- a/medlarrail/programs/state.py
+++ b/medlarrail/programs/state.py
@@ -49,6 +49,20 @@
         return open_journal(folder)
 
 
+def log_journal(journal: Journal) -> None:
+    """Log what a member starts with, so that the logs tell who had which entries."""
+    eliot.log_message(
+        "storage:opened",
+        identity=journal.meta.identity,
+        cluster=journal.meta.cluster,
+        term=journal.meta.term,
+        last_index=journal.last_index,
+        last_term=journal.last_term,
+        snapshot_index=journal.snapshot.index if journal.snapshot else 0,
+        voters=[member.name for member in journal.get_members() if member.voter],
+    )
+
+
 def build_guard(keys: Keys) -> Guard:
     """Return the access rules of a state member, by path."""
     cluster = KeyRing.from_keys(keys.cluster)
@@ -91,10 +105,12 @@
     """Run a state member until SIGTERM."""
     folder = DataFolder(Path(settings.data_folder), settings.quota_bytes)
     peers = HttpClient(settings.keys.cluster)
+    journal = open_or_quarantine_journal(folder)
+    log_journal(journal)
     log_member = LogMember(
         settings.name,
         settings.listen.url,
-        open_or_quarantine_journal(folder),
+        journal,
         peers,
         started_at=PROCESS_STARTED_AT,
     )
