Poll an unsettled leader for changes, not for its whole list

With 82 entries the leader sent 1,722 whole lists, which takes all of a small state member.

An entry now keeps the epoch of an unsettled leader and polls it for changes. It remembers what that leader has listed, and drops the rest as soon as the leader says that it is settled, so it needs no second list.

test_new_leader_sends_whole_lists_again_and_again: 1,722 lists before, at most two for each entry now.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -39,9 +39,6 @@
 is noticed at the latest after this time plus the timeout of a call."""
 CALL_TIMEOUT_S = 1.6
 RETRY_PAUSE_S = 0.1
-UNSETTLED_PAUSE_S = 0.2
-"""Pause between calls to a leader that may not know all endpoints yet; each call
-returns the full list."""
 
 
 @define
@@ -91,6 +88,11 @@
     confirmed_at: float = float("-inf")
     deployment_listeners: list[Callable[[Deployment], None]] = field(factory=list)
     _blocked_parts: frozenset[SharedPart] = frozenset()
+    _listed_limits: dict[str, float | None] = field(factory=dict)
+    """The endpoints that the present leader has listed, with the rates they named."""
+    _listed_entries: tuple[RegisteredEntry, ...] = ()
+    _settled: bool = False
+    """Whether the present leader is settled."""
 
     def get_age_s(self) -> float:
         """Return the seconds since a leader last confirmed the view."""
@@ -106,16 +108,22 @@
         self.confirmed_at = max(self.confirmed_at, sent_at)
         if answer.deployment is not None:
             self._apply_deployment(answer.deployment)
+        if answer.whole:
+            self._listed_limits.clear()
         for name in answer.departed:
             self.endpoints.pop(name, None)
+            self._listed_limits.pop(name, None)
         for registered in answer.endpoints:
             self._apply_endpoint(registered, answer.settled)
-        if answer.whole and answer.settled:
-            listed = {registered.announced.name for registered in answer.endpoints}
-            for name in set(self.endpoints) - listed:
-                del self.endpoints[name]
+            self._listed_limits[registered.announced.name] = registered.limit_per_s
         if answer.entries is not None:
-            self._apply_entries(answer.entries, answer.settled)
+            self._listed_entries = answer.entries
+        newly_settled = answer.settled and (answer.whole or not self._settled)
+        self._settled = answer.settled
+        if newly_settled:
+            self._apply_settled_list()
+        if newly_settled or answer.entries is not None:
+            self._apply_entries(self._listed_entries, answer.settled)
         self.entry_count = max(answer.entry_count, len(self.entries), 1)
         self.out_data_centres = frozenset(answer.out_data_centres)
         self.limited_services = frozenset(answer.limited_services)
@@ -185,6 +193,16 @@
             endpoint.limit_per_s = previous.limit_per_s
             endpoint.limit_changed_at = previous.limit_changed_at
 
+    def _apply_settled_list(self) -> None:
+        """Drop what a leader has not listed although it is settled now."""
+        for name in self.endpoints.keys() - self._listed_limits.keys():
+            del self.endpoints[name]
+        for name, limit_per_s in self._listed_limits.items():
+            endpoint = self.endpoints.get(name)
+            if endpoint is not None and endpoint.limit_per_s != limit_per_s:
+                endpoint.limit_per_s = limit_per_s
+                endpoint.limit_changed_at = self.clock()
+
     def _apply_desired(self, listed: tuple[DesiredVersion, ...]) -> None:
         for desired in listed:
             previous = self.desired.get(desired.model)
@@ -256,7 +274,6 @@
     _entries_seen: int = 0
     _configuration_seen: int = 0
     _suspects_seen: int = 0
-    _settled: bool = False
     _connected: bool = False
     _seeds: tuple[str, ...] = field(init=False)
 
@@ -284,8 +301,6 @@
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
             self._apply_answer(answer, sent_at)
-            if not answer.settled:
-                await trio.sleep(UNSETTLED_PAUSE_S)
 
     async def report_readiness(self) -> None:
         """Report immediately to the leader whether this entry is ready."""
@@ -306,20 +321,19 @@
             address=self.address,
             data_centre=self.data_centre,
             ready=self.ready,
-            epoch=self._epoch if self._settled else "",
+            epoch=self._epoch,
             endpoints_seen=self._endpoints_seen,
             entries_seen=self._entries_seen,
             configuration_seen=self._configuration_seen,
             suspects_seen=self._suspects_seen,
             deployment_version=self.cluster_view.get_version(),
-            wait_s=wait_s if self._settled else 0.0,
+            wait_s=wait_s,
             work_address=self.work_address,
             limited_services=self.list_limited_services(),
         )
 
     def _apply_answer(self, answer: ClusterViewAnswer, sent_at: float) -> None:
         self._epoch = answer.epoch
-        self._settled = answer.settled
         self._endpoints_seen = answer.endpoints_revision
         self._entries_seen = answer.entries_revision
         self._configuration_seen = answer.configuration_index
--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -318,7 +318,7 @@
         configured = whole or message.configuration_seen != self.configuration_index
         publication = self._publication
         suspected = whole or message.suspects_seen != publication.suspects_revision
-        get_metrics().count("views_sent")
+        get_metrics().count("views_sent", whole=str(whole))
         return ClusterViewAnswer(
             epoch=self._get_epoch(),
             settled=self.is_settled(),
--- a/medlarrail/cluster/cluster_view_test.py
+++ b/medlarrail/cluster/cluster_view_test.py
@@ -13,6 +13,7 @@
 from medlarrail.cluster.state_client import StateClient
 from medlarrail.core.announcements import RegisteredEndpoint, RegisteredEntry
 from medlarrail.core.errors import DeploymentInvalid, NotLeader
+from medlarrail.core.metrics import get_metrics
 from medlarrail.protocol.cluster_view import ClusterViewAnswer
 from medlarrail.testing.builders import (
     build_announcement,
@@ -198,6 +199,26 @@
         await trio.sleep(SETTLE_S + 1)
         assert "engine-1" not in view_client.cluster_view.endpoints
 
+    async def test_new_leader_sends_whole_lists_again_and_again(
+        self, harness, autojump_clock
+    ):
+        """For four seconds each of 82 entries polled a new leader every 0.2 s, and
+        each answer held all endpoints and entries: all of its processor's time."""
+        entries = [harness.start_entry(f"e{number}") for number in range(82)]
+        view_server = await harness.get_view_server()
+        view_server.record_announcement(build_announcement())
+        await trio.sleep(SETTLE_S + 1)
+        harness.cluster.kill(view_server.member.name)
+        get_metrics().reset()
+        await harness.cluster.wait_leader()
+        await trio.sleep(SETTLE_S + 2)
+        assert get_metrics().get_count("views_sent", whole="True") <= 2 * len(entries)
+        view_server = await harness.get_view_server()
+        for entry in entries:
+            assert entry.cluster_view.get_age_s() < 1
+            assert not entry.cluster_view.endpoints
+            assert len(entry.cluster_view.entries) == len(entries)
+
     async def test_weight_versions_only_increase(self, harness, autojump_clock):
         view_server = await harness.get_view_server()
         await view_server.set_desired_version("m", 3)
