--- a/medlarrail/testing/network.py
+++ b/medlarrail/testing/network.py
@@ -27,6 +27,10 @@
     """Fraction of the calls that are lost, half of them after they were handled."""
     calls: int = 0
     """Number of calls so far."""
+    processing_s: dict[str, float] = field(factory=dict)
+    """Processor time that a host spends on each call that it receives or makes, one
+    after another and also if the caller has given up; hosts not listed spend none."""
+    _busy_until: dict[str, float] = field(factory=dict)
 
     def connect(self, url: str) -> "FakePeerClient":
         """Return a client with which the host at ``url`` calls its peers."""
@@ -42,15 +46,26 @@
         """Remove every cut."""
         self.cut.clear()
 
+    async def process(self, url: str) -> None:
+        """Wait until the host at ``url`` has spent its processor time on a call."""
+        cost_s = self.processing_s.get(url, 0.0)
+        if not cost_s:
+            return
+        begin = max(trio.current_time(), self._busy_until.get(url, 0.0))
+        self._busy_until[url] = begin + cost_s
+        await trio.sleep_until(begin + cost_s)
+
     async def deliver(self, source: str, target: str, request: Request):
         """Deliver a request and return its answer; hangs if the call is cut or lost."""
         self.calls += 1
+        await self.process(source)
         await trio.sleep(self.random.uniform(0, 2 * self.delay_s))
         lost = self.random.random() < self.loss_rate
         if (source, target) in self.cut or (lost and self.random.random() < 0.5):
             await trio.sleep_forever()
         if target not in self.hosts:
             raise PeerUnreachable(url=target)
+        await self.process(target)
         answer = await self.hosts[target].answer(request)
         await trio.sleep(self.random.uniform(0, 2 * self.delay_s))
         if (target, source) in self.cut or lost:
