Keep the leader's work for entries within its processor time

What callers saw: at 82 gateways a leading state member did not answer for 17 s.

Cause: a call takes a member with 0.645 of a core 2.5 ms. While endpoints crash, 82 entries were sent 300 answers a second for changes alone, beside 164 polls without news, a call for each crash report, entry and endpoint, and a second call on a new connection for each poll that was not answered within 0.8 s, though it was held for up to 0.5 s. That is more than the processor time of a member. Its heartbeats were late, it lost its quorum, and the next leader was no better off.

On the model of test_crashed_endpoints_keep_the_leader_from_answering the change of an operator waits 14.1 s and the leader loses its quorum.

Change: changes are sent, and reports made, at most 120 times a second for all entries and each kind of message; polls are held for longer with many entries; their time limit no longer counts the time for which they are held; the crashes that an entry notices are reported in one call at a time.

After: 0.32 s at most in the same test.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -28,16 +28,13 @@
 from medlarrail.core.errors import MedlarError
 from medlarrail.core.invariants import require
 from medlarrail.core.metrics import get_metrics
+from medlarrail.policy.notification import get_poll_timeout_s, get_poll_wait_s
 from medlarrail.protocol.cluster_view import (
     CLUSTER_VIEW_PATH,
     ClusterViewAnswer,
     ClusterViewRequest,
 )
 
-CALL_WAIT_S = 0.5
-"""Time for which a long poll is held open. When a connection fails silently, a change
-is noticed at the latest after this time plus the timeout of a call."""
-CALL_TIMEOUT_S = 1.6
 RETRY_PAUSE_S = 0.1
 
 
@@ -286,15 +283,20 @@
         self.state.urls = tuple(dict.fromkeys((*self.cluster_view.member_urls, *urls)))
 
     async def run(self) -> None:
-        """Update the view until cancelled."""
+        """Update the view until cancelled.
+
+        When a connection fails silently, a change is noticed at the latest after the
+        time for which a poll is held plus the time limit of a call.
+        """
         while True:
             sent_at = self.cluster_view.clock()
+            wait_s = get_poll_wait_s(self.cluster_view.entry_count)
             try:
                 answer = await self.state.call_leader(
                     CLUSTER_VIEW_PATH,
-                    self._build_request(),
+                    self._build_request(wait_s),
                     ClusterViewAnswer,
-                    CALL_TIMEOUT_S,
+                    get_poll_timeout_s(wait_s),
                 )
             except MedlarError as error:
                 self._record_failure(error)
@@ -308,14 +310,14 @@
         sent_at = self.cluster_view.clock()
         try:
             answer = await self.state.call_leader(
-                CLUSTER_VIEW_PATH, request, ClusterViewAnswer, CALL_TIMEOUT_S
+                CLUSTER_VIEW_PATH, request, ClusterViewAnswer, get_poll_timeout_s(0.0)
             )
         except MedlarError as error:
             self._record_failure(error)
             return
         self._apply_answer(answer, sent_at)
 
-    def _build_request(self, wait_s: float = CALL_WAIT_S) -> ClusterViewRequest:
+    def _build_request(self, wait_s: float) -> ClusterViewRequest:
         return ClusterViewRequest(
             entry=self.name,
             address=self.address,
--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -16,7 +16,11 @@
 from medlarrail.core.entities import DesiredVersion, SharedPart
 from medlarrail.core.errors import MedlarError, NotLeader
 from medlarrail.core.metrics import get_metrics
-from medlarrail.policy.notification import get_update_interval_s
+from medlarrail.policy.notification import (
+    MAX_POLL_WAIT_S,
+    get_entry_timeout_s,
+    get_update_interval_s,
+)
 from medlarrail.protocol.cluster_view import (
     ANNOUNCEMENTS_PATH,
     CLUSTER_VIEW_PATH,
@@ -48,19 +52,12 @@
     BlockParts,
     UnblockParts,
 )
-MAX_WAIT_S = 1.0
-"""Maximum time for which a call is held open without changes."""
-ENTRY_TIMEOUT_S = 1.6
-"""Silence after which callers are no longer sent to an entry: three missed calls."""
 ENTRY_EXPIRY_S = 8.0
 """Silence after which an entry is not counted in dividing limits among entries."""
 SETTLE_S = 4.0
 """Time within which a new leader hears from every endpoint and entry: three
 announcements of the slowest."""
 EXPIRY_CHECK_INTERVAL_S = 0.25
-LIMITED_SERVICE_TTL_S = 1.6
-"""Time for which a service is listed as limited after an entry has said so: three
-calls."""
 
 
 @define
@@ -266,7 +263,7 @@
         await self.member.confirm_reads()
         self.require_leading()
         self._record_entry(message)
-        with trio.move_on_after(min(message.wait_s, MAX_WAIT_S)):
+        with trio.move_on_after(min(message.wait_s, MAX_POLL_WAIT_S)):
             while not self._has_changes(message):
                 await self._changed.wait()
         await self.member.confirm_reads()
@@ -282,7 +279,10 @@
         )
         previous = self.entries.get(message.entry)
         now = self.clock()
-        listed = previous is not None and now - previous.last_call_at <= ENTRY_TIMEOUT_S
+        listed = (
+            previous is not None
+            and now - previous.last_call_at <= self._get_entry_timeout_s()
+        )
         self._limited_at.update(dict.fromkeys(message.limited_services, now))
         record = EntryRecord(registered, message.ready, now)
         self.entries[message.entry] = record
@@ -348,15 +348,20 @@
         )
 
     def _list_limited_services(self) -> tuple[str, ...]:
-        oldest = self.clock() - LIMITED_SERVICE_TTL_S
+        oldest = self.clock() - self._get_entry_timeout_s()
         return tuple(name for name, at in self._limited_at.items() if at >= oldest)
 
+    def _get_entry_timeout_s(self) -> float:
+        """Return the silence after which callers are no longer sent to an entry."""
+        return get_entry_timeout_s(len(self.entries))
+
     def _list_entries(self) -> tuple[RegisteredEntry, ...]:
         now = self.clock()
+        timeout_s = self._get_entry_timeout_s()
         return tuple(
             record.registered
             for record in self.entries.values()
-            if record.ready and now - record.last_call_at <= ENTRY_TIMEOUT_S
+            if record.ready and now - record.last_call_at <= timeout_s
         )
 
     async def run(self) -> None:
--- a/medlarrail/cluster/crash_watch.py
+++ b/medlarrail/cluster/crash_watch.py
@@ -21,11 +21,13 @@
 from medlarrail.protocol.control import EmptyMessage
 from medlarrail.protocol.crashes import (
     COMPLETIONS_PATH,
+    CRASH_BATCH_PATH,
     CRASHES_PATH,
     REQUEST_TRIALS_PATH,
     TRIALS_PATH,
     CompletionReport,
     CrashReport,
+    CrashReports,
     SuspectTrialRequest,
     TrialAnswer,
     TrialRequest,
@@ -61,9 +63,23 @@
 
     @route("POST", CRASHES_PATH, CrashReport)
     async def handle_crash(self, request: Request) -> EmptyMessage:
-        """Record the crash of an endpoint."""
-        report: CrashReport = request.message
+        """Record the crash of an endpoint, as reported by an older entry."""
+        self._record_crashes((request.message,))
+        return EmptyMessage()
+
+    @route("POST", CRASH_BATCH_PATH, CrashReports)
+    async def handle_crashes(self, request: Request) -> EmptyMessage:
+        """Record the crashes of endpoints."""
+        self._record_crashes(request.message.reports)
+        return EmptyMessage()
+
+    def _record_crashes(self, reports: tuple[CrashReport, ...]) -> None:
         self.view_server.require_leading()
+        for report in reports:
+            self._record_crash(report)
+        self.view_server.notify_waiters()
+
+    def _record_crash(self, report: CrashReport) -> None:
         ledger = self.view_server.crash_ledger
         eliot.log_message(
             "endpoint:crash-reported",
@@ -85,8 +101,6 @@
             self._list_single_parts(report.service),
         )
         self._trials.record_crash(report.service, report.parts)
-        self.view_server.notify_waiters()
-        return EmptyMessage()
 
     def _list_single_parts(self, service: str) -> list[str]:
         """Return the parts and requests of a service that are blocked by themselves."""
--- a/medlarrail/protocol/crashes.py
+++ b/medlarrail/protocol/crashes.py
@@ -3,6 +3,7 @@
 from attrs import frozen
 
 CRASHES_PATH = "/internal/crashes"
+CRASH_BATCH_PATH = "/internal/crashes/batch"
 COMPLETIONS_PATH = "/internal/crashes/completions"
 TRIALS_PATH = "/internal/crashes/trials"
 REQUEST_TRIALS_PATH = "/internal/crashes/request-trials"
@@ -25,6 +26,13 @@
     parts: tuple[str, ...]
 
 
+@frozen
+class CrashReports:
+    """The reports of all endpoints whose crash an entry has noticed lately."""
+
+    reports: tuple[CrashReport, ...]
+
+
 @frozen
 class CompletionReport:
     """Reports that requests with these suspected parts were answered completely."""
--- a/medlarrail/relay/crash_reporter.py
+++ b/medlarrail/relay/crash_reporter.py
@@ -23,9 +23,10 @@
 from medlarrail.protocol.control import EmptyMessage
 from medlarrail.protocol.crashes import (
     COMPLETIONS_PATH,
-    CRASHES_PATH,
+    CRASH_BATCH_PATH,
     CompletionReport,
     CrashReport,
+    CrashReports,
 )
 from medlarrail.relay.fingerprint import RequestFingerprint
 from medlarrail.relay.forwarding import Forwarder
@@ -44,7 +45,9 @@
 MAX_CHECKS = 200
 """Maximum checks at the same time."""
 MAX_REPORTED_PARTS = 400
-"""Maximum parts in one report, about 12 KB."""
+"""Maximum parts in the report of one endpoint, about 12 KB."""
+MAX_BATCH_REPORTS = 50
+"""Maximum endpoints in one message."""
 
 Suspect = PromptPart | RequestFingerprint
 """What may have crashed an endpoint: a shared part of a prompt, or a whole request."""
@@ -59,6 +62,11 @@
     broken_at: float
     keys: set[str] = field(factory=set)
 
+    def list_reported_parts(self) -> tuple[str, ...]:
+        """Return the keys for a report, those of whole requests first."""
+        keys = sorted(self.keys, key=lambda key: (not is_request_key(key), key))
+        return tuple(keys[:MAX_REPORTED_PARTS])
+
 
 @define(eq=False)
 class CrashReporter:
@@ -75,6 +83,9 @@
     """Tells whether this entry is partitioned from the endpoints of a service."""
     _broken: dict[tuple[str, int], BrokenEndpoint] = field(factory=dict)
     _check_count: int = 0
+    _crashed: list[BrokenEndpoint] = field(factory=list)
+    """Crashes to be reported."""
+    _is_reporting: bool = False
     _completed: dict[str, set[str]] = field(factory=dict)
     """Keys of suspected parts by service, to be reported."""
     _nursery: trio.Nursery | None = None
@@ -119,7 +130,7 @@
         finally:
             self._check_count -= 1
         if crashed:
-            await self._report_crash(broken)
+            self._report_crash(broken)
 
     async def _is_unreachable(self, address: str) -> bool:
         """Return whether an endpoint accepts no connections."""
@@ -159,30 +170,50 @@
     def _get_age_s(self, broken: BrokenEndpoint) -> float:
         return self.cluster_view.clock() - broken.broken_at
 
-    async def _report_crash(self, broken: BrokenEndpoint) -> None:
+    def _report_crash(self, broken: BrokenEndpoint) -> None:
         announced = broken.announced
         get_metrics().count("endpoint_crashes", service=announced.service)
-        keys = sorted(broken.keys, key=lambda key: (not is_request_key(key), key))
-        parts = tuple(keys[:MAX_REPORTED_PARTS])
         eliot.log_message(
             "endpoint:crashed",
             endpoint=announced.name,
             started_ms=announced.started_ms,
-            parts=list(parts),
+            parts=list(broken.list_reported_parts()),
+        )
+        self._crashed.append(broken)
+        if not self._is_reporting:
+            self._is_reporting = True
+            self._nursery.start_soon(self._report_crashes)
+
+    async def _report_crashes(self) -> None:
+        """Report what is waiting, in batches, until nothing is or it is too old."""
+        await trio.lowlevel.checkpoint()
+        while self._crashed:
+            batch = self._crashed[:MAX_BATCH_REPORTS]
+            reports = CrashReports(tuple(map(self._build_report, batch)))
+            if await self._send(CRASH_BATCH_PATH, reports):
+                del self._crashed[: len(batch)]
+            self._crashed = [
+                broken
+                for broken in self._crashed
+                if self._get_age_s(broken) < REPORT_PERIOD_S
+            ]
+            await trio.sleep(self._get_report_pause_s())
+        self._is_reporting = False
+
+    def _get_report_pause_s(self) -> float:
+        interval_s = get_update_interval_s(self.cluster_view.entry_count)
+        return max(REPORT_PAUSE_S, interval_s)
+
+    def _build_report(self, broken: BrokenEndpoint) -> CrashReport:
+        return CrashReport(
+            self.name,
+            broken.announced.name,
+            broken.announced.started_ms,
+            broken.announced.service,
+            broken.model,
+            round(self._get_age_s(broken), 3),
+            broken.list_reported_parts(),
         )
-        while self._get_age_s(broken) < REPORT_PERIOD_S:
-            report = CrashReport(
-                self.name,
-                announced.name,
-                announced.started_ms,
-                announced.service,
-                broken.model,
-                round(self._get_age_s(broken), 3),
-                parts,
-            )
-            if await self._send(CRASHES_PATH, report):
-                return
-            await trio.sleep(REPORT_PAUSE_S)
 
     def record_unproven(
         self, announced: Announcement, parts: Sequence[Suspect]
@@ -229,11 +260,11 @@
             report = CompletionReport(self.name, service, tuple(sorted(keys)))
             with trio.move_on_after(REPORT_PERIOD_S):
                 while not await self._send(COMPLETIONS_PATH, report):
-                    await trio.sleep(REPORT_PAUSE_S)
+                    await trio.sleep(self._get_report_pause_s())
             await trio.sleep(get_update_interval_s(self.cluster_view.entry_count))
         del self._completed[service]
 
-    async def _send(self, path: str, report: CrashReport | CompletionReport) -> bool:
+    async def _send(self, path: str, report: CrashReports | CompletionReport) -> bool:
         """Send a report to the leader; returns whether it was received."""
         try:
             await self.state.call_leader(path, report, EmptyMessage, CALL_TIMEOUT_S)
