Read the software version of endpoints and the request that a stream resumes

An endpoint's registration and a caller's take-up name them; nothing did anything with either. A request that goes on at another gateway now carries the request that brought the first event, too. No decision depends on them yet.

--- a/medlarrail/core/announcements.py
+++ b/medlarrail/core/announcements.py
@@ -22,6 +22,7 @@
     ``started_ms`` is the Unix time of its start in milliseconds and identifies the
     incarnation; ``sequence`` increases with each message of one incarnation. For
     another ``cold_ms`` milliseconds the endpoint is limited to its cold rate.
+    ``software_version`` is that of its program, not of its weights, and may be empty.
     """
 
     name: str
@@ -34,6 +35,7 @@
     cold_ms: int = 0
     slots: int = 1
     models: tuple[ModelWeights, ...] = ()
+    software_version: str = ""
 
     @property
     def sequence_key(self) -> tuple[int, int]:
--- a/medlarrail/platform/announcements.py
+++ b/medlarrail/platform/announcements.py
@@ -36,6 +36,7 @@
         cold_ms=int(_read_field(payload, "cold-remaining-ms", (int, float), 0)),
         slots=max(1, _read_field(payload, "slots", int, 1)),
         models=tuple(_iterate_models(payload.get("models"))),
+        software_version=_read_field(payload, "version", str, ""),
     )
 
 
--- a/medlarrail/platform/header_codec.py
+++ b/medlarrail/platform/header_codec.py
@@ -31,6 +31,7 @@
 PREFIX_HASH = b"prefix-hash"
 LENGTH_HINT = b"length-hint"
 LAST_EVENT_ID = b"last-event-id"
+RESUMES = b"resumes"
 RESPONSE_SIGNATURE = b"response-signature"
 NOT_EXECUTED = b"not-executed"
 SERVER_LOAD = b"server-load"
@@ -84,6 +85,7 @@
             output_tokens=output_tokens,
             length_hint=get_header_int(headers, LENGTH_HINT) or 0,
             last_event_id=get_header_text(headers, LAST_EVENT_ID),
+            resumes=get_header_text(headers, RESUMES),
         )
 
     def write_request(
@@ -114,11 +116,20 @@
         return outgoing
 
     def write_forwarded(
-        self, headers: tuple[Header, ...], deadline_ms: int, last_event_id: str
+        self,
+        headers: tuple[Header, ...],
+        deadline_ms: int,
+        last_event_id: str,
+        resumes: str,
     ) -> list[Header]:
         """Return a caller's headers for another gateway."""
         return write_forwarded(
-            headers, (DEADLINE_MS, deadline_ms), (LAST_EVENT_ID, last_event_id)
+            headers,
+            {
+                DEADLINE_MS: str(deadline_ms),
+                LAST_EVENT_ID: last_event_id,
+                RESUMES: resumes,
+            },
         )
 
     def read_answer(self, status: int, headers: tuple[Header, ...]) -> AnswerMetadata:
--- a/medlarrail/relay/forwarding_test.py
+++ b/medlarrail/relay/forwarding_test.py
@@ -255,9 +255,14 @@
 
     def test_the_deadline_starts_anew_at_each_gateway(self):
         headers = ((b"X-Deadline-Ms", b"900"), (b"Last-Event-Id", b"3"), (b"A", b"b"))
-        written = DefaultHeaderCodec().write_forwarded(headers, 350, "7")
+        written = DefaultHeaderCodec().write_forwarded(headers, 350, "7", "")
         assert written == [
             (b"A", b"b"),
             (b"x-deadline-ms", b"350"),
             (b"last-event-id", b"7"),
         ]
+
+    def test_a_forwarded_stream_has_lost_the_request_that_began_it(self):
+        headers = ((b"X-Resumes", b"r0"), (b"Last-Event-Id", b"3"))
+        written = DefaultHeaderCodec().write_forwarded(headers, 350, "7", "r0")
+        assert written[1:] == [(b"last-event-id", b"7"), (b"x-resumes", b"r0")]
--- a/medlarrail/relay/header_codec.py
+++ b/medlarrail/relay/header_codec.py
@@ -22,6 +22,7 @@
 MAX_REJECTIONS = b"x-max-rejections-per-s"
 RETRY_AFTER = b"retry-after"
 LAST_EVENT_ID = b"last-event-id"
+RESUMES = b"x-resumes"
 ACCOUNT = b"x-account"
 ENDPOINT = b"x-endpoint"
 OVERRIDDEN_HEADERS = frozenset((b"authorization", ACCOUNT, ENDPOINT, DEADLINE))
@@ -128,24 +129,21 @@
 
 
 def write_forwarded(
-    headers: tuple[Header, ...],
-    deadline: tuple[bytes, int],
-    last_event: tuple[bytes, str],
+    headers: tuple[Header, ...], replacements: dict[bytes, str]
 ) -> list[Header]:
-    """Return a caller's headers with another deadline and last event.
+    """Return a caller's headers with other values for some.
 
-    ``deadline`` and ``last_event`` are the names of the headers in lower case and their
-    values; an empty event is left out.
+    ``replacements`` has the values by the names of the headers in lower case; headers
+    whose value is empty are left out.
     """
-    replaced = (deadline[0], last_event[0])
     outgoing = [
         (name, value)
         for name, value in iterate_end_to_end(headers)
-        if name.lower() not in replaced
+        if name.lower() not in replacements
+    ]
+    outgoing += [
+        (name, value.encode("latin1")) for name, value in replacements.items() if value
     ]
-    outgoing.append((deadline[0], str(deadline[1]).encode()))
-    if last_event[1]:
-        outgoing.append((last_event[0], last_event[1].encode("latin1")))
     return outgoing
 
 
@@ -160,6 +158,7 @@
             key=key.strip() if scheme.lower() == "bearer" else "",
             deadline_ms=get_header_int(headers, DEADLINE),
             last_event_id=get_header_text(headers, LAST_EVENT_ID),
+            resumes=get_header_text(headers, RESUMES),
         )
 
     def write_request(
@@ -180,11 +179,20 @@
         return result
 
     def write_forwarded(
-        self, headers: tuple[Header, ...], deadline_ms: int, last_event_id: str
+        self,
+        headers: tuple[Header, ...],
+        deadline_ms: int,
+        last_event_id: str,
+        resumes: str,
     ) -> list[Header]:
         """See ``HeaderCodec``."""
         return write_forwarded(
-            headers, (DEADLINE, deadline_ms), (LAST_EVENT_ID, last_event_id)
+            headers,
+            {
+                DEADLINE: str(deadline_ms),
+                LAST_EVENT_ID: last_event_id,
+                RESUMES: resumes,
+            },
         )
 
     def read_answer(self, status: int, headers: tuple[Header, ...]) -> AnswerMetadata:
--- a/medlarrail/relay/metadata.py
+++ b/medlarrail/relay/metadata.py
@@ -73,6 +73,9 @@
     output_tokens: int = 0
     length_hint: int = 0
     last_event_id: str = ""
+    resumes: str = ""
+    """The request that brought the first event of the stream that goes on after
+    ``last_event_id``, or empty if the caller does not say."""
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
@@ -179,11 +182,16 @@
         """Return the headers to send to an endpoint."""
 
     def write_forwarded(
-        self, headers: tuple[Header, ...], deadline_ms: int, last_event_id: str
+        self,
+        headers: tuple[Header, ...],
+        deadline_ms: int,
+        last_event_id: str,
+        resumes: str,
     ) -> list[Header]:
         """Return a caller's headers for another entry, with what is left of its time.
 
-        ``last_event_id`` is the event after which a stream goes on, or empty.
+        ``last_event_id`` is the event after which a stream goes on, and ``resumes`` the
+        request that began it; both may be empty.
         """
 
     def read_answer(self, status: int, headers: tuple[Header, ...]) -> AnswerMetadata:
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -103,6 +103,12 @@
         self.part_location = PartLocation(self)
         self.workload_lookup = WorkloadLookup(self)
 
+    @property
+    def origin_id(self) -> str:
+        """ID of the request that brought the first event of this stream."""
+        resumed = self.metadata.resumes if self.metadata.last_event_id else ""
+        return resumed or self.metadata.request_id
+
     def get_remaining_s(self) -> float:
         """Return the seconds left until the deadline."""
         return self.deadline - trio.current_time()
