--- /dev/null
+++ b/medlarrail/relay/stream_versions_test.py
@@ -0,0 +1,188 @@
+"""Tests of streams while endpoints of several software versions serve.
+
+What two versions write does not fit together, and endpoints do not check it. Each
+event of the scripted endpoints names the version that wrote it.
+"""
+
+import re
+from itertools import count
+
+import pytest
+import trio
+from attrs import define, field
+
+from medlarrail.testing.builders import build_deployment, build_route
+from medlarrail.testing.fleet import Fleet, start_fleet
+from medlarrail.testing.scripted_endpoints import (
+    RelayHarness,
+    ScriptedConnection,
+    build_request,
+    get_value,
+)
+
+DEPLOYMENT = build_deployment(
+    routes=(build_route(kind="stream", resumable=True, max_attempts=3),)
+)
+STREAM_EVENTS = 8
+EVENTS_BEFORE_BREAK = 3
+STREAMS = 40
+MIN_CONTINUED_SHARE = 0.8
+"""Share of the streams that go on while two endpoints of their version serve."""
+EVENT = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
+
+
+@define
+class VersionScript:
+    """Writes events of ``version``; a stream that begins breaks off or stalls."""
+
+    version: str
+    breaks: bool = True
+    """Whether a stream that begins is reset; otherwise it goes on."""
+    stalls: bool = False
+    """Whether it stands still instead, until its connection is closed."""
+
+    async def __call__(self, connection: ScriptedConnection, request: bytes) -> None:
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+        head += b"Content-Type: text/event-stream\r\n"
+        head += b"X-Request-Id: " + get_value(request, b"x-request-id") + b"\r\n\r\n"
+        await connection.send(head)
+        last_id = int(get_value(request, b"last-event-id") or 0)
+        for number in range(last_id + 1, STREAM_EVENTS + 1):
+            if not last_id and number == EVENTS_BEFORE_BREAK + 1:
+                if self.stalls:
+                    await trio.sleep(5)
+                if self.breaks:
+                    connection.reset()
+                    return
+            event = b"id: %d\ndata: %s\n\n" % (number, self.version.encode())
+            await connection.send(b"%x\r\n%s\r\n" % (len(event), event))
+            await trio.sleep(0.001)
+        await connection.send(b"0\r\n\r\n")
+
+
+@define
+class ReceivedStream:
+    """The events that a caller has received, over all its attempts."""
+
+    request_id: str
+    """The attempt that brought the first event."""
+    versions: list[bytes] = field(factory=list)
+    last_id: int = 0
+    refused: bool = False
+    """Whether an attempt was refused as not run."""
+
+    def receive(self, answer: bytes) -> None:
+        """Add the events of one answer."""
+        self.refused = answer.startswith(b"HTTP/1.1 503")
+        for number, version in EVENT.findall(answer):
+            assert int(number) == self.last_id + 1
+            self.last_id = int(number)
+            self.versions.append(version)
+
+    @property
+    def is_joined(self) -> bool:
+        """Whether its events come from several versions."""
+        return len(set(self.versions)) > 1
+
+    @property
+    def is_complete(self) -> bool:
+        return self.last_id == STREAM_EVENTS
+
+
+_numbers = count()
+
+
+async def begin(gateway: RelayHarness, events: int = STREAM_EVENTS) -> ReceivedStream:
+    """Request a stream and receive it up to its end or some event."""
+    stream = ReceivedStream(f"r{next(_numbers)}")
+    request = build_request(X_Request_Id=stream.request_id)
+    stream.receive(await receive(gateway, request, events))
+    return stream
+
+
+async def take_up(
+    gateway: RelayHarness,
+    stream: ReceivedStream,
+    events: int = STREAM_EVENTS,
+    **headers,
+) -> None:
+    """Go on with a stream at a gateway."""
+    headers = {"X_Resumes": stream.request_id, **headers}
+    request = build_request(
+        X_Request_Id=f"r{next(_numbers)}",
+        Last_Event_Id=str(stream.last_id),
+        **{name: value for name, value in headers.items() if value},
+    )
+    stream.receive(await receive(gateway, request, events))
+
+
+async def receive(gateway: RelayHarness, request: bytes, events: int) -> bytes:
+    """Send a request; return what came until some event or the end."""
+    received = b""
+    async with await gateway.connect() as connection:
+        await connection.send_all(request)
+        with trio.move_on_after(2):
+            while b"id: %d\n" % events not in received:
+                part = await connection.receive_some(65536)
+                if not part:
+                    break
+                received += part
+            else:
+                # The rest of the event.
+                received += (
+                    await connection.receive_some(65536)
+                    if not (EVENT.findall(received)[-1][0] == b"%d" % events)
+                    else b""
+                )
+    return received
+
+
+def count_joined(streams: list[ReceivedStream]) -> int:
+    return sum(stream.is_joined for stream in streams)
+
+
+def count_complete(streams: list[ReceivedStream]) -> int:
+    return sum(stream.is_complete for stream in streams)
+
+
+async def start(
+    nursery: trio.Nursery, path, versions: dict[str, int], **changes
+) -> Fleet:
+    """Start three gateways and so many endpoints of each software version."""
+    fleet = await start_fleet(nursery, path, DEPLOYMENT)
+    for version, endpoints in versions.items():
+        for number in range(endpoints):
+            script = VersionScript(version, **changes)
+            await fleet.add_endpoint(f"{version}-{number}", script, version)
+    await fleet.wait_for_endpoints(sum(versions.values()))
+    return fleet
+
+
+VERSION_COUNTS = ({"v1": 2, "v2": 2}, {"v1": 4, "v2": 2}, {"v1": 2, "v2": 8})
+
+
+class TestWithinOneAnswer:
+    @pytest.mark.parametrize("versions", VERSION_COUNTS)
+    async def test_a_broken_stream_goes_on_at_another_version(
+        self, nursery, tmp_path, versions
+    ):
+        fleet = await start(nursery, tmp_path, versions)
+        streams = [await begin(fleet.gateways[0]) for _ in range(STREAMS)]
+        assert count_joined(streams) == 0
+        assert count_complete(streams) >= MIN_CONTINUED_SHARE * STREAMS
+
+
+class TestTakeUp:
+    @pytest.mark.parametrize("versions", VERSION_COUNTS)
+    async def test_a_stream_is_taken_up_at_another_version(
+        self, nursery, tmp_path, versions
+    ):
+        """Its gateway has ended; the caller goes on at another one."""
+        fleet = await start(nursery, tmp_path, versions, breaks=False, stalls=True)
+        streams = []
+        for _ in range(STREAMS):
+            stream = await begin(fleet.gateways[0], EVENTS_BEFORE_BREAK)
+            await take_up(fleet.gateways[1], stream)
+            streams.append(stream)
+        assert count_joined(streams) == 0
+        assert count_complete(streams) >= MIN_CONTINUED_SHARE * STREAMS
--- a/medlarrail/testing/fleet.py
+++ b/medlarrail/testing/fleet.py
@@ -60,12 +60,18 @@
         self.nursery.start_soon(view_client.run)
         self.gateways.append(harness)
 
-    async def add_endpoint(self, name: str, script: Script) -> None:
+    async def add_endpoint(
+        self, name: str, script: Script, software_version: str = ""
+    ) -> None:
         """Start a scripted endpoint and announce it to the state member."""
         endpoint = ScriptedEndpoint(name, script)
         await self.nursery.start(endpoint.run)
-        address = f"{HOST}:{endpoint.port}"
-        announcement = build_announcement(name=name, address=address, slots=32)
+        announcement = build_announcement(
+            name=name,
+            address=f"{HOST}:{endpoint.port}",
+            slots=32,
+            software_version=software_version,
+        )
         self.view_server.record_announcement(announcement)
 
     async def wait_for_endpoints(self, count: int) -> None:
