Drop unlisted endpoints only after the leader's whole list

An answer with changes only, from a settled leader, dropped every endpoint that it did not name, if it was the first one. Found by test_a_watched_request_is_held_up (503 instead of 200), which passes now. Gateways begin with the whole list, so callers did not meet it.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -88,8 +88,8 @@
     _listed_limits: dict[str, float | None] = field(factory=dict)
     """The endpoints that the present leader has listed, with the rates they named."""
     _listed_entries: tuple[RegisteredEntry, ...] = ()
-    _settled: bool = False
-    """Whether the present leader is settled."""
+    _is_list_open: bool = False
+    """Whether the present leader was not settled yet when it sent its whole list."""
 
     def get_age_s(self) -> float:
         """Return the seconds since a leader last confirmed the view."""
@@ -107,6 +107,7 @@
             self._apply_deployment(answer.deployment)
         if answer.whole:
             self._listed_limits.clear()
+            self._is_list_open = True
         for name in answer.departed:
             self.endpoints.pop(name, None)
             self._listed_limits.pop(name, None)
@@ -115,11 +116,11 @@
             self._listed_limits[registered.announced.name] = registered.limit_per_s
         if answer.entries is not None:
             self._listed_entries = answer.entries
-        newly_settled = answer.settled and (answer.whole or not self._settled)
-        self._settled = answer.settled
-        if newly_settled:
+        is_list_complete = answer.settled and self._is_list_open
+        if is_list_complete:
+            self._is_list_open = False
             self._apply_settled_list()
-        if newly_settled or answer.entries is not None:
+        if is_list_complete or answer.entries is not None:
             self._apply_entries(self._listed_entries, answer.settled)
         self.entry_count = max(answer.entry_count, len(self.entries), 1)
         self.out_data_centres = frozenset(answer.out_data_centres)
