Let a stream go on only at the software version that began it

What callers saw: text joined from two software versions, within one answer or over their tries, with nothing in the answer to show it.

Cause: nothing compared versions. A broken stream went on at any endpoint, and so did one that its caller took up at another gateway.

Change: an attempt after the first event uses endpoints of that version only. While several versions of a service may have begun streams, a gateway tells two state members which version began each stream before its first event is sent, and asks them when a caller takes up a stream that it does not know. The versions that may have begun streams are in the replicated log, so that a process that has just started knows whether there is only one. A stream that nobody remembers is refused if there are several.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -22,6 +22,7 @@
 from medlarrail.core.entities import (
     BlockedParts,
     DesiredVersion,
+    ServiceVersions,
     SharedPart,
     is_request_key,
 )
@@ -81,6 +82,10 @@
     """Services with suspected or blocked requests, whose requests are identified."""
     blocked: dict[SharedPart, list[BlockedParts]] = field(factory=dict)
     """Blocked sets of parts by their first part."""
+    software_versions: dict[str, frozenset[str]] = field(factory=dict)
+    """By service, the software versions that may have begun streams."""
+    version_listeners: list[Callable[[str], None]] = field(factory=list)
+    """Called with each service that gets a second software version."""
     member_urls: tuple[str, ...] = ()
     confirmed_at: float = float("-inf")
     deployment_listeners: list[Callable[[Deployment], None]] = field(factory=list)
@@ -135,6 +140,30 @@
             self._apply_blocked(answer.blocked)
             self._update_watched_services()
         self.member_urls = answer.member_urls
+        if answer.software_versions is not None:
+            self._apply_software_versions(answer.software_versions)
+
+    def _apply_software_versions(self, listed: tuple[ServiceVersions, ...]) -> None:
+        previous = self.software_versions
+        self.software_versions = {
+            item.service: frozenset(item.versions) for item in listed
+        }
+        for service, versions in self.software_versions.items():
+            if len(versions) > 1 and len(previous.get(service, ())) < 2:
+                for notify in self.version_listeners:
+                    notify(service)
+
+    def has_several_versions(self, service: str) -> bool:
+        """Return whether several software versions may have begun streams."""
+        return len(self.software_versions.get(service, ())) > 1
+
+    def list_stream_versions(self, service: str) -> frozenset[str]:
+        """Return all software versions that may have begun streams of a service."""
+        return self.software_versions.get(service, frozenset()) | {
+            endpoint.announced.software_version
+            for endpoint in self.endpoints.values()
+            if endpoint.announced.service == service
+        }
 
     def _apply_deployment(self, deployment: Deployment) -> None:
         previous_version = self.get_version()
--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -14,13 +14,14 @@
 from medlarrail.core.deployment import Deployment
 from medlarrail.core.deployment_check import check_deployment
 from medlarrail.core.entities import DesiredVersion, SharedPart
-from medlarrail.core.errors import MedlarError, NotLeader
+from medlarrail.core.errors import BadField, MedlarError, NotLeader
 from medlarrail.core.metrics import get_metrics
 from medlarrail.policy.notification import (
     MAX_POLL_WAIT_S,
     get_entry_timeout_s,
     get_update_interval_s,
 )
+from medlarrail.policy.stream_versions import STREAM_RETENTION_S
 from medlarrail.protocol.cluster_view import (
     ANNOUNCEMENTS_PATH,
     CLUSTER_VIEW_PATH,
@@ -33,11 +34,13 @@
 )
 from medlarrail.protocol.control import EmptyMessage
 from medlarrail.state.operations import (
+    AddSoftwareVersion,
     BlockParts,
     Envelope,
     LogEntry,
     Operation,
     Outcome,
+    RemoveSoftwareVersion,
     ReplaceDeployment,
     SetDataCentre,
     SetDesiredVersion,
@@ -46,6 +49,8 @@
 from medlarrail.transport.routes import Request, route
 
 CONFIGURATION_OPERATIONS = (
+    AddSoftwareVersion,
+    RemoveSoftwareVersion,
     ReplaceDeployment,
     SetDataCentre,
     SetDesiredVersion,
@@ -58,6 +63,8 @@
 """Time within which a new leader hears from every endpoint and entry: three
 announcements of the slowest."""
 EXPIRY_CHECK_INTERVAL_S = 0.25
+MAX_SOFTWARE_VERSIONS = 16
+"""Maximum software versions of one service."""
 
 
 @define
@@ -99,6 +106,9 @@
     _published_at: float = float("-inf")
     _publication_due: trio.Event = field(factory=trio.Event)
     _changed: trio.Event = field(factory=trio.Event)
+    _version_lock: trio.Lock = field(factory=trio.Lock)
+    _unused_since: dict[tuple[str, str], float] = field(factory=dict)
+    """Since when no endpoint has a software version, by service and version."""
 
     def __attrs_post_init__(self):
         self.registry = EndpointRegistry(self.clock)
@@ -156,6 +166,7 @@
             self.crash_ledger.clear()
             self.entries.clear()
             self._limited_at.clear()
+            self._unused_since.clear()
             self.entries_revision += 1
             self._publish()
 
@@ -168,8 +179,49 @@
 
     # Calls from endpoints and operators.
 
+    async def register_announcement(self, announced: Announcement) -> None:
+        """Record an announcement once its software version is in the log.
+
+        Entries thus never use an endpoint of a version that could be forgotten.
+        """
+        self.require_leading()
+        if announced.software_version and not self.registry.is_outdated(announced):
+            await self._add_software_version(announced)
+        self.record_announcement(announced)
+
+    async def _add_software_version(self, announced: Announcement) -> None:
+        service, version = announced.service, announced.software_version
+        catalogue = self.member.catalogue
+        if version in catalogue.software_versions.get(service, ()):
+            return
+        async with self._version_lock:
+            versions = catalogue.software_versions.get(service, ())
+            if version in versions:
+                return
+            if len(versions) >= MAX_SOFTWARE_VERSIONS:
+                raise BadField(place="$.version", problem="is one of too many")
+            await self.commit(AddSoftwareVersion(service, version))
+
+    async def _remove_unused_versions(self) -> None:
+        """Remove the software versions whose streams have all ended."""
+        if not self.is_settled():
+            return
+        now = self.clock()
+        used = {
+            (record.announced.service, record.announced.software_version)
+            for record in self.registry.endpoints.values()
+        }
+        for item in self.member.catalogue.list_software_versions():
+            for version in item.versions:
+                key = (item.service, version)
+                if key in used:
+                    self._unused_since.pop(key, None)
+                elif now - self._unused_since.setdefault(key, now) > STREAM_RETENTION_S:
+                    del self._unused_since[key]
+                    await self.commit(RemoveSoftwareVersion(*key))
+
     def record_announcement(self, announced: Announcement) -> None:
-        """Record an announcement of an endpoint."""
+        """Record an announcement of an endpoint whose software version is known."""
         self.require_leading()
         if self.registry.record_announcement(announced):
             eliot.log_message(
@@ -193,7 +245,7 @@
     @route("POST", ANNOUNCEMENTS_PATH, Announcement)
     async def handle_announcement(self, request: Request) -> EmptyMessage:
         """Handle an endpoint's announcement in the native format."""
-        self.record_announcement(request.message)
+        await self.register_announcement(request.message)
         return EmptyMessage()
 
     @route("POST", DEPARTURES_PATH, DepartureNotice)
@@ -344,6 +396,9 @@
             suspects=publication.suspects if suspected else None,
             trial_requests=publication.trial_requests if suspected else None,
             blocked=tuple(catalogue.blocked.values()) if configured else None,
+            software_versions=(
+                catalogue.list_software_versions() if configured else None
+            ),
             member_urls=tuple(info.url for info in self.member.journal.get_members()),
         )
 
@@ -376,6 +431,7 @@
             await trio.sleep(EXPIRY_CHECK_INTERVAL_S)
             try:
                 self.require_leading()
+                await self._remove_unused_versions()
             except NotLeader:
                 continue
             except MedlarError as error:
--- a/medlarrail/cluster/registry.py
+++ b/medlarrail/cluster/registry.py
@@ -56,7 +56,7 @@
 
     def record_announcement(self, announced: Announcement) -> bool:
         """Record an announcement; return whether entries have to be notified."""
-        if self._is_outdated(announced):
+        if self.is_outdated(announced):
             get_metrics().count("announcements_outdated")
             return False
         self._replace_at_address(announced)
@@ -76,7 +76,8 @@
             return True
         return False
 
-    def _is_outdated(self, announced: Announcement) -> bool:
+    def is_outdated(self, announced: Announcement) -> bool:
+        """Return whether a newer state of the endpoint is known."""
         departure = self.departed.get(announced.name)
         if departure is not None and announced.started_ms <= departure.last_started_ms:
             return True
--- a/medlarrail/core/entities.py
+++ b/medlarrail/core/entities.py
@@ -143,6 +143,14 @@
     key: str
 
 
+@frozen
+class ServiceVersions:
+    """The software versions of a service's endpoints that may have begun streams."""
+
+    service: str
+    versions: tuple[str, ...]
+
+
 @frozen
 class BlockedParts:
     """Parts that crash endpoints if a prompt has all of them.
--- a/medlarrail/core/errors.py
+++ b/medlarrail/core/errors.py
@@ -204,6 +204,14 @@
     target: str = ""
 
 
+@define(slots=False)
+class StreamVersionUnknown(Refusal):
+    """It is not known which software version began this stream, so it can't go on."""
+
+    retry_after_s: float | None = None
+    service: str = ""
+
+
 @define(slots=False)
 class EndpointOutOfService(Refusal):
     """The endpoint or its data centre is out of service."""
--- a/medlarrail/platform/control.py
+++ b/medlarrail/platform/control.py
@@ -58,7 +58,7 @@
     async def handle_announcement(self, request: Request) -> Reply:
         """Record an endpoint's heartbeat."""
         self.view_server.require_leading()
-        self.view_server.record_announcement(
+        await self.view_server.register_announcement(
             decode_announcement(request.tail, request.body)
         )
         return EMPTY_OK
--- a/medlarrail/programs/gateway.py
+++ b/medlarrail/programs/gateway.py
@@ -75,6 +75,7 @@
             self.relay.workloads = WorkloadDirectory(
                 self.relay.reporter, settings.work_address
             )
+            self.relay.connect_stream_origins(settings.work_address)
         if self.context_store_client is not None:
             self.relay.context = ContextIndex(
                 self.cluster_view, self.context_store_client, settings.name
--- a/medlarrail/programs/state.py
+++ b/medlarrail/programs/state.py
@@ -13,6 +13,7 @@
 from medlarrail.cluster.session_manager import SessionManager
 from medlarrail.cluster.state_handlers import StateHandlers
 from medlarrail.cluster.store_cleaner import StoreCleaner
+from medlarrail.cluster.stream_origin_keeper import StreamOriginKeeper
 from medlarrail.cluster.weight_rollout import WeightOrderSender, WeightRollout
 from medlarrail.consensus.membership import MembershipManager
 from medlarrail.consensus.replication import LogMember
@@ -29,6 +30,7 @@
 from medlarrail.state.folder import DataFolder
 from medlarrail.state.journal import Journal, open_journal
 from medlarrail.transport.client import HttpClient
+from medlarrail.transport.datagrams import DatagramSocket
 from medlarrail.transport.routes import Routes
 from medlarrail.transport.server import HttpServer
 
@@ -49,6 +51,18 @@
         return open_journal(folder)
 
 
+async def start_origin_keeper(nursery: trio.Nursery, settings: StateSettings) -> None:
+    """Keep the origins of streams, if the port is free for datagrams, too."""
+    listen = settings.listen
+    datagram_socket = DatagramSocket(
+        f"{listen.host}:{listen.bind_port}", settings.keys.cluster
+    )
+    try:
+        await nursery.start(StreamOriginKeeper(datagram_socket).run)
+    except OSError as error:
+        eliot.log_message("streams:no-keeper", address=listen.url, reason=str(error))
+
+
 def log_journal(journal: Journal) -> None:
     """Log what a member starts with, so that the logs tell who had which entries."""
     eliot.log_message(
@@ -136,6 +150,7 @@
     listen = settings.listen
     async with trio.open_nursery() as nursery:
         await nursery.start(server.run, listen.host, listen.bind_port)
+        await start_origin_keeper(nursery, settings)
         await nursery.start(log_member.run)
         nursery.start_soon(session_manager.run)
         nursery.start_soon(view_server.run)
--- a/medlarrail/protocol/cluster_view.py
+++ b/medlarrail/protocol/cluster_view.py
@@ -8,7 +8,12 @@
 
 from medlarrail.core.announcements import RegisteredEndpoint, RegisteredEntry
 from medlarrail.core.deployment import Deployment
-from medlarrail.core.entities import BlockedParts, DesiredVersion, SharedPart
+from medlarrail.core.entities import (
+    BlockedParts,
+    DesiredVersion,
+    ServiceVersions,
+    SharedPart,
+)
 
 CLUSTER_VIEW_PATH = "/internal/picture"
 ANNOUNCEMENTS_PATH = "/v1/announcements"
@@ -90,6 +95,8 @@
     """Requests that may only be sent as trials; None if nothing changed."""
     blocked: tuple[BlockedParts, ...] | None = None
     """None if nothing changed."""
+    software_versions: tuple[ServiceVersions, ...] | None = None
+    """The software versions that may have begun streams; None if nothing changed."""
     deployment: Deployment | None = None
     out_data_centres: tuple[str, ...] = ()
     limited_services: tuple[str, ...] = ()
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -374,6 +374,8 @@
                             limit_bytes=MAX_EVENT_BYTES,
                         )
                     if events := splitter.split(part):
+                        if not self.first_byte_s:
+                            self._record_stream_begun()
                         self._record_first_byte()
                         await self._send_head(exchange, head)
                         await exchange.send_part(events)
@@ -392,6 +394,10 @@
             raise EndUnproven(endpoint=self.endpoint.announced.name)
         await exchange.end()
 
+    def _record_stream_begun(self) -> None:
+        """Record which software version the events come from, before the first."""
+        self.relayed.stream_version.record_begun(self.endpoint.announced)
+
     async def _send_head(self, exchange: ServerExchange, head: AnswerHead) -> None:
         if exchange.started:
             return
--- a/medlarrail/relay/endpoint_choice.py
+++ b/medlarrail/relay/endpoint_choice.py
@@ -116,6 +116,7 @@
             endpoint
             for endpoint in stats.iterate_available(self.service)
             if endpoint.announced.name not in self.relayed.tried
+            and self.relayed.stream_version.allows(endpoint.announced)
             and self.relay.has_free_connection(self.service, endpoint.announced.name)
         ]
         return [endpoint for endpoint in available if not endpoint.loading] or available
--- a/medlarrail/relay/forwarding.py
+++ b/medlarrail/relay/forwarding.py
@@ -301,6 +301,9 @@
         """The entry has made the attempts that the route allows."""
         return None
 
+    def _record_stream_begun(self) -> None:
+        """The other entry knows the endpoint, and records it."""
+
     async def run(self) -> None:
         """Send the request and relay the answer to the caller."""
         relayed = self.relayed
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -41,6 +41,7 @@
 from medlarrail.relay.part_location import PartLocation
 from medlarrail.relay.request_forwarding import RequestForwarding
 from medlarrail.relay.room_wait import RoomWait
+from medlarrail.relay.stream_version import StreamVersion
 from medlarrail.relay.table import Admission, choose_service
 from medlarrail.relay.workload_lookup import WorkloadLookup
 from medlarrail.relay.workload_tracker import TrackedPrompt
@@ -86,6 +87,7 @@
     workload_lookup: WorkloadLookup = field(init=False)
     evidence: CrashEvidence = field(init=False)
     chooser: EndpointChooser = field(init=False)
+    stream_version: StreamVersion = field(init=False)
 
     def __attrs_post_init__(self):
         route = self.admission.route
@@ -93,11 +95,13 @@
         if self.metadata.deadline_ms is not None:
             limit_ms = min(limit_ms, self.metadata.deadline_ms)
         self.deadline = self.exchange.request.received_at + limit_ms / 1000
-        name = choose_service(route, self.metadata.request_id)
+        # A stream goes on at the service that began it.
+        name = choose_service(route, self.origin_id)
         self.service = self.relay.table.services[name]
         self.last_event_id = self.metadata.last_event_id
         self.evidence = CrashEvidence(self)
         self.chooser = EndpointChooser(self)
+        self.stream_version = StreamVersion(self)
         self.forwarding = RequestForwarding(self)
         self.room_wait = RoomWait(self)
         self.part_location = PartLocation(self)
@@ -194,6 +198,7 @@
         """
         began_at = trio.current_time()
         await self._wait_for_endpoints()
+        await self.stream_version.resolve()
         while True:
             self.evidence.require_not_blocked()
             self.relay.shutdown.require_time(self.admission.route.name)
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -22,6 +22,7 @@
 from medlarrail.policy.prompt_length import PromptMix
 from medlarrail.policy.rate_limits import RetryBudget
 from medlarrail.policy.shares import get_share
+from medlarrail.protocol.stream_origins import REPLY_PREFIX as ORIGIN_REPLY_PREFIX
 from medlarrail.relay.blocked_prompts import BlockedPrompts
 from medlarrail.relay.context_index import ContextIndex
 from medlarrail.relay.crash_reporter import CrashReporter
@@ -41,6 +42,7 @@
 from medlarrail.relay.room_queue import RoomQueue
 from medlarrail.relay.shutdown import Shutdown
 from medlarrail.relay.startup_hold import DEFAULT_LEFT_S, StartupHold
+from medlarrail.relay.stream_origins import StreamOriginDirectory
 from medlarrail.relay.suspected_requests import SuspectedRequests
 from medlarrail.relay.table import Admission, RouteTable
 from medlarrail.relay.workload_directory import WorkloadDirectory
@@ -96,6 +98,7 @@
     suspected_requests: SuspectedRequests = field(init=False)
     limits: LimitReporter = field(init=False)
     forwarder: Forwarder = field(init=False)
+    origins: StreamOriginDirectory = field(init=False)
     _budgets: dict[str, RetryBudget] = field(factory=dict)
     _room_queues: dict[str, RoomQueue] = field(factory=dict)
 
@@ -113,6 +116,7 @@
             self.secret,
         )
         self.crashes.forwarder = self.forwarder
+        self.origins = StreamOriginDirectory(self.cluster_view, self.cluster_view.clock)
         self.cluster_view.deployment_listeners.append(self._update_route_table)
 
     def _update_route_table(self, deployment: Deployment) -> None:
@@ -244,6 +248,11 @@
         self.reporter.handlers[QUERY_PREFIX] = self.parts.handle_query
         self.reporter.handlers[REPLY_PREFIX] = self.parts.queries.handle_reply
 
+    def connect_stream_origins(self, work_address: str) -> None:
+        """Tell and ask state members of streams, over the socket of the reports."""
+        self.origins.connect(self.reporter.datagram_socket, work_address)
+        self.reporter.handlers[ORIGIN_REPLY_PREFIX] = self.origins.handle_reply
+
     def connect_state(self, state: StateClient) -> None:
         """Set the client for reports to the leading state member."""
         self.crashes.state = self.blocked_prompts.state = state
--- /dev/null
+++ b/medlarrail/relay/stream_origins.py
@@ -0,0 +1,156 @@
+"""Remembers at which software version streams began, and asks others about theirs.
+
+While a service has endpoints of one version only, its streams are remembered here. As
+soon as another one is listed, this entry tells the state members of all streams that
+it served lately, and from then on of each new one before its first event is sent.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+
+import trio
+from attrs import define, field, frozen
+
+from medlarrail.cluster.cluster_view import ClusterView
+from medlarrail.core.clock import Clock, get_boottime
+from medlarrail.core.codec import encode
+from medlarrail.core.metrics import get_metrics
+from medlarrail.core.placement import rank_nodes
+from medlarrail.policy.stream_versions import STREAM_RETENTION_S
+from medlarrail.protocol.stream_origins import (
+    MAX_BATCH_ORIGINS,
+    QUERY_PREFIX,
+    RECORD_PREFIX,
+    OriginQuery,
+    OriginReply,
+    StreamOrigin,
+    StreamOrigins,
+    get_stream_key,
+)
+from medlarrail.transport.datagram_queries import DatagramQueries
+from medlarrail.transport.datagrams import DatagramSocket
+
+KEEPER_COUNT = 2
+"""State members that are told of a stream."""
+REPLY_TIMEOUT_S = 0.05
+"""Maximum wait for a reply: several round trips, yet short for a caller."""
+MAX_QUERIES = 2
+"""Attempts to get a reply, since a datagram may be lost."""
+MAX_ORIGINS = 20_000
+"""Maximum streams that are remembered, about 6 MB."""
+
+
+@frozen
+class FoundOrigin:
+    """The origin of a stream, None if it is not known to anyone who replied."""
+
+    origin: StreamOrigin | None
+    keepers_replied: bool = False
+
+
+@define
+class OwnOrigin:
+    """The origin of a stream that this entry served, and when it began."""
+
+    origin: StreamOrigin
+    began_at: float
+
+
+@define(eq=False)
+class StreamOriginDirectory:
+    """The origins of this entry's streams, and the state members that keep them."""
+
+    cluster_view: ClusterView
+    clock: Clock = get_boottime
+    _own: OrderedDict[str, OwnOrigin] = field(factory=OrderedDict)
+    _datagram_socket: DatagramSocket | None = None
+    _work_address: str = ""
+    _queries: DatagramQueries | None = None
+
+    def __attrs_post_init__(self):
+        self.cluster_view.version_listeners.append(self._tell_recent)
+
+    def connect(self, datagram_socket: DatagramSocket, work_address: str) -> None:
+        """Use a socket, whose address others know as ``work_address``."""
+        self._datagram_socket = datagram_socket
+        self._work_address = work_address
+        self._queries = DatagramQueries(datagram_socket, QUERY_PREFIX, OriginReply)
+
+    def handle_reply(self, body: bytes) -> None:
+        """Pass a keeper's reply to the query that waits for it."""
+        self._queries.handle_reply(body)
+
+    def list_keepers(self, stream: str) -> list[str]:
+        """Return the addresses of the state members that keep a stream's origin."""
+        addresses = [url.partition("://")[2] for url in self.cluster_view.member_urls]
+        return rank_nodes(sorted(addresses), stream)[:KEEPER_COUNT]
+
+    def record(self, request_id: str, service: str, software_version: str) -> None:
+        """Record a stream whose first event is about to be sent."""
+        stream = get_stream_key(request_id)
+        now = self.clock()
+        if stream not in self._own:
+            origin = StreamOrigin(stream, service, software_version)
+            self._own[stream] = OwnOrigin(origin, now)
+            self._drop_expired(now)
+        if self.cluster_view.has_several_versions(service):
+            self._tell([self._own[stream].origin])
+
+    def _drop_expired(self, now: float) -> None:
+        while len(self._own) > MAX_ORIGINS or (
+            now - next(iter(self._own.values())).began_at > STREAM_RETENTION_S
+        ):
+            self._own.popitem(last=False)
+
+    def _tell_recent(self, service: str) -> None:
+        """Tell the keepers of all streams of a service that now has two versions."""
+        self._tell(
+            own.origin for own in self._own.values() if own.origin.service == service
+        )
+
+    def _tell(self, origins: Iterable[StreamOrigin]) -> None:
+        if self._datagram_socket is None:
+            return
+        by_keeper: dict[str, list[StreamOrigin]] = {}
+        for origin in origins:
+            for address in self.list_keepers(origin.stream):
+                by_keeper.setdefault(address, []).append(origin)
+        for address, told in by_keeper.items():
+            for start in range(0, len(told), MAX_BATCH_ORIGINS):
+                batch = StreamOrigins(tuple(told[start : start + MAX_BATCH_ORIGINS]))
+                self._datagram_socket.send([address], RECORD_PREFIX + encode(batch))
+
+    async def find(self, request_id: str) -> FoundOrigin:
+        """Return the origin of the stream that this request began."""
+        stream = get_stream_key(request_id)
+        own = self._own.get(stream)
+        if own is not None:
+            return FoundOrigin(own.origin)
+        if self._queries is None:
+            return FoundOrigin(None)
+        replies = await self._ask_keepers(stream)
+        origin = next((reply.origin for reply in replies if reply.origin), None)
+        status = "known" if origin else "unknown" if replies else "unanswered"
+        get_metrics().count("stream_origins_asked", status=status)
+        return FoundOrigin(origin, bool(replies))
+
+    async def _ask_keepers(self, stream: str) -> list[OriginReply]:
+        """Return the keepers' replies: those of all, or up to the first origin."""
+        replies: list[OriginReply] = []
+        async with trio.open_nursery() as nursery:
+
+            async def ask(address: str) -> None:
+                for _ in range(MAX_QUERIES):
+                    number = self._queries.get_number()
+                    query = OriginQuery(number, self._work_address, stream)
+                    reply = await self._queries.ask(address, query, REPLY_TIMEOUT_S)
+                    if reply is None:
+                        continue
+                    replies.append(reply)
+                    if reply.origin is not None:
+                        nursery.cancel_scope.cancel()
+                    return
+
+            for address in self.list_keepers(stream):
+                nursery.start_soon(ask, address)
+        return replies
--- /dev/null
+++ b/medlarrail/relay/stream_version.py
@@ -0,0 +1,69 @@
+"""Keeps one stream at the software version that began it, over all its attempts."""
+
+import eliot
+from attrs import define
+
+from medlarrail.core.announcements import Announcement
+from medlarrail.core.errors import StreamVersionUnknown
+from medlarrail.policy.stream_versions import choose_stream_version
+
+
+@define(eq=False)
+class StreamVersion:
+    """The software version at which the stream ``relayed`` has to go on."""
+
+    relayed: "RelayedRequest"  # noqa: F821
+    version: str | None = None
+    """None before the first event: the stream may begin at any version."""
+
+    def allows(self, announced: Announcement) -> bool:
+        """Return whether the stream may begin or go on at an endpoint."""
+        return self.version is None or announced.software_version == self.version
+
+    async def resolve(self) -> None:
+        """Find the version of a stream that goes on.
+
+        Raises ``StreamVersionUnknown`` if several may have begun it.
+        """
+        relayed = self.relayed
+        is_stream = relayed.admission.route.kind == "stream"
+        if self.version is not None or not relayed.last_event_id or not is_stream:
+            return
+        relay = relayed.relay
+        service = relayed.service.name
+        found = await relay.origins.find(relayed.origin_id)
+        versions = relay.cluster_view.list_stream_versions(service)
+        view_age_s = relay.cluster_view.get_age_s()
+        if found.origin is not None and found.origin.service != service:
+            version = None
+        else:
+            version = choose_stream_version(
+                found.origin.software_version if found.origin else None,
+                versions,
+                found.keepers_replied,
+                view_age_s,
+            )
+        eliot.log_message(
+            "stream:resumed",
+            request=relayed.metadata.request_id,
+            began_as=relayed.origin_id,
+            service=service,
+            version=version,
+            recorded=found.origin is not None,
+            keepers_replied=found.keepers_replied,
+            versions=sorted(versions),
+            picture_age_s=round(view_age_s, 3),
+        )
+        if version is None:
+            raise StreamVersionUnknown(service=service)
+        self.version = version
+
+    def record_begun(self, announced: Announcement) -> None:
+        """Record that events of an endpoint are about to be sent to the caller."""
+        if self.version is None:
+            self.version = announced.software_version
+        relayed = self.relayed
+        if relayed.origin_id:
+            relayed.relay.origins.record(
+                relayed.origin_id, relayed.service.name, self.version
+            )
--- a/medlarrail/relay/stream_versions_test.py
+++ b/medlarrail/relay/stream_versions_test.py
@@ -11,6 +11,8 @@
 import trio
 from attrs import define, field
 
+from medlarrail.policy.stream_versions import MAX_VIEW_AGE_S
+from medlarrail.relay.request_relay import RetryPolicy
 from medlarrail.testing.builders import build_deployment, build_route
 from medlarrail.testing.fleet import Fleet, start_fleet
 from medlarrail.testing.scripted_endpoints import (
@@ -131,7 +133,7 @@
                 # The rest of the event.
                 received += (
                     await connection.receive_some(65536)
-                    if not (EVENT.findall(received)[-1][0] == b"%d" % events)
+                    if EVENT.findall(received)[-1][0] != b"%d" % events
                     else b""
                 )
     return received
@@ -150,6 +152,8 @@
 ) -> Fleet:
     """Start three gateways and so many endpoints of each software version."""
     fleet = await start_fleet(nursery, path, DEPLOYMENT)
+    for gateway in fleet.gateways:
+        gateway.relay.retries = RetryPolicy(slack=1000.0)
     for version, endpoints in versions.items():
         for number in range(endpoints):
             script = VersionScript(version, **changes)
@@ -186,3 +190,100 @@
             streams.append(stream)
         assert count_joined(streams) == 0
         assert count_complete(streams) >= MIN_CONTINUED_SHARE * STREAMS
+
+    async def test_a_stream_is_taken_up_after_all_gateways_were_killed(
+        self, nursery, tmp_path
+    ):
+        """No gateway remembers it: two versions serve, and either may have begun it."""
+        versions = {"v1": 2, "v2": 2}
+        fleet = await start(nursery, tmp_path, versions, breaks=False, stalls=True)
+        streams = [
+            await begin(fleet.gateways[0], EVENTS_BEFORE_BREAK) for _ in range(STREAMS)
+        ]
+        started = await fleet.restart_gateways(DEPLOYMENT, sum(versions.values()))
+        for stream in streams:
+            await take_up(started, stream)
+        assert count_joined(streams) == 0
+        assert count_complete(streams) >= MIN_CONTINUED_SHARE * STREAMS
+
+    async def test_an_unknown_stream_is_taken_up_at_any_version(
+        self, nursery, tmp_path
+    ):
+        """All gateways and state members were killed: nobody remembers it."""
+        versions = {"v1": 2, "v2": 2}
+        fleet = await start(nursery, tmp_path, versions, breaks=False, stalls=True)
+        stream = await begin(fleet.gateways[0], EVENTS_BEFORE_BREAK)
+        await fleet.keeper.restart()
+        started = await fleet.restart_gateways(DEPLOYMENT, sum(versions.values()))
+        sent_before = fleet.count_requests()
+        await take_up(started, stream)
+        assert stream.refused
+        assert stream.last_id == EVENTS_BEFORE_BREAK
+        assert fleet.count_requests() == sent_before
+
+    async def test_a_stream_of_the_only_version_is_refused(self, nursery, tmp_path):
+        """Nobody remembers it, but only one version can have begun it."""
+        fleet = await start(nursery, tmp_path, {"v1": 2}, breaks=False, stalls=True)
+        stream = await begin(fleet.gateways[0], EVENTS_BEFORE_BREAK)
+        await fleet.keeper.restart()
+        started = await fleet.restart_gateways(DEPLOYMENT, 2)
+        await take_up(started, stream)
+        assert stream.is_complete
+
+    async def test_a_stream_goes_on_at_a_version_that_came_after_it(
+        self, nursery, tmp_path
+    ):
+        """Its gateway had no reason to tell anyone when the stream began."""
+        fleet = await start(nursery, tmp_path, {"v1": 2}, breaks=False, stalls=True)
+        streams = [
+            await begin(fleet.gateways[0], EVENTS_BEFORE_BREAK) for _ in range(10)
+        ]
+        for number in range(6):
+            script = VersionScript("v2", breaks=False)
+            await fleet.add_endpoint(f"v2-{number}", script, "v2")
+        await fleet.wait_for_endpoints(8)
+        started = await fleet.restart_gateways(DEPLOYMENT, 8)
+        for stream in streams:
+            await take_up(started, stream)
+        assert count_joined(streams) == 0
+        assert count_complete(streams) >= MIN_CONTINUED_SHARE * len(streams)
+
+    async def test_a_stream_that_was_taken_up_before_changes_its_version(
+        self, nursery, tmp_path
+    ):
+        """Each take-up names the attempt that brought the first event."""
+        versions = {"v1": 2, "v2": 2}
+        fleet = await start(nursery, tmp_path, versions, breaks=False, stalls=True)
+        streams = []
+        for _ in range(10):
+            stream = await begin(fleet.gateways[0], EVENTS_BEFORE_BREAK)
+            await take_up(fleet.gateways[1], stream, EVENTS_BEFORE_BREAK + 2)
+            await take_up(fleet.gateways[2], stream)
+            streams.append(stream)
+        assert count_joined(streams) == 0
+        assert count_complete(streams) == len(streams)
+
+    @pytest.mark.parametrize("resumes", ["", "another"])
+    async def test_a_take_up_that_names_no_known_request_is_guessed(
+        self, nursery, tmp_path, resumes
+    ):
+        versions = {"v1": 2, "v2": 2}
+        fleet = await start(nursery, tmp_path, versions, breaks=False, stalls=True)
+        stream = await begin(fleet.gateways[0], EVENTS_BEFORE_BREAK)
+        await take_up(fleet.gateways[1], stream, X_Resumes=resumes)
+        assert stream.refused
+        assert stream.last_id == EVENTS_BEFORE_BREAK
+
+    async def test_a_partitioned_gateway_takes_the_only_version_it_knows(
+        self, nursery, tmp_path
+    ):
+        """It has not heard of the other version, and no state member replies."""
+        fleet = await start(nursery, tmp_path, {"v1": 2}, breaks=False, stalls=True)
+        stream = await begin(fleet.gateways[0], EVENTS_BEFORE_BREAK)
+        fleet.keeper.stop()
+        member_url = fleet.view_server.member.url
+        fleet.cluster.network.cut.add(("mem://gateway-2", member_url))
+        await trio.sleep(MAX_VIEW_AGE_S + 1)
+        await take_up(fleet.gateways[1], stream)
+        assert stream.refused
+        assert stream.last_id == EVENTS_BEFORE_BREAK
--- a/medlarrail/state/appliers.py
+++ b/medlarrail/state/appliers.py
@@ -197,6 +197,29 @@
     del catalogue.blocked[name]
 
 
+@applies(ops.AddSoftwareVersion)
+def apply_software_version(catalogue: Catalogue, index: int, envelope) -> None:
+    """Add a software version to those of a service, unless it is listed."""
+    operation = envelope.operation
+    versions = catalogue.software_versions.get(operation.service, ())
+    if operation.version not in versions:
+        catalogue.software_versions[operation.service] = (*versions, operation.version)
+
+
+@applies(ops.RemoveSoftwareVersion)
+def apply_software_version_removal(catalogue: Catalogue, index: int, envelope) -> None:
+    """Remove a software version from those of a service."""
+    operation = envelope.operation
+    versions = catalogue.software_versions.get(operation.service, ())
+    remaining = tuple(v for v in versions if v != operation.version)
+    if remaining == versions:
+        raise NotFound(kind="software version", name=operation.version)
+    if remaining:
+        catalogue.software_versions[operation.service] = remaining
+    else:
+        del catalogue.software_versions[operation.service]
+
+
 @applies(ops.SetOrder)
 def apply_order(catalogue: Catalogue, index: int, envelope) -> None:
     """Store an order for a registered endpoint."""
--- a/medlarrail/state/catalogue.py
+++ b/medlarrail/state/catalogue.py
@@ -21,6 +21,7 @@
     EndpointOrder,
     LedgerKey,
     MemberInfo,
+    ServiceVersions,
     SessionView,
     Store,
     WeightLoad,
@@ -83,6 +84,7 @@
     ledger: tuple[ops.LedgerRecord, ...] = ()
     deployment: Deployment | None = None
     blocked: tuple[BlockedParts, ...] = ()
+    software_versions: tuple[ServiceVersions, ...] = ()
 
 
 @define
@@ -105,6 +107,8 @@
     ledger: OrderedDict[LedgerKey, ops.LedgerRecord] = field(factory=OrderedDict)
     deployment: Deployment | None = None
     blocked: dict[str, BlockedParts] = field(factory=dict)
+    software_versions: dict[str, tuple[str, ...]] = field(factory=dict)
+    """By service, the software versions that may have begun streams which go on."""
 
     def apply(self, index: int, envelope: ops.Envelope) -> ops.Outcome:
         """Apply the log entry at ``index``; a resent command gets its first outcome."""
@@ -187,6 +191,14 @@
             ledger=tuple(self.ledger.values()) if with_ledger else (),
             deployment=self.deployment,
             blocked=tuple(self.blocked.values()),
+            software_versions=self.list_software_versions(),
+        )
+
+    def list_software_versions(self) -> tuple[ServiceVersions, ...]:
+        """Return the software versions of each service."""
+        return tuple(
+            ServiceVersions(service, versions)
+            for service, versions in self.software_versions.items()
         )
 
     @classmethod
@@ -212,6 +224,9 @@
             ledger=OrderedDict((record.key, record) for record in image.ledger),
             deployment=image.deployment,
             blocked={blocked.name: blocked for blocked in image.blocked},
+            software_versions={
+                item.service: item.versions for item in image.software_versions
+            },
         )
 
     def is_dispatcher_live(self, record: ops.LedgerRecord) -> bool:
--- a/medlarrail/state/operations.py
+++ b/medlarrail/state/operations.py
@@ -192,6 +192,30 @@
         return f"blocked/{self.name}"
 
 
+@frozen
+class AddSoftwareVersion(Operation):
+    """Records that endpoints of a service with this software version may serve."""
+
+    service: str
+    version: str
+
+    def get_object_name(self) -> str:
+        """See ``Operation``."""
+        return f"software/{self.service}"
+
+
+@frozen
+class RemoveSoftwareVersion(Operation):
+    """Records that no stream of this software version can still go on."""
+
+    service: str
+    version: str
+
+    def get_object_name(self) -> str:
+        """See ``Operation``."""
+        return f"software/{self.service}"
+
+
 @frozen
 class SetOrder(Operation):
     """Orders an adapter or a role for one endpoint."""
--- a/medlarrail/testing/fleet.py
+++ b/medlarrail/testing/fleet.py
@@ -7,18 +7,21 @@
 from pathlib import Path
 
 import trio
+import trio.testing
 from attrs import define, field
 
 from medlarrail.cluster.cluster_view import ClusterViewClient
 from medlarrail.cluster.cluster_view_server import ClusterViewServer
 from medlarrail.cluster.crash_watch import CrashWatch
 from medlarrail.cluster.state_client import StateClient
+from medlarrail.cluster.stream_origin_keeper import StreamOriginKeeper
 from medlarrail.core.deployment import Deployment
 from medlarrail.relay.header_codec import DefaultHeaderCodec
 from medlarrail.relay.metadata import HeaderCodec
 from medlarrail.testing.builders import build_announcement
 from medlarrail.testing.cluster import Cluster
 from medlarrail.testing.scripted_endpoints import (
+    CLUSTER_KEY,
     HOST,
     RelayHarness,
     Script,
@@ -26,13 +29,42 @@
     build_request,
     start_relay,
 )
+from medlarrail.transport.datagrams import DatagramSocket
 
-MEMBER = "m1"
 START_TIMEOUT_S = 10.0
 REQUESTS_PER_S = 50.0
 """Rate of ``send_steadily``."""
 
 
+@define(eq=False)
+class KeeperHost:
+    """A keeper of streams' origins on loopback, which can lose its memory."""
+
+    nursery: trio.Nursery
+    address: str = f"{HOST}:0"
+    _scope: trio.CancelScope = field(factory=trio.CancelScope)
+
+    async def start(self) -> None:
+        """Start the keeper at its address, or at any if it has none yet."""
+        datagram_socket = DatagramSocket(self.address, CLUSTER_KEY.decode())
+        await self.nursery.start(self._run, StreamOriginKeeper(datagram_socket))
+        self.address = f"{HOST}:{datagram_socket.get_port()}"
+
+    async def _run(self, keeper: StreamOriginKeeper, task_status) -> None:
+        with trio.CancelScope() as self._scope:
+            await keeper.run(task_status)
+
+    async def restart(self) -> None:
+        """End the keeper, and start one that knows nothing."""
+        self.stop()
+        await trio.testing.wait_all_tasks_blocked()
+        await self.start()
+
+    def stop(self) -> None:
+        """End the keeper."""
+        self._scope.cancel()
+
+
 @define(eq=False)
 class Fleet:
     """Gateways and the state member that they follow."""
@@ -40,7 +72,9 @@
     view_server: ClusterViewServer
     cluster: Cluster
     nursery: trio.Nursery
+    keeper: KeeperHost
     gateways: list[RelayHarness] = field(factory=list)
+    endpoints: list[ScriptedEndpoint] = field(factory=list)
 
     async def start_gateway(self, deployment: Deployment, codec: HeaderCodec) -> None:
         """Start a gateway that polls the state member."""
@@ -49,22 +83,37 @@
         peers = self.cluster.network.connect(f"mem://{name}")
         view_client = ClusterViewClient(
             harness.relay.cluster_view,
-            StateClient(peers, (self.cluster.get_url(MEMBER),)),
+            StateClient(peers, (self.view_server.member.url,)),
             name,
             f"{HOST}:{harness.port}",
             "leith",
             ready=True,
         )
         harness.relay.connect_state(view_client.state)
+        await self._connect_stream_origins(harness)
         await self.nursery.start(harness.relay.run_reporters)
         self.nursery.start_soon(view_client.run)
         self.gateways.append(harness)
 
+    async def _connect_stream_origins(self, harness: RelayHarness) -> None:
+        datagram_socket = DatagramSocket(f"{HOST}:0", CLUSTER_KEY.decode())
+        await datagram_socket.open()
+        origins = harness.relay.origins
+        origins.connect(datagram_socket, f"{HOST}:{datagram_socket.get_port()}")
+
+        async def receive() -> None:
+            while True:
+                for body in await datagram_socket.receive():
+                    origins.handle_reply(body[1:])
+
+        self.nursery.start_soon(receive)
+
     async def add_endpoint(
         self, name: str, script: Script, software_version: str = ""
     ) -> None:
         """Start a scripted endpoint and announce it to the state member."""
         endpoint = ScriptedEndpoint(name, script)
+        self.endpoints.append(endpoint)
         await self.nursery.start(endpoint.run)
         announcement = build_announcement(
             name=name,
@@ -72,7 +121,20 @@
             slots=32,
             software_version=software_version,
         )
-        self.view_server.record_announcement(announcement)
+        await self.view_server.register_announcement(announcement)
+
+    async def restart_gateways(
+        self, deployment: Deployment, endpoints: int
+    ) -> RelayHarness:
+        """Return a gateway that knows nothing of the others, which are forgotten."""
+        self.gateways.clear()
+        await self.start_gateway(deployment, DefaultHeaderCodec())
+        await self.wait_for_endpoints(endpoints)
+        return self.gateways[0]
+
+    def count_requests(self) -> int:
+        """Return the number of requests that reached endpoints."""
+        return sum(len(endpoint.requests) for endpoint in self.endpoints)
 
     async def wait_for_endpoints(self, count: int) -> None:
         """Wait until every gateway knows the endpoints and the other gateways."""
@@ -98,14 +160,17 @@
     gateways: int = 3,
 ) -> Fleet:
     """Start a state member below ``path``, and gateways without endpoints."""
+    keeper = KeeperHost(nursery)
+    await keeper.start()
     cluster = Cluster(path, nursery)
-    await cluster.bootstrap(MEMBER)
+    # The keeper's address is part of the member's URL.
+    await cluster.bootstrap(keeper.address)
     member = await cluster.wait_leader()
     view_server = ClusterViewServer(member, clock=trio.current_time)
     for handlers in (view_server, CrashWatch(view_server)):
         cluster.network.hosts[member.url].add(handlers)
         nursery.start_soon(handlers.run)
-    fleet = Fleet(view_server, cluster, nursery)
+    fleet = Fleet(view_server, cluster, nursery, keeper)
     for _ in range(gateways):
         await fleet.start_gateway(deployment, codec or DefaultHeaderCodec())
     return fleet
