Reject odd entries of other writers where they are decoded

What operators of a similar system saw: one entry with a number that is too large, and machines that read the list ended again and again or stopped following it. Deep nesting and ports out of range were rejected before.

Numbers from other systems are now limited where they are decoded.

--- a/medlarrail/core/codec.py
+++ b/medlarrail/core/codec.py
@@ -25,6 +25,28 @@
 SCALARS = (str, int, float, bool)
 
 
+MAX_NUMBER = 2**53
+"""Largest number accepted from other systems: the whole numbers up to it are exact in
+every JSON parser. Their sums fit 64 bits, which the encoder requires."""
+
+
+def is_in_range(number: int | float) -> bool:
+    """Return whether a number from another system may be used and passed on."""
+    return -MAX_NUMBER <= number <= MAX_NUMBER
+
+
+def read_count(value: Any) -> int:
+    """Return a number from another system as a count; raises ``ValueError``.
+
+    >>> read_count(3)
+    3
+    """
+    number = int(value)
+    if not 0 <= number <= MAX_NUMBER:
+        raise ValueError("is out of range")
+    return number
+
+
 def _structure_scalar(value: Any, kind: type) -> Any:
     """Accept only a JSON value of the expected type; an integer is a valid float."""
     if kind is float and type(value) is int:
--- a/medlarrail/platform/context_store_client.py
+++ b/medlarrail/platform/context_store_client.py
@@ -11,7 +11,7 @@
     StoreEventBatch,
     StoreListing,
 )
-from medlarrail.core.codec import parse_json
+from medlarrail.core.codec import parse_json, read_count
 from medlarrail.core.errors import BadJson, PeerBroken
 from medlarrail.transport.client import HttpClient
 
@@ -33,10 +33,10 @@
             partial = payload.get("partial") or ()
             return StoreListing(
                 epoch=str(payload["boot-epoch"]),
-                next_event=int(payload["next"]),
+                next_event=read_count(payload["next"]),
                 parts=tuple(_parse_part(*item[:3]) for item in payload["held"]),
                 # The last number of a partial item is its number of reserved tokens.
-                partial_tokens=sum(int(item[3]) for item in partial),
+                partial_tokens=sum(read_count(item[3]) for item in partial),
             )
         except (KeyError, TypeError, ValueError, IndexError) as error:
             raise PeerBroken(url=url) from error
@@ -54,7 +54,7 @@
             payload = _parse_answer(answer, url)
             return StoreEventBatch(
                 epoch=str(payload["boot-epoch"]),
-                next_event=int(payload["next"]),
+                next_event=read_count(payload["next"]),
                 gap=bool(payload["lost"]),
                 events=tuple(
                     StoreEvent(_parse_part(*event[2:5]), added=event[1] == "+")
@@ -90,4 +90,4 @@
 
 
 def _parse_part(scope: Any, identity: Any, tokens: Any) -> StoredPart:
-    return StoredPart(str(scope or ""), str(identity), int(tokens))
+    return StoredPart(str(scope or ""), str(identity), read_count(tokens))
--- a/medlarrail/platform/header_codec.py
+++ b/medlarrail/platform/header_codec.py
@@ -65,6 +65,9 @@
 )
 """Headers stripped from callers' requests, since only the gateway may set them."""
 LOWEST_PRIORITY = 9
+MAX_TOKENS = 1_000_000_000
+"""Largest token count that is used in decisions: the sum over many prompts has to fit
+64 bits. The endpoint gets the caller's header unchanged."""
 
 
 class PlatformHeaderCodec:
@@ -186,7 +189,7 @@
     )
     if prompt is None or output is None:
         raise MalformedRequest(problem="invalid token counts")
-    return prompt, output
+    return min(prompt, MAX_TOKENS), min(output, MAX_TOKENS)
 
 
 def _parse_prefix_hash(text: str) -> tuple[PromptPart, ...]:
@@ -199,7 +202,7 @@
     tokens = parse_digits(tokens_text)
     if not identity or tokens is None:
         raise MalformedRequest(problem="invalid prompt parts")
-    return PromptPart(identity, tokens)
+    return PromptPart(identity, min(tokens, MAX_TOKENS))
 
 
 def _parse_load(text: str) -> EndpointLoad | None:
--- a/medlarrail/platform/orders.py
+++ b/medlarrail/platform/orders.py
@@ -5,7 +5,7 @@
 
 from medlarrail.cluster.weight_rollout import EngineState, OrderResult, WeightOrder
 from medlarrail.core.announcements import Announcement
-from medlarrail.core.codec import parse_json
+from medlarrail.core.codec import parse_json, read_count
 from medlarrail.core.errors import BadJson, PeerBroken
 from medlarrail.transport.client import HttpClient
 
@@ -37,12 +37,12 @@
         try:
             payload = parse_json(answer.body)
             versions = tuple(
-                (str(model["name"]), int(model["version"]))
+                (str(model["name"]), read_count(model["version"]))
                 for model in payload["models"]
             )
             # "sequence" is the number of orders accepted since the endpoint started.
             return EngineState(
-                versions, int(payload["sequence"]), bool(payload["busy"])
+                versions, read_count(payload["sequence"]), bool(payload["busy"])
             )
         except (BadJson, KeyError, TypeError, ValueError) as error:
             raise PeerBroken(url=url) from error
