Take a refusal only for the request that it names

What operators of a similar system saw: a faulty replica wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run which had, or it ran a second time.

Cause here, too: only answers that claim a run were compared with the request's id. A refusal on a connection in use again was taken for that of the current request, and so was what it says of the endpoint (rest, leaving).

Now an answer that names another request ends the connection and proves nothing; so does a refusal without an id on a connection that was used before.

--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -223,7 +223,7 @@
 
     async def _relay_answer(self, connection: OutboundConnection) -> None:
         head = await connection.read_head()
-        self._read_metadata(head)
+        self._read_metadata(head, connection.reused)
         if self._metadata.not_run or self._metadata.misdirected:
             await self._handle_rejection(connection, head)
         if not self._metadata.verified:
@@ -239,13 +239,16 @@
         else:
             await self._relay_buffered(connection, head)
 
-    def _read_metadata(self, head: AnswerHead) -> None:
+    def _read_metadata(self, head: AnswerHead, reused: bool) -> None:
+        """Read an answer's metadata; on a ``reused`` connection it may be another's."""
         relay = self.relayed.relay
         record = relay.endpoint_stats.get_record(self.endpoint.announced.name)
         record.unanswered -= 1
         self.status = head.status
         self.framing = head.framing
-        self._metadata = relay.header_codec.read_answer(head.status, head.headers)
+        metadata = relay.header_codec.read_answer(head.status, head.headers)
+        self._require_own_answer(metadata, reused)
+        self._metadata = metadata
         if self._metadata.load is not None:
             record.load = self._metadata.load
             record.load_at = relay.endpoint_stats.clock()
@@ -254,12 +257,19 @@
         self._record_rejection_limit()
         self._record_retry_after()
         self._record_leaving()
-        if not self._metadata.not_run and not self._metadata.misdirected:
-            self._require_own_answer(self._metadata)
 
-    def _require_own_answer(self, metadata: AnswerMetadata) -> None:
-        """Raise ``AnswerCrossed`` if the answer names another request."""
+    def _require_own_answer(
+        self, metadata: AnswerMetadata, reused: bool = False
+    ) -> None:
+        """Raise ``AnswerCrossed`` if the answer may be that to another request.
+
+        A rejection may name no request; on a ``reused`` connection it can then be a
+        copy of an earlier one.
+        """
         expected = self.relayed.metadata.request_id
+        is_rejection = metadata.not_run or metadata.misdirected
+        if is_rejection and not reused and not metadata.request_id:
+            return
         if expected and metadata.request_id != expected:
             raise AnswerCrossed(
                 endpoint=self.endpoint.announced.name,
