Let the gateway's program tests listen at the address of their run

The processes used ports of 127.0.0.1 that were free shortly before; anything else on the machine may take them meanwhile, as the source port of a connection, too.

--- a/medlarrail/programs/gateway_test.py
+++ b/medlarrail/programs/gateway_test.py
@@ -37,7 +37,7 @@
 
 def find_free_port() -> int:
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
+        probe.bind((HOST, 0))
         return probe.getsockname()[1]
 
 
@@ -47,7 +47,7 @@
     def __init__(self, path):
         self.path = path
         self.state_port, self.gateway_port = find_free_port(), find_free_port()
-        self.state_url = f"http://127.0.0.1:{self.state_port}"
+        self.state_url = f"http://{HOST}:{self.state_port}"
         self.processes = {}
 
     def write(self, name, settings):
@@ -60,7 +60,7 @@
         state = {
             **common,
             "name": "state-1",
-            "listen": {"host": "127.0.0.1", "port": 0, "url": self.state_url},
+            "listen": {"host": HOST, "port": 0, "url": self.state_url},
             "data_folder": str(self.path / "data"),
             "seeds": [self.state_url],
             "first_start": True,
@@ -69,9 +69,9 @@
             **common,
             "name": "gateway-1",
             "listen": {
-                "host": "127.0.0.1",
+                "host": HOST,
                 "port": self.gateway_port,
-                "url": f"http://127.0.0.1:{self.gateway_port}",
+                "url": f"http://{HOST}:{self.gateway_port}",
             },
             "state_urls": [self.state_url],
             "drain": {"shortest_s": 0.2, "quiet_s": 0.2},
@@ -116,7 +116,7 @@
 async def send_request(port) -> bytes:
     """Send one request and return the whole answer, or nothing without a connection."""
     try:
-        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        stream = await trio.open_tcp_stream(HOST, port)
     except OSError:
         return b""
     async with stream:
@@ -227,7 +227,7 @@
         name="stream", kind="stream", prefix="/stream/", timeout_ms=20_000
     )
     await start_serving(daemons, nursery, send_event, (build_route(), stream_route))
-    async with await trio.open_tcp_stream("127.0.0.1", daemons.gateway_port) as stream:
+    async with await trio.open_tcp_stream(HOST, daemons.gateway_port) as stream:
         await stream.send_all(build_request("/stream/1"))
         received = b""
         while b"data: 1" not in received:
