--- a/medlarrail/relay/stream_versions_test.py
+++ b/medlarrail/relay/stream_versions_test.py
@@ -12,6 +12,7 @@
 from attrs import define, field
 
 from medlarrail.policy.stream_versions import MAX_VIEW_AGE_S
+from medlarrail.relay.forwarding import Forwarder
 from medlarrail.relay.request_relay import RetryPolicy
 from medlarrail.testing.builders import build_deployment, build_route
 from medlarrail.testing.fleet import Fleet, start_fleet
@@ -287,3 +288,45 @@
         await take_up(fleet.gateways[1], stream)
         assert stream.refused
         assert stream.last_id == EVENTS_BEFORE_BREAK
+
+
+class TestForwarding:
+    """A gateway that is partitioned from all endpoints lets others carry requests."""
+
+    async def start(self, nursery, path, monkeypatch, **changes) -> Fleet:
+        fleet = await start(nursery, path, {"v1": 2, "v2": 2}, **changes)
+        monkeypatch.setattr(
+            Forwarder,
+            "is_partitioned",
+            lambda self, service: self.entry == "gateway-1",
+        )
+        return fleet
+
+    async def test_a_stream_is_taken_up_at_a_partitioned_gateway(
+        self, nursery, tmp_path, monkeypatch
+    ):
+        fleet = await self.start(
+            nursery, tmp_path, monkeypatch, breaks=False, stalls=True
+        )
+        streams = []
+        for _ in range(STREAMS):
+            stream = await begin(fleet.gateways[1], EVENTS_BEFORE_BREAK)
+            await take_up(fleet.gateways[0], stream)
+            streams.append(stream)
+        assert count_joined(streams) == 0
+        assert count_complete(streams) >= MIN_CONTINUED_SHARE * STREAMS
+
+    async def test_a_forwarded_stream_is_taken_up_elsewhere(
+        self, nursery, tmp_path, monkeypatch
+    ):
+        """The gateway that its caller chose never saw the endpoint."""
+        fleet = await self.start(
+            nursery, tmp_path, monkeypatch, breaks=False, stalls=True
+        )
+        streams = []
+        for _ in range(STREAMS):
+            stream = await begin(fleet.gateways[0], EVENTS_BEFORE_BREAK)
+            await take_up(fleet.gateways[2], stream)
+            streams.append(stream)
+        assert count_joined(streams) == 0
+        assert count_complete(streams) >= MIN_CONTINUED_SHARE * STREAMS
