Let a quarter of many engines load new weights at the same time

At the grown pay site (36 engines, three at a time) requests began on old weights 12 s after new ones were acknowledged: a rollout took 12 rounds and more. The number of loads at a time is now a quarter of the engines, at least the setting. Sites with up to 15 engines load as before.

test_a_rollout_to_many_endpoints_takes_longer_than_old_weights_may_be_used failed before: 12, 24 and 567 rounds of 1.6 s where 8 s are allowed.

--- a/medlarrail/policy/rollout.py
+++ b/medlarrail/policy/rollout.py
@@ -1,7 +1,9 @@
 """Chooses the endpoints that load a new weight version next.
 
 Handles a rollout under load: only a few endpoints load at a time, so that the
-others can serve requests. Endpoints that are up to date or leaving are skipped.
+others can serve requests. Endpoints that are up to date or leaving are skipped. Of many
+endpoints more load at a time, since each requires as long however many there are, and
+requests may begin on old weights for some seconds only.
 """
 
 from collections.abc import Sequence
@@ -35,11 +37,25 @@
 """Time without contact after which other endpoints are preferred for loading."""
 
 
+MAX_LOADING_SHARE = 0.25
+"""Share of many endpoints that load at the same time: a rollout takes four loads."""
+
+
+def get_load_limit(endpoint_count: int, at_once: int) -> int:
+    """Return the number of endpoints that may load at the same time.
+
+    >>> get_load_limit(5, 3), get_load_limit(36, 3)
+    (3, 9)
+    """
+    return max(at_once, int(endpoint_count * MAX_LOADING_SHARE))
+
+
 def choose_endpoints_to_load(views: Sequence[RolloutView], at_once: int) -> list[str]:
     """Return the endpoints to order now, in order of preference.
 
     Example: with ``at_once`` 2 and one endpoint loading, one more is returned.
     """
+    at_once = get_load_limit(sum(not view.leaving for view in views), at_once)
     outdated = [
         view for view in views if view.version < view.desired and not view.leaving
     ]
--- a/medlarrail/policy/rollout_test.py
+++ b/medlarrail/policy/rollout_test.py
@@ -1,5 +1,7 @@
 """Tests of the rollout of new weights under replayed load patterns."""
 
+import pytest
+
 from medlarrail.policy.rollout import (
     LOAD_TIMEOUT_S,
     OLD_WEIGHTS_GRACE_S,
@@ -9,6 +11,9 @@
     choose_versions,
 )
 
+LOAD_S = 1.6
+"""Time of a load, with the order before it and the poll that notices its end."""
+
 
 def build_views(versions, **changes):
     return [
@@ -35,6 +40,22 @@
             versions.update(dict.fromkeys(chosen, 2))
         assert rounds == 3
 
+    @pytest.mark.parametrize("count", [36, 70, 1700])
+    def test_a_rollout_to_many_endpoints_takes_longer_than_old_weights_may_be_used(
+        self, count
+    ):
+        """Three at a time of 36 took 14 s and more: requests began on old weights
+        12 s after the new ones were named."""
+        rounds = 0
+        versions = {f"e{number}": 1 for number in range(count)}
+        while min(versions.values()) < 2:
+            rounds += 1
+            views = [RolloutView(name, "m", v, 2) for name, v in versions.items()]
+            chosen = choose_endpoints_to_load(views, 3)
+            assert len(chosen) <= count / 4
+            versions.update(dict.fromkeys(chosen, 2))
+        assert rounds * LOAD_S <= OLD_WEIGHTS_LIMIT_S
+
     def test_loads_in_progress_count_against_the_limit(self):
         views = [
             RolloutView("a", "m", 1, 2, loading_s=1.0),
