Tell all entries of a change within a second, however many there are

Changes were collected for as long as it takes to tell 120 entries a second: 1.7 s with 200 entries and 3.3 s with 390, where an endpoint that leaves has to be known within two seconds. The time is now limited to a second; that of reports, which nobody waits for, is not.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -94,7 +94,8 @@
     """The endpoints that the present leader has listed, with the rates they named."""
     _listed_entries: tuple[RegisteredEntry, ...] = ()
     _is_list_open: bool = False
-    """Whether the present leader was not settled yet when it sent its whole list."""
+    """Whether a whole list was received that its leader may still add to, since it has
+    not been settled yet."""
 
     def get_age_s(self) -> float:
         """Return the seconds since a leader last confirmed the view."""
--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -19,6 +19,7 @@
 from medlarrail.policy.notification import (
     MAX_POLL_WAIT_S,
     get_entry_timeout_s,
+    get_report_interval_s,
     get_update_interval_s,
 )
 from medlarrail.policy.stream_versions import STREAM_RETENTION_S
@@ -138,7 +139,9 @@
         """Wake every waiting call to check for changes."""
         ledger = self.crash_ledger
         # A report may have waited at its entry, and the suspects here.
-        ledger.max_report_delay_s = 2 * get_update_interval_s(len(self.entries))
+        report_interval_s = get_report_interval_s(len(self.entries))
+        update_interval_s = get_update_interval_s(len(self.entries))
+        ledger.max_report_delay_s = report_interval_s + update_interval_s
         self._publication = Publication(
             self.registry.revision,
             self.entries_revision,
--- a/medlarrail/policy/notification.py
+++ b/medlarrail/policy/notification.py
@@ -11,6 +11,9 @@
 """Maximum messages per second to or from all entries together, for one kind of
 message: updates, polls without news, and reports. All of them together take a state
 member with two thirds of a core three quarters of its time."""
+MAX_UPDATE_INTERVAL_S = 1.0
+"""Longest time for which changes are collected, however many entries there are: they
+have to know within two seconds of an endpoint that leaves."""
 MIN_POLL_WAIT_S = 0.5
 MAX_POLL_WAIT_S = 1.0
 """Limits of the time for which an entry's poll is held without news."""
@@ -18,15 +21,24 @@
 """Time limit of a poll beyond the time for which it is held."""
 
 
-def get_update_interval_s(entry_count: int) -> float:
-    """Return the time between two messages to or from the same entry.
+def get_report_interval_s(entry_count: int) -> float:
+    """Return the time between two reports of the same entry.
 
-    >>> get_update_interval_s(60)
+    >>> get_report_interval_s(60)
     0.5
     """
     return entry_count / MAX_UPDATES_PER_S
 
 
+def get_update_interval_s(entry_count: int) -> float:
+    """Return the time for which changes are collected for all entries.
+
+    >>> get_update_interval_s(60), get_update_interval_s(390)
+    (0.5, 1.0)
+    """
+    return min(MAX_UPDATE_INTERVAL_S, entry_count / MAX_UPDATES_PER_S)
+
+
 def get_poll_wait_s(entry_count: int) -> float:
     """Return the time for which an entry's poll is held without news.
 
--- a/medlarrail/relay/crash_reporter.py
+++ b/medlarrail/relay/crash_reporter.py
@@ -19,7 +19,7 @@
 from medlarrail.core.entities import SharedPart, is_request_key
 from medlarrail.core.errors import EndpointUnreachable, MedlarError
 from medlarrail.core.metrics import get_metrics
-from medlarrail.policy.notification import get_update_interval_s
+from medlarrail.policy.notification import get_report_interval_s
 from medlarrail.protocol.control import EmptyMessage
 from medlarrail.protocol.crashes import (
     COMPLETIONS_PATH,
@@ -201,7 +201,7 @@
         self._is_reporting = False
 
     def _get_report_pause_s(self) -> float:
-        interval_s = get_update_interval_s(self.cluster_view.entry_count)
+        interval_s = get_report_interval_s(self.cluster_view.entry_count)
         return max(REPORT_PAUSE_S, interval_s)
 
     def _build_report(self, broken: BrokenEndpoint) -> CrashReport:
@@ -261,7 +261,7 @@
             with trio.move_on_after(REPORT_PERIOD_S):
                 while not await self._send(COMPLETIONS_PATH, report):
                     await trio.sleep(self._get_report_pause_s())
-            await trio.sleep(get_update_interval_s(self.cluster_view.entry_count))
+            await trio.sleep(get_report_interval_s(self.cluster_view.entry_count))
         del self._completed[service]
 
     async def _send(self, path: str, report: CrashReports | CompletionReport) -> bool:
