--- a/medlarrail/relay/stream_origins.py
+++ b/medlarrail/relay/stream_origins.py
@@ -15,7 +15,7 @@
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.core.codec import encode
 from medlarrail.core.metrics import get_metrics
-from medlarrail.core.placement import rank_nodes
+from medlarrail.core.placement import get_weight
 from medlarrail.policy.stream_versions import STREAM_RETENTION_S
 from medlarrail.protocol.stream_origins import (
     MAX_BATCH_ORIGINS,
@@ -83,7 +83,8 @@
     def list_keepers(self, stream: str) -> list[str]:
         """Return the addresses of the state members that keep a stream's origin."""
         addresses = [url.partition("://")[2] for url in self.cluster_view.member_urls]
-        return rank_nodes(sorted(addresses), stream)[:KEEPER_COUNT]
+        addresses.sort(key=lambda address: get_weight(address, stream), reverse=True)
+        return addresses[:KEEPER_COUNT]
 
     def record(self, request_id: str, service: str, software_version: str) -> None:
         """Record a stream whose first event is about to be sent."""
