--- a/medlarrail/cluster/stream_origin_keeper.py
+++ b/medlarrail/cluster/stream_origin_keeper.py
@@ -4,15 +4,13 @@
 stream are needed only while its caller waits, so they are not written to disk.
 """
 
-from collections import OrderedDict
-
 import trio
 from attrs import define, field
 
+from medlarrail.cluster.recent_origins import RecentOrigins
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.core.codec import encode
 from medlarrail.core.metrics import get_metrics
-from medlarrail.policy.stream_versions import STREAM_RETENTION_S
 from medlarrail.protocol.stream_origins import (
     QUERY_PREFIX,
     RECORD_PREFIX,
@@ -28,22 +26,16 @@
 """Maximum streams that are remembered, about 30 MB."""
 
 
-@define
-class KeptOrigin:
-    """An origin and when it was last told."""
-
-    origin: StreamOrigin
-    told_at: float
-
-
 @define(eq=False)
 class StreamOriginKeeper:
     """Receives origins and answers queries at ``datagram_socket``."""
 
     datagram_socket: DatagramSocket
     clock: Clock = get_boottime
-    _kept: OrderedDict[str, KeptOrigin] = field(factory=OrderedDict)
-    """Origins by the key of their stream, the latest told last."""
+    _origins: RecentOrigins = field(init=False)
+
+    def __attrs_post_init__(self):
+        self._origins = RecentOrigins(MAX_ORIGINS, self.clock)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled; raises ``OSError`` if the address is in use."""
@@ -69,21 +61,9 @@
             get_metrics().count("origins_unreadable", type="prefix")
 
     def _keep(self, origin: StreamOrigin) -> None:
-        """Remember an origin; the first one of a stream stays."""
-        now = self.clock()
-        kept = self._kept.setdefault(origin.stream, KeptOrigin(origin, now))
-        if kept.origin != origin:
+        if self._origins.add(origin) != origin:
             get_metrics().count("origins_contradicted")
-        kept.told_at = now
-        self._kept.move_to_end(origin.stream)
-        while len(self._kept) > MAX_ORIGINS or self._is_oldest_expired(now):
-            self._kept.popitem(last=False)
-
-    def _is_oldest_expired(self, now: float) -> bool:
-        oldest = next(iter(self._kept.values()), None)
-        return oldest is not None and now - oldest.told_at > STREAM_RETENTION_S
 
     def _answer(self, query: OriginQuery) -> None:
-        kept = self._kept.get(query.stream)
-        reply = OriginReply(query.number, kept.origin if kept is not None else None)
+        reply = OriginReply(query.number, self._origins.find(query.stream))
         self.datagram_socket.send([query.reply_to], REPLY_PREFIX + encode(reply))
--- a/medlarrail/relay/stream_origins.py
+++ b/medlarrail/relay/stream_origins.py
@@ -5,18 +5,17 @@
 it served lately, and from then on of each new one before its first event is sent.
 """
 
-from collections import OrderedDict
 from collections.abc import Iterable
 
 import trio
 from attrs import define, field, frozen
 
 from medlarrail.cluster.cluster_view import ClusterView
+from medlarrail.cluster.recent_origins import RecentOrigins
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.core.codec import encode
 from medlarrail.core.metrics import get_metrics
 from medlarrail.core.placement import get_weight
-from medlarrail.policy.stream_versions import STREAM_RETENTION_S
 from medlarrail.protocol.stream_origins import (
     MAX_BATCH_ORIGINS,
     QUERY_PREFIX,
@@ -48,26 +47,20 @@
     keepers_replied: bool = False
 
 
-@define
-class OwnOrigin:
-    """The origin of a stream that this entry served, and when it began."""
-
-    origin: StreamOrigin
-    began_at: float
-
-
 @define(eq=False)
 class StreamOriginDirectory:
     """The origins of this entry's streams, and the state members that keep them."""
 
     cluster_view: ClusterView
     clock: Clock = get_boottime
-    _own: OrderedDict[str, OwnOrigin] = field(factory=OrderedDict)
+    _own: RecentOrigins = field(init=False)
+    """Origins of the streams that this entry served."""
     _datagram_socket: DatagramSocket | None = None
     _work_address: str = ""
     _queries: DatagramQueries | None = None
 
     def __attrs_post_init__(self):
+        self._own = RecentOrigins(MAX_ORIGINS, self.clock)
         self.cluster_view.version_listeners.append(self._tell_recent)
 
     def connect(self, datagram_socket: DatagramSocket, work_address: str) -> None:
@@ -89,25 +82,15 @@
     def record(self, request_id: str, service: str, software_version: str) -> None:
         """Record a stream whose first event is about to be sent."""
         stream = get_stream_key(request_id)
-        now = self.clock()
-        if stream not in self._own:
-            origin = StreamOrigin(stream, service, software_version)
-            self._own[stream] = OwnOrigin(origin, now)
-            self._drop_expired(now)
+        origin = self._own.find(stream)
+        if origin is None:
+            origin = self._own.add(StreamOrigin(stream, service, software_version))
         if self.cluster_view.has_several_versions(service):
-            self._tell([self._own[stream].origin])
-
-    def _drop_expired(self, now: float) -> None:
-        while len(self._own) > MAX_ORIGINS or (
-            now - next(iter(self._own.values())).began_at > STREAM_RETENTION_S
-        ):
-            self._own.popitem(last=False)
+            self._tell([origin])
 
     def _tell_recent(self, service: str) -> None:
         """Tell the keepers of all streams of a service that now has two versions."""
-        self._tell(
-            own.origin for own in self._own.values() if own.origin.service == service
-        )
+        self._tell(self._own.iterate_service(service))
 
     def _tell(self, origins: Iterable[StreamOrigin]) -> None:
         if self._datagram_socket is None:
@@ -124,9 +107,9 @@
     async def find(self, request_id: str) -> FoundOrigin:
         """Return the origin of the stream that this request began."""
         stream = get_stream_key(request_id)
-        own = self._own.get(stream)
+        own = self._own.find(stream)
         if own is not None:
-            return FoundOrigin(own.origin)
+            return FoundOrigin(own)
         if self._queries is None:
             return FoundOrigin(None)
         replies = await self._ask_keepers(stream)
