--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -8,13 +8,14 @@
 
 from medlarrail.cluster.crash_ledger import CrashLedger
 from medlarrail.cluster.registry import EndpointRegistry
+from medlarrail.cluster.software_versions import SoftwareVersions
 from medlarrail.consensus.replication import LogMember
 from medlarrail.core.announcements import Announcement, RegisteredEntry
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.core.deployment import Deployment
 from medlarrail.core.deployment_check import check_deployment
 from medlarrail.core.entities import DesiredVersion, SharedPart
-from medlarrail.core.errors import BadField, MedlarError, NotLeader
+from medlarrail.core.errors import MedlarError, NotLeader
 from medlarrail.core.metrics import get_metrics
 from medlarrail.policy.notification import (
     MAX_POLL_WAIT_S,
@@ -22,7 +23,6 @@
     get_report_interval_s,
     get_update_interval_s,
 )
-from medlarrail.policy.stream_versions import STREAM_RETENTION_S
 from medlarrail.protocol.cluster_view import (
     ANNOUNCEMENTS_PATH,
     CLUSTER_VIEW_PATH,
@@ -64,8 +64,6 @@
 """Time within which a new leader hears from every endpoint and entry: three
 announcements of the slowest."""
 EXPIRY_CHECK_INTERVAL_S = 0.25
-MAX_SOFTWARE_VERSIONS = 16
-"""Maximum software versions of one service."""
 
 
 @define
@@ -97,6 +95,7 @@
     clock: Clock = get_boottime
     registry: EndpointRegistry = field(init=False)
     crash_ledger: CrashLedger = field(init=False)
+    software_versions: SoftwareVersions = field(init=False)
     entries: dict[str, EntryRecord] = field(factory=dict)
     entries_revision: int = 0
     configuration_index: int = field(init=False)
@@ -107,13 +106,11 @@
     _published_at: float = float("-inf")
     _publication_due: trio.Event = field(factory=trio.Event)
     _changed: trio.Event = field(factory=trio.Event)
-    _version_lock: trio.Lock = field(factory=trio.Lock)
-    _unused_since: dict[tuple[str, str], float] = field(factory=dict)
-    """Since when no endpoint has a software version, by service and version."""
 
     def __attrs_post_init__(self):
         self.registry = EndpointRegistry(self.clock)
         self.crash_ledger = CrashLedger(self.clock)
+        self.software_versions = SoftwareVersions(self)
         self.configuration_index = self.member.catalogue.index
         self.member.apply_listeners.append(self._on_applied)
 
@@ -169,7 +166,7 @@
             self.crash_ledger.clear()
             self.entries.clear()
             self._limited_at.clear()
-            self._unused_since.clear()
+            self.software_versions.clear()
             self.entries_revision += 1
             self._publish()
 
@@ -188,41 +185,10 @@
         Entries thus never use an endpoint of a version that could be forgotten.
         """
         self.require_leading()
-        if announced.software_version and not self.registry.is_outdated(announced):
-            await self._add_software_version(announced)
+        if not self.registry.is_outdated(announced):
+            await self.software_versions.add(announced)
         self.record_announcement(announced)
 
-    async def _add_software_version(self, announced: Announcement) -> None:
-        service, version = announced.service, announced.software_version
-        catalogue = self.member.catalogue
-        if version in catalogue.software_versions.get(service, ()):
-            return
-        async with self._version_lock:
-            versions = catalogue.software_versions.get(service, ())
-            if version in versions:
-                return
-            if len(versions) >= MAX_SOFTWARE_VERSIONS:
-                raise BadField(place="$.version", problem="is one of too many")
-            await self.commit(AddSoftwareVersion(service, version))
-
-    async def _remove_unused_versions(self) -> None:
-        """Remove the software versions whose streams have all ended."""
-        if not self.is_settled():
-            return
-        now = self.clock()
-        used = {
-            (record.announced.service, record.announced.software_version)
-            for record in self.registry.endpoints.values()
-        }
-        for item in self.member.catalogue.list_software_versions():
-            for version in item.versions:
-                key = (item.service, version)
-                if key in used:
-                    self._unused_since.pop(key, None)
-                elif now - self._unused_since.setdefault(key, now) > STREAM_RETENTION_S:
-                    del self._unused_since[key]
-                    await self.commit(RemoveSoftwareVersion(*key))
-
     def record_announcement(self, announced: Announcement) -> None:
         """Record an announcement of an endpoint whose software version is known."""
         self.require_leading()
@@ -434,7 +400,7 @@
             await trio.sleep(EXPIRY_CHECK_INTERVAL_S)
             try:
                 self.require_leading()
-                await self._remove_unused_versions()
+                await self.software_versions.remove_unused()
             except NotLeader:
                 continue
             except MedlarError as error:
--- a/medlarrail/cluster/software_versions_test.py
+++ b/medlarrail/cluster/software_versions_test.py
@@ -4,11 +4,8 @@
 import trio
 from attrs import define, field
 
-from medlarrail.cluster.cluster_view_server import (
-    MAX_SOFTWARE_VERSIONS,
-    SETTLE_S,
-    ClusterViewServer,
-)
+from medlarrail.cluster.cluster_view_server import SETTLE_S, ClusterViewServer
+from medlarrail.cluster.software_versions import MAX_SOFTWARE_VERSIONS
 from medlarrail.core.errors import BadField, MedlarError
 from medlarrail.policy.stream_versions import STREAM_RETENTION_S
 from medlarrail.testing.builders import build_announcement
