--- a/medlarrail/core/codec.py
+++ b/medlarrail/core/codec.py
@@ -30,9 +30,9 @@
 every JSON parser. Their sums fit 64 bits, which the encoder requires."""
 
 
-def is_in_range(number: int | float) -> bool:
-    """Return whether a number from another system may be used and passed on."""
-    return -MAX_NUMBER <= number <= MAX_NUMBER
+def is_out_of_range(value: Any) -> bool:
+    """Return whether a value is a number that may not be used or passed on."""
+    return isinstance(value, int | float) and not -MAX_NUMBER <= value <= MAX_NUMBER
 
 
 def read_count(value: Any) -> int:
--- a/medlarrail/platform/announcements.py
+++ b/medlarrail/platform/announcements.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from medlarrail.core.announcements import Announcement, ModelWeights
-from medlarrail.core.codec import is_in_range, parse_json
+from medlarrail.core.codec import is_out_of_range, parse_json
 from medlarrail.core.errors import BadField
 from medlarrail.relay.header_codec import parse_digits
 
@@ -46,7 +46,7 @@
     value = payload.get(name, default)
     if value is None or isinstance(value, bool) or not isinstance(value, expected_type):
         raise BadField(place=f"$.{name}", problem="is missing or has the wrong type")
-    if isinstance(value, int | float) and not is_in_range(value):
+    if is_out_of_range(value):
         raise BadField(place=f"$.{name}", problem="is out of range")
     return value
 
--- a/medlarrail/platform/documents.py
+++ b/medlarrail/platform/documents.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from medlarrail.core.codec import is_in_range, parse_json
+from medlarrail.core.codec import is_out_of_range, parse_json
 from medlarrail.core.deployment import (
     AccountRule,
     Deployment,
@@ -43,7 +43,7 @@
             is_bool and expected_type is not bool
         ):
             raise _build_error(f"{self.place}.{name}", "has the wrong type")
-        if isinstance(value, int | float) and not is_in_range(value):
+        if is_out_of_range(value):
             raise _build_error(f"{self.place}.{name}", "is out of range")
         return value
 
--- a/medlarrail/policy/notification.py
+++ b/medlarrail/policy/notification.py
@@ -19,6 +19,8 @@
 """Limits of the time for which an entry's poll is held without news."""
 POLL_SLACK_S = 0.5
 """Time limit of a poll beyond the time for which it is held."""
+ARRIVAL_MARGIN_S = 0.1
+"""Allowance for differences in the delay of two polls."""
 
 
 def get_report_interval_s(entry_count: int) -> float:
@@ -36,7 +38,7 @@
     >>> get_update_interval_s(60), get_update_interval_s(390)
     (0.5, 1.0)
     """
-    return min(MAX_UPDATE_INTERVAL_S, entry_count / MAX_UPDATES_PER_S)
+    return min(MAX_UPDATE_INTERVAL_S, get_report_interval_s(entry_count))
 
 
 def get_poll_wait_s(entry_count: int) -> float:
@@ -66,7 +68,3 @@
     """
     wait_s = get_poll_wait_s(entry_count)
     return wait_s + get_poll_timeout_s(wait_s) / 2 + ARRIVAL_MARGIN_S
-
-
-ARRIVAL_MARGIN_S = 0.1
-"""Allowance for differences in the delay of two polls."""
