Share the loop of interrupted streams between tests

Two tests of forwarding differed in two indices and are one with parameters; receiving up to an event had a branch for the rest of it, and the number of endpoints to wait for was passed though the fleet knows it. The assertions are the same.

--- a/medlarrail/relay/stream_versions_test.py
+++ b/medlarrail/relay/stream_versions_test.py
@@ -125,21 +125,18 @@
     async with await gateway.connect() as connection:
         await connection.send_all(request)
         with trio.move_on_after(2):
-            while b"id: %d\n" % events not in received:
-                part = await connection.receive_some(65536)
-                if not part:
-                    break
+            while not has_event(received, events) and (
+                part := await connection.receive_some(65536)
+            ):
                 received += part
-            else:
-                # The rest of the event.
-                received += (
-                    await connection.receive_some(65536)
-                    if EVENT.findall(received)[-1][0] != b"%d" % events
-                    else b""
-                )
     return received
 
 
+def has_event(received: bytes, number: int) -> bool:
+    """Return whether the whole event of this number was received."""
+    return any(int(found) == number for found, _ in EVENT.findall(received))
+
+
 def count_joined(streams: list[ReceivedStream]) -> int:
     return sum(stream.is_joined for stream in streams)
 
@@ -163,6 +160,18 @@
     return fleet
 
 
+async def interrupt_and_take_up(
+    first: RelayHarness, second: RelayHarness
+) -> list[ReceivedStream]:
+    """Begin streams at a gateway and go on with each at another one."""
+    streams = []
+    for _ in range(STREAMS):
+        stream = await begin(first, EVENTS_BEFORE_BREAK)
+        await take_up(second, stream)
+        streams.append(stream)
+    return streams
+
+
 VERSION_COUNTS = ({"v1": 2, "v2": 2}, {"v1": 4, "v2": 2}, {"v1": 2, "v2": 8})
 
 
@@ -184,11 +193,7 @@
     ):
         """Its gateway has ended; the caller goes on at another one."""
         fleet = await start(nursery, tmp_path, versions, breaks=False, stalls=True)
-        streams = []
-        for _ in range(STREAMS):
-            stream = await begin(fleet.gateways[0], EVENTS_BEFORE_BREAK)
-            await take_up(fleet.gateways[1], stream)
-            streams.append(stream)
+        streams = await interrupt_and_take_up(*fleet.gateways[:2])
         assert count_joined(streams) == 0
         assert count_complete(streams) >= MIN_CONTINUED_SHARE * STREAMS
 
@@ -201,7 +206,7 @@
         streams = [
             await begin(fleet.gateways[0], EVENTS_BEFORE_BREAK) for _ in range(STREAMS)
         ]
-        started = await fleet.restart_gateways(DEPLOYMENT, sum(versions.values()))
+        started = await fleet.restart_gateways(DEPLOYMENT)
         for stream in streams:
             await take_up(started, stream)
         assert count_joined(streams) == 0
@@ -215,7 +220,7 @@
         fleet = await start(nursery, tmp_path, versions, breaks=False, stalls=True)
         stream = await begin(fleet.gateways[0], EVENTS_BEFORE_BREAK)
         await fleet.keeper.restart()
-        started = await fleet.restart_gateways(DEPLOYMENT, sum(versions.values()))
+        started = await fleet.restart_gateways(DEPLOYMENT)
         sent_before = fleet.count_requests()
         await take_up(started, stream)
         assert stream.refused
@@ -227,7 +232,7 @@
         fleet = await start(nursery, tmp_path, {"v1": 2}, breaks=False, stalls=True)
         stream = await begin(fleet.gateways[0], EVENTS_BEFORE_BREAK)
         await fleet.keeper.restart()
-        started = await fleet.restart_gateways(DEPLOYMENT, 2)
+        started = await fleet.restart_gateways(DEPLOYMENT)
         await take_up(started, stream)
         assert stream.is_complete
 
@@ -243,7 +248,7 @@
             script = VersionScript("v2", breaks=False)
             await fleet.add_endpoint(f"v2-{number}", script, "v2")
         await fleet.wait_for_endpoints(8)
-        started = await fleet.restart_gateways(DEPLOYMENT, 8)
+        started = await fleet.restart_gateways(DEPLOYMENT)
         for stream in streams:
             await take_up(started, stream)
         assert count_joined(streams) == 0
@@ -302,31 +307,15 @@
         )
         return fleet
 
-    async def test_a_stream_is_taken_up_at_a_partitioned_gateway(
-        self, nursery, tmp_path, monkeypatch
-    ):
-        fleet = await self.start(
-            nursery, tmp_path, monkeypatch, breaks=False, stalls=True
-        )
-        streams = []
-        for _ in range(STREAMS):
-            stream = await begin(fleet.gateways[1], EVENTS_BEFORE_BREAK)
-            await take_up(fleet.gateways[0], stream)
-            streams.append(stream)
-        assert count_joined(streams) == 0
-        assert count_complete(streams) >= MIN_CONTINUED_SHARE * STREAMS
-
-    async def test_a_forwarded_stream_is_taken_up_elsewhere(
-        self, nursery, tmp_path, monkeypatch
+    @pytest.mark.parametrize("first, second", [(1, 0), (0, 2)])
+    async def test_a_stream_that_another_gateway_carries_changes_its_version(
+        self, nursery, tmp_path, monkeypatch, first, second
     ):
-        """The gateway that its caller chose never saw the endpoint."""
+        """It is taken up at the partitioned gateway, or began there."""
         fleet = await self.start(
             nursery, tmp_path, monkeypatch, breaks=False, stalls=True
         )
-        streams = []
-        for _ in range(STREAMS):
-            stream = await begin(fleet.gateways[0], EVENTS_BEFORE_BREAK)
-            await take_up(fleet.gateways[2], stream)
-            streams.append(stream)
+        gateways = fleet.gateways
+        streams = await interrupt_and_take_up(gateways[first], gateways[second])
         assert count_joined(streams) == 0
         assert count_complete(streams) >= MIN_CONTINUED_SHARE * STREAMS
--- a/medlarrail/testing/fleet.py
+++ b/medlarrail/testing/fleet.py
@@ -123,13 +123,11 @@
         )
         await self.view_server.register_announcement(announcement)
 
-    async def restart_gateways(
-        self, deployment: Deployment, endpoints: int
-    ) -> RelayHarness:
+    async def restart_gateways(self, deployment: Deployment) -> RelayHarness:
         """Return a gateway that knows nothing of the others, which are forgotten."""
         self.gateways.clear()
         await self.start_gateway(deployment, DefaultHeaderCodec())
-        await self.wait_for_endpoints(endpoints)
+        await self.wait_for_endpoints(len(self.endpoints))
         return self.gateways[0]
 
     def count_requests(self) -> int:
