Log where a change waits and what a process takes to start

A document that was accepted six seconds after its arrival left no line but the last one, and a gateway's first line did not tell what came before it. Logged now: the arrival of a document, the time that a change waits in the log, a change that is not accepted, the processor time until a program's first line, and how long after its start a gateway was first answered.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -17,7 +17,7 @@
     RegisteredEndpoint,
     RegisteredEntry,
 )
-from medlarrail.core.clock import Clock, get_boottime
+from medlarrail.core.clock import PROCESS_STARTED_AT, Clock, get_boottime
 from medlarrail.core.deployment import Deployment
 from medlarrail.core.entities import (
     BlockedParts,
@@ -303,6 +303,8 @@
     _configuration_seen: int = 0
     _suspects_seen: int = 0
     _connected: bool = False
+    _failed_calls: int = 0
+    """Consecutive calls that failed since the leader last answered."""
     _seeds: tuple[str, ...] = field(init=False)
 
     def __attrs_post_init__(self):
@@ -376,11 +378,18 @@
         if not self._connected:
             self._connected = True
             eliot.log_message(
-                "state:reachable", leader=self.state.leader_url, epoch=answer.epoch
+                "state:reachable",
+                leader=self.state.leader_url,
+                epoch=answer.epoch,
+                failed_calls=self._failed_calls,
+                answer_s=round(self.cluster_view.clock() - sent_at, 3),
+                since_start_s=round(get_boottime() - PROCESS_STARTED_AT, 3),
             )
+        self._failed_calls = 0
 
     def _record_failure(self, error: MedlarError) -> None:
         get_metrics().count("picture_failures", type=type(error).__name__)
+        self._failed_calls += 1
         if self._connected:
             self._connected = False
             eliot.log_message(
--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -245,6 +245,11 @@
 
         Raises ``DeploymentInvalid`` with all faults found.
         """
+        eliot.log_message(
+            "deployment:received",
+            version=deployment.version,
+            has_lease=self.member.has_lease(),
+        )
         check_deployment(deployment)
         current = await self.read_deployment()
         if current is not None and current.version >= deployment.version:
@@ -267,12 +272,26 @@
 
     async def commit(self, operation: Operation) -> None:
         """Commit a change of the configuration."""
-        outcome = await self.member.propose(Envelope(operation))
+        began_at = self.clock()
+        change = type(operation).__name__
+        try:
+            outcome = await self.member.propose(Envelope(operation))
+        except MedlarError as error:
+            eliot.log_message(
+                "configuration:not-accepted",
+                change=change,
+                reason=str(error),
+                waited_s=round(self.clock() - began_at, 3),
+                commit_index=self.member.commit_index,
+                last_index=self.member.journal.last_index,
+            )
+            raise
         eliot.log_message(
             "configuration:accepted",
-            change=type(operation).__name__,
+            change=change,
             index=outcome.index,
             term=self.member.term,
+            waited_s=round(self.clock() - began_at, 3),
         )
 
     # Calls from entries.
--- a/medlarrail/cluster/cluster_view_test.py
+++ b/medlarrail/cluster/cluster_view_test.py
@@ -10,7 +10,7 @@
 )
 from medlarrail.cluster.state_client import StateClient
 from medlarrail.core.announcements import RegisteredEndpoint, RegisteredEntry
-from medlarrail.core.errors import DeploymentInvalid, NotLeader
+from medlarrail.core.errors import DeploymentInvalid, MedlarError, NotLeader
 from medlarrail.core.metrics import get_metrics
 from medlarrail.policy.notification import (
     MIN_POLL_WAIT_S,
@@ -24,6 +24,7 @@
     build_route,
 )
 from medlarrail.testing.cluster import Cluster
+from medlarrail.testing.logs import collect_messages
 
 NAMES = ("a", "b", "c")
 
@@ -161,6 +162,24 @@
         )
         assert (await view_server.read_deployment()).source == "first"
 
+    async def test_log_does_not_tell_where_a_change_waited(
+        self, harness, autojump_clock
+    ):
+        """A document arrived and was accepted six seconds later, by another leader."""
+        view_server = await harness.get_view_server()
+        harness.cluster.network.isolate(view_server.member.url)
+        with (
+            collect_messages("deployment:received") as received,
+            collect_messages("configuration:not-accepted") as failures,
+            pytest.raises(MedlarError),
+        ):
+            await view_server.replace_deployment(build_deployment(version=6))
+        assert received[-1]["version"] == 6
+        assert received[-1]["has_lease"]
+        assert failures[-1]["change"] == "ReplaceDeployment"
+        assert failures[-1]["waited_s"] > 0
+        assert failures[-1]["last_index"] > failures[-1]["commit_index"]
+
     async def test_member_without_lease_answers_no_read(self, harness, autojump_clock):
         leader = await harness.cluster.wait_leader()
         other = next(
--- a/medlarrail/programs/daemon.py
+++ b/medlarrail/programs/daemon.py
@@ -1,6 +1,7 @@
 """Log, signal handling and settings of daemons."""
 
 import signal
+import time
 from collections.abc import Awaitable, Callable
 from enum import IntEnum
 from pathlib import Path
@@ -89,6 +90,10 @@
 
 def run_program(run: Callable[[Any], Awaitable[None]], settings: Any) -> None:
     """Run a program until it returns, and log its start and stop."""
-    eliot.log_message("program:started", name=settings.name)
+    eliot.log_message(
+        "program:started",
+        name=settings.name,
+        processor_s=round(time.process_time(), 3),
+    )
     trio.run(run, settings)
     eliot.log_message("program:stopped", name=settings.name)
