Start the election timeout of a slowly started member when it takes calls

Cause: the timeout counted from the start of the process. Its modules take longer to import than the timeout lasts, so it had passed at every member when the first of them could take calls, and neither its random part nor the stagger of elections after a full restart had any effect.

The timeout now leaves half a second for the election after a full restart, and its random part follows. The time before which this member supports no other candidate still counts from the start of the process.

--- a/medlarrail/consensus/elections.py
+++ b/medlarrail/consensus/elections.py
@@ -36,6 +36,9 @@
 the skew with which members detect it plus the duration of an election."""
 RESTART_PROBE_TIMEOUT_S = 0.2
 """Time limit of the probes for a full restart: many round trips within a region."""
+RESTART_ELECTION_S = 0.5
+"""Time that a member leaves for the election after a full restart before it may start
+one by its timeout."""
 GRANTED = "granted"
 REFUSED = "refused"
 
@@ -47,7 +50,15 @@
     member: "LogMember"  # noqa: F821
 
     async def run(self) -> None:
-        """Start an election whenever the leader is lost."""
+        """Start an election whenever the leader is lost.
+
+        A process that took long to start has not heard any leader meanwhile, and
+        after a full restart the timeouts of all members would have passed together.
+        """
+        latest_since = self.member.clock() - ELECTION_TIMEOUT_MIN_S + RESTART_ELECTION_S
+        self.member.election_timeout_since = max(
+            self.member.election_timeout_since, latest_since
+        )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._elect_after_full_restart)
             await self._watch_leader()
--- a/medlarrail/consensus/membership_test.py
+++ b/medlarrail/consensus/membership_test.py
@@ -13,6 +13,10 @@
 
 NAMES = ("a", "b", "c", "d", "e")
 SEEDS = ("a", "b", "c")
+SLOW_CALL_S = 0.0125
+"""Processor time of one call at a member with an eighth of a core."""
+SLOW_STARTUP_S = 4.0
+"""Time that such a member takes from the start of its process to its first call."""
 
 
 async def start_cluster(tmp_path, nursery, seed=1, order=NAMES) -> Cluster:
@@ -199,6 +203,22 @@
         await trio.sleep(1)
         assert cluster.find_leader() is leader
 
+    @pytest.mark.parametrize("seed", range(1, 21))
+    async def test_votes_are_split_among_slow_members_after_a_power_loss(
+        self, seed, tmp_path, nursery, autojump_clock
+    ):
+        """The election timeouts counted from the start of the processes and had passed
+        when these could take calls, so all members voted for themselves at once."""
+        cluster = await start_cluster(tmp_path, nursery, seed)
+        for name in NAMES:
+            cluster.kill(name)
+        for name in random.Random(seed).sample(NAMES, len(NAMES)):
+            cluster.network.processing_s[cluster.get_url(name)] = SLOW_CALL_S
+            await cluster.start(name, SLOW_STARTUP_S)
+        term = max(member.term for member in cluster.get_members())
+        leader = await cluster.wait_leader()
+        assert leader.term == term + 1
+
     @pytest.mark.parametrize("seed", range(1, 9))
     async def test_restarted_members_respect_lease_of_live_leader(
         self, seed, tmp_path, nursery, autojump_clock
--- a/medlarrail/testing/cluster.py
+++ b/medlarrail/testing/cluster.py
@@ -55,8 +55,11 @@
         """Return the URL of a member."""
         return f"mem://{name}"
 
-    async def start(self, name: str) -> LogMember:
-        """Start a member with the data in its folder."""
+    async def start(self, name: str, startup_s: float = 0.0) -> LogMember:
+        """Start a member with the data in its folder.
+
+        Its process has been starting for ``startup_s`` seconds.
+        """
         folder = DataFolder(self.path / name, self.quota_bytes, synced=False)
         member = LogMember(
             name=name,
@@ -67,6 +70,7 @@
             clock=trio.current_time,
             wall_clock=trio.current_time,
             snapshot_interval_entries=self.snapshot_interval_entries,
+            started_at=trio.current_time() - startup_s,
         )
         scope = trio.CancelScope()
         sessions = SessionManager(member)
