Reproduce the leader's work for hundreds of entries in failing tests

Entries that start together wait for their first answer for more than a second, and changes that follow each other wait for the answers to all entries.

--- a/medlarrail/cluster/leader_load_test.py
+++ b/medlarrail/cluster/leader_load_test.py
@@ -37,6 +37,10 @@
 RETRY_PAUSE_S = 0.1
 MAX_ACKNOWLEDGEMENT_S = 4.0
 """Time within which an operator's change has to be acknowledged."""
+MAX_STORM_ACKNOWLEDGEMENT_S = 1.0
+"""The same in a storm of changes, however many entries there are."""
+MAX_FIRST_ANSWER_S = 1.0
+"""Time after which a started entry has to know the document, once there is a leader."""
 MAX_VIEW_AGE_S = 3.0
 """Age from which on entries may have to refuse requests."""
 
@@ -56,6 +60,7 @@
 
     cluster: Cluster
     nursery: trio.Nursery
+    entry_count: int = ENTRY_COUNT
     view_servers: dict[str, ClusterViewServer] = field(factory=dict)
     views: list[ClusterView] = field(factory=list)
     reporters: list[CrashReporter] = field(factory=list)
@@ -76,7 +81,7 @@
                 self.cluster.network.hosts[host.member.url].add(handlers)
                 self.nursery.start_soon(handlers.run)
             self.cluster.network.processing_s[host.member.url] = CALL_PROCESSING_S
-        for number in range(ENTRY_COUNT):
+        for number in range(self.entry_count):
             await self.start_entry(f"entry-{number}")
             await trio.sleep(0.01)
         for number in range(ENDPOINT_COUNT):
@@ -159,3 +164,40 @@
         assert max(waits) < MAX_ACKNOWLEDGEMENT_S, waits
         assert max(ages) < MAX_VIEW_AGE_S, ages
         assert await loaded.cluster.wait_leader() is leader
+
+
+class TestHundredsOfEntries:
+    @pytest.fixture(params=[191, 390])
+    async def loaded(self, request, tmp_path, nursery, autojump_clock):
+        loaded = LoadedCluster(Cluster(tmp_path, nursery), nursery, request.param)
+        await loaded.start()
+        return loaded
+
+    async def test_entries_wait_seconds_for_the_document_after_a_power_loss(
+        self, loaded, autojump_clock
+    ):
+        """All entries started at the same time, and the leader answered them one after
+        another: the last ones had waited for so long that they called again."""
+        await loaded.replace_deployment(1)
+        loaded.views.clear()
+        for number in range(loaded.entry_count):
+            await loaded.start_entry(f"started-{number}")
+        began_at = trio.current_time()
+        while any(view.deployment is None for view in loaded.views):
+            await trio.sleep(0.05)
+        assert trio.current_time() - began_at < MAX_FIRST_ANSWER_S
+
+    async def test_storm_of_changes_delays_acknowledgements_by_the_entries(
+        self, loaded, autojump_clock
+    ):
+        """Each change woke the calls of all entries at the leader, and the next change
+        waited behind them. One member stands still."""
+        leader = await loaded.cluster.wait_leader()
+        followers = [name for name in MEMBERS if name != leader.name]
+        loaded.cluster.network.isolate(loaded.cluster.get_url(followers[0]))
+        waits = [await loaded.replace_deployment(version) for version in range(1, 16)]
+        assert max(waits) < MAX_STORM_ACKNOWLEDGEMENT_S, waits
+        await trio.sleep(MAX_VIEW_AGE_S)
+        assert {view.get_version() for view in loaded.views} == {15}
+        assert max(view.get_age_s() for view in loaded.views) < MAX_VIEW_AGE_S
+        assert await loaded.cluster.wait_leader() is leader
