Let followers answer the polls of many entries

Cause: each entry polled the leader, so its work grew with the entries and the rate of changes. Class of fault: one process does for each client what any of several processes could do.

With more than 24 entries each polls a state member of its own, chosen by rank. A follower answers from a copy of the leader's state that it updates with the same poll, in which it also reports the entries that call it. It does not answer from a copy older than 1.5 s or than what the entry has seen (epoch by term, revisions), nor entries that do not read the age of an answer. Few entries are answered by the leader as before.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -11,6 +11,7 @@
 import trio
 from attrs import define, field
 
+from medlarrail.cluster.member_choice import MemberChoice
 from medlarrail.cluster.state_client import StateClient
 from medlarrail.core.announcements import (
     Announcement,
@@ -29,7 +30,11 @@
 from medlarrail.core.errors import MedlarError
 from medlarrail.core.invariants import require
 from medlarrail.core.metrics import get_metrics
-from medlarrail.policy.notification import get_poll_timeout_s, get_poll_wait_s
+from medlarrail.policy.notification import (
+    MAX_DIRECT_ENTRIES,
+    get_poll_timeout_s,
+    get_poll_wait_s,
+)
 from medlarrail.protocol.cluster_view import (
     CLUSTER_VIEW_PATH,
     ClusterViewAnswer,
@@ -297,6 +302,7 @@
     ready: bool = False
     list_limited_services: Callable[[], tuple[str, ...]] = tuple
     """Returns the services of which this entry was told that they are limited."""
+    member_choice: MemberChoice = field(init=False)
     _epoch: str = ""
     _endpoints_seen: int = 0
     _entries_seen: int = 0
@@ -309,6 +315,7 @@
 
     def __attrs_post_init__(self):
         self._seeds = self.state.urls
+        self.member_choice = MemberChoice(self.name, self.cluster_view.clock)
 
     def set_seeds(self, urls: tuple[str, ...]) -> None:
         """Use these members in addition to those that a leader listed."""
@@ -324,18 +331,33 @@
         while True:
             sent_at = self.cluster_view.clock()
             wait_s = get_poll_wait_s(self.cluster_view.entry_count)
+            url = self.member_choice.pick_url(self.state.urls)
             try:
-                answer = await self.state.call_leader(
+                answer = await self.state.peers.call(
+                    url,
                     CLUSTER_VIEW_PATH,
                     self._build_request(wait_s),
                     ClusterViewAnswer,
-                    get_poll_timeout_s(wait_s),
+                    self._get_timeout_s(wait_s),
                 )
             except MedlarError as error:
                 self._record_failure(error)
-                await trio.sleep(RETRY_PAUSE_S)
+                if not self.member_choice.record_failure(url, error):
+                    await trio.sleep(RETRY_PAUSE_S)
                 continue
             self._apply_answer(answer, sent_at)
+            self.member_choice.record_answer(url, answer)
+
+    def _get_timeout_s(self, wait_s: float) -> float:
+        """Return the time limit of one poll.
+
+        With many entries each member answers few, and one that stands still must not
+        keep its entries from what the others know.
+        """
+        timeout_s = get_poll_timeout_s(wait_s)
+        if self.cluster_view.entry_count > MAX_DIRECT_ENTRIES:
+            return timeout_s / 2
+        return timeout_s
 
     async def report_readiness(self) -> None:
         """Report immediately to the leader whether this entry is ready."""
@@ -365,6 +387,7 @@
             wait_s=wait_s,
             work_address=self.work_address,
             limited_services=self.list_limited_services(),
+            reads_age=True,
         )
 
     def _apply_answer(self, answer: ClusterViewAnswer, sent_at: float) -> None:
@@ -373,7 +396,7 @@
         self._entries_seen = answer.entries_revision
         self._configuration_seen = answer.configuration_index
         self._suspects_seen = answer.suspects_revision
-        self.cluster_view.apply(answer, sent_at)
+        self.cluster_view.apply(answer, sent_at - answer.age_s)
         self.state.urls = tuple(dict.fromkeys((*answer.member_urls, *self._seeds)))
         if not self._connected:
             self._connected = True
--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -9,6 +9,7 @@
 from medlarrail.cluster.crash_ledger import CrashLedger
 from medlarrail.cluster.registry import EndpointRegistry
 from medlarrail.cluster.software_versions import SoftwareVersions
+from medlarrail.cluster.view_copy import ViewCopy
 from medlarrail.consensus.replication import LogMember
 from medlarrail.core.announcements import Announcement, RegisteredEntry
 from medlarrail.core.clock import Clock, get_boottime
@@ -68,12 +69,11 @@
 
 @define
 class EntryRecord:
-    """An entry with the time of its last call."""
+    """An entry with the time of its last call, to this member or to a follower."""
 
     registered: RegisteredEntry
     ready: bool
     last_call_at: float
-    revision: int = 0
 
 
 @frozen
@@ -96,6 +96,8 @@
     registry: EndpointRegistry = field(init=False)
     crash_ledger: CrashLedger = field(init=False)
     software_versions: SoftwareVersions = field(init=False)
+    view_copy: ViewCopy = field(init=False)
+    """From which this member answers entries while it follows."""
     entries: dict[str, EntryRecord] = field(factory=dict)
     entries_revision: int = 0
     configuration_index: int = field(init=False)
@@ -111,6 +113,7 @@
         self.registry = EndpointRegistry(self.clock)
         self.crash_ledger = CrashLedger(self.clock)
         self.software_versions = SoftwareVersions(self)
+        self.view_copy = ViewCopy(self.member, self.clock)
         self.configuration_index = self.member.catalogue.index
         self.member.apply_listeners.append(self._on_applied)
 
@@ -300,9 +303,11 @@
     async def handle_cluster_view(self, request: Request) -> ClusterViewAnswer:
         """Return the changes since the entry's last call, waiting if there are none."""
         message: ClusterViewRequest = request.message
+        if self.member.leadership is None:
+            return await self.view_copy.answer_entry(message)
         await self.member.confirm_reads()
         self.require_leading()
-        self._record_entry(message)
+        self._record_call(message)
         with trio.move_on_after(min(message.wait_s, MAX_POLL_WAIT_S)):
             while not self._has_changes(message):
                 await self._changed.wait()
@@ -313,28 +318,44 @@
     def _get_epoch(self) -> str:
         return f"{self.member.identity}-{self._term}"
 
-    def _record_entry(self, message: ClusterViewRequest) -> None:
-        registered = RegisteredEntry(
-            message.entry, message.address, message.data_centre, message.work_address
-        )
-        previous = self.entries.get(message.entry)
+    def _record_call(self, message: ClusterViewRequest) -> None:
+        """Record the entry that calls, or those that a follower reports."""
         now = self.clock()
+        if message.reports is None:
+            entry = RegisteredEntry(
+                message.entry,
+                message.address,
+                message.data_centre,
+                message.work_address,
+            )
+            self._record_entry(EntryRecord(entry, message.ready, now))
+            self._limited_at.update(dict.fromkeys(message.limited_services, now))
+            return
+        for report in message.reports:
+            called_at = now - report.age_s
+            self._record_entry(EntryRecord(report.entry, report.ready, called_at))
+            for service in report.limited_services:
+                latest = max(called_at, self._limited_at.get(service, called_at))
+                self._limited_at[service] = latest
+
+    def _record_entry(self, record: EntryRecord) -> None:
+        """Record an entry's call unless a later one is known."""
+        name = record.registered.name
+        previous = self.entries.get(name)
+        if previous is not None and previous.last_call_at > record.last_call_at:
+            return
         listed = (
             previous is not None
-            and now - previous.last_call_at <= self._get_entry_timeout_s()
+            and self.clock() - previous.last_call_at <= self._get_entry_timeout_s()
         )
-        self._limited_at.update(dict.fromkeys(message.limited_services, now))
-        record = EntryRecord(registered, message.ready, now)
-        self.entries[message.entry] = record
+        self.entries[name] = record
         unchanged = (
             listed
             and previous.ready == record.ready
-            and previous.registered == registered
+            and previous.registered == record.registered
         )
         if not unchanged:
-            eliot.log_message(
-                "entry:connected", entry=message.entry, ready=message.ready
-            )
+            eliot.log_message("entry:connected", entry=name, ready=record.ready)
             self.entries_revision += 1
             self.notify_waiters()
 
@@ -388,6 +409,7 @@
                 catalogue.list_software_versions() if configured else None
             ),
             member_urls=tuple(info.url for info in self.member.journal.get_members()),
+            takes_reports=True,
         )
 
     def _list_limited_services(self) -> tuple[str, ...]:
@@ -411,6 +433,7 @@
         """Publish changes, and remove silent entries and endpoints while leading."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._publish_when_due)
+            nursery.start_soon(self.view_copy.run)
             await self._remove_expired()
 
     async def _remove_expired(self) -> None:
--- /dev/null
+++ b/medlarrail/cluster/view_copy.py
@@ -0,0 +1,360 @@
+"""A follower's copy of the leader's cluster state, from which it answers entries.
+
+The copy is updated by the same long poll with which entries update their views. It is
+only kept up to date while entries call, and is not used when it is older than
+``MAX_COPY_AGE_S`` or than what the entry has seen already.
+"""
+
+import eliot
+import trio
+from attrs import define, evolve, field
+
+from medlarrail.cluster.registry import DEPARTED_RETENTION_S, DepartedEndpoint
+from medlarrail.consensus.replication import LogMember
+from medlarrail.core.announcements import RegisteredEndpoint, RegisteredEntry
+from medlarrail.core.clock import Clock, get_boottime
+from medlarrail.core.errors import MedlarError, NotLeader
+from medlarrail.core.metrics import get_metrics
+from medlarrail.policy.notification import (
+    MAX_COPY_AGE_S,
+    MAX_POLL_WAIT_S,
+    MIN_POLL_WAIT_S,
+    POLL_SLACK_S,
+    answers_entries,
+)
+from medlarrail.protocol.cluster_view import (
+    CLUSTER_VIEW_PATH,
+    ClusterViewAnswer,
+    ClusterViewRequest,
+    EntryReport,
+)
+
+CALLER_TIMEOUT_S = 2.5
+"""Silence after which an entry is not counted as a caller: longer than its polls."""
+UPDATE_WAIT_S = 0.25
+"""Time for which the leader holds a follower's call without news. It adds to the age of
+what entries know."""
+REPORT_DELAY_S = 0.04
+"""Time for which calls of new entries are collected for one report."""
+RETRY_PAUSE_S = 0.05
+
+
+def get_term(epoch: str) -> int:
+    """Return the term in an epoch, or -1 if there is none.
+
+    >>> get_term("589ff76661d37af8-3"), get_term("")
+    (3, -1)
+    """
+    term = epoch.rpartition("-")[2]
+    return int(term) if term.isdecimal() else -1
+
+
+@define
+class Caller:
+    """An entry that calls this member, and which of its calls were reported."""
+
+    entry: RegisteredEntry
+    ready: bool
+    limited_services: tuple[str, ...]
+    called_at: float
+    reported_at: float = float("-inf")
+    """Time of the latest call that the leader was told of."""
+
+
+@define
+class CopiedEndpoint:
+    """An endpoint as the leader listed it, and when."""
+
+    registered: RegisteredEndpoint
+    received_at: float
+
+
+@define(eq=False)
+class ViewCopy:
+    """The copy that ``member`` keeps while it does not lead."""
+
+    member: LogMember
+    clock: Clock = get_boottime
+    answer: ClusterViewAnswer | None = None
+    """All that the leader answered, but for the endpoints; None before it did."""
+    endpoints: dict[str, CopiedEndpoint] = field(factory=dict)
+    departed: dict[str, DepartedEndpoint] = field(factory=dict)
+    """Endpoints that left, with the revision at which this member knew."""
+    callers: dict[str, Caller] = field(factory=dict)
+    confirmed_at: float = float("-inf")
+    """Send time of the latest call that the leader answered."""
+    _changed: trio.Event = field(factory=trio.Event)
+    _call_received: trio.Event = field(factory=trio.Event)
+    _report_due: trio.Event = field(factory=trio.Event)
+
+    # Calls from entries.
+
+    async def answer_entry(self, message: ClusterViewRequest) -> ClusterViewAnswer:
+        """Return what changed since the entry's last call, waiting if nothing did.
+
+        Raises ``NotLeader`` if the entry has to call another member.
+        """
+        if not message.reads_age or message.reports is not None:
+            raise self._build_redirect()
+        arrived_at = self.clock()
+        self._record_call(message)
+        if not self._answers_entries():
+            raise self._build_redirect()
+        with trio.move_on_after(min(message.wait_s, MAX_POLL_WAIT_S)):
+            while not (self._is_usable(message) and self._has_changes(message)):
+                await self._changed.wait()
+        if not self._is_usable(message):
+            get_metrics().count("view_copies_outdated")
+            raise NotLeader()
+        answer = self._build_answer(message)
+        return evolve(answer, age_s=arrived_at - self.confirmed_at)
+
+    def _build_redirect(self) -> NotLeader:
+        leader = self.member.leader
+        return NotLeader(leader_url=leader.url if leader else "")
+
+    def _answers_entries(self) -> bool:
+        entry_count = 1 if self.answer is None else self.answer.entry_count
+        return bool(self.callers) and answers_entries(entry_count, len(self.callers))
+
+    def _record_call(self, message: ClusterViewRequest) -> None:
+        self._remove_silent_callers()
+        entry = RegisteredEntry(
+            message.entry, message.address, message.data_centre, message.work_address
+        )
+        caller = Caller(entry, message.ready, message.limited_services, self.clock())
+        previous = self.callers.get(message.entry)
+        self.callers[message.entry] = caller
+        self._call_received.set()
+        if (
+            previous is None
+            or previous.entry != entry
+            or previous.ready != caller.ready
+            or previous.limited_services != caller.limited_services
+        ):
+            self._report_due.set()
+
+    def _remove_silent_callers(self) -> None:
+        now = self.clock()
+        for name, caller in list(self.callers.items()):
+            if now - caller.called_at > CALLER_TIMEOUT_S:
+                del self.callers[name]
+
+    def _is_usable(self, message: ClusterViewRequest) -> bool:
+        """Return whether the copy is recent, and not older than what the entry saw."""
+        answer = self.answer
+        if answer is None or self.member.leadership is not None:
+            return False
+        if self.clock() - self.confirmed_at > MAX_COPY_AGE_S:
+            return False
+        if message.epoch != answer.epoch:
+            return get_term(message.epoch) < get_term(answer.epoch)
+        return (
+            message.endpoints_seen <= answer.endpoints_revision
+            and message.entries_seen <= answer.entries_revision
+            and message.configuration_seen <= answer.configuration_index
+            and message.suspects_seen <= answer.suspects_revision
+        )
+
+    def _has_changes(self, message: ClusterViewRequest) -> bool:
+        answer = self.answer
+        return (
+            message.epoch != answer.epoch
+            or message.endpoints_seen < answer.endpoints_revision
+            or message.entries_seen < answer.entries_revision
+            or message.configuration_seen < answer.configuration_index
+            or message.suspects_seen < answer.suspects_revision
+        )
+
+    def _build_answer(self, message: ClusterViewRequest) -> ClusterViewAnswer:
+        answer = self.answer
+        whole = message.epoch != answer.epoch
+        since = 0 if whole else message.endpoints_seen
+        listed = whole or message.entries_seen < answer.entries_revision
+        configured = whole or message.configuration_seen < answer.configuration_index
+        suspected = whole or message.suspects_seen < answer.suspects_revision
+        document = answer.deployment
+        newer = document is not None and document.version > message.deployment_version
+        get_metrics().count("views_sent", whole=str(whole))
+        return evolve(
+            answer,
+            whole=whole,
+            endpoints=tuple(self._iterate_changed(since)),
+            departed=tuple(
+                name
+                for name, departure in self.departed.items()
+                if departure.revision > since
+            ),
+            entries=answer.entries if listed else None,
+            deployment=document if newer else None,
+            suspects=answer.suspects if suspected else None,
+            trial_requests=answer.trial_requests if suspected else None,
+            blocked=answer.blocked if configured else None,
+            software_versions=answer.software_versions if configured else None,
+        )
+
+    def _iterate_changed(self, since: int):
+        now = self.clock()
+        for copied in self.endpoints.values():
+            registered = copied.registered
+            if registered.revision > since:
+                passed_ms = int((now - copied.received_at) * 1000)
+                yield evolve(registered, cold_ms=max(0, registered.cold_ms - passed_ms))
+
+    # Calls to the leader.
+
+    async def run(self) -> None:
+        """Keep the copy up to date while entries call, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._report_new_calls)
+            nursery.start_soon(self._expire)
+            while True:
+                self._remove_silent_callers()
+                if self._answers_entries():
+                    await self._update(UPDATE_WAIT_S)
+                else:
+                    await self._call_received.wait()
+                    self._call_received = trio.Event()
+
+    async def _report_new_calls(self) -> None:
+        while True:
+            await self._report_due.wait()
+            await trio.sleep(REPORT_DELAY_S)
+            self._report_due = trio.Event()
+            if self._answers_entries():
+                await self._update(wait_s=0.0)
+
+    async def _expire(self) -> None:
+        """Wake the held calls when the copy has become too old for them."""
+        while True:
+            await trio.sleep(MIN_POLL_WAIT_S)
+            if self.clock() - self.confirmed_at > MAX_COPY_AGE_S:
+                self._notify()
+
+    async def _update(self, wait_s: float) -> None:
+        leader = self.member.leader
+        if leader is None or self.member.leadership is not None:
+            await trio.sleep(RETRY_PAUSE_S)
+            return
+        sent_at = self.clock()
+        try:
+            answer = await self.member.peers.call(
+                leader.url,
+                CLUSTER_VIEW_PATH,
+                self._build_request(wait_s),
+                ClusterViewAnswer,
+                wait_s + POLL_SLACK_S,
+            )
+        except MedlarError as error:
+            get_metrics().count("view_copy_failures", type=type(error).__name__)
+            await trio.sleep(RETRY_PAUSE_S)
+            return
+        self._apply(answer, sent_at)
+
+    def _build_request(self, wait_s: float) -> ClusterViewRequest:
+        answer = self.answer
+        seen = {}
+        if answer is not None:
+            seen = {
+                "epoch": answer.epoch,
+                "endpoints_seen": answer.endpoints_revision,
+                "entries_seen": answer.entries_revision,
+                "configuration_seen": answer.configuration_index,
+                "suspects_seen": answer.suspects_revision,
+                "deployment_version": (
+                    -1 if answer.deployment is None else answer.deployment.version
+                ),
+            }
+        return ClusterViewRequest(
+            entry=self.member.name,
+            address="",
+            data_centre="",
+            ready=False,
+            wait_s=wait_s,
+            reports=tuple(self._iterate_reports()),
+            **seen,
+        )
+
+    def _iterate_reports(self):
+        """Yield the calls that the leader has not been told of."""
+        now = self.clock()
+        for caller in self.callers.values():
+            if caller.called_at > caller.reported_at:
+                yield EntryReport(
+                    caller.entry,
+                    caller.ready,
+                    now - caller.called_at,
+                    caller.limited_services,
+                )
+
+    def _apply(self, answer: ClusterViewAnswer, sent_at: float) -> None:
+        previous = self.answer
+        if not answer.takes_reports or self._is_outdated(answer):
+            return
+        is_new_epoch = previous is None or previous.epoch != answer.epoch
+        for caller in self.callers.values():
+            if is_new_epoch:
+                caller.reported_at = float("-inf")
+            elif caller.called_at <= sent_at:
+                caller.reported_at = caller.called_at
+        if is_new_epoch:
+            self._report_due.set()
+            eliot.log_message(
+                "view-copy:following", member=self.member.name, epoch=answer.epoch
+            )
+        self._apply_endpoints(answer, is_new_epoch)
+        self.answer = answer if is_new_epoch else _merge(previous, answer)
+        self.confirmed_at = max(self.confirmed_at, sent_at)
+        self._notify()
+
+    def _is_outdated(self, answer: ClusterViewAnswer) -> bool:
+        """Return whether another call was answered with a newer state meanwhile."""
+        previous = self.answer
+        if previous is None:
+            return not answer.whole
+        if previous.epoch != answer.epoch:
+            is_older = get_term(answer.epoch) <= get_term(previous.epoch)
+            return is_older or not answer.whole
+        return (
+            answer.endpoints_revision < previous.endpoints_revision
+            or answer.entries_revision < previous.entries_revision
+            or answer.configuration_index < previous.configuration_index
+            or answer.suspects_revision < previous.suspects_revision
+        )
+
+    def _apply_endpoints(self, answer: ClusterViewAnswer, is_new_epoch: bool) -> None:
+        if is_new_epoch:
+            self.endpoints.clear()
+            self.departed.clear()
+        now = self.clock()
+        for name, departure in list(self.departed.items()):
+            if now - departure.departed_at > DEPARTED_RETENTION_S:
+                del self.departed[name]
+        for name in answer.departed:
+            self.endpoints.pop(name, None)
+            self.departed[name] = DepartedEndpoint(0, now, answer.endpoints_revision)
+        for registered in answer.endpoints:
+            name = registered.announced.name
+            self.endpoints[name] = CopiedEndpoint(registered, now)
+            self.departed.pop(name, None)
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+
+def _merge(previous: ClusterViewAnswer, answer: ClusterViewAnswer) -> ClusterViewAnswer:
+    """Return ``answer`` with what it leaves out because it has not changed."""
+    unchanged = {
+        name: getattr(previous, name)
+        for name in (
+            "entries",
+            "deployment",
+            "suspects",
+            "trial_requests",
+            "blocked",
+            "software_versions",
+        )
+        if getattr(answer, name) is None
+    }
+    return evolve(answer, **unchanged)
--- /dev/null
+++ b/medlarrail/cluster/view_copy_test.py
@@ -0,0 +1,288 @@
+"""Tests of followers that answer entries from copies of the leader's state."""
+
+import pytest
+import trio
+from attrs import define, evolve, field
+
+from medlarrail.cluster.cluster_view import ClusterView, ClusterViewClient
+from medlarrail.cluster.cluster_view_server import SETTLE_S, ClusterViewServer
+from medlarrail.cluster.member_choice import MemberChoice
+from medlarrail.cluster.state_client import StateClient
+from medlarrail.cluster.view_copy import get_term
+from medlarrail.core.errors import NotLeader, PeerTimeout
+from medlarrail.policy.notification import (
+    MAX_COPY_AGE_S,
+    MAX_DIRECT_ENTRIES,
+    get_entry_timeout_s,
+)
+from medlarrail.protocol.cluster_view import (
+    CLUSTER_VIEW_PATH,
+    ClusterViewAnswer,
+    ClusterViewRequest,
+)
+from medlarrail.testing.builders import build_announcement, build_deployment
+from medlarrail.testing.cluster import Cluster
+
+NAMES = ("a", "b", "c", "d", "e")
+URLS = tuple(f"mem://{name}" for name in NAMES)
+ENTRY_COUNT = 3 * MAX_DIRECT_ENTRIES
+MAX_CHANGE_S = 2.0
+"""Time within which every entry has to know a change of the document."""
+
+
+@define(eq=False)
+class Fleet:
+    """State members and many entries that poll them."""
+
+    cluster: Cluster
+    nursery: trio.Nursery
+    view_servers: dict[str, ClusterViewServer] = field(factory=dict)
+    clients: dict[str, ClusterViewClient] = field(factory=dict)
+    scopes: dict[str, trio.CancelScope] = field(factory=dict)
+
+    async def start(self, entry_count: int = ENTRY_COUNT) -> None:
+        await self.cluster.bootstrap(*NAMES)
+        for name, host in self.cluster.hosts.items():
+            view_server = ClusterViewServer(host.member, clock=trio.current_time)
+            self.view_servers[name] = view_server
+            self.cluster.network.hosts[host.member.url].add(view_server)
+            self.nursery.start_soon(view_server.run)
+        for number in range(entry_count):
+            self.start_entry(f"entry-{number}")
+        await trio.sleep(SETTLE_S + 2)
+
+    def start_entry(self, name: str) -> ClusterViewClient:
+        state = StateClient(self.cluster.network.connect(f"mem://{name}"), URLS)
+        view = ClusterView(trio.current_time)
+        client = ClusterViewClient(view, state, name, f"{name}:80", "leith", ready=True)
+        scope = trio.CancelScope()
+
+        async def run() -> None:
+            with scope:
+                await client.run()
+
+        self.nursery.start_soon(run)
+        self.clients[name] = client
+        self.scopes[name] = scope
+        return client
+
+    async def get_leader(self) -> ClusterViewServer:
+        leader = await self.cluster.wait_leader()
+        return self.view_servers[leader.name]
+
+    def find_follower(self) -> ClusterViewServer:
+        """Return a follower that answers entries."""
+        return next(
+            server
+            for server in self.view_servers.values()
+            if server.view_copy.callers and server.member.leadership is None
+        )
+
+    def list_versions(self) -> set[int]:
+        return {client.cluster_view.get_version() for client in self.clients.values()}
+
+    async def call(self, server: ClusterViewServer, **changes) -> ClusterViewAnswer:
+        request = ClusterViewRequest("probe", "probe:80", "leith", ready=False)
+        peers = self.cluster.network.connect("mem://probe")
+        return await peers.call(
+            server.member.url,
+            CLUSTER_VIEW_PATH,
+            evolve(request, **changes),
+            ClusterViewAnswer,
+            5.0,
+        )
+
+
+@pytest.fixture
+async def fleet(tmp_path, nursery, autojump_clock):
+    fleet = Fleet(Cluster(tmp_path, nursery), nursery)
+    await fleet.start()
+    return fleet
+
+
+class TestViewCopy:
+    async def test_leader_answers_all_entries_by_itself(self, fleet, autojump_clock):
+        leader = await fleet.get_leader()
+        callers = {
+            name
+            for server in fleet.view_servers.values()
+            if server is not leader
+            for name in server.view_copy.callers
+        }
+        assert len(callers) > ENTRY_COUNT / 2
+        for client in fleet.clients.values():
+            assert len(client.cluster_view.entries) == ENTRY_COUNT
+
+    async def test_few_entries_are_answered_by_the_leader(
+        self, tmp_path, nursery, autojump_clock
+    ):
+        fleet = Fleet(Cluster(tmp_path, nursery), nursery)
+        await fleet.start(entry_count=6)
+        for server in fleet.view_servers.values():
+            assert server.view_copy.answer is None
+
+    async def test_change_reaches_entries_late_through_followers(
+        self, fleet, autojump_clock
+    ):
+        leader = await fleet.get_leader()
+        await leader.replace_deployment(build_deployment(version=4))
+        leader.record_announcement(build_announcement())
+        await trio.sleep(MAX_CHANGE_S)
+        assert fleet.list_versions() == {4}
+        for client in fleet.clients.values():
+            assert set(client.cluster_view.endpoints) == {"engine-1"}
+        leader.record_departure("engine-1")
+        await trio.sleep(MAX_CHANGE_S)
+        assert not any(
+            client.cluster_view.endpoints for client in fleet.clients.values()
+        )
+
+    async def test_departed_endpoint_is_used_again_after_another_member_answers(
+        self, fleet, autojump_clock
+    ):
+        """An endpoint came and went between two calls of a follower, which therefore
+        did not know it, but one of its entries had heard of it from the leader."""
+        leader = await fleet.get_leader()
+        follower = fleet.find_follower()
+        epoch = follower.view_copy.answer.epoch
+        seen = follower.view_copy.answer.endpoints_revision
+        leader.registry.record_announcement(build_announcement())
+        seen_by_entry = leader.registry.revision
+        leader.registry.remove("engine-1")
+        leader.notify_waiters()
+        assert seen_by_entry > seen
+        answer = await fleet.call(
+            follower,
+            epoch=epoch,
+            endpoints_seen=seen_by_entry,
+            entries_seen=follower.view_copy.answer.entries_revision,
+            configuration_seen=follower.view_copy.answer.configuration_index,
+            reads_age=True,
+            wait_s=1.0,
+        )
+        assert "engine-1" in answer.departed
+
+    async def test_partitioned_follower_answers_with_an_old_document(
+        self, fleet, autojump_clock
+    ):
+        """Only the followers' calls to the leader are cut off."""
+        leader = await fleet.get_leader()
+        follower = fleet.find_follower()
+        for server in fleet.view_servers.values():
+            if server is not follower:
+                fleet.cluster.network.cut.add((follower.member.url, server.member.url))
+        await leader.replace_deployment(build_deployment(version=7))
+        await trio.sleep(MAX_COPY_AGE_S + MAX_CHANGE_S)
+        assert fleet.list_versions() == {7}
+        with pytest.raises(NotLeader):
+            await fleet.call(follower, reads_age=True, wait_s=0.1)
+
+    async def test_frozen_follower_keeps_its_entries_from_a_change(
+        self, fleet, autojump_clock
+    ):
+        leader = await fleet.get_leader()
+        follower = fleet.find_follower()
+        fleet.cluster.network.isolate(follower.member.url)
+        for name in fleet.clients:
+            fleet.cluster.network.cut.add((f"mem://{name}", follower.member.url))
+        await leader.replace_deployment(build_deployment(version=8))
+        await trio.sleep(MAX_CHANGE_S)
+        assert fleet.list_versions() == {8}
+
+    async def test_follower_behind_the_entry_takes_its_view_back(
+        self, fleet, autojump_clock
+    ):
+        follower = fleet.find_follower()
+        answer = follower.view_copy.answer
+        with pytest.raises(NotLeader):
+            await fleet.call(
+                follower,
+                epoch=answer.epoch,
+                endpoints_seen=answer.endpoints_revision + 5,
+                reads_age=True,
+                wait_s=0.3,
+            )
+        with pytest.raises(NotLeader):
+            await fleet.call(
+                follower,
+                epoch=f"x-{get_term(answer.epoch) + 1}",
+                reads_age=True,
+                wait_s=0.3,
+            )
+
+    async def test_older_entry_takes_a_copy_for_the_leaders_word(
+        self, fleet, autojump_clock
+    ):
+        """An entry that does not read the age of an answer counts it from its call."""
+        with pytest.raises(NotLeader) as raised:
+            await fleet.call(fleet.find_follower(), wait_s=0.1)
+        assert raised.value.leader_url
+
+    async def test_entry_that_left_stays_listed_through_its_follower(
+        self, fleet, autojump_clock
+    ):
+        fleet.scopes.pop("entry-3").cancel()
+        fleet.clients.pop("entry-3")
+        await trio.sleep(get_entry_timeout_s(ENTRY_COUNT) + MAX_CHANGE_S)
+        for client in fleet.clients.values():
+            names = {entry.name for entry in client.cluster_view.entries}
+            assert names == set(fleet.clients)
+
+    async def test_draining_entry_is_listed_again_by_a_late_report(
+        self, fleet, autojump_clock
+    ):
+        """A follower reported an earlier call after the entry had told the leader."""
+        client = fleet.clients["entry-5"]
+        client.ready = False
+        await client.report_readiness()
+        for _ in range(40):
+            await trio.sleep(0.05)
+            leader = await fleet.get_leader()
+            assert not leader.entries["entry-5"].ready
+
+    async def test_entries_go_on_after_the_leader_is_lost(self, fleet, autojump_clock):
+        leader = await fleet.get_leader()
+        await leader.replace_deployment(build_deployment(version=2))
+        fleet.cluster.kill(leader.member.name)
+        leader = await fleet.get_leader()
+        await leader.replace_deployment(build_deployment(version=3))
+        await trio.sleep(MAX_CHANGE_S)
+        assert fleet.list_versions() == {3}
+        await trio.sleep(SETTLE_S + 1)
+        for client in fleet.clients.values():
+            assert len(client.cluster_view.entries) == ENTRY_COUNT
+            assert client.cluster_view.get_age_s() < MAX_CHANGE_S
+
+
+class TestMemberChoice:
+    @pytest.fixture
+    def choice(self) -> MemberChoice:
+        self.now = 0.0
+        return MemberChoice("entry-1", lambda: self.now)
+
+    def test_two_members_name_each_other_without_a_pause(self, choice):
+        first = choice.pick_url(URLS)
+        assert choice.record_failure(first, NotLeader(leader_url="mem://x"))
+        assert choice.pick_url(URLS) == "mem://x"
+        assert not choice.record_failure("mem://x", NotLeader(leader_url=first))
+
+    def test_silent_member_is_called_again_at_once(self, choice):
+        first = choice.pick_url(URLS)
+        assert choice.record_failure(first, PeerTimeout(url=first))
+        assert choice.pick_url(URLS) != first
+
+    def test_silent_members_are_called_without_a_pause(self, choice):
+        called = []
+        for _ in URLS:
+            called.append(choice.pick_url(URLS))
+            assert choice.record_failure(called[-1], PeerTimeout(url=called[-1]))
+        assert set(called) == set(URLS)
+        again = choice.pick_url(URLS)
+        assert not choice.record_failure(again, PeerTimeout(url=again))
+
+    def test_entries_start_at_the_same_member(self):
+        first = {
+            MemberChoice(f"entry-{number}", lambda: 0.0).pick_url(URLS)
+            for number in range(50)
+        }
+        assert first == set(URLS)
--- a/medlarrail/policy/notification.py
+++ b/medlarrail/policy/notification.py
@@ -1,12 +1,28 @@
-"""Limits the messages between the leading state member and all entries.
+"""Limits the messages between a state member and the entries that call it.
 
 Handles events that every entry notices at the same moment, as the loss of a data
 centre: each of them reports each of its endpoints, each report changes what all entries
 have to know, and a message to each entry for each change would grow with the square of
 their number. Changes are therefore collected for a time that is proportional to the
-number of entries. The first change after a calm time is sent at once.
+number of callers. The first change after a calm time is sent at once.
+
+Also handles the start of all entries at the same time, as after a loss of power: a
+leader that answers each of hundreds by itself keeps the last ones waiting for seconds.
+With many entries all state members answer, the followers from copies of the leader's
+state that are not older than ``MAX_COPY_AGE_S``.
 """
 
+MAX_DIRECT_ENTRIES = 24
+"""Entries up to which the leader answers all of them: about as many as each member
+answers at the target size."""
+MAX_REDIRECTED_ENTRIES = 8
+"""Entries that a follower without a copy sends to the leader, which may be all of a
+small deployment; it answers further ones itself."""
+MAX_COPY_AGE_S = 1.5
+"""Age from which on a follower's copy is not used: two of its calls that fail."""
+AVOIDANCE_S = 5.0
+"""Time for which an entry does not call a follower that did not answer it."""
+
 MAX_UPDATES_PER_S = 120.0
 """Maximum messages per second to or from all entries together, for one kind of
 message: updates, polls without news, and reports. All of them together take a state
@@ -23,6 +39,15 @@
 """Allowance for differences in the delay of two polls."""
 
 
+def answers_entries(entry_count: int, caller_count: int) -> bool:
+    """Return whether a follower that so many entries call answers them itself.
+
+    >>> answers_entries(7, 3), answers_entries(191, 3), answers_entries(1, 60)
+    (False, True, True)
+    """
+    return entry_count > MAX_DIRECT_ENTRIES or caller_count > MAX_REDIRECTED_ENTRIES
+
+
 def get_report_interval_s(entry_count: int) -> float:
     """Return the time between two reports of the same entry.
 
@@ -64,7 +89,8 @@
 def get_entry_timeout_s(entry_count: int) -> float:
     """Return the silence after which an entry is taken for gone.
 
-    One poll may be lost with its connection.
+    One poll may be lost with its connection, and a follower may report it later.
     """
     wait_s = get_poll_wait_s(entry_count)
-    return wait_s + get_poll_timeout_s(wait_s) / 2 + ARRIVAL_MARGIN_S
+    report_s = MAX_POLL_WAIT_S if entry_count > MAX_DIRECT_ENTRIES else 0.0
+    return wait_s + get_poll_timeout_s(wait_s) / 2 + report_s + ARRIVAL_MARGIN_S
--- a/medlarrail/protocol/cluster_view.py
+++ b/medlarrail/protocol/cluster_view.py
@@ -1,7 +1,9 @@
-"""Messages of an entry's long poll for cluster state at the leading state member.
+"""Messages of an entry's long poll for cluster state at a state member.
 
 One call does three things: it is the entry's heartbeat, it requests the changes
-since the previous call, and it waits for some time if there are none.
+since the previous call, and it waits for some time if there are none. The leader
+answers, or a follower from its copy of the leader's state. Followers update that copy
+with the same call, in which they also report the entries that call them.
 """
 
 from attrs import frozen
@@ -38,6 +40,16 @@
     limit_per_s: float | None = None
 
 
+@frozen
+class EntryReport:
+    """An entry's call to a follower, which it received ``age_s`` seconds ago."""
+
+    entry: RegisteredEntry
+    ready: bool
+    age_s: float
+    limited_services: tuple[str, ...] = ()
+
+
 @frozen
 class ClusterViewRequest:
     """The revisions that the entry has; ``wait_s`` bounds the wait for newer ones.
@@ -63,6 +75,10 @@
     limited_services: tuple[str, ...] = ()
     """Services whose endpoints told this entry that they fall over if they have to
     reject many requests."""
+    reads_age: bool = False
+    """Whether the caller considers ``age_s``, so that a follower may answer."""
+    reports: tuple[EntryReport, ...] | None = None
+    """The calls that a follower received; None from an entry."""
 
 
 @frozen
@@ -73,7 +89,9 @@
     every endpoint and entry yet, so none may be removed for not being listed.
     ``whole`` means that ``endpoints`` lists all endpoints and not only those that
     changed. ``entries`` is None if nothing changed, and ``deployment`` is None if
-    the entry has the latest version.
+    the entry has the latest version. ``age_s`` is the time from the latest call of a
+    follower that the leader answered to the arrival of the entry's call, negative if
+    the entry's was the earlier one.
     """
 
     epoch: str
@@ -103,3 +121,6 @@
     """Services whose endpoints told any entry so."""
     desired: tuple[DesiredVersion, ...] = ()
     member_urls: tuple[str, ...] = ()
+    age_s: float = 0.0
+    takes_reports: bool = False
+    """Whether the leader takes the reports of followers."""
