Do not end a stream as complete after an answer that does not go on with it

Callers got three of eight events and the last chunk of a complete stream: the stream had broken off, and the endpoint that was asked to go on with it answered 204, a success without events, or one that began again at the first event.

Cause: any success without a partial event counted as the rest of the stream. After the first events only a 200 with further events does now; ids increase within a stream, so one that is not higher than the last shows a new beginning. Other answers are failures like those of other statuses: a third endpoint is asked or the stream is broken off visibly. A caller that has all events and resumes gets the endpoint's own empty answer as before. An endpoint that lost its stream after the last event but before its end is told apart from a lost rest by nothing, so such a stream is broken off, too.

--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -23,7 +23,7 @@
 )
 from medlarrail.core.metrics import get_metrics
 from medlarrail.relay.endpoint_stats import ColdSend
-from medlarrail.relay.events import EventSplitter
+from medlarrail.relay.events import EventSplitter, goes_on
 from medlarrail.relay.headers import iterate_end_to_end
 from medlarrail.relay.inbound import ServerExchange
 from medlarrail.relay.metadata import (
@@ -234,7 +234,9 @@
         self, connection: OutboundConnection, head: AnswerHead
     ) -> None:
         is_stream = self.relayed.admission.route.kind == "stream"
-        if is_stream and head.status < 300:
+        # What goes on after the first events can only be further events.
+        max_status = 200 if self.relayed.exchange.started else 299
+        if is_stream and head.status <= max_status:
             await self._relay_stream(connection, head)
         else:
             await self._relay_buffered(connection, head)
@@ -362,16 +364,21 @@
         failed = failure_status is not None and head.status >= failure_status
         if failed or self.relayed.exchange.started:
             self.relayed.fallback_answer = answer
-            raise EndpointFailed(
-                endpoint=self.endpoint.announced.name, answered=head.status
-            )
+            raise self._build_failure(head)
         await answer.send(self.relayed.exchange)
 
     async def _relay_stream(
         self, connection: OutboundConnection, head: AnswerHead
     ) -> None:
-        """Relay complete events as they arrive."""
+        """Relay complete events as they arrive.
+
+        Raises ``EndpointFailed`` for an answer that does not go on with the stream
+        that another endpoint began: one without events does not show that this was
+        complete.
+        """
         exchange = self.relayed.exchange
+        continues = exchange.started
+        previous_id = self.relayed.last_event_id
         splitter = EventSplitter(self.relayed.last_event_id)
         resumable = self.relayed.admission.route.resumable
         try:
@@ -384,6 +391,8 @@
                             limit_bytes=MAX_EVENT_BYTES,
                         )
                     if events := splitter.split(part):
+                        if continues and not goes_on(events, previous_id):
+                            raise self._build_failure(head)
                         if not self.first_byte_s:
                             self._record_stream_begun()
                         self._record_first_byte()
@@ -392,6 +401,8 @@
                         self.relayed.last_event_id = splitter.last_id
             if splitter.has_partial_event:
                 raise StreamBroken(endpoint=self.endpoint.announced.name)
+            if continues and splitter.last_id == previous_id:
+                raise self._build_failure(head)
         except StreamBroken:
             get_metrics().count("streams_broken", resumable=str(resumable))
             raise
@@ -404,6 +415,11 @@
             raise EndUnproven(endpoint=self.endpoint.announced.name)
         await exchange.end()
 
+    def _build_failure(self, head: AnswerHead) -> EndpointFailed:
+        return EndpointFailed(
+            endpoint=self.endpoint.announced.name, answered=head.status
+        )
+
     def _record_stream_begun(self) -> None:
         """Record which software version the events come from, before the first."""
         self.relayed.stream_version.record_begun(self.endpoint.announced)
--- a/medlarrail/relay/events.py
+++ b/medlarrail/relay/events.py
@@ -6,6 +6,23 @@
 LONGEST_BOUNDARY = max(map(len, EVENT_BOUNDARIES))
 
 
+def goes_on(events: bytes, last_id: str) -> bool:
+    """Return whether the first ID in ``events``, if any, follows ``last_id``.
+
+    IDs increase within a stream. Those that are no numbers are not compared by size.
+
+    >>> goes_on(b"id: 4\\ndata: x\\n\\n", "3"), goes_on(b"id: 1\\n\\n", "3")
+    (True, False)
+    """
+    for line in events.splitlines():
+        if line.startswith(b"id:"):
+            first_id = line.removeprefix(b"id:").strip().decode("latin1")
+            if first_id.isdecimal() and last_id.isdecimal():
+                return int(first_id) > int(last_id)
+            return first_id != last_id
+    return True
+
+
 @define
 class EventSplitter:
     """Buffers bytes and returns complete events.
