--- a/medlarrail/relay/forwarding_test.py
+++ b/medlarrail/relay/forwarding_test.py
@@ -76,6 +76,27 @@
         during = await site.send_steadily(1.0, 90)
         assert site.get_served_share(during, cut) >= MIN_SHARE
 
+    @pytest.mark.parametrize("mode", ["hanging", "reset", "refused"])
+    async def test_gateways_are_partitioned_in_turn_and_serve_nobody(
+        self, nursery, mode
+    ):
+        """Two of six gateways in four data centres were cut off from all endpoints, and
+        later both gateways of one data centre. All carried streams before."""
+        zones = ("hobart", "glenorchy", "kingston", "norfolk")
+        site = await start_site(nursery, DEPLOYMENT, 6, data_centres=zones)
+        await site.send_steadily(0.5, 60, "/tell/1")
+        for cut in (range(0, 6, 5), range(0, 6, 4)):
+            site.cut(cut, mode)
+            sent = await site.send_steadily(CONTACT_S, 60, "/tell/1")
+            during = await site.send_steadily(1.0, 60, "/tell/1")
+            others = [number for number in range(6) if number not in cut]
+            expected = site.get_served_share(during, others)
+            assert expected == 1.0
+            assert site.get_served_share(during, cut) >= MIN_SHARE * expected
+            check_runs(site, [*sent, *during])
+            site.heal()
+            await trio.sleep(3 * PROBE_INTERVAL_S)
+
     async def test_a_third_of_82_gateways_is_partitioned(self, nursery):
         zones = ("leith", "perth", "tay")
         site = await start_site(nursery, DEPLOYMENT, 82, data_centres=zones)
