Refuse a held poll at once when a follower's copy has become too old

An entry's call was held until its end, up to a second, at a follower that had lost the leader, though its copy could not be used any more. The test failed before.

--- a/medlarrail/cluster/view_copy.py
+++ b/medlarrail/cluster/view_copy.py
@@ -18,7 +18,6 @@
 from medlarrail.policy.notification import (
     MAX_COPY_AGE_S,
     MAX_POLL_WAIT_S,
-    MIN_POLL_WAIT_S,
     POLL_SLACK_S,
     answers_entries,
 )
@@ -37,6 +36,7 @@
 REPORT_DELAY_S = 0.04
 """Time for which calls of new entries are collected for one report."""
 RETRY_PAUSE_S = 0.05
+EXPIRY_CHECK_INTERVAL_S = 0.1
 
 
 def get_term(epoch: str) -> int:
@@ -100,8 +100,11 @@
         self._record_call(message)
         if not self._answers_entries():
             raise self._build_redirect()
+        was_recent = self._is_recent()
         with trio.move_on_after(min(message.wait_s, MAX_POLL_WAIT_S)):
             while not (self._is_usable(message) and self._has_changes(message)):
+                if was_recent and not self._is_recent():
+                    break
                 await self._changed.wait()
         if not self._is_usable(message):
             get_metrics().count("view_copies_outdated")
@@ -140,12 +143,15 @@
             if now - caller.called_at > CALLER_TIMEOUT_S:
                 del self.callers[name]
 
+    def _is_recent(self) -> bool:
+        return self.clock() - self.confirmed_at <= MAX_COPY_AGE_S
+
     def _is_usable(self, message: ClusterViewRequest) -> bool:
         """Return whether the copy is recent, and not older than what the entry saw."""
         answer = self.answer
         if answer is None or self.member.leadership is not None:
             return False
-        if self.clock() - self.confirmed_at > MAX_COPY_AGE_S:
+        if not self._is_recent():
             return False
         if message.epoch != answer.epoch:
             return get_term(message.epoch) < get_term(answer.epoch)
@@ -227,8 +233,8 @@
     async def _expire(self) -> None:
         """Wake the held calls when the copy has become too old for them."""
         while True:
-            await trio.sleep(MIN_POLL_WAIT_S)
-            if self.clock() - self.confirmed_at > MAX_COPY_AGE_S:
+            await trio.sleep(EXPIRY_CHECK_INTERVAL_S)
+            if not self._is_recent():
                 self._notify()
 
     async def _update(self, wait_s: float) -> None:
--- a/medlarrail/cluster/view_copy_test.py
+++ b/medlarrail/cluster/view_copy_test.py
@@ -177,6 +177,31 @@
         with pytest.raises(NotLeader):
             await fleet.call(follower, reads_age=True, wait_s=0.1)
 
+    async def test_entry_waits_at_a_follower_that_lost_the_leader(
+        self, fleet, autojump_clock
+    ):
+        """Its call was held until its end though the copy had become too old."""
+        follower = fleet.find_follower()
+        for server in fleet.view_servers.values():
+            if server is not follower:
+                fleet.cluster.network.cut.add(
+                    (follower.member.url, server.member.url)
+                )
+        view_copy = follower.view_copy
+        lost_at = view_copy.confirmed_at
+        await trio.sleep_until(lost_at + MAX_COPY_AGE_S - 0.2)
+        with pytest.raises(NotLeader):
+            await fleet.call(
+                follower,
+                epoch=view_copy.answer.epoch,
+                endpoints_seen=view_copy.answer.endpoints_revision,
+                entries_seen=view_copy.answer.entries_revision,
+                configuration_seen=view_copy.answer.configuration_index,
+                reads_age=True,
+                wait_s=1.0,
+            )
+        assert trio.current_time() < view_copy.confirmed_at + MAX_COPY_AGE_S + 0.2
+
     async def test_frozen_follower_keeps_its_entries_from_a_change(
         self, fleet, autojump_clock
     ):
