--- a/medlarrail/cluster/view_copy_test.py
+++ b/medlarrail/cluster/view_copy_test.py
@@ -184,9 +184,7 @@
         follower = fleet.find_follower()
         for server in fleet.view_servers.values():
             if server is not follower:
-                fleet.cluster.network.cut.add(
-                    (follower.member.url, server.member.url)
-                )
+                fleet.cluster.network.cut.add((follower.member.url, server.member.url))
         view_copy = follower.view_copy
         lost_at = view_copy.confirmed_at
         await trio.sleep_until(lost_at + MAX_COPY_AGE_S - 0.2)
