Tell entries at once of the endpoints that a new leader hears of

An unsettled leader now collects them only for its own callers, which includes the followers, and each follower for its entries. A settled leader collects as before.

--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -74,6 +74,8 @@
     registered: RegisteredEntry
     ready: bool
     last_call_at: float
+    is_caller: bool = True
+    """Whether it called this member."""
 
 
 @frozen
@@ -99,6 +101,8 @@
     view_copy: ViewCopy = field(init=False)
     """From which this member answers entries while it follows."""
     entries: dict[str, EntryRecord] = field(factory=dict)
+    follower_calls: dict[str, float] = field(factory=dict)
+    """When each follower that answers entries last called."""
     entries_revision: int = 0
     configuration_index: int = field(init=False)
     _limited_at: dict[str, float] = field(factory=dict)
@@ -133,7 +137,20 @@
             self._publication_due.set()
 
     def _get_next_publication(self) -> float:
-        return self._published_at + get_update_interval_s(len(self.entries))
+        """Return when the next changes may be sent.
+
+        An unsettled leader hears of each endpoint anew, and entries that know only a
+        few of them overload these. Its changes are not collected for the entries that
+        followers answer, since each of these limits its messages itself.
+        """
+        count = len(self.entries) if self.is_settled() else self._count_callers()
+        return self._published_at + get_update_interval_s(count)
+
+    def _count_callers(self) -> int:
+        """Return the number of entries and followers that call this member."""
+        oldest = self.clock() - ENTRY_EXPIRY_S
+        followers = sum(at >= oldest for at in self.follower_calls.values())
+        return followers + sum(record.is_caller for record in self.entries.values())
 
     def _publish(self) -> None:
         """Wake every waiting call to check for changes."""
@@ -168,6 +185,7 @@
             self.registry.clear()
             self.crash_ledger.clear()
             self.entries.clear()
+            self.follower_calls.clear()
             self._limited_at.clear()
             self.software_versions.clear()
             self.entries_revision += 1
@@ -331,9 +349,12 @@
             self._record_entry(EntryRecord(entry, message.ready, now))
             self._limited_at.update(dict.fromkeys(message.limited_services, now))
             return
+        self.follower_calls[message.entry] = now
         for report in message.reports:
             called_at = now - report.age_s
-            self._record_entry(EntryRecord(report.entry, report.ready, called_at))
+            self._record_entry(
+                EntryRecord(report.entry, report.ready, called_at, is_caller=False)
+            )
             for service in report.limited_services:
                 latest = max(called_at, self._limited_at.get(service, called_at))
                 self._limited_at[service] = latest
--- a/medlarrail/cluster/view_copy.py
+++ b/medlarrail/cluster/view_copy.py
@@ -20,6 +20,7 @@
     MAX_POLL_WAIT_S,
     POLL_SLACK_S,
     answers_entries,
+    get_update_interval_s,
 )
 from medlarrail.protocol.cluster_view import (
     CLUSTER_VIEW_PATH,
@@ -83,6 +84,8 @@
     callers: dict[str, Caller] = field(factory=dict)
     confirmed_at: float = float("-inf")
     """Send time of the latest call that the leader answered."""
+    _notified_at: float = float("-inf")
+    _notification_due: trio.Event = field(factory=trio.Event)
     _changed: trio.Event = field(factory=trio.Event)
     _call_received: trio.Event = field(factory=trio.Event)
     _report_due: trio.Event = field(factory=trio.Event)
@@ -213,6 +216,7 @@
         """Keep the copy up to date while entries call, until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._report_new_calls)
+            nursery.start_soon(self._notify_when_due)
             nursery.start_soon(self._expire)
             while True:
                 self._remove_silent_callers()
@@ -308,10 +312,16 @@
             eliot.log_message(
                 "view-copy:following", member=self.member.name, epoch=answer.epoch
             )
+        is_configured = (
+            is_new_epoch or previous.configuration_index != answer.configuration_index
+        )
         self._apply_endpoints(answer, is_new_epoch)
         self.answer = answer if is_new_epoch else _merge(previous, answer)
         self.confirmed_at = max(self.confirmed_at, sent_at)
-        self._notify()
+        if is_configured or self.clock() >= self._get_next_notification():
+            self._notify()
+        else:
+            self._notification_due.set()
 
     def _is_outdated(self, answer: ClusterViewAnswer) -> bool:
         """Return whether another call was answered with a newer state meanwhile."""
@@ -344,7 +354,19 @@
             self.endpoints[name] = CopiedEndpoint(registered, now)
             self.departed.pop(name, None)
 
+    def _get_next_notification(self) -> float:
+        return self._notified_at + get_update_interval_s(len(self.callers))
+
+    async def _notify_when_due(self) -> None:
+        while True:
+            await self._notification_due.wait()
+            await trio.sleep(max(0.0, self._get_next_notification() - self.clock()))
+            self._notification_due = trio.Event()
+            self._notify()
+
     def _notify(self) -> None:
+        """Wake the held calls to check for changes."""
+        self._notified_at = self.clock()
         self._changed.set()
         self._changed = trio.Event()
 
--- a/medlarrail/cluster/view_copy_test.py
+++ b/medlarrail/cluster/view_copy_test.py
@@ -26,6 +26,8 @@
 NAMES = ("a", "b", "c", "d", "e")
 URLS = tuple(f"mem://{name}" for name in NAMES)
 ENTRY_COUNT = 3 * MAX_DIRECT_ENTRIES
+MAX_ENDPOINT_DELAY_S = 0.5
+"""Time within which every entry has to know an endpoint that a new leader hears of."""
 MAX_CHANGE_S = 2.0
 """Time within which every entry has to know a change of the document."""
 
@@ -137,6 +139,30 @@
             client.cluster_view.endpoints for client in fleet.clients.values()
         )
 
+    async def test_entries_of_a_new_leader_know_few_endpoints_for_a_second(
+        self, fleet, autojump_clock
+    ):
+        """After a power loss all entries sent their requests to the few endpoints that
+        the leader had heard of first. It told of the others a second later, as it does
+        if it has to tell all entries by itself."""
+        fleet.cluster.kill((await fleet.get_leader()).member.name)
+        leader = await fleet.get_leader()
+        await trio.sleep(0.5)
+        delays = []
+        for number in range(10):
+            name = f"engine-{number}"
+            address = f"{name}:1"
+            leader.require_leading()
+            leader.record_announcement(build_announcement(name=name, address=address))
+            announced_at = trio.current_time()
+            while not all(
+                name in client.cluster_view.endpoints
+                for client in fleet.clients.values()
+            ):
+                await trio.sleep(0.01)
+            delays.append(trio.current_time() - announced_at)
+        assert max(delays) < MAX_ENDPOINT_DELAY_S, delays
+
     async def test_departed_endpoint_is_used_again_after_another_member_answers(
         self, fleet, autojump_clock
     ):
