--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -345,7 +345,7 @@
                 if not self.member_choice.record_failure(url, error):
                     await trio.sleep(RETRY_PAUSE_S)
                 continue
-            self._apply_answer(answer, sent_at)
+            self._apply_answer(answer, sent_at, url)
             self.member_choice.record_answer(url, answer)
 
     def _get_timeout_s(self, wait_s: float) -> float:
@@ -370,7 +370,7 @@
         except MedlarError as error:
             self._record_failure(error)
             return
-        self._apply_answer(answer, sent_at)
+        self._apply_answer(answer, sent_at, self.state.leader_url)
 
     def _build_request(self, wait_s: float) -> ClusterViewRequest:
         return ClusterViewRequest(
@@ -390,7 +390,9 @@
             reads_age=True,
         )
 
-    def _apply_answer(self, answer: ClusterViewAnswer, sent_at: float) -> None:
+    def _apply_answer(
+        self, answer: ClusterViewAnswer, sent_at: float, member_url: str
+    ) -> None:
         self._epoch = answer.epoch
         self._endpoints_seen = answer.endpoints_revision
         self._entries_seen = answer.entries_revision
@@ -402,7 +404,7 @@
             self._connected = True
             eliot.log_message(
                 "state:reachable",
-                leader=self.state.leader_url,
+                member=member_url,
                 epoch=answer.epoch,
                 failed_calls=self._failed_calls,
                 answer_s=round(self.cluster_view.clock() - sent_at, 3),
