Let a poll tell a follower how many entries there are

Each follower sent its first eight entries to the leader, 48 more calls just after a loss of power, though these entries knew from their first answer that there are 191.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -388,6 +388,7 @@
             work_address=self.work_address,
             limited_services=self.list_limited_services(),
             reads_age=True,
+            entry_count=self.cluster_view.entry_count,
         )
 
     def _apply_answer(
--- a/medlarrail/cluster/view_copy.py
+++ b/medlarrail/cluster/view_copy.py
@@ -76,6 +76,8 @@
 
     member: LogMember
     clock: Clock = get_boottime
+    entry_count: int = 1
+    """Number of entries that the leader, or an entry since its last call, told of."""
     answer: ClusterViewAnswer | None = None
     """All that the leader answered, but for the endpoints; None before it did."""
     endpoints: dict[str, CopiedEndpoint] = field(factory=dict)
@@ -120,8 +122,9 @@
         return NotLeader(leader_url=leader.url if leader else "")
 
     def _answers_entries(self) -> bool:
-        entry_count = 1 if self.answer is None else self.answer.entry_count
-        return bool(self.callers) and answers_entries(entry_count, len(self.callers))
+        return bool(self.callers) and answers_entries(
+            self.entry_count, len(self.callers)
+        )
 
     def _record_call(self, message: ClusterViewRequest) -> None:
         self._remove_silent_callers()
@@ -131,6 +134,7 @@
         caller = Caller(entry, message.ready, message.limited_services, self.clock())
         previous = self.callers.get(message.entry)
         self.callers[message.entry] = caller
+        self.entry_count = max(self.entry_count, message.entry_count)
         self._call_received.set()
         if (
             previous is None
@@ -317,6 +321,7 @@
         )
         self._apply_endpoints(answer, is_new_epoch)
         self.answer = answer if is_new_epoch else _merge(previous, answer)
+        self.entry_count = answer.entry_count
         self.confirmed_at = max(self.confirmed_at, sent_at)
         if is_configured or self.clock() >= self._get_next_notification():
             self._notify()
--- a/medlarrail/cluster/view_copy_test.py
+++ b/medlarrail/cluster/view_copy_test.py
@@ -123,6 +123,20 @@
         for server in fleet.view_servers.values():
             assert server.view_copy.answer is None
 
+    async def test_follower_without_a_copy_redirects_an_entry_of_many(
+        self, fleet, autojump_clock
+    ):
+        """The first eight entries that called each follower went to the leader, though
+        they knew that there are many."""
+        follower = fleet.find_follower()
+        follower.view_copy.callers.clear()
+        follower.view_copy.answer = None
+        follower.view_copy.entry_count = 1
+        answer = await fleet.call(
+            follower, reads_age=True, entry_count=ENTRY_COUNT, wait_s=0.5
+        )
+        assert answer.whole
+
     async def test_change_reaches_entries_late_through_followers(
         self, fleet, autojump_clock
     ):
--- a/medlarrail/protocol/cluster_view.py
+++ b/medlarrail/protocol/cluster_view.py
@@ -77,6 +77,8 @@
     reject many requests."""
     reads_age: bool = False
     """Whether the caller considers ``age_s``, so that a follower may answer."""
+    entry_count: int = 1
+    """Number of entries that the caller knows of."""
     reports: tuple[EntryReport, ...] | None = None
     """The calls that a follower received; None from an entry."""
 
