Redirect entries to a leader that takes no reports, and avoid followers without it

With an older leader no follower has a copy, and many entries waited at one after the other: views of 2.7 s on a loopback test (2 s allowed).

--- a/medlarrail/cluster/member_choice.py
+++ b/medlarrail/cluster/member_choice.py
@@ -43,13 +43,17 @@
 
     def record_failure(self, url: str, error: MedlarError) -> bool:
         """Choose another member; return whether to call it without a pause."""
-        if isinstance(error, NotLeader):
+        if isinstance(error, NotLeader) and error.leader_url:
             self._attempts += 1
             self.member_url = error.leader_url
             # Two members may name each other.
-            return bool(error.leader_url) and self._attempts == 1
+            return self._attempts == 1
         now = self.clock()
         is_first_failure = self._avoided_until.get(url, now) <= now
         self._avoided_until[url] = now + AVOIDANCE_S
         self.member_url = ""
+        if isinstance(error, NotLeader):
+            # There may be no leader yet, so that all members answer alike.
+            self._attempts += 1
+            return False
         return is_first_failure
--- a/medlarrail/cluster/view_copy.py
+++ b/medlarrail/cluster/view_copy.py
@@ -38,6 +38,8 @@
 """Time for which calls of new entries are collected for one report."""
 RETRY_PAUSE_S = 0.05
 EXPIRY_CHECK_INTERVAL_S = 0.1
+MAX_WAIT_FOR_COPY_S = 0.5
+"""Time for which an entry's call waits for the leader to answer this member."""
 
 
 def get_term(epoch: str) -> int:
@@ -84,6 +86,8 @@
     departed: dict[str, DepartedEndpoint] = field(factory=dict)
     """Endpoints that left, with the revision at which this member knew."""
     callers: dict[str, Caller] = field(factory=dict)
+    older_leader: str = ""
+    """The leader's identity if its version does not take reports."""
     confirmed_at: float = float("-inf")
     """Send time of the latest call that the leader answered."""
     _notified_at: float = float("-inf")
@@ -103,10 +107,11 @@
             raise self._build_redirect()
         arrived_at = self.clock()
         self._record_call(message)
-        if not self._answers_entries():
+        if not self._answers_entries() or self._follows_older_leader():
             raise self._build_redirect()
         was_recent = self._is_recent()
-        with trio.move_on_after(min(message.wait_s, MAX_POLL_WAIT_S)):
+        max_wait_s = MAX_POLL_WAIT_S if was_recent else MAX_WAIT_FOR_COPY_S
+        with trio.move_on_after(min(message.wait_s, max_wait_s)):
             while not (self._is_usable(message) and self._has_changes(message)):
                 if was_recent and not self._is_recent():
                     break
@@ -121,6 +126,10 @@
         leader = self.member.leader
         return NotLeader(leader_url=leader.url if leader else "")
 
+    def _follows_older_leader(self) -> bool:
+        leader = self.member.leader
+        return leader is not None and leader.identity == self.older_leader
+
     def _answers_entries(self) -> bool:
         return bool(self.callers) and answers_entries(
             self.entry_count, len(self.callers)
@@ -263,7 +272,12 @@
             get_metrics().count("view_copy_failures", type=type(error).__name__)
             await trio.sleep(RETRY_PAUSE_S)
             return
-        self._apply(answer, sent_at)
+        if answer.takes_reports:
+            self.older_leader = ""
+            self._apply(answer, sent_at)
+        else:
+            self.older_leader = leader.identity
+            await trio.sleep(UPDATE_WAIT_S)
 
     def _build_request(self, wait_s: float) -> ClusterViewRequest:
         answer = self.answer
@@ -303,7 +317,7 @@
 
     def _apply(self, answer: ClusterViewAnswer, sent_at: float) -> None:
         previous = self.answer
-        if not answer.takes_reports or self._is_outdated(answer):
+        if self._is_outdated(answer):
             return
         is_new_epoch = previous is None or previous.epoch != answer.epoch
         for caller in self.callers.values():
--- a/medlarrail/cluster/view_copy_test.py
+++ b/medlarrail/cluster/view_copy_test.py
@@ -240,6 +240,42 @@
             )
         assert trio.current_time() < view_copy.confirmed_at + MAX_COPY_AGE_S + 0.2
 
+    async def test_entries_of_a_partitioned_follower_have_old_views(
+        self, fleet, autojump_clock
+    ):
+        """Each of their polls waited there for a second before another member answered,
+        and the next one went there again."""
+        follower = fleet.find_follower()
+        for server in fleet.view_servers.values():
+            if server is not follower:
+                fleet.cluster.network.cut.add((follower.member.url, server.member.url))
+        await trio.sleep(2 * MAX_COPY_AGE_S)
+        ages = []
+        for _ in range(60):
+            await trio.sleep(0.1)
+            ages += [
+                client.cluster_view.get_age_s() for client in fleet.clients.values()
+            ]
+        assert max(ages) < MAX_CHANGE_S
+
+    async def test_entries_wait_at_followers_of_an_older_leader(
+        self, fleet, autojump_clock, monkeypatch
+    ):
+        """It takes no reports, so that no follower has a copy to answer from."""
+        build_answer = ClusterViewServer._build_answer
+
+        def build_older_answer(self, message):
+            return evolve(build_answer(self, message), takes_reports=False)
+
+        fleet.cluster.kill((await fleet.get_leader()).member.name)
+        monkeypatch.setattr(ClusterViewServer, "_build_answer", build_older_answer)
+        leader = await fleet.get_leader()
+        await leader.replace_deployment(build_deployment(version=5))
+        await trio.sleep(2 * MAX_CHANGE_S)
+        assert fleet.list_versions() == {5}
+        ages = [client.cluster_view.get_age_s() for client in fleet.clients.values()]
+        assert max(ages) < MAX_CHANGE_S
+
     async def test_frozen_follower_keeps_its_entries_from_a_change(
         self, fleet, autojump_clock
     ):
