--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -1,8 +1,9 @@
 """An entry's view of the cluster: deployment document, endpoints and other entries.
 
-The view is updated by consecutive long polls to the leading state member. It never
-reverts within the lifetime of the process: a document of a lower version is ignored,
-and endpoints and entries that an unsettled leader does not list are retained.
+The view is updated by consecutive long polls to the leading state member, or to a
+follower that has a copy of its state. It never reverts within the lifetime of the
+process: a document of a lower version is ignored, and endpoints and entries that an
+unsettled leader does not list are retained.
 """
 
 from collections.abc import Callable
@@ -60,8 +61,8 @@
 class ClusterView:
     """The view of the cluster at this entry.
 
-    ``confirmed_at`` is the send time of the latest call that a leader answered, so
-    the view is at least as recent as that.
+    ``confirmed_at`` is the send time of the latest call that a leader answered, or that
+    of the follower that answered, so the view is at least as recent as that.
     """
 
     clock: Clock = get_boottime
@@ -291,7 +292,7 @@
 
 @define
 class ClusterViewClient:
-    """Updates the view by polling the leading state member."""
+    """Updates the view by polling a state member."""
 
     cluster_view: ClusterView
     state: StateClient
@@ -310,7 +311,7 @@
     _suspects_seen: int = 0
     _connected: bool = False
     _failed_calls: int = 0
-    """Consecutive calls that failed since the leader last answered."""
+    """Consecutive calls that failed since a state member last answered."""
     _seeds: tuple[str, ...] = field(init=False)
 
     def __attrs_post_init__(self):
