Let the stand-in of the failover test go on with a stream

IDs increase within a stream, so the stand-in was wrong, not the relay; it now sends the event after the last one. The check is stricter: the caller has to get event 2.

--- a/medlarrail/platform/prompts_test.py
+++ b/medlarrail/platform/prompts_test.py
@@ -53,9 +53,10 @@
 
 
 async def send_one_event(connection, request):
-    """Answer with one event."""
+    """Answer with the first event, or with the one after the last that was received."""
     request_id = get_value(request, b"request-id")
-    event = b"id: 1\ndata: x\n\n"
+    last_id = int(get_value(request, b"last-event-id") or 0)
+    event = b"id: %d\ndata: x\n\n" % (last_id + 1)
     await connection.send(
         b"HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nRequest-Id: "
         + request_id
@@ -194,7 +195,7 @@
     harness.relay.workload.store_report(WorkloadReport("gateway-3", 1, 1, (tokens,)))
     answer = await harness.send(PROMPT)
     assert answer.startswith(b"HTTP/1.1 200") and b"data: a" in answer
-    assert b"data: x" in answer and len(second.requests) == 1
+    assert b"id: 2\ndata: x" in answer and len(second.requests) == 1
 
 
 class FixedWorkloadDirectory:
