Build the listed entry of a poll in one place

The leader and its followers each built it from the same four fields of the poll. Behaviour is the same; the tests of the cluster view, the followers' copies and the layers pass (54).

--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -340,12 +340,7 @@
         """Record the entry that calls, or those that a follower reports."""
         now = self.clock()
         if message.reports is None:
-            entry = RegisteredEntry(
-                message.entry,
-                message.address,
-                message.data_centre,
-                message.work_address,
-            )
+            entry = message.get_registered_entry()
             self._record_entry(EntryRecord(entry, message.ready, now))
             self._limited_at.update(dict.fromkeys(message.limited_services, now))
             return
--- a/medlarrail/cluster/view_copy.py
+++ b/medlarrail/cluster/view_copy.py
@@ -137,9 +137,7 @@
 
     def _record_call(self, message: ClusterViewRequest) -> None:
         self._remove_silent_callers()
-        entry = RegisteredEntry(
-            message.entry, message.address, message.data_centre, message.work_address
-        )
+        entry = message.get_registered_entry()
         caller = Caller(entry, message.ready, message.limited_services, self.clock())
         previous = self.callers.get(message.entry)
         self.callers[message.entry] = caller
--- a/medlarrail/protocol/cluster_view.py
+++ b/medlarrail/protocol/cluster_view.py
@@ -82,6 +82,12 @@
     reports: tuple[EntryReport, ...] | None = None
     """The calls that a follower received; None from an entry."""
 
+    def get_registered_entry(self) -> RegisteredEntry:
+        """Return the calling entry as it is listed to others."""
+        return RegisteredEntry(
+            self.entry, self.address, self.data_centre, self.work_address
+        )
+
 
 @frozen
 class ClusterViewAnswer:
