--- a/review/4/case.py
+++ b/review/4/case.py
@@ -35,8 +35,11 @@
 
     async def run(self, record, deployment):
         await deployment.configure(build_document([], []))
-        # All members have joined and are voters.
         await asyncio.sleep(10)
+        promotions = deployment.count_promotions()
+        record.write("voters", seeds=3, promoted=promotions)
+        if promotions != 2:
+            raise NotRunnable("not all five members are voters yet")
         if not await send_version(record, deployment, 8, 5.0):
             raise NotRunnable("no configuration is acknowledged before the trouble")
         for number in range(REPLACEMENTS):
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")"
 PYTHONPYCACHEPREFIX="$(mktemp -d)"
 export PYTHONPYCACHEPREFIX
-python3 -m py_compile harness.py */*.py
+python3 -m py_compile *.py */*.py
 rm -rf "$PYTHONPYCACHEPREFIX"
--- a/review/harness.py
+++ b/review/harness.py
@@ -20,6 +20,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+EXIT_BROKEN = 10
 START_TIMEOUT_S = 30.0
 HEARTBEAT_S = 1.2
 CALL_TIMEOUT_S = 1.0
@@ -276,6 +277,11 @@
         ended = {name: process.poll() for name, process in self.processes.items()}
         return {name: code for name, code in ended.items() if code is not None}
 
+    def count_promotions(self):
+        """Return how many members the logs say have become voters after the seeds."""
+        logs = [self.folder / name / "log" for name in self.state_names]
+        return sum(log.read_text().count('"reason":"promoted"') for log in logs)
+
     async def is_ready(self, name):
         answer = await call("GET", f"http://{self.ips[name]}:{self.ready_port}/readyz")
         return answer is not None and answer.status == 200
@@ -487,6 +493,8 @@
         self.keep_s = keep_s
         self.random = random.Random(seed)
         self.addresses = []
+        self.failed = set()
+        """Addresses that failed since the answer."""
         self.resolved_at = float("-inf")
 
     async def resolve(self):
@@ -501,13 +509,15 @@
             answer = await call("GET", f"{url}?name={HOST}&region=scot-east&zone=leith")
             if answer is not None and answer.status == 200:
                 self.addresses = json.loads(answer.body)["addresses"]
+                self.failed.clear()
                 self.resolved_at = time.monotonic()
                 return
 
     async def send(self, request_id, path, headers, method="POST", address=""):
         """Send one request on a new connection; return what became of it."""
         await self.resolve()
-        address = address or self.random.choice(self.addresses)
+        usable = [one for one in self.addresses if one not in self.failed]
+        address = address or self.random.choice(usable or self.addresses)
         outcome = {
             "id": request_id,
             "address": address,
@@ -546,6 +556,7 @@
             outcome["timeout"] = True
         except OSError as error:
             outcome["error"] = type(error).__name__
+            self.failed.add(address)
         finally:
             if writer is not None:
                 writer.close()
@@ -571,7 +582,11 @@
 
 
 def run_case(folder, play):
-    """Run ``play(record, deployment)``; exit with what the case found."""
+    """Run ``play(record, deployment)``; exit with what the case found.
+
+    ``run.sh`` turns ``EXIT_BROKEN`` into 1, and anything unknown into 2: an error of
+    a stand-in, for which Python exits with 1, is no broken rule.
+    """
     record = Record(folder)
     deployment = None
     code = NOT_RUN
@@ -582,13 +597,15 @@
         deployment.start_all()
         return await play.run(record, deployment)
 
+    # The processes are ended below, also if this one is asked to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         code = asyncio.run(asyncio.wait_for(run(), 110))
-    except (NotRunnable, TimeoutError, OSError) as error:
+    except Exception as error:
         record.write("not-run", reason=repr(error))
     finally:
         if deployment is not None:
             deployment.stop()
     record.write("result", code=code)
     print({HELD: "held", BROKEN: "broken", NOT_RUN: "could not run"}[code])
-    sys.exit(code)
+    sys.exit(EXIT_BROKEN if code == BROKEN else code)
