Tests: leave messages of earlier tests out of what a test collects

eliot keeps what is logged while there is no destination and delivers it to the next one. A test that ran after tests without a destination took their lines for its own: the test on the reasons for a missing leader failed when it ran after replication_random_test alone, and passed in the whole suite, where an earlier test had registered a destination. The collected lines are now those of the block only.

--- a/medlarrail/testing/logs.py
+++ b/medlarrail/testing/logs.py
@@ -10,7 +10,7 @@
 def collect_messages(message_type: str) -> Iterator[list[dict]]:
     """Collect the log messages of one type until the block ends.
 
-    eliot also delivers what other tests logged while there was no destination.
+    What other tests logged while there was no destination is left out.
 
     Example: ``with collect_messages("request:attempt") as attempts: ...``
     """
@@ -21,6 +21,7 @@
             messages.append(message)
 
     eliot.add_destinations(collect)
+    messages.clear()
     try:
         yield messages
     finally:
