Endpoints: keep acknowledged departures in the replicated log

Cause: departures, and that an endpoint is leaving, were soft state of one leader. The next one had nothing to compare a late message with. A new leader takes announcements only after it has applied its predecessors' entries.

The marks are fields of NoOperation: a member of the version before ignores unknown fields but stops at an unknown operation.

--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -7,6 +7,7 @@
 from attrs import define, field, frozen
 
 from medlarrail.cluster.crash_ledger import CrashLedger
+from medlarrail.cluster.endpoint_marks import EndpointMarks
 from medlarrail.cluster.registry import EndpointRegistry
 from medlarrail.cluster.software_versions import SoftwareVersions
 from medlarrail.cluster.view_copy import ViewCopy
@@ -98,6 +99,7 @@
     registry: EndpointRegistry = field(init=False)
     crash_ledger: CrashLedger = field(init=False)
     software_versions: SoftwareVersions = field(init=False)
+    endpoint_marks: EndpointMarks = field(init=False)
     view_copy: ViewCopy = field(init=False)
     """From which this member answers entries while it follows."""
     entries: dict[str, EntryRecord] = field(factory=dict)
@@ -117,6 +119,7 @@
         self.registry = EndpointRegistry(self.clock)
         self.crash_ledger = CrashLedger(self.clock)
         self.software_versions = SoftwareVersions(self)
+        self.endpoint_marks = EndpointMarks(self)
         self.view_copy = ViewCopy(self.member, self.clock)
         self.configuration_index = self.member.catalogue.index
         self.member.apply_listeners.append(self._on_applied)
@@ -188,6 +191,7 @@
             self.follower_calls.clear()
             self._limited_at.clear()
             self.software_versions.clear()
+            self.endpoint_marks.clear()
             self.entries_revision += 1
             self._publish()
 
@@ -201,15 +205,28 @@
     # Calls from endpoints and operators.
 
     async def register_announcement(self, announced: Announcement) -> None:
-        """Record an announcement once its software version is in the log.
+        """Record an announcement once the log has what must not be forgotten of it.
 
-        Entries thus never use an endpoint of a version that could be forgotten.
+        That is its software version, and that it is leaving. Announcements that were
+        sent before a departure of which the log tells are ignored.
         """
+        await self.member.confirm_reads()
         self.require_leading()
-        if not self.registry.is_outdated(announced):
+        if not self._is_outdated(announced):
             await self.software_versions.add(announced)
+            if announced.state == "leaving":
+                await self.endpoint_marks.mark_leaving(announced)
+        # What the log has may have changed meanwhile.
+        if self._is_outdated(announced):
+            get_metrics().count("announcements_outdated")
+            return
         self.record_announcement(announced)
 
+    def _is_outdated(self, announced: Announcement) -> bool:
+        return self.registry.is_outdated(announced) or self.endpoint_marks.is_outdated(
+            announced
+        )
+
     def record_announcement(self, announced: Announcement) -> None:
         """Record an announcement of an endpoint whose software version is known."""
         self.require_leading()
@@ -225,8 +242,15 @@
             )
             self.notify_waiters()
 
+    async def register_departure(self, name: str) -> None:
+        """Record the departure of an endpoint once it is in the log."""
+        await self.member.confirm_reads()
+        self.require_leading()
+        await self.endpoint_marks.mark_gone(name, int(time.time() * 1000))
+        self.record_departure(name)
+
     def record_departure(self, name: str) -> None:
-        """Record the departure of an endpoint."""
+        """Record a departure that is in the log."""
         self.require_leading()
         if self.registry.remove(name, int(time.time() * 1000)):
             eliot.log_message("endpoint:departed", endpoint=name)
@@ -241,7 +265,7 @@
     @route("POST", DEPARTURES_PATH, DepartureNotice)
     async def handle_departure(self, request: Request) -> EmptyMessage:
         """Handle an endpoint's departure in the native format."""
-        self.record_departure(request.message.name)
+        await self.register_departure(request.message.name)
         return EmptyMessage()
 
     @route("POST", LIMITS_PATH, LimitReport)
@@ -459,6 +483,7 @@
             try:
                 self.require_leading()
                 await self.software_versions.remove_unused()
+                await self.endpoint_marks.remove_expired()
             except NotLeader:
                 continue
             except MedlarError as error:
--- a/medlarrail/core/announcements.py
+++ b/medlarrail/core/announcements.py
@@ -49,6 +49,37 @@
         )
 
 
+@frozen
+class EndpointMark:
+    """What was acknowledged to an endpoint that leaves or is gone.
+
+    Announcements before ``sequence`` of the incarnation ``started_ms`` are outdated,
+    and all of it if the endpoint is ``gone``.
+    """
+
+    name: str
+    started_ms: int
+    sequence: int = 0
+    gone: bool = False
+
+    @property
+    def sort_key(self) -> tuple[int, bool, int]:
+        """Sort key that orders the marks of one endpoint by age."""
+        return (self.started_ms, self.gone, self.sequence)
+
+    def is_outdated(self, announced: Announcement) -> bool:
+        """Return whether an announcement of the endpoint was sent before the mark.
+
+        >>> mark = EndpointMark("engine-1", started_ms=1000, sequence=5)
+        >>> late = Announcement("engine-1", "guide", "e:1", "north", 1000, 4, "ready")
+        >>> mark.is_outdated(late)
+        True
+        """
+        if self.gone:
+            return announced.started_ms <= self.started_ms
+        return announced.sequence_key < (self.started_ms, self.sequence)
+
+
 @frozen
 class RegisteredEndpoint:
     """The record of an endpoint that is sent to entries.
--- a/medlarrail/platform/control.py
+++ b/medlarrail/platform/control.py
@@ -67,7 +67,7 @@
     @reply_to_errors
     async def handle_departure(self, request: Request) -> Reply:
         """Record that an endpoint is leaving."""
-        self.view_server.record_departure(request.tail)
+        await self.view_server.register_departure(request.tail)
         return EMPTY_OK
 
     @route("PUT", "/config")
--- a/medlarrail/state/appliers.py
+++ b/medlarrail/state/appliers.py
@@ -30,7 +30,15 @@
 
 @applies(ops.NoOperation)
 def apply_no_operation(catalogue: Catalogue, index: int, envelope) -> None:
-    """Change nothing."""
+    """Add and remove marks of endpoints; a newer mark of an endpoint stays."""
+    operation = envelope.operation
+    for mark in operation.marks:
+        current = catalogue.endpoint_marks.get(mark.name)
+        if current is None or current.sort_key < mark.sort_key:
+            catalogue.endpoint_marks[mark.name] = mark
+    for mark in operation.removed_marks:
+        if catalogue.endpoint_marks.get(mark.name) == mark:
+            del catalogue.endpoint_marks[mark.name]
 
 
 @applies(ops.ChangeMembers)
--- a/medlarrail/state/catalogue.py
+++ b/medlarrail/state/catalogue.py
@@ -10,6 +10,7 @@
 
 from attrs import define, field, frozen
 
+from medlarrail.core.announcements import EndpointMark
 from medlarrail.core.codec import encode_error
 from medlarrail.core.deployment import Deployment
 from medlarrail.core.entities import (
@@ -85,6 +86,7 @@
     deployment: Deployment | None = None
     blocked: tuple[BlockedParts, ...] = ()
     software_versions: tuple[ServiceVersions, ...] = ()
+    endpoint_marks: tuple[EndpointMark, ...] = ()
 
 
 @define
@@ -109,6 +111,8 @@
     blocked: dict[str, BlockedParts] = field(factory=dict)
     software_versions: dict[str, tuple[str, ...]] = field(factory=dict)
     """By service, the software versions that may have begun streams which go on."""
+    endpoint_marks: dict[str, EndpointMark] = field(factory=dict)
+    """What was acknowledged to endpoints that left or are leaving, by their name."""
 
     def apply(self, index: int, envelope: ops.Envelope) -> ops.Outcome:
         """Apply the log entry at ``index``; a resent command gets its first outcome."""
@@ -192,6 +196,7 @@
             deployment=self.deployment,
             blocked=tuple(self.blocked.values()),
             software_versions=self.list_software_versions(),
+            endpoint_marks=tuple(self.endpoint_marks.values()),
         )
 
     def list_software_versions(self) -> tuple[ServiceVersions, ...]:
@@ -227,6 +232,7 @@
             software_versions={
                 item.service: item.versions for item in image.software_versions
             },
+            endpoint_marks={mark.name: mark for mark in image.endpoint_marks},
         )
 
     def is_dispatcher_live(self, record: ops.LedgerRecord) -> bool:
--- a/medlarrail/state/operations.py
+++ b/medlarrail/state/operations.py
@@ -9,6 +9,7 @@
 
 from attrs import field, frozen
 
+from medlarrail.core.announcements import EndpointMark
 from medlarrail.core.codec import register_tagged
 from medlarrail.core.deployment import Deployment
 from medlarrail.core.entities import (
@@ -41,7 +42,14 @@
 
 @frozen
 class NoOperation(Operation):
-    """No-op; the first log entry of a leader's term."""
+    """The first log entry of a leader's term, and the carrier of marks of endpoints.
+
+    The marks are fields of a known operation because members of an older version ignore
+    unknown fields, but cannot apply an unknown operation.
+    """
+
+    marks: tuple[EndpointMark, ...] = ()
+    removed_marks: tuple[EndpointMark, ...] = ()
 
 
 @frozen
--- /dev/null
+++ b/medlarrail/testing/view_members.py
@@ -0,0 +1,63 @@
+"""State members on an in-memory network that serve the cluster view."""
+
+import trio
+from attrs import define, field
+
+from medlarrail.cluster.cluster_view_server import ClusterViewServer
+from medlarrail.testing.builders import build_announcement
+from medlarrail.testing.cluster import Cluster
+
+NAMES = ("a", "b", "c")
+
+
+@define(eq=False)
+class ViewMembers:
+    """State members that serve the cluster view, by name."""
+
+    cluster: Cluster
+    nursery: trio.Nursery
+    view_servers: dict[str, ClusterViewServer] = field(factory=dict)
+
+    async def start(self) -> None:
+        """Bootstrap the cluster."""
+        await self.cluster.bootstrap(*NAMES)
+        for name in NAMES:
+            self._serve(name)
+
+    def _serve(self, name: str) -> None:
+        member = self.cluster.hosts[name].member
+        view_server = ClusterViewServer(member, clock=trio.current_time)
+        self.view_servers[name] = view_server
+        self.nursery.start_soon(view_server.run)
+
+    async def restart_all(self) -> None:
+        """Kill all members and start them again."""
+        for name in NAMES:
+            self.cluster.kill(name)
+        for name in NAMES:
+            await self.cluster.start(name)
+            self._serve(name)
+
+    async def replace_leader(self) -> None:
+        """Kill the leader and start it again when another one has been elected."""
+        leader = await self.cluster.wait_leader()
+        self.cluster.kill(leader.name)
+        await self.cluster.wait_leader()
+        await self.cluster.start(leader.name)
+        self._serve(leader.name)
+
+    async def get_leader(self) -> ClusterViewServer:
+        """Return the view server of the leader once there is one."""
+        leader = await self.cluster.wait_leader()
+        return self.view_servers[leader.name]
+
+    async def announce(
+        self, version: str = "", name: str = "engine-1", **changes
+    ) -> None:
+        """Announce an endpoint to the leader."""
+        view_server = await self.get_leader()
+        await view_server.register_announcement(
+            build_announcement(
+                name=name, address=f"{name}:1", software_version=version, **changes
+            )
+        )
