Elections: ask for votes only in the term of the pre-votes

After the loss of a leader two members could collect pre-votes at the same time. One won its election; the other then asked for votes in the term after that, which ended the new leader 3 ms after its election, and the refused election cost one to two seconds more.

A candidate now takes the term before it collects pre-votes and gives up if it has voted meanwhile.

--- a/medlarrail/consensus/elections.py
+++ b/medlarrail/consensus/elections.py
@@ -155,9 +155,10 @@
         if member.identity not in member.list_voters():
             return
         collect_votes = partial(self._collect_votes, all_restarted=all_restarted)
-        if not await collect_votes(member.term + 1, only_probe=True):
-            return
+        # Another election in the term of the pre-votes ends this one.
         term = member.term + 1
+        if not await collect_votes(term, only_probe=True):
+            return
         if not await self._vote_for_self(term):
             return
         won = await collect_votes(term, only_probe=False)
--- a/medlarrail/consensus/replication_test.py
+++ b/medlarrail/consensus/replication_test.py
@@ -252,6 +252,28 @@
     await leader.change_member(lost, remove=True)
 
 
+class TestElections:
+    @pytest.mark.parametrize("seed", range(1, 21))
+    async def test_elections_that_cross_end_a_new_leader(
+        self, seed, tmp_path, nursery, autojump_clock
+    ):
+        """A candidate whose pre-votes had been granted asked for votes in a later term,
+        after another had won the term of the pre-votes."""
+        cluster = Cluster(tmp_path, nursery, seed=seed)
+        cluster.network.delay_s = 0.04
+        await cluster.bootstrap(*NAMES)
+        await cluster.wait_leader()
+        await trio.sleep(3)
+        for _ in range(5):
+            leader = await cluster.wait_leader()
+            cluster.kill(leader.name)
+            with collect_messages("leader:stepped-down") as ends:
+                await trio.sleep(8)
+            assert not ends
+            await cluster.start(leader.name)
+            await trio.sleep(3)
+
+
 class TestLogs:
     async def test_log_does_not_tell_why_there_is_no_leader(
         self, tmp_path, nursery, autojump_clock
