Membership: go on counting silences after a member stepped down

It keeps what it knew, and silences that were told go on during an election. Learners get 50 ms to store one change before the next is chosen, which otherwise waited for 0.3 s.

--- a/medlarrail/consensus/leadership.py
+++ b/medlarrail/consensus/leadership.py
@@ -159,7 +159,8 @@
         begin = max(self.elected_at, self.member.elections.resumed_at)
         return self.member.clock() - begin >= SETTLING_S
 
-    def _list_silences(self) -> tuple[MemberSilence, ...]:
+    def list_silences(self) -> tuple[MemberSilence, ...]:
+        """Return the members that have not answered lately."""
         silences = (
             MemberSilence(identity, round(self.get_silence_s(identity), 3))
             for identity in self.progress
@@ -295,7 +296,7 @@
             prev_term=prev_term,
             commit_index=self.member.commit_index,
             entries=entries,
-            silences=self._list_silences(),
+            silences=self.list_silences(),
         )
         answer = await self.member.peers.call(
             peer.url, APPEND_PATH, request, AppendAnswer, RPC_TIMEOUT_S
--- a/medlarrail/consensus/membership.py
+++ b/medlarrail/consensus/membership.py
@@ -33,6 +33,8 @@
 
 CHECK_INTERVAL_S = 0.3
 """Interval between membership checks."""
+CHANGE_PAUSE_S = 0.05
+"""Pause between two changes, in which learners store the entry of the first."""
 JOIN_TIMEOUT_S = 1.0
 """Timeout of one call to a seed or member."""
 JOIN_INTERVAL_S = 0.1
@@ -214,7 +216,7 @@
                 del self._applicants[url]
         await self._add_wiped_members()
         while await self._make_next_change():
-            pass
+            await trio.sleep(CHANGE_PAUSE_S)
 
     async def _make_next_change(self) -> bool:
         """Make the next change of the member list; return whether there was one."""
--- a/medlarrail/consensus/replication.py
+++ b/medlarrail/consensus/replication.py
@@ -90,7 +90,9 @@
     leader_contact_at: float = field(init=False)
     """Latest time at which this member may have supported a leader."""
     leader_silences: tuple[MemberSilence, ...] = ()
-    """Silent members by the latest append of a leader."""
+    """Silent members by the latest append of a leader, or by the end of leading."""
+    silences_at: float = float("-inf")
+    """When ``leader_silences`` was told."""
     journal_lock: trio.Lock = field(factory=trio.Lock)
     """Must be held while changing the journal."""
     _applied: trio.Event = field(factory=trio.Event)
@@ -217,17 +219,22 @@
     def _list_earlier_silences(self) -> dict[str, float]:
         """Return how long members have been silent, in seconds by identity.
 
-        The last leader measured the silence of the others; its own counts from its
-        last append.
+        The last leader measured the silence of the others; all of them, and it, have
+        not been heard since.
         """
+        passed_s = self.clock() - self.silences_at
         silences = {
-            silence.identity: silence.silent_s for silence in self.leader_silences
+            silence.identity: silence.silent_s + passed_s
+            for silence in self.leader_silences
         }
         if self.leader is not None:
-            silent_s = self.clock() - self.leader_contact_at
-            silences[self.leader.identity] = silent_s
+            silences[self.leader.identity] = self.clock() - self.leader_contact_at
         return silences
 
+    def _record_silences(self, silences: tuple[MemberSilence, ...]) -> None:
+        self.leader_silences = silences
+        self.silences_at = self.clock()
+
     def step_down(self, reason: str) -> None:
         """Stop leading, if this member is the leader."""
         leadership = self.leadership
@@ -235,6 +242,7 @@
             return
         self.leadership = None
         self.leader = None
+        self._record_silences(leadership.list_silences())
         self.election_timeout_since = self.clock()
         leadership.end()
         eliot.log_message(
@@ -309,7 +317,7 @@
         async with self.journal_lock:
             if not await self._accept_leader(message.leader, message.term):
                 return AppendAnswer(self.term, False, self.journal.last_index)
-            self.leader_silences = message.silences
+            self._record_silences(message.silences)
             if not self._matches_previous(message):
                 last = min(self.journal.last_index, message.prev_index - 1)
                 return AppendAnswer(self.term, False, last)
