Shutdown: send late requests only if their deadline bounds them

Other operators saw the same with requests that may run only once.

Cause: a request was sent if the longest of the latest 64 runs of its route would have ended in time. That bounds nothing: an answer may be longer than those, and a route without runs was always served.

What is received more than 2.5 s after SIGTERM is sent only if its deadline comes before the end of the shutdown, and refused as not run otherwise; requests carried for another gateway from the start.

--- a/medlarrail/policy/shutdown.py
+++ b/medlarrail/policy/shutdown.py
@@ -4,6 +4,11 @@
 seconds after it began to shut down, while queues make answers slow, so what is sent
 late cannot be answered before the process ends. A caller that is refused at once can
 use another gateway.
+
+At first requests are sent if the recent ones of their route would have ended in time:
+callers cannot know of the shutdown yet. Later ones come from callers that kept an old
+address, and are sent only if their deadline comes before the end, since any answer may
+be longer than all recent ones.
 """
 
 from collections import deque
@@ -37,3 +42,14 @@
     Example: with 2 s left, a route whose answers took up to 2.2 s is not served.
     """
     return longest_s <= left_s
+
+
+def must_end(left_s: float, deadline_s: float) -> bool:
+    """Return whether a request ends within ``left_s`` seconds whatever its answer is.
+
+    ``deadline_s`` is the time until its deadline.
+
+    >>> must_end(2.0, 1.5), must_end(2.0, 8.0)
+    (True, False)
+    """
+    return deadline_s <= left_s
--- a/medlarrail/relay/drain.py
+++ b/medlarrail/relay/drain.py
@@ -22,10 +22,12 @@
     Callers cache their list of gateways, so new requests are accepted for at least
     ``shortest_s``, then until none has arrived for ``quiet_s``, and for
     ``longest_s`` at most. ``limit_s`` bounds the whole shutdown. Requests that would
-    not be answered by then are refused.
+    not be answered by then are refused; those received after ``bounded_from_s`` if
+    their deadlines are later.
     """
 
     shortest_s: float = 2.5
+    bounded_from_s: float = 2.5
     quiet_s: float = 1.0
     longest_s: float = 6.0
     limit_s: float = 7.5
@@ -38,7 +40,7 @@
     started_at = trio.current_time()
     server.draining = True
     answers_due_at = started_at + policy.limit_s - ANSWER_MARGIN_S
-    relay.shutdown.begin(answers_due_at)
+    relay.shutdown.begin(answers_due_at, started_at + policy.bounded_from_s)
     with trio.move_on_at(answers_due_at):
         with trio.move_on_after(policy.longest_s):
             await trio.sleep(policy.shortest_s)
--- a/medlarrail/relay/drain_test.py
+++ b/medlarrail/relay/drain_test.py
@@ -1,8 +1,13 @@
 """Tests of the graceful shutdown of a gateway."""
 
+import pytest
 import trio
+from attrs import evolve
 
+from medlarrail.core.errors import Draining
 from medlarrail.relay.drain import DrainPolicy, drain_gateway
+from medlarrail.relay.metadata import InboundRequest
+from medlarrail.relay.shutdown import Shutdown
 from medlarrail.testing.builders import build_deployment, build_route
 from medlarrail.testing.scripted_endpoints import (
     Script,
@@ -94,3 +99,66 @@
         assert get_status(await harness.send(request)) == b"502"
         assert len(endpoint.requests) == 1
         assert harness.server.active == 0
+
+
+LATE_POLICY = DrainPolicy(
+    shortest_s=0.1, bounded_from_s=0.1, quiet_s=0.2, longest_s=0.9, limit_s=1.2
+)
+
+
+class TestLateRequests:
+    """Requests that arrive when callers could know of the shutdown."""
+
+    async def start(self, nursery, **changes):
+        route = build_route(**changes)
+        harness = await start_relay(nursery, build_deployment(routes=(route,)))
+        endpoint = await harness.add(build_delayed(2.0))
+        nursery.start_soon(drain_gateway, harness.server, harness.relay, LATE_POLICY)
+        return harness, endpoint
+
+    @pytest.mark.parametrize("kind", ["stream", "once", "repeat"])
+    async def test_late_request_is_cut_as_its_route_was_not_served_before(
+        self, kind, nursery
+    ):
+        """Nothing was known of the route, so any request was sent."""
+        harness, endpoint = await self.start(nursery, kind=kind)
+        await trio.sleep(0.2)
+        assert get_status(await harness.send(build_request("/ask/1"))) == b"503"
+        assert not endpoint.requests
+
+    async def test_late_request_is_cut_as_recent_ones_were_shorter(self, nursery):
+        harness = await start_relay(nursery)
+        endpoint = await harness.add(build_script(answer_ok, build_delayed(2.0)))
+        assert get_status(await harness.send(build_request())) == b"200"
+        nursery.start_soon(drain_gateway, harness.server, harness.relay, LATE_POLICY)
+        await trio.sleep(0.2)
+        assert get_status(await harness.send(build_request())) == b"503"
+        assert len(endpoint.requests) == 1
+
+    async def test_late_request_with_a_near_deadline_is_refused(self, nursery):
+        harness = await start_relay(nursery)
+        await harness.add(answer_ok)
+        nursery.start_soon(drain_gateway, harness.server, harness.relay, LATE_POLICY)
+        await trio.sleep(0.2)
+        request = build_request(X_Deadline_Ms="500")
+        assert get_status(await harness.send(request)) == b"200"
+
+    async def test_early_request_is_refused(self, nursery):
+        """Its caller could not know of the shutdown."""
+        harness = await start_relay(nursery)
+        await harness.add(answer_ok)
+        nursery.start_soon(drain_gateway, harness.server, harness.relay, LATE_POLICY)
+        await trio.sleep(0.02)
+        assert get_status(await harness.send(build_request())) == b"200"
+
+    async def test_carried_request_is_cut(self, autojump_clock):
+        """Its caller's own gateway is not shutting down."""
+        shutdown = Shutdown()
+        now = trio.current_time()
+        shutdown.begin(now + 1.0, bounded_from=now + 0.5)
+        request = InboundRequest(b"GET", b"/ask/1", "", (), b"", now)
+        shutdown.require_time("ask", request, deadline=now + 2.0)
+        carried = evolve(request, forwarded_by="edge-2")
+        shutdown.require_time("ask", carried, deadline=now + 0.9)
+        with pytest.raises(Draining):
+            shutdown.require_time("ask", carried, deadline=now + 2.0)
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -201,7 +201,9 @@
         await self.stream_version.resolve()
         while True:
             self.evidence.require_not_blocked()
-            self.relay.shutdown.require_time(self.admission.route.name)
+            self.relay.shutdown.require_time(
+                self.admission.route.name, self.exchange.request, self.deadline
+            )
             await self.room_wait.run()
             await self.part_location.run()
             await self.workload_lookup.run()
--- a/medlarrail/relay/shutdown.py
+++ b/medlarrail/relay/shutdown.py
@@ -7,7 +7,8 @@
 
 from medlarrail.core.errors import Draining
 from medlarrail.core.metrics import get_metrics
-from medlarrail.policy.shutdown import RunTimes, may_send
+from medlarrail.policy.shutdown import RunTimes, may_send, must_end
+from medlarrail.relay.metadata import InboundRequest
 
 
 class Interruptible(Protocol):
@@ -25,18 +26,37 @@
     active: set[Interruptible] = field(factory=set)
     answers_due_at: float | None = None
     """On trio's clock; None while the gateway is not shutting down."""
+    bounded_from: float = 0.0
+    """On trio's clock; what is received from then on has to end by its deadline."""
 
-    def begin(self, answers_due_at: float) -> None:
-        """Refuse from now on what would not be answered by ``answers_due_at``."""
+    def begin(self, answers_due_at: float, bounded_from: float) -> None:
+        """Refuse from now on what would not be answered by ``answers_due_at``.
+
+        The deadlines of requests received after ``bounded_from`` may not be later.
+        """
         self.answers_due_at = answers_due_at
+        self.bounded_from = bounded_from
+
+    def require_time(
+        self, route: str, request: InboundRequest, deadline: float
+    ) -> None:
+        """Raise ``Draining`` if a request to ``route`` would be answered too late.
 
-    def require_time(self, route: str) -> None:
-        """Raise ``Draining`` if a request to ``route`` would be answered too late."""
+        ``deadline`` is on trio's clock. A request that another entry sent has to end
+        by its deadline in any case: its caller knows nothing of this shutdown.
+        """
         if self.answers_due_at is None:
             return
-        left_s = self.answers_due_at - trio.current_time()
-        if not may_send(left_s, self.run_times.get_longest_s(route)):
-            get_metrics().count("shutdown_refusals", route=route)
+        now = trio.current_time()
+        left_s = self.answers_due_at - now
+        is_late = request.forwarded_by or request.received_at >= self.bounded_from
+        if is_late:
+            is_in_time = must_end(left_s, deadline - now)
+        else:
+            is_in_time = may_send(left_s, self.run_times.get_longest_s(route))
+        if not is_in_time:
+            cause = "unbounded" if is_late else "slow-route"
+            get_metrics().count("shutdown_refusals", route=route, cause=cause)
             raise Draining()
 
     def interrupt(self) -> None:
