Memory: bound what all received answers take together

Other operators reported a process that ran out of memory because a faulty replica sent bytes without end. Here each answer was bounded by 16 MB, but nothing bounded all of them: thirty endpoints that send 8 MB each and go silent took 271 MB of a gateway.

The largest answer is given up and freed at once, so that ordinary answers are not affected.

--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -348,18 +348,31 @@
         """Buffer the answer, and send it to the caller once it has ended.
 
         A length is stated only if the endpoint's framing proves that nothing is
-        missing.
+        missing. Raises ``AnswerTooLong`` if all answers take too much memory and this
+        one is the largest.
         """
-        buffer = bytearray()
-        async with aclosing(connection.iterate_body()) as body:
-            async for part in body:
-                self._record_first_byte()
-                buffer += part
-                self.body_bytes += len(part)
+        memory = self.relayed.relay.answer_memory
+        held = memory.open()
+        try:
+            async with aclosing(connection.iterate_body()) as body:
+                async for part in body:
+                    self._record_first_byte()
+                    self.body_bytes += len(part)
+                    memory.add(held, part)
+                    if held.is_dropped:
+                        break
+            if held.is_dropped:
+                raise AnswerTooLong(
+                    endpoint=self.endpoint.announced.name,
+                    limit_bytes=memory.limit_bytes,
+                )
+            data = bytes(held.data)
+        finally:
+            memory.close(held)
         self._record_first_byte()
         headers = tuple(iterate_end_to_end(head.headers))
         framing = Framing.LENGTH if head.framing.proves_end else Framing.CLOSE
-        answer = BufferedAnswer(head.status, headers, bytes(buffer), framing)
+        answer = BufferedAnswer(head.status, headers, data, framing)
         failure_status = self._get_failure_status()
         failed = failure_status is not None and head.status >= failure_status
         if failed or self.relayed.exchange.started:
--- a/medlarrail/relay/endless_answers_test.py
+++ b/medlarrail/relay/endless_answers_test.py
@@ -3,6 +3,7 @@
 import itertools
 import time
 import tracemalloc
+from contextlib import suppress
 
 import h11
 import pytest
@@ -26,6 +27,9 @@
     routes=(build_route(kind="stream", resumable=False, max_attempts=1),)
 )
 REPEAT = build_deployment(routes=(build_route(kind="repeat", max_attempts=1),))
+FAULTY_ENDPOINTS = 30
+LARGE_ANSWER_BYTES = 8_000_000
+"""Half of what one answer may have."""
 DEADLINE_S = 2.0
 """Timeout of the routes in these tests."""
 TOKEN_GAP_LIMIT_S = 0.029
@@ -106,6 +110,33 @@
         tracemalloc.stop()
         assert peak_bytes < MEMORY_LIMIT_BYTES
 
+    async def test_many_endless_answers_use_up_memory(self, nursery):
+        """Each answer had a limit, but all together had none."""
+        route = build_route(kind="repeat", max_attempts=1, timeout_ms=6000)
+        harness = await start_relay(nursery, build_deployment(routes=(route,)))
+        answering = 0
+
+        async def send_much(connection, request):
+            nonlocal answering
+            answering += 1
+            await connection.send(PLAIN_HEAD)
+            for _ in range(LARGE_ANSWER_BYTES // 65536):
+                await connection.send(b"x" * 65536)
+            await trio.sleep_forever()
+
+        for _ in range(FAULTY_ENDPOINTS):
+            await harness.add(send_much)
+        tracemalloc.start()
+        with suppress(ExceptionGroup):
+            async with trio.open_nursery() as callers:
+                for _ in range(FAULTY_ENDPOINTS):
+                    callers.start_soon(harness.send, build_request(), 10.0)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert answering == FAULTY_ENDPOINTS
+        assert peak_bytes < MEMORY_LIMIT_BYTES / 2
+        assert harness.relay.answer_memory.held_bytes == 0
+
     async def test_body_of_a_rejection_is_read_until_the_deadline(self, nursery):
         """The head states that the request did not run, so another endpoint gets it."""
         harness = await start_relay(nursery)
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -18,6 +18,7 @@
     TooManyCarried,
 )
 from medlarrail.core.metrics import get_metrics
+from medlarrail.policy.answer_memory import AnswerMemory
 from medlarrail.policy.isolation import IsolationPolicy
 from medlarrail.policy.prompt_length import PromptMix
 from medlarrail.policy.rate_limits import RetryBudget
@@ -87,6 +88,7 @@
     workloads: WorkloadDirectory | None = None
     draining: bool = False
     shutdown: Shutdown = field(factory=Shutdown)
+    answer_memory: AnswerMemory = field(factory=AnswerMemory)
     startup: StartupHold | None = None
     """Set while the entry runs as a process that may have to wait for a leader."""
     secret: bytes = field(default=b"", repr=False)
--- a/medlarrail/transport/client.py
+++ b/medlarrail/transport/client.py
@@ -23,6 +23,7 @@
     PeerUnreachable,
 )
 from medlarrail.core.metrics import get_metrics
+from medlarrail.policy.answer_memory import AnswerMemory
 from medlarrail.transport.framing import Framing, get_framing
 
 T = TypeVar("T")
@@ -85,6 +86,7 @@
     """Calls peers; ``key`` is sent as the bearer key of every call."""
 
     key: str = field(default="", repr=False)
+    memory: AnswerMemory = field(factory=AnswerMemory)
     _pools_by_base_url: dict[str, _Pool] = field(factory=dict, repr=False)
 
     async def call(
@@ -175,7 +177,7 @@
             with _translate_errors(url):
                 response = await pool.connections.handle_async_request(request)
             try:
-                yield ResponseStream(url, method.encode(), response)
+                yield ResponseStream(url, method.encode(), response, self.memory)
             finally:
                 with trio.CancelScope(shield=True):
                     await response.aclose()
@@ -238,6 +240,7 @@
     url: str
     _method: bytes
     _response: httpcore.Response
+    memory: AnswerMemory
 
     @property
     def status(self) -> int:
@@ -258,15 +261,24 @@
         return get_framing(self._method, self.status, self._response.headers)
 
     async def read(self, max_bytes: int = MAX_ANSWER_BYTES) -> bytes:
-        """Return the whole body; raises ``PeerBroken`` beyond ``max_bytes``."""
-        body = bytearray()
-        async with aclosing(self.iterate()) as parts:
-            async for part in parts:
-                body += part
-                if len(body) > max_bytes:
-                    get_metrics().count("peer_answers_too_long")
-                    raise PeerBroken(url=self.url)
-        return bytes(body)
+        """Return the whole body.
+
+        Raises ``PeerBroken`` beyond ``max_bytes``, or if all answers that the client
+        receives take too much memory and this one is the largest.
+        """
+        held = self.memory.open()
+        try:
+            async with aclosing(self.iterate()) as parts:
+                async for part in parts:
+                    self.memory.add(held, part)
+                    if held.is_dropped or len(held.data) > max_bytes:
+                        break
+            if held.is_dropped or len(held.data) > max_bytes:
+                get_metrics().count("peer_answers_too_long", dropped=held.is_dropped)
+                raise PeerBroken(url=self.url)
+            return bytes(held.data)
+        finally:
+            self.memory.close(held)
 
     async def iterate(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive."""
--- a/medlarrail/transport/client_test.py
+++ b/medlarrail/transport/client_test.py
@@ -4,6 +4,7 @@
 import trio
 
 from medlarrail.core.errors import PeerBroken
+from medlarrail.policy.answer_memory import AnswerMemory
 from medlarrail.protocol.empty import EmptyMessage
 from medlarrail.testing.scripted_endpoints import HOST, Script, ScriptedEndpoint
 from medlarrail.transport.client import HttpClient
@@ -27,6 +28,16 @@
     return run
 
 
+def stall_after(data: bytes) -> Script:
+    """Return a script that sends ``data`` as a body and goes silent."""
+
+    async def run(connection, request):
+        await connection.send(b"HTTP/1.1 200 OK\r\n\r\n" + data)
+        await trio.sleep_forever()
+
+    return run
+
+
 def send_endlessly(head: bytes) -> Script:
     """Return a script that sends ``head`` and a body without end."""
 
@@ -64,6 +75,27 @@
 
 
 class TestEndlessAnswers:
+    async def test_many_large_answers_use_up_memory(self, nursery):
+        """Each answer had a limit, but all together had none."""
+        small = b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n" + b"x" * 900
+        client = HttpClient(memory=AnswerMemory(limit_bytes=100_000))
+        url = await start_peer(nursery, close_after(small))
+        large_url = await start_peer(nursery, stall_after(200 * small))
+        peaks = []
+
+        async def fetch_large() -> None:
+            with pytest.raises(PeerBroken):
+                await client.fetch("GET", large_url + "/x")
+            peaks.append(client.memory.held_bytes)
+
+        async with trio.open_nursery() as calls:
+            for _ in range(10):
+                calls.start_soon(fetch_large)
+            for _ in range(20):
+                assert len((await client.fetch("GET", url + "/x")).body) == 900
+        assert len(peaks) == 10 and max(peaks) <= 100_000
+        assert client.memory.held_bytes == 0
+
     async def test_endless_answer_is_read_until_the_timeout(self, nursery):
         url = await start_peer(nursery, send_endlessly(b"HTTP/1.1 200 OK\r\n\r\n"))
         with trio.fail_after(5.0), pytest.raises(PeerBroken):
