Storage: let a failed append leave the log and the process intact

Closing the buffered file wrote the failed entry once more, and the second OSError was not translated. A part of an entry that fit stayed in the log, which counted as damaged at the next start. Storing a newer term on a full disk ended the process, too.

Appends are unbuffered, every error of a write is a StorageError, and adopt_term steps down if the term cannot be stored.

--- a/medlarrail/consensus/replication.py
+++ b/medlarrail/consensus/replication.py
@@ -197,12 +197,18 @@
     # Role transitions.
 
     async def adopt_term(self, term: int) -> None:
-        """Adopt a newer term, which ends a leadership of an older one."""
+        """Adopt a newer term, which ends a leadership of an older one.
+
+        It ends also if the new term cannot be stored.
+        """
         if term <= self.term:
             return
-        async with self.journal_lock:
-            if term > self.term:
-                await self.journal.save_vote(term, "")
+        try:
+            async with self.journal_lock:
+                if term > self.term:
+                    await self.journal.save_vote(term, "")
+        except StorageError as error:
+            self.handle_storage_error(error)
         self.step_down("newer-term")
 
     def start_leading(self, term: int) -> None:
--- a/medlarrail/consensus/replication_test.py
+++ b/medlarrail/consensus/replication_test.py
@@ -117,6 +117,18 @@
             await trio.sleep(0.01)
             assert leader.has_lease() and leader.term == term
 
+    async def test_newer_term_ends_a_process_with_a_full_disk(
+        self, cluster, autojump_clock
+    ):
+        """The error of storing the term was not handled."""
+        leader = await cluster.wait_leader()
+        folder = leader.journal.folder
+        folder.quota_bytes = folder.get_size()
+        await leader.adopt_term(leader.term + 5)
+        assert leader.leadership is None and leader.storage_error
+        folder.quota_bytes = 0
+        assert await cluster.wait_leader()
+
     async def test_leader_with_full_disk_steps_down(self, cluster, autojump_clock):
         leader = await cluster.wait_leader()
         folder = leader.journal.folder
--- a/medlarrail/core/errors.py
+++ b/medlarrail/core/errors.py
@@ -533,6 +533,13 @@
     path: str = ""
 
 
+class StorageFailed(StorageError):
+    """The operating system refused to write for another reason."""
+
+    path: str = ""
+    problem: str = ""
+
+
 class StorageDamaged(StorageError):
     """Durable state is damaged elsewhere than at its torn tail."""
 
--- a/medlarrail/policy/answer_memory_test.py
+++ b/medlarrail/policy/answer_memory_test.py
@@ -9,7 +9,7 @@
 
 
 def replay(seed: int, endless: int) -> tuple[int, int, int]:
-    """Return the peak of memory, and how many ordinary and endless answers were dropped.
+    """Return the peak of memory and how many ordinary and endless answers were dropped.
 
     Parts of 10 ordinary answers of 3 parts each, and of endless ones, arrive in turn.
     """
--- a/medlarrail/state/folder.py
+++ b/medlarrail/state/folder.py
@@ -10,7 +10,7 @@
 
 from attrs import define
 
-from medlarrail.core.errors import StorageFull
+from medlarrail.core.errors import StorageFailed, StorageFull
 
 DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 
@@ -57,10 +57,11 @@
         self._check_quota(len(data))
         path = self.path / name
         created = not path.exists()
-        with open(path, "ab") as file:
+        # Unbuffered, since closing a file writes what is left in its buffer.
+        with open(path, "ab", buffering=0) as file:
             previous_size = file.tell()
             try:
-                file.write(data)
+                _write_all(file, data)
                 self._sync_file(file)
             except OSError as error:
                 os.truncate(path, previous_size)
@@ -115,4 +116,11 @@
     def _translate(self, error: OSError) -> Exception:
         if error.errno in DISK_FULL_ERRNOS:
             return StorageFull(path=self.path.name)
-        return error
+        return StorageFailed(path=self.path.name, problem=str(error))
+
+
+def _write_all(file, data: bytes) -> None:
+    """Write to an unbuffered file, which may take a part only."""
+    view = memoryview(data)
+    while view:
+        view = view[file.write(view) :]
--- a/medlarrail/state/journal_test.py
+++ b/medlarrail/state/journal_test.py
@@ -1,9 +1,12 @@
 """Tests of journal recovery: torn tails, damage, crashes and full disks."""
 
+import resource
+from contextlib import contextmanager
+
 import pytest
 
 from medlarrail.core.entities import Contract, MemberInfo
-from medlarrail.core.errors import StorageDamaged, StorageFull
+from medlarrail.core.errors import StorageDamaged, StorageError, StorageFull
 from medlarrail.state.catalogue import Catalogue
 from medlarrail.state.folder import DataFolder
 from medlarrail.state.journal import (
@@ -206,3 +209,32 @@
             await fill(journal, 1)
         monkeypatch.undo()
         assert open_at(tmp_path).last_index == 1
+
+
+@contextmanager
+def limit_file_size(size: int):
+    """Let the kernel refuse to write any file beyond ``size`` bytes."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_FSIZE)
+    resource.setrlimit(resource.RLIMIT_FSIZE, (size, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_FSIZE, (soft, hard))
+
+
+class TestFullDisk:
+    @pytest.mark.parametrize("room_bytes", [0, 20])
+    async def test_append_on_a_full_disk_raises_an_unknown_error(
+        self, room_bytes, tmp_path
+    ):
+        """Closing the file wrote the buffered entry again, whose error was not
+        translated. If a part of it fit, the log was damaged."""
+        journal = open_at(tmp_path)
+        await fill(journal, 3)
+        size = (tmp_path / LOG_FILE).stat().st_size
+        with limit_file_size(size + room_bytes), pytest.raises(StorageError):
+            await fill(journal, 1)
+        assert (tmp_path / LOG_FILE).stat().st_size == size
+        await fill(journal, 2)
+        assert open_at(tmp_path).entries == journal.entries
+        assert journal.last_index == 5
