Signals: keep early SIGHUPs, and ignore further SIGTERMs

It is blocked from the first statement of the program until the handler is there, and then reloads the settings.

A second SIGTERM ended a gateway that was completing its requests: the receiver was closed after the first one and had restored the default action.

The first milliseconds of the interpreter, before the program's first statement, remain.

--- a/medlarrail/platform/__main__.py
+++ b/medlarrail/platform/__main__.py
@@ -4,6 +4,7 @@
 """
 
 import os
+import signal
 import sys
 from importlib import import_module
 from pathlib import Path
@@ -18,6 +19,8 @@
 
 def main() -> int:
     """Run the program named by the first argument and return the exit code."""
+    # The default action would end the process; ``SettingsReloader`` handles it.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     name = sys.argv[1] if len(sys.argv) == 2 else ""
     if name not in PROGRAMS:
         print(f"usage: python3 -m medlarrail.platform {'|'.join(PROGRAMS)}")
--- a/medlarrail/programs/daemon.py
+++ b/medlarrail/programs/daemon.py
@@ -43,8 +43,17 @@
 
 
 async def wait_for_stop_signal() -> None:
-    """Return at the first SIGTERM or SIGINT."""
+    """Return at the first SIGTERM or SIGINT.
+
+    Further SIGTERMs are ignored: the default action would end the process while it
+    completes its requests.
+    """
+    # Blocked, so that none is ignored before the receiver is open, which restores the
+    # action set here when it is closed.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM})
         async for _ in signals:
             return
 
@@ -60,9 +69,11 @@
     async def watch(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Reload the settings at each SIGHUP.
 
-        Invalid settings are logged and change nothing.
+        Invalid settings are logged and change nothing. A signal that arrived while
+        the program was starting is handled first.
         """
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
             task_status.started()
             async for _ in signals:
                 self.reload()
--- a/medlarrail/programs/gateway_test.py
+++ b/medlarrail/programs/gateway_test.py
@@ -136,6 +136,25 @@
     return answer
 
 
+async def test_second_stop_signal_cuts_requests(daemons, nursery):
+    """After the first one the default action was in force again."""
+    await wait_answer(daemons.gateway_port, 503)
+    gateway = daemons.processes["gateway"]
+    gateway.send_signal(signal.SIGTERM)
+    with trio.fail_after(WAIT_TIMEOUT_S):
+        while not is_logged(daemons, "gateway:draining"):
+            await trio.sleep(0.01)
+    gateway.send_signal(signal.SIGTERM)
+    code = await trio.to_thread.run_sync(partial(gateway.wait, WAIT_TIMEOUT_S))
+    assert code == 0
+    assert is_logged(daemons, "gateway:drained")
+
+
+def is_logged(daemons, message_type):
+    lines = daemons.read_log("gateway")
+    return any(line.get("message_type") == message_type for line in lines)
+
+
 async def test_request_path_reload_and_shutdown(daemons, tmp_path, nursery):
     endpoint = ScriptedEndpoint("engine-1", answer_ok)
     await nursery.start(endpoint.run)
