--- a/medlarrail/state/journal_test.py
+++ b/medlarrail/state/journal_test.py
@@ -183,34 +183,6 @@
         assert reopened.last_term == 3
 
 
-class TestFullDisk:
-    async def test_a_rejected_append_leaves_no_data(self, tmp_path):
-        journal = open_at(tmp_path)
-        await fill(journal, 2)
-        before = (tmp_path / LOG_FILE).read_bytes()
-        journal.folder.quota_bytes = journal.folder.get_size() + 10
-        with pytest.raises(StorageFull):
-            await fill(journal, 1)
-        assert journal.last_index == 2
-        assert (tmp_path / LOG_FILE).read_bytes() == before
-        journal.folder.quota_bytes = 0
-        await fill(journal, 1)
-        assert open_at(tmp_path).last_index == 3
-
-    async def test_a_write_whose_sync_fails_is_undone(self, tmp_path, monkeypatch):
-        journal = open_at(tmp_path)
-        await fill(journal, 1)
-
-        def fail(handle):
-            raise OSError(28, "No space left on device")
-
-        monkeypatch.setattr("medlarrail.state.folder.os.fsync", fail)
-        with pytest.raises(StorageFull):
-            await fill(journal, 1)
-        monkeypatch.undo()
-        assert open_at(tmp_path).last_index == 1
-
-
 @contextmanager
 def limit_file_size(size: int):
     """Let the kernel refuse to write any file beyond ``size`` bytes."""
@@ -238,3 +210,29 @@
         await fill(journal, 2)
         assert open_at(tmp_path).entries == journal.entries
         assert journal.last_index == 5
+
+    async def test_a_rejected_append_leaves_no_data(self, tmp_path):
+        journal = open_at(tmp_path)
+        await fill(journal, 2)
+        before = (tmp_path / LOG_FILE).read_bytes()
+        journal.folder.quota_bytes = journal.folder.get_size() + 10
+        with pytest.raises(StorageFull):
+            await fill(journal, 1)
+        assert journal.last_index == 2
+        assert (tmp_path / LOG_FILE).read_bytes() == before
+        journal.folder.quota_bytes = 0
+        await fill(journal, 1)
+        assert open_at(tmp_path).last_index == 3
+
+    async def test_a_write_whose_sync_fails_is_undone(self, tmp_path, monkeypatch):
+        journal = open_at(tmp_path)
+        await fill(journal, 1)
+
+        def fail(handle):
+            raise OSError(28, "No space left on device")
+
+        monkeypatch.setattr("medlarrail.state.folder.os.fsync", fail)
+        with pytest.raises(StorageFull):
+            await fill(journal, 1)
+        monkeypatch.undo()
+        assert open_at(tmp_path).last_index == 1
