Elections: wait exactly until the election timeout

Timeouts were noticed in steps of an eighth of a second from the last contact with the leader, which is the same moment for all members.

--- a/medlarrail/consensus/elections.py
+++ b/medlarrail/consensus/elections.py
@@ -74,8 +74,8 @@
             timeout_s = member.random.uniform(
                 ELECTION_TIMEOUT_MIN_S, ELECTION_TIMEOUT_MAX_S
             )
-            while member.clock() < member.election_timeout_since + timeout_s:
-                await self._sleep(HEARTBEAT_INTERVAL_S / 2)
+            while (left_s := self._get_time_left_s(timeout_s)) > 0:
+                await self._sleep(min(HEARTBEAT_INTERVAL_S / 2, left_s))
             if member.leadership is None:
                 await self._start_election()
             elif member.leadership.has_lost_quorum():
@@ -83,6 +83,9 @@
             else:
                 await self._sleep(HEARTBEAT_INTERVAL_S)
 
+    def _get_time_left_s(self, timeout_s: float) -> float:
+        return self.member.election_timeout_since + timeout_s - self.member.clock()
+
     async def _sleep(self, duration_s: float) -> None:
         """Sleep, and notice whether the process stood still meanwhile."""
         began_at = self.member.clock()
--- a/medlarrail/consensus/replication_test.py
+++ b/medlarrail/consensus/replication_test.py
@@ -285,6 +285,25 @@
             await cluster.start(leader.name)
             await trio.sleep(3)
 
+    async def test_members_that_check_together_split_the_votes(
+        self, tmp_path, nursery, autojump_clock
+    ):
+        """Timeouts were noticed in steps of an eighth of a second from the last contact
+        with the leader, which is the same moment for all."""
+        late = 0
+        for seed in range(40):
+            cluster = Cluster(tmp_path / str(seed), nursery, seed=seed)
+            await cluster.bootstrap(*NAMES)
+            await trio.sleep(3)
+            leader = await cluster.wait_leader()
+            cluster.kill(leader.name)
+            with trio.move_on_after(ELECTION_TIMEOUT_MAX_S + 0.2):
+                await cluster.wait_leader()
+            late += cluster.find_leader() is None
+            for name in list(cluster.hosts):
+                cluster.kill(name)
+        assert late <= 1
+
 
 class TestLogs:
     async def test_log_does_not_tell_why_there_is_no_leader(
