--- a/medlarrail/consensus/elections.py
+++ b/medlarrail/consensus/elections.py
@@ -40,8 +40,8 @@
 """Time that a member leaves for the election after a full restart before it may start
 one by its timeout."""
 STALL_LIMIT_S = 0.5
-"""Delay of a timer from which the process counts as having stood still: other members
-may have been heard by nobody here for as long."""
+"""Delay of a timer from which the process counts as having stood still: it could not
+hear the other members meanwhile."""
 GRANTED = "granted"
 REFUSED = "refused"
 
--- a/medlarrail/consensus/membership_rules.py
+++ b/medlarrail/consensus/membership_rules.py
@@ -96,8 +96,8 @@
 def _demote_silent(members: tuple[MemberStatus, ...]) -> MemberChange | None:
     """Take the vote of a silent voter if that lets the others bear more losses.
 
-    It does at once if the number of voters is even, and otherwise together with the
-    promotion of a learner.
+    With an even number of voters the removal alone does, as it lowers the quorum. With
+    an odd number a learner has to be promoted after it.
     """
     voters = [member for member in members if member.info.voter]
     is_even = len(voters) % 2 == 0
