--- a/medlarrail/testing/paths.py
+++ b/medlarrail/testing/paths.py
@@ -4,6 +4,7 @@
 connection passes through a proxy of its own, so that a cut concerns this gateway alone.
 """
 
+from contextlib import suppress
 from typing import Literal
 
 import trio
@@ -43,7 +44,9 @@
             for port, stream in self._streams:
                 if self._is_cut(port) and stream.socket.fileno() >= 0:
                     set_reset_on_close(stream, True)
-                    stream.socket.shutdown(trio.socket.SHUT_RDWR)
+                    # The endpoint may have closed the connection already.
+                    with suppress(OSError):
+                        stream.socket.shutdown(trio.socket.SHUT_RDWR)
         self._streams = [
             (port, stream)
             for port, stream in self._streams
