Announcements: search the registry once less

The registry's check passes over all endpoints, and each announcement made it three times: twice before it was recorded and once when it was. The check after the wait for the log only needs the marks, since recording checks the registry. Outdated announcements are ignored and counted as before.

--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -212,21 +212,17 @@
         """
         await self.member.confirm_reads()
         self.require_leading()
-        if not self._is_outdated(announced):
+        is_outdated = self.registry.is_outdated(announced)
+        if not is_outdated and not self.endpoint_marks.is_outdated(announced):
             await self.software_versions.add(announced)
             if announced.state == "leaving":
                 await self.endpoint_marks.mark_leaving(announced)
-        # What the log has may have changed meanwhile.
-        if self._is_outdated(announced):
+        # The log may have got another mark meanwhile; the registry checks itself.
+        if self.endpoint_marks.is_outdated(announced):
             get_metrics().count("announcements_outdated")
             return
         self.record_announcement(announced)
 
-    def _is_outdated(self, announced: Announcement) -> bool:
-        return self.registry.is_outdated(announced) or self.endpoint_marks.is_outdated(
-            announced
-        )
-
     def record_announcement(self, announced: Announcement) -> None:
         """Record an announcement of an endpoint whose software version is known."""
         self.require_leading()
