--- /dev/null
+++ b/medlarrail/core/software_rollouts.py
@@ -0,0 +1,101 @@
+"""Software roll-outs: the record in the replicated log, and what gateways report.
+
+A roll-out moves the traffic of a service from the software versions that serve it to a
+target version. In the stage ``trial`` the target gets a small share of the requests, in
+the stage ``full`` all new ones. A final state never changes.
+"""
+
+from typing import Literal
+
+from attrs import frozen
+
+RolloutState = Literal["running", "completed", "rolled_back"]
+RolloutStage = Literal["trial", "full"]
+
+LATENCY_BOUNDS_MS = (5, 10, 20, 40, 60, 90, 135, 200, 300, 450, 675, 1000, 1500, 3000)
+"""Upper bounds of the classes of answer times, except for the last one."""
+
+
+@frozen
+class SoftwareRollout:
+    """A roll-out as it stands in the replicated log.
+
+    ``started_ms`` is the Unix time of the order in milliseconds, which together with
+    the service identifies the roll-out. ``replaced`` are the software versions that
+    served when it was ordered.
+    """
+
+    service: str
+    target: str
+    duration_ms: int
+    started_ms: int
+    replaced: tuple[str, ...] = ()
+    state: RolloutState = "running"
+    stage: RolloutStage = "trial"
+    changed_ms: int = 0
+    """Unix time of the latest step in milliseconds."""
+    reason: str = ""
+    """Evidence of the latest step, for operators."""
+
+    @property
+    def is_running(self) -> bool:
+        """Whether no verdict has been reached."""
+        return self.state == "running"
+
+    @property
+    def sort_key(self) -> tuple[int, bool, bool]:
+        """Sort key that orders the records of one service by age."""
+        return (self.started_ms, not self.is_running, self.stage == "full")
+
+
+@frozen
+class RolloutCounts:
+    """Answers to one gateway's requests on a route, at the target or the others.
+
+    ``failures`` are answers that failed or were incomplete. ``latencies`` counts the
+    complete answers by ``LATENCY_BOUNDS_MS``, which has one class less, and may be
+    empty for none. Answers whose time says nothing of the version, such as those of a
+    cold endpoint or of prompts that had to be read without stored context, count in
+    ``answers`` only.
+    """
+
+    route: str
+    is_target: bool
+    answers: int = 0
+    failures: int = 0
+    latencies: tuple[int, ...] = ()
+
+
+@frozen
+class RolloutReport:
+    """What a gateway saw of a roll-out since it learned of it; counts are cumulative.
+
+    ``epoch`` is the gateway's start in Unix milliseconds: its counts begin anew with
+    each process. ``sent`` and ``sent_to_target`` count requests to the service
+    including repeated and rejected ones, ``in_flight_replaced`` those that still run at
+    the replaced versions, and ``stage`` is the one that the gateway has applied.
+    """
+
+    entry: str
+    epoch: int
+    service: str
+    started_ms: int
+    stage: RolloutStage
+    sent: int = 0
+    sent_to_target: int = 0
+    in_flight_replaced: int = 0
+    counts: tuple[RolloutCounts, ...] = ()
+
+
+@frozen
+class SoftwareRolloutPolicy:
+    """Limits of software roll-outs.
+
+    The target gets at most ``exposure_ratio`` of the requests to its service plus
+    ``exposure_slack`` until there is a verdict, and nothing from ``rollback_s`` seconds
+    after its fiftieth bad answer.
+    """
+
+    exposure_ratio: float = 0.1
+    exposure_slack: int = 50
+    rollback_s: float = 5.0
