Load reports: a further figure no longer voids the whole report

Cause: a Server-Load header with anything but three figures was dropped, and endpoints of some services send four. Gateways then knew only their own requests. The first three figures are used and the others ignored. The test failed on each of its three headers.

--- a/medlarrail/platform/header_codec.py
+++ b/medlarrail/platform/header_codec.py
@@ -224,9 +224,9 @@
 
 def _parse_load(text: str) -> EndpointLoad | None:
     numbers = [parse_digits(number.strip()) for number in text.split(",")]
-    if len(numbers) != 3 or None in numbers:
+    if len(numbers) < 3 or None in numbers[:3]:
         return None
-    return EndpointLoad(*numbers)
+    return EndpointLoad(*numbers[:3])
 
 
 def _parse_int(text: str) -> int:
--- a/medlarrail/platform/platform_test.py
+++ b/medlarrail/platform/platform_test.py
@@ -31,6 +31,7 @@
 from medlarrail.relay.metadata import (
     AnswerMetadata,
     DispatchMetadata,
+    EndpointLoad,
     PromptPart,
     Refusal,
     RequestMetadata,
@@ -341,6 +342,14 @@
         misdirected = header_codec.read_answer(421, ((b"Instance-Id", b"i-2"),))
         assert misdirected.misdirected and misdirected.endpoint == "i-2"
 
+    @pytest.mark.parametrize("text", ["3,1,8,140", "3,1,8,x", "3, 1, 8, 140, 7"])
+    def test_further_figures_of_a_load_are_ignored(self, text):
+        """Guards against losing the whole load report when a figure is added to it."""
+        answer = PlatformHeaderCodec().read_answer(
+            200, ((b"Server-Load", text.encode()),)
+        )
+        assert answer.load == EndpointLoad(running=3, waiting=1, slots=8)
+
     def test_a_refusal_states_when_to_retry(self):
         headers, _ = PlatformHeaderCodec().write_refusal(
             Refusal(503, "full", 0.25), RequestMetadata(request_id="r")
