Directory: name every ready gateway to some callers

Cause: answers named the first 64 gateways in the order of their registration, to every caller. With 85 ready ones 21 served nobody, with 191 127. Beyond 64 each caller is now named its own selection by rendezvous hashing, at most three quarters of it in its own data centre. Up to 64 gateways, answers stay as they were.

--- a/medlarrail/platform/directory.py
+++ b/medlarrail/platform/directory.py
@@ -1,8 +1,11 @@
 """Readiness checks, and resolution of the gateways' addresses for callers."""
 
+from urllib.parse import parse_qs
+
 import orjson
 from attrs import define
 
+from medlarrail.policy.entry_listing import choose_entries
 from medlarrail.programs.gateway import Gateway
 from medlarrail.relay.inbound import ServerExchange
 
@@ -28,10 +31,16 @@
 
     async def answer_resolve(self, exchange: ServerExchange) -> None:
         """Answer with the addresses of the gateways that accept requests."""
-        addresses = [entry.address for entry in self.gateway.cluster_view.entries]
-        if exchange.request.path != "/resolve" or not addresses:
+        entries = self.gateway.cluster_view.entries
+        if exchange.request.path != "/resolve" or not entries:
             status = 503 if exchange.request.path == "/resolve" else 404
             await exchange.send_whole(status, JSON_HEADERS, b"{}")
             return
-        body = {"addresses": addresses[:MAX_ADDRESSES], "ttl-s": RESOLVE_TTL_S}
+        query = parse_qs(exchange.request.target.partition(b"?")[2].decode("latin1"))
+        data_centre = query.get("zone", [""])[0]
+        chosen = choose_entries(
+            entries, data_centre, exchange.get_caller_host(), MAX_ADDRESSES
+        )
+        addresses = [entry.address for entry in chosen]
+        body = {"addresses": addresses, "ttl-s": RESOLVE_TTL_S}
         await exchange.send_whole(200, JSON_HEADERS, orjson.dumps(body))
--- a/medlarrail/relay/inbound.py
+++ b/medlarrail/relay/inbound.py
@@ -113,6 +113,14 @@
             await self.send_part(body)
         await self.end()
 
+    def get_caller_host(self) -> str:
+        """Return the IP address that the caller has connected from, or an empty string
+        if it has disconnected."""
+        try:
+            return self.connection.stream.socket.getpeername()[0]
+        except OSError:
+            return ""
+
     def abort(self) -> None:
         """Cut the answer off so that it cannot look complete."""
         self.connection.aborted = True
