Software rollouts: messages, settings and the entry's view

Entries could not learn of rollouts, and no settings limited them.

The answer of a state member carries the latest rollout of each service, an entry says that it applies them, and its view keeps the newest record by sort_key. The limit after the fiftieth bad response is rollback_ms, in milliseconds as the users' setting, instead of rollback_s. A record also lists the versions that earlier rollouts took out of use: with one record per service they would be allowed again by the next order.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -31,6 +31,7 @@
 from medlarrail.core.errors import MedlarError
 from medlarrail.core.invariants import require
 from medlarrail.core.metrics import get_metrics
+from medlarrail.core.software_rollouts import SoftwareRollout
 from medlarrail.policy.notification import (
     MAX_DIRECT_ENTRIES,
     get_poll_timeout_s,
@@ -92,6 +93,8 @@
     """By service, the software versions that may have begun streams."""
     version_listeners: list[Callable[[str], None]] = field(factory=list)
     """Called with each service that gets a second software version."""
+    rollouts: dict[str, SoftwareRollout] = field(factory=dict)
+    """The latest software roll-out of each service."""
     member_urls: tuple[str, ...] = ()
     confirmed_at: float = float("-inf")
     deployment_listeners: list[Callable[[Deployment], None]] = field(factory=list)
@@ -149,6 +152,23 @@
         self.member_urls = answer.member_urls
         if answer.software_versions is not None:
             self._apply_software_versions(answer.software_versions)
+        if answer.rollouts is not None:
+            self._apply_rollouts(answer.rollouts)
+
+    def _apply_rollouts(self, listed: tuple[SoftwareRollout, ...]) -> None:
+        """Apply the records that are newer; one that is not listed stays."""
+        for rollout in listed:
+            previous = self.rollouts.get(rollout.service)
+            if previous is None or previous.sort_key < rollout.sort_key:
+                self.rollouts[rollout.service] = rollout
+                eliot.log_message(
+                    "rollout:in-force",
+                    service=rollout.service,
+                    target=rollout.target,
+                    state=rollout.state,
+                    stage=rollout.stage,
+                    started_ms=rollout.started_ms,
+                )
 
     def _apply_software_versions(self, listed: tuple[ServiceVersions, ...]) -> None:
         previous = self.software_versions
@@ -389,6 +409,7 @@
             work_address=self.work_address,
             limited_services=self.list_limited_services(),
             reads_age=True,
+            knows_rollouts=True,
             entry_count=self.cluster_view.entry_count,
         )
 
--- a/medlarrail/cluster/cluster_view_test.py
+++ b/medlarrail/cluster/cluster_view_test.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+from attrs import evolve
 
 from medlarrail.cluster.cluster_view import ClusterView, ClusterViewClient
 from medlarrail.cluster.cluster_view_server import (
@@ -12,6 +13,7 @@
 from medlarrail.core.announcements import RegisteredEndpoint, RegisteredEntry
 from medlarrail.core.errors import DeploymentInvalid, MedlarError, NotLeader
 from medlarrail.core.metrics import get_metrics
+from medlarrail.core.software_rollouts import SoftwareRollout
 from medlarrail.policy.notification import (
     MIN_POLL_WAIT_S,
     get_entry_timeout_s,
@@ -279,3 +281,21 @@
         told.list_limited_services = tuple
         await trio.sleep(get_entry_timeout_s(2) + 2 * MIN_POLL_WAIT_S)
         assert not started.cluster_view.limited_services
+
+
+class TestRollouts:
+    def test_an_older_record_replaces_a_newer_one(self):
+        """A member that lags answers after one that knows the verdict."""
+        view = ClusterView()
+        running = SoftwareRollout("guide", "v2", 9000, 1000, ("v1",))
+        ended = evolve(running, state="rolled_back")
+        following = evolve(running, started_ms=2000)
+        answer = build_answer()
+        for rollout in (running, ended, running, evolve(running, stage="full")):
+            view.apply(evolve(answer, rollouts=(rollout,)))
+        assert view.rollouts == {"guide": ended}
+        view.apply(evolve(answer, rollouts=(following,)))
+        view.apply(evolve(answer, rollouts=(ended,)))
+        view.apply(evolve(answer, rollouts=()))
+        view.apply(answer)
+        assert view.rollouts == {"guide": following}
--- a/medlarrail/cluster/view_copy.py
+++ b/medlarrail/cluster/view_copy.py
@@ -211,6 +211,7 @@
             trial_requests=answer.trial_requests if suspected else None,
             blocked=answer.blocked if configured else None,
             software_versions=answer.software_versions if configured else None,
+            rollouts=answer.rollouts if configured else None,
         )
 
     def _iterate_changed(self, since: int):
@@ -298,6 +299,7 @@
             ready=False,
             wait_s=wait_s,
             reports=tuple(self._iterate_reports()),
+            knows_rollouts=True,
             **seen,
         )
 
@@ -399,6 +401,7 @@
             "trial_requests",
             "blocked",
             "software_versions",
+            "rollouts",
         )
         if getattr(answer, name) is None
     }
--- a/medlarrail/core/software_rollouts.py
+++ b/medlarrail/core/software_rollouts.py
@@ -36,12 +36,35 @@
     """Unix time of the latest step in milliseconds."""
     reason: str = ""
     """Evidence of the latest step, for operators."""
+    excluded: tuple[str, ...] = ()
+    """Versions that earlier roll-outs of the service took out of use, which get no
+    requests unless they become a target again."""
 
     @property
     def is_running(self) -> bool:
         """Whether no verdict has been reached."""
         return self.state == "running"
 
+    def excludes(self, version: str) -> bool:
+        """Return whether endpoints of ``version`` may get no requests at all.
+
+        >>> SoftwareRollout("guide", "v2", 9000, 1, ("v1",)).excludes("v1")
+        False
+        """
+        if version in self.excluded:
+            return True
+        if self.state == "completed":
+            return version in self.replaced
+        return self.state == "rolled_back" and version == self.target
+
+    def is_under_trial(self, version: str) -> bool:
+        """Return whether only entries that apply the roll-out may use ``version``.
+
+        >>> SoftwareRollout("guide", "v2", 9000, 1, ("v1",)).is_under_trial("v2")
+        True
+        """
+        return version == self.target and self.is_running
+
     @property
     def sort_key(self) -> tuple[int, bool, bool]:
         """Sort key that orders the records of one service by age."""
@@ -92,10 +115,10 @@
     """Limits of software roll-outs.
 
     The target gets at most ``exposure_ratio`` of the requests to its service plus
-    ``exposure_slack`` until there is a verdict, and nothing from ``rollback_s`` seconds
-    after its fiftieth bad answer.
+    ``exposure_slack`` until there is a verdict, and nothing from ``rollback_ms``
+    milliseconds after its fiftieth bad answer.
     """
 
     exposure_ratio: float = 0.1
     exposure_slack: int = 50
-    rollback_s: float = 5.0
+    rollback_ms: int = 5000
--- a/medlarrail/protocol/cluster_view.py
+++ b/medlarrail/protocol/cluster_view.py
@@ -16,6 +16,7 @@
     ServiceVersions,
     SharedPart,
 )
+from medlarrail.core.software_rollouts import SoftwareRollout
 
 CLUSTER_VIEW_PATH = "/internal/picture"
 ANNOUNCEMENTS_PATH = "/v1/announcements"
@@ -81,6 +82,9 @@
     """Number of entries that the caller knows of."""
     reports: tuple[EntryReport, ...] | None = None
     """The calls that a follower received; None from an entry."""
+    knows_rollouts: bool = False
+    """Whether the caller applies software roll-outs; if not, endpoints of a version
+    under trial are not listed to it."""
 
     def get_registered_entry(self) -> RegisteredEntry:
         """Return the calling entry as it is listed to others."""
@@ -123,6 +127,8 @@
     """None if nothing changed."""
     software_versions: tuple[ServiceVersions, ...] | None = None
     """The software versions that may have begun streams; None if nothing changed."""
+    rollouts: tuple[SoftwareRollout, ...] | None = None
+    """The latest software roll-out of each service; None if nothing changed."""
     deployment: Deployment | None = None
     out_data_centres: tuple[str, ...] = ()
     limited_services: tuple[str, ...] = ()
--- a/medlarrail/settings/common.py
+++ b/medlarrail/settings/common.py
@@ -3,6 +3,7 @@
 from attrs import frozen
 
 from medlarrail.core.entities import ValidationFault
+from medlarrail.core.software_rollouts import SoftwareRolloutPolicy
 
 
 @frozen
@@ -62,8 +63,23 @@
     back_off = getattr(settings, "back_off", None)
     if back_off is not None and back_off.max_s < 0:
         faults.append(ValidationFault("$.back_off.max_s", "is negative"))
+    rollouts = getattr(settings, "software_rollouts", None)
+    if rollouts is not None:
+        faults.extend(iterate_rollout_faults(rollouts))
     return faults
 
 
+def iterate_rollout_faults(policy: SoftwareRolloutPolicy):
+    """Yield the faults of the limits of software roll-outs."""
+    if not 0 <= policy.exposure_ratio <= 1:
+        yield ValidationFault(
+            "$.software_rollouts.exposure_ratio", "not between 0 and 1"
+        )
+    if policy.exposure_slack < 0:
+        yield ValidationFault("$.software_rollouts.exposure_slack", "is negative")
+    if policy.rollback_ms <= 0:
+        yield ValidationFault("$.software_rollouts.rollback_ms", "is not positive")
+
+
 MIN_KEY_LENGTH = 16
 """Minimum length of the deployment's keys in characters."""
--- a/medlarrail/settings/gateway.py
+++ b/medlarrail/settings/gateway.py
@@ -2,6 +2,7 @@
 
 from attrs import field, frozen
 
+from medlarrail.core.software_rollouts import SoftwareRolloutPolicy
 from medlarrail.policy.back_off import BackOffPolicy
 from medlarrail.policy.isolation import IsolationPolicy
 from medlarrail.relay.drain import DrainPolicy
@@ -32,6 +33,8 @@
     back_off: BackOffPolicy = field(factory=BackOffPolicy)
     drain: DrainPolicy = field(factory=DrainPolicy)
     isolation: IsolationPolicy = field(factory=IsolationPolicy)
+    software_rollouts: SoftwareRolloutPolicy | None = None
+    """Limits of software roll-outs; None for a deployment without them."""
     max_connections: int = 2000
     """Concurrent caller connections: half of the process's file descriptors."""
     log_file: str = ""
--- a/medlarrail/settings/state.py
+++ b/medlarrail/settings/state.py
@@ -3,6 +3,7 @@
 from attrs import field, frozen
 
 from medlarrail.cluster.weight_rollout import RolloutPolicy
+from medlarrail.core.software_rollouts import SoftwareRolloutPolicy
 from medlarrail.settings.common import Keys, Listen
 from medlarrail.transport.server import ServerLimits
 
@@ -25,5 +26,7 @@
     metrics_address: str = ""
     """``host:port`` that serves metrics without a key; empty for none."""
     rollout: RolloutPolicy = field(factory=RolloutPolicy)
+    software_rollouts: SoftwareRolloutPolicy | None = None
+    """Limits of software roll-outs; None for a deployment without them."""
     server: ServerLimits = field(factory=lambda: ServerLimits(body_bytes=256_000_000))
     log_file: str = ""
