Software rollouts: the log and the leading state member

A service's traffic could not be moved to another software version under control of the leader.

NoOperation carries rollouts. Of one service the record with the higher sort_key stands; a final state never changes, and a later order does not replace a running one. Endpoints of a version that may not be used are sent as departed: a version under trial to entries that do not know rollouts, the others to all.

The test that pins what an older member reads of a NoOperation now also expects the empty new field; it is as strict as before.

--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -9,8 +9,9 @@
 from medlarrail.cluster.crash_ledger import CrashLedger
 from medlarrail.cluster.endpoint_marks import EndpointMarks
 from medlarrail.cluster.registry import EndpointRegistry
+from medlarrail.cluster.software_rollouts import SoftwareRollouts
 from medlarrail.cluster.software_versions import SoftwareVersions
-from medlarrail.cluster.view_copy import ViewCopy
+from medlarrail.cluster.view_copy import ViewCopy, split_hidden
 from medlarrail.consensus.replication import LogMember
 from medlarrail.core.announcements import Announcement, RegisteredEntry
 from medlarrail.core.clock import Clock, get_boottime
@@ -19,6 +20,7 @@
 from medlarrail.core.entities import DesiredVersion, SharedPart
 from medlarrail.core.errors import MedlarError, NotLeader
 from medlarrail.core.metrics import get_metrics
+from medlarrail.core.software_rollouts import SoftwareRolloutPolicy
 from medlarrail.policy.notification import (
     MAX_POLL_WAIT_S,
     get_entry_timeout_s,
@@ -41,6 +43,7 @@
     BlockParts,
     Envelope,
     LogEntry,
+    NoOperation,
     Operation,
     Outcome,
     RemoveSoftwareVersion,
@@ -96,9 +99,12 @@
 
     member: LogMember
     clock: Clock = get_boottime
+    rollout_policy: SoftwareRolloutPolicy | None = None
+    """Limits of software roll-outs; None if the deployment has none."""
     registry: EndpointRegistry = field(init=False)
     crash_ledger: CrashLedger = field(init=False)
     software_versions: SoftwareVersions = field(init=False)
+    software_rollouts: SoftwareRollouts = field(init=False)
     endpoint_marks: EndpointMarks = field(init=False)
     view_copy: ViewCopy = field(init=False)
     """From which this member answers entries while it follows."""
@@ -119,13 +125,18 @@
         self.registry = EndpointRegistry(self.clock)
         self.crash_ledger = CrashLedger(self.clock)
         self.software_versions = SoftwareVersions(self)
+        self.software_rollouts = SoftwareRollouts(self)
         self.endpoint_marks = EndpointMarks(self)
         self.view_copy = ViewCopy(self.member, self.clock)
         self.configuration_index = self.member.catalogue.index
         self.member.apply_listeners.append(self._on_applied)
 
     def _on_applied(self, entry: LogEntry, outcome: Outcome) -> None:
-        if isinstance(entry.envelope.operation, CONFIGURATION_OPERATIONS):
+        operation = entry.envelope.operation
+        has_rollouts = isinstance(operation, NoOperation) and operation.rollouts
+        if has_rollouts:
+            self.software_rollouts.on_applied(operation.rollouts, entry)
+        if has_rollouts or isinstance(operation, CONFIGURATION_OPERATIONS):
             self.configuration_index = entry.index
             self._publish()
 
@@ -415,6 +426,11 @@
         configured = whole or message.configuration_seen != self.configuration_index
         publication = self._publication
         suspected = whole or message.suspects_seen != publication.suspects_revision
+        listed_endpoints, hidden = split_hidden(
+            self.registry.iterate_changed(since),
+            catalogue.software_rollouts,
+            message.knows_rollouts,
+        )
         get_metrics().count("views_sent", whole=str(whole))
         return ClusterViewAnswer(
             epoch=self._get_epoch(),
@@ -423,8 +439,8 @@
             endpoints_revision=self.registry.revision,
             entries_revision=self.entries_revision,
             configuration_index=self.configuration_index,
-            endpoints=tuple(self.registry.iterate_changed(since)),
-            departed=tuple(self.registry.iterate_departed(since)),
+            endpoints=listed_endpoints,
+            departed=(*self.registry.iterate_departed(since), *hidden),
             entries=self._list_entries() if listed else None,
             entry_count=max(1, len(self.entries)),
             deployment=document if newer else None,
@@ -444,6 +460,9 @@
             software_versions=(
                 catalogue.list_software_versions() if configured else None
             ),
+            rollouts=(
+                tuple(catalogue.software_rollouts.values()) if configured else None
+            ),
             member_urls=tuple(info.url for info in self.member.journal.get_members()),
             takes_reports=True,
         )
@@ -470,6 +489,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._publish_when_due)
             nursery.start_soon(self.view_copy.run)
+            nursery.start_soon(self.software_rollouts.run)
             await self._remove_expired()
 
     async def _remove_expired(self) -> None:
--- a/medlarrail/cluster/endpoint_marks_test.py
+++ b/medlarrail/cluster/endpoint_marks_test.py
@@ -128,6 +128,7 @@
         operation = plain["envelope"]["operation"]
         assert operation.pop("marks")
         del operation["removed_marks"]
+        assert operation.pop("rollouts") == []
         assert operation == {"kind": "NoOperation"}
         from_plain(plain, LogEntry)
 
--- a/medlarrail/cluster/registry.py
+++ b/medlarrail/cluster/registry.py
@@ -119,6 +119,12 @@
         self.revision += 1
         record.revision = self.revision
 
+    def mark_service_changed(self, service: str) -> None:
+        """Have the endpoints of ``service`` sent to entries again."""
+        for record in self.endpoints.values():
+            if record.announced.service == service:
+                self._mark_changed(record)
+
     def set_loading(self, name: str, loading: bool) -> bool:
         """Set whether an endpoint is loading weights; return whether this changed."""
         record = self.endpoints.get(name)
--- a/medlarrail/cluster/view_copy.py
+++ b/medlarrail/cluster/view_copy.py
@@ -5,6 +5,8 @@
 ``MAX_COPY_AGE_S`` or than what the entry has seen already.
 """
 
+from collections.abc import Iterable, Mapping
+
 import eliot
 import trio
 from attrs import define, evolve, field
@@ -15,6 +17,7 @@
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.core.errors import MedlarError, NotLeader
 from medlarrail.core.metrics import get_metrics
+from medlarrail.core.software_rollouts import SoftwareRollout
 from medlarrail.policy.notification import (
     MAX_COPY_AGE_S,
     MAX_POLL_WAIT_S,
@@ -52,6 +55,27 @@
     return int(term) if term.isdecimal() else -1
 
 
+def split_hidden(
+    endpoints: Iterable[RegisteredEndpoint],
+    rollouts: Mapping[str, SoftwareRollout],
+    knows_rollouts: bool,
+) -> tuple[tuple[RegisteredEndpoint, ...], tuple[str, ...]]:
+    """Return the endpoints that an entry may use, and the names of the others.
+
+    The others are sent as departed, so that an entry to which they were listed before
+    a step of a software roll-out drops them.
+    """
+    listed, hidden = [], []
+    for registered in endpoints:
+        announced = registered.announced
+        rollout = rollouts.get(announced.service)
+        if rollout and rollout.hides(announced.software_version, knows_rollouts):
+            hidden.append(announced.name)
+        else:
+            listed.append(registered)
+    return tuple(listed), tuple(hidden)
+
+
 @define
 class Caller:
     """An entry that calls this member, and which of its calls were reported."""
@@ -195,16 +219,21 @@
         suspected = whole or message.suspects_seen < answer.suspects_revision
         document = answer.deployment
         newer = document is not None and document.version > message.deployment_version
+        departed = (
+            name
+            for name, departure in self.departed.items()
+            if departure.revision > since
+        )
+        rollouts = {rollout.service: rollout for rollout in answer.rollouts or ()}
+        listed_endpoints, hidden = split_hidden(
+            self._iterate_changed(since), rollouts, message.knows_rollouts
+        )
         get_metrics().count("views_sent", whole=str(whole))
         return evolve(
             answer,
             whole=whole,
-            endpoints=tuple(self._iterate_changed(since)),
-            departed=tuple(
-                name
-                for name, departure in self.departed.items()
-                if departure.revision > since
-            ),
+            endpoints=listed_endpoints,
+            departed=(*departed, *hidden),
             entries=answer.entries if listed else None,
             deployment=document if newer else None,
             suspects=answer.suspects if suspected else None,
--- a/medlarrail/cluster/view_copy_test.py
+++ b/medlarrail/cluster/view_copy_test.py
@@ -10,16 +10,19 @@
 from medlarrail.cluster.state_client import StateClient
 from medlarrail.cluster.view_copy import get_term
 from medlarrail.core.errors import NotLeader, PeerTimeout
+from medlarrail.core.software_rollouts import SoftwareRollout
 from medlarrail.policy.notification import (
     MAX_COPY_AGE_S,
     MAX_DIRECT_ENTRIES,
     get_entry_timeout_s,
 )
+from medlarrail.policy.software_rollout import RolloutVerdict
 from medlarrail.protocol.cluster_view import (
     CLUSTER_VIEW_PATH,
     ClusterViewAnswer,
     ClusterViewRequest,
 )
+from medlarrail.state.operations import Envelope, NoOperation
 from medlarrail.testing.builders import build_announcement, build_deployment
 from medlarrail.testing.cluster import Cluster
 
@@ -102,6 +105,44 @@
     return fleet
 
 
+class TestRollouts:
+    async def test_follower_leaves_rollouts_out(self, fleet, autojump_clock):
+        """Its entries would use a version under trial, or after its roll-back."""
+        leader = await fleet.get_leader()
+        follower = fleet.find_follower()
+        for version in ("v1", "v2"):
+            await leader.register_announcement(
+                build_announcement(
+                    name=version, address=f"{version}:1", software_version=version
+                )
+            )
+        rollout = SoftwareRollout("guide", "v2", 90_000, 1000, ("v1",), changed_ms=1000)
+        steps = {
+            rollout: ({"v1"}, {"v1", "v2"}),
+            evolve(rollout, state="rolled_back"): ({"v1"}, {"v1"}),
+            evolve(rollout, state="running", started_ms=2000): ({"v1"}, {"v1", "v2"}),
+            evolve(rollout, state="completed", started_ms=2000): ({"v2"}, {"v2"}),
+        }
+        leader.software_rollouts.judge = lambda evidence: RolloutVerdict("hold")
+        for step, listed in steps.items():
+            operation = NoOperation(rollouts=(step,))
+            await leader.member.propose(Envelope(operation))
+            await trio.sleep(MAX_CHANGE_S)
+            for client in fleet.clients.values():
+                assert client.cluster_view.rollouts == {"guide": step}
+                assert set(client.cluster_view.endpoints) == listed[True]
+            for knows, names in zip((False, True), listed, strict=True):
+                answer = await fleet.call(
+                    follower,
+                    reads_age=True,
+                    entry_count=ENTRY_COUNT,
+                    knows_rollouts=knows,
+                )
+                assert {item.announced.name for item in answer.endpoints} == names
+                assert answer.rollouts == (step,)
+                assert answer.age_s >= 0
+
+
 class TestViewCopy:
     async def test_leader_answers_all_entries_by_itself(self, fleet, autojump_clock):
         leader = await fleet.get_leader()
--- a/medlarrail/consensus/leadership.py
+++ b/medlarrail/consensus/leadership.py
@@ -71,6 +71,8 @@
     """Send time of the latest request that the peer answered."""
     identity_replaced: bool = False
     """Whether a member with another identity answers at the peer's address."""
+    knows_rollouts: bool | None = None
+    """Whether the peer applies software roll-outs; None until it has answered."""
     wake: trio.Event = field(factory=trio.Event)
 
     def record_match(self, index: int) -> None:
@@ -271,6 +273,7 @@
             if member.leadership is not self:
                 return
             progress.answered_at = max(progress.answered_at, sent_at)
+            progress.knows_rollouts = answer.knows_rollouts
             if answer.taken:
                 await self._advance_commit()
             else:
--- a/medlarrail/consensus/replication.py
+++ b/medlarrail/consensus/replication.py
@@ -322,15 +322,18 @@
         self._require_identity(message.to_identity)
         async with self.journal_lock:
             if not await self._accept_leader(message.leader, message.term):
-                return AppendAnswer(self.term, False, self.journal.last_index)
+                return self._answer_leader(False, self.journal.last_index)
             self._record_silences(message.silences)
             if not self._matches_previous(message):
                 last = min(self.journal.last_index, message.prev_index - 1)
-                return AppendAnswer(self.term, False, last)
+                return self._answer_leader(False, last)
             await self._store_entries(message.entries)
             matched = message.prev_index + len(message.entries)
             self.commit(min(message.commit_index, matched))
-            return AppendAnswer(self.term, True, self.journal.last_index)
+            return self._answer_leader(True, self.journal.last_index)
+
+    def _answer_leader(self, taken: bool, last_index: int) -> AppendAnswer:
+        return AppendAnswer(self.term, taken, last_index, knows_rollouts=True)
 
     def _matches_previous(self, message: AppendRequest) -> bool:
         if message.prev_index < self.journal.first_index - 1:
@@ -371,10 +374,10 @@
             if cluster not in ("", message.snapshot.cluster):
                 raise AlreadyBootstrapped(member=self.name)
             if cluster and not await self._accept_leader(message.leader, message.term):
-                return AppendAnswer(self.term, False, self.journal.last_index)
+                return self._answer_leader(False, self.journal.last_index)
             await self._install_snapshot(message.snapshot)
             self.election_timeout_since = self.clock()
-            return AppendAnswer(self.term, True, self.journal.last_index)
+            return self._answer_leader(True, self.journal.last_index)
 
     async def _install_snapshot(self, snapshot: Snapshot) -> None:
         """Install a snapshot, unless the log already contains its last entry.
--- a/medlarrail/core/errors.py
+++ b/medlarrail/core/errors.py
@@ -514,6 +514,28 @@
     present: int = 0
 
 
+class RolloutInProgress(ControlError):
+    """A software roll-out of this service to another version is in progress."""
+
+    status = 409
+    service: str = ""
+    target: str = ""
+
+
+class RolloutEnded(ControlError):
+    """The software roll-out has ended, and its verdict does not change."""
+
+    status = 409
+    service: str = ""
+    state: str = ""
+
+
+class RolloutsNotKnown(ControlError):
+    """A voting state member of an older version would ignore the roll-out."""
+
+    member: str = ""
+
+
 class SessionClosed(ControlError):
     """The session is closed; a new one has to be opened."""
 
--- a/medlarrail/core/software_rollouts.py
+++ b/medlarrail/core/software_rollouts.py
@@ -65,6 +65,35 @@
         """
         return version == self.target and self.is_running
 
+    def hides(self, version: str, knows_rollouts: bool) -> bool:
+        """Return whether endpoints of ``version`` are not listed to an entry.
+
+        An entry that does not know roll-outs would send all requests to a version
+        under trial.
+        """
+        if self.excludes(version):
+            return True
+        return self.is_under_trial(version) and not knows_rollouts
+
+    def may_become(self, proposed: "SoftwareRollout") -> bool:
+        """Return whether the log may replace this record with ``proposed``.
+
+        A running roll-out takes only its own next step, and an ended one only gives
+        way to a later order.
+
+        >>> running = SoftwareRollout("guide", "v2", 9000, started_ms=1)
+        >>> later = SoftwareRollout("guide", "v3", 9000, started_ms=2)
+        >>> running.may_become(later)
+        False
+        """
+        if proposed.started_ms == self.started_ms:
+            return (
+                self.is_running
+                and proposed.target == self.target
+                and proposed.sort_key > self.sort_key
+            )
+        return not self.is_running and proposed.started_ms > self.started_ms
+
     @property
     def sort_key(self) -> tuple[int, bool, bool]:
         """Sort key that orders the records of one service by age."""
--- a/medlarrail/programs/state.py
+++ b/medlarrail/programs/state.py
@@ -128,7 +128,9 @@
         peers,
         started_at=PROCESS_STARTED_AT,
     )
-    view_server = ClusterViewServer(log_member)
+    view_server = ClusterViewServer(
+        log_member, rollout_policy=settings.software_rollouts
+    )
     crash_watch = CrashWatch(view_server)
     extensions = build_extensions(view_server)
     session_manager = SessionManager(log_member)
@@ -138,6 +140,7 @@
         log_member,
         session_manager,
         view_server,
+        view_server.software_rollouts,
         crash_watch,
         membership,
         StateHandlers(log_member, session_manager),
--- a/medlarrail/protocol/replication.py
+++ b/medlarrail/protocol/replication.py
@@ -49,6 +49,9 @@
     term: int
     taken: bool
     last_index: int
+    knows_rollouts: bool = False
+    """Whether the member applies the software roll-outs in the log; members of an
+    older version ignore them."""
 
 
 @frozen
--- a/medlarrail/state/appliers.py
+++ b/medlarrail/state/appliers.py
@@ -30,7 +30,10 @@
 
 @applies(ops.NoOperation)
 def apply_no_operation(catalogue: Catalogue, index: int, envelope) -> None:
-    """Add and remove marks of endpoints; a newer mark of an endpoint stays."""
+    """Add and remove marks of endpoints, and apply steps of software roll-outs.
+
+    A newer mark of an endpoint stays.
+    """
     operation = envelope.operation
     for mark in operation.marks:
         current = catalogue.endpoint_marks.get(mark.name)
@@ -39,6 +42,10 @@
     for mark in operation.removed_marks:
         if catalogue.endpoint_marks.get(mark.name) == mark:
             del catalogue.endpoint_marks[mark.name]
+    for rollout in operation.rollouts:
+        current = catalogue.software_rollouts.get(rollout.service)
+        if current is None or current.may_become(rollout):
+            catalogue.software_rollouts[rollout.service] = rollout
 
 
 @applies(ops.ChangeMembers)
--- a/medlarrail/state/catalogue.py
+++ b/medlarrail/state/catalogue.py
@@ -32,6 +32,7 @@
     RevisionConflict,
 )
 from medlarrail.core.invariants import require
+from medlarrail.core.software_rollouts import SoftwareRollout
 from medlarrail.state import operations as ops
 
 MAX_STORED_RESULTS = 20_000
@@ -87,6 +88,7 @@
     blocked: tuple[BlockedParts, ...] = ()
     software_versions: tuple[ServiceVersions, ...] = ()
     endpoint_marks: tuple[EndpointMark, ...] = ()
+    software_rollouts: tuple[SoftwareRollout, ...] = ()
 
 
 @define
@@ -113,6 +115,8 @@
     """By service, the software versions that may have begun streams which go on."""
     endpoint_marks: dict[str, EndpointMark] = field(factory=dict)
     """What was acknowledged to endpoints that left or are leaving, by their name."""
+    software_rollouts: dict[str, SoftwareRollout] = field(factory=dict)
+    """The latest software roll-out of each service."""
 
     def apply(self, index: int, envelope: ops.Envelope) -> ops.Outcome:
         """Apply the log entry at ``index``; a resent command gets its first outcome."""
@@ -197,6 +201,7 @@
             blocked=tuple(self.blocked.values()),
             software_versions=self.list_software_versions(),
             endpoint_marks=tuple(self.endpoint_marks.values()),
+            software_rollouts=tuple(self.software_rollouts.values()),
         )
 
     def list_software_versions(self) -> tuple[ServiceVersions, ...]:
@@ -233,6 +238,9 @@
                 item.service: item.versions for item in image.software_versions
             },
             endpoint_marks={mark.name: mark for mark in image.endpoint_marks},
+            software_rollouts={
+                rollout.service: rollout for rollout in image.software_rollouts
+            },
         )
 
     def is_dispatcher_live(self, record: ops.LedgerRecord) -> bool:
--- a/medlarrail/state/operations.py
+++ b/medlarrail/state/operations.py
@@ -24,6 +24,7 @@
     Store,
     StoredAnswer,
 )
+from medlarrail.core.software_rollouts import SoftwareRollout
 
 LedgerState = Literal["dispatched", "done", "not_dispatched", "unknown"]
 
@@ -42,14 +43,15 @@
 
 @frozen
 class NoOperation(Operation):
-    """The first log entry of a leader's term, and the carrier of marks of endpoints.
+    """The first log entry of a leader's term, and the carrier of marks and roll-outs.
 
-    The marks are fields of a known operation because members of an older version ignore
+    These are fields of a known operation because members of an older version ignore
     unknown fields, but cannot apply an unknown operation.
     """
 
     marks: tuple[EndpointMark, ...] = ()
     removed_marks: tuple[EndpointMark, ...] = ()
+    rollouts: tuple[SoftwareRollout, ...] = ()
 
 
 @frozen
--- a/medlarrail/testing/view_members.py
+++ b/medlarrail/testing/view_members.py
@@ -1,5 +1,7 @@
 """State members on an in-memory network that serve the cluster view."""
 
+from collections.abc import Callable
+
 import trio
 from attrs import define, field
 
@@ -16,6 +18,8 @@
 
     cluster: Cluster
     nursery: trio.Nursery
+    prepare: Callable[[ClusterViewServer], None] = lambda view_server: None
+    """Called with each view server before it runs."""
     view_servers: dict[str, ClusterViewServer] = field(factory=dict)
 
     async def start(self) -> None:
@@ -27,13 +31,16 @@
     def _serve(self, name: str) -> None:
         member = self.cluster.hosts[name].member
         view_server = ClusterViewServer(member, clock=trio.current_time)
+        self.prepare(view_server)
         self.view_servers[name] = view_server
+        self.cluster.network.hosts[member.url].add(view_server)
         self.nursery.start_soon(view_server.run)
 
-    async def restart_all(self) -> None:
-        """Kill all members and start them again."""
+    async def restart_all(self, pause_s: float = 0.0) -> None:
+        """Kill all members and start them again after ``pause_s`` seconds."""
         for name in NAMES:
             self.cluster.kill(name)
+        await trio.sleep(pause_s)
         for name in NAMES:
             await self.cluster.start(name)
             self._serve(name)
