Software rollouts: the platform's calls and the command line

Operators could not order a rollout or read its state.

POST /rollouts and GET /rollouts/SERVICE in platform/control.py, 404 without software_rollouts in the settings. RolloutInProgress is the only conflict that stays 409: operators stop at it, and try another member after the 503 that other conflicts become. medlar rollout start | show | roll-back. An exception of the decision is logged once and holds the rollout until its deadline: the next leader would get the same reports, so all members would end one after the other.

--- a/medlarrail/cluster/software_rollouts.py
+++ b/medlarrail/cluster/software_rollouts.py
@@ -116,6 +116,8 @@
     """Identities of the voters that last said that they ignore roll-outs."""
     _repeated_in_term: int = -1
     """Term in which the records were last committed again."""
+    _unjudged: set[SoftwareRollout] = field(factory=set)
+    """Records whose judgement failed, each of which is logged once."""
     _applied: dict[str, SoftwareRollout] = field(factory=dict)
     """The record of each service that was last applied by this process."""
     _lock: trio.Lock = field(factory=trio.Lock)
@@ -341,6 +343,7 @@
         await self._confirm_leading()
         await self._repeat_for_upgraded_voters()
         running = [rollout for rollout in self._records.values() if rollout.is_running]
+        self._unjudged.intersection_update(running)
         keys = {(rollout.service, rollout.started_ms) for rollout in running}
         for key in self._reports.keys() - keys:
             del self._reports[key]
@@ -357,16 +360,26 @@
         leadership = self.view_server.member.require_lease()
         if self.view_server.clock() - leadership.elected_at < EVIDENCE_S:
             return RolloutVerdict("hold")
-        return self.judge(
-            RolloutEvidence(
-                stage=rollout.stage,
-                elapsed_s=elapsed_ms / 1000,
-                duration_s=rollout.duration_ms / 1000,
-                stage_s=max(0, now_ms - rollout.changed_ms) / 1000,
-                counts=self._get_reports(rollout).sum_counts(),
-                in_flight_replaced=self._count_in_flight(rollout),
-            )
+        evidence = RolloutEvidence(
+            stage=rollout.stage,
+            elapsed_s=elapsed_ms / 1000,
+            duration_s=rollout.duration_ms / 1000,
+            stage_s=max(0, now_ms - rollout.changed_ms) / 1000,
+            counts=self._get_reports(rollout).sum_counts(),
+            in_flight_replaced=self._count_in_flight(rollout),
         )
+        try:
+            return self.judge(evidence)
+        except Exception as error:
+            # It would end each leader in turn, since the next one has the same reports.
+            # Without a verdict the roll-out is rolled back at the deadline.
+            if rollout not in self._unjudged:
+                self._unjudged.add(rollout)
+                eliot.log_message(
+                    "rollout:not-judged", service=rollout.service, error=repr(error)
+                )
+            get_metrics().count("defects", type=type(error).__name__)
+            return RolloutVerdict("hold")
 
     async def _take_step(
         self, rollout: SoftwareRollout, action: str, reason: str
--- a/medlarrail/cluster/software_rollouts_test.py
+++ b/medlarrail/cluster/software_rollouts_test.py
@@ -363,6 +363,21 @@
         await trio.sleep(STEP_S)
         assert (await members.read()).state == "rolled_back"
 
+    async def test_failure_of_the_judge_ends_the_leader(self, members, autojump_clock):
+        """Its successor would fail in the same way, and then the next one."""
+        await members.start_rollout()
+        rollouts = await members.get_rollouts()
+
+        def fail(evidence):
+            raise ZeroDivisionError
+
+        rollouts.judge = fail
+        with collect_messages("rollout:not-judged") as failures:
+            await trio.sleep(DURATION_S + STEP_S)
+        assert (await members.read()).state == "rolled_back"
+        assert await members.get_rollouts() is rollouts
+        assert len(failures) == 1
+
     async def test_judge_decides_before_a_new_leader_has_the_reports(
         self, members, autojump_clock
     ):
--- a/medlarrail/platform/control.py
+++ b/medlarrail/platform/control.py
@@ -5,10 +5,11 @@
 
 from medlarrail.cluster.cluster_view_server import ClusterViewServer
 from medlarrail.core.codec import parse_json
-from medlarrail.core.errors import BadField, MedlarError, NotLeader
+from medlarrail.core.errors import BadField, MedlarError, NotLeader, RolloutInProgress
 from medlarrail.core.metrics import get_metrics
 from medlarrail.platform.announcements import decode_announcement
 from medlarrail.platform.documents import decode_deployment
+from medlarrail.platform.rollouts import decode_rollout_order, encode_rollout
 from medlarrail.transport.routes import JSON, Reply, Request, format_error, route
 
 TEMPORARY_REDIRECT = 307
@@ -21,7 +22,7 @@
 
     If another member is the leader, the caller is redirected to it. Operators try
     another member only after a 5xx, so an error that is not about the call itself
-    is answered with 503.
+    is answered with 503. A conflict with another roll-out is about the call.
     """
     get_metrics().count("control_failures", reason=type(error).__name__)
     if isinstance(error, NotLeader) and error.leader_url:
@@ -30,7 +31,8 @@
     eliot.log_message(
         "control:failed", call=request.method, path=request.path, reason=str(error)
     )
-    if 400 <= error.status < 500 and error.status != 409:
+    is_conflict = error.status == 409 and not isinstance(error, RolloutInProgress)
+    if 400 <= error.status < 500 and not is_conflict:
         return format_error(error)
     return Reply(UNAVAILABLE_STATUS, format_error(error).body)
 
@@ -116,3 +118,19 @@
             raise BadField(place="$.version", problem="is not a positive integer")
         await self.view_server.set_desired_version(model, version)
         return EMPTY_OK
+
+    @route("POST", "/rollouts")
+    @reply_to_errors
+    async def handle_rollout(self, request: Request) -> Reply:
+        """Start a software roll-out, or acknowledge the order again."""
+        rollouts = self.view_server.software_rollouts
+        rollouts.require_enabled()
+        await rollouts.start(decode_rollout_order(request.body))
+        return EMPTY_OK
+
+    @route("GET", "/rollouts/*")
+    @reply_to_errors
+    async def handle_rollout_read(self, request: Request) -> Reply:
+        """Return the state of a service's latest software roll-out."""
+        rollout = await self.view_server.software_rollouts.read(request.tail)
+        return Reply(200, encode_rollout(rollout), JSON)
--- a/medlarrail/platform/platform_test.py
+++ b/medlarrail/platform/platform_test.py
@@ -14,20 +14,25 @@
 )
 from medlarrail.cluster.weight_rollout import EngineState
 from medlarrail.core.announcements import Announcement
+from medlarrail.core.codec import decode_error
 from medlarrail.core.deployment import Deployment, TrafficShare
 from medlarrail.core.deployment_check import iterate_deployment_faults
 from medlarrail.core.errors import (
+    BadField,
     CallerError,
     DeploymentInvalid,
     MalformedRequest,
     PeerBroken,
+    RolloutInProgress,
 )
+from medlarrail.core.software_rollouts import SoftwareRolloutPolicy
 from medlarrail.platform.announcements import decode_announcement
 from medlarrail.platform.context_store_client import PlatformContextStoreClient
 from medlarrail.platform.control import PlatformControl
 from medlarrail.platform.documents import decode_deployment
 from medlarrail.platform.header_codec import PlatformHeaderCodec
 from medlarrail.platform.orders import PlatformOrders
+from medlarrail.platform.rollouts import decode_rollout_order
 from medlarrail.relay.metadata import (
     AnswerMetadata,
     DispatchMetadata,
@@ -467,14 +472,21 @@
 
 
 @pytest.fixture
-async def control(tmp_path, nursery, autojump_clock):
-    """Return the routes of the leader and of another member."""
+async def control(request, tmp_path, nursery, autojump_clock):
+    """Return the routes of the leader and of another member.
+
+    The parameter, if there is one, limits software roll-outs.
+    """
     cluster = Cluster(tmp_path, nursery)
     await cluster.bootstrap("a", "b", "c")
     leader = await cluster.wait_leader()
     routes = {}
     for host in cluster.hosts.values():
-        view_server = ClusterViewServer(host.member, clock=trio.current_time)
+        view_server = ClusterViewServer(
+            host.member,
+            clock=trio.current_time,
+            rollout_policy=getattr(request, "param", None),
+        )
         routes[host.member.name] = Routes.collect(PlatformControl(view_server))
     other = next(name for name in routes if name != leader.name)
     await trio.sleep(1)
@@ -534,6 +546,72 @@
             assert (await call(leading, "POST", "/version-put", bad)).status == 400
 
 
+ROLLOUT = {"service": "llm", "target": "v2", "duration-s": 12}
+
+
+class TestRollouts:
+    @pytest.mark.parametrize("control", [SoftwareRolloutPolicy()], indirect=True)
+    async def test_order_has_no_clear_answer(self, control, autojump_clock):
+        leading, follower = control
+        for number, version in enumerate(("v1", "v2")):
+            path = f"/instances/i-{version}"
+            beat = {**HEARTBEAT, "version": version, "address": f"10.0.0.{number}:80"}
+            assert (await call(leading, "PUT", path, beat)).status == 200
+        assert (await call(leading, "GET", "/rollouts/llm")).status == 404
+        for order in (ROLLOUT, ROLLOUT, {**ROLLOUT, "duration-s": 0.5}):
+            answer = await call(leading, "POST", "/rollouts", order)
+            assert answer.status == 200
+        shown = await call(leading, "GET", "/rollouts/llm")
+        assert shown.status == 200
+        assert orjson.loads(shown.body) == {"state": "running", "target": "v2"}
+        other = await call(leading, "POST", "/rollouts", {**ROLLOUT, "target": "v3"})
+        assert other.status == 409
+        error = decode_error(other.body)
+        assert isinstance(error, RolloutInProgress)
+        assert (error.service, error.target) == ("llm", "v2")
+        for method, path in (("POST", "/rollouts"), ("GET", "/rollouts/llm")):
+            answer = await call(follower, method, path, ROLLOUT)
+            assert answer.status == 307 and answer.headers["location"].endswith(path)
+
+    @pytest.mark.parametrize("control", [SoftwareRolloutPolicy()], indirect=True)
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"service": 1},
+            {"service": ""},
+            {"service": "x" * 1000},
+            {"target": None},
+            {"duration-s": "12"},
+            {"duration-s": True},
+            {"duration-s": None},
+            {"duration-s": 0},
+            {"duration-s": -1},
+            {"duration-s": 1e300},
+        ],
+    )
+    async def test_bad_order_is_retried_at_other_members(
+        self, changes, control, autojump_clock
+    ):
+        leading, _ = control
+        answer = await call(leading, "POST", "/rollouts", {**ROLLOUT, **changes})
+        assert answer.status == 400
+        assert isinstance(decode_error(answer.body), BadField)
+
+    @given(JSON_VALUES)
+    def test_any_body(self, value):
+        try:
+            decode_rollout_order(encode_or_reject(value))
+        except CallerError:
+            return
+
+    async def test_deployment_without_limits_has_rollouts(
+        self, control, autojump_clock
+    ):
+        leading, _ = control
+        assert (await call(leading, "POST", "/rollouts", ROLLOUT)).status == 404
+        assert (await call(leading, "GET", "/rollouts/llm")).status == 404
+
+
 class TestEndpointStatus:
     @pytest.mark.parametrize(
         "body, started_ms",
--- a/medlarrail/platform/upgrade_test.py
+++ b/medlarrail/platform/upgrade_test.py
@@ -20,7 +20,8 @@
 
 from medlarrail.cluster.state_client import StateClient
 from medlarrail.core.entities import Contract
-from medlarrail.core.errors import MedlarError
+from medlarrail.core.errors import MedlarError, RolloutsNotKnown, UnknownRoute
+from medlarrail.core.software_rollouts import SoftwareRollout
 from medlarrail.protocol.cluster_view import (
     ANNOUNCEMENTS_PATH,
     DEPARTURES_PATH,
@@ -33,6 +34,7 @@
     ChangeRequest,
 )
 from medlarrail.protocol.empty import EmptyMessage
+from medlarrail.protocol.software_rollouts import ROLLOUTS_PATH, RolloutOrder
 from medlarrail.state.catalogue import CatalogueImage
 from medlarrail.state.operations import SetContract
 from medlarrail.testing.builders import build_announcement
@@ -86,6 +88,9 @@
             "seeds": self.urls,
             "first_start": first_start,
         }
+        if sources == ROOT:
+            # Settings with unknown fields stop a member of the version before.
+            settings["software_rollouts"] = {"exposure_slack": 40}
         file = self.path / f"{name}.json"
         file.write_bytes(orjson.dumps(settings))
         self.processes[name] = subprocess.Popen(
@@ -174,3 +179,42 @@
     finally:
         members.stop()
     assert len(members.accepted) > 60
+
+
+async def test_rollout_starts_beside_members_that_ignore_it(tmp_path):
+    """Members of the version before are replaced one after the other. A rollout that
+    they ignore would be lost with the others, and undecided while they lead."""
+    before = extract_version_before(tmp_path / "before")
+    members = MixedMembers(tmp_path)
+    order = RolloutOrder("app", "v2", 600_000)
+
+    async def call(path, message, answer_type):
+        return await members.client.call_leader(
+            path, message, answer_type, WAIT_TIMEOUT_S
+        )
+
+    try:
+        for name in NAMES:
+            members.start(name, before, first_start=True)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(members.change_steadily)
+            with trio.fail_after(WAIT_TIMEOUT_S):
+                while len(members.accepted) < 5:
+                    await trio.sleep(0.05)
+            await call(
+                ANNOUNCEMENTS_PATH,
+                build_announcement(name="e-1", service="app", software_version="v1"),
+                EmptyMessage,
+            )
+            for name in NAMES:
+                with pytest.raises((RolloutsNotKnown, UnknownRoute)):
+                    await call(ROLLOUTS_PATH, order, SoftwareRollout)
+                await members.replace(name, ROOT, signal.SIGTERM)
+            started = await call(ROLLOUTS_PATH, order, SoftwareRollout)
+            assert started.replaced == ("v1",)
+            for name in NAMES:
+                await members.replace(name, ROOT, signal.SIGKILL)
+            assert await call(ROLLOUTS_PATH, order, SoftwareRollout) == started
+            nursery.cancel_scope.cancel()
+    finally:
+        members.stop()
--- a/medlarrail/programs/operator.py
+++ b/medlarrail/programs/operator.py
@@ -10,6 +10,7 @@
     operator_deployment,
     operator_members,
     operator_resources,
+    operator_rollouts,
     operator_status,
 )
 from medlarrail.programs.operator_common import build_app
@@ -25,6 +26,7 @@
 app.add_typer(operator_resources.endpoint_app, name="endpoint")
 app.add_typer(operator_members.app, name="member")
 app.add_typer(operator_resources.order_app, name="order")
+app.add_typer(operator_rollouts.app, name="rollout")
 app.command("status")(operator_status.show_status)
 app.command("watch")(operator_status.watch)
 
--- a/medlarrail/programs/programs_test.py
+++ b/medlarrail/programs/programs_test.py
@@ -194,6 +194,14 @@
         missing = run_medlar(processes, "blocked", "release", "guide+a1")
         assert missing.returncode == 4 and "NotFound" in missing.stderr
 
+    def test_rollouts_are_refused_without_settings(self, processes):
+        """A deployment without limits of their exposure has no roll-outs."""
+        start = ("rollout", "start", "guide", "v2", "--duration-s", "9")
+        commands = (start, ("rollout", "show", "guide"), ("rollout", "roll-back", "x"))
+        for command in commands:
+            result = run_medlar(processes, *command)
+            assert result.returncode == 4 and "NotFound" in result.stderr, command
+
     def test_status_shows_the_leader(self, processes):
         result = run_medlar(processes, "status", "--json")
         status = orjson.loads(result.stdout)
