Software rollouts: tests of lost calls, a full disk and held polls

Orders and reports were tested without the calls that carry them.

Five operators and five entries send their calls again over a network that loses a fifth of them: one record, exact sums. A leader whose disk is full acknowledges nothing, and the next one takes the order. A held poll returns the order within 0.1 s.

--- a/medlarrail/cluster/software_rollouts_test.py
+++ b/medlarrail/cluster/software_rollouts_test.py
@@ -11,6 +11,7 @@
     REPEAT_S,
     RolloutReports,
 )
+from medlarrail.cluster.state_client import StateClient
 from medlarrail.core.codec import decode, encode, from_plain, to_plain
 from medlarrail.core.errors import (
     BadField,
@@ -19,6 +20,7 @@
     RolloutEnded,
     RolloutInProgress,
     RolloutsNotKnown,
+    StorageFull,
 )
 from medlarrail.core.metrics import get_metrics
 from medlarrail.core.software_rollouts import (
@@ -33,8 +35,13 @@
     ClusterViewAnswer,
     ClusterViewRequest,
 )
+from medlarrail.protocol.empty import EmptyMessage
 from medlarrail.protocol.replication import AppendAnswer
-from medlarrail.protocol.software_rollouts import RolloutOrder
+from medlarrail.protocol.software_rollouts import (
+    REPORTS_PATH,
+    ROLLOUTS_PATH,
+    RolloutOrder,
+)
 from medlarrail.state.catalogue import Catalogue, CatalogueImage
 from medlarrail.state.operations import Envelope, LogEntry, NoOperation
 from medlarrail.testing.builders import build_deployment
@@ -194,6 +201,62 @@
         assert await members.list_steps() == [resent]
         assert len(steps) <= 1
 
+    async def test_leader_with_a_full_disk_acknowledges(
+        self, members, monkeypatch, autojump_clock
+    ):
+        """Another member leads then, and takes the order."""
+        leader = await members.get_leader()
+
+        journal = type(leader.member.journal)
+        append = journal.append
+
+        async def append_elsewhere(self, entries):
+            if self is leader.member.journal:
+                raise StorageFull()
+            return await append(self, entries)
+
+        monkeypatch.setattr(journal, "append", append_elsewhere)
+        with pytest.raises(MedlarError):
+            await leader.software_rollouts.start(ORDER)
+        assert await members.get_leader() is not leader
+        assert (await members.start_rollout()).is_running
+        assert len(await members.list_steps()) == 1
+
+    async def test_lost_calls_double_orders_and_counts(self, members, autojump_clock):
+        """Operators and entries send each call again until it is answered."""
+        members.cluster.network.loss_rate = 0.2
+        urls = tuple(members.cluster.get_url(name) for name in NAMES)
+        answers = []
+
+        def connect(name):
+            return StateClient(members.cluster.network.connect(f"mem://{name}"), urls)
+
+        async def order(number):
+            answers.append(
+                await connect(f"operator-{number}").call_leader(
+                    ROLLOUTS_PATH, ORDER, SoftwareRollout, DURATION_S
+                )
+            )
+
+        async def report(number):
+            client = connect(f"g{number}")
+            for sent in (10, 20, 30):
+                report = build_report(
+                    f"g{number}", sent=sent, started_ms=answers[0].started_ms
+                )
+                await client.call_leader(REPORTS_PATH, report, EmptyMessage, DURATION_S)
+
+        for start in (order, report):
+            async with trio.open_nursery() as nursery:
+                for number in range(5):
+                    nursery.start_soon(start, number)
+        members.cluster.network.loss_rate = 0.0
+        members.evidence.clear()
+        await trio.sleep(STEP_S)
+        assert await members.list_steps() == [answers[0]]
+        assert set(answers) == {answers[0]}
+        assert members.evidence[-1].counts[0].answers == 5 * 30
+
     async def test_rollout_is_lost_when_all_members_restart(
         self, members, autojump_clock
     ):
@@ -460,6 +523,24 @@
 
 
 class TestListing:
+    async def test_order_reaches_entries_with_their_next_poll(
+        self, members, autojump_clock
+    ):
+        """They have to limit the target from the order on."""
+        answer = await members.poll("g1", knows_rollouts=True)
+        await trio.sleep(SETTLE_S)
+        known = {
+            "epoch": answer.epoch,
+            "endpoints_seen": 99,
+            "entries_seen": 99,
+            "configuration_seen": answer.configuration_index,
+        }
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(members.start_rollout)
+            with trio.fail_after(0.1):
+                held = await members.poll("g1", wait_s=1.0, **known)
+        assert held.rollouts == (await members.read(),)
+
     async def list_names(self, members, **changes):
         answer = await members.poll("g1", **changes)
         return {item.announced.name for item in answer.endpoints}
--- a/medlarrail/testing/view_members.py
+++ b/medlarrail/testing/view_members.py
@@ -34,6 +34,7 @@
         self.prepare(view_server)
         self.view_servers[name] = view_server
         self.cluster.network.hosts[member.url].add(view_server)
+        self.cluster.network.hosts[member.url].add(view_server.software_rollouts)
         self.nursery.start_soon(view_server.run)
 
     async def restart_all(self, pause_s: float = 0.0) -> None:
