--- a/medlarrail/cluster/software_rollouts.py
+++ b/medlarrail/cluster/software_rollouts.py
@@ -30,7 +30,9 @@
 )
 from medlarrail.policy.software_rollout import (
     RolloutEvidence,
+    RolloutSnapshot,
     RolloutVerdict,
+    add_snapshot,
     judge_rollout,
 )
 from medlarrail.protocol.empty import EmptyMessage
@@ -66,6 +68,8 @@
     """The latest report of each epoch of each entry on one roll-out."""
 
     reports: dict[ReportKey, RolloutReport] = field(factory=dict)
+    snapshots: tuple[RolloutSnapshot, ...] = ()
+    """Earlier sums, by which a fault that begins late is told."""
 
     def add(self, report: RolloutReport) -> None:
         """Add a report, unless a later one of its epoch has overtaken it."""
@@ -360,13 +364,17 @@
         leadership = self.view_server.member.require_lease()
         if self.view_server.clock() - leadership.elected_at < EVIDENCE_S:
             return RolloutVerdict("hold")
+        reports = self._get_reports(rollout)
+        counts = reports.sum_counts()
+        reports.snapshots = add_snapshot(reports.snapshots, elapsed_ms / 1000, counts)
         evidence = RolloutEvidence(
             stage=rollout.stage,
             elapsed_s=elapsed_ms / 1000,
             duration_s=rollout.duration_ms / 1000,
             stage_s=max(0, now_ms - rollout.changed_ms) / 1000,
-            counts=self._get_reports(rollout).sum_counts(),
+            counts=counts,
             in_flight_replaced=self._count_in_flight(rollout),
+            earlier=reports.snapshots,
         )
         try:
             return self.judge(evidence)
