Software rollouts: listeners of changed records

Cause: a gateway reports a change of the stage at once, but learned of it only with its next request or report. Change: the cluster view calls its listeners after rollout records have changed.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -95,6 +95,8 @@
     """Called with each service that gets a second software version."""
     rollouts: dict[str, SoftwareRollout] = field(factory=dict)
     """The latest software roll-out of each service."""
+    rollout_listeners: list[Callable[[], None]] = field(factory=list)
+    """Called after software roll-outs have changed."""
     member_urls: tuple[str, ...] = ()
     confirmed_at: float = float("-inf")
     deployment_listeners: list[Callable[[Deployment], None]] = field(factory=list)
@@ -157,10 +159,12 @@
 
     def _apply_rollouts(self, listed: tuple[SoftwareRollout, ...]) -> None:
         """Apply the records that are newer; one that is not listed stays."""
+        applied = False
         for rollout in listed:
             previous = self.rollouts.get(rollout.service)
             if previous is None or previous.sort_key < rollout.sort_key:
                 self.rollouts[rollout.service] = rollout
+                applied = True
                 eliot.log_message(
                     "rollout:in-force",
                     service=rollout.service,
@@ -169,6 +173,9 @@
                     stage=rollout.stage,
                     started_ms=rollout.started_ms,
                 )
+        if applied:
+            for notify in self.rollout_listeners:
+                notify()
 
     def _apply_software_versions(self, listed: tuple[ServiceVersions, ...]) -> None:
         previous = self.software_versions
