Software rollouts: the gateways' requests, counts and reports

Cause: gateways sent requests to a version under trial as to any other one. Change: a request is drawn once for the target or the other versions, with its send reserved at the draw; requests that may run only once and streams stay at their version; nothing goes to excluded versions, nor to a target under trial while the view is old or the gateway's own counts show that it is bad. Answers are counted by route and version side and reported to the leader.

--- a/medlarrail/programs/gateway.py
+++ b/medlarrail/programs/gateway.py
@@ -64,6 +64,8 @@
             settings.isolation,
             secret=settings.keys.cluster.encode(),
         )
+        if settings.software_rollouts is not None:
+            self.relay.enable_rollouts(settings.software_rollouts)
         self.relay.connect_state(self.view_client.state)
         self.view_client.list_limited_services = endpoint_stats.room.list_limited
         self.relay.workload = WorkloadTracker(settings.name)
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -40,7 +40,9 @@
     RequestMetadata,
 )
 from medlarrail.relay.outbound import MAX_TURN_S, AnswerHead, OutboundConnection
+from medlarrail.relay.rollout_observation import AttemptObservation
 from medlarrail.relay.table import Admission
+from medlarrail.relay.version_choice import VersionChoice
 from medlarrail.relay.workload_tracker import TrackedPrompt
 from medlarrail.transport.framing import Framing
 
@@ -82,6 +84,8 @@
     admission: Admission
     service: ServiceRule
     stream_order: StreamOrder
+    version_choice: VersionChoice | None
+    """None in a deployment without software rollouts."""
     may_be_running: bool
     fallback_answer: BufferedAnswer | None
     """An endpoint's error answer, sent to the caller if no other attempt is made."""
@@ -124,6 +128,8 @@
     """What shows that the answer is complete, None before its end."""
     cold_send: ColdSend | None = None
     """Set if the endpoint was cold when the request was sent."""
+    observation: AttemptObservation | None = None
+    """Set if the request was sent during a software rollout of its service."""
     _metadata: AnswerMetadata = field(factory=AnswerMetadata)
     _tracked_prompt: TrackedPrompt | None = None
     _started_at: float = 0.0
@@ -154,6 +160,9 @@
         record = relay.endpoint_stats.get_record(announced.name)
         record.in_flight += 1
         record.unanswered += 1
+        version_choice = self.relayed.version_choice
+        if version_choice is not None:
+            version_choice.traffic.begin_attempt(announced)
         connection = None
         # A reply about the incarnation must not be a late copy of another answer.
         new_connection = not route.repeatable or self._goes_on()
@@ -174,12 +183,16 @@
                     )
                 self._require_available()
                 self.cold_send = relay.endpoint_stats.record_sent(self.endpoint)
+                if version_choice is not None:
+                    self.observation = version_choice.record_sent(announced)
             self.relayed.may_be_running = True
             if route.kind == "once":
                 self.relayed.exchange.detached = True
             await self._run_exchange(connection)
         finally:
             record.in_flight -= 1
+            if version_choice is not None:
+                version_choice.traffic.end_attempt(announced)
             if self._started_at and not self._metadata.not_run:
                 seconds = trio.current_time() - self._started_at
                 relay.endpoint_stats.room.record_end(announced, seconds)
@@ -201,13 +214,19 @@
         return is_stream and is_engine and bool(self.relayed.last_event_id)
 
     def _require_available(self) -> None:
-        """Raise if the endpoint said meanwhile that it wants no requests."""
+        """Raise if the endpoint said meanwhile that it wants no requests.
+
+        The same if a rollout does not allow its software version any more.
+        """
         announced = self.endpoint.announced
         stats = self.relayed.relay.endpoint_stats
         if stats.back_offs.is_active(announced, stats.clock()):
             raise EndpointBackingOff(endpoint=announced.name)
         if stats.leaving.has(announced):
             raise EndpointOutOfService(endpoint=announced.name)
+        version_choice = self.relayed.version_choice
+        if version_choice is not None and not version_choice.may_send(announced):
+            raise EndpointOutOfService(endpoint=announced.name)
 
     async def _check_incarnation(self, connection: OutboundConnection) -> bool:
         """Return whether ``connection`` can be used for a stream that goes on.
@@ -257,6 +276,9 @@
             # An endpoint that asks for time has not failed, nor is it fast.
             if self.retry_after_s is None:
                 record.record_answer(seconds, failed)
+            if self.observation is not None:
+                cancelled = failed and failure is None
+                self.observation.record_end(self, failure, cancelled)
         if failure is not None:
             raise failure
 
@@ -426,6 +448,8 @@
         finally:
             memory.close(held)
         self._record_first_byte()
+        if self.observation is not None:
+            self.observation.record_whole()
         await self._require_end(connection, head)
         headers = tuple(self._iterate_headers(head))
         framing = Framing.LENGTH if self._states_end(head) else Framing.CLOSE
@@ -455,6 +479,8 @@
             async with aclosing(connection.iterate_body()) as body:
                 async for part in body:
                     self.body_bytes += len(part)
+                    if self.observation is not None:
+                        self.observation.record_part(bool(self.first_byte_s))
                     if events.buffered_bytes > MAX_EVENT_BYTES:
                         raise AnswerTooLong(
                             endpoint=self.endpoint.announced.name,
@@ -464,6 +490,8 @@
                         await self._send_events(exchange, head, passed)
                     if events.fault is not None:
                         raise self._build_order_failure(events.fault)
+                    if self.observation is not None:
+                        self.observation.record_passed()
             if events.has_partial_event:
                 raise StreamBroken(endpoint=self.endpoint.announced.name)
             if continues and not events.has_advanced:
--- a/medlarrail/relay/endpoint_choice.py
+++ b/medlarrail/relay/endpoint_choice.py
@@ -110,7 +110,10 @@
         )
 
     def _list_available(self) -> list[EndpointView]:
-        """Return the untried endpoints; loading ones only if there are no others."""
+        """Return the untried endpoints; loading ones only if there are no others.
+
+        During a software rollout these are those of the versions for this request.
+        """
         stats = self.relay.endpoint_stats
         available = [
             endpoint
@@ -119,7 +122,12 @@
             and self.relayed.stream_version.allows(endpoint.announced)
             and self.relay.has_free_connection(self.service, endpoint.announced.name)
         ]
-        return [endpoint for endpoint in available if not endpoint.loading] or available
+        available = [
+            endpoint for endpoint in available if not endpoint.loading
+        ] or available
+        if self.relayed.version_choice is None:
+            return available
+        return self.relayed.version_choice.select(available)
 
     def _build_candidates(self, available: list[EndpointView]) -> list[Candidate]:
         """Return candidates for the endpoints whose weights this request may use."""
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -45,6 +45,7 @@
 from medlarrail.relay.room_wait import RoomWait
 from medlarrail.relay.stream_version import StreamVersion
 from medlarrail.relay.table import Admission, choose_service
+from medlarrail.relay.version_choice import VersionChoice
 from medlarrail.relay.workload_lookup import WorkloadLookup
 from medlarrail.relay.workload_tracker import TrackedPrompt
 
@@ -90,6 +91,8 @@
     chooser: EndpointChooser = field(init=False)
     stream_version: StreamVersion = field(init=False)
     stream_order: StreamOrder = field(init=False)
+    version_choice: VersionChoice | None = None
+    """None in a deployment without software rollouts."""
 
     def __attrs_post_init__(self):
         route = self.admission.route
@@ -108,6 +111,8 @@
         self.room_wait = RoomWait(self)
         self.part_location = PartLocation(self)
         self.workload_lookup = WorkloadLookup(self)
+        if self.relay.rollouts is not None:
+            self.version_choice = VersionChoice(self, self.relay.rollouts)
 
     @property
     def last_event_id(self) -> str:
@@ -136,6 +141,8 @@
             raise
         finally:
             self.relay.shutdown.active.discard(self)
+            if self.version_choice is not None:
+                self.version_choice.release()
             # The caller disconnected: cancellation, or a failed write.
             if not ended:
                 self._log_abandoned()
--- a/medlarrail/relay/request_forwarding.py
+++ b/medlarrail/relay/request_forwarding.py
@@ -33,6 +33,10 @@
         """
         service = self.relayed.service.name
         is_forwarded = bool(self.relayed.exchange.request.forwarded_by)
+        version_choice = self.relayed.version_choice
+        if version_choice is not None and version_choice.bound_version is not None:
+            # Another entry would draw anew, perhaps for another version.
+            return False
         if self.relayed.relay.forwarder.is_partitioned(service):
             if is_forwarded:
                 raise ServiceUnreachable(service=service)
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -18,6 +18,7 @@
     TooManyCarried,
 )
 from medlarrail.core.metrics import get_metrics
+from medlarrail.core.software_rollouts import SoftwareRolloutPolicy
 from medlarrail.policy.answer_memory import AnswerMemory
 from medlarrail.policy.isolation import IsolationPolicy
 from medlarrail.policy.prompt_length import PromptMix
@@ -40,6 +41,8 @@
     PartDirectory,
 )
 from medlarrail.relay.relayed_request import RelayedRequest
+from medlarrail.relay.rollout_reporter import RolloutReporter
+from medlarrail.relay.rollout_traffic import RolloutTraffic
 from medlarrail.relay.room_queue import RoomQueue
 from medlarrail.relay.shutdown import Shutdown
 from medlarrail.relay.startup_hold import DEFAULT_LEFT_S, StartupHold
@@ -95,6 +98,9 @@
     """Key of the fingerprints and proofs of requests, the same at all entries."""
     table: RouteTable | None = None
     prompt_mix: PromptMix = field(factory=PromptMix)
+    rollouts: RolloutTraffic | None = None
+    """None in a deployment without software rollouts."""
+    rollout_reporter: RolloutReporter | None = None
     crashes: CrashReporter = field(init=False)
     blocked_prompts: BlockedPrompts = field(init=False)
     suspected_requests: SuspectedRequests = field(init=False)
@@ -255,10 +261,17 @@
         self.origins.connect(self.reporter.datagram_socket, work_address)
         self.reporter.handlers[ORIGIN_REPLY_PREFIX] = self.origins.handle_reply
 
+    def enable_rollouts(self, policy: SoftwareRolloutPolicy) -> None:
+        """Apply software rollouts, and report what this entry sees of them."""
+        self.rollouts = RolloutTraffic(policy, self.endpoint_stats)
+        self.rollout_reporter = RolloutReporter(self.rollouts, self.crashes.state)
+
     def connect_state(self, state: StateClient) -> None:
         """Set the client for reports to the leading state member."""
         self.crashes.state = self.blocked_prompts.state = state
         self.suspected_requests.state = self.limits.state = state
+        if self.rollout_reporter is not None:
+            self.rollout_reporter.state = state
 
     async def run_reporters(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Report crashes and named rates, and probe endpoints, until cancelled."""
@@ -266,6 +279,8 @@
             await nursery.start(self.crashes.run)
             nursery.start_soon(self.limits.run)
             nursery.start_soon(self.forwarder.run)
+            if self.rollout_reporter is not None:
+                nursery.start_soon(self.rollout_reporter.run)
             task_status.started()
 
     async def maintain(self) -> None:
--- a/medlarrail/relay/room_wait.py
+++ b/medlarrail/relay/room_wait.py
@@ -49,9 +49,14 @@
     def _list_untried_reasons(self) -> set[str]:
         """Return why untried endpoints cannot take the request; empty if one can."""
         stats = self.relayed.relay.endpoint_stats
+        version_choice = self.relayed.version_choice
         return {
             stats.get_unavailable_reason(endpoint, self.relayed.service)
             for endpoint in self.relayed.relay.cluster_view.endpoints.values()
             if endpoint.announced.service == self.relayed.service.name
             and endpoint.announced.name not in self.relayed.tried
+            and (
+                version_choice is None
+                or version_choice.may_wait_for(endpoint.announced)
+            )
         }
