Test of the gateway's setting of software rollouts

Cause: no test showed that the setting reaches the relay, or that its reports have a client. Change: a gateway is built with and without the setting.

--- a/medlarrail/programs/gateway_test.py
+++ b/medlarrail/programs/gateway_test.py
@@ -15,8 +15,13 @@
 
 from medlarrail.core.codec import encode
 from medlarrail.core.errors import MedlarError
+from medlarrail.core.software_rollouts import SoftwareRolloutPolicy
+from medlarrail.programs.gateway import Gateway
 from medlarrail.protocol.cluster_view import ANNOUNCEMENTS_PATH
 from medlarrail.protocol.empty import EmptyMessage
+from medlarrail.relay.header_codec import DefaultHeaderCodec
+from medlarrail.settings.common import Keys, Listen
+from medlarrail.settings.gateway import GatewaySettings
 from medlarrail.testing.builders import (
     build_announcement,
     build_deployment,
@@ -316,3 +321,22 @@
         )
         assert result.returncode == 3
         assert "$.routes[0].timeout_ms: is not above 0" in result.stderr
+
+
+class TestSoftwareRollouts:
+    @pytest.mark.parametrize("policy", [None, SoftwareRolloutPolicy()])
+    def test_the_setting_is_ignored(self, policy):
+        settings = GatewaySettings(
+            name="gateway-1",
+            data_centre="leith",
+            listen=Listen(host=HOST, port=0, url=f"http://{HOST}:1"),
+            keys=Keys(cluster=KEY),
+            state_urls=(f"http://{HOST}:2",),
+            software_rollouts=policy,
+        )
+        gateway = Gateway(settings, DefaultHeaderCodec())
+        reporter = gateway.relay.rollout_reporter
+        assert (gateway.relay.rollouts is not None) == (policy is not None)
+        if policy is not None:
+            assert gateway.relay.rollouts.policy == policy
+            assert reporter.state is gateway.view_client.state
