Software rollouts: the gateways' draw gives each route its part of the trial

Cause: the draw went by the share of all requests, so a route with few of them showed a few requests a second to the target, and a version that is bad there only would pass. The draw asks get_route_ratio now; may_use_target still bounds the sum. In the test a route with a twentieth of 1,000 requests gets at least 15 of the 100 to the target.

--- a/medlarrail/relay/rollout_traffic_test.py
+++ b/medlarrail/relay/rollout_traffic_test.py
@@ -1,7 +1,7 @@
 """Tests of a gateway's requests during a software rollout.
 
-``may_use_target`` and ``is_locally_bad`` are replaced by simple ones: the tests here
-are of what the gateway does by their decisions.
+``may_use_target``, ``get_route_ratio`` and ``is_locally_bad`` are replaced by simple
+ones: the tests here are of what the gateway does by their decisions.
 """
 
 from collections.abc import Callable
@@ -86,6 +86,7 @@
 def decisions(monkeypatch):
     """Use the simple decisions."""
     monkeypatch.setattr(software_rollout, "may_use_target", may_use_target)
+    monkeypatch.setattr(software_rollout, "get_route_ratio", lambda *_: 1.0)
     monkeypatch.setattr(software_rollout, "is_locally_bad", is_locally_bad)
 
 
@@ -254,6 +255,17 @@
         await trio.sleep(0.1)
         assert (site.rollout.sent, site.rollout.sent_to_target) == (0, 0)
 
+    async def test_a_rare_route_shows_nothing_of_the_target(self, nursery, monkeypatch):
+        """A version that is bad on that route only would be completed."""
+        monkeypatch.undo()
+        rollout = (await start_site(nursery)).rollout
+        for number in range(1000):
+            route = "rare" if number % 20 == 0 else "frequent"
+            if not rollout.reserve(route):
+                rollout.record_sent(route, is_target=False)
+        assert rollout.sent_to_target <= 0.1 * 1000
+        assert rollout._target_by_route["rare"] >= 15
+
     async def test_the_load_of_the_target_is_thin(self, nursery, monkeypatch):
         """Spread over as many endpoints as the other version has, a version that is
         bad under load only would not show it; all gateways use the same endpoints."""
--- a/medlarrail/relay/service_rollout.py
+++ b/medlarrail/relay/service_rollout.py
@@ -1,5 +1,6 @@
 """One service's rollout at this entry: which versions may get requests, and counts."""
 
+from collections import Counter
 from collections.abc import Collection
 from typing import Literal
 
@@ -43,6 +44,9 @@
     sent: int = 0
     """Requests to the service, including those that are reserved."""
     sent_to_target: int = 0
+    _sent_by_route: Counter[str] = field(factory=Counter)
+    _target_by_route: Counter[str] = field(factory=Counter)
+    """Requests to the target by route, including those that are reserved."""
     _repeats: int = 0
     """Requests to the target that could not go to another version."""
     _is_bad: bool = False
@@ -128,10 +132,11 @@
             picture_age_s=round(self.stats.cluster_view.get_age_s(), 3),
         )
 
-    def reserve(self, is_repeat: bool = False) -> bool:
+    def reserve(self, route: str, is_repeat: bool = False) -> bool:
         """Reserve one request to the target; returns False if there is no room for it.
 
-        A request that may go nowhere else is a repeat.
+        A request that may go nowhere else is a repeat; others are drawn so that each
+        route shows something of the target.
         """
         traffic = self._build_traffic()
         if is_repeat:
@@ -141,18 +146,32 @@
             traffic = evolve(traffic, sent_to_target=self.sent_to_target + reserved)
         if not software_rollout.may_use_target(traffic, self.policy):
             return False
-        self.record_sent(is_target=True)
+        if self.record.stage == "trial" and not is_repeat and not self._is_due(route):
+            return False
+        self.record_sent(route, is_target=True)
         return True
 
-    def release(self) -> None:
+    def _is_due(self, route: str) -> bool:
+        """Return whether it is a route's turn to show something of the target."""
+        ratio = software_rollout.get_route_ratio(
+            self._sent_by_route, route, self.policy.exposure_ratio
+        )
+        sent = self._sent_by_route[route] + 1
+        return self._target_by_route[route] + 1 <= ratio * sent
+
+    def release(self, route: str) -> None:
         """Take back a reserved request that was not sent."""
         self.sent -= 1
         self.sent_to_target -= 1
+        self._sent_by_route[route] -= 1
+        self._target_by_route[route] -= 1
 
-    def record_sent(self, is_target: bool) -> None:
+    def record_sent(self, route: str, is_target: bool) -> None:
         """Count a request to the service."""
         self.sent += 1
         self.sent_to_target += is_target
+        self._sent_by_route[route] += 1
+        self._target_by_route[route] += is_target
 
     def record_answer(
         self, route: str, version: str, failed: bool, seconds: float | None
--- a/medlarrail/relay/version_choice.py
+++ b/medlarrail/relay/version_choice.py
@@ -30,6 +30,10 @@
     _sent_version: str | None = None
     """The first version that the request was sent to."""
 
+    @property
+    def _route(self) -> str:
+        return self.relayed.admission.route.name
+
     @property
     def bound_version(self) -> str | None:
         """The only version that the request may go to since it was sent, if any.
@@ -136,14 +140,14 @@
     def _reserve(self, rollout: ServiceRollout, is_repeat: bool = False) -> bool:
         if self._reserved is not rollout:
             self.release()
-            if rollout.reserve(is_repeat):
+            if rollout.reserve(self._route, is_repeat):
                 self._reserved = rollout
         return self._reserved is rollout
 
     def release(self) -> None:
         """Take back the reservation if nothing was sent for it."""
         if self._reserved is not None:
-            self._reserved.release()
+            self._reserved.release(self._route)
             self._reserved = None
 
     def may_wait_for(self, announced: Announcement) -> bool:
@@ -192,7 +196,7 @@
             self._reserved = None
         else:
             self.release()
-            rollout.record_sent(is_target)
+            rollout.record_sent(self._route, is_target)
         return AttemptObservation(rollout, announced) if rollout.is_running else None
 
 
