Tests of clients outside our control, against the programs

A crowd of 160 clients uses one listener of a gateway or a state member for some seconds. The process must live, stay below the 150 MB of the smallest VM, come back to 1.5 times its memory at rest, keep its descriptors within two for each client and 64, and answer ordinary requests.

--- /dev/null
+++ b/medlarrail/platform/untrusted_clients_test.py
@@ -0,0 +1,316 @@
+"""Tests of clients outside our control, against the programs as processes.
+
+A few hundred of them ended a process: it ran out of memory, and with it went the
+requests of all other callers. Each test checks that the process lives, that its memory
+and its descriptors stay bounded, and that an ordinary request is answered. Nothing
+here depends on the speed of the machine.
+"""
+
+import os
+import subprocess
+import sys
+
+import orjson
+import pytest
+import trio
+
+from medlarrail.platform.soak.wire import call_any
+from medlarrail.testing.client_crowd import (
+    BODY_BYTES,
+    CLIENTS,
+    CONNECTION_ERRORS,
+    READ_BYTES,
+    Crowd,
+    Target,
+    build_head,
+    drip_head,
+    pipeline_unread,
+    read_slowly,
+    read_usage,
+    send_whole,
+    stop_short,
+    stop_short_in_chunks,
+    stop_short_in_pieces,
+    stop_short_in_small_chunks,
+)
+from medlarrail.testing.deployment import find_free_ports
+from medlarrail.testing.scripted_endpoints import HOST, ScriptedEndpoint, get_value
+
+MEMORY_LIMIT_MB = 150
+"""Memory of the smallest VM."""
+RETURN_RATIO = 1.5
+"""Memory after the crowd has left, in relation to that at rest."""
+DESCRIPTORS_PER_CLIENT = 2
+"""A connection of the client, and one to an endpoint while its request runs."""
+SPARE_DESCRIPTORS = 64
+"""Descriptors beside those of the crowd and those at rest."""
+HOLD_S = 3.0
+"""Time for which a crowd stays."""
+WAIT_TIMEOUT_S = 30.0
+POLL_S = 0.1
+ROUTE_HOST = "tickets.example"
+API_KEY = "a-key-of-a-caller"
+USUAL_HEADERS = {"Api-Key": API_KEY, "Request-Id": "r1"}
+CLUSTER_KEY = "a-key-for-this-test"
+EVENT_BYTES = 16_000
+NAMES = ("state", "gateway")
+PORTS = ("state", "gateway", "ready", "directory", "metrics", "work")
+
+
+def build_route(prefix: str, kind: str) -> dict:
+    """Return a route of the configuration."""
+    return {
+        "name": f"r-{prefix}",
+        "host": ROUTE_HOST,
+        "path-prefix": f"/{prefix}/",
+        "kind": kind,
+        "timeout-ms": 30_000,
+        "service": "plain",
+        "max-attempts": 2,
+    }
+
+
+CONFIGURATION = {
+    "version": 1,
+    "routes": [build_route("ask", "safe"), build_route("stream", "streaming")],
+    "services": [{"name": "plain", "health-path": "/healthz", "max-connections": 400}],
+    "tenants": [{"name": "lea-college", "api-keys": [API_KEY], "priority": 1}],
+}
+
+
+async def answer(connection, request: bytes) -> None:
+    """Answer as an endpoint; a stream has events without end."""
+    request_id = get_value(request, b"request-id") or b""
+    head = b"HTTP/1.1 200 OK\r\nRequest-Id: " + request_id
+    head += b"\r\nResponse-Signature: s\r\n"
+    if not request.split(b" ", 2)[1].startswith(b"/stream/"):
+        await connection.send(head + b"Content-Length: 4\r\n\r\nfine")
+        return
+    await connection.send(head + b"Transfer-Encoding: chunked\r\n\r\n")
+    number = 0
+    while True:
+        number += 1
+        event = b"id: %d\ndata: %s\n\n" % (number, b"x" * EVENT_BYTES)
+        await connection.send(b"%x\r\n%s\r\n" % (len(event), event))
+
+
+class Programs:
+    """A state member and a gateway as processes, and an endpoint."""
+
+    def __init__(self, path):
+        self.path = path
+        self.ports = dict(zip(PORTS, find_free_ports(len(PORTS), HOST), strict=True))
+        self.state_url = self.get_url("state")
+        self.processes = {}
+
+    def get_address(self, name: str) -> str:
+        return f"{HOST}:{self.ports[name]}"
+
+    def get_url(self, name: str) -> str:
+        return f"http://{self.get_address(name)}"
+
+    def start(self) -> None:
+        common = {"data_centre": "leith", "keys": {"cluster": CLUSTER_KEY}}
+        settings = {
+            "state": {
+                **common,
+                "listen": {"host": HOST, "port": 0, "url": self.state_url},
+                "data_folder": str(self.path / "data"),
+                "seeds": [self.state_url],
+                "first_start": True,
+            },
+            "gateway": {
+                **common,
+                "listen": {"host": HOST, "port": 0, "url": self.get_url("gateway")},
+                "state_urls": [self.state_url],
+                "health_address": self.get_address("ready"),
+                "directory_address": self.get_address("directory"),
+                "metrics_address": self.get_address("metrics"),
+                "work_address": self.get_address("work"),
+                "isolation": {"mode": "last-known"},
+            },
+        }
+        for name in NAMES:
+            file = self.path / f"{name}.json"
+            file.write_bytes(orjson.dumps({"name": f"{name}-1", **settings[name]}))
+            with (self.path / f"{name}.log").open("wb") as log:
+                self.processes[name] = subprocess.Popen(
+                    [sys.executable, "-m", "medlarrail.platform", name],
+                    env={**os.environ, "MEDLARRAIL_BOOT": str(file)},
+                    stdout=log,
+                    stderr=log,
+                )
+
+    def stop(self) -> None:
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+
+    def require_living(self) -> None:
+        ended = {name: one.poll() for name, one in self.processes.items()}
+        assert ended == dict.fromkeys(NAMES)
+
+    def read_usage(self, name: str):
+        return read_usage(self.processes[name].pid)
+
+    async def announce(self, endpoint: ScriptedEndpoint) -> bool:
+        """Register the endpoint, as it does itself again and again."""
+        announcement = {
+            "service": "plain",
+            "address": f"{HOST}:{endpoint.port}",
+            "zone": "leith",
+            "state": "ready",
+            "sequence": 1,
+            "slots": 400,
+        }
+        path = f"/instances/{endpoint.name}"
+        return await call_any("PUT", [self.state_url], path, announcement)
+
+    async def keep_announced(self, endpoint: ScriptedEndpoint) -> None:
+        while True:
+            await self.announce(endpoint)
+            await trio.sleep(1.0)
+
+    async def request_ordinary(self, name: str) -> None:
+        """Make one ordinary request until it is answered with 200.
+
+        A refusal of the first ones is allowed: it says that they did not run.
+        """
+        gateway_head = build_head("GET", "/ask/1", ROUTE_HOST, USUAL_HEADERS)
+        heads = {
+            "gateway": gateway_head,
+            "ready": build_head("GET", "/readyz", "ready"),
+            "directory": build_head("GET", "/resolve", "directory"),
+            "state": build_head("GET", "/config", "state"),
+        }
+        with trio.fail_after(WAIT_TIMEOUT_S):
+            while await read_status(self.ports[name], heads[name]) != 200:
+                self.require_living()
+                await trio.sleep(POLL_S)
+
+
+async def read_status(port: int, head: bytes) -> int:
+    """Return the status of the answer to a request, 0 without one."""
+    try:
+        async with await trio.open_tcp_stream(HOST, port) as stream:
+            await stream.send_all(head)
+            received = await stream.receive_some(READ_BYTES)
+    except CONNECTION_ERRORS:
+        return 0
+    return int(received.split(b" ")[1]) if received else 0
+
+
+@pytest.fixture
+async def programs(tmp_path, nursery):
+    running = Programs(tmp_path)
+    running.start()
+    try:
+        endpoint = ScriptedEndpoint("endpoint-1", answer)
+        await nursery.start(endpoint.run)
+        with trio.fail_after(WAIT_TIMEOUT_S):
+            while not await call_any(
+                "PUT", [running.state_url], "/config", CONFIGURATION
+            ):
+                await trio.sleep(POLL_S)
+        nursery.start_soon(running.keep_announced, endpoint)
+        for name in ("gateway", "ready", "directory", "state"):
+            await running.request_ordinary(name)
+        yield running
+    finally:
+        running.stop()
+
+
+async def check_crowd(programs: Programs, listener: str, shape, target: Target):
+    """Let a crowd use one listener, and check the process that it belongs to."""
+    name = "state" if listener == "state" else "gateway"
+    rest = programs.read_usage(name)
+    crowd = Crowd(programs.ports[listener], shape(target))
+    async with trio.open_nursery() as nursery:
+        await nursery.start(crowd.run)
+        await trio.sleep(HOLD_S)
+        with_crowd = programs.read_usage(name)
+        await programs.request_ordinary(listener)
+        nursery.cancel_scope.cancel()
+    programs.require_living()
+    assert crowd.connected >= CLIENTS
+    await programs.request_ordinary(listener)
+    peak = programs.read_usage(name).peak
+    with trio.move_on_after(WAIT_TIMEOUT_S / 2):
+        while programs.read_usage(name).resident > RETURN_RATIO * rest.resident:
+            await trio.sleep(POLL_S)
+    after = programs.read_usage(name)
+    megabytes = [round(one / 1e6) for one in (rest.resident, peak, after.resident)]
+    print("rest, peak, after:", *megabytes, "descriptors:", with_crowd.descriptors)
+    assert peak < MEMORY_LIMIT_MB * 1_000_000
+    spare = DESCRIPTORS_PER_CLIENT * CLIENTS + SPARE_DESCRIPTORS
+    assert with_crowd.descriptors < rest.descriptors + spare
+    assert after.resident <= RETURN_RATIO * rest.resident
+
+
+BODIES = (
+    stop_short,
+    stop_short_in_pieces,
+    stop_short_in_chunks,
+    stop_short_in_small_chunks,
+    send_whole,
+)
+
+
+class TestCallersListener:
+    @pytest.mark.parametrize("shape", [*BODIES, drip_head])
+    async def test_large_bodies_fill_the_memory(self, programs, shape):
+        """Each body had a limit, but all together had none."""
+        port = programs.ports["gateway"]
+        target = Target(port, "POST", "/ask/1", ROUTE_HOST, USUAL_HEADERS)
+        await check_crowd(programs, "gateway", shape, target)
+
+    @pytest.mark.parametrize("host", [ROUTE_HOST, "unknown.example"])
+    async def test_pipelined_requests_fill_the_memory(self, programs, host):
+        """The bytes read ahead were limited for one answer, not for a connection."""
+        target = Target(programs.ports["gateway"], "GET", "/ask/1", host)
+        await check_crowd(programs, "gateway", pipeline_unread, target)
+
+    async def test_slow_readers_of_streams_fill_the_memory(self, programs):
+        """A stream has to go only as fast as it is read."""
+        port = programs.ports["gateway"]
+        target = Target(port, "GET", "/stream/1", ROUTE_HOST, USUAL_HEADERS)
+        await check_crowd(programs, "gateway", read_slowly, target)
+
+    async def test_single_large_body_is_refused(self, programs):
+        """A body within the limits is served in calm."""
+        size = 4 * BODY_BYTES
+        headers = {**USUAL_HEADERS, "Content-Length": str(size)}
+        head = build_head("POST", "/ask/1", ROUTE_HOST, headers)
+        port = programs.ports["gateway"]
+        assert await read_status(port, head + b"x" * size) == 200
+        headers = {**USUAL_HEADERS, "Transfer-Encoding": "chunked"}
+        head = build_head("POST", "/ask/1", ROUTE_HOST, headers)
+        chunk = b"%x\r\n" % size + b"x" * size + b"\r\n0\r\n\r\n"
+        assert await read_status(port, head + chunk) == 200
+
+
+PATHS = {"ready": "/readyz", "directory": "/resolve"}
+
+
+class TestAuxiliaryListeners:
+    @pytest.mark.parametrize("listener", PATHS)
+    @pytest.mark.parametrize("shape", [pipeline_unread, stop_short, send_whole])
+    async def test_clients_fill_the_memory(self, programs, listener, shape):
+        """These listeners had the limits of the callers' one."""
+        method = "GET" if shape is pipeline_unread else "POST"
+        port = programs.ports[listener]
+        target = Target(port, method, PATHS[listener], "gateway-1")
+        await check_crowd(programs, listener, shape, target)
+
+
+class TestStateMember:
+    @pytest.mark.parametrize("shape", [*BODIES, drip_head])
+    async def test_large_bodies_fill_the_memory(self, programs, shape):
+        """Anyone may send bodies to a member's listener, also without a key."""
+        target = Target(programs.ports["state"], "PUT", "/config", "state-1")
+        await check_crowd(programs, "state", shape, target)
+
+    async def test_pipelined_requests_fill_the_memory(self, programs):
+        """Answers that nobody reads must not pile up."""
+        target = Target(programs.ports["state"], "GET", "/unknown", "state-1")
+        await check_crowd(programs, "state", pipeline_unread, target)
