Memory: one account of what a process holds for others

Cause: each body, each answer and each read-ahead had a limit of its own, but all together had none, and the read-ahead limit was per answer and not per connection. h11 and hypercorn decode 64 KB of one-byte chunks in a turn (a member stalled for 9.3 s), hypercorn never ends a request whose body is not received, the allocator keeps a heap with holes, and reference cycles keep bodies of answered requests (whole bodies: 154 MB with them, 75 MB without).

Change: policy/held_memory.py decides without I/O who waits, who is given up (most for longest without progress) and keeps 30% for requests up to 64 KB; transport/memory_gate.py waits, ends, logs (a line a second per decision), counts, and returns memory. The gateway's callers', readiness, directory and metrics listeners, received answers (their 24 MB), and the state member's listener are in it. relay/inbound.py keeps received bytes itself, 16 KB ahead; relay/chunked_body.py decodes runs of small chunks at once; transport/bounded_connections.py limits hypercorn's connections and reads. Large bodies are sent to endpoints without another copy.

The tests get the setting memory_limit_mb, which the code before refused, and no longer import the soak; crowd and bounds are as they were.

--- a/medlarrail/core/errors.py
+++ b/medlarrail/core/errors.py
@@ -282,6 +282,12 @@
     limit: int = 0
 
 
+class MemoryShort(Refusal):
+    """This process holds as much for others as it may, so nothing was read or ran."""
+
+    wanted_bytes: int = 0
+
+
 class DeadlineExceeded(Refusal):
     """The deadline passed before the request was dispatched."""
 
--- a/medlarrail/core/metrics.py
+++ b/medlarrail/core/metrics.py
@@ -1,4 +1,4 @@
-"""Counters and latency histograms of one process.
+"""Counters, gauges and latency histograms of one process.
 
 Counters have labels; latencies are recorded in high dynamic range histograms in
 microseconds. ``core/prometheus.py`` exports both as text.
@@ -31,11 +31,20 @@
 
     _counters: Counter = field(factory=Counter)
     _histograms: dict[str, HdrHistogram] = field(factory=dict)
+    _gauges: dict[str, float] = field(factory=dict)
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Add ``amount`` to the counter ``name`` with ``labels``."""
         self._counters[name, tuple(sorted(labels.items()))] += amount
 
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set the present value of the gauge ``name``."""
+        self._gauges[name] = value
+
+    def iterate_gauges(self) -> Iterator[tuple[str, float]]:
+        """Yield the names and values of the gauges in alphabetical order."""
+        yield from sorted(self._gauges.items())
+
     def get_count(self, name: str, **labels: str) -> int:
         """Return the sum of the counter over all label sets that include ``labels``."""
         required = set(labels.items())
@@ -75,8 +84,9 @@
         yield from sorted(self._histograms)
 
     def reset(self) -> None:
-        """Delete all counters and histograms; for tests."""
+        """Delete all counters, gauges and histograms; for tests."""
         self._counters.clear()
+        self._gauges.clear()
         self._histograms.clear()
 
 
--- a/medlarrail/core/prometheus.py
+++ b/medlarrail/core/prometheus.py
@@ -4,7 +4,11 @@
 """
 
 from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import CounterMetricFamily, SummaryMetricFamily
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    SummaryMetricFamily,
+)
 
 from medlarrail.core.metrics import PERCENTILES, Metrics
 
@@ -29,6 +33,8 @@
                 [values.get(name, "") for name in names], sample.value
             )
         yield from families.values()
+        for name, value in self._metrics.iterate_gauges():
+            yield GaugeMetricFamily(f"medlar_{name}", name, value=value)
         yield from self._collect_histograms()
 
     def _get_label_names(self) -> dict[str, list[str]]:
--- a/medlarrail/platform/gateway.py
+++ b/medlarrail/platform/gateway.py
@@ -18,13 +18,24 @@
     """Run a gateway until SIGTERM, then drain it."""
     store_client = PlatformContextStoreClient(HttpClient())
     gateway = Gateway(settings, PlatformHeaderCodec(), store_client)
+    store_client.client.memory = gateway.answer_memory
     reloader.listeners.append(gateway.reload)
     directory = PlatformDirectory(gateway)
     async with trio.open_nursery() as nursery:
-        await serve_auxiliary(nursery, settings.health_address, directory.answer_ready)
+        await serve_auxiliary(
+            nursery,
+            settings.health_address,
+            directory.answer_ready,
+            gateway.gate,
+            "readiness",
+        )
         if settings.directory_address:
             await serve_auxiliary(
-                nursery, settings.directory_address, directory.answer_resolve
+                nursery,
+                settings.directory_address,
+                directory.answer_resolve,
+                gateway.gate,
+                "directory",
             )
         await gateway.run(nursery)
         nursery.cancel_scope.cancel()
--- a/medlarrail/platform/untrusted_clients_test.py
+++ b/medlarrail/platform/untrusted_clients_test.py
@@ -14,7 +14,7 @@
 import pytest
 import trio
 
-from medlarrail.platform.soak.wire import call_any
+from medlarrail.core.errors import PeerError
 from medlarrail.testing.client_crowd import (
     BODY_BYTES,
     CLIENTS,
@@ -35,6 +35,7 @@
 )
 from medlarrail.testing.deployment import find_free_ports
 from medlarrail.testing.scripted_endpoints import HOST, ScriptedEndpoint, get_value
+from medlarrail.transport.client import HttpClient
 
 MEMORY_LIMIT_MB = 150
 """Memory of the smallest VM."""
@@ -110,7 +111,11 @@
         return f"http://{self.get_address(name)}"
 
     def start(self) -> None:
-        common = {"data_centre": "leith", "keys": {"cluster": CLUSTER_KEY}}
+        common = {
+            "data_centre": "leith",
+            "keys": {"cluster": CLUSTER_KEY},
+            "memory_limit_mb": MEMORY_LIMIT_MB,
+        }
         settings = {
             "state": {
                 **common,
@@ -163,8 +168,16 @@
             "sequence": 1,
             "slots": 400,
         }
-        path = f"/instances/{endpoint.name}"
-        return await call_any("PUT", [self.state_url], path, announcement)
+        return await self.put(f"/instances/{endpoint.name}", announcement)
+
+    async def put(self, path: str, document: dict) -> bool:
+        """Make a control call; return whether it was acknowledged."""
+        body = orjson.dumps(document)
+        try:
+            reply = await HttpClient().fetch("PUT", self.state_url + path, body)
+        except PeerError:
+            return False
+        return reply.status < 300
 
     async def keep_announced(self, endpoint: ScriptedEndpoint) -> None:
         while True:
@@ -208,9 +221,7 @@
         endpoint = ScriptedEndpoint("endpoint-1", answer)
         await nursery.start(endpoint.run)
         with trio.fail_after(WAIT_TIMEOUT_S):
-            while not await call_any(
-                "PUT", [running.state_url], "/config", CONFIGURATION
-            ):
+            while not await running.put("/config", CONFIGURATION):
                 await trio.sleep(POLL_S)
         nursery.start_soon(running.keep_announced, endpoint)
         for name in ("gateway", "ready", "directory", "state"):
@@ -240,7 +251,13 @@
             await trio.sleep(POLL_S)
     after = programs.read_usage(name)
     megabytes = [round(one / 1e6) for one in (rest.resident, peak, after.resident)]
-    print("rest, peak, after:", *megabytes, "descriptors:", with_crowd.descriptors)
+    print(
+        "rest, peak, after:",
+        *megabytes,
+        "descriptors:",
+        with_crowd.descriptors,
+        after.descriptors,
+    )
     assert peak < MEMORY_LIMIT_MB * 1_000_000
     spare = DESCRIPTORS_PER_CLIENT * CLIENTS + SPARE_DESCRIPTORS
     assert with_crowd.descriptors < rest.descriptors + spare
--- a/medlarrail/policy/answer_memory.py
+++ b/medlarrail/policy/answer_memory.py
@@ -10,9 +10,13 @@
 
 from attrs import define, field
 
+from medlarrail.policy.held_memory import HeldMemory, Holding
+
 MAX_HELD_BYTES = 24_000_000
 """Maximum bytes of all answers held by one process: with the copies that sending them
 takes, less than half of what a small process has."""
+MAX_ANSWER_SHARE = 0.5
+"""Maximum fraction of what a process may hold for others."""
 
 
 @define(eq=False)
@@ -40,6 +44,24 @@
     limit_bytes: int = MAX_HELD_BYTES
     held_bytes: int = 0
     answers: set[HeldAnswer] = field(factory=set)
+    account: HeldMemory | None = None
+    """The account of the process that the answers are a part of."""
+    holding: Holding | None = None
+    """The answers in ``account``; they depend on endpoints and are never given up
+    for a caller."""
+
+    @classmethod
+    def build(cls, account: HeldMemory) -> "AnswerMemory":
+        """Return the memory for answers as a part of ``account``."""
+        limit_bytes = min(MAX_HELD_BYTES, int(MAX_ANSWER_SHARE * account.limit_bytes))
+        holding = account.open("answers", 0.0)
+        holding.state = "working"
+        return cls(limit_bytes, account=account, holding=holding)
+
+    def _count(self, count: int) -> None:
+        self.held_bytes += count
+        if self.account is not None:
+            self.account.add(self.holding, count)
 
     def open(self) -> HeldAnswer:
         """Return a new answer, which has to be closed."""
@@ -52,7 +74,7 @@
         if answer.is_dropped:
             return
         answer.data += part
-        self.held_bytes += len(part)
+        self._count(len(part))
         while self.held_bytes > self.limit_bytes:
             largest = max(self.answers, key=lambda held: len(held.data))
             largest.is_dropped = True
@@ -64,5 +86,5 @@
         self._free(answer)
 
     def _free(self, answer: HeldAnswer) -> None:
-        self.held_bytes -= len(answer.data)
+        self._count(-len(answer.data))
         answer.data = bytearray()
--- /dev/null
+++ b/medlarrail/policy/held_memory.py
@@ -0,0 +1,213 @@
+"""Decides who may hold how much of a process's memory.
+
+Load pattern: clients outside our control that send large bodies and stop short of
+their end, send requests ahead of unread answers, or stay connected for nothing. Each
+is within the limits of a request, but a few hundred fill the memory of a process.
+
+All that a process holds for others is in one account: a base for each connection, the
+bodies that were received or are announced, and the answers that wait to be written. Who
+needs more than there is waits; small requests come first and have a reserve. While
+someone waits, those are given up that hold most for longest without progress.
+"""
+
+from attrs import define, field
+
+MEGABYTE = 1_000_000
+BUDGET_RATIO = 0.3
+"""Fraction of a process's memory that it may hold for others. The rest is for the
+process itself (a third of the smallest VM), received answers, copies and the kernel."""
+MIN_BUDGET_BYTES = 20 * MEGABYTE
+MAX_BUDGET_BYTES = 1000 * MEGABYTE
+DEFAULT_BUDGET_BYTES = 256 * MEGABYTE
+"""For servers that are not told how much memory there is."""
+RESERVE_RATIO = 0.3
+"""Fraction of the budget that only connections and small requests may use."""
+SMALL_BYTES = 65536
+"""Maximum bytes of a small request; ordinary ones have a few tens of kilobytes."""
+MIN_STALL_S = 1.0
+"""Time without progress after which a holder may be given up: longer than pauses of
+sound callers on a lossy link."""
+PROGRESS_BYTES = 16384
+"""Bytes that count as progress: fewer would let a peer that drips hold everything."""
+EVICTABLE_STATES = ("idle", "receiving", "writing")
+"""States in which progress depends on the peer, or on what others hold."""
+
+
+def get_budget_bytes(memory_bytes: int) -> int:
+    """Return how much a process with this much memory may hold for others.
+
+    >>> get_budget_bytes(150_000_000)
+    45000000
+    """
+    wanted = int(BUDGET_RATIO * memory_bytes)
+    return min(MAX_BUDGET_BYTES, max(MIN_BUDGET_BYTES, wanted))
+
+
+@define(eq=False)
+class Holding:
+    """What is held for one peer; times are on the caller's clock.
+
+    ``state`` is "idle" between requests, "receiving", "working" while the answer
+    depends on this system, or "writing" while the peer has to read.
+    """
+
+    listener: str
+    progress_at: float
+    state: str = "idle"
+    held_bytes: int = 0
+    is_waiting: bool = False
+    """Whether it waits for memory."""
+    is_ended: bool = False
+    """Whether it was given up."""
+    _unnoted_bytes: int = 0
+
+    def start(self, state: str, now: float) -> None:
+        """Enter another state, which counts as progress."""
+        self.state = state
+        self.progress_at = now
+        self._unnoted_bytes = 0
+
+    def record_bytes(self, count: int, now: float) -> None:
+        """Record that the peer sent or read ``count`` bytes."""
+        self._unnoted_bytes += count
+        if self._unnoted_bytes >= PROGRESS_BYTES:
+            self._unnoted_bytes = 0
+            self.progress_at = now
+
+    def get_stall_s(self, now: float) -> float:
+        """Return the time without progress."""
+        return now - self.progress_at
+
+
+@define(eq=False)
+class Waiter:
+    """A holder that waits for more memory."""
+
+    holding: Holding
+    wanted_bytes: int
+    since: float
+    is_granted: bool = False
+
+    @property
+    def is_small(self) -> bool:
+        """Whether the reserve is open to it."""
+        return self.wanted_bytes <= SMALL_BYTES
+
+
+@define(eq=False)
+class HeldMemory:
+    """The account of one process.
+
+    Example::
+
+        holding = memory.open("callers", now)
+        waiter = memory.request(holding, 1_000_000, now)
+        if not waiter.is_granted: ...  # wait, give up ``memory.choose_victims(now)``
+        memory.close(holding)
+    """
+
+    limit_bytes: int = DEFAULT_BUDGET_BYTES
+    held_bytes: int = 0
+    holdings: set[Holding] = field(factory=set)
+    waiters: list[Waiter] = field(factory=list)
+
+    def open(self, listener: str, now: float) -> Holding:
+        """Return a new holding, which has to be closed."""
+        holding = Holding(listener, now)
+        self.holdings.add(holding)
+        return holding
+
+    def add(self, holding: Holding, count: int) -> None:
+        """Add bytes that are held already; a negative number takes some away."""
+        holding.held_bytes += count
+        self.held_bytes += count
+        if count < 0:
+            self.grant_waiters()
+
+    def request(self, holding: Holding, count: int, now: float) -> Waiter:
+        """Ask for ``count`` bytes more, which are granted at once or later.
+
+        Small requests and those that wait already come first.
+        """
+        waiter = Waiter(holding, count, now)
+        holding.is_waiting = True
+        self.waiters.append(waiter)
+        self.grant_waiters()
+        return waiter
+
+    def cancel(self, waiter: Waiter) -> None:
+        """End a request for memory that was not granted."""
+        if waiter in self.waiters:
+            self.waiters.remove(waiter)
+            waiter.holding.is_waiting = False
+            self.grant_waiters()
+
+    def close(self, holding: Holding) -> None:
+        """Free all that is held for a peer."""
+        if holding in self.holdings:
+            self.holdings.remove(holding)
+            self.add(holding, -holding.held_bytes)
+
+    def get_room(self, is_small: bool) -> int:
+        """Return the free bytes for small or for large requests."""
+        ratio = 1.0 if is_small else 1.0 - RESERVE_RATIO
+        return int(ratio * self.limit_bytes) - self.held_bytes
+
+    def can_ever_grant(self, count: int) -> bool:
+        """Return whether so much fits when nothing else is held."""
+        return count <= (1.0 - RESERVE_RATIO) * self.limit_bytes
+
+    def grant_waiters(self) -> None:
+        """Grant what fits: small requests first, the others in their order."""
+        if not self.waiters:
+            return
+        for waiter in self._list_waiters():
+            if waiter.wanted_bytes > self.get_room(waiter.is_small):
+                if not waiter.is_small:
+                    return
+                continue
+            self.waiters.remove(waiter)
+            waiter.is_granted = True
+            waiter.holding.is_waiting = False
+            self.add(waiter.holding, waiter.wanted_bytes)
+
+    def choose_victims(self, now: float) -> list[Holding]:
+        """Return the holdings to be given up for those that wait, and mark them."""
+        if not self.waiters:
+            return []
+        first = self._list_waiters()[0]
+        freed = sum(one.held_bytes for one in self.holdings if one.is_ended)
+        missing = first.wanted_bytes - self.get_room(first.is_small) - freed
+        victims = []
+        for holding in self._list_stalled(now):
+            if missing <= 0:
+                break
+            if holding is not first.holding:
+                holding.is_ended = True
+                victims.append(holding)
+                missing -= holding.held_bytes
+        return victims
+
+    def choose_idle(self, listener: str | None, now: float) -> Holding | None:
+        """Return one connection, of any listener if None, to be closed for another."""
+        for holding in self._list_stalled(now):
+            if listener in (None, holding.listener):
+                holding.is_ended = True
+                return holding
+        return None
+
+    def _list_waiters(self) -> list[Waiter]:
+        return sorted(self.waiters, key=lambda one: (not one.is_small, one.since))
+
+    def _list_stalled(self, now: float) -> list[Holding]:
+        """Return those that may be given up, those that hold most for longest first."""
+        stalled = [
+            holding
+            for holding in self.holdings
+            if not holding.is_ended
+            and holding.state in EVICTABLE_STATES
+            and holding.get_stall_s(now) >= MIN_STALL_S
+        ]
+        return sorted(
+            stalled, key=lambda one: one.held_bytes * one.get_stall_s(now), reverse=True
+        )
--- a/medlarrail/programs/gateway.py
+++ b/medlarrail/programs/gateway.py
@@ -12,6 +12,7 @@
 from medlarrail.core.deployment import Deployment
 from medlarrail.programs.auxiliary_servers import start_metrics
 from medlarrail.programs.daemon import SettingsReloader, wait_for_stop_signal
+from medlarrail.programs.memory import build_answer_memory, build_memory_gate
 from medlarrail.relay.context_index import ContextIndex
 from medlarrail.relay.drain import drain_gateway
 from medlarrail.relay.endpoint_stats import EndpointStats
@@ -39,7 +40,9 @@
 
     def __attrs_post_init__(self):
         settings = self.settings
-        peers = HttpClient(settings.keys.cluster)
+        self.gate = build_memory_gate(settings.memory_limit_mb)
+        self.answer_memory = build_answer_memory(self.gate)
+        peers = HttpClient(settings.keys.cluster, self.answer_memory)
         self.cluster_view = ClusterView()
         address = settings.listen.url.removeprefix("http://")
         self.view_client = ClusterViewClient(
@@ -63,6 +66,7 @@
             settings.retries,
             settings.isolation,
             secret=settings.keys.cluster.encode(),
+            answer_memory=self.answer_memory,
         )
         self.relay.connect_state(self.view_client.state)
         self.view_client.list_limited_services = endpoint_stats.room.list_limited
@@ -86,6 +90,7 @@
             self.relay.answer,
             self.relay.answer_error,
             max_connections=settings.max_connections,
+            gate=self.gate,
         )
         self.cluster_view.deployment_listeners.append(self._apply_deployment)
 
@@ -111,7 +116,8 @@
         self.relay.startup = StartupHold()
         await nursery.start(self.server.run, listen.host, listen.bind_port)
         if self.settings.metrics_address:
-            await start_metrics(nursery, self.settings.metrics_address)
+            await start_metrics(nursery, self.settings.metrics_address, self.gate)
+        nursery.start_soon(self.gate.run_upkeep)
         if self.relay.reporter is not None:
             await nursery.start(self.relay.reporter.run)
         nursery.start_soon(self.view_client.run)
--- a/medlarrail/programs/state.py
+++ b/medlarrail/programs/state.py
@@ -21,6 +21,7 @@
 from medlarrail.core.errors import StorageDamaged
 from medlarrail.programs.auxiliary_servers import start_metrics
 from medlarrail.programs.daemon import SettingsReloader, wait_for_stop_signal
+from medlarrail.programs.memory import build_answer_memory, build_memory_gate
 from medlarrail.programs.monitoring import Monitoring
 from medlarrail.protocol.cluster_view import ANNOUNCEMENTS_PATH, DEPARTURES_PATH
 from medlarrail.serving.access import Guard, KeyRing
@@ -118,7 +119,8 @@
 ) -> None:
     """Run a state member until SIGTERM."""
     folder = DataFolder(Path(settings.data_folder), settings.quota_bytes)
-    peers = HttpClient(settings.keys.cluster)
+    gate = build_memory_gate(settings.memory_limit_mb)
+    peers = HttpClient(settings.keys.cluster, build_answer_memory(gate))
     journal = open_or_quarantine_journal(folder)
     log_journal(journal)
     log_member = LogMember(
@@ -146,7 +148,7 @@
         *extensions.routes,
         guard=build_guard(settings.keys),
     )
-    server = HttpServer(routes, settings.server)
+    server = HttpServer(routes, settings.server, gate)
     listen = settings.listen
     async with trio.open_nursery() as nursery:
         await nursery.start(server.run, listen.host, listen.bind_port)
@@ -165,7 +167,8 @@
                 StoreCleaner(view_server, extensions.context_store_client).run
             )
         if settings.metrics_address:
-            await start_metrics(nursery, settings.metrics_address)
+            await start_metrics(nursery, settings.metrics_address, gate)
+        nursery.start_soon(gate.run_upkeep)
         if settings.seeds:
             nursery.start_soon(membership.run)
         await wait_for_stop_signal()
--- a/medlarrail/relay/inbound.py
+++ b/medlarrail/relay/inbound.py
@@ -7,35 +7,52 @@
 connection.
 """
 
+import re
 from collections.abc import Awaitable, Callable
 
 import eliot
 import h11
 import trio
-from attrs import define, field
+from attrs import define, evolve, field
 
 from medlarrail.core.deployment import RequestLimits
 from medlarrail.core.errors import (
     MalformedRequest,
     MedlarError,
+    MemoryShort,
     OverLongBody,
     OverLongHeader,
     SlowSender,
 )
 from medlarrail.core.metrics import get_metrics
+from medlarrail.policy.held_memory import Holding
+from medlarrail.relay.chunked_body import ChunkedBody
 from medlarrail.relay.headers import check_framing, get_header
 from medlarrail.relay.metadata import Header, InboundRequest
 from medlarrail.transport.framing import Framing
+from medlarrail.transport.memory_gate import MemoryGate
 from medlarrail.transport.sockets import (
     bind_listener,
+    limit_kernel_buffers,
     set_dead_peer_timeouts,
     set_reset_on_close,
 )
 
 READ_BYTES = 65536
 """Maximum bytes per read from a socket."""
-MAX_PIPELINED_BYTES = 65536
-"""Maximum bytes read ahead during an answer; the remainder stays in the kernel."""
+HEAD_READ_BYTES = 16384
+"""Maximum bytes per read of the head of a request."""
+MAX_PIPELINED_BYTES = 16384
+"""Maximum bytes read ahead on a connection; the remainder stays in the kernel."""
+WRITE_BYTES = 131072
+"""Bytes of a long answer that are written at a time."""
+FIRST_CHUNKS_BYTES = 2 * READ_BYTES
+"""Memory for the beginning of a body of unknown length."""
+CONNECTION_BYTES = 32768
+"""Memory that each connection needs: its objects and what is read ahead."""
+HEAD_END = re.compile(rb"\n\r?\n")
+BLANK_LINES = (b"\r", b"\n")
+FIRST_PRINTABLE = 0x21
 BODY_TIMEOUT_S = 10.0
 """Maximum time to receive a body: the longest deadline of a request."""
 CALLER_USER_TIMEOUT_MS = 5000
@@ -124,30 +141,70 @@
 
 @define(eq=False)
 class InboundConnection:
-    """One caller's connection."""
+    """One caller's connection.
+
+    Received bytes stay in ``received`` until they are needed, so that what is read
+    ahead is bounded. ``protocol`` parses the head of one request and writes its answer.
+    """
 
     stream: trio.SocketStream
     server: "InboundServer"
+    holding: Holding
     protocol: h11.Connection = field(init=False)
+    received: bytearray = field(factory=bytearray)
     aborted: bool = False
-    _pipelined: int = 0
 
     def __attrs_post_init__(self):
+        self._start_message()
+
+    def _start_message(self) -> None:
         size = self.server.limits.header_bytes
         self.protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=size)
 
-    async def run(self) -> None:
-        """Serve requests until either side closes the connection."""
+    async def run(self, scope: trio.CancelScope) -> None:
+        """Serve requests until either side closes the connection.
+
+        ``scope`` is cancelled if the connection is given up for lack of memory.
+        """
         try:
-            while await self._serve_request():
-                self.protocol.start_next_cycle()
-            await self._linger()
+            with scope:
+                while await self._serve_request():
+                    self.holding.start("idle", trio.current_time())
+                    self._start_message()
+                await self._linger()
+            if scope.cancelled_caught:
+                await self._end_for_memory()
         except DISCONNECT_ERRORS:
             get_metrics().count("callers_gone")
         finally:
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(self.stream)
 
+    async def _end_for_memory(self) -> None:
+        """Tell a caller whose request was not received completely that it did not run.
+
+        Any other connection is closed without an answer.
+        """
+        if self.holding.state != "receiving" or self.protocol.our_state not in (
+            h11.IDLE,
+            h11.SEND_RESPONSE,
+        ):
+            return
+        stall_s = self.holding.get_stall_s(trio.current_time())
+        error = SlowSender(limit_s=round(stall_s, 3))
+        if self.holding.is_waiting:
+            error = MemoryShort()
+        self._drop_received()
+        with trio.move_on_after(LINGER_TIMEOUT_S):
+            await self._answer_unreadable(error)
+            await self._linger()
+
+    def _drop_received(self) -> None:
+        """Free what was received of a request that is not served."""
+        self.received = bytearray()
+        surplus = self.holding.held_bytes - CONNECTION_BYTES
+        self.server.gate.memory.add(self.holding, -max(0, surplus))
+
     async def _serve_request(self) -> bool:
         """Serve one request; returns whether the connection can be reused."""
         exchange = None
@@ -155,15 +212,31 @@
             request = await self._read_request()
             if request is None:
                 return False
+            if self.holding.is_ended:
+                # The scope is cancelled: nothing may run from here on.
+                await trio.lowlevel.checkpoint()
+            self.holding.start("working", trio.current_time())
             exchange = ServerExchange(self, request)
             await self._answer(exchange)
         except MedlarError as error:
+            self._drop_received()
             await self._answer_unreadable(error)
             return False
+        self._release_body(exchange)
+        if self.received and not self.server.allows_pipelining:
+            get_metrics().count("pipelined_connections_closed")
+            return False
         if self.aborted or exchange.caller_left:
             return False
-        states = (self.protocol.our_state, self.protocol.their_state)
-        return states == (h11.DONE, h11.DONE)
+        return self.protocol.our_state is h11.DONE
+
+    def _release_body(self, exchange: ServerExchange) -> None:
+        """Return the memory of a request that was answered."""
+        surplus = self.holding.held_bytes - CONNECTION_BYTES
+        if surplus > 0:
+            # Frames that a cancellation left in reference cycles have the exchange.
+            exchange.request = evolve(exchange.request, body=b"")
+            self.server.gate.memory.add(self.holding, -surplus)
 
     # Reading.
 
@@ -179,9 +252,6 @@
             check_framing(headers)
             body = await self._read_body(headers)
         except h11.RemoteProtocolError as error:
-            if error.error_status_hint == OverLongHeader.status:
-                limit = self.server.limits.header_bytes
-                raise OverLongHeader(limit_bytes=limit) from error
             raise MalformedRequest(problem=str(error)) from error
         host = (get_header(headers, b"host") or b"").decode("latin1").lower()
         return InboundRequest(
@@ -200,55 +270,111 @@
         if size > limit:
             raise OverLongHeader(limit_bytes=limit)
 
+    async def _receive(self, max_bytes: int) -> bool:
+        """Receive some bytes; return False at the end of the stream."""
+        data = await self.stream.receive_some(max_bytes)
+        self.received += data
+        self.holding.record_bytes(len(data), trio.current_time())
+        return bool(data)
+
     async def _read_head(self) -> h11.Request | None:
         """Return the head of a request; None after a clean close or idle timeout."""
         idle_s = self.server.limits.idle_timeout_ms / 1000
-        started = bool(self.protocol.trailing_data[0])
-        self._pipelined = 0
+        started = bool(self.received)
+        if started:
+            self.holding.start("receiving", trio.current_time())
+        searched = 0
         with trio.move_on_after(self._get_head_timeout(started, idle_s)) as scope:
             while True:
-                event = self.protocol.next_event()
-                if isinstance(event, h11.Request):
-                    return event
-                if isinstance(event, h11.ConnectionClosed):
-                    return None
-                data = await self.stream.receive_some(READ_BYTES)
-                if data and not started:
+                end = HEAD_END.search(self.received, max(0, searched - 2))
+                if end is not None or self.received[:1] in BLANK_LINES:
+                    return self._parse_head(
+                        len(self.received) if end is None else end.end()
+                    )
+                self._check_incomplete_head()
+                searched = len(self.received)
+                if not await self._receive(HEAD_READ_BYTES):
+                    return self._parse_end()
+                if not started:
                     started = True
+                    self.holding.start("receiving", trio.current_time())
                     limit_s = self._get_head_timeout(started, idle_s)
                     scope.deadline = trio.current_time() + limit_s
-                self.protocol.receive_data(data)
         if started:
             raise SlowSender(limit_s=self._get_head_timeout(True, idle_s))
         return None
 
+    def _parse_head(self, size: int) -> h11.Request:
+        """Parse the head in the first ``size`` received bytes."""
+        self.protocol.receive_data(self.received[:size])
+        del self.received[:size]
+        event = self.protocol.next_event()
+        if not isinstance(event, h11.Request):
+            raise MalformedRequest(problem="no request line received")
+        return event
+
+    def _parse_end(self) -> None:
+        """Return None if the stream ended between requests; raises otherwise."""
+        if self.received:
+            raise MalformedRequest(problem="peer unexpectedly closed connection")
+
+    def _check_incomplete_head(self) -> None:
+        limit = self.server.limits.header_bytes
+        if len(self.received) > limit:
+            raise OverLongHeader(limit_bytes=limit)
+        if self.received and self.received[0] < FIRST_PRINTABLE:
+            raise MalformedRequest(problem="illegal request line")
+
     def _get_head_timeout(self, started: bool, idle_s: float) -> float:
         return self.server.limits.header_timeout_ms / 1000 if started else idle_s
 
     async def _read_body(self, headers: tuple[Header, ...]) -> bytes:
         limit = self.server.limits.body_bytes
         declared = get_header(headers, b"content-length")
-        if declared is not None and int(declared) > limit:
+        size = int(declared) if declared is not None else 0
+        if size > limit:
             raise OverLongBody(limit_bytes=limit)
+        is_chunked = get_header(headers, b"transfer-encoding") is not None
+        if not size and not is_chunked:
+            return b""
+        if size:
+            await self._acquire(size)
         if self.protocol.they_are_waiting_for_100_continue:
             await self.send(h11.InformationalResponse(status_code=100, headers=[]))
-        parts: list[bytes] = []
-        size = 0
+            self.holding.start("receiving", trio.current_time())
         with trio.move_on_after(BODY_TIMEOUT_S):
-            while True:
-                event = self.protocol.next_event()
-                if event is h11.NEED_DATA:
-                    data = await self.stream.receive_some(READ_BYTES)
-                    self.protocol.receive_data(data)
-                elif isinstance(event, h11.Data):
-                    parts.append(bytes(event.data))
-                    size += len(event.data)
-                    if size > limit:
-                        raise OverLongBody(limit_bytes=limit)
-                elif isinstance(event, h11.EndOfMessage):
-                    return b"".join(parts)
+            read = self._read_chunks(limit) if is_chunked else self._read_sized(size)
+            return await read
         raise SlowSender(limit_s=BODY_TIMEOUT_S)
 
+    async def _acquire(self, count: int) -> None:
+        """Wait for memory; reading stops meanwhile."""
+        await self.server.gate.acquire(self.holding, count)
+        self.holding.start("receiving", trio.current_time())
+
+    async def _read_sized(self, size: int) -> bytes:
+        while len(self.received) < size:
+            if not await self._receive(min(READ_BYTES, size - len(self.received))):
+                raise MalformedRequest(problem="peer closed before the body was whole")
+        body = bytes(memoryview(self.received)[:size])
+        self.received = self.received[size:]
+        return body
+
+    async def _read_chunks(self, limit: int) -> bytes:
+        chunked = ChunkedBody(self.received, limit, self.server.limits.header_bytes)
+        acquired = 0
+        while True:
+            chunked.decode()
+            if chunked.is_complete:
+                return bytes(chunked.body)
+            if len(chunked.body) + READ_BYTES > acquired:
+                # Doubled, as the buffer is.
+                more = max(FIRST_CHUNKS_BYTES, acquired)
+                await self._acquire(more)
+                acquired += more
+            if not await self._receive(READ_BYTES):
+                raise MalformedRequest(problem="peer closed before the body was whole")
+
     # Answering.
 
     async def _answer(self, exchange: ServerExchange) -> None:
@@ -269,19 +395,17 @@
 
     async def _watch_disconnect(self, exchange: ServerExchange) -> None:
         """Read ahead to detect a disconnect of the caller."""
-        while self._pipelined < MAX_PIPELINED_BYTES:
+        while len(self.received) < MAX_PIPELINED_BYTES:
             try:
-                data = await self.stream.receive_some(READ_BYTES)
+                is_open = await self._receive(MAX_PIPELINED_BYTES - len(self.received))
             except DISCONNECT_ERRORS:
-                data = b""
-            if not data:
+                is_open = False
+            if not is_open:
                 get_metrics().count("callers_gone")
                 exchange.caller_left = True
                 if not exchange.detached:
                     exchange.scope.cancel()
                 return
-            self._pipelined += len(data)
-            self.protocol.receive_data(data)
 
     async def _answer_unreadable(self, error: MedlarError) -> None:
         """Answer a request that could not be read; the connection closes after it."""
@@ -300,8 +424,24 @@
     async def send(self, event) -> None:
         """Send one h11 event."""
         data = self.protocol.send(event)
-        if data:
-            await self.stream.send_all(data)
+        if not data:
+            return
+        holding, memory = self.holding, self.server.gate.memory
+        state = holding.state
+        holding.start("writing", trio.current_time())
+        counted = len(data) if len(data) > WRITE_BYTES else 0
+        memory.add(holding, counted)
+        try:
+            if not counted:
+                await self.stream.send_all(data)
+                return
+            for begin in range(0, len(data), WRITE_BYTES):
+                await self.stream.send_all(data[begin : begin + WRITE_BYTES])
+                holding.record_bytes(WRITE_BYTES, trio.current_time())
+        finally:
+            memory.add(holding, -counted)
+            if not holding.is_ended:
+                holding.start(state, trio.current_time())
 
     @property
     def knows_chunks(self) -> bool:
@@ -346,7 +486,13 @@
     """Requests started since the server started."""
     connections: int = 0
     max_connections: int = 2000
-    """Maximum concurrent connections; further ones are closed without being read."""
+    """Maximum concurrent connections; for a further one the most idle one is closed."""
+    name: str = "callers"
+    """Name of this listener in counters and log lines."""
+    gate: MemoryGate = field(factory=MemoryGate)
+    allows_pipelining: bool = True
+    """Whether requests that were sent before the answer to an earlier one are served;
+    otherwise their connection is closed after that answer."""
 
     def record_start(self) -> None:
         """Record the start of a request."""
@@ -365,20 +511,45 @@
         set_dead_peer_timeouts(
             sock, CALLER_USER_TIMEOUT_MS, idle_s=5, interval_s=2, probes=3
         )
+        limit_kernel_buffers(sock)
         listener = trio.SocketListener(trio.socket.from_stdlib_socket(sock))
         task_status.started(sock.getsockname()[1])
         await trio.serve_listeners(self._serve, [listener])
 
     async def _serve(self, stream: trio.SocketStream) -> None:
-        if self.connections >= self.max_connections:
-            get_metrics().count("connections_refused")
-            await trio.aclose_forcefully(stream)
+        if self.connections >= self.max_connections and not self.gate.end_idle(
+            self.name
+        ):
+            await self._refuse_connection(stream)
             return
+        scope = trio.CancelScope()
         self.connections += 1
         try:
-            await InboundConnection(stream, self).run()
+            with self.gate.open(self.name, scope.cancel) as holding:
+                if not self._admit(holding):
+                    await self._refuse_connection(stream)
+                    return
+                await InboundConnection(stream, self, holding).run(scope)
         except Exception as error:
             get_metrics().count("defects", type=type(error).__name__)
             eliot.write_traceback()
         finally:
             self.connections -= 1
+
+    def _admit(self, holding: Holding) -> bool:
+        """Count a connection; return whether there is memory for it, or will be.
+
+        Probes are always let in: their number is small.
+        """
+        memory = self.gate.memory
+        has_room = memory.get_room(is_small=True) >= CONNECTION_BYTES
+        if not has_room and not self.gate.end_idle(None) and self.allows_pipelining:
+            return False
+        memory.add(holding, CONNECTION_BYTES)
+        return True
+
+    async def _refuse_connection(self, stream: trio.SocketStream) -> None:
+        """Close a connection without reading from it."""
+        get_metrics().count("connections_refused")
+        self.gate.log.record("connection-refused", self.name, open=self.connections)
+        await trio.aclose_forcefully(stream)
--- a/medlarrail/relay/outbound.py
+++ b/medlarrail/relay/outbound.py
@@ -30,6 +30,8 @@
 """Maximum time for an endpoint's kernel to acknowledge sent data or a keep-alive probe.
 Sound endpoints fall silent for a second or so and go on."""
 READ_BYTES = 65536
+MAX_JOINED_BYTES = 65536
+"""Maximum bytes of a body that are copied to be sent in one piece with the head."""
 MAX_HEAD_BYTES = 65536
 """Maximum bytes before the body, including informational (1xx) heads."""
 MAX_ANSWER_BYTES = 16_000_000
@@ -128,10 +130,14 @@
         request = h11.Request(method=method, target=target, headers=headers)
         data = self.protocol.send(request)
         if body:
-            data += self.protocol.send(h11.Data(data=body))
-        data += self.protocol.send(h11.EndOfMessage())
+            content = self.protocol.send(h11.Data(data=body))
+        self.protocol.send(h11.EndOfMessage())
         try:
+            if body and len(body) <= MAX_JOINED_BYTES:
+                data += content
             await self.stream.send_all(data)
+            if len(body) > MAX_JOINED_BYTES:
+                await self.stream.send_all(content)
             self.request_sent = True
         except CONNECTION_ERRORS as error:
             get_metrics().count("sends_broken", type=type(error).__name__)
--- a/medlarrail/serving/access.py
+++ b/medlarrail/serving/access.py
@@ -58,6 +58,10 @@
 
     rings: dict[str, KeyRing]
 
+    def protects(self, path: str) -> bool:
+        """Return whether a request for ``path`` needs one of the keys."""
+        return any(path.startswith(prefix) for prefix in self.rings)
+
     def __call__(self, request: Request) -> None:
         prefixes = [prefix for prefix in self.rings if request.path.startswith(prefix)]
         if not prefixes:
--- a/medlarrail/settings/gateway.py
+++ b/medlarrail/settings/gateway.py
@@ -34,4 +34,6 @@
     isolation: IsolationPolicy = field(factory=IsolationPolicy)
     max_connections: int = 2000
     """Concurrent caller connections: half of the process's file descriptors."""
+    memory_limit_mb: int = 0
+    """Memory of the VM in MB; 0 for what the system says."""
     log_file: str = ""
--- a/medlarrail/settings/state.py
+++ b/medlarrail/settings/state.py
@@ -26,4 +26,6 @@
     """``host:port`` that serves metrics without a key; empty for none."""
     rollout: RolloutPolicy = field(factory=RolloutPolicy)
     server: ServerLimits = field(factory=lambda: ServerLimits(body_bytes=256_000_000))
+    memory_limit_mb: int = 0
+    """Memory of the VM in MB; 0 for what the system says."""
     log_file: str = ""
--- /dev/null
+++ b/medlarrail/transport/bounded_connections.py
@@ -0,0 +1,123 @@
+"""hypercorn's connections, with bounds on their number and on what is read ahead.
+
+hypercorn parses all that it has received in one turn of the event loop, also after the
+request was answered. A body in chunks of one byte, or requests that were sent ahead,
+then delay all others, so little is received at a time until a body is known to be long.
+"""
+
+import socket
+from collections.abc import Awaitable, Callable
+from functools import partial
+from math import inf
+
+import h11
+import trio
+from hypercorn.app_wrappers import ASGIWrapper
+from hypercorn.config import Config
+from hypercorn.events import Closed, Event, RawData, Updated
+from hypercorn.trio.tcp_server import MAX_RECV, TCPServer
+from hypercorn.trio.worker_context import WorkerContext
+
+from medlarrail.core.metrics import get_metrics
+from medlarrail.policy.held_memory import Holding
+from medlarrail.transport.memory_gate import MemoryGate
+
+LISTENER = "peers"
+"""Name of these connections in counters and log lines."""
+MAX_CONNECTIONS = 1500
+"""Concurrent connections: hundreds of gateways and endpoints, and what is left to the
+files and calls of the process."""
+CONNECTION_BYTES = 32768
+"""Memory that each connection needs."""
+FIRST_READ_BYTES = 2048
+"""Bytes per read of a head, and of the beginning of a body."""
+LONG_BODY_BYTES = 32768
+"""Bytes of a body from which on it is read in large parts."""
+
+
+class BoundedConnection(TCPServer):
+    """One connection that receives little at a time until a body is long."""
+
+    holding: Holding
+
+    async def protocol_send(self, event: Event) -> None:
+        """Send an event of the protocol, and note whether a request is served."""
+        if isinstance(event, Updated):
+            state = "idle" if event.idle else "working"
+            self.holding.start(state, trio.current_time())
+        await super().protocol_send(event)
+
+    async def _read_data(self) -> None:
+        body_bytes = 0
+        while True:
+            in_body = self._is_in_body()
+            body_bytes = body_bytes if in_body else 0
+            limit = MAX_RECV if body_bytes >= LONG_BODY_BYTES else FIRST_READ_BYTES
+            try:
+                with trio.fail_after(self.config.read_timeout or inf):
+                    data = await self.stream.receive_some(limit)
+            except (
+                trio.ClosedResourceError,
+                trio.BrokenResourceError,
+                trio.TooSlowError,
+            ):
+                break
+            body_bytes += len(data)
+            await self.protocol.handle(RawData(bytes(data)))
+            if not data:
+                break
+        await self.protocol.handle(Closed())
+
+    def _is_in_body(self) -> bool:
+        connection = getattr(self.protocol.protocol, "connection", None)
+        return connection is not None and connection.their_state is h11.SEND_BODY
+
+
+async def serve_connections(
+    app: Callable,
+    config: Config,
+    listener: socket.socket,
+    gate: MemoryGate,
+    wait_stop: Callable[[], Awaitable[None]],
+) -> None:
+    """Serve ``app`` until ``wait_stop`` returns, then let connections end in time."""
+    context = WorkerContext(None)
+    open_connections = 0
+
+    async def serve_one(stream: trio.SocketStream) -> None:
+        nonlocal open_connections
+        has_room = gate.memory.get_room(is_small=True) >= CONNECTION_BYTES
+        is_full = open_connections >= MAX_CONNECTIONS or not has_room
+        if is_full and not gate.end_idle(LISTENER):
+            get_metrics().count("connections_refused")
+            gate.log.record("connection-refused", LISTENER, open=open_connections)
+            await trio.aclose_forcefully(stream)
+            return
+        open_connections += 1
+        scope = trio.CancelScope()
+        connection = BoundedConnection(ASGIWrapper(app), config, context, {}, stream)
+        try:
+            with gate.open(LISTENER, scope.cancel) as connection.holding, scope:
+                gate.memory.add(connection.holding, CONNECTION_BYTES)
+                await connection
+        finally:
+            open_connections -= 1
+
+    trio_listener = trio.SocketListener(trio.socket.from_stdlib_socket(listener))
+    async with trio.open_nursery() as connections:
+        try:
+            async with trio.open_nursery() as accepting:
+                accepting.start_soon(
+                    partial(
+                        trio.serve_listeners,
+                        serve_one,
+                        [trio_listener],
+                        handler_nursery=connections,
+                    )
+                )
+                await wait_stop()
+                accepting.cancel_scope.cancel()
+        finally:
+            await context.terminated.set()
+            deadline = trio.current_time() + config.graceful_timeout
+            connections.cancel_scope.deadline = deadline
--- a/medlarrail/transport/routes.py
+++ b/medlarrail/transport/routes.py
@@ -118,6 +118,18 @@
                 return candidate, evolve(request, tail=tail)
         raise UnknownRoute(path=request.path)
 
+    def check_head(self, request: Request) -> bool:
+        """Raise the error of a request that is refused whatever its body is.
+
+        Returns whether its sender has proven a key of the system.
+        """
+        self.find(request)
+        if self.guard is None:
+            return False
+        self.guard(request)
+        protects = getattr(self.guard, "protects", None)
+        return protects is not None and protects(request.path)
+
     async def answer(self, request: Request) -> Reply | EventStream:
         """Return the answer to ``request``; a typed error becomes an error answer."""
         try:
--- a/medlarrail/transport/server.py
+++ b/medlarrail/transport/server.py
@@ -14,16 +14,20 @@
 import trio
 from attrs import define, evolve, field, frozen
 from hypercorn.config import Config
-from hypercorn.trio import serve
 
 from medlarrail.core.errors import (
     InvariantViolation,
+    MalformedRequest,
     MedlarError,
+    MemoryShort,
     OverLongBody,
     SlowSender,
     TooManyConnections,
 )
 from medlarrail.core.metrics import get_metrics
+from medlarrail.policy.held_memory import SMALL_BYTES, Holding
+from medlarrail.transport.bounded_connections import LISTENER, serve_connections
+from medlarrail.transport.memory_gate import MemoryGate
 from medlarrail.transport.routes import (
     EventStream,
     Reply,
@@ -31,7 +35,11 @@
     Routes,
     format_error,
 )
-from medlarrail.transport.sockets import bind_listener, set_dead_peer_timeouts
+from medlarrail.transport.sockets import (
+    bind_listener,
+    limit_kernel_buffers,
+    set_dead_peer_timeouts,
+)
 
 HTTP_KEEP_ALIVE_S = 75.0
 """Longer than any client of this project keeps an idle connection."""
@@ -42,6 +50,15 @@
 TCP_KEEPALIVE_IDLE_S = 20
 TCP_KEEPALIVE_INTERVAL_S = 5
 TCP_KEEPALIVE_PROBES = 3
+FIRST_BODY_BYTES = 65536
+"""Memory for the beginning of a body of unknown length."""
+MAX_SMALL_PARTS = 32
+"""Parts of any size that a body may have."""
+MIN_PART_BYTES = 128
+"""Mean bytes of further parts: each takes as long as a large one. Peers and operators
+send their bodies in one piece."""
+QUEUED_PARTS = 1
+"""Parts of a body, each of up to 64 KB, that are received before they are needed."""
 STREAM_HEARTBEAT_S = 5.0
 """Idle time after which a comment is sent on a stream."""
 
@@ -62,21 +79,25 @@
 
     routes: Routes
     limits: ServerLimits = field(factory=ServerLimits)
+    gate: MemoryGate = field(factory=MemoryGate)
     active: int = 0
     _idle_event: trio.Event = field(factory=trio.Event)
     _stop_event: trio.Event = field(factory=trio.Event)
 
     async def __call__(self, scope, receive, send) -> None:
-        if scope["type"] == "lifespan":
-            await _serve_lifespan(receive, send)
-        elif scope["type"] == "http":
+        if scope["type"] == "http":
             await self._serve_request(scope, receive, send)
 
     async def _serve_request(self, scope, receive, send) -> None:
         self.active += 1
         try:
-            answer = await self._answer(scope, receive)
-            await _send_answer(answer, receive, send)
+            messages = _BodyMessages(receive)
+            answer = await self._answer(scope, messages.receive)
+            async with trio.open_nursery() as nursery:
+                if not messages.is_complete:
+                    nursery.start_soon(messages.discard)
+                await _send_answer(answer, receive, send)
+                nursery.cancel_scope.cancel()
         finally:
             self.active -= 1
             if self.active == 0:
@@ -88,13 +109,35 @@
         try:
             if self.active > self.limits.max_requests:
                 raise TooManyConnections(limit=self.limits.max_requests)
-            body = await _read_body(receive, self.limits)
-            return await self.routes.answer(evolve(request, body=body))
+            scope = trio.CancelScope()
+            with self.gate.open(LISTENER, scope.cancel) as holding:
+                body = await self._read_body(request, receive, holding, scope)
+                holding.start("working", trio.current_time())
+                return await self.routes.answer(evolve(request, body=body))
         except MedlarError as error:
             return format_error(error, request.headers)
         except Exception as error:
             return _format_unexpected_error(error)
 
+    async def _read_body(
+        self, request: Request, receive, holding: Holding, scope: trio.CancelScope
+    ) -> bytes:
+        """Return the body; a sender without a key waits for memory if it is large."""
+        declared = request.headers.get("content-length", "")
+        size = int(declared) if declared.isdecimal() else 0
+        is_large = size > SMALL_BYTES or "transfer-encoding" in request.headers
+        if size > self.limits.body_bytes:
+            raise OverLongBody(limit_bytes=self.limits.body_bytes)
+        holding.start("receiving", trio.current_time())
+        is_trusted = is_large and self.routes.check_head(request)
+        reader = _BodyReader(self.gate, holding, self.limits, is_trusted)
+        with scope:
+            await reader.acquire(size)
+            return await reader.read(receive)
+        if holding.is_waiting:
+            raise MemoryShort()
+        raise SlowSender(limit_s=round(holding.get_stall_s(trio.current_time()), 3))
+
     async def wait_idle(self) -> None:
         """Return once no request is being served."""
         while self.active:
@@ -110,9 +153,35 @@
         """Serve on ``host:port`` until ``stop``; report the bound port."""
         listener = _bind_listener(host, port)
         bound_port = listener.getsockname()[1]
-        config = _build_config(listener, self.limits)
+        config = _build_config(self.limits)
         task_status.started(bound_port)
-        await serve(self, config, shutdown_trigger=self._stop_event.wait)
+        await serve_connections(
+            self, config, listener, self.gate, self._stop_event.wait
+        )
+
+
+@define
+class _BodyMessages:
+    """The messages with the parts of a request's body."""
+
+    _receive: Callable[[], Awaitable[dict]]
+    is_complete: bool = False
+    """Whether the last one was received."""
+
+    async def receive(self) -> dict:
+        message = await self._receive()
+        has_more = message.get("more_body", False)
+        self.is_complete = message["type"] == "http.disconnect" or not has_more
+        return message
+
+    async def discard(self) -> None:
+        """Receive what is left of a body that was refused.
+
+        hypercorn can't end a request while a part of its body waits to be received,
+        and the connection would stay open for ever.
+        """
+        while not self.is_complete:
+            await self.receive()
 
 
 def _format_unexpected_error(error: Exception) -> Reply:
@@ -137,46 +206,65 @@
         TCP_KEEPALIVE_INTERVAL_S,
         TCP_KEEPALIVE_PROBES,
     )
+    limit_kernel_buffers(listener)
     return listener
 
 
-def _build_config(listener: socket.socket, limits: ServerLimits) -> Config:
+def _build_config(limits: ServerLimits) -> Config:
     config = Config()
-    config.bind = [f"fd://{listener.detach()}"]
     config.accesslog = None
     config.errorlog = None
     config.keep_alive_timeout = HTTP_KEEP_ALIVE_S
     config.graceful_timeout = limits.drain_limit_s
     config.h11_max_incomplete_size = MAX_HEADER_BYTES
     config.include_server_header = False
+    config.max_app_queue_size = QUEUED_PARTS
     return config
 
 
-async def _serve_lifespan(receive, send) -> None:
-    while True:
-        message = await receive()
-        if message["type"] == "lifespan.startup":
-            await send({"type": "lifespan.startup.complete"})
-        else:
-            await send({"type": "lifespan.shutdown.complete"})
-            return
-
-
-async def _read_body(receive, limits: ServerLimits) -> bytes:
-    parts: list[bytes] = []
-    size = 0
-    with trio.move_on_after(limits.body_timeout_s):
-        while True:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                break
-            parts.append(message.get("body", b""))
-            size += len(parts[-1])
-            if size > limits.body_bytes:
-                raise OverLongBody(limit_bytes=limits.body_bytes)
-            if not message.get("more_body", False):
-                return b"".join(parts)
-    raise SlowSender(limit_s=limits.body_timeout_s)
+@define
+class _BodyReader:
+    """Receives one body into a growing buffer, which is part of the account."""
+
+    gate: MemoryGate
+    holding: Holding
+    limits: ServerLimits
+    is_trusted: bool
+    """Whether the memory is counted without waiting for it."""
+    acquired: int = 0
+    body: bytearray = field(factory=bytearray)
+
+    async def acquire(self, count: int) -> None:
+        """Count ``count`` bytes more, after a wait if there is no room."""
+        if self.is_trusted:
+            self.gate.memory.add(self.holding, count)
+        elif count:
+            await self.gate.acquire(self.holding, count)
+            self.holding.start("receiving", trio.current_time())
+        self.acquired += count
+
+    async def read(self, receive) -> bytes:
+        """Return the body; raises ``CallerError`` and ``MemoryShort``."""
+        limits = self.limits
+        parts = 0
+        with trio.move_on_after(limits.body_timeout_s):
+            while True:
+                message = await receive()
+                if message["type"] == "http.disconnect":
+                    break
+                part = message.get("body", b"")
+                parts += 1
+                if len(self.body) + len(part) > limits.body_bytes:
+                    raise OverLongBody(limit_bytes=limits.body_bytes)
+                if parts > MAX_SMALL_PARTS + len(self.body) // MIN_PART_BYTES:
+                    raise MalformedRequest(problem="the body is in very small chunks")
+                while len(self.body) + len(part) > self.acquired:
+                    await self.acquire(max(FIRST_BODY_BYTES, self.acquired))
+                self.body += part
+                self.holding.record_bytes(len(part), trio.current_time())
+                if not message.get("more_body", False):
+                    return bytes(self.body)
+        raise SlowSender(limit_s=limits.body_timeout_s)
 
 
 def _build_request(scope, body: bytes) -> Request:
--- a/medlarrail/transport/sockets.py
+++ b/medlarrail/transport/sockets.py
@@ -5,6 +5,9 @@
 
 import trio
 
+KERNEL_BUFFER_BYTES = 65536
+"""Size of a connection's kernel buffers, which the kernel doubles for its own needs:
+enough for 4 MB within four seconds at a round trip of 60 ms."""
 LISTEN_BACKLOG = 512
 """Maximum number of connections waiting to be accepted."""
 
@@ -42,6 +45,15 @@
     return listener
 
 
+def limit_kernel_buffers(listener: socket.socket) -> None:
+    """Limit what the kernel keeps for each connection that ``listener`` accepts.
+
+    By default its buffers grow to megabytes for a peer that sends or does not read.
+    """
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        listener.setsockopt(socket.SOL_SOCKET, option, KERNEL_BUFFER_BYTES)
+
+
 async def connect(
     host: str, port: int, timeout_s: float, user_timeout_ms: int
 ) -> trio.SocketStream | None:
