--- a/medlarrail/settings/settings_test.py
+++ b/medlarrail/settings/settings_test.py
@@ -32,6 +32,7 @@
     "seeds": ["s:1", "s:2"],
     "data-dir": "/data",
     "bootstrap": True,
+    "limits": {"memory-mb": 200},
 }
 BOUNDS = {"budget-window-s": 10, "budget-ratio": 0.2, "budget-slack": 54}
 ROLLOUT_BOUNDS = {"exposure-share": 0.1, "exposure-slack": 50, "rollback-ms": 5000}
