Polls of entries: one attempt with the whole time limit, where there are many entries

Cause: with more than 24 entries the limit of a poll is half of the usual one, which suffices for one attempt. HttpClient.call gave its first attempt half of that, 0.5 s for 27 entries, and state members hold a poll without news as long as that. So in calm no poll was answered: each was sent twice, the second time over a new connection, and then to the next member, which counted a new caller and told the leader. The view counted as not confirmed meanwhile. The in-memory network of the tests has no second attempt, so none of them showed it.

Change: HttpClient.call takes second_try; such a poll has none, since the next attempt goes to another member. A member that stands still is noticed after the same time.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -340,6 +340,7 @@
                     self._build_request(wait_s),
                     ClusterViewAnswer,
                     self._get_timeout_s(wait_s),
+                    second_try=not self._has_own_member(),
                 )
             except MedlarError as error:
                 self._record_failure(error)
@@ -349,16 +350,19 @@
             self._apply_answer(answer, sent_at, url)
             self.member_choice.record_answer(url, answer)
 
+    def _has_own_member(self) -> bool:
+        """Return whether there are too many entries for the leader to answer all."""
+        return self.cluster_view.entry_count > MAX_DIRECT_ENTRIES
+
     def _get_timeout_s(self, wait_s: float) -> float:
         """Return the time limit of one poll.
 
         With many entries each member answers few, and one that stands still must not
-        keep its entries from what the others know.
+        keep its entries from what the others know. The next attempt then goes to
+        another member, so the limit is that of a single attempt.
         """
         timeout_s = get_poll_timeout_s(wait_s)
-        if self.cluster_view.entry_count > MAX_DIRECT_ENTRIES:
-            return timeout_s / 2
-        return timeout_s
+        return timeout_s / 2 if self._has_own_member() else timeout_s
 
     async def report_readiness(self) -> None:
         """Report immediately to the leader whether this entry is ready."""
--- a/medlarrail/testing/network.py
+++ b/medlarrail/testing/network.py
@@ -80,7 +80,7 @@
     network: FakeNetwork
     url: str
 
-    async def call(self, url, path, message, answer_type, timeout_s):
+    async def call(self, url, path, message, answer_type, timeout_s, second_try=True):
         """Send ``message`` and return the typed answer, or raise its error."""
         request = Request("POST", path, body=encode(message))
         with trio.move_on_after(timeout_s):
--- a/medlarrail/transport/client.py
+++ b/medlarrail/transport/client.py
@@ -40,7 +40,13 @@
     """The network interface used for coordination; tests use one in memory."""
 
     async def call(
-        self, url: str, path: str, message, answer_type: type[T], timeout_s: float
+        self,
+        url: str,
+        path: str,
+        message,
+        answer_type: type[T],
+        timeout_s: float,
+        second_try: bool = True,
     ) -> T:
         """Send ``message`` and return the typed answer, or raise its error."""
 
@@ -96,18 +102,26 @@
         message,
         answer_type: type[T],
         timeout_s: float,
+        second_try: bool = True,
         method: str = "POST",
     ) -> T:
-        """Send ``message`` and return the typed answer, or raise its error."""
+        """Send ``message`` and return the typed answer, or raise its error.
+
+        The first attempt has only a share of ``timeout_s``, unless there is no
+        ``second_try``: a caller that has other peers to ask needs none.
+        """
         body = b"" if message is None else encode(message)
         deadline = trio.current_time() + timeout_s
+        first_s = timeout_s * FIRST_ATTEMPT_SHARE if second_try else timeout_s
         try:
             answer = await self._fetch_proven(
-                method, url + path, body, timeout_s=timeout_s * FIRST_ATTEMPT_SHARE
+                method, url + path, body, timeout_s=first_s
             )
         except (PeerTimeout, PeerBroken) as error:
-            get_metrics().count("peer_second_tries", reason=type(error).__name__)
             self._retire(_get_base_url(url))
+            if not second_try:
+                raise
+            get_metrics().count("peer_second_tries", reason=type(error).__name__)
             remaining_s = max(0.01, deadline - trio.current_time())
             answer = await self._fetch_proven(
                 method, url + path, body, timeout_s=remaining_s, new_connection=True
