HttpClient and datagrams: no pool for each call, no MAC begun from its key

Cause: HttpClient.open made a connection pool for each call and threw it away, as the default of setdefault. Each datagram's MAC was begun from the key, with a look-up of the hash by its name.

Change: a pool is made when it is needed. The state of the MAC after its key is remembered and copied. The MAC stays the same, which a test compares.

--- a/medlarrail/transport/client.py
+++ b/medlarrail/transport/client.py
@@ -179,12 +179,12 @@
         ``PeerUnreachable`` proves that nothing was sent.
         """
         base = _get_base_url(url)
-        pool = (
-            _make_pool()
-            if new_connection
-            else self._pools_by_base_url.setdefault(base, _make_pool())
-        )
-        pool.retired |= new_connection
+        pool = None if new_connection else self._pools_by_base_url.get(base)
+        if pool is None:
+            pool = _make_pool()
+            pool.retired = new_connection
+            if not new_connection:
+                self._pools_by_base_url[base] = pool
         request = self._build_request(method, url, body, headers, read_timeout_s)
         pool.active_requests += 1
         try:
--- a/medlarrail/transport/datagrams.py
+++ b/medlarrail/transport/datagrams.py
@@ -8,6 +8,7 @@
 import hmac
 import socket
 from collections.abc import Iterable, Iterator
+from functools import lru_cache
 from typing import TypeVar
 
 import trio
@@ -22,13 +23,23 @@
 """Length of the MAC: half of an HMAC-SHA-256, enough for short-lived content."""
 MAX_DATAGRAM_BYTES = 8192
 """Longest datagram that is received."""
+MAX_KEYS = 8
+"""Keys whose MACs are remembered as begun; a process uses one."""
 MAX_BATCH = 32
 """Datagrams received in one turn of the event loop."""
 
 
 def sign_datagram(key: str, body: bytes) -> bytes:
     """Return ``body`` prefixed with its MAC."""
-    return hmac.digest(key.encode(), body, "sha256")[:MAC_BYTES] + body
+    mac = _begin_mac(key).copy()
+    mac.update(body)
+    return mac.digest()[:MAC_BYTES] + body
+
+
+@lru_cache(maxsize=MAX_KEYS)
+def _begin_mac(key: str) -> hmac.HMAC:
+    """Return the state of a MAC before the first byte; it must not be updated."""
+    return hmac.new(key.encode(), digestmod="sha256")
 
 
 def verify_datagram(key: str, data: bytes) -> bytes | None:
--- a/medlarrail/transport/datagrams_test.py
+++ b/medlarrail/transport/datagrams_test.py
@@ -1,11 +1,14 @@
 """Tests of authenticated datagrams."""
 
+import hmac
+
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
 
 from medlarrail.core.metrics import get_metrics
 from medlarrail.transport.datagrams import (
+    MAC_BYTES,
     DatagramSocket,
     sign_datagram,
     verify_datagram,
@@ -19,6 +22,13 @@
     def test_a_signed_body_survives_a_round_trip(self, body):
         assert verify_datagram(KEY, sign_datagram(KEY, body)) == body
 
+    @given(st.text(max_size=20), st.lists(st.binary(max_size=60), max_size=3))
+    def test_mac_differs_from_that_of_the_previous_release(self, key, bodies):
+        """The MAC of each key begins from a state that all datagrams share."""
+        for body in bodies:
+            mac = hmac.digest(key.encode(), body, "sha256")[:MAC_BYTES]
+            assert sign_datagram(key, body) == mac + body
+
     @given(st.binary(min_size=1, max_size=60), st.data())
     def test_any_changed_byte_invalidates_the_mac(self, body, data):
         signed = bytearray(sign_datagram(KEY, body))
