Loop watch: ticks only while an answer is awaited

Cause: the loop watch woke each gateway 40 times a second. With the timers that expire for it this was a third of the processor time of an idle gateway (sampled: 27 ms a second in all). A tick is only used to tell when a connection to an endpoint was last seen open, which matters while something is received from it.

Change: OutboundConnection tells the watch when it begins and ends to wait.

Under load it saves only the times in which no answer is awaited.

--- a/medlarrail/relay/outbound.py
+++ b/medlarrail/relay/outbound.py
@@ -178,7 +178,11 @@
         if self._received_bytes >= limit_bytes:
             raise AnswerTooLong(endpoint=self.address, limit_bytes=limit_bytes)
         called_at = trio.current_time()
-        data = await self.stream.receive_some(READ_BYTES)
+        self.loop_watch.begin_wait()
+        try:
+            data = await self.stream.receive_some(READ_BYTES)
+        finally:
+            self.loop_watch.end_wait()
         now = trio.current_time()
         if now - called_at > MIN_WAIT_S:
             self.seen_open_at = max(called_at, self.loop_watch.awake_at)
