Choice of an endpoint: select the engines before building candidates

Cause: a candidate was built for each of 36 engines, and those for prompts of the other kind were thrown away. A single shared part, the usual case, was located by a task of its own.

Change: the engines are selected by name first; all candidates are built only if the selected ones are full or suspected. One part is located without a task.

--- a/medlarrail/relay/endpoint_choice.py
+++ b/medlarrail/relay/endpoint_choice.py
@@ -4,6 +4,8 @@
 entry's state and the request's metadata.
 """
 
+from typing import NamedTuple
+
 import trio
 from attrs import define, evolve, field, frozen
 
@@ -46,6 +48,13 @@
     backlog_ms: float = 0.0
 
 
+class UsableEndpoint(NamedTuple):
+    """An endpoint, and whether it serves older weights than other endpoints."""
+
+    endpoint: EndpointView
+    outdated: bool
+
+
 @define(eq=False)
 class EndpointChooser:
     """Chooses among the endpoints of the service that handles ``relayed``."""
@@ -75,20 +84,21 @@
 
     def list_engine_names(self) -> list[str]:
         """Return the names of the engines that this prompt may go to."""
-        candidates = self._build_candidates(self._list_available())
-        return [candidate.name for candidate in self._filter_by_prompt_size(candidates)]
+        candidates = self._build_prompt_candidates(self._list_available())
+        return [candidate.name for candidate in candidates]
 
     def choose(self) -> Choice:
         """Return the choice for the next attempt."""
         available = self._list_available()
-        candidates = self._build_candidates(available)
         entry_count = self.relay.cluster_view.entry_count
         if not self.metadata.parts:
             candidate = choose_least_loaded(
-                candidates, entry_count, self.metadata.request_id
+                self._build_candidates(available, self._list_usable(available)),
+                entry_count,
+                self.metadata.request_id,
             )
             return self._build_choice(candidate, available)
-        candidates = self._filter_by_prompt_size(candidates)
+        candidates = self._build_prompt_candidates(available)
         if self.is_scheduled:
             return self._choose_by_workload(candidates, available)
         return self._build_choice(
@@ -121,18 +131,27 @@
         ]
         return [endpoint for endpoint in available if not endpoint.loading] or available
 
-    def _build_candidates(self, available: list[EndpointView]) -> list[Candidate]:
-        """Return candidates for the endpoints whose weights this request may use."""
-        stats = self.relay.endpoint_stats
-        min_answer_s = stats.get_min_answer_s(available)
+    def _list_usable(self, available: list[EndpointView]) -> list[UsableEndpoint]:
+        """Return the endpoints whose weights this request may use."""
         return [
-            stats.build_candidate(endpoint, min_answer_s, use == "outdated")
+            UsableEndpoint(endpoint, use == "outdated")
             for endpoint, use in zip(
                 available, self._choose_versions(available), strict=True
             )
             if use != "avoid"
         ]
 
+    def _build_candidates(
+        self, available: list[EndpointView], usable: list[UsableEndpoint]
+    ) -> list[Candidate]:
+        """Return candidates for ``usable`` endpoints, a part of the available ones."""
+        stats = self.relay.endpoint_stats
+        min_answer_s = stats.get_min_answer_s(available)
+        return [
+            stats.build_candidate(item.endpoint, min_answer_s, item.outdated)
+            for item in usable
+        ]
+
     def _choose_versions(self, available: list[EndpointView]) -> list[VersionUse]:
         """Return how this request may use each endpoint's weights."""
         cluster_view = self.relay.cluster_view
@@ -144,27 +163,32 @@
         elapsed_s = cluster_view.clock() - cluster_view.desired_received_at[model]
         return choose_versions(versions, desired.ordinal, elapsed_s)
 
-    def _filter_by_prompt_size(self, candidates: list[Candidate]) -> list[Candidate]:
+    def _build_prompt_candidates(
+        self, available: list[EndpointView]
+    ) -> list[Candidate]:
         """Return the engines for prompts of this length.
 
         Returns all candidates if all of these engines are suspected, or if the prompt
         is short and they are full.
         """
         relay = self.relay
-        names = list_engines(
-            [candidate.name for candidate in candidates],
-            self.service.name,
-            self.is_long,
-            relay.prompt_mix.get_long_share(relay.endpoint_stats.clock()),
+        usable = self._list_usable(available)
+        names = frozenset(
+            list_engines(
+                [item.endpoint.announced.name for item in usable],
+                self.service.name,
+                self.is_long,
+                relay.prompt_mix.get_long_share(relay.endpoint_stats.clock()),
+            )
         )
-        selected = [candidate for candidate in candidates if candidate.name in names]
-        if not self.is_long and self._are_all_full(selected):
-            return candidates
-        return (
-            selected
-            if any(not candidate.suspected for candidate in selected)
-            else candidates
+        selected = self._build_candidates(
+            available,
+            [item for item in usable if item.endpoint.announced.name in names],
         )
+        is_overflow = not self.is_long and self._are_all_full(selected)
+        if is_overflow or all(candidate.suspected for candidate in selected):
+            return self._build_candidates(available, usable)
+        return selected
 
     def _are_all_full(self, candidates: list[Candidate]) -> bool:
         entry_count = self.relay.cluster_view.entry_count
--- a/medlarrail/relay/part_directory.py
+++ b/medlarrail/relay/part_directory.py
@@ -95,9 +95,13 @@
         async def locate_part(part: PromptPart) -> None:
             statuses[part.identity] = await self._locate_part(scope, part)
 
-        async with trio.open_nursery() as nursery:
-            for part in parts:
-                nursery.start_soon(locate_part, part)
+        if len(parts) == 1:
+            # The usual case, which needs no other task.
+            await locate_part(parts[0])
+        else:
+            async with trio.open_nursery() as nursery:
+                for part in parts:
+                    nursery.start_soon(locate_part, part)
         transfers = [statuses[part.identity] for part in parts]
         plan = TransferPlan(
             fetch=tuple(fetch for fetch, _ in transfers),
