--- a/medlarrail/testing/scripted_endpoints.py
+++ b/medlarrail/testing/scripted_endpoints.py
@@ -75,6 +75,8 @@
     status_path: str = STATUS_PATH
     status_script: Script | None = None
     """None for the answer of a sound endpoint."""
+    read_limit: int | None = None
+    """Bytes of a request that are read before ``script`` runs; None for all."""
     requests: list[bytes] = field(factory=list)
     status_requests: list[bytes] = field(factory=list)
     connections: int = 0
@@ -98,7 +100,7 @@
         self.open_connections += 1
         connection = ScriptedConnection(stream, self)
         try:
-            while request := await read_request(stream):
+            while request := await read_request(stream, self.read_limit):
                 if request.startswith(f"GET {self.status_path} ".encode()):
                     self.status_requests.append(request)
                     await (self.status_script or self._answer_status)(
@@ -118,18 +120,23 @@
         await connection.send(build_answer(request, b"", X_Endpoint=self.name))
 
 
-async def read_request(stream: trio.SocketStream) -> bytes:
-    """Read one complete request by its content length; empty at the stream's end."""
+async def read_request(stream: trio.SocketStream, limit: int | None = None) -> bytes:
+    """Read one complete request by its content length; empty at the stream's end.
+
+    Of a longer one, only the first ``limit`` bytes are read.
+    """
     data = b""
     while b"\r\n\r\n" not in data:
-        part = await stream.receive_some(READ_BYTES)
+        part = await stream.receive_some(limit or READ_BYTES)
         if not part:
             return b""
         data += part
     head, _, body = data.partition(b"\r\n\r\n")
     size = int(get_value(head, b"content-length") or 0)
+    if limit is not None:
+        size = min(size, limit - len(head) - 4)
     while len(body) < size:
-        part = await stream.receive_some(READ_BYTES)
+        part = await stream.receive_some(min(READ_BYTES, size - len(body)))
         if not part:
             return b""
         body += part
