Unframed answers: complete only if the request arrived and nothing broke

Cause: the kernel reports a reset to one call only. If the sending of an upload took it, the answer was received up to a regular end, and the call after the end found the endpoint alive. A stream without a length had no check for bytes that are no events, so a second response on its connection was passed on.

Change: a connection remembers that any call reported an error, and tells whether the peer has acknowledged the whole request. Lines of an unframed stream that are neither blank, comments nor fields with a token as their name end it as incomplete (StreamMixed). The evidence (broken, unsent, foreign) and both rules are in policy/answer_end.py.

--- a/medlarrail/core/errors.py
+++ b/medlarrail/core/errors.py
@@ -397,6 +397,10 @@
     reason: str = ""
 
 
+class StreamMixed(RunFailure):
+    """The endpoint sent bytes that are no events among those of a stream."""
+
+
 class EndUnproven(RunFailure):
     """The answer ended with its connection and may be incomplete."""
 
--- a/medlarrail/policy/answer_end.py
+++ b/medlarrail/policy/answer_end.py
@@ -5,8 +5,14 @@
 after the last byte of an answer without a length or chunks. What differs is that the
 endpoint is still there afterwards, so it is called once more before such an answer is
 taken for complete.
+
+An endpoint may also break off while its process goes on. A kernel reports a reset once,
+to the call that comes next: if that one sends the request, the answer is then received
+up to a regular end. So the request has to be received whole, too, and nothing may have
+been reported on the connection by any call.
 """
 
+import re
 from enum import StrEnum
 
 from attrs import frozen
@@ -15,6 +21,11 @@
 """Delay of noticing an end up to which the next process of that name is not expected at
 the address yet: about as long as a process takes to start."""
 
+FOREIGN_LINE = re.compile(rb"[\r\n](?=[^\r\n:])(?![!#$%&'*+.^_`|~\w-]++[:\r\n])")
+"""The end of a line before one that is neither blank, a comment nor a field. Clients
+ignore unknown fields, so any token (RFC 9110, 5.6.2) is taken for the name of one; the
+status line of a response is none."""
+
 
 class EndEvidence(StrEnum):
     """What shows that an answer ended, or that it may not have."""
@@ -37,6 +48,13 @@
     """The endpoint did not answer in time."""
     PEER = "peer"
     """Another entry passed the answer on without a length or chunks."""
+    BROKEN = "broken"
+    """The connection broke, though the answer may have ended regularly before it."""
+    UNSENT = "unsent"
+    """The endpoint ended its answer without receiving the whole request."""
+    FOREIGN = "foreign"
+    """Bytes that are no events followed the events of a stream, as those of a second
+    response do."""
 
     @property
     def is_sufficient(self) -> bool:
@@ -49,6 +67,31 @@
 )
 
 
+def judge_exchange(is_broken: bool, is_request_received: bool) -> EndEvidence | None:
+    """Return what the connection shows of an answer that ended with it.
+
+    None if nothing is wrong with it; the endpoint decides then.
+
+    >>> judge_exchange(is_broken=False, is_request_received=False)
+    <EndEvidence.UNSENT: 'unsent'>
+    """
+    if is_broken:
+        return EndEvidence.BROKEN
+    return None if is_request_received else EndEvidence.UNSENT
+
+
+def find_foreign_line(text: bytes) -> int | None:
+    """Return where the line before the first that is no part of an event ends.
+
+    None if there is none. Each line of ``text`` begins after the end of another.
+
+    >>> find_foreign_line(b"\\ndata: x\\n\\nHTTP/1.1 200 OK\\r\\n")
+    9
+    """
+    line = FOREIGN_LINE.search(text)
+    return None if line is None else line.start()
+
+
 @frozen
 class EndpointReply:
     """What a reply to a call of an endpoint tells about whoever replied.
--- a/medlarrail/policy/answer_end_test.py
+++ b/medlarrail/policy/answer_end_test.py
@@ -6,6 +6,7 @@
     MAX_END_DELAY_S,
     EndEvidence,
     EndpointReply,
+    judge_exchange,
     judge_reply,
 )
 
@@ -64,6 +65,21 @@
         assert evidences == [EndEvidence.ANSWERED, EndEvidence.REPLACED]
 
 
+class TestExchange:
+    @pytest.mark.parametrize(
+        "is_broken, is_request_received, evidence",
+        [
+            (False, True, None),
+            (False, False, EndEvidence.UNSENT),
+            (True, False, EndEvidence.BROKEN),
+            (True, True, EndEvidence.BROKEN),
+        ],
+    )
+    def test_regular_end_hides_a_reset(self, is_broken, is_request_received, evidence):
+        """The sending of the request may take it, or it follows the end."""
+        assert judge_exchange(is_broken, is_request_received) is evidence
+
+
 class TestEvidence:
     def test_missing_evidence_is_sufficient(self):
         sufficient = {evidence for evidence in EndEvidence if evidence.is_sufficient}
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -22,6 +22,7 @@
     MedlarError,
     RunFailure,
     StreamBroken,
+    StreamMixed,
     StreamOutOfOrder,
 )
 from medlarrail.core.metrics import get_metrics
@@ -443,13 +444,18 @@
         """Relay complete events as they arrive, as long as each goes on from the last.
 
         Raises ``StreamOutOfOrder`` at the first event that does not go on from what
-        the caller has, and ``EndpointFailed`` for a continuation of a stream that
-        another endpoint began, if it has no events: that does not show that the stream
-        was complete. A caller that takes a stream up may have had all of it.
+        the caller has, ``StreamMixed`` at bytes that are no events, and
+        ``EndpointFailed`` for a continuation of a stream that another endpoint began,
+        if it has no events: that does not show that the stream was complete. A caller
+        that takes a stream up may have had all of it.
         """
         exchange = self.relayed.exchange
         continues = exchange.started
-        events = self.events = OrderedEvents(self.relayed.stream_order, continues)
+        events = self.events = OrderedEvents(
+            self.relayed.stream_order,
+            continues,
+            is_unframed=not head.framing.proves_end,
+        )
         resumable = self.relayed.admission.route.resumable
         try:
             async with aclosing(connection.iterate_body()) as body:
@@ -464,6 +470,10 @@
                         await self._send_events(exchange, head, passed)
                     if events.fault is not None:
                         raise self._build_order_failure(events.fault)
+                    if events.has_foreign:
+                        self.end_evidence = EndEvidence.FOREIGN
+                        get_metrics().count("streams_mixed")
+                        raise StreamMixed(endpoint=self.endpoint.announced.name)
             if events.has_partial_event:
                 raise StreamBroken(endpoint=self.endpoint.announced.name)
             if continues and not events.has_advanced:
--- a/medlarrail/relay/end_check.py
+++ b/medlarrail/relay/end_check.py
@@ -1,5 +1,8 @@
 """Calls an endpoint after an answer that ended with its connection.
 
+An endpoint may answer first and read the rest of the request after that, so the sending
+goes on before the call.
+
 The events of a stream are sent to the caller meanwhile; only the end of the answer
 waits for the result.
 """
@@ -13,7 +16,12 @@
 from medlarrail.core.deployment import ServiceRule
 from medlarrail.core.errors import ConnectionsUsedUp, EndpointUnreachable, RunFailure
 from medlarrail.core.metrics import get_metrics
-from medlarrail.policy.answer_end import EndEvidence, judge_process, judge_reply
+from medlarrail.policy.answer_end import (
+    EndEvidence,
+    judge_exchange,
+    judge_process,
+    judge_reply,
+)
 from medlarrail.relay.endpoint_status import read_status
 from medlarrail.relay.outbound import CONNECT_TIMEOUT_S, OutboundConnection
 
@@ -27,6 +35,10 @@
 """Pause after a connection that was closed: an endpoint closes what exceeds its limit,
 and a process that ends closes its listener and all connections within that time."""
 
+RECEIPT_INTERVAL_S = 0.005
+"""Pause between two checks whether the request was received: nothing reports the
+acknowledgement. Only answers that end before their request was read wait for it."""
+
 
 @define(eq=False)
 class EndCheck:
@@ -42,16 +54,30 @@
         began_at = trio.current_time()
         evidence = EndEvidence.SILENT
         with trio.move_on_after(END_TIMEOUT_S):
-            evidence = await self._call_until_answered()
+            await self._wait_until_received()
+            if self._judge_exchange() is None:
+                evidence = await self._call_until_answered()
         if evidence is EndEvidence.SILENT and self._is_connected():
             # A request for the status may wait for a slot, as any other one.
             evidence = EndEvidence.CONNECTED
+        # A reset may have followed the end meanwhile.
+        evidence = self._judge_exchange() or evidence
         get_metrics().observe("end_check", trio.current_time() - began_at)
         get_metrics().count(
             "end_checks", service=self.service.name, evidence=evidence.value
         )
         return evidence
 
+    async def _wait_until_received(self) -> None:
+        """Wait until the endpoint has received the request or the connection breaks."""
+        while self._judge_exchange() is EndEvidence.UNSENT:
+            await trio.sleep(RECEIPT_INTERVAL_S)
+
+    def _judge_exchange(self) -> EndEvidence | None:
+        return judge_exchange(
+            self.answered.check_broken(), self.answered.is_request_received()
+        )
+
     def _is_connected(self) -> bool:
         """Return whether a connection from before the request is open still."""
         return self.relay.pool.has_same_process(self.answered) is True
--- a/medlarrail/relay/events.py
+++ b/medlarrail/relay/events.py
@@ -11,6 +11,7 @@
 
 from attrs import define, field
 
+from medlarrail.policy.answer_end import find_foreign_line
 from medlarrail.policy.stream_order import OrderFault, StreamOrder
 
 EVENT_BOUNDARIES = (b"\n\n", b"\n\r\n", b"\r\r")
@@ -80,6 +81,11 @@
     order: StreamOrder
     continues: bool = False
     """Whether bytes of an earlier answer were passed on."""
+    is_unframed: bool = False
+    """Whether only the end of the connection ends the answer; bytes that are no events
+    may then belong to another one."""
+    has_foreign: bool = False
+    """Whether such bytes were received. Nothing is passed on from their event on."""
     fault: OrderFault | None = None
     resumed_after: str = field(init=False)
     """The ID after which the answer goes on, empty if it is the first one."""
@@ -118,8 +124,10 @@
     def pass_on(self, data: bytes) -> bytes:
         """Append bytes of the answer and return the events to pass on."""
         events = self._splitter.split(data)
-        if not events or self.fault is not None:
+        if not events or self.fault is not None or self.has_foreign:
             return b""
+        if self.is_unframed:
+            events = self._remove_foreign(events)
         if not self._is_begun:
             self._is_begun = True
             if self.continues:
@@ -135,6 +143,15 @@
             self._held.clear()
         return rest
 
+    def _remove_foreign(self, events: bytes) -> bytes:
+        """Return the ``events`` before the first with a line that is part of none."""
+        text = b"\n" + events.removeprefix(BYTE_ORDER_MARK)
+        position = find_foreign_line(text)
+        if position is None:
+            return events
+        self.has_foreign = True
+        return text[1 : _find_event(text, 0, position)]
+
     def _check(self, events: bytes) -> bytes:
         """Return the complete ``events`` up to the first that does not go on."""
         # A line begins after the end of another one, the first one too.
--- a/medlarrail/relay/events_test.py
+++ b/medlarrail/relay/events_test.py
@@ -138,3 +138,36 @@
         events = OrderedEvents(StreamOrder())
         events.pass_on(b"id: 1\n\nid: 1\n\n")
         assert events.pass_on(b"id: 2\n\n") == b""
+
+
+class TestUnframedEvents:
+    @pytest.mark.parametrize("newline", [b"\n", b"\r\n", b"\r"])
+    @pytest.mark.parametrize(
+        "foreign",
+        [
+            b"HTTP/1.1 200 OK\nContent-Length: 0\n\n",
+            b"data: y\nHTTP/1.1 000\n\n",
+            b'{"a": 1}\n\n',
+            b"<p>\n\n",
+        ],
+    )
+    def test_bytes_that_are_no_events_are_passed_on(self, foreign, newline):
+        """They may be a second response, in the same part as the events or not."""
+        right = b": HTTP/1.1 200 OK\n\nid: 1\ndata: {}\nx-field\n\n"
+        data = (right + foreign + EVENT).replace(b"\n", newline)
+        right = right.replace(b"\n", newline)
+        for cut in range(len(data) + 1):
+            events = OrderedEvents(StreamOrder(), is_unframed=True)
+            passed = events.pass_on(data[:cut]) + events.pass_on(data[cut:])
+            assert passed == right
+            assert events.has_foreign and events.fault is None
+
+    def test_byte_order_mark_is_taken_for_foreign(self):
+        events = OrderedEvents(StreamOrder(), is_unframed=True)
+        assert events.pass_on(b"\xef\xbb\xbf" + EVENT) == b"\xef\xbb\xbf" + EVENT
+        assert not events.has_foreign
+
+    def test_framed_answer_is_checked_for_a_second_one(self):
+        """Its framing tells where it ends, and clients ignore unknown lines."""
+        events = OrderedEvents(StreamOrder())
+        assert events.pass_on(b"HTTP/1.1 200 OK\n\n") == b"HTTP/1.1 200 OK\n\n"
--- a/medlarrail/relay/outbound.py
+++ b/medlarrail/relay/outbound.py
@@ -5,6 +5,9 @@
 belong to no request, and is not reused.
 """
 
+import fcntl
+import socket
+import termios
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable
 
@@ -94,6 +97,8 @@
     """Method of the current request."""
     request_sent: bool = False
     """Whether the whole request was sent."""
+    is_broken: bool = False
+    """Whether any call during the current request reported a reset or another error."""
     answer_ended: bool = False
     """Whether the answer was received completely."""
     end_delay_s: float = 0.0
@@ -119,7 +124,7 @@
         self, method: bytes, target: bytes, headers: list[Header], body: bytes
     ) -> None:
         """Send a complete request; a broken connection is reported on reading."""
-        self.request_sent = self.answer_ended = False
+        self.request_sent = self.answer_ended = self.is_broken = False
         self._method = method
         self._received_bytes = 0
         self.sent_at = self.seen_open_at = trio.current_time()
@@ -134,6 +139,7 @@
             await self.stream.send_all(data)
             self.request_sent = True
         except CONNECTION_ERRORS as error:
+            self.is_broken = True
             get_metrics().count("sends_broken", type=type(error).__name__)
 
     async def read_head(self) -> AnswerHead:
@@ -171,6 +177,7 @@
             while (event := self.protocol.next_event()) is h11.NEED_DATA:
                 await self._receive(limit_bytes)
         except CONNECTION_ERRORS as error:
+            self.is_broken = True
             raise StreamBroken(endpoint=self.address) from error
         return event
 
@@ -188,6 +195,20 @@
         self._turn_began_at = now
         self.protocol.receive_data(data)
 
+    def check_broken(self) -> bool:
+        """Return whether the connection broke; a reset may follow a regular end."""
+        sock = self.stream.socket
+        if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.is_broken = True
+        return self.is_broken
+
+    def is_request_received(self) -> bool:
+        """Return whether the peer's kernel has acknowledged the whole request."""
+        if not self.request_sent:
+            return False
+        pending = fcntl.ioctl(self.stream.socket, termios.TIOCOUTQ, bytes(4))
+        return not any(pending)
+
     def is_reusable(self) -> bool:
         """Return whether another request can be sent on this connection."""
         states = (self.protocol.our_state, self.protocol.their_state)
--- a/medlarrail/relay/outbound_test.py
+++ b/medlarrail/relay/outbound_test.py
@@ -1,11 +1,18 @@
 """Tests of what the connections to an endpoint tell about its process."""
 
+from contextlib import suppress
+
 import pytest
 import trio
 
+from medlarrail.core.errors import StreamBroken
 from medlarrail.relay.outbound import OutboundConnection, OutboundPool
 from medlarrail.testing.scripted_endpoints import HOST, ScriptedEndpoint, answer_ok
 
+UPLOAD_BYTES = 8_000_000
+"""More than the kernels of both sides hold."""
+UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\npart"
+
 
 async def call(connection: OutboundConnection) -> None:
     """Send a request and receive the whole answer."""
@@ -38,3 +45,42 @@
         pool.close_expired()
     assert pool.has_same_process(connection) is not False
     nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("reader", ["waits", "comes later"])
+async def test_reset_that_the_sending_took_is_forgotten(nursery, reader):
+    """The kernel gives the rest of the answer and a regular end after it."""
+    has_reset = trio.Event()
+
+    async def reset_during_upload(connection, request):
+        await connection.send(UNFRAMED)
+        await trio.sleep(0.02)
+        connection.reset()
+        has_reset.set()
+
+    endpoint = ScriptedEndpoint("engine-1", reset_during_upload, read_limit=8192)
+    await nursery.start(endpoint.run)
+    connection = await OutboundPool().acquire(f"{HOST}:{endpoint.port}", True)
+    headers = [(b"Host", b"guide")]
+    received = bytearray()
+    with trio.fail_after(5):
+        async with trio.open_nursery() as calls:
+            calls.start_soon(
+                connection.send, b"POST", b"/", headers, b"u" * UPLOAD_BYTES
+            )
+            if reader == "waits":
+                with suppress(StreamBroken):
+                    await read_body(connection, received)
+    if reader == "comes later":
+        await read_body(connection, received)
+        assert connection.answer_ended
+    assert has_reset.is_set() and received == b"part"
+    assert connection.check_broken() and not connection.is_request_received()
+    nursery.cancel_scope.cancel()
+
+
+async def read_body(connection: OutboundConnection, received: bytearray) -> None:
+    """Receive an answer, and its body into ``received``."""
+    await connection.read_head()
+    async for part in connection.iterate_body():
+        received += part
--- a/medlarrail/transport/client_test.py
+++ b/medlarrail/transport/client_test.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+from attrs import frozen
 
 from medlarrail.core.errors import PeerBroken
 from medlarrail.policy.answer_memory import AnswerMemory
@@ -11,6 +12,13 @@
 from medlarrail.transport.framing import Framing
 
 
+@frozen
+class LongMessage:
+    """A message of any length."""
+
+    text: str
+
+
 async def start_peer(nursery: trio.Nursery, script: Script) -> str:
     """Start a scripted peer and return its URL."""
     endpoint = ScriptedEndpoint("peer", script)
@@ -74,6 +82,41 @@
         assert (answer.body, answer.framing) == (b"{}", framing)
 
 
+class TestEarlyAnswers:
+    """A peer answers when it has read a part of a long message."""
+
+    async def start(self, nursery, script: Script) -> str:
+        endpoint = ScriptedEndpoint("peer", script, read_limit=8192)
+        await nursery.start(endpoint.run)
+        return f"http://{HOST}:{endpoint.port}"
+
+    async def test_reset_during_a_message_looks_like_an_answer(self, nursery):
+        """The sending takes the reset, and the answer then ends regularly."""
+
+        async def reset(connection, request):
+            await connection.send(b"HTTP/1.1 200 OK\r\n\r\n{}")
+            await trio.sleep(0.003)
+            connection.reset()
+
+        url = await self.start(nursery, reset)
+        message = LongMessage("u" * 8_000_000)
+        with pytest.raises(PeerBroken):
+            await HttpClient().call(url, "/x", message, EmptyMessage, 2.0)
+
+    async def test_early_rejection_is_lost(self, nursery):
+        """The answer arrives before the reset that ends the message."""
+
+        async def reject(connection, request):
+            head = b"HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\n{}"
+            await connection.send(head)
+            await trio.sleep(0.003)
+            connection.reset()
+
+        url = await self.start(nursery, reject)
+        answer = await HttpClient().fetch("POST", url, b"u" * 8_000_000, timeout_s=2.0)
+        assert answer.status == 413
+
+
 class TestEndlessAnswers:
     async def test_many_large_answers_use_up_memory(self, nursery):
         """Each answer had a limit, but all together had none."""
