Soak: uploads that are reset before they were read, and second responses

Cause: requests of the soak had small bodies, so their sending could not take a reset, and no endpoint sent anything behind an answer.

Change: 1 request in 20 has a body of 3.5 MB. Endpoints answer half of these before they have read the body, without a length, and reset the connection. 2 in 100 other streams without a length are followed by a second response. Such runs count as faulty.

--- a/medlarrail/platform/soak/callers.py
+++ b/medlarrail/platform/soak/callers.py
@@ -7,7 +7,7 @@
 import trio
 from attrs import define, field
 
-from medlarrail.platform.soak.engine import STREAMING
+from medlarrail.platform.soak.engine import STREAMING, UPLOAD_BYTES
 from medlarrail.platform.soak.events import Event, parse_events
 from medlarrail.platform.soak.site import KEY, ROUTE_HOST, Site
 from medlarrail.platform.soak.wire import EndedEarly, Head, MessageReader, build_head
@@ -32,6 +32,9 @@
 REPEATABLE = ("resumable", "chat", "safe")
 PROMISES = (408, 421, 429, 503)
 """Statuses that promise that a request has not run and never will."""
+UPLOAD_SHARE = 0.05
+"""Share of the requests with a body of ``UPLOAD_BYTES``, of which an endpoint may read
+only a part."""
 OLD_CALLER_SHARE = 0.1
 """Share of the requests of HTTP/1.0."""
 SLOW_SHARE = 0.1
@@ -146,6 +149,8 @@
     def _build_request(self, call: Call, answer: Answer) -> bytes:
         version = "HTTP/1.0" if answer.http10 else "HTTP/1.1"
         body = b'{"prompt":"%s"}' % call.prompt.encode()
+        if self.random.random() < UPLOAD_SHARE:
+            body = body.ljust(UPLOAD_BYTES)
         headers: dict[str, object] = {
             "Host": ROUTE_HOST,
             "Request-Id": answer.request_id,
--- a/medlarrail/platform/soak/engine.py
+++ b/medlarrail/platform/soak/engine.py
@@ -27,6 +27,7 @@
     build_head,
     call_any,
 )
+from medlarrail.transport.sockets import set_reset_on_close
 
 HEARTBEAT_S = 1.2
 DRAIN_S = 2.0
@@ -41,6 +42,12 @@
 LATE_COPY_SHARE = 0.02
 """Share of the requests on a connection in use that first get the answer to an earlier
 request once more."""
+MIXED_SHARE = 0.02
+"""Share of the streams without a length that a second response follows."""
+UPLOAD_BYTES = 3_500_000
+EARLY_RESET_SHARE = 0.5
+"""Share of the uploads that get a part of an answer without a length, and a reset,
+before they were read."""
 FRAMINGS = ("length", "chunks", "close")
 STREAMING = ("stream", "resumable", "chat")
 """Routes, by the first part of the path, whose answers are streams."""
@@ -158,8 +165,10 @@
         try:
             while True:
                 head = await reader.read_head()
-                await reader.read_body(head)
-                if not await self.answer(connection, head):
+                early = self.is_reset_early(head)
+                if not early:
+                    await reader.read_body(head)
+                if not await self.answer(connection, head) or early:
                     return
         except (EndedEarly, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
@@ -185,6 +194,12 @@
         finally:
             self.active -= 1
 
+    def is_reset_early(self, head: Head) -> bool:
+        """Return whether a request is answered before its body was read."""
+        is_upload = int(head.headers.get("content-length", 0)) >= UPLOAD_BYTES
+        key = (self.settings.seed, head.headers.get("request-id", ""), "early")
+        return is_upload and draw(*key) < EARLY_RESET_SHARE
+
     def build_report(self) -> dict:
         """Return the body of a report."""
         zeros = dict.fromkeys(("sequence", "queued", "kv-used", "handles"), 0)
@@ -224,7 +239,11 @@
             numbers = disorder(numbers, int(count), draw(*key, "way"))
         own = {"engine": self.settings.name, "version": self.settings.version}
         asked = {"kind": kind, "prompt": prompt, "after": after}
-        faulty = late or disordered
+        early = self.is_reset_early(head)
+        framing = "close" if early else framing
+        mixed = kind in STREAMING and framing == "close" and not early
+        mixed = mixed and draw(*key, "mixed") < MIXED_SHARE
+        faulty = late or disordered or early or mixed
         self.record("run", request_id, **own, **asked, framing=framing, faulty=faulty)
         sent = after
         complete = False
@@ -238,6 +257,8 @@
                 ]
             else:
                 pieces = [build_body(prompt, self.settings.version, BODY_LINES)]
+            if early and pieces:
+                pieces = pieces[:-1] or [pieces[0][: len(pieces[0]) // 2]]
             await self.send_head(connection, request_id, framing, pieces)
             for number, piece in enumerate(pieces, after + 1):
                 await trio.sleep(
@@ -247,6 +268,14 @@
                 sent = number
             if framing == "chunks":
                 await connection.send(b"0\r\n\r\n")
+            if mixed:
+                event = build_event(prompt, self.settings.version, int(count) + 1)
+                second = build_head("HTTP/1.1 200 OK", {"Content-Length": len(event)})
+                await connection.send(second + event)
+            if early:
+                set_reset_on_close(connection.stream, True)
+                connection.stream.socket.close()
+                return False
             complete = True
         finally:
             self.record("end", request_id, sent=sent, complete=complete)
