Homes of large parts: in proportion to the sizes of the stores

Cause: the home of a large part was the largest store, and the hash decided only between stores of one size. With two homes for each part, the two largest stores were full while the others stayed empty, and further parts ended as `full`.

Change: homes are drawn in proportion to the capacities. Where these are equal, the order is as before, so gateways of two releases agree; where they differ, some parts are saved twice until all gateways are upgraded.

--- a/medlarrail/policy/context.py
+++ b/medlarrail/policy/context.py
@@ -9,6 +9,7 @@
 long ones.
 """
 
+import math
 from collections.abc import Sequence
 
 from attrs import frozen
@@ -24,6 +25,7 @@
 
 LOW_LATENCY_MS = 1.0
 """Start-up latency up to which a store is used for parts of any size."""
+MAX_WEIGHT = 2**64 - 1
 MAX_WAIT_RATIO = 0.5
 """Maximum start-up latency of a transfer, as a fraction of the prefill time saved."""
 
@@ -126,12 +128,25 @@
         candidates,
         key=lambda store: (
             part.tokens > store.capacity_tokens * SMALL_PART_RATIO,
-            store.first_ms if is_small else -store.capacity_tokens,
-            -get_weight(store.address, part.identity),
+            store.first_ms if is_small else 0.0,
+            -_get_share_weight(store, part, is_small),
         ),
     )
 
 
+def _get_share_weight(store: StoreView, part: PartView, is_small: bool) -> float:
+    """Return the weight by which a store gets its share of the parts.
+
+    Large parts are divided in proportion to the capacities: if the largest store came
+    first for each of them, it would be full while the others are empty. The order of
+    stores of one capacity depends on their hashes only.
+    """
+    weight = get_weight(store.address, part.identity)
+    if is_small:
+        return weight
+    return store.capacity_tokens / -math.log((weight + 1) / (MAX_WEIGHT + 2))
+
+
 def _is_small(part: PartView, stores: Sequence[StoreView]) -> bool:
     """Return whether even the smallest store could hold many parts of this size."""
     min_capacity = min(store.capacity_tokens for store in stores)
--- a/medlarrail/policy/context_test.py
+++ b/medlarrail/policy/context_test.py
@@ -2,7 +2,8 @@
 
 import random
 
-from medlarrail.policy.context import PartView, StoreView, plan_transfers
+from medlarrail.core.placement import get_weight
+from medlarrail.policy.context import PartView, StoreView, plan_transfers, rank_homes
 
 SMALL = [StoreView(f"s{n}", "leith", 10_000, 10_000, first_ms=0.5) for n in range(3)]
 LARGE = [StoreView(f"l{n}", "perth", 80_000, 80_000, first_ms=6.0) for n in range(2)]
@@ -97,3 +98,34 @@
         memory = [subject, *memory][:3]
     assert prefills_with_stores == 30
     assert prefills_without_stores > 1000
+
+
+def test_stores_of_different_sizes_are_full_one_after_the_other():
+    """Every large part went to the largest store, then to the next, so 83 of 100 parts
+    had no home while the other stores were empty."""
+    stores = [
+        StoreView(f"s{number}", "leith", capacity, capacity)
+        for number, capacity in enumerate(range(1_200_000, 2_600_000, 70_000))
+    ]
+    tokens = 12_800
+    count = int(0.8 * sum(store.capacity_tokens for store in stores) / tokens)
+    free = {store.address: store.capacity_tokens for store in stores}
+    homeless = 0
+    for number in range(count):
+        part = PartView(f"part-{number}", tokens)
+        homes = [home.address for home in rank_homes(part, stores)[:2]]
+        home = next((home for home in homes if free[home] >= tokens), "")
+        homeless += not home
+        if home:
+            free[home] -= tokens
+    assert homeless < 0.05 * count
+
+
+def test_stores_of_one_size_have_other_homes_than_before():
+    """Gateways of two releases have to agree on the homes of parts."""
+    for number in range(50):
+        part = PartView(f"part-{number}", 5000)
+        stores = [StoreView(f"s{each}", "x", 800_000, 800_000) for each in range(9)]
+        ranked = [store.address for store in rank_homes(part, stores)]
+        by_hash = sorted(ranked, key=lambda each: -get_weight(each, part.identity))
+        assert ranked == by_hash
