Prefill sharing: use a shared part where an engine has read it

Cause: a large part counts as `saving` until the store's event has come, and as `full` or `unknown` without a store that has room or is known. All prompts for it meanwhile prefill it again, at whatever engine is least busy: its home is preferred by 1,024 of 12,800 tokens.

Change: the gateway that answers for a part in its home store also remembers at which engines it was read, by notices at dispatch and first event, and names them in its reply to a claim. A prompt goes there, lets its engine fetch the part from there (`Kv-Fetch`), waits up to 250 ms for it, or prefills, by expected time; within its latency target it accepts a delay to avoid a repeated prefill. A source must be of the same scope, incarnation and version, and no other scope may have the part there.

Two saves were lost besides: a prompt that waited for dispatch asked again and was told that the part was being saved, by itself; and after a lost reply a part was saved in a second store. Both are mended; `parts_located{status="lost"}` counts the replies.

--- a/medlarrail/platform/prompts_test.py
+++ b/medlarrail/platform/prompts_test.py
@@ -11,11 +11,13 @@
 from medlarrail.core.announcements import ModelWeights
 from medlarrail.core.deployment import EngineSpec, ServiceRule, StoreSpec
 from medlarrail.core.entities import DesiredVersion
+from medlarrail.core.metrics import get_metrics
 from medlarrail.core.scopes import ContextScope
 from medlarrail.platform.header_codec import REPORT_PATH, PlatformHeaderCodec
 from medlarrail.relay.context_index import ContextIndex
 from medlarrail.relay.workload_tracker import EngineTokens, WorkloadReport
 from medlarrail.testing.builders import build_deployment, build_route
+from medlarrail.testing.logs import collect_messages
 from medlarrail.testing.scripted_endpoints import get_value, start_relay
 
 STORE = "172.20.0.2:8006"
@@ -118,6 +120,27 @@
     assert get_value(request, b"kv-fetch") is None
 
 
+async def test_a_part_in_no_store_is_fetched_from_the_engine_that_read_it(nursery):
+    """Others read it again until the store's event had come, or for good if no store
+    had room. The log line of the attempt names the source."""
+    harness = await start_prompt_relay(nursery, FixedContextStoreClient())
+    view = harness.relay.cluster_view
+    view.confirmed_at = view.clock()
+    await harness.send(PROMPT)
+    reader = next(engine for engine in harness.endpoints if engine.requests)
+    other = next(engine for engine in harness.endpoints if engine is not reader)
+    tokens = EngineTokens(reader.name, 60_000, 60_000)
+    harness.relay.workload.store_report(WorkloadReport("gateway-2", 1, 1, (tokens,)))
+    with collect_messages("request:attempt") as attempts:
+        await harness.send(PROMPT)
+    (request,) = other.requests
+    address = view.endpoints[reader.name].announced.address
+    assert get_value(request, b"kv-fetch") == f"{address},-".encode()
+    (attempt,) = attempts
+    assert attempt["transfers"] == [f"fetch {address}", "-"]
+    assert get_metrics().get_count("prefills_shared", how="fetch") == 1
+
+
 async def test_the_least_loaded_engine_is_chosen(nursery):
     harness = await start_prompt_relay(nursery, FixedContextStoreClient())
     busy, idle = harness.endpoints
--- a/medlarrail/policy/prompt_length.py
+++ b/medlarrail/policy/prompt_length.py
@@ -39,6 +39,10 @@
         counter = self._long if is_long(own_tokens) else self._short
         counter.add(now, all_tokens)
 
+    def get_long_tokens_per_s(self, now: float) -> float:
+        """Return the tokens per second of long prompts."""
+        return self._long.get(now) / MIX_WINDOW_S
+
     def get_long_share(self, now: float) -> float:
         """Return the share of the engines for long prompts."""
         long, short = self._long.get(now), self._short.get(now)
--- a/medlarrail/policy/workload.py
+++ b/medlarrail/policy/workload.py
@@ -44,6 +44,9 @@
 
     ``unread`` counts prompts whose answer has not started, ``held`` counts all
     running prompts, and ``memory_tokens`` is the engine's capacity, 0 if unknown.
+    ``saved`` are the tokens of the prompt to place that this engine need not prefill
+    because it keeps them, or can fetch them faster; fewer than none if it has to wait
+    for them. ``preferred`` are the tokens by which the prompt may be read later here.
     """
 
     name: str
@@ -54,6 +57,12 @@
     failure_rate: float = 0.0
     relative_latency: float = 1.0
     suspected: bool = False
+    saved: int = 0
+    preferred: int = 0
+
+    def count_unread(self, prompt: "Prompt") -> int:
+        """Return the tokens of a prompt that need prefill here."""
+        return max(0, prompt.unread - self.saved)
 
 
 @frozen
@@ -67,7 +76,7 @@
 
 def get_workload_cost(engine: EngineWorkload, prompt: Prompt) -> float:
     """Return the cost until the engine has prefilled the prompt, in tokens."""
-    cost = engine.unread + prompt.unread
+    cost = engine.unread + engine.count_unread(prompt) - engine.preferred
     if engine.memory_tokens:
         deficit = engine.held + prompt.tokens - engine.memory_tokens
         cost += MEMORY_DEFICIT_FACTOR * max(0.0, deficit)
@@ -158,7 +167,7 @@
     again.
     """
     backlog_ms = engine.unread / PREFILL_TOKENS_PER_MS
-    first_ms = backlog_ms + prompt.unread / PREFILL_TOKENS_PER_MS
+    first_ms = backlog_ms + engine.count_unread(prompt) / PREFILL_TOKENS_PER_MS
     lacks_memory = (
         0 < engine.memory_tokens < engine.held + prompt.tokens and engine.held > 0
     )
--- a/medlarrail/relay/context_index.py
+++ b/medlarrail/relay/context_index.py
@@ -57,9 +57,9 @@
 """Time allowed for a call in addition to its long poll."""
 
 
-ClaimStatus = Literal["held", "saving", "save", "full", "unknown"]
-"""Whether a store holds a part, is getting it, may get it now, or has no room; unknown
-if its contents are not known here."""
+ClaimStatus = Literal["held", "saving", "save", "full", "absent", "unknown"]
+"""Whether a store holds a part, is getting it, may get it now, has no room, or does not
+hold it and was only asked for that; unknown if its contents are not known here."""
 
 
 @frozen
@@ -308,7 +308,9 @@
             for spec in (index.spec for index in self.stores.values())
         ]
 
-    def claim(self, address: str, scope: str, part: PromptPart) -> ClaimStatus:
+    def claim(
+        self, address: str, scope: str, part: PromptPart, may_save: bool = True
+    ) -> ClaimStatus:
         """Return whether a store holds a part; ``save`` asks the caller to save it."""
         now = self.clock()
         index = self.stores.get(address)
@@ -319,6 +321,8 @@
         key = (scope, part.identity)
         if index.is_saving(key, now):
             return "saving"
+        if not may_save:
+            return "absent"
         view = self._build_store_view(index, now)
         if not can_save(part.tokens, view):
             return "full"
--- a/medlarrail/relay/endpoint_choice.py
+++ b/medlarrail/relay/endpoint_choice.py
@@ -178,15 +178,23 @@
     ) -> Choice:
         """Return the engine that can prefill this long prompt first."""
         prompt = self._build_prompt(candidates)
-        engine = choose_by_workload(
-            self._build_workloads(candidates), prompt, self.context
-        )
+        budget = self._get_time_budget()
+        sharing = self.relayed.prefill_sharing
+        sharing.find(len(candidates), self._get_newest_version(candidates), prompt)
+        engines = [
+            sharing.add_reading(engine, prompt, budget)
+            for engine in self._build_workloads(candidates)
+        ]
+        engine = choose_by_workload(engines, prompt, self.context)
         choice = self._build_choice(engine, available)
         if engine is None or self.relayed.exchange.started:
             return choice
+        action = decide_dispatch(engine, prompt, budget)
+        if sharing.choose(engine, prompt) and action == "send":
+            action = "wait"
         return evolve(
             choice,
-            action=decide_dispatch(engine, prompt, self._get_time_budget()),
+            action=action,
             backlog_ms=engine.unread / PREFILL_TOKENS_PER_MS,
         )
 
@@ -221,6 +229,17 @@
             suspected=candidate.suspected,
         )
 
+    def _get_newest_version(self, candidates: list[Candidate]) -> int:
+        """Return the newest weights of the prompt's model at the candidates."""
+        endpoints = self.relay.cluster_view.endpoints
+        return max(
+            (
+                endpoints[candidate.name].announced.get_version(self.metadata.model)
+                for candidate in candidates
+            ),
+            default=0,
+        )
+
     def _build_prompt(self, candidates: list[Candidate]) -> Prompt:
         """Return the token counts of this prompt for scheduling.
 
@@ -228,13 +247,9 @@
         """
         tokens = self.metadata.prompt_tokens
         context = self.relay.context
-        endpoints = self.relay.cluster_view.endpoints
         if context is None or len(self.metadata.parts) < 2 or not candidates:
             return Prompt(tokens, tokens)
-        version = max(
-            endpoints[candidate.name].announced.get_version(self.metadata.model)
-            for candidate in candidates
-        )
+        version = self._get_newest_version(candidates)
         part = self.metadata.largest_shared_part
         scope = self.relayed.get_scope(version)
         located = self.relayed.part_location.find(scope)
--- a/medlarrail/relay/part_directory_test.py
+++ b/medlarrail/relay/part_directory_test.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 
+import orjson
 import pytest
 import trio
 from attrs import define, evolve, field
@@ -17,6 +18,7 @@
     StoreListing,
 )
 from medlarrail.core.announcements import RegisteredEntry
+from medlarrail.core.codec import encode
 from medlarrail.core.deployment import ServiceRule, StoreSpec
 from medlarrail.core.metrics import get_metrics
 from medlarrail.relay import part_directory
@@ -24,15 +26,20 @@
 from medlarrail.relay.metadata import PromptPart
 from medlarrail.relay.part_directory import (
     MAX_HOMES,
+    NOTICE_PREFIX,
     QUERY_PREFIX,
     REPLY_PREFIX,
     REPLY_TIMEOUT_S,
     PartDirectory,
+    PartQuery,
+    PartReply,
 )
+from medlarrail.relay.part_location import CLAIM_TTL_S, PartLocation
+from medlarrail.relay.prefill_memory import PrefillMemory, ReadNotice
 from medlarrail.relay.workload_reporter import WorkloadReporter
 from medlarrail.relay.workload_tracker import WorkloadTracker
 from medlarrail.testing.builders import build_cluster_view_answer, build_deployment
-from medlarrail.transport.datagrams import DatagramSocket
+from medlarrail.transport.datagrams import DatagramSocket, decode_datagram
 
 KEY = "a-key-for-this-test"
 HOST = "127.0.0.1"
@@ -191,6 +198,7 @@
     build_socket: Callable[[], DatagramSocket | MemorySocket] = build_socket
     stores: FakeStores = field(factory=FakeStores)
     directories: list[PartDirectory] = field(factory=list)
+    handlers: list[dict] = field(factory=list)
 
     async def start(self) -> None:
         """Start all entries, and wait until they know the stores' contents."""
@@ -212,11 +220,18 @@
         self.nursery.start_soon(index.run)
         work_address = f"{HOST}:{datagram_socket.get_port()}"
         directory = PartDirectory(
-            cluster_view, index, datagram_socket, work_address, trio.current_time
+            cluster_view,
+            index,
+            datagram_socket,
+            work_address,
+            trio.current_time,
+            PrefillMemory(trio.current_time),
         )
         reporter.handlers[QUERY_PREFIX] = directory.handle_query
         reporter.handlers[REPLY_PREFIX] = directory.queries.handle_reply
+        reporter.handlers[NOTICE_PREFIX] = directory.handle_notice
         self.directories.append(directory)
+        self.handlers.append(reporter.handlers)
         return RegisteredEntry(name, "", "leith", work_address)
 
     async def locate(self, number: int, part: PromptPart):
@@ -328,6 +343,145 @@
         assert (await directories.locate(0, PARTS[0])).save != ("",)
 
 
+class TestReadSites:
+    """On exact time, as the tests above."""
+
+    @pytest.fixture
+    async def directories(self, nursery, autojump_clock) -> Directories:
+        directories = Directories(nursery, MemorySockets().build)
+        await directories.start()
+        return directories
+
+    @staticmethod
+    def notify(directories, number, part, state="reading", remaining_ms=300):
+        """Let one entry tell that an engine reads a part."""
+        directory = directories.directories[number]
+        notice = ReadNotice(SCOPE, part.identity, "engine-7", 5, state, remaining_ms)
+        directory.send_notice(directory.find_reader(part), notice)
+
+    async def test_an_entry_does_not_hear_where_others_read_a_part(
+        self, directories, autojump_clock
+    ):
+        part = PARTS[0]
+        self.notify(directories, 3, part)
+        await trio.sleep(0.05)
+        for directory in directories.directories:
+            (site,) = (await directory.locate(SCOPE, [part])).sites.sites
+            assert (site.engine, site.started_ms) == ("engine-7", 5)
+            assert 0 < site.remaining_ms <= 250
+        self.notify(directories, 4, part, "failed")
+        await trio.sleep(0.05)
+        located = await directories.directories[0].locate(SCOPE, [part])
+        assert not located.sites.sites
+
+    async def test_a_site_of_another_scope_is_named(self, directories, autojump_clock):
+        self.notify(directories, 3, PARTS[0])
+        await trio.sleep(0.05)
+        located = await directories.directories[0].locate("scope-2", [PARTS[0]])
+        assert not located.sites.sites
+
+    async def test_the_entry_that_remembers_a_part_is_lost(
+        self, directories, autojump_clock
+    ):
+        """The next one knows nothing until the next prompt has been read."""
+        part = PARTS[0]
+        asker = next(
+            directory
+            for directory in directories.directories
+            if directory.find_reader(part) != directory.index.name
+        )
+        number = directories.directories.index(asker)
+        self.notify(directories, number, part)
+        lost = asker.find_reader(part)
+        entries = [entry for entry in asker.cluster_view.entries if entry.name != lost]
+        for directory in directories.directories:
+            apply_entries(directory.cluster_view, entries)
+        await trio.sleep(2.0)
+        assert asker.find_reader(part) not in ("", lost)
+        assert not (await asker.locate(SCOPE, [part])).sites.sites
+        self.notify(directories, number, part)
+        await trio.sleep(0.05)
+        assert (await asker.locate(SCOPE, [part])).sites.sites
+
+    async def test_gateways_of_the_previous_release_fail(
+        self, directories, autojump_clock
+    ):
+        """They know neither the notice nor the new fields of query and reply."""
+        query = {
+            "number": 1,
+            "reply_to": f"{HOST}:1",
+            "store": f"{HOST}:7000",
+            "scope": SCOPE,
+            "identity": "p",
+            "tokens": 12_800,
+        }
+        decoded = decode_datagram(orjson.dumps(query), PartQuery, "queries_unreadable")
+        assert decoded is not None and decoded.may_save
+        body = orjson.dumps({"number": 1, "status": "saving"})
+        reply = decode_datagram(body, PartReply, "replies_unreadable")
+        assert reply == PartReply(1, "saving")
+        old = directories.directories[5]
+        del directories.handlers[5][NOTICE_PREFIX]
+        notice = NOTICE_PREFIX + b'{"scope":"s"}'
+        old.datagram_socket.send([old.work_address], notice)
+        await trio.sleep(0.05)
+        assert get_metrics().get_count("reports_unreadable") == 1
+        assert (await directories.locate(5, PARTS[1])).save != ("",)
+
+    async def test_messages_are_long(self, directories, autojump_clock):
+        """Gateways have 5 Mbit/s: a reply with all sites is well under one packet."""
+        for number in range(8):
+            notice = ReadNotice(
+                SCOPE, "part-0", f"engine-{number}", 1_700_000_000_000, "reading", 300
+            )
+            directories.directories[0].prefills.record(notice)
+        assert len(encode(notice)) < 200
+        found = directories.directories[0].prefills.find(SCOPE, "part-0")
+        assert len(encode(PartReply(1 << 47, "saving", found))) < 600
+
+
+class TestClaims:
+    @pytest.fixture
+    async def directories(self, nursery, autojump_clock) -> Directories:
+        directories = Directories(nursery, MemorySockets().build)
+        await directories.start()
+        return directories
+
+    async def test_a_lost_reply_saves_a_part_twice(self, directories, autojump_clock):
+        """The part's home may expect the save, so no other store gets the part, too."""
+        part = PARTS[0]
+        asker = next(
+            directory
+            for directory in directories.directories
+            if directory.find_reader(part) != directory.index.name
+        )
+        lost = asker.find_reader(part)
+        asker.cluster_view.entries = tuple(
+            evolve(entry, work_address=f"{HOST}:9") if entry.name == lost else entry
+            for entry in asker.cluster_view.entries
+        )
+        plan = (await asker.locate(SCOPE, [part])).plan
+        assert plan.save == ("",)
+        assert get_metrics().get_count("parts_located", status="lost") == 1
+
+    async def test_a_prompt_that_waits_loses_its_save(
+        self, directories, autojump_clock
+    ):
+        """It asked again after 0.3 s, was told that the part was being saved, and so
+        nobody saved it for three seconds."""
+        directory = directories.directories[0]
+        location = PartLocation(None)
+        first = location._keep_claims(await directory.locate(SCOPE, PARTS[:1]))
+        assert first.plan.save[0]
+        await trio.sleep(0.5)
+        again = await directory.locate(SCOPE, PARTS[:1])
+        assert again.plan.save == ("",)
+        assert location._keep_claims(again).plan.save == first.plan.save
+        await trio.sleep(CLAIM_TTL_S)
+        late = await directory.locate(SCOPE, PARTS[:1])
+        assert location._keep_claims(late).plan.save == late.plan.save
+
+
 @define
 class SilentSocket:
     """Loses all messages; ``sent`` counts them."""
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -41,6 +41,7 @@
 from medlarrail.relay.inbound import ServerExchange
 from medlarrail.relay.metadata import DispatchMetadata, RequestMetadata
 from medlarrail.relay.part_location import PartLocation
+from medlarrail.relay.prefill_sharing import PrefillSharing
 from medlarrail.relay.request_forwarding import RequestForwarding
 from medlarrail.relay.room_wait import RoomWait
 from medlarrail.relay.stream_version import StreamVersion
@@ -85,6 +86,7 @@
     forwarding: RequestForwarding = field(init=False)
     room_wait: RoomWait = field(init=False)
     part_location: PartLocation = field(init=False)
+    prefill_sharing: PrefillSharing = field(init=False)
     workload_lookup: WorkloadLookup = field(init=False)
     evidence: CrashEvidence = field(init=False)
     chooser: EndpointChooser = field(init=False)
@@ -107,6 +109,7 @@
         self.forwarding = RequestForwarding(self)
         self.room_wait = RoomWait(self)
         self.part_location = PartLocation(self)
+        self.prefill_sharing = PrefillSharing(self)
         self.workload_lookup = WorkloadLookup(self)
 
     @property
@@ -285,8 +288,11 @@
         tokens = self.metadata.prompt_tokens
         pairs = zip(self.metadata.parts, dispatch.fetch, strict=False)
         fetched = sum(part.tokens for part, source in pairs if source)
+        fetched += self.prefill_sharing.count_cached_tokens(endpoint, dispatch)
         unread = max(0, tokens - fetched)
-        return self.relay.workload.begin(endpoint.announced.name, unread, tokens)
+        prompt = self.relay.workload.begin(endpoint.announced.name, unread, tokens)
+        prompt.report = self.prefill_sharing.record_sent(endpoint, dispatch)
+        return prompt
 
     def get_scope(self, version: int) -> str:
         """Return the cache namespace of this request's context."""
@@ -302,6 +308,7 @@
         version = endpoint.announced.get_version(self.metadata.model) if engine else 0
         scope = self.get_scope(version) if engine else ""
         plan = self._plan_transfers(endpoint, scope, version)
+        plan = self.prefill_sharing.add_source(plan, endpoint)
         if engine:
             now = self.relay.endpoint_stats.clock()
             tokens = self.metadata.prompt_tokens
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -35,10 +35,12 @@
 from medlarrail.relay.metadata import HeaderCodec, RequestMetadata
 from medlarrail.relay.outbound import OutboundPool
 from medlarrail.relay.part_directory import (
+    NOTICE_PREFIX,
     QUERY_PREFIX,
     REPLY_PREFIX,
     PartDirectory,
 )
+from medlarrail.relay.prefill_memory import PrefillMemory
 from medlarrail.relay.relayed_request import RelayedRequest
 from medlarrail.relay.room_queue import RoomQueue
 from medlarrail.relay.shutdown import Shutdown
@@ -83,6 +85,7 @@
     pool: OutboundPool = field(factory=OutboundPool)
     context: ContextIndex | None = None
     parts: PartDirectory | None = None
+    prefills: PrefillMemory = field(factory=PrefillMemory)
     workload: WorkloadTracker = field(factory=lambda: WorkloadTracker(""))
     reporter: WorkloadReporter | None = None
     workloads: WorkloadDirectory | None = None
@@ -246,8 +249,10 @@
             self.context,
             self.reporter.datagram_socket,
             work_address,
+            prefills=self.prefills,
         )
         self.reporter.handlers[QUERY_PREFIX] = self.parts.handle_query
+        self.reporter.handlers[NOTICE_PREFIX] = self.parts.handle_notice
         self.reporter.handlers[REPLY_PREFIX] = self.parts.queries.handle_reply
 
     def connect_stream_origins(self, work_address: str) -> None:
--- a/medlarrail/relay/workload_lookup.py
+++ b/medlarrail/relay/workload_lookup.py
@@ -12,6 +12,10 @@
 """Age up to which the workload is used while a prompt waits: short compared to the
 prefill of a prompt, and few messages for each that waits."""
 
+MAX_KNOWN = 3
+"""Engines that are asked because they have read the prompt's shared part; the others
+are the homes of the context and at least one by chance."""
+
 
 @define(eq=False)
 class WorkloadLookup:
@@ -38,7 +42,11 @@
         self._draws += 1
         draw = f"{self.relayed.metadata.request_id}-{self._draws}"
         names = chooser.list_engine_names()
-        self._asked = tuple(choose_candidates(names, chooser.context, draw))
+        asked = choose_candidates(names, chooser.context, draw)
+        known = self.relayed.prefill_sharing.list_engines(names)
+        # They take the place of drawn ones, so that there are no more messages.
+        preferred = dict.fromkeys((*known[:MAX_KNOWN], *asked))
+        self._asked = tuple(preferred)[: len(asked)]
         self._found = await directory.find(self._asked)
         self._found_at = trio.current_time()
 
--- a/medlarrail/relay/workload_tracker.py
+++ b/medlarrail/relay/workload_tracker.py
@@ -50,6 +50,8 @@
     engine: str
     unread: int
     held: int
+    report: "ReadReport | None" = None  # noqa: F821
+    """Tells what becomes of the shared part that is read with the prompt."""
 
 
 @define
@@ -81,12 +83,16 @@
 
     def record_prefilled(self, prompt: TrackedPrompt) -> None:
         """Record the end of a prompt's prefill: its answer has started."""
+        if prompt.report is not None:
+            prompt.report.record_read()
         if prompt.unread:
             prompt.unread = 0
             self._notify()
 
     def end(self, prompt: TrackedPrompt) -> None:
         """Remove a finished prompt."""
+        if prompt.report is not None:
+            prompt.report.record_end()
         self._prompts.discard(prompt)
         self._notify()
 
