Endpoint model: learn the prefill speed of engines from answers

Cause: PREFILL_TOKENS_PER_MS (50) stood for the engines of all deployments, which read 48.2 to 157 tokens per ms. On the fastest, each wait, refusal and Retry-After of a long prompt was three times too long.

Change: policy/endpoint_model.py learns the speed of each service, and of engines with five answers of their own, from the time to the first event. Prompts without a known backlog that the engine had to read whole give points, of which a high quantile is used; prompts with a backlog or a fetch are lower bounds. Without five answers the speed is 50; it is bounded by 20 and 400, kept through restarts and new weights until there are five new answers, and for 600 s at most. Used for the dispatch of long prompts, the comparison of engines, and the question whether a part is worth fetching. Where parts are saved still follows the constant: all gateways have to find the same homes. Counter prefill_samples, tokens_per_ms in request:dispatch.

--- a/medlarrail/platform/prompts_test.py
+++ b/medlarrail/platform/prompts_test.py
@@ -13,6 +13,8 @@
 from medlarrail.core.entities import DesiredVersion
 from medlarrail.core.scopes import ContextScope
 from medlarrail.platform.header_codec import REPORT_PATH, PlatformHeaderCodec
+from medlarrail.policy.endpoint_model import MIN_SAMPLES
+from medlarrail.policy.prompt_length import PREFILL_TOKENS_PER_MS
 from medlarrail.relay.context_index import ContextIndex
 from medlarrail.relay.workload_tracker import EngineTokens, WorkloadReport
 from medlarrail.testing.builders import build_deployment, build_route
@@ -130,6 +132,17 @@
     assert not busy.requests and len(idle.requests) == 5
 
 
+async def test_the_speed_of_the_engines_is_learned_from_answers(nursery):
+    """Prompts were refused before engines that read three times as fast as the
+    constant. These answer at once."""
+    harness = await start_prompt_relay(nursery, FixedContextStoreClient())
+    speeds = harness.relay.speeds
+    for _ in range(MIN_SAMPLES):
+        assert speeds.get_tokens_per_ms("guide") == PREFILL_TOKENS_PER_MS
+        await harness.send(PROMPT)
+    assert speeds.get_tokens_per_ms("guide") > PREFILL_TOKENS_PER_MS
+
+
 async def test_a_prompt_queues_until_an_engine_is_idle(nursery):
     """All engines are busy beyond the latency target and become idle after 0.5 s."""
     harness = await start_prompt_relay(nursery, FixedContextStoreClient())
--- a/medlarrail/policy/context.py
+++ b/medlarrail/policy/context.py
@@ -63,23 +63,38 @@
 
 
 def plan_transfers(
-    parts: Sequence[PartView], stores: Sequence[StoreView], data_centre: str
+    parts: Sequence[PartView],
+    stores: Sequence[StoreView],
+    data_centre: str,
+    tokens_per_ms: float = PREFILL_TOKENS_PER_MS,
 ) -> TransferPlan:
-    """Return the transfers for a request that runs in ``data_centre``."""
+    """Return the transfers for a request that runs in ``data_centre``.
+
+    ``tokens_per_ms`` is the speed of the engines, as this entry has learned it. It
+    decides what is fetched, not where parts are saved: all entries have to find the
+    same homes of a part.
+    """
     return TransferPlan(
-        fetch=tuple(_choose_source(part, stores, data_centre) for part in parts),
+        fetch=tuple(
+            _choose_source(part, stores, data_centre, tokens_per_ms) for part in parts
+        ),
         save=tuple(_choose_target(part, stores) for part in parts),
     )
 
 
-def is_worthwhile(tokens: int, store: StoreView) -> bool:
+def is_worthwhile(
+    tokens: int, store: StoreView, tokens_per_ms: float = PREFILL_TOKENS_PER_MS
+) -> bool:
     """Return whether a transfer starts well before prefill would have finished."""
-    prefill_ms = tokens / PREFILL_TOKENS_PER_MS
+    prefill_ms = tokens / tokens_per_ms
     return store.first_ms <= max(LOW_LATENCY_MS, MAX_WAIT_RATIO * prefill_ms)
 
 
 def _choose_source(
-    part: PartView, stores: Sequence[StoreView], data_centre: str
+    part: PartView,
+    stores: Sequence[StoreView],
+    data_centre: str,
+    tokens_per_ms: float,
 ) -> str:
     """Return the nearest store that holds the part, or an empty string."""
     sources = [
@@ -87,7 +102,7 @@
         for store in stores
         if store.fetchable
         and store.address in part.held_at
-        and is_worthwhile(part.tokens, store)
+        and is_worthwhile(part.tokens, store, tokens_per_ms)
     ]
     source = min(
         sources,
--- a/medlarrail/policy/workload.py
+++ b/medlarrail/policy/workload.py
@@ -44,6 +44,7 @@
 
     ``unread`` counts prompts whose answer has not started, ``held`` counts all
     running prompts, and ``memory_tokens`` is the engine's capacity, 0 if unknown.
+    ``tokens_per_ms`` is its prefill speed, as learned from answers.
     """
 
     name: str
@@ -54,6 +55,7 @@
     failure_rate: float = 0.0
     relative_latency: float = 1.0
     suspected: bool = False
+    tokens_per_ms: float = PREFILL_TOKENS_PER_MS
 
 
 @frozen
@@ -66,13 +68,17 @@
 
 
 def get_workload_cost(engine: EngineWorkload, prompt: Prompt) -> float:
-    """Return the cost until the engine has prefilled the prompt, in tokens."""
+    """Return the cost until the engine has prefilled the prompt, in tokens.
+
+    Tokens of an engine of another speed count by the time that they take.
+    """
     cost = engine.unread + prompt.unread
     if engine.memory_tokens:
         deficit = engine.held + prompt.tokens - engine.memory_tokens
         cost += MEMORY_DEFICIT_FACTOR * max(0.0, deficit)
     if engine.relative_latency > SLOW_LATENCY_RATIO:
         cost *= engine.relative_latency
+    cost *= PREFILL_TOKENS_PER_MS / engine.tokens_per_ms
     cost += OUTDATED_PENALTY_TOKENS * engine.outdated
     return cost + FAILURE_PENALTY_TOKENS * engine.failure_rate
 
@@ -157,8 +163,8 @@
     engine that lacks memory for it: it would evict others, which would need prefill
     again.
     """
-    backlog_ms = engine.unread / PREFILL_TOKENS_PER_MS
-    first_ms = backlog_ms + prompt.unread / PREFILL_TOKENS_PER_MS
+    backlog_ms = engine.unread / engine.tokens_per_ms
+    first_ms = backlog_ms + prompt.unread / engine.tokens_per_ms
     lacks_memory = (
         0 < engine.memory_tokens < engine.held + prompt.tokens and engine.held > 0
     )
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -40,6 +40,7 @@
     RequestMetadata,
 )
 from medlarrail.relay.outbound import MAX_TURN_S, AnswerHead, OutboundConnection
+from medlarrail.relay.prefill_speeds import build_first_event
 from medlarrail.relay.table import Admission
 from medlarrail.relay.workload_tracker import TrackedPrompt
 from medlarrail.transport.framing import Framing
@@ -576,3 +577,22 @@
             get_metrics().observe("first_part", self.first_byte_s)
             if self._tracked_prompt is not None:
                 self.relayed.relay.workload.record_prefilled(self._tracked_prompt)
+                self._record_prefill_speed()
+
+    def _record_prefill_speed(self) -> None:
+        """Record how long the engine took to read a long prompt.
+
+        An answer that is no stream begins after its end, a stream that goes on has
+        further tokens to read, and a cold engine is not at its speed yet.
+        """
+        relayed = self.relayed
+        if self.events is None or self.events.resumed_after or self.cold_send:
+            return
+        event = build_first_event(
+            self.endpoint,
+            relayed.metadata,
+            self.dispatch,
+            self._tracked_prompt.backlog,
+            self.first_byte_s,
+        )
+        relayed.relay.speeds.record(relayed.service.name, event)
--- a/medlarrail/relay/context_index.py
+++ b/medlarrail/relay/context_index.py
@@ -31,6 +31,7 @@
     can_save,
     plan_transfers,
 )
+from medlarrail.policy.prompt_length import PREFILL_TOKENS_PER_MS
 from medlarrail.relay.metadata import PromptPart
 
 LONG_POLL_MS = 1000
@@ -266,17 +267,22 @@
     # Planning.
 
     def plan(
-        self, scope: str, parts: Sequence[PromptPart], data_centre: str
+        self,
+        scope: str,
+        parts: Sequence[PromptPart],
+        data_centre: str,
+        tokens_per_ms: float = PREFILL_TOKENS_PER_MS,
     ) -> TransferPlan:
         """Return the transfers for the shared parts of a prompt.
 
+        ``tokens_per_ms`` is the prefill speed of the engine that the prompt goes to.
         Planned saves are recorded as pending, so that later requests do not repeat
         them.
         """
         now = self.clock()
         views = [self._build_part_view(scope, part, now) for part in parts]
         stores = [self._build_store_view(index, now) for index in self.stores.values()]
-        plan = plan_transfers(views, stores, data_centre)
+        plan = plan_transfers(views, stores, data_centre, tokens_per_ms)
         for part, target in zip(parts, plan.save, strict=True):
             if target:
                 self.stores[target].pending_saves[scope, part.identity] = PendingSave(
--- a/medlarrail/relay/endpoint_choice.py
+++ b/medlarrail/relay/endpoint_choice.py
@@ -15,12 +15,7 @@
     choose_least_loaded,
     get_load,
 )
-from medlarrail.policy.prompt_length import (
-    PREFILL_TOKENS_PER_MS,
-    are_all_full,
-    is_long,
-    list_engines,
-)
+from medlarrail.policy.prompt_length import are_all_full, is_long, list_engines
 from medlarrail.policy.rollout import VersionUse, choose_versions
 from medlarrail.policy.workload import (
     DispatchAction,
@@ -38,12 +33,14 @@
 class Choice:
     """The chosen endpoint, or None if none is available, and the action to take.
 
-    ``backlog_ms`` is the endpoint's pending prefill time, set for long prompts only.
+    ``backlog_ms`` is the endpoint's pending prefill time and ``tokens_per_ms`` its
+    prefill speed, set for long prompts only.
     """
 
     endpoint: EndpointView | None = None
     action: DispatchAction = "send"
     backlog_ms: float = 0.0
+    tokens_per_ms: float = 0.0
 
 
 @define(eq=False)
@@ -55,6 +52,8 @@
     service: ServiceRule = field(init=False)
     metadata: RequestMetadata = field(init=False)
     is_long: bool = field(init=False)
+    backlog_tokens: float = 0.0
+    """Tokens that await prefill at the chosen engine, set for long prompts only."""
 
     def __attrs_post_init__(self):
         self.relay = self.relayed.relay
@@ -182,12 +181,14 @@
             self._build_workloads(candidates), prompt, self.context
         )
         choice = self._build_choice(engine, available)
+        self.backlog_tokens = 0.0 if engine is None else engine.unread
         if engine is None or self.relayed.exchange.started:
             return choice
         return evolve(
             choice,
             action=decide_dispatch(engine, prompt, self._get_time_budget()),
-            backlog_ms=engine.unread / PREFILL_TOKENS_PER_MS,
+            backlog_ms=engine.unread / engine.tokens_per_ms,
+            tokens_per_ms=engine.tokens_per_ms,
         )
 
     def _build_workloads(self, candidates: list[Candidate]) -> list[EngineWorkload]:
@@ -215,6 +216,9 @@
             unread=tokens.unread,
             held=tokens.held,
             memory_tokens=self.service.engine.memory_tokens,
+            tokens_per_ms=self.relay.speeds.get_tokens_per_ms(
+                self.service.name, candidate.name
+            ),
             outdated=candidate.outdated,
             failure_rate=candidate.failure_rate,
             relative_latency=candidate.relative_latency,
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -227,6 +227,7 @@
                 outcome=choice.action,
                 waited_ms=round(waited_s * 1000, 1),
                 backlog_ms=round(choice.backlog_ms, 1),
+                tokens_per_ms=round(choice.tokens_per_ms, 1),
                 prompt_tokens=self.metadata.prompt_tokens,
             )
         if choice.action == "refuse":
@@ -286,7 +287,10 @@
         pairs = zip(self.metadata.parts, dispatch.fetch, strict=False)
         fetched = sum(part.tokens for part, source in pairs if source)
         unread = max(0, tokens - fetched)
-        return self.relay.workload.begin(endpoint.announced.name, unread, tokens)
+        backlog = self.chooser.backlog_tokens
+        return self.relay.workload.begin(
+            endpoint.announced.name, unread, tokens, backlog
+        )
 
     def get_scope(self, version: int) -> str:
         """Return the cache namespace of this request's context."""
@@ -337,7 +341,14 @@
                 return TransferPlan()
             plan = located.plan
         else:
-            plan = context.plan(scope, parts[:-1], endpoint.announced.data_centre)
+            plan = context.plan(
+                scope,
+                parts[:-1],
+                endpoint.announced.data_centre,
+                self.relay.speeds.get_tokens_per_ms(
+                    self.service.name, endpoint.announced.name
+                ),
+            )
         return TransferPlan((*plan.fetch, ""), (*plan.save, ""))
 
     async def _attempt(self, endpoint: EndpointView) -> bool:
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -39,6 +39,7 @@
     REPLY_PREFIX,
     PartDirectory,
 )
+from medlarrail.relay.prefill_speeds import ServiceSpeeds
 from medlarrail.relay.relayed_request import RelayedRequest
 from medlarrail.relay.room_queue import RoomQueue
 from medlarrail.relay.shutdown import Shutdown
@@ -101,11 +102,13 @@
     limits: LimitReporter = field(init=False)
     forwarder: Forwarder = field(init=False)
     origins: StreamOriginDirectory = field(init=False)
+    speeds: ServiceSpeeds = field(init=False)
     _budgets: dict[str, RetryBudget] = field(factory=dict)
     _room_queues: dict[str, RoomQueue] = field(factory=dict)
 
     def __attrs_post_init__(self):
         entry = self.endpoint_stats.entry
+        self.speeds = ServiceSpeeds(lambda: self.endpoint_stats.clock())
         self.crashes = CrashReporter(self.cluster_view, self.pool, entry)
         self.blocked_prompts = BlockedPrompts(self.cluster_view, entry)
         self.suspected_requests = SuspectedRequests(self.cluster_view, entry)
@@ -276,6 +279,7 @@
             self.forwarder.pool.close_expired()
             for name in self.endpoint_stats.drop_departed():
                 self.limits.drop(name)
+            self.speeds.drop_departed(self.cluster_view.endpoints)
             present = {
                 endpoint.announced.address
                 for endpoint in self.cluster_view.endpoints.values()
--- a/medlarrail/relay/workload_tracker.py
+++ b/medlarrail/relay/workload_tracker.py
@@ -45,11 +45,15 @@
 
 @define(eq=False)
 class TrackedPrompt:
-    """A prompt that this entry has sent to an engine and that has not ended."""
+    """A prompt that this entry has sent to an engine and that has not ended.
+
+    ``backlog`` are the tokens that were known to await prefill there when it was sent.
+    """
 
     engine: str
     unread: int
     held: int
+    backlog: float = 0.0
 
 
 @define
@@ -72,9 +76,11 @@
     _reports: dict[str, ReceivedReport] = field(factory=dict)
     _sequence: int = 0
 
-    def begin(self, engine: str, unread: int, held: int) -> TrackedPrompt:
+    def begin(
+        self, engine: str, unread: int, held: int, backlog: float = 0.0
+    ) -> TrackedPrompt:
         """Record a prompt that is sent to ``engine``."""
-        prompt = TrackedPrompt(engine, unread, held)
+        prompt = TrackedPrompt(engine, unread, held, backlog)
         self._prompts.add(prompt)
         self._notify()
         return prompt
