Long prompts: wait in turns, refuse at the last chance, spread returns

Cause: each waiting prompt of each gateway looked for an idle engine ten times a second. With a thousand of them in a burst, about twenty saw the same idle engine within the 8 ms until its coordinator knew of the first, and all were sent there. Prompts without an idle engine were sent at their last chance as long as the backlog was below the latency objective. Both made new prompts late, which then did the same.

Change: policy/prompt_turns.py. Prompts that can still be in time look on their own; of the others, one at each gateway has the turn, the oldest one, and passes it on after five looks. A prompt that could have been in time is refused at its last chance unless an engine is idle; only one that is too large for its objective is still sent then. A prompt is refused at once if the expected wait, from those ahead and the rate of the last 2 s, exceeds its caller's patience. Retry-After is drawn between one and three times that patience. request:dispatch has expected_wait_ms.

Tests: policy/workload, policy/prompt_turns, platform/prompts, relay/retry_after, relay/relay, relay/restarted_endpoints, core/layers pass; all of relay/ was not run.

--- a/medlarrail/policy/workload.py
+++ b/medlarrail/policy/workload.py
@@ -148,23 +148,33 @@
     left_ms: float
     target_ms: float
 
+    @property
+    def patience_ms(self) -> float:
+        """The time after which the caller gives up, from its request on."""
+        return self.left_ms + self.target_ms - self.target_left_ms
+
 
 def decide_dispatch(
-    engine: EngineWorkload, prompt: Prompt, budget: TimeBudget
+    engine: EngineWorkload, prompt: Prompt, budget: TimeBudget, wait_ms: float = 0.0
 ) -> DispatchAction:
     """Return whether a long prompt is sent to the best ``engine``, waits or is refused.
 
+    ``wait_ms`` is the expected wait of a late prompt, 0 if it is unknown.
+
     Handles more long prompts than the engines can prefill, as after a change of
     weights: if each were sent at once, all of them would be late, and most would
     still be late long after the overload. Prompts that can meet the latency target
-    go first. A prompt that cannot waits until an engine is idle, or until its last
-    chance to be sent, unless it would then make later prompts miss their target. One
-    whose caller would give up first is refused at once. No prompt goes to a non-empty
+    go first. A prompt that cannot waits until an engine is idle, and is refused if none
+    is at its last chance: sent there, it would make others miss their target, which
+    would be sent at their last chance in turn. Only a prompt that is too large to meet
+    its target is sent then, unless later prompts would miss theirs. One whose caller
+    would give up first is refused at once. No prompt goes to a non-empty
     engine that lacks memory for it: it would evict others, which would need prefill
     again.
     """
     backlog_ms = engine.unread / engine.tokens_per_ms
-    first_ms = backlog_ms + prompt.unread / engine.tokens_per_ms
+    prefill_ms = prompt.unread / engine.tokens_per_ms
+    first_ms = backlog_ms + prefill_ms
     lacks_memory = (
         0 < engine.memory_tokens < engine.held + prompt.tokens and engine.held > 0
     )
@@ -174,6 +184,10 @@
         return "send"
     if first_ms > budget.left_ms:
         return "refuse"
+    if prefill_ms > budget.target_left_ms and wait_ms + prefill_ms > budget.left_ms:
+        return "refuse"
     if first_ms + DISPATCH_MARGIN_MS < budget.left_ms:
         return "wait"
-    return "refuse" if lacks_memory or backlog_ms > budget.target_ms else "send"
+    if lacks_memory or prefill_ms <= budget.target_ms:
+        return "refuse"
+    return "refuse" if backlog_ms > budget.target_ms else "send"
--- a/medlarrail/relay/endpoint_choice.py
+++ b/medlarrail/relay/endpoint_choice.py
@@ -34,13 +34,16 @@
     """The chosen endpoint, or None if none is available, and the action to take.
 
     ``backlog_ms`` is the endpoint's pending prefill time and ``tokens_per_ms`` its
-    prefill speed, set for long prompts only.
+    prefill speed, ``prefill_ms`` the time to read the prompt there and ``budget`` what
+    is left of its time; set for long prompts only.
     """
 
     endpoint: EndpointView | None = None
     action: DispatchAction = "send"
     backlog_ms: float = 0.0
     tokens_per_ms: float = 0.0
+    prefill_ms: float = 0.0
+    budget: TimeBudget | None = None
 
 
 @define(eq=False)
@@ -184,11 +187,16 @@
         self.backlog_tokens = 0.0 if engine is None else engine.unread
         if engine is None or self.relayed.exchange.started:
             return choice
+        budget = self._get_time_budget()
         return evolve(
             choice,
-            action=decide_dispatch(engine, prompt, self._get_time_budget()),
+            action=decide_dispatch(
+                engine, prompt, budget, self.relayed.prompt_wait.get_wait_ms()
+            ),
             backlog_ms=engine.unread / engine.tokens_per_ms,
             tokens_per_ms=engine.tokens_per_ms,
+            prefill_ms=prompt.unread / engine.tokens_per_ms,
+            budget=budget,
         )
 
     def _build_workloads(self, candidates: list[Candidate]) -> list[EngineWorkload]:
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -34,6 +34,7 @@
 from medlarrail.core.scopes import ContextScope
 from medlarrail.policy.answer_end import EndEvidence
 from medlarrail.policy.context import TransferPlan
+from medlarrail.policy.prompt_turns import get_retry_after_s
 from medlarrail.policy.stream_order import StreamOrder, describe_id
 from medlarrail.relay.attempt import Attempt, BufferedAnswer
 from medlarrail.relay.crash_evidence import CrashEvidence
@@ -41,6 +42,7 @@
 from medlarrail.relay.inbound import ServerExchange
 from medlarrail.relay.metadata import DispatchMetadata, RequestMetadata
 from medlarrail.relay.part_location import PartLocation
+from medlarrail.relay.prompt_wait import PromptWait
 from medlarrail.relay.request_forwarding import RequestForwarding
 from medlarrail.relay.room_wait import RoomWait
 from medlarrail.relay.stream_version import StreamVersion
@@ -86,6 +88,7 @@
     room_wait: RoomWait = field(init=False)
     part_location: PartLocation = field(init=False)
     workload_lookup: WorkloadLookup = field(init=False)
+    prompt_wait: PromptWait = field(init=False)
     evidence: CrashEvidence = field(init=False)
     chooser: EndpointChooser = field(init=False)
     stream_version: StreamVersion = field(init=False)
@@ -108,6 +111,7 @@
         self.room_wait = RoomWait(self)
         self.part_location = PartLocation(self)
         self.workload_lookup = WorkloadLookup(self)
+        self.prompt_wait = PromptWait(self)
 
     @property
     def last_event_id(self) -> str:
@@ -206,17 +210,21 @@
         began_at = trio.current_time()
         await self._wait_for_endpoints()
         await self.stream_version.resolve()
-        while True:
-            self.evidence.require_not_blocked()
-            self.relay.shutdown.require_time(
-                self.admission.route.name, self.exchange.request, self.deadline
-            )
-            await self.room_wait.run()
-            await self.part_location.run()
-            await self.workload_lookup.run()
-            if (choice := self.chooser.choose()).action != "wait":
-                break
-            await trio.sleep(DISPATCH_POLL_INTERVAL_S)
+        with self.prompt_wait.open():
+            while True:
+                self.evidence.require_not_blocked()
+                self.relay.shutdown.require_time(
+                    self.admission.route.name, self.exchange.request, self.deadline
+                )
+                await self.room_wait.run()
+                if self.prompt_wait.has_turn():
+                    await self.part_location.run()
+                    await self.workload_lookup.run()
+                    choice = self.chooser.choose()
+                    self.prompt_wait.record(choice)
+                    if choice.action != "wait":
+                        break
+                await trio.sleep(DISPATCH_POLL_INTERVAL_S)
         waited_s = trio.current_time() - began_at
         if waited_s > DISPATCH_POLL_INTERVAL_S or choice.action == "refuse":
             get_metrics().count("turns", outcome=choice.action)
@@ -228,11 +236,15 @@
                 waited_ms=round(waited_s * 1000, 1),
                 backlog_ms=round(choice.backlog_ms, 1),
                 tokens_per_ms=round(choice.tokens_per_ms, 1),
+                expected_wait_ms=round(self.prompt_wait.get_wait_ms(), 1),
                 prompt_tokens=self.metadata.prompt_tokens,
             )
         if choice.action == "refuse":
             raise self.failure or Overloaded(
-                endpoint=self.service.name, retry_after_s=choice.backlog_ms / 1000
+                endpoint=self.service.name,
+                retry_after_s=get_retry_after_s(
+                    choice.budget.patience_ms, self.metadata.request_id
+                ),
             )
         return choice.endpoint
 
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -21,6 +21,7 @@
 from medlarrail.policy.answer_memory import AnswerMemory
 from medlarrail.policy.isolation import IsolationPolicy
 from medlarrail.policy.prompt_length import PromptMix
+from medlarrail.policy.prompt_turns import PromptTurns
 from medlarrail.policy.rate_limits import RetryBudget
 from medlarrail.policy.shares import get_share
 from medlarrail.protocol.stream_origins import REPLY_PREFIX as ORIGIN_REPLY_PREFIX
@@ -105,6 +106,7 @@
     speeds: ServiceSpeeds = field(init=False)
     _budgets: dict[str, RetryBudget] = field(factory=dict)
     _room_queues: dict[str, RoomQueue] = field(factory=dict)
+    _prompt_turns: dict[str, PromptTurns] = field(factory=dict)
 
     def __attrs_post_init__(self):
         entry = self.endpoint_stats.entry
@@ -143,6 +145,10 @@
             queue = self._room_queues[service] = RoomQueue()
         return queue
 
+    def get_prompt_turns(self, service: str) -> PromptTurns:
+        """Return the long prompts that wait for the engines of a service."""
+        return self._prompt_turns.setdefault(service, PromptTurns())
+
     async def answer(self, exchange: ServerExchange) -> None:
         """Answer one request, with an error answer if it fails."""
         exchange.request = self.forwarder.take_proof(exchange.request)
