Short prompts: slow endpoints no longer raise the limit for contexts

Cause: an endpoint gets its own contexts up to 1.25 times the mean cost. Cost is load times relative latency, so engines of a third of the speed raised the mean and kept their contexts in a burst while fast ones had room.

Change: the limit is the cost of the mean load at an endpoint of harmonic mean latency. For endpoints of equal speed that is the mean cost, as before.

With equal plain endpoints, one of three away or a burst of 2.6 times, none is late under the present rule. The rule for plain requests stays.

--- a/medlarrail/policy/placement.py
+++ b/medlarrail/policy/placement.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Sequence
+from statistics import fmean, harmonic_mean
 
 from attrs import frozen
 
@@ -92,7 +93,13 @@
 def choose_by_context(
     candidates: Sequence[Candidate], entry_count: int, context: str
 ) -> Candidate | None:
-    """Return the preferred endpoint for ``context``, or a less loaded one."""
+    """Return the preferred endpoint for ``context``, or a less loaded one.
+
+    Handles endpoints of one to three times speed under a burst: slow ones raised the
+    mean cost, so that they kept their contexts although fast ones had room. The limit
+    is therefore the cost of the mean load at an endpoint of harmonic mean latency,
+    which follows the fast ones.
+    """
     available = [
         candidate for candidate in candidates if not candidate.suspected
     ] or list(candidates)
@@ -101,7 +108,9 @@
     costs = {
         candidate.name: get_cost(candidate, entry_count) for candidate in available
     }
-    mean = sum(costs.values()) / len(costs)
+    latencies = [candidate.relative_latency for candidate in available]
+    loads = [costs[c.name] / c.relative_latency for c in available]
+    mean = fmean(loads) * harmonic_mean(latencies)
     slack = OVERLOAD_SLACK / max(1, min(candidate.slots for candidate in available))
     limit = mean * OVERLOAD_FACTOR + slack
     ranked = sorted(
--- a/medlarrail/policy/placement_test.py
+++ b/medlarrail/policy/placement_test.py
@@ -3,11 +3,19 @@
 import random
 from collections import Counter
 
+import pytest
+from attrs import evolve
+
+from medlarrail.core.placement import get_weight
 from medlarrail.policy.placement import (
+    OVERLOAD_FACTOR,
+    OVERLOAD_SLACK,
     Candidate,
     choose_by_context,
     choose_least_loaded,
+    get_cost,
 )
+from medlarrail.testing.engine_replay import EndpointLoad, PlacementReplay
 
 ENTRIES = 7
 
@@ -118,3 +126,68 @@
             for candidate in candidates
         ]
         assert choose_by_context(busy, ENTRIES, "hot").name != preferred.name
+
+
+SHORT = EndpointLoad(
+    slowness=(1.0,) * 4 + (2.0,) * 3 + (3.0,) * 3,
+    slots=32,
+    work_ms=70.0,
+    rate=422.0,
+    gateways=63,
+    target_ms=423.0,
+    burst=2.6,
+    contexts=40,
+    batch_factor=1.5,
+)
+"""Short prompts on ten engines of one to three times speed."""
+SMALL_SHORT = evolve(SHORT, slowness=(1.0, 2.0, 3.0), rate=120.0, gateways=7)
+PLAIN = EndpointLoad(
+    slowness=(1.0,) * 3, slots=6, work_ms=22.5, rate=170.0, gateways=63, target_ms=155.0
+)
+
+
+def choose_by_mean_cost(candidates, views, now, entry_count, context):
+    """Earlier policy: the limit is relative to the mean cost."""
+    costs = {
+        candidate.name: get_cost(candidate, entry_count) for candidate in candidates
+    }
+    slack = OVERLOAD_SLACK / min(candidate.slots for candidate in candidates)
+    limit = OVERLOAD_FACTOR * sum(costs.values()) / len(costs) + slack
+    for candidate in sorted(candidates, key=lambda c: -get_weight(c.name, context)):
+        if costs[candidate.name] <= limit:
+            return candidate.name
+    return min(candidates, key=lambda candidate: costs[candidate.name]).name
+
+
+def choose_context(candidates, views, now, entry_count, context):
+    return choose_by_context(candidates, entry_count, context).name
+
+
+def choose_plain(candidates, views, now, entry_count, context):
+    tie_breaker = f"{now}"
+    return choose_least_loaded(candidates, entry_count, tie_breaker).name
+
+
+class TestReplayedLoad:
+    """Every gateway knows an endpoint by its own answers, up to a second old."""
+
+    @pytest.mark.parametrize("load", [SHORT, SMALL_SHORT])
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_slow_endpoints_do_not_keep_their_contexts_in_a_burst(self, load, seed):
+        before = PlacementReplay(load, choose_by_mean_cost, seed).run()
+        after = PlacementReplay(load, choose_context, seed).run()
+        assert after.get_late_share() < 0.8 * before.get_late_share()
+
+    @pytest.mark.parametrize("away", [0, 3])
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_equal_endpoints_are_as_before(self, away, seed):
+        """Also with a quarter of the endpoints away and back."""
+        load = evolve(SHORT, slowness=(1.0,) * 10, away=away)
+        assert not PlacementReplay(load, choose_context, seed).run().get_late_share()
+
+    @pytest.mark.parametrize("away", [0, 1])
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_old_reports_send_no_waves_to_plain_endpoints(self, away, seed):
+        """Retries return as a burst to three endpoints, seen by 63 gateways."""
+        load = evolve(PLAIN, burst=2.6, away=away)
+        assert not PlacementReplay(load, choose_plain, seed).run().get_late_share()
--- a/medlarrail/testing/engine_replay.py
+++ b/medlarrail/testing/engine_replay.py
@@ -1,4 +1,4 @@
-"""Replays load on engines that gateways place prompts at, without a network.
+"""Replays load on engines and services that gateways place requests at.
 
 A few lines stand for an engine: it prefills one prompt at a time, in chunks between the
 steps of running requests, within its memory. Gateways know the workload of an engine
@@ -13,6 +13,8 @@
 
 from attrs import define, field, frozen
 
+from medlarrail.core.moving_average import update_mean
+from medlarrail.policy.placement import Candidate
 from medlarrail.policy.prompt_turns import PromptTurns, WaitingPrompt
 from medlarrail.policy.workload import (
     DISPATCH_MARGIN_MS,
@@ -24,6 +26,7 @@
     choose_candidates,
 )
 
+REPORT_TTL_S = 1.0
 CHUNK_TOKENS = 2048
 REPORT_DELAY_S = 0.008
 POLL_INTERVAL_S = 0.04
@@ -303,3 +306,133 @@
     7, 56.6, 5.0, 79_000, 8.0, 7, 1000, 5000, 24, worth=3.0, late_worth=1.0
 )
 """A small deployment of 9 engines, of which 0.78 serve long prompts."""
+
+
+@frozen
+class EndpointLoad:
+    """A service's endpoints, and the load on them; ``slowness`` is one of each."""
+
+    slowness: tuple[float, ...]
+    slots: int
+    work_ms: float
+    rate: float
+    gateways: int
+    target_ms: float
+    burst: float = 1.0
+    away: int = 0
+    """Endpoints that are away from 3 s to 6 s."""
+    contexts: int = 0
+    """Shared parts of prompts, 0 for plain requests."""
+    batch_factor: float = 0.0
+    """How much longer a request takes in a full batch than alone."""
+
+
+@define(eq=False)
+class EndpointView:
+    """What one gateway knows of an endpoint."""
+
+    in_flight: int = 0
+    reported: float | None = None
+    reported_at: float = float("-inf")
+    answer_s: float = 0.0
+    sent_at: list[float] = field(factory=list)
+
+
+@define(eq=False)
+class ReplayedEndpoint:
+    """An endpoint that runs requests in its slots, in order."""
+
+    slowness: float
+    running: int = 0
+    queue: deque = field(factory=deque)
+
+
+Chooser = Callable[[list[Candidate], dict[str, EndpointView], float, int, str], str]
+
+
+@define
+class PlacementReplay:
+    """One run of 10 s, with a burst from 4 s to 7 s; ``times`` are in seconds."""
+
+    load: EndpointLoad
+    choose: Chooser
+    seed: int = 1
+    times: list[float] = field(factory=list)
+    counts: Counter[str] = field(factory=Counter)
+    _events: list = field(factory=list)
+    _number: count = field(factory=count)
+    _endpoints: dict[str, ReplayedEndpoint] = field(factory=dict)
+    _views: dict[tuple[int, str], EndpointView] = field(factory=dict)
+
+    def run(self) -> "PlacementReplay":
+        """Run until every request is answered."""
+        load, rng = self.load, random.Random(self.seed)
+        for number, slowness in enumerate(load.slowness):
+            self._endpoints[f"e{number}"] = ReplayedEndpoint(slowness)
+        now = 0.0
+        while now < 10.0:
+            in_burst = 4.0 <= now < 7.0
+            now += rng.expovariate(load.rate * (load.burst if in_burst else 1.0))
+            context = f"part-{rng.randrange(max(1, load.contexts))}"
+            self._push(now, self._place, rng.randrange(load.gateways), context)
+        while self._events:
+            now, _, act, args = heappop(self._events)
+            act(now, *args)
+        self.times.sort()
+        return self
+
+    def _push(self, at: float, act: Callable, *args) -> None:
+        heappush(self._events, (at, next(self._number), act, args))
+
+    def _place(self, now: float, gateway: int, context: str) -> None:
+        names = list(self._endpoints)
+        if 3.0 <= now < 6.0:
+            names = names[self.load.away :]
+        views = {
+            name: self._views.setdefault((gateway, name), EndpointView())
+            for name in names
+        }
+        known = [view.answer_s for view in views.values() if view.answer_s]
+        candidates = [
+            Candidate(
+                name,
+                view.in_flight,
+                view.reported if now - view.reported_at < REPORT_TTL_S else None,
+                self.load.slots,
+                relative_latency=max(1.0, view.answer_s / min(known, default=1.0)),
+            )
+            for name, view in views.items()
+        ]
+        name = self.choose(candidates, views, now, self.load.gateways, context)
+        self.counts[name] += 1
+        views[name].in_flight += 1
+        endpoint = self._endpoints[name]
+        request = (now, views[name], endpoint)
+        if endpoint.running < self.load.slots:
+            self._start(now, request)
+        else:
+            endpoint.queue.append(request)
+
+    def _start(self, now: float, request: tuple) -> None:
+        endpoint = request[2]
+        batch = 1.0 + self.load.batch_factor * endpoint.running / self.load.slots
+        endpoint.running += 1
+        work_s = self.load.work_ms / 1000 * endpoint.slowness * batch
+        self._push(now + work_s, self._answer, request)
+
+    def _answer(self, now: float, request: tuple) -> None:
+        sent_at, view, endpoint = request
+        endpoint.running -= 1
+        if endpoint.queue:
+            self._start(now, endpoint.queue.popleft())
+        seconds = now - sent_at
+        view.in_flight -= 1
+        view.reported = float(endpoint.running + len(endpoint.queue))
+        view.reported_at = now
+        view.answer_s = update_mean(view.answer_s or seconds, seconds)
+        self.times.append(seconds)
+
+    def get_late_share(self) -> float:
+        """Return the share of the requests beyond the latency target."""
+        target_s = self.load.target_ms / 1000
+        return sum(seconds > target_s for seconds in self.times) / len(self.times)
