--- a/medlarrail/policy/workload.py
+++ b/medlarrail/policy/workload.py
@@ -44,6 +44,7 @@
 
     ``unread`` counts prompts whose answer has not started, ``held`` counts all
     running prompts, and ``memory_tokens`` is the engine's capacity, 0 if unknown.
+    ``tokens_per_ms`` is its prefill speed, as learned from answers.
     ``saved`` are the tokens of the prompt to place that this engine need not prefill
     because it keeps them, or can fetch them faster; fewer than none if it has to wait
     for them. ``preferred`` are the tokens by which the prompt may be read later here.
@@ -57,6 +58,7 @@
     failure_rate: float = 0.0
     relative_latency: float = 1.0
     suspected: bool = False
+    tokens_per_ms: float = PREFILL_TOKENS_PER_MS
     saved: int = 0
     preferred: int = 0
 
@@ -75,13 +77,17 @@
 
 
 def get_workload_cost(engine: EngineWorkload, prompt: Prompt) -> float:
-    """Return the cost until the engine has prefilled the prompt, in tokens."""
+    """Return the cost until the engine has prefilled the prompt, in tokens.
+
+    Tokens of an engine of another speed count by the time that they take.
+    """
     cost = engine.unread + engine.count_unread(prompt) - engine.preferred
     if engine.memory_tokens:
         deficit = engine.held + prompt.tokens - engine.memory_tokens
         cost += MEMORY_DEFICIT_FACTOR * max(0.0, deficit)
     if engine.relative_latency > SLOW_LATENCY_RATIO:
         cost *= engine.relative_latency
+    cost *= PREFILL_TOKENS_PER_MS / engine.tokens_per_ms
     cost += OUTDATED_PENALTY_TOKENS * engine.outdated
     return cost + FAILURE_PENALTY_TOKENS * engine.failure_rate
 
@@ -136,6 +142,9 @@
 
 IDLE_MS = 100.0
 """Backlog up to which an engine counts as idle: waiting for less gains nothing."""
+MAX_QUEUE_RATIO = 0.8
+"""Part of the time left to the latency target that a prompt may take at an engine with
+a backlog, where more than ``MAX_REPORTING_ENTRIES`` send to the same engines."""
 DISPATCH_MARGIN_MS = 150.0
 """Time reserved to dispatch a late prompt, in addition to its prefill time."""
 
@@ -151,32 +160,52 @@
     left_ms: float
     target_ms: float
 
+    @property
+    def patience_ms(self) -> float:
+        """The time after which the caller gives up, from its request on."""
+        return self.left_ms + self.target_ms - self.target_left_ms
+
 
 def decide_dispatch(
-    engine: EngineWorkload, prompt: Prompt, budget: TimeBudget
+    engine: EngineWorkload,
+    prompt: Prompt,
+    budget: TimeBudget,
+    wait_ms: float = 0.0,
+    entry_count: int = 1,
 ) -> DispatchAction:
     """Return whether a long prompt is sent to the best ``engine``, waits or is refused.
 
+    ``wait_ms`` is the expected wait of a late prompt, 0 if it is unknown, and
+    ``entry_count`` the number of entries that send prompts to the same engines.
+
     Handles more long prompts than the engines can prefill, as after a change of
     weights: if each were sent at once, all of them would be late, and most would
     still be late long after the overload. Prompts that can meet the latency target
-    go first. A prompt that cannot waits until an engine is idle, or until its last
-    chance to be sent, unless it would then make later prompts miss their target. One
-    whose caller would give up first is refused at once. No prompt goes to a non-empty
+    go first. A prompt that cannot waits until an engine is idle, and is refused if none
+    is at its last chance: sent there, it would make others miss their target, which
+    would be sent at their last chance in turn. Only a prompt that is too large to meet
+    its target is sent then, unless later prompts would miss theirs. One whose caller
+    would give up first is refused at once. No prompt goes to a non-empty
     engine that lacks memory for it: it would evict others, which would need prefill
     again.
     """
-    backlog_ms = engine.unread / PREFILL_TOKENS_PER_MS
-    first_ms = backlog_ms + engine.count_unread(prompt) / PREFILL_TOKENS_PER_MS
+    backlog_ms = engine.unread / engine.tokens_per_ms
+    prefill_ms = engine.count_unread(prompt) / engine.tokens_per_ms
+    first_ms = backlog_ms + prefill_ms
     lacks_memory = (
         0 < engine.memory_tokens < engine.held + prompt.tokens and engine.held > 0
     )
+    queue_ratio = MAX_QUEUE_RATIO if entry_count > MAX_REPORTING_ENTRIES else 1.0
     if not lacks_memory and (
-        first_ms <= budget.target_left_ms or backlog_ms <= IDLE_MS
+        first_ms <= queue_ratio * budget.target_left_ms or backlog_ms <= IDLE_MS
     ):
         return "send"
     if first_ms > budget.left_ms:
         return "refuse"
+    if prefill_ms > budget.target_left_ms and wait_ms + prefill_ms > budget.left_ms:
+        return "refuse"
     if first_ms + DISPATCH_MARGIN_MS < budget.left_ms:
         return "wait"
-    return "refuse" if lacks_memory or backlog_ms > budget.target_ms else "send"
+    if lacks_memory or prefill_ms <= budget.target_ms:
+        return "refuse"
+    return "refuse" if backlog_ms > budget.target_ms else "send"
--- a/medlarrail/relay/prefill_sharing.py
+++ b/medlarrail/relay/prefill_sharing.py
@@ -21,7 +21,6 @@
     get_preference,
     plan_reading,
 )
-from medlarrail.policy.prompt_length import PREFILL_TOKENS_PER_MS
 from medlarrail.policy.workload import EngineWorkload, Prompt, TimeBudget
 from medlarrail.relay.metadata import DispatchMetadata
 from medlarrail.relay.prefill_memory import (
@@ -117,7 +116,7 @@
             return PREFILL
         part = self.relayed.metadata.largest_shared_part
         data_centre = endpoint.announced.data_centre
-        links = self._get_links()
+        links = self._get_links(name)
         return plan_reading(name, data_centre, part.tokens, self._sources, links)
 
     def add_reading(
@@ -155,7 +154,7 @@
     def _get_first_ms(self, engine: EngineWorkload, prompt: Prompt) -> float:
         """Return the expected time until an engine has read the prompt."""
         tokens = engine.unread + engine.count_unread(prompt)
-        return self._get_links().get_prefill_ms(tokens)
+        return self._get_links(engine.name).get_prefill_ms(tokens)
 
     def get_planned(self, endpoint: EndpointView) -> PartReading:
         """Return how an endpoint gets the part, if it is the chosen one."""
@@ -219,7 +218,8 @@
             first_ms = planned.first_ms
         else:
             tokens = self.relayed.metadata.prompt_tokens
-            first_ms = self._get_links().get_prefill_ms(tokens)
+            links = self._get_links(endpoint.announced.name)
+            first_ms = links.get_prefill_ms(tokens)
         report.notify(
             "reading",
             remaining_ms=round(first_ms),
@@ -372,9 +372,11 @@
         memory_tokens = self.relayed.service.engine.memory_tokens
         return get_cache_lifetime_s(memory_tokens, per_s, RETENTION_S)
 
-    def _get_links(self) -> EngineLinks:
-        engine = self.relayed.service.engine
-        return EngineLinks(PREFILL_TOKENS_PER_MS, engine.link_mbps, engine.token_bytes)
+    def _get_links(self, name: str) -> EngineLinks:
+        """Return what transfers to the engine ``name``, and prefills there, take."""
+        service = self.relayed.service
+        speed = self.relayed.relay.speeds.get_tokens_per_ms(service.name, name)
+        return EngineLinks(speed, service.engine.link_mbps, service.engine.token_bytes)
 
     def _get_version(self, endpoint: EndpointView) -> int:
         return endpoint.announced.get_version(self.relayed.metadata.model)
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -34,6 +34,7 @@
 from medlarrail.core.scopes import ContextScope
 from medlarrail.policy.answer_end import EndEvidence
 from medlarrail.policy.context import TransferPlan
+from medlarrail.policy.prompt_turns import get_retry_after_s
 from medlarrail.policy.stream_order import StreamOrder, describe_id
 from medlarrail.relay.attempt import Attempt, BufferedAnswer
 from medlarrail.relay.crash_evidence import CrashEvidence
@@ -42,6 +43,7 @@
 from medlarrail.relay.metadata import DispatchMetadata, RequestMetadata
 from medlarrail.relay.part_location import PartLocation
 from medlarrail.relay.prefill_sharing import PrefillSharing
+from medlarrail.relay.prompt_wait import PromptWait
 from medlarrail.relay.request_forwarding import RequestForwarding
 from medlarrail.relay.room_wait import RoomWait
 from medlarrail.relay.stream_version import StreamVersion
@@ -89,6 +91,7 @@
     part_location: PartLocation = field(init=False)
     prefill_sharing: PrefillSharing = field(init=False)
     workload_lookup: WorkloadLookup = field(init=False)
+    prompt_wait: PromptWait = field(init=False)
     evidence: CrashEvidence = field(init=False)
     chooser: EndpointChooser = field(init=False)
     stream_version: StreamVersion = field(init=False)
@@ -114,6 +117,7 @@
         self.part_location = PartLocation(self)
         self.prefill_sharing = PrefillSharing(self)
         self.workload_lookup = WorkloadLookup(self)
+        self.prompt_wait = PromptWait(self)
         if self.relay.rollouts is not None:
             self.version_choice = VersionChoice(self, self.relay.rollouts)
 
@@ -216,17 +220,21 @@
         began_at = trio.current_time()
         await self._wait_for_endpoints()
         await self.stream_version.resolve()
-        while True:
-            self.evidence.require_not_blocked()
-            self.relay.shutdown.require_time(
-                self.admission.route.name, self.exchange.request, self.deadline
-            )
-            await self.room_wait.run()
-            await self.part_location.run()
-            await self.workload_lookup.run()
-            if (choice := self.chooser.choose()).action != "wait":
-                break
-            await trio.sleep(DISPATCH_POLL_INTERVAL_S)
+        with self.prompt_wait.open():
+            while True:
+                self.evidence.require_not_blocked()
+                self.relay.shutdown.require_time(
+                    self.admission.route.name, self.exchange.request, self.deadline
+                )
+                await self.room_wait.run()
+                if self.prompt_wait.has_turn():
+                    await self.part_location.run()
+                    await self.workload_lookup.run()
+                    choice = self.chooser.choose()
+                    self.prompt_wait.record(choice)
+                    if choice.action != "wait":
+                        break
+                await trio.sleep(DISPATCH_POLL_INTERVAL_S)
         waited_s = trio.current_time() - began_at
         if waited_s > DISPATCH_POLL_INTERVAL_S or choice.action == "refuse":
             get_metrics().count("turns", outcome=choice.action)
@@ -237,11 +245,16 @@
                 outcome=choice.action,
                 waited_ms=round(waited_s * 1000, 1),
                 backlog_ms=round(choice.backlog_ms, 1),
+                tokens_per_ms=round(choice.tokens_per_ms, 1),
+                expected_wait_ms=round(self.prompt_wait.get_wait_ms(), 1),
                 prompt_tokens=self.metadata.prompt_tokens,
             )
         if choice.action == "refuse":
             raise self.failure or Overloaded(
-                endpoint=self.service.name, retry_after_s=choice.backlog_ms / 1000
+                endpoint=self.service.name,
+                retry_after_s=get_retry_after_s(
+                    choice.budget.patience_ms, self.metadata.request_id
+                ),
             )
         return choice.endpoint
 
@@ -297,7 +310,10 @@
         fetched = sum(part.tokens for part, source in pairs if source)
         fetched += self.prefill_sharing.count_cached_tokens(endpoint, dispatch)
         unread = max(0, tokens - fetched)
-        prompt = self.relay.workload.begin(endpoint.announced.name, unread, tokens)
+        backlog = self.chooser.backlog_tokens
+        prompt = self.relay.workload.begin(
+            endpoint.announced.name, unread, tokens, backlog
+        )
         prompt.report = self.prefill_sharing.record_sent(endpoint, dispatch)
         return prompt
 
@@ -351,7 +367,14 @@
                 return TransferPlan()
             plan = located.plan
         else:
-            plan = context.plan(scope, parts[:-1], endpoint.announced.data_centre)
+            plan = context.plan(
+                scope,
+                parts[:-1],
+                endpoint.announced.data_centre,
+                self.relay.speeds.get_tokens_per_ms(
+                    self.service.name, endpoint.announced.name
+                ),
+            )
         return TransferPlan((*plan.fetch, ""), (*plan.save, ""))
 
     async def _attempt(self, endpoint: EndpointView) -> bool:
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -22,6 +22,7 @@
 from medlarrail.policy.answer_memory import AnswerMemory
 from medlarrail.policy.isolation import IsolationPolicy
 from medlarrail.policy.prompt_length import PromptMix
+from medlarrail.policy.prompt_turns import PromptTurns
 from medlarrail.policy.rate_limits import RetryBudget
 from medlarrail.policy.shares import get_share
 from medlarrail.protocol.stream_origins import REPLY_PREFIX as ORIGIN_REPLY_PREFIX
@@ -42,6 +43,7 @@
     PartDirectory,
 )
 from medlarrail.relay.prefill_memory import PrefillMemory
+from medlarrail.relay.prefill_speeds import ServiceSpeeds
 from medlarrail.relay.relayed_request import RelayedRequest
 from medlarrail.relay.rollout_reporter import RolloutReporter
 from medlarrail.relay.rollout_traffic import RolloutTraffic
@@ -110,11 +112,14 @@
     limits: LimitReporter = field(init=False)
     forwarder: Forwarder = field(init=False)
     origins: StreamOriginDirectory = field(init=False)
+    speeds: ServiceSpeeds = field(init=False)
     _budgets: dict[str, RetryBudget] = field(factory=dict)
     _room_queues: dict[str, RoomQueue] = field(factory=dict)
+    _prompt_turns: dict[str, PromptTurns] = field(factory=dict)
 
     def __attrs_post_init__(self):
         entry = self.endpoint_stats.entry
+        self.speeds = ServiceSpeeds(lambda: self.endpoint_stats.clock())
         self.crashes = CrashReporter(self.cluster_view, self.pool, entry)
         self.blocked_prompts = BlockedPrompts(self.cluster_view, entry)
         self.suspected_requests = SuspectedRequests(self.cluster_view, entry)
@@ -149,6 +154,10 @@
             queue = self._room_queues[service] = RoomQueue()
         return queue
 
+    def get_prompt_turns(self, service: str) -> PromptTurns:
+        """Return the long prompts that wait for the engines of a service."""
+        return self._prompt_turns.setdefault(service, PromptTurns())
+
     async def answer(self, exchange: ServerExchange) -> None:
         """Answer one request, with an error answer if it fails."""
         exchange.request = self.forwarder.take_proof(exchange.request)
@@ -296,6 +305,7 @@
             self.forwarder.pool.close_expired()
             for name in self.endpoint_stats.drop_departed():
                 self.limits.drop(name)
+            self.speeds.drop_departed(self.cluster_view.endpoints)
             present = {
                 endpoint.announced.address
                 for endpoint in self.cluster_view.endpoints.values()
