Software rollouts: tests with real processes

The parts of software rollouts had only run apart from each other, against fakes of the others. These tests run state members, gateways and the soak's endpoints on loopback under 80 requests a second on two routes: a good version, one that fails a third of its requests, the leader killed after its acknowledgement, all state members and gateways killed during the trial, a gateway suspended over the roll-back, and a deployment without the settings.

The soak's endpoint can answer a share of its requests with 500 and leave out odd framings; its site has the limits of rollouts and other numbers of processes.

--- /dev/null
+++ b/medlarrail/platform/rollouts_test.py
@@ -0,0 +1,349 @@
+"""Software rollouts on the platform's wire, with real processes on loopback.
+
+State members and gateways run as in a deployment, and the endpoints are those of the
+soak, which record what they ran.
+"""
+
+import signal
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import orjson
+import trio
+from attrs import define, field
+
+from medlarrail.platform.soak.check import Run, read_runs
+from medlarrail.platform.soak.site import KEY, ROUTE_HOST, RunningProgram, Site
+from medlarrail.platform.soak.wire import (
+    EndedEarly,
+    MessageReader,
+    build_head,
+    call_any,
+    fetch,
+)
+from medlarrail.testing.scripted_endpoints import HOST
+
+SEED = 11
+LIMITS = {"exposure_ratio": 0.1, "exposure_slack": 50, "rollback_ms": 5000}
+SERVICE = "talk"
+OLD_COUNT = 3
+NEW_COUNT = 2
+BAD_SHARE = 1 / 3
+CALLER_COUNT = 16
+CALL_INTERVAL_S = 0.2
+"""Time between the requests of one caller: all together make 80 a second, of which the
+trial of ten seconds shows 80 at the target; the judgement needs about 60."""
+WAIT_TIMEOUT_S = 40.0
+POLL_S = 0.05
+ACKNOWLEDGEMENT_S = 5.0
+"""Time for which an operator sends an order again."""
+PROPAGATION_S = 1.0
+"""Time after a verdict until each gateway has it and requests sent before have come."""
+AFTER_S = 1.5
+"""Time after the verdict in which requests are sent to see where they go."""
+
+
+@define
+class CallerAnswer:
+    """What a caller got for one request; status 0 without an answer."""
+
+    sent_at: float
+    status: int
+
+
+@define(eq=False)
+class RolloutSite:
+    """A site with callers, and the calls of its operator."""
+
+    site: Site
+    old: list[RunningProgram] = field(factory=list)
+    new: list[RunningProgram] = field(factory=list)
+    answers: list[CallerAnswer] = field(factory=list)
+    ordered_at: float = 0.0
+    duration_s: float = 0.0
+    acknowledged: trio.Event = field(factory=trio.Event)
+    states_read: list[str] = field(factory=list)
+    """Each state that differs from the one before, as GET answered."""
+
+    # Callers.
+
+    async def send_steadily(self, number: int) -> None:
+        """Send requests on two routes, from one connection to one gateway."""
+        gateway = self.site.gateways[number % len(self.site.gateways)]
+        kind = ("safe", "unsafe")[number // 2 % 2]
+        await trio.sleep(CALL_INTERVAL_S * number / CALLER_COUNT)
+        stream = None
+        for count in range(1_000_000):
+            due = trio.current_time() + CALL_INTERVAL_S
+            answer = CallerAnswer(time.monotonic(), 0)
+            try:
+                if stream is None:
+                    stream = await trio.open_tcp_stream(HOST, gateway.port)
+                answer.status = await self.send(stream, kind, f"c{number}-{count}")
+            except (OSError, EndedEarly, trio.BrokenResourceError):
+                if stream is not None:
+                    await trio.aclose_forcefully(stream)
+                    stream = None
+            self.answers.append(answer)
+            await trio.sleep_until(due)
+
+    @staticmethod
+    async def send(stream: trio.SocketStream, kind: str, request_id: str) -> int:
+        headers = {
+            "Host": ROUTE_HOST,
+            "Request-Id": request_id,
+            "Api-Key": KEY,
+            "Token-Usage": "10,1",
+            "Deadline-Ms": 10_000,
+            "Content-Length": 0,
+        }
+        line = f"POST /{kind}/{request_id}/1 HTTP/1.1"
+        await stream.send_all(build_head(line, headers))
+        reader = MessageReader(stream)
+        head = await reader.read_head()
+        await reader.read_body(head)
+        return head.status
+
+    # Endpoints.
+
+    def start_new(self, **settings: object) -> None:
+        """Start endpoints of the target beside the old ones."""
+        self.site.engine_settings |= settings
+        self.new = [self.site.add_engine(SERVICE, "v2") for _ in range(NEW_COUNT)]
+
+    def list_runs(self, version: str) -> list[Run]:
+        """Return the runs at a version in the order of their beginning."""
+        names = {
+            program.settings_file.stem
+            for program in (*self.site.engines, *self.site.ended_engines)
+            if program.version == version
+        }
+        runs = (run for runs in read_runs(self.site.folder).values() for run in runs)
+        own = [run for run in runs if run.record in names]
+        return sorted(own, key=lambda run: run.began_at)
+
+    # Operator.
+
+    async def find_leader(self) -> RunningProgram:
+        """Return the member to which the others redirect."""
+        with trio.fail_after(WAIT_TIMEOUT_S):
+            while True:
+                for state in self.site.states:
+                    answer = await fetch("GET", f"{state.url}/rollouts/none")
+                    if answer is not None and answer[0].status == 404:
+                        return state
+                await trio.sleep(POLL_S)
+
+    async def order(self, duration_s: float) -> None:
+        """Order the rollout, and again until it is acknowledged."""
+        self.ordered_at = time.monotonic()
+        self.duration_s = duration_s
+        order = {"service": SERVICE, "target": "v2", "duration-s": duration_s}
+        with trio.fail_after(ACKNOWLEDGEMENT_S):
+            while not await call_any(
+                "POST", self.site.control_urls, "/rollouts", order
+            ):
+                await trio.sleep(POLL_S)
+        self.acknowledged.set()
+
+    async def read(self) -> dict | None:
+        """Return what GET answers, None without an answer of a leader."""
+        for state in self.site.states:
+            answer = await fetch("GET", f"{state.url}/rollouts/{SERVICE}")
+            if answer is not None and answer[0].status == 200:
+                return orjson.loads(answer[1])
+            assert answer is None or answer[0].status in (307, 503)
+        return None
+
+    async def watch(self) -> None:
+        """Record each state that GET answers after the order, until cancelled."""
+        await self.acknowledged.wait()
+        while True:
+            if (answer := await self.read()) is not None:
+                assert answer["target"] == "v2"
+                if self.states_read[-1:] != [answer["state"]]:
+                    self.states_read.append(answer["state"])
+            await trio.sleep(POLL_S)
+
+    async def wait_verdict(self) -> str:
+        """Return the verdict once GET answers it."""
+        with trio.fail_after(WAIT_TIMEOUT_S):
+            while self.states_read[-1:] in ([], ["running"]):
+                await trio.sleep(POLL_S)
+        return self.states_read[-1]
+
+    # Checks.
+
+    def assert_exposure(self) -> None:
+        """Check the target's share of the requests until the deadline."""
+        deadline = self.ordered_at + self.duration_s
+        sent = [
+            [run for run in self.list_runs(version) if run.began_at <= deadline]
+            for version in ("v1", "v2")
+        ]
+        old, new = map(len, sent)
+        ratio, slack = LIMITS["exposure_ratio"], LIMITS["exposure_slack"]
+        assert new <= ratio * (old + new) + slack, (old, new)
+
+    async def assert_unused(self, version: str) -> None:
+        """Check that a version gets nothing from now on, while others get requests."""
+        await trio.sleep(PROPAGATION_S)
+        since = time.monotonic()
+        await trio.sleep(AFTER_S)
+        runs = {name: self.list_runs(name) for name in ("v1", "v2")}
+        late = [run for run in runs.pop(version) if run.began_at > since]
+        assert not late
+        (others,) = runs.values()
+        assert len([run for run in others if run.began_at > since]) > 10
+
+
+@asynccontextmanager
+async def run_site(folder: Path, **changes: object) -> AsyncIterator[RolloutSite]:
+    """Run a site under load, with its first endpoints at v1."""
+    changes = {"software_rollouts": LIMITS, **changes}
+    site = Site(folder, SEED, engine_counts={SERVICE: OLD_COUNT}, **changes)
+    site.engine_settings["plain"] = True
+    rollout = RolloutSite(site)
+    try:
+        async with trio.open_nursery() as nursery:
+            await site.start_all()
+            rollout.old = list(site.engines)
+            for number in range(CALLER_COUNT):
+                nursery.start_soon(rollout.send_steadily, number)
+            with trio.fail_after(WAIT_TIMEOUT_S):
+                while sum(one.status == 200 for one in rollout.answers[-20:]) < 20:
+                    await trio.sleep(POLL_S)
+            nursery.start_soon(rollout.watch)
+            yield rollout
+            nursery.cancel_scope.cancel()
+        assert site.list_own_ends() == []
+    finally:
+        site.end_all()
+
+
+async def test_requests_fail_when_the_old_endpoints_stop(tmp_path):
+    """A good version is completed in time. The old endpoints then stop without
+    draining, so a request that is still sent there would fail."""
+    async with run_site(tmp_path, state_count=3, gateway_count=2) as rollout:
+        leader = await rollout.find_leader()
+        rollout.start_new()
+        order = {"service": SERVICE, "target": "v2", "duration-s": 10}
+        began = len(rollout.answers)
+        for state in rollout.site.states:
+            if state is not leader:
+                head, _ = await fetch("POST", f"{state.url}/rollouts", order)
+                assert head.status == 307
+                assert head.headers["location"] == f"{leader.url}/rollouts"
+        rollout.ordered_at, rollout.duration_s = time.monotonic(), 10
+        for _ in range(2):
+            head, _ = await fetch("POST", f"{leader.url}/rollouts", order)
+            assert head.status == 200
+        rollout.acknowledged.set()
+        assert await rollout.read() == {"state": "running", "target": "v2"}
+        assert await rollout.wait_verdict() == "completed"
+        assert time.monotonic() < rollout.ordered_at + 10
+        for engine in rollout.old:
+            rollout.site.kill(engine)
+        await rollout.assert_unused("v1")
+        assert rollout.states_read == ["running", "completed"]
+    assert {one.status for one in rollout.answers[began:]} == {200}
+
+
+async def test_bad_version_gets_more_than_its_share(tmp_path):
+    async with run_site(tmp_path, state_count=1, gateway_count=2) as rollout:
+        rollout.start_new(failures=BAD_SHARE)
+        await rollout.order(8)
+        assert await rollout.wait_verdict() == "rolled_back"
+        await rollout.assert_unused("v2")
+        await trio.sleep(rollout.ordered_at + 8 - time.monotonic())
+        rollout.assert_exposure()
+        assert len(rollout.list_runs("v2")) > 10
+        assert rollout.states_read == ["running", "rolled_back"]
+
+
+async def test_rollouts_are_answered_without_settings(tmp_path):
+    """Without the settings, a deployment is served as before."""
+    async with run_site(
+        tmp_path, state_count=1, gateway_count=1, software_rollouts=None
+    ) as rollout:
+        (state,) = rollout.site.states
+        order = {"service": SERVICE, "target": "v2", "duration-s": 10}
+        for method, path, body in (
+            ("POST", "/rollouts", order),
+            ("GET", f"/rollouts/{SERVICE}", None),
+        ):
+            head, _ = await fetch(method, state.url + path, body)
+            assert head.status == 404
+        rollout.start_new()
+        with trio.fail_after(WAIT_TIMEOUT_S):
+            while not rollout.list_runs("v2"):
+                await trio.sleep(POLL_S)
+
+
+async def test_rollout_is_lost_with_the_leader(tmp_path):
+    """The leader is killed right after its acknowledgement."""
+    async with run_site(tmp_path, state_count=3, gateway_count=2) as rollout:
+        leader = await rollout.find_leader()
+        rollout.start_new()
+        await rollout.order(12)
+        rollout.site.kill(leader)
+        assert await rollout.find_leader() is not leader
+        assert (await rollout.read())["target"] == "v2"
+        assert await rollout.wait_verdict() == "completed"
+        await rollout.assert_unused("v1")
+        rollout.site.restart_state(leader)
+        with trio.fail_after(WAIT_TIMEOUT_S):
+            while await fetch("GET", f"{leader.url}/rollouts/{SERVICE}") is None:
+                await trio.sleep(POLL_S)
+        assert rollout.states_read == ["running", "completed"]
+
+
+async def test_rollout_is_lost_with_all_processes(tmp_path):
+    """All state members and gateways are killed at the same time during the trial."""
+    async with run_site(tmp_path, state_count=3, gateway_count=2) as rollout:
+        site = rollout.site
+        rollout.start_new(failures=BAD_SHARE)
+        await rollout.order(10)
+        with trio.fail_after(WAIT_TIMEOUT_S):
+            while not rollout.list_runs("v2"):
+                await trio.sleep(POLL_S)
+        for program in (*site.states, *site.gateways):
+            site.kill(program)
+        for state in site.states:
+            site.restart_state(state)
+        for gateway in site.gateways:
+            site.start(gateway)
+        with trio.fail_after(WAIT_TIMEOUT_S):
+            while (answer := await rollout.read()) is None:
+                await trio.sleep(POLL_S)
+            assert answer["target"] == "v2"
+            for gateway in site.gateways:
+                await site.wait_ready(gateway)
+        assert await rollout.wait_verdict() == "rolled_back"
+        await rollout.assert_unused("v2")
+        await trio.sleep(max(0, rollout.ordered_at + 10 - time.monotonic()))
+        rollout.assert_exposure()
+        assert rollout.states_read in (["running", "rolled_back"], ["rolled_back"])
+
+
+async def test_suspended_gateway_sends_to_a_version_after_its_roll_back(tmp_path):
+    """A gateway that is suspended before the verdict doesn't know of it when it goes
+    on; its callers' requests wait for it meanwhile."""
+    async with run_site(tmp_path, state_count=1, gateway_count=2) as rollout:
+        site = rollout.site
+        suspended = site.gateways[1]
+        rollout.start_new(failures=BAD_SHARE)
+        await rollout.order(8)
+        with trio.fail_after(WAIT_TIMEOUT_S):
+            while not rollout.list_runs("v2"):
+                await trio.sleep(POLL_S)
+        site.signal(suspended, signal.SIGSTOP)
+        assert await rollout.wait_verdict() == "rolled_back"
+        await trio.sleep(PROPAGATION_S)
+        resumed_at = time.monotonic()
+        site.signal(suspended, signal.SIGCONT)
+        await rollout.assert_unused("v2")
+        assert not [one for one in rollout.list_runs("v2") if one.began_at > resumed_at]
+        rollout.assert_exposure()
--- a/medlarrail/platform/soak/engine.py
+++ b/medlarrail/platform/soak/engine.py
@@ -63,6 +63,10 @@
     seed: int
     disorder: float = 0.0
     """Share of the streams with events that are in no order."""
+    failures: float = 0.0
+    """Share of the requests that are answered with 500."""
+    plain: bool = False
+    """Whether all answers have a length and none is sent twice."""
 
 
 @define(eq=False)
@@ -216,6 +220,9 @@
         key = (self.settings.seed, request_id, self.runs[request_id])
         framing = FRAMINGS[int(draw(*key, "framing") * len(FRAMINGS))]
         late = bool(connection.earlier) and draw(*key, "late") < LATE_COPY_SHARE
+        if self.settings.plain:
+            framing, late = "length", False
+        failed = draw(*key, "failure") < self.settings.failures
         numbers = list(range(after + 1, int(count) + 1))
         # What is left of a shorter stream could be a sound one that ends early.
         is_long = kind in STREAMING and len(numbers) >= SHORTEST_DISORDERED
@@ -224,11 +231,13 @@
             numbers = disorder(numbers, int(count), draw(*key, "way"))
         own = {"engine": self.settings.name, "version": self.settings.version}
         asked = {"kind": kind, "prompt": prompt, "after": after}
-        faulty = late or disordered
+        faulty = late or disordered or failed
         self.record("run", request_id, **own, **asked, framing=framing, faulty=faulty)
         sent = after
         complete = False
         try:
+            if failed:
+                return await self.send_failure(connection, request_id)
             if late:
                 await connection.stream.send_all(connection.earlier)
             if kind in STREAMING:
@@ -253,6 +262,15 @@
         connection.earlier = bytes(connection.sent)
         return framing != "close"
 
+    async def send_failure(self, connection: EngineConnection, request_id: str) -> bool:
+        """Answer a request that ran with 500."""
+        headers = {"Request-Id": request_id, "Instance-Id": self.settings.name}
+        headers["Content-Length"] = 0
+        await trio.sleep(EVENT_S[0])
+        head = "HTTP/1.1 500 Internal Server Error"
+        await connection.stream.send_all(build_head(head, headers))
+        return True
+
     async def send_head(
         self,
         connection: EngineConnection,
--- a/medlarrail/platform/soak/site.py
+++ b/medlarrail/platform/soak/site.py
@@ -134,6 +134,13 @@
     seed: int
     sources: Sources = Sources()
     disorder: float = 0.0
+    software_rollouts: dict | None = None
+    """Limits of software rollouts, None for a site without them."""
+    state_count: int = STATE_COUNT
+    gateway_count: int = GATEWAY_COUNT
+    engine_counts: dict[str, int] = field(factory=ENGINES.copy)
+    engine_settings: dict[str, object] = field(factory=dict)
+    """Further settings of the endpoints that are started next."""
     report: Callable[[str], None] = print
     began_at: float = field(factory=time.monotonic)
     states: list[RunningProgram] = field(factory=list)
@@ -158,6 +165,15 @@
         """URLs of the state members."""
         return [state.url for state in self.states]
 
+    @property
+    def rollout_settings(self) -> dict:
+        """Settings of software rollouts of a member or gateway, if there are any.
+
+        Older programs refuse the field.
+        """
+        limits = self.software_rollouts
+        return {} if limits is None else {"software_rollouts": limits}
+
     def note(self, text: str) -> None:
         """Print one line of the timeline."""
         self.report(f"{time.monotonic() - self.began_at:7.2f} {text}")
@@ -166,13 +182,13 @@
 
     def build(self) -> None:
         """Write the settings of the state members and gateways."""
-        ports = iter(find_free_ports(STATE_COUNT + 5 * GATEWAY_COUNT, HOST))
-        for number in range(STATE_COUNT):
+        ports = iter(find_free_ports(self.state_count + 5 * self.gateway_count, HOST))
+        for number in range(self.state_count):
             name = f"core-{number + 1}"
             self.states.append(self._build_program(name, "state", number, next(ports)))
         for state in self.states:
             self._write_state_settings(state, first_start=True)
-        for number in range(GATEWAY_COUNT):
+        for number in range(self.gateway_count):
             name = f"edge-{number + 1}"
             gateway = self._build_program(name, "gateway", number, next(ports))
             self.gateways.append(gateway)
@@ -189,6 +205,7 @@
                 "work_address": f"{HOST}:{next(ports)}",
                 "isolation": {"mode": "last-known"},
                 "retries": {"window_s": 10, "ratio": 0.2, "slack": 54},
+                **self.rollout_settings,
             }
             gateway.settings_file.write_bytes(orjson.dumps(settings))
 
@@ -210,6 +227,7 @@
             "seeds": self.control_urls,
             "first_start": first_start,
             "rollout": {"at_once": 3},
+            **self.rollout_settings,
         }
         state.settings_file.write_bytes(orjson.dumps(settings))
 
@@ -257,6 +275,7 @@
             "record_file": str(self.folder / f"engine-{self.engine_count}.runs"),
             "seed": self.seed,
             "disorder": self.disorder,
+            **self.engine_settings,
         }
         file.write_bytes(orjson.dumps(settings))
         command = [sys.executable, "-m", "medlarrail.platform.soak.engine"]
@@ -272,7 +291,7 @@
         self.build()
         for program in (*self.states, *self.gateways):
             self.start(program)
-        for service, count in ENGINES.items():
+        for service, count in self.engine_counts.items():
             for _ in range(count):
                 self.add_engine(service, "v1")
         with trio.fail_after(START_TIMEOUT_S):
--- a/medlarrail/platform/soak/wire.py
+++ b/medlarrail/platform/soak/wire.py
@@ -115,32 +115,44 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
 
+async def fetch(
+    method: str, url: str, body: object = None
+) -> tuple[Head, bytes] | None:
+    """Make one control call; return the answer, None without one in time."""
+    data = b"" if body is None else orjson.dumps(body)
+    address, _, path = url.removeprefix("http://").partition("/")
+    host, _, port = address.partition(":")
+    headers = {
+        "Host": address,
+        "Connection": "close",
+        "Content-Type": "application/json",
+        "Content-Length": len(data),
+    }
+    try:
+        with trio.move_on_after(CALL_TIMEOUT_S):
+            async with await trio.open_tcp_stream(host, int(port)) as stream:
+                await stream.send_all(
+                    build_head(f"{method} /{path} HTTP/1.1", headers) + data
+                )
+                reader = MessageReader(stream)
+                head = await reader.read_head()
+                return head, await reader.read_body(head)
+    except (OSError, EndedEarly, trio.BrokenResourceError):
+        pass
+    return None
+
+
 async def call(method: str, url: str, body: object = None) -> Head | None:
     """Make one control call; return the head of the answer, None without one in time.
 
     Redirects are followed.
     """
-    data = b"" if body is None else orjson.dumps(body)
     for _ in range(1 + MAX_REDIRECTS):
-        address, _, path = url.removeprefix("http://").partition("/")
-        host, _, port = address.partition(":")
-        headers = {
-            "Host": address,
-            "Connection": "close",
-            "Content-Type": "application/json",
-            "Content-Length": len(data),
-        }
-        head = None
-        try:
-            with trio.move_on_after(CALL_TIMEOUT_S):
-                async with await trio.open_tcp_stream(host, int(port)) as stream:
-                    await stream.send_all(
-                        build_head(f"{method} /{path} HTTP/1.1", headers) + data
-                    )
-                    head = await MessageReader(stream).read_head()
-        except (OSError, EndedEarly, trio.BrokenResourceError):
+        answer = await fetch(method, url, body)
+        if answer is None:
             return None
-        if head is None or head.status != 307:
+        head, _ = answer
+        if head.status != 307:
             return head
         url = head.headers["location"]
     return None
