Software rollouts: a leader does not take its own order for a found one

Cause: a leader commits the records that it finds once in its term, for voters that ignored them. The first order of a term counted as found, so it was committed twice, and the log had `rollout:resumed` 0.2 s after `rollout:step`, which tells operators of a change of the leader that had not happened.

Change: a leader that accepts an order while it has no record has nothing to commit again in its term. Voters that are upgraded later are still told.

--- a/medlarrail/cluster/software_rollouts.py
+++ b/medlarrail/cluster/software_rollouts.py
@@ -155,6 +155,10 @@
         await self._confirm_leading()
         async with self._lock:
             await self._confirm_leading()
+            if not self._records:
+                # This leader has found nothing that voters may lack.
+                leadership = self.view_server.member.require_lease()
+                self._repeated_in_term = leadership.term
             current = self._records.get(order.service)
             if current is not None and self._is_repeated(order, current):
                 get_metrics().count("rollout_orders_repeated", service=order.service)
--- a/medlarrail/cluster/software_rollouts_test.py
+++ b/medlarrail/cluster/software_rollouts_test.py
@@ -266,6 +266,19 @@
         assert await members.read() == expanded
         assert await members.start_rollout() == expanded
 
+    async def test_order_is_logged_as_found_by_a_new_leader(
+        self, members, autojump_clock
+    ):
+        """It was committed and logged twice by the leader that accepted it."""
+        with collect_messages("rollout:resumed") as resumed:
+            await members.start_rollout()
+            await trio.sleep(STEP_S)
+            assert resumed == []
+            await members.replace_leader()
+            await members.read()
+            await trio.sleep(STEP_S)
+            assert [item["state"] for item in resumed] == ["running"]
+
     async def test_target_that_serves_alone_is_taken_out_of_use(
         self, tmp_path, nursery, autojump_clock
     ):
