Software rollouts: counters of their own for failed answers and failed steps

Cause: `rollout_failures` counted three things: weights that the leader could not order, software steps that it could not commit, and at gateways the answers that failed. Only the second was in the operators' table, and the gateways' counters of rollouts were not listed at all.

Measured: the test of the count fails without the change (0 instead of 3) and passes with it.

--- a/medlarrail/cluster/software_rollouts.py
+++ b/medlarrail/cluster/software_rollouts.py
@@ -345,7 +345,9 @@
             except NotLeader:
                 continue
             except MedlarError as error:
-                get_metrics().count("rollout_failures", reason=type(error).__name__)
+                get_metrics().count(
+                    "rollout_checks_failed", reason=type(error).__name__
+                )
 
     async def _check(self) -> None:
         await self._confirm_leading()
--- a/medlarrail/relay/rollout_observation.py
+++ b/medlarrail/relay/rollout_observation.py
@@ -86,7 +86,9 @@
         version = self.announced.software_version
         service = self.announced.service
         if failed:
-            get_metrics().count("rollout_failures", service=service, version=version)
+            get_metrics().count(
+                "rollout_answers_failed", service=service, version=version
+            )
         self.rollout.record_answer(
             attempt.relayed.admission.route.name,
             version,
--- a/medlarrail/relay/rollout_traffic_test.py
+++ b/medlarrail/relay/rollout_traffic_test.py
@@ -750,6 +750,7 @@
         site = await start_site(nursery, ONCE, old=fail)
         await site.send(3)
         assert site.get_counts(False) == RolloutCounts("ask", False, 3, 3, ())
+        assert get_metrics().get_count("rollout_answers_failed", version="v1") == 3
 
     async def test_times_are_counted_in_another_class(self, nursery):
         site = await start_site(nursery, old=answer_late)
