Software rollouts: end-to-end checks of counters and of a gateway in the trial

Cause: the suspended gateway could be one that had not sent to the target yet, so that it had nothing to stop. The counters of gateways were not compared with what the endpoints ran.

Change: it is suspended after its first request to the target. After a roll-back, the gateways' counts of requests and failed answers equal those of the endpoints' records.

--- a/medlarrail/platform/rollouts_test.py
+++ b/medlarrail/platform/rollouts_test.py
@@ -113,6 +113,19 @@
         self.site.engine_settings |= settings
         self.new = [self.site.add_engine(SERVICE, "v2") for _ in range(NEW_COUNT)]
 
+    async def count_in_gateways(
+        self, name: str, version: str, *gateways: RunningProgram
+    ) -> int:
+        """Return the sum of a counter over gateways, by default over all."""
+        total = 0
+        for gateway in gateways or self.site.gateways:
+            settings = orjson.loads(gateway.settings_file.read_bytes())
+            answer = await fetch("GET", f"http://{settings['metrics_address']}/")
+            for line in answer[1].decode().splitlines():
+                if name in line and f'version="{version}"' in line:
+                    total += int(float(line.split()[-1]))
+        return total
+
     def list_runs(self, version: str) -> list[Run]:
         """Return the runs at a version in the order of their beginning."""
         names = {
@@ -259,7 +272,13 @@
         await rollout.assert_unused("v2")
         await trio.sleep(rollout.ordered_at + 8 - time.monotonic())
         rollout.assert_exposure()
-        assert len(rollout.list_runs("v2")) > 10
+        runs = rollout.list_runs("v2")
+        failed = [run for run in runs if run.faulty]
+        assert len(failed) > 3
+        assert await rollout.count_in_gateways("rollout_requests", "v2") == len(runs)
+        name = "rollout_answers_failed"
+        assert await rollout.count_in_gateways(name, "v2") == len(failed)
+        assert await rollout.count_in_gateways(name, "v1") == 0
         assert rollout.states_read == ["running", "rolled_back"]
 
 
@@ -336,8 +355,9 @@
         suspended = site.gateways[1]
         rollout.start_new(failures=BAD_SHARE)
         await rollout.order(8)
+        name = "rollout_requests"
         with trio.fail_after(WAIT_TIMEOUT_S):
-            while not rollout.list_runs("v2"):
+            while not await rollout.count_in_gateways(name, "v2", suspended):
                 await trio.sleep(POLL_S)
         site.signal(suspended, signal.SIGSTOP)
         assert await rollout.wait_verdict() == "rolled_back"
