Software rollouts: an order waits until the replaced version is known

Cause: after the first start, the log names no versions until endpoints have announced themselves. An order that came before listed no replaced version. The answers of the old endpoints were then not counted, so that a good target was rolled back with "too little evidence: no answers", and the old version would not have been taken out of use after a completion. If the target had announced itself first, it was taken for the only version and completed at once without a trial.

--- a/medlarrail/cluster/software_rollouts.py
+++ b/medlarrail/cluster/software_rollouts.py
@@ -167,6 +167,7 @@
                 raise RolloutInProgress(service=order.service, target=current.target)
             self._require_service(order.service)
             await self._require_known_by_voters()
+            await self._wait_for_replaced(order, current)
             await self._commit(self._build_record(order, current))
             stored = self._records[order.service]
         # Another leader's order may have been committed in between.
@@ -224,20 +225,45 @@
                 return
             await trio.sleep(KNOWLEDGE_POLL_S)
 
-    def _build_record(
+    async def _wait_for_replaced(
         self, order: RolloutOrder, previous: SoftwareRollout | None
-    ) -> SoftwareRollout:
+    ) -> None:
+        """Return once a version that the target replaces is known, if there is one.
+
+        After the first start, and without versions also after an election, endpoints
+        announce themselves later than an order may come.
+        """
         excluded = _list_excluded(order, previous)
+        while not self._list_replaced(order, excluded):
+            self.view_server.require_leading()
+            if self.view_server.is_settled():
+                return
+            await trio.sleep(KNOWLEDGE_POLL_S)
+
+    def _list_versions(self, service: str) -> tuple[str, ...]:
+        """Return the versions of a service that the log or an endpoint names."""
         listed = self.view_server.member.catalogue.software_versions
-        versions = listed.get(order.service, ())
-        if "" in self._list_announced_versions(order.service):
+        versions = listed.get(service, ())
+        if "" in self._list_announced_versions(service):
             # The log does not list endpoints that announce no version.
             versions = (*versions, "")
-        replaced = tuple(
+        return versions
+
+    def _list_replaced(
+        self, order: RolloutOrder, excluded: tuple[str, ...]
+    ) -> tuple[str, ...]:
+        return tuple(
             version
-            for version in versions
+            for version in self._list_versions(order.service)
             if version != order.target and version not in excluded
         )
+
+    def _build_record(
+        self, order: RolloutOrder, previous: SoftwareRollout | None
+    ) -> SoftwareRollout:
+        excluded = _list_excluded(order, previous)
+        versions = self._list_versions(order.service)
+        replaced = self._list_replaced(order, excluded)
         now_ms = self._get_now_ms()
         # The start time identifies the roll-out, also if the clock was set back.
         started_ms = max(now_ms, previous.started_ms + 1) if previous else now_ms
--- a/medlarrail/cluster/software_rollouts_test.py
+++ b/medlarrail/cluster/software_rollouts_test.py
@@ -279,6 +279,30 @@
             await trio.sleep(STEP_S)
             assert [item["state"] for item in resumed] == ["running"]
 
+    @pytest.mark.parametrize("announced", [(), ("v2",)])
+    async def test_versions_that_serve_are_not_known_at_the_first_start(
+        self, announced, tmp_path, nursery, autojump_clock
+    ):
+        """Endpoints announce themselves after the order: the replaced version would
+        not be counted, and serve on after the completion."""
+        members = Rollouts(Cluster(tmp_path, nursery), nursery)
+        await members.start()
+        leader = await members.get_leader()
+        await leader.replace_deployment(build_deployment())
+        await members.announce_versions(*announced)
+        started = []
+
+        async def order() -> None:
+            started.append(await members.start_rollout())
+
+        nursery.start_soon(order)
+        await trio.sleep(1)
+        await members.announce_versions("v1")
+        await trio.sleep(1)
+        assert [(item.replaced, item.state) for item in started] == [
+            (("v1",), "running")
+        ]
+
     async def test_target_that_serves_alone_is_taken_out_of_use(
         self, tmp_path, nursery, autojump_clock
     ):
