Soak: software rollouts with good and bad versions

Change: `--rollouts` orders one software rollout after the other in place of the release, of good versions and of ones that fail half of their requests, while the other faults go on. It checks the target's share of the requests until the deadline, that there is one verdict that does not change, and that the version that lost gets nothing afterwards; the end-to-end tests use the same operator and checks. Endpoints that replace others have the version of these, except during a release. Planted faults show that the checks find them.

--- a/medlarrail/platform/rollouts_test.py
+++ b/medlarrail/platform/rollouts_test.py
@@ -15,19 +15,18 @@
 from attrs import define, field
 
 from medlarrail.platform.soak.check import Run, read_runs
+from medlarrail.platform.soak.rollouts import SERVICE, Rollout
 from medlarrail.platform.soak.site import KEY, ROUTE_HOST, RunningProgram, Site
 from medlarrail.platform.soak.wire import (
     EndedEarly,
     MessageReader,
     build_head,
-    call_any,
     fetch,
 )
 from medlarrail.testing.scripted_endpoints import HOST
 
 SEED = 11
 LIMITS = {"exposure_ratio": 0.1, "exposure_slack": 50, "rollback_ms": 5000}
-SERVICE = "talk"
 OLD_COUNT = 3
 NEW_COUNT = 2
 BAD_SHARE = 1 / 3
@@ -61,11 +60,10 @@
     old: list[RunningProgram] = field(factory=list)
     new: list[RunningProgram] = field(factory=list)
     answers: list[CallerAnswer] = field(factory=list)
-    ordered_at: float = 0.0
-    duration_s: float = 0.0
-    acknowledged: trio.Event = field(factory=trio.Event)
-    states_read: list[str] = field(factory=list)
-    """Each state that differs from the one before, as GET answered."""
+    rollout: Rollout = field(init=False)
+
+    def __attrs_post_init__(self):
+        self.rollout = Rollout(self.site, SERVICE, "v2", "v1", 0.0)
 
     # Callers.
 
@@ -108,9 +106,9 @@
 
     # Endpoints.
 
-    def start_new(self, **settings: object) -> None:
+    def start_new(self, failures: float = 0.0) -> None:
         """Start endpoints of the target beside the old ones."""
-        self.site.engine_settings |= settings
+        self.site.failures["v2"] = failures
         self.new = [self.site.add_engine(SERVICE, "v2") for _ in range(NEW_COUNT)]
 
     async def count_in_gateways(
@@ -128,13 +126,8 @@
 
     def list_runs(self, version: str) -> list[Run]:
         """Return the runs at a version in the order of their beginning."""
-        names = {
-            program.settings_file.stem
-            for program in (*self.site.engines, *self.site.ended_engines)
-            if program.version == version
-        }
         runs = (run for runs in read_runs(self.site.folder).values() for run in runs)
-        own = [run for run in runs if run.record in names]
+        own = self.rollout.list_runs(list(runs), version)
         return sorted(own, key=lambda run: run.began_at)
 
     # Operator.
@@ -151,54 +144,30 @@
 
     async def order(self, duration_s: float) -> None:
         """Order the rollout, and again until it is acknowledged."""
-        self.ordered_at = time.monotonic()
-        self.duration_s = duration_s
-        order = {"service": SERVICE, "target": "v2", "duration-s": duration_s}
+        self.rollout.duration_s = duration_s
         with trio.fail_after(ACKNOWLEDGEMENT_S):
-            while not await call_any(
-                "POST", self.site.control_urls, "/rollouts", order
-            ):
+            await self.rollout.order()
+
+    async def read_state(self) -> str:
+        """Return the state once a leader answers."""
+        with trio.fail_after(WAIT_TIMEOUT_S):
+            while (state := await self.rollout.read()) is None:
                 await trio.sleep(POLL_S)
-        self.acknowledged.set()
-
-    async def read(self) -> dict | None:
-        """Return what GET answers, None without an answer of a leader."""
-        for state in self.site.states:
-            answer = await fetch("GET", f"{state.url}/rollouts/{SERVICE}")
-            if answer is not None and answer[0].status == 200:
-                return orjson.loads(answer[1])
-            assert answer is None or answer[0].status in (307, 503)
-        return None
-
-    async def watch(self) -> None:
-        """Record each state that GET answers after the order, until cancelled."""
-        await self.acknowledged.wait()
-        while True:
-            if (answer := await self.read()) is not None:
-                assert answer["target"] == "v2"
-                if self.states_read[-1:] != [answer["state"]]:
-                    self.states_read.append(answer["state"])
-            await trio.sleep(POLL_S)
+        return state
 
     async def wait_verdict(self) -> str:
         """Return the verdict once GET answers it."""
         with trio.fail_after(WAIT_TIMEOUT_S):
-            while self.states_read[-1:] in ([], ["running"]):
-                await trio.sleep(POLL_S)
-        return self.states_read[-1]
+            return await self.rollout.wait_verdict()
 
     # Checks.
 
-    def assert_exposure(self) -> None:
-        """Check the target's share of the requests until the deadline."""
-        deadline = self.ordered_at + self.duration_s
-        sent = [
-            [run for run in self.list_runs(version) if run.began_at <= deadline]
-            for version in ("v1", "v2")
-        ]
-        old, new = map(len, sent)
-        ratio, slack = LIMITS["exposure_ratio"], LIMITS["exposure_slack"]
-        assert new <= ratio * (old + new) + slack, (old, new)
+    async def check(self) -> None:
+        """Check the only verdict, the exposure, and the requests after the verdict."""
+        until = self.rollout.ordered_at + self.rollout.duration_s
+        await trio.sleep(max(0, until - time.monotonic()))
+        runs = (run for runs in read_runs(self.site.folder).values() for run in runs)
+        assert self.rollout.check(list(runs)) == []
 
     async def assert_unused(self, version: str) -> None:
         """Check that a version gets nothing from now on, while others get requests."""
@@ -216,20 +185,20 @@
 async def run_site(folder: Path, **changes: object) -> AsyncIterator[RolloutSite]:
     """Run a site under load, with its first endpoints at v1."""
     changes = {"software_rollouts": LIMITS, **changes}
-    site = Site(folder, SEED, engine_counts={SERVICE: OLD_COUNT}, **changes)
-    site.engine_settings["plain"] = True
-    rollout = RolloutSite(site)
+    engines = {SERVICE: OLD_COUNT}
+    site = Site(folder, SEED, engine_counts=engines, plain=True, **changes)
+    running = RolloutSite(site)
     try:
         async with trio.open_nursery() as nursery:
             await site.start_all()
-            rollout.old = list(site.engines)
+            running.old = list(site.engines)
             for number in range(CALLER_COUNT):
-                nursery.start_soon(rollout.send_steadily, number)
+                nursery.start_soon(running.send_steadily, number)
             with trio.fail_after(WAIT_TIMEOUT_S):
-                while sum(one.status == 200 for one in rollout.answers[-20:]) < 20:
+                while sum(one.status == 200 for one in running.answers[-20:]) < 20:
                     await trio.sleep(POLL_S)
-            nursery.start_soon(rollout.watch)
-            yield rollout
+            nursery.start_soon(running.rollout.watch)
+            yield running
             nursery.cancel_scope.cancel()
         assert site.list_own_ends() == []
     finally:
@@ -239,55 +208,55 @@
 async def test_requests_fail_when_the_old_endpoints_stop(tmp_path):
     """A good version is completed in time. The old endpoints then stop without
     draining, so a request that is still sent there would fail."""
-    async with run_site(tmp_path, state_count=3, gateway_count=2) as rollout:
-        leader = await rollout.find_leader()
-        rollout.start_new()
+    async with run_site(tmp_path, state_count=3, gateway_count=2) as running:
+        leader = await running.find_leader()
+        running.start_new()
         order = {"service": SERVICE, "target": "v2", "duration-s": 10}
-        began = len(rollout.answers)
-        for state in rollout.site.states:
+        began = len(running.answers)
+        for state in running.site.states:
             if state is not leader:
                 head, _ = await fetch("POST", f"{state.url}/rollouts", order)
                 assert head.status == 307
                 assert head.headers["location"] == f"{leader.url}/rollouts"
+        rollout = running.rollout
         rollout.ordered_at, rollout.duration_s = time.monotonic(), 10
         for _ in range(2):
             head, _ = await fetch("POST", f"{leader.url}/rollouts", order)
             assert head.status == 200
         rollout.acknowledged.set()
-        assert await rollout.read() == {"state": "running", "target": "v2"}
-        assert await rollout.wait_verdict() == "completed"
+        assert await rollout.read() == "running"
+        assert await running.wait_verdict() == "completed"
         assert time.monotonic() < rollout.ordered_at + 10
-        for engine in rollout.old:
-            rollout.site.kill(engine)
-        await rollout.assert_unused("v1")
+        for engine in running.old:
+            running.site.kill(engine)
+        await running.assert_unused("v1")
         assert rollout.states_read == ["running", "completed"]
-    assert {one.status for one in rollout.answers[began:]} == {200}
+    assert {one.status for one in running.answers[began:]} == {200}
 
 
 async def test_bad_version_gets_more_than_its_share(tmp_path):
-    async with run_site(tmp_path, state_count=1, gateway_count=2) as rollout:
-        rollout.start_new(failures=BAD_SHARE)
-        await rollout.order(8)
-        assert await rollout.wait_verdict() == "rolled_back"
-        await rollout.assert_unused("v2")
-        await trio.sleep(rollout.ordered_at + 8 - time.monotonic())
-        rollout.assert_exposure()
-        runs = rollout.list_runs("v2")
+    async with run_site(tmp_path, state_count=1, gateway_count=2) as running:
+        running.start_new(failures=BAD_SHARE)
+        await running.order(8)
+        assert await running.wait_verdict() == "rolled_back"
+        await running.assert_unused("v2")
+        await running.check()
+        runs = running.list_runs("v2")
         failed = [run for run in runs if run.faulty]
         assert len(failed) > 3
-        assert await rollout.count_in_gateways("rollout_requests", "v2") == len(runs)
+        assert await running.count_in_gateways("rollout_requests", "v2") == len(runs)
         name = "rollout_answers_failed"
-        assert await rollout.count_in_gateways(name, "v2") == len(failed)
-        assert await rollout.count_in_gateways(name, "v1") == 0
-        assert rollout.states_read == ["running", "rolled_back"]
+        assert await running.count_in_gateways(name, "v2") == len(failed)
+        assert await running.count_in_gateways(name, "v1") == 0
+        assert running.rollout.states_read == ["running", "rolled_back"]
 
 
 async def test_rollouts_are_answered_without_settings(tmp_path):
     """Without the settings, a deployment is served as before."""
     async with run_site(
         tmp_path, state_count=1, gateway_count=1, software_rollouts=None
-    ) as rollout:
-        (state,) = rollout.site.states
+    ) as running:
+        (state,) = running.site.states
         order = {"service": SERVICE, "target": "v2", "duration-s": 10}
         for method, path, body in (
             ("POST", "/rollouts", order),
@@ -295,38 +264,38 @@
         ):
             head, _ = await fetch(method, state.url + path, body)
             assert head.status == 404
-        rollout.start_new()
+        running.start_new()
         with trio.fail_after(WAIT_TIMEOUT_S):
-            while not rollout.list_runs("v2"):
+            while not running.list_runs("v2"):
                 await trio.sleep(POLL_S)
 
 
 async def test_rollout_is_lost_with_the_leader(tmp_path):
     """The leader is killed right after its acknowledgement."""
-    async with run_site(tmp_path, state_count=3, gateway_count=2) as rollout:
-        leader = await rollout.find_leader()
-        rollout.start_new()
-        await rollout.order(12)
-        rollout.site.kill(leader)
-        assert await rollout.find_leader() is not leader
-        assert (await rollout.read())["target"] == "v2"
-        assert await rollout.wait_verdict() == "completed"
-        await rollout.assert_unused("v1")
-        rollout.site.restart_state(leader)
+    async with run_site(tmp_path, state_count=3, gateway_count=2) as running:
+        leader = await running.find_leader()
+        running.start_new()
+        await running.order(12)
+        running.site.kill(leader)
+        assert await running.find_leader() is not leader
+        assert await running.read_state() == "running"
+        assert await running.wait_verdict() == "completed"
+        await running.assert_unused("v1")
+        running.site.restart_state(leader)
         with trio.fail_after(WAIT_TIMEOUT_S):
             while await fetch("GET", f"{leader.url}/rollouts/{SERVICE}") is None:
                 await trio.sleep(POLL_S)
-        assert rollout.states_read == ["running", "completed"]
+        await running.check()
 
 
 async def test_rollout_is_lost_with_all_processes(tmp_path):
     """All state members and gateways are killed at the same time during the trial."""
-    async with run_site(tmp_path, state_count=3, gateway_count=2) as rollout:
-        site = rollout.site
-        rollout.start_new(failures=BAD_SHARE)
-        await rollout.order(10)
+    async with run_site(tmp_path, state_count=3, gateway_count=2) as running:
+        site = running.site
+        running.start_new(failures=BAD_SHARE)
+        await running.order(10)
         with trio.fail_after(WAIT_TIMEOUT_S):
-            while not rollout.list_runs("v2"):
+            while not running.list_runs("v2"):
                 await trio.sleep(POLL_S)
         for program in (*site.states, *site.gateways):
             site.kill(program)
@@ -334,36 +303,32 @@
             site.restart_state(state)
         for gateway in site.gateways:
             site.start(gateway)
+        assert await running.read_state() in ("running", "rolled_back")
         with trio.fail_after(WAIT_TIMEOUT_S):
-            while (answer := await rollout.read()) is None:
-                await trio.sleep(POLL_S)
-            assert answer["target"] == "v2"
             for gateway in site.gateways:
                 await site.wait_ready(gateway)
-        assert await rollout.wait_verdict() == "rolled_back"
-        await rollout.assert_unused("v2")
-        await trio.sleep(max(0, rollout.ordered_at + 10 - time.monotonic()))
-        rollout.assert_exposure()
-        assert rollout.states_read in (["running", "rolled_back"], ["rolled_back"])
+        assert await running.wait_verdict() == "rolled_back"
+        await running.assert_unused("v2")
+        await running.check()
 
 
 async def test_suspended_gateway_sends_to_a_version_after_its_roll_back(tmp_path):
     """A gateway that is suspended before the verdict doesn't know of it when it goes
     on; its callers' requests wait for it meanwhile."""
-    async with run_site(tmp_path, state_count=1, gateway_count=2) as rollout:
-        site = rollout.site
+    async with run_site(tmp_path, state_count=1, gateway_count=2) as running:
+        site = running.site
         suspended = site.gateways[1]
-        rollout.start_new(failures=BAD_SHARE)
-        await rollout.order(8)
+        running.start_new(failures=BAD_SHARE)
+        await running.order(8)
         name = "rollout_requests"
         with trio.fail_after(WAIT_TIMEOUT_S):
-            while not await rollout.count_in_gateways(name, "v2", suspended):
+            while not await running.count_in_gateways(name, "v2", suspended):
                 await trio.sleep(POLL_S)
         site.signal(suspended, signal.SIGSTOP)
-        assert await rollout.wait_verdict() == "rolled_back"
+        assert await running.wait_verdict() == "rolled_back"
         await trio.sleep(PROPAGATION_S)
         resumed_at = time.monotonic()
         site.signal(suspended, signal.SIGCONT)
-        await rollout.assert_unused("v2")
-        assert not [one for one in rollout.list_runs("v2") if one.began_at > resumed_at]
-        rollout.assert_exposure()
+        await running.assert_unused("v2")
+        assert not [one for one in running.list_runs("v2") if one.began_at > resumed_at]
+        await running.check()
--- a/medlarrail/platform/soak/__main__.py
+++ b/medlarrail/platform/soak/__main__.py
@@ -1,8 +1,9 @@
 """Runs the platform's path with real processes under faults and checks each stream.
 
 Endpoints are killed, replaced and released, gateways are killed, stopped and suspended
-and state members killed, one after the other and at the same time. The last line has
-the counts; the exit code is 1 after a violation.
+and state members killed, one after the other and at the same time. Software rollouts
+can take the place of the release. The last line has the counts; the exit code is 1
+after a violation.
 
 Example: ``python3 -m medlarrail.platform.soak --seed 7 --duration 60``.
 """
@@ -29,6 +30,7 @@
     read_runs,
 )
 from medlarrail.platform.soak.faults import Faults
+from medlarrail.platform.soak.rollouts import LIMITS, Rollout, roll_out_steadily
 from medlarrail.platform.soak.site import Site, Sources
 
 CALLER_COUNT = 32
@@ -46,6 +48,7 @@
     """Name of the only fault that is played, if it is not empty."""
     left_out: tuple[str, ...] = ()
     """Names of faults that are not played."""
+    rollouts: list[Rollout] = field(factory=list)
     calls: list[Call] = field(factory=list)
     violations: list[Violation] = field(factory=list)
 
@@ -75,6 +78,10 @@
         runs = read_runs(self.site.folder)
         for violation in check_runs(self.calls, runs):
             self.record(violation)
+        all_runs = [run for own in runs.values() for run in own]
+        for rollout in self.rollouts:
+            for violation in rollout.check(all_runs):
+                self.record(violation)
         self.write_record()
         return count_calls(self.site, self.calls, runs)
 
@@ -96,8 +103,10 @@
                     random = Random(f"{self.site.seed}-faults-{number}")
                     faults = Faults(self.site, random, self.only, self.left_out)
                     nursery.start_soon(faults.play_steadily)
-                if "release" not in self.left_out:
-                    faults = Faults(self.site, Random(f"{self.site.seed}-release"))
+                faults = Faults(self.site, Random(f"{self.site.seed}-release"))
+                if self.site.software_rollouts is not None:
+                    nursery.start_soon(roll_out_steadily, faults, self.rollouts)
+                elif "release" not in self.left_out:
                     nursery.start_soon(faults.release, duration_s)
         self.resume_gateways()
 
@@ -142,6 +151,7 @@
         "cut": counts.cut,
         "cut_though_sound": len(counts.cut_sound),
         "cut_though_sound_per_1000": counts.cut_sound_per_1000,
+        "rollouts": [rollout.verdict for rollout in soak.rollouts],
         "faults": dict(sorted(soak.site.fault_counts.items())),
         "violations": kinds,
     }
@@ -156,6 +166,7 @@
     disorder: float = 0.0,
     only: str = "",
     without: str = "",
+    rollouts: bool = False,
     keep: Path | None = None,
 ) -> None:
     """Run a soak of ``duration`` seconds.
@@ -163,12 +174,14 @@
     ``--sources`` runs the programs of another checkout, with ``--mixed`` only half of
     the gateways. ``--disorder`` is the share of streams that endpoints send in no
     order, ``--only`` names one fault in ``faults``, and ``--without`` some that are
-    left out, separated by commas. The logs are copied to ``--keep`` after a violation
+    left out, separated by commas. ``--rollouts`` orders software rollouts in place of
+    the release. The logs are copied to ``--keep`` after a violation
     or the cut of a sound stream.
     """
     folder = Path(tempfile.mkdtemp(prefix="stream-soak-"))
     own_sources = Sources(sources.resolve() if sources else None, mixed)
-    site = Site(folder, seed, own_sources, disorder, typer.echo)
+    limits = LIMITS if rollouts else None
+    site = Site(folder, seed, own_sources, disorder, limits, report=typer.echo)
     soak = StreamSoak(site, only, tuple(without.split(",")))
     counts = Counts()
     try:
--- a/medlarrail/platform/soak/check.py
+++ b/medlarrail/platform/soak/check.py
@@ -46,8 +46,8 @@
 
 def find_version(prompt: str, event: Event) -> str:
     """Return the software version that made an event, empty if none did."""
-    texts = {make_text(prompt, version, event.number): version for version in VERSIONS}
-    return texts.get(event.text, "")
+    texts = ((make_text(prompt, one, event.number), one) for one in VERSIONS)
+    return next((version for text, version in texts if text == event.text), "")
 
 
 def check_stream(call: Call) -> list[Violation]:
--- a/medlarrail/platform/soak/check_test.py
+++ b/medlarrail/platform/soak/check_test.py
@@ -9,7 +9,8 @@
 from medlarrail.platform.soak.check import Run, check_call, check_runs, is_sound
 from medlarrail.platform.soak.engine import BODY_LINES, disorder
 from medlarrail.platform.soak.events import build_body, build_event, parse_events
-from medlarrail.platform.soak.site import Disturbance, Site
+from medlarrail.platform.soak.rollouts import LIMITS, Rollout
+from medlarrail.platform.soak.site import Disturbance, RunningProgram, Site
 
 PROMPT = "c1-1"
 COUNT = 6
@@ -133,3 +134,41 @@
         assert is_sound(site, cut, [run], ends, {"edge-1", "edge-3"}) == sound
         faulty = self.build_run(faulty=True)
         assert not is_sound(site, cut, [faulty, run], ends, {"edge-1", "edge-3"})
+
+
+class TestRollouts:
+    """Runs from a second after the order, at which the verdict is due at 5 s."""
+
+    def check(self, tmp_path, states, old=100, new=60, late_at=0.0, late_version="v2"):
+        site = Site(tmp_path, 1, software_rollouts=LIMITS)
+        for version in ("v1", "v2"):
+            file = tmp_path / f"{version}.json"
+            engine = RunningProgram(
+                version, "engine", [], tmp_path, file, 1, "talk", version
+            )
+            site.engines.append(engine)
+        rollout = Rollout(site, "talk", "v2", "v1", 10.0, 100.0)
+        rollout.states_read, rollout.verdict_at = states, 105.0
+        runs = [Run("r1", "length", False, "v1", 101.0)] * old
+        runs += [Run("r2", "length", False, "v2", 101.0)] * new
+        if late_at:
+            runs.append(Run("r3", "length", False, late_version, late_at))
+        return [violation.kind for violation in rollout.check(runs)]
+
+    def test_sound_rollouts_violate_the_promise(self, tmp_path):
+        assert self.check(tmp_path, ["running", "rolled_back"], late_at=106.0) == []
+        assert self.check(tmp_path, ["rolled_back"]) == []
+        assert self.check(tmp_path, ["running", "completed"], 10, 900) == []
+        assert self.check(tmp_path, ["running"]) == []
+
+    def test_planted_fault_of_a_rollout_passes(self, tmp_path):
+        assert self.check(tmp_path, ["running", "rolled_back"], 100, 120) == [
+            "exposure"
+        ]
+        for states in (["running", "rolled_back", "completed"], ["running", "404"]):
+            assert self.check(tmp_path, states) == ["verdict"]
+        for verdict, version in (("rolled_back", "v2"), ("completed", "v1")):
+            kinds = self.check(
+                tmp_path, ["running", verdict], late_at=108.0, late_version=version
+            )
+            assert kinds == ["late request"]
--- a/medlarrail/platform/soak/events.py
+++ b/medlarrail/platform/soak/events.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-VERSIONS = ("v1", "v2")
+VERSIONS = tuple(f"v{number}" for number in range(1, 21))
 """Software versions of the endpoints."""
 
 
--- a/medlarrail/platform/soak/faults.py
+++ b/medlarrail/platform/soak/faults.py
@@ -88,7 +88,7 @@
         with self.claim(self.site.engines) as engine:
             if engine is not None:
                 self.site.kill(engine)
-                await self._start_engine(engine.service)
+                await self._start_engine(engine)
 
     async def restart_engine(self) -> None:
         """Kill an endpoint and start it with the same name at the same address."""
@@ -96,19 +96,21 @@
             if engine is not None:
                 self.site.kill(engine)
                 await trio.sleep(self.random.uniform(*RESTART_S))
-                await self._start_engine(engine.service, engine)
+                await self._start_engine(engine, engine)
 
     async def drain_engine(self) -> None:
         """Start another endpoint and let one leave."""
         with self.claim(self.site.engines) as engine:
             if engine is not None:
-                await self._start_engine(engine.service)
+                await self._start_engine(engine)
                 await self.site.stop(engine)
 
     async def _start_engine(
-        self, service: str, like: RunningProgram | None = None
+        self, replaced: RunningProgram, like: RunningProgram | None = None
     ) -> None:
-        engine = self.site.add_engine(service, self.site.software_version, like)
+        service = replaced.service
+        version = self.site.software_version or replaced.version
+        engine = self.site.add_engine(service, version, like)
         self.site.note(f"{engine.name} started: {service}, {engine.version}")
         with trio.move_on_after(START_TIMEOUT_S):
             await self.site.wait_engine(engine)
@@ -159,7 +161,7 @@
                 self.site.signal(gateway, signal.SIGSTOP)
                 self.site.kill(engine)
                 with trio.move_on_after(FREEZE_S[1]):
-                    await self._start_engine(engine.service, engine)
+                    await self._start_engine(engine, engine)
                 self.site.signal(gateway, signal.SIGCONT)
 
     async def kill_state(self) -> None:
@@ -195,6 +197,6 @@
                     if not old:
                         return
                 else:
-                    await self._start_engine(engine.service)
+                    await self._start_engine(engine)
                     await self.site.stop(engine)
             await trio.sleep(self.random.uniform(*PAUSE_S))
--- a/medlarrail/platform/soak/site.py
+++ b/medlarrail/platform/soak/site.py
@@ -139,8 +139,10 @@
     state_count: int = STATE_COUNT
     gateway_count: int = GATEWAY_COUNT
     engine_counts: dict[str, int] = field(factory=ENGINES.copy)
-    engine_settings: dict[str, object] = field(factory=dict)
-    """Further settings of the endpoints that are started next."""
+    failures: dict[str, float] = field(factory=dict)
+    """Share of the requests that endpoints answer with 500, by software version."""
+    plain: bool = False
+    """Whether endpoints answer in the plainest way."""
     report: Callable[[str], None] = print
     began_at: float = field(factory=time.monotonic)
     states: list[RunningProgram] = field(factory=list)
@@ -152,8 +154,8 @@
     """Names of processes that had ended by themselves before they got a signal."""
     disturbances: list[Disturbance] = field(factory=list)
     engine_count: int = 0
-    software_version: str = "v1"
-    """That of the endpoints that are started next."""
+    software_version: str = ""
+    """That of the endpoints that replace others, empty for that of these."""
     busy: set[str] = field(factory=set)
     """Names of the processes that a fault is being played on."""
     fault_counts: Counter = field(factory=Counter)
@@ -275,7 +277,8 @@
             "record_file": str(self.folder / f"engine-{self.engine_count}.runs"),
             "seed": self.seed,
             "disorder": self.disorder,
-            **self.engine_settings,
+            "failures": self.failures.get(version, 0.0),
+            "plain": self.plain,
         }
         file.write_bytes(orjson.dumps(settings))
         command = [sys.executable, "-m", "medlarrail.platform.soak.engine"]
--- a/medlarrail/platform/soak/soak_test.py
+++ b/medlarrail/platform/soak/soak_test.py
@@ -18,9 +18,9 @@
     return subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
 
 
-def run_soak(*options: str) -> dict:
+def run_soak(*options: str, duration_s: float = DURATION_S) -> dict:
     """Run a soak to its end and return its counts."""
-    soak = start_soak(DURATION_S, *options)
+    soak = start_soak(duration_s, *options)
     try:
         output, _ = soak.communicate(timeout=WAIT_TIMEOUT_S)
     finally:
@@ -49,6 +49,13 @@
     run_soak("--only", "freeze_over_restart")
 
 
+def test_rollout_breaks_its_promises_while_members_end():
+    """A version gets more than its share, or requests after the verdict, or the
+    verdict changes, while state members are killed."""
+    counts = run_soak("--rollouts", "--only", "kill_state", duration_s=24)
+    assert counts["rollouts"][0] in ("completed", "rolled_back")
+
+
 def test_interrupted_soak_leaves_processes():
     soak = start_soak(WAIT_TIMEOUT_S)
     try:
