Software rollouts: end-to-end tests with streams and a backlog

Cause: with changed code, two tests still passed: one without the limit on the age of a gateway's view, as the suspended gateway found few requests when it went on, and one that completed while requests ran at the old version, as these were over before the old endpoints were killed.

Change: half of the callers hold streams of a second, and 60 requests wait for the suspended gateway.

--- a/medlarrail/platform/rollouts_test.py
+++ b/medlarrail/platform/rollouts_test.py
@@ -30,10 +30,12 @@
 OLD_COUNT = 3
 NEW_COUNT = 2
 BAD_SHARE = 1 / 3
-CALLER_COUNT = 16
-CALL_INTERVAL_S = 0.2
-"""Time between the requests of one caller: all together make 80 a second, of which the
-trial of ten seconds shows 80 at the target; the judgement needs about 60."""
+CALLERS = {"unsafe": (13, 0.2, 1), "stream": (16, 1.0, 16)}
+"""Callers, time between the requests of each, and events of an answer, by route: 80
+requests a second, of which the trial of ten seconds shows 80 at the target; the
+judgement needs about 60. Streams last a second, so that some run at any time."""
+BURST = 60
+"""Requests that wait for a suspended gateway; a tenth would be for the target."""
 WAIT_TIMEOUT_S = 40.0
 POLL_S = 0.05
 ACKNOWLEDGEMENT_S = 5.0
@@ -67,19 +69,20 @@
 
     # Callers.
 
-    async def send_steadily(self, number: int) -> None:
-        """Send requests on two routes, from one connection to one gateway."""
+    async def send_steadily(self, kind: str, number: int) -> None:
+        """Send requests on one route and connection to one gateway."""
+        caller_count, interval_s, _ = CALLERS[kind]
+        await trio.sleep(interval_s * number / caller_count)
         gateway = self.site.gateways[number % len(self.site.gateways)]
-        kind = ("safe", "unsafe")[number // 2 % 2]
-        await trio.sleep(CALL_INTERVAL_S * number / CALLER_COUNT)
         stream = None
         for count in range(1_000_000):
-            due = trio.current_time() + CALL_INTERVAL_S
+            due = trio.current_time() + interval_s
             answer = CallerAnswer(time.monotonic(), 0)
             try:
                 if stream is None:
                     stream = await trio.open_tcp_stream(HOST, gateway.port)
-                answer.status = await self.send(stream, kind, f"c{number}-{count}")
+                request_id = f"{kind}{number}-{count}"
+                answer.status = await self.send(stream, kind, request_id)
             except (OSError, EndedEarly, trio.BrokenResourceError):
                 if stream is not None:
                     await trio.aclose_forcefully(stream)
@@ -87,6 +90,11 @@
             self.answers.append(answer)
             await trio.sleep_until(due)
 
+    async def send_once(self, gateway: RunningProgram, number: int) -> None:
+        """Send a request on a connection of its own."""
+        async with await trio.open_tcp_stream(HOST, gateway.port) as stream:
+            assert await self.send(stream, "unsafe", f"burst-{number}") == 200
+
     @staticmethod
     async def send(stream: trio.SocketStream, kind: str, request_id: str) -> int:
         headers = {
@@ -97,7 +105,7 @@
             "Deadline-Ms": 10_000,
             "Content-Length": 0,
         }
-        line = f"POST /{kind}/{request_id}/1 HTTP/1.1"
+        line = f"POST /{kind}/{request_id}/{CALLERS[kind][2]} HTTP/1.1"
         await stream.send_all(build_head(line, headers))
         reader = MessageReader(stream)
         head = await reader.read_head()
@@ -192,8 +200,9 @@
         async with trio.open_nursery() as nursery:
             await site.start_all()
             running.old = list(site.engines)
-            for number in range(CALLER_COUNT):
-                nursery.start_soon(running.send_steadily, number)
+            for kind, (caller_count, _, _) in CALLERS.items():
+                for number in range(caller_count):
+                    nursery.start_soon(running.send_steadily, kind, number)
             with trio.fail_after(WAIT_TIMEOUT_S):
                 while sum(one.status == 200 for one in running.answers[-20:]) < 20:
                     await trio.sleep(POLL_S)
@@ -314,7 +323,7 @@
 
 async def test_suspended_gateway_sends_to_a_version_after_its_roll_back(tmp_path):
     """A gateway that is suspended before the verdict doesn't know of it when it goes
-    on; its callers' requests wait for it meanwhile."""
+    on, and finds many requests that came meanwhile."""
     async with run_site(tmp_path, state_count=1, gateway_count=2) as running:
         site = running.site
         suspended = site.gateways[1]
@@ -327,8 +336,12 @@
         site.signal(suspended, signal.SIGSTOP)
         assert await running.wait_verdict() == "rolled_back"
         await trio.sleep(PROPAGATION_S)
-        resumed_at = time.monotonic()
-        site.signal(suspended, signal.SIGCONT)
+        async with trio.open_nursery() as nursery:
+            for number in range(BURST):
+                nursery.start_soon(running.send_once, suspended, number)
+            await trio.sleep(PROPAGATION_S)
+            resumed_at = time.monotonic()
+            site.signal(suspended, signal.SIGCONT)
         await running.assert_unused("v2")
         assert not [one for one in running.list_runs("v2") if one.began_at > resumed_at]
         await running.check()
