--- a/medlarrail/platform/soak/site.py
+++ b/medlarrail/platform/soak/site.py
@@ -134,6 +134,15 @@
     seed: int
     sources: Sources = Sources()
     disorder: float = 0.0
+    software_rollouts: dict | None = None
+    """Limits of software rollouts, None for a site without them."""
+    state_count: int = STATE_COUNT
+    gateway_count: int = GATEWAY_COUNT
+    engine_counts: dict[str, int] = field(factory=ENGINES.copy)
+    failures: dict[str, float] = field(factory=dict)
+    """Share of the requests that endpoints answer with 500, by software version."""
+    plain: bool = False
+    """Whether endpoints answer in the plainest way."""
     report: Callable[[str], None] = print
     began_at: float = field(factory=time.monotonic)
     states: list[RunningProgram] = field(factory=list)
@@ -145,8 +154,8 @@
     """Names of processes that had ended by themselves before they got a signal."""
     disturbances: list[Disturbance] = field(factory=list)
     engine_count: int = 0
-    software_version: str = "v1"
-    """That of the endpoints that are started next."""
+    software_version: str = ""
+    """That of the endpoints that replace others, empty for that of these."""
     busy: set[str] = field(factory=set)
     """Names of the processes that a fault is being played on."""
     fault_counts: Counter = field(factory=Counter)
@@ -158,6 +167,15 @@
         """URLs of the state members."""
         return [state.url for state in self.states]
 
+    @property
+    def rollout_settings(self) -> dict:
+        """Settings of software rollouts of a member or gateway, if there are any.
+
+        Older programs refuse the field.
+        """
+        limits = self.software_rollouts
+        return {} if limits is None else {"software_rollouts": limits}
+
     def note(self, text: str) -> None:
         """Print one line of the timeline."""
         self.report(f"{time.monotonic() - self.began_at:7.2f} {text}")
@@ -166,13 +184,13 @@
 
     def build(self) -> None:
         """Write the settings of the state members and gateways."""
-        ports = iter(find_free_ports(STATE_COUNT + 5 * GATEWAY_COUNT, HOST))
-        for number in range(STATE_COUNT):
+        ports = iter(find_free_ports(self.state_count + 5 * self.gateway_count, HOST))
+        for number in range(self.state_count):
             name = f"core-{number + 1}"
             self.states.append(self._build_program(name, "state", number, next(ports)))
         for state in self.states:
             self._write_state_settings(state, first_start=True)
-        for number in range(GATEWAY_COUNT):
+        for number in range(self.gateway_count):
             name = f"edge-{number + 1}"
             gateway = self._build_program(name, "gateway", number, next(ports))
             self.gateways.append(gateway)
@@ -189,6 +207,7 @@
                 "work_address": f"{HOST}:{next(ports)}",
                 "isolation": {"mode": "last-known"},
                 "retries": {"window_s": 10, "ratio": 0.2, "slack": 54},
+                **self.rollout_settings,
             }
             gateway.settings_file.write_bytes(orjson.dumps(settings))
 
@@ -210,6 +229,7 @@
             "seeds": self.control_urls,
             "first_start": first_start,
             "rollout": {"at_once": 3},
+            **self.rollout_settings,
         }
         state.settings_file.write_bytes(orjson.dumps(settings))
 
@@ -257,6 +277,8 @@
             "record_file": str(self.folder / f"engine-{self.engine_count}.runs"),
             "seed": self.seed,
             "disorder": self.disorder,
+            "failures": self.failures.get(version, 0.0),
+            "plain": self.plain,
         }
         file.write_bytes(orjson.dumps(settings))
         command = [sys.executable, "-m", "medlarrail.platform.soak.engine"]
@@ -272,7 +294,7 @@
         self.build()
         for program in (*self.states, *self.gateways):
             self.start(program)
-        for service, count in ENGINES.items():
+        for service, count in self.engine_counts.items():
             for _ in range(count):
                 self.add_engine(service, "v1")
         with trio.fail_after(START_TIMEOUT_S):
