Soak: endpoints don't take the ports of gateways that have not started

Cause: a site draws the ports of its gateways first, and each endpoint's when it starts. An endpoint could draw the port of a gateway that had not bound it yet; the gateway then ended with "Address already in use" and the start timed out. Seen once in a run of platform/rollouts_test.py.

Change: an endpoint's port is none of those.

--- a/medlarrail/platform/soak/check_test.py
+++ b/medlarrail/platform/soak/check_test.py
@@ -172,3 +172,14 @@
                 tmp_path, ["running", verdict], late_at=108.0, late_version=version
             )
             assert kinds == ["late request"]
+
+
+def test_endpoint_takes_the_port_of_a_gateway(tmp_path, monkeypatch):
+    """A gateway that had not bound its port yet ended with "Address already in use"."""
+    site = Site(tmp_path, 1)
+    site.build()
+    free = iter([[site.gateways[1].port], [1234]])
+    monkeypatch.setattr(
+        "medlarrail.platform.soak.site.find_free_ports", lambda count, host: next(free)
+    )
+    assert site.find_engine_port() == 1234
--- a/medlarrail/platform/soak/site.py
+++ b/medlarrail/platform/soak/site.py
@@ -161,6 +161,8 @@
     fault_counts: Counter = field(factory=Counter)
     config_version: int = 1
     ready_ports: dict[str, int] = field(factory=dict)
+    reserved_ports: list[int] = field(factory=list)
+    """Ports of the members and gateways, which may not listen on them yet."""
 
     @property
     def control_urls(self) -> list[str]:
@@ -184,7 +186,10 @@
 
     def build(self) -> None:
         """Write the settings of the state members and gateways."""
-        ports = iter(find_free_ports(self.state_count + 5 * self.gateway_count, HOST))
+        self.reserved_ports = find_free_ports(
+            self.state_count + 5 * self.gateway_count, HOST
+        )
+        ports = iter(self.reserved_ports)
         for number in range(self.state_count):
             name = f"core-{number + 1}"
             self.states.append(self._build_program(name, "state", number, next(ports)))
@@ -259,13 +264,20 @@
         self._write_state_settings(state, first_start=False)
         self.start(state)
 
+    def find_engine_port(self) -> int:
+        """Return a free port that no other program is going to listen on."""
+        while True:
+            (port,) = find_free_ports(1, HOST)
+            if port not in self.reserved_ports:
+                return port
+
     def add_engine(
         self, service: str, version: str, like: RunningProgram | None = None
     ) -> RunningProgram:
         """Start an endpoint; ``like`` gives it the name and address of another one."""
         self.engine_count += 1
         name = like.name if like is not None else f"i-{self.engine_count:04d}"
-        port = like.port if like is not None else find_free_ports(1, HOST)[0]
+        port = like.port if like is not None else self.find_engine_port()
         file = self.folder / f"engine-{self.engine_count}.json"
         settings = {
             "name": name,
