--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -94,9 +94,9 @@
     version_listeners: list[Callable[[str], None]] = field(factory=list)
     """Called with each service that gets a second software version."""
     rollouts: dict[str, SoftwareRollout] = field(factory=dict)
-    """The latest software roll-out of each service."""
+    """The latest software rollout of each service."""
     rollout_listeners: list[Callable[[], None]] = field(factory=list)
-    """Called after software roll-outs have changed."""
+    """Called after software rollouts have changed."""
     member_urls: tuple[str, ...] = ()
     confirmed_at: float = float("-inf")
     deployment_listeners: list[Callable[[Deployment], None]] = field(factory=list)
--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -100,7 +100,7 @@
     member: LogMember
     clock: Clock = get_boottime
     rollout_policy: SoftwareRolloutPolicy | None = None
-    """Limits of software roll-outs; None if the deployment has none."""
+    """Limits of software rollouts; None if the deployment has none."""
     registry: EndpointRegistry = field(init=False)
     crash_ledger: CrashLedger = field(init=False)
     software_versions: SoftwareVersions = field(init=False)
--- a/medlarrail/cluster/software_rollouts.py
+++ b/medlarrail/cluster/software_rollouts.py
@@ -1,7 +1,7 @@
-"""Runs software roll-outs, on the leading state member.
+"""Runs software rollouts, on the leading state member.
 
 An order and each of its steps are in the replicated log before they are acknowledged
-or sent to entries, so that a roll-out survives any leader and has one verdict. The
+or sent to entries, so that a rollout survives any leader and has one verdict. The
 reports of entries are not in the log: they are cumulative, so a new leader has them
 again after one report interval.
 """
@@ -49,7 +49,7 @@
 
 CHECK_INTERVAL_S = 0.25
 REPEAT_S = 30.0
-"""Time after the end of a roll-out in which the same order is taken for a repeated one:
+"""Time after the end of a rollout in which the same order is taken for a repeated one:
 several times the five seconds for which an operator sends an order again."""
 EVIDENCE_S = 1.0
 """Time within which a new leader gets the entries' reports, before it judges."""
@@ -65,7 +65,7 @@
 
 @define
 class RolloutReports:
-    """The latest report of each epoch of each entry on one roll-out."""
+    """The latest report of each epoch of each entry on one rollout."""
 
     reports: dict[ReportKey, RolloutReport] = field(factory=dict)
     snapshots: tuple[RolloutSnapshot, ...] = ()
@@ -117,7 +117,7 @@
     _reports: dict[tuple[str, int], RolloutReports] = field(factory=dict)
     """By service and start time. Those of an earlier leadership stay counted."""
     _older_voters: set[str] = field(factory=set)
-    """Identities of the voters that last said that they ignore roll-outs."""
+    """Identities of the voters that last said that they ignore rollouts."""
     _repeated_in_term: int = -1
     """Term in which the records were last committed again."""
     _unjudged: set[SoftwareRollout] = field(factory=set)
@@ -134,7 +134,7 @@
         return int(self.view_server.member.wall_clock() * 1000)
 
     def require_enabled(self) -> None:
-        """Raise ``NotFound`` if the settings have no limits of software roll-outs."""
+        """Raise ``NotFound`` if the settings have no limits of software rollouts."""
         if self.view_server.rollout_policy is None:
             raise NotFound(kind="settings", name="software_rollouts")
 
@@ -147,7 +147,7 @@
     async def start(self, order: RolloutOrder) -> SoftwareRollout:
         """Commit an order, and return its record; a repeated order changes nothing.
 
-        Raises ``RolloutInProgress`` while a roll-out to another target runs.
+        Raises ``RolloutInProgress`` while a rollout to another target runs.
         """
         self.require_enabled()
         _check_order(order)
@@ -202,7 +202,7 @@
         }
 
     async def _require_known_by_voters(self) -> None:
-        """Raise ``RolloutsNotKnown`` if a voter that runs would ignore a roll-out.
+        """Raise ``RolloutsNotKnown`` if a voter that runs would ignore a rollout.
 
         A voter that is silent since the election is not waited for.
         """
@@ -265,7 +265,7 @@
         versions = self._list_versions(order.service)
         replaced = self._list_replaced(order, excluded)
         now_ms = self._get_now_ms()
-        # The start time identifies the roll-out, also if the clock was set back.
+        # The start time identifies the rollout, also if the clock was set back.
         started_ms = max(now_ms, previous.started_ms + 1) if previous else now_ms
         rollout = SoftwareRollout(
             service=order.service,
@@ -285,7 +285,7 @@
         return rollout
 
     async def read(self, service: str) -> SoftwareRollout:
-        """Return the latest roll-out of a service, with every committed step."""
+        """Return the latest rollout of a service, with every committed step."""
         self.require_enabled()
         await self._confirm_leading()
         rollout = self._records.get(service)
@@ -294,7 +294,7 @@
         return rollout
 
     async def roll_back(self, service: str) -> SoftwareRollout:
-        """Roll back a running roll-out; one that was rolled back stays as it is."""
+        """Roll back a running rollout; one that was rolled back stays as it is."""
         rollout = await self.read(service)
         if rollout.is_running:
             await self._take_step(rollout, "roll_back", "ordered by an operator")
@@ -305,30 +305,30 @@
 
     @route("POST", ROLLOUTS_PATH, RolloutOrder)
     async def handle_start(self, request: Request) -> SoftwareRollout:
-        """Start a roll-out."""
+        """Start a rollout."""
         return await self.start(request.message)
 
     @route("POST", SHOW_PATH, RolloutQuery)
     async def handle_show(self, request: Request) -> SoftwareRollout:
-        """Return the latest roll-out of a service."""
+        """Return the latest rollout of a service."""
         return await self.read(request.message.service)
 
     @route("POST", ROLL_BACK_PATH, RolloutQuery)
     async def handle_roll_back(self, request: Request) -> SoftwareRollout:
-        """Roll back the running roll-out of a service."""
+        """Roll back the running rollout of a service."""
         return await self.roll_back(request.message.service)
 
     # Reports of entries.
 
     @route("POST", REPORTS_PATH, RolloutReport)
     async def handle_report(self, request: Request) -> EmptyMessage:
-        """Record what an entry saw of a running roll-out."""
+        """Record what an entry saw of a running rollout."""
         await self._confirm_leading()
         self.record_report(request.message)
         return EmptyMessage()
 
     def record_report(self, report: RolloutReport) -> None:
-        """Record a report, unless its roll-out has ended."""
+        """Record a report, unless its rollout has ended."""
         rollout = self._records.get(report.service)
         is_current = (
             rollout is not None
@@ -361,7 +361,7 @@
     # Steps.
 
     async def run(self) -> None:
-        """Take the steps of the running roll-outs while this member leads."""
+        """Take the steps of the running rollouts while this member leads."""
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
             if not self._records:
@@ -412,7 +412,7 @@
             return self.judge(evidence)
         except Exception as error:
             # It would end each leader in turn, since the next one has the same reports.
-            # Without a verdict the roll-out is rolled back at the deadline.
+            # Without a verdict the rollout is rolled back at the deadline.
             if rollout not in self._unjudged:
                 self._unjudged.add(rollout)
                 eliot.log_message(
@@ -424,7 +424,7 @@
     async def _take_step(
         self, rollout: SoftwareRollout, action: str, reason: str
     ) -> None:
-        """Commit a step; the log ignores it if the roll-out has ended meanwhile."""
+        """Commit a step; the log ignores it if the rollout has ended meanwhile."""
         changes = {
             "expand": {"stage": "full"},
             "complete": {"state": "completed"},
@@ -516,7 +516,7 @@
 def _list_excluded(
     order: RolloutOrder, previous: SoftwareRollout | None
 ) -> tuple[str, ...]:
-    """Return the versions that the service's earlier roll-outs took out of use."""
+    """Return the versions that the service's earlier rollouts took out of use."""
     if previous is None:
         return ()
     ended = previous.replaced if previous.state == "completed" else (previous.target,)
--- a/medlarrail/cluster/software_rollouts_test.py
+++ b/medlarrail/cluster/software_rollouts_test.py
@@ -1,4 +1,4 @@
-"""Tests of software roll-outs at the state members."""
+"""Tests of software rollouts at the state members."""
 
 import pytest
 import trio
@@ -57,7 +57,7 @@
 
 
 class Rollouts(ViewMembers):
-    """State members with roll-outs, whose judge gives the verdict that a test sets."""
+    """State members with rollouts, whose judge gives the verdict that a test sets."""
 
     def __init__(self, cluster, nursery):
         super().__init__(cluster, nursery, self.prepare_rollouts)
--- a/medlarrail/cluster/view_copy.py
+++ b/medlarrail/cluster/view_copy.py
@@ -63,7 +63,7 @@
     """Return the endpoints that an entry may use, and the names of the others.
 
     The others are sent as departed, so that an entry to which they were listed before
-    a step of a software roll-out drops them.
+    a step of a software rollout drops them.
     """
     listed, hidden = [], []
     for registered in endpoints:
--- a/medlarrail/consensus/leadership.py
+++ b/medlarrail/consensus/leadership.py
@@ -72,7 +72,7 @@
     identity_replaced: bool = False
     """Whether a member with another identity answers at the peer's address."""
     knows_rollouts: bool | None = None
-    """Whether the peer applies software roll-outs; None until it has answered."""
+    """Whether the peer applies software rollouts; None until it has answered."""
     wake: trio.Event = field(factory=trio.Event)
 
     def record_match(self, index: int) -> None:
--- a/medlarrail/core/errors.py
+++ b/medlarrail/core/errors.py
@@ -525,7 +525,7 @@
 
 
 class RolloutInProgress(ControlError):
-    """A software roll-out of this service to another version is in progress."""
+    """A software rollout of this service to another version is in progress."""
 
     status = 409
     service: str = ""
@@ -533,7 +533,7 @@
 
 
 class RolloutEnded(ControlError):
-    """The software roll-out has ended, and its verdict does not change."""
+    """The software rollout has ended, and its verdict does not change."""
 
     status = 409
     service: str = ""
@@ -541,7 +541,7 @@
 
 
 class RolloutsNotKnown(ControlError):
-    """A voting state member of an older version would ignore the roll-out."""
+    """A voting state member of an older version would ignore the rollout."""
 
     member: str = ""
 
--- a/medlarrail/core/software_rollouts.py
+++ b/medlarrail/core/software_rollouts.py
@@ -1,6 +1,6 @@
-"""Software roll-outs: the record in the replicated log, and what gateways report.
+"""Software rollouts: the record in the replicated log, and what gateways report.
 
-A roll-out moves the traffic of a service from the software versions that serve it to a
+A rollout moves the traffic of a service from the software versions that serve it to a
 target version. In the stage ``trial`` the target gets a small share of the requests, in
 the stage ``full`` all new ones. A final state never changes.
 """
@@ -18,10 +18,10 @@
 
 @frozen
 class SoftwareRollout:
-    """A roll-out as it stands in the replicated log.
+    """A rollout as it stands in the replicated log.
 
     ``started_ms`` is the Unix time of the order in milliseconds, which together with
-    the service identifies the roll-out. ``replaced`` are the software versions that
+    the service identifies the rollout. ``replaced`` are the software versions that
     served when it was ordered.
     """
 
@@ -37,7 +37,7 @@
     reason: str = ""
     """Evidence of the latest step, for operators."""
     excluded: tuple[str, ...] = ()
-    """Versions that earlier roll-outs of the service took out of use, which get no
+    """Versions that earlier rollouts of the service took out of use, which get no
     requests unless they become a target again."""
 
     @property
@@ -58,7 +58,7 @@
         return self.state == "rolled_back" and version == self.target
 
     def is_under_trial(self, version: str) -> bool:
-        """Return whether only entries that apply the roll-out may use ``version``.
+        """Return whether only entries that apply the rollout may use ``version``.
 
         >>> SoftwareRollout("guide", "v2", 9000, 1, ("v1",)).is_under_trial("v2")
         True
@@ -68,7 +68,7 @@
     def hides(self, version: str, knows_rollouts: bool) -> bool:
         """Return whether endpoints of ``version`` are not listed to an entry.
 
-        An entry that does not know roll-outs would send all requests to a version
+        An entry that does not know rollouts would send all requests to a version
         under trial.
         """
         if self.excludes(version):
@@ -78,7 +78,7 @@
     def may_become(self, proposed: "SoftwareRollout") -> bool:
         """Return whether the log may replace this record with ``proposed``.
 
-        A running roll-out takes only its own next step, and an ended one only gives
+        A running rollout takes only its own next step, and an ended one only gives
         way to a later order.
 
         >>> running = SoftwareRollout("guide", "v2", 9000, started_ms=1)
@@ -120,7 +120,7 @@
 
 @frozen
 class RolloutReport:
-    """What a gateway saw of a roll-out since it learned of it; counts are cumulative.
+    """What a gateway saw of a rollout since it learned of it; counts are cumulative.
 
     ``epoch`` is the gateway's start in Unix milliseconds: its counts begin anew with
     each process. ``sent`` and ``sent_to_target`` count requests to the service
@@ -141,7 +141,7 @@
 
 @frozen
 class SoftwareRolloutPolicy:
-    """Limits of software roll-outs.
+    """Limits of software rollouts.
 
     The target gets at most ``exposure_ratio`` of the requests to its service plus
     ``exposure_slack`` until there is a verdict, and nothing from ``rollback_ms``
--- a/medlarrail/ownership/__init__.py
+++ b/medlarrail/ownership/__init__.py
@@ -1,1 +1,1 @@
-"""Endpoint ownership: permits, concurrency limits, fair queueing and roll-outs."""
+"""Endpoint ownership: permits, concurrency limits, fair queueing and rollouts."""
--- a/medlarrail/ownership/rollout_test.py
+++ b/medlarrail/ownership/rollout_test.py
@@ -1,4 +1,4 @@
-"""Tests of weight roll-outs: fencing tokens, load slots and the capacity floor."""
+"""Tests of weight rollouts: fencing tokens, load slots and the capacity floor."""
 
 import pytest
 import trio
@@ -66,7 +66,7 @@
 
 
 class Deployment:
-    """Three entries that run roll-outs on four engines."""
+    """Three entries that run rollouts on four engines."""
 
     def __init__(self, cluster, count=4):
         self.cluster = cluster
--- a/medlarrail/platform/control.py
+++ b/medlarrail/platform/control.py
@@ -22,7 +22,7 @@
 
     If another member is the leader, the caller is redirected to it. Operators try
     another member only after a 5xx, so an error that is not about the call itself
-    is answered with 503. A conflict with another roll-out is about the call.
+    is answered with 503. A conflict with another rollout is about the call.
     """
     get_metrics().count("control_failures", reason=type(error).__name__)
     if isinstance(error, NotLeader) and error.leader_url:
@@ -122,7 +122,7 @@
     @route("POST", "/rollouts")
     @reply_to_errors
     async def handle_rollout(self, request: Request) -> Reply:
-        """Start a software roll-out, or acknowledge the order again."""
+        """Start a software rollout, or acknowledge the order again."""
         rollouts = self.view_server.software_rollouts
         rollouts.require_enabled()
         await rollouts.start(decode_rollout_order(request.body))
@@ -131,6 +131,6 @@
     @route("GET", "/rollouts/*")
     @reply_to_errors
     async def handle_rollout_read(self, request: Request) -> Reply:
-        """Return the state of a service's latest software roll-out."""
+        """Return the state of a service's latest software rollout."""
         rollout = await self.view_server.software_rollouts.read(request.tail)
         return Reply(200, encode_rollout(rollout), JSON)
--- a/medlarrail/platform/platform_test.py
+++ b/medlarrail/platform/platform_test.py
@@ -475,7 +475,7 @@
 async def control(request, tmp_path, nursery, autojump_clock):
     """Return the routes of the leader and of another member.
 
-    The parameter, if there is one, limits software roll-outs.
+    The parameter, if there is one, limits software rollouts.
     """
     cluster = Cluster(tmp_path, nursery)
     await cluster.bootstrap("a", "b", "c")
--- a/medlarrail/platform/rollouts.py
+++ b/medlarrail/platform/rollouts.py
@@ -1,4 +1,4 @@
-"""Decodes the platform's orders of software roll-outs, and encodes their state."""
+"""Decodes the platform's orders of software rollouts, and encodes their state."""
 
 import orjson
 
@@ -23,5 +23,5 @@
 
 
 def encode_rollout(rollout: SoftwareRollout) -> bytes:
-    """Return the state of a roll-out."""
+    """Return the state of a rollout."""
     return orjson.dumps({"state": rollout.state, "target": rollout.target})
--- a/medlarrail/policy/software_rollout.py
+++ b/medlarrail/policy/software_rollout.py
@@ -9,7 +9,7 @@
 the trial is therefore held to the share of the requests that the trial gets. The bound
 on exposure does not cover one that turns bad in the last fifth of the duration, or so
 mildly or late in the trial that it is expanded. It is rolled back if its answers show
-it before the roll-out completes, but in the stage ``full`` it gets all requests: at 650
+it before the rollout completes, but in the stage ``full`` it gets all requests: at 650
 a second the whole slack within 0.1 s.
 
 Errors. At most ``FALSE_ROLLBACK_ERROR`` of the versions as good as the replaced ones
@@ -123,7 +123,7 @@
 
 @frozen
 class RolloutEvidence:
-    """What is known of a roll-out; ``counts`` are the sums of all gateways' reports.
+    """What is known of a rollout; ``counts`` are the sums of all gateways' reports.
 
     ``elapsed_s`` counts from the order, ``stage_s`` from the beginning of the stage.
     ``in_flight_replaced`` requests run at the replaced versions, or None if a gateway
@@ -142,7 +142,7 @@
 
 @frozen
 class RolloutVerdict:
-    """The next step of a roll-out, with its evidence in words and numbers."""
+    """The next step of a rollout, with its evidence in words and numbers."""
 
     action: RolloutAction
     reason: str = ""
@@ -150,7 +150,7 @@
 
 @frozen
 class TargetTraffic:
-    """One gateway's requests since it learned of a roll-out.
+    """One gateway's requests since it learned of a rollout.
 
     ``rank`` is that of this gateway among ``entry_count``; ``view_age_s`` is the time
     since a state member confirmed its view of the cluster.
@@ -192,7 +192,7 @@
 
 
 def judge_rollout(evidence: RolloutEvidence) -> RolloutVerdict:
-    """Return the next step of a roll-out."""
+    """Return the next step of a rollout."""
     left_s = evidence.duration_s - evidence.elapsed_s
     if left_s <= 0:
         return RolloutVerdict("roll_back", "no verdict by the deadline")
--- a/medlarrail/policy/software_rollout_test.py
+++ b/medlarrail/policy/software_rollout_test.py
@@ -101,7 +101,7 @@
 
 
 def replay(load: Load, version: Version, seed: int) -> Outcome:
-    """Return how the roll-out of ``version`` ends; counts as the leader sees them.
+    """Return how the rollout of ``version`` ends; counts as the leader sees them.
 
     The replaced version answers likewise, but for what is bad in addition. Requests in
     flight at the replaced version end 1.5 seconds after the expansion.
@@ -330,7 +330,7 @@
         assert self.judge(counts=counts, elapsed_s=10.7) == "roll_back"
 
     def test_counts_without_times_are_judged_by_failures(self):
-        """Guards against a service that no roll-out of could ever end well."""
+        """Guards against a service that no rollout of could ever end well."""
         counts = tuple(evolve(item, latencies=()) for item in self.COUNTS)
         assert self.judge(counts=counts) == "expand"
 
--- a/medlarrail/policy/stream_versions.py
+++ b/medlarrail/policy/stream_versions.py
@@ -1,6 +1,6 @@
 """Decides at which software version a stream goes on that a caller takes up.
 
-Handles a roll-out of the endpoints' software during which entries end, all of them in
+Handles a rollout of the endpoints' software during which entries end, all of them in
 the worst case: their callers come back at other entries within a moment, for streams
 that either version may have begun. A stream that goes on at the other version is worse
 than one that does not go on, so nothing is guessed.
--- a/medlarrail/programs/operator_rollouts.py
+++ b/medlarrail/programs/operator_rollouts.py
@@ -1,4 +1,4 @@
-"""Commands for software roll-outs."""
+"""Commands for software rollouts."""
 
 import typer
 
@@ -21,7 +21,7 @@
 
 COLUMNS = ("service", "target", "replaced", "state", "stage", "reason")
 
-app = build_app("Roll-outs of software versions.")
+app = build_app("Rollouts of software versions.")
 
 
 @app.command("start")
@@ -44,7 +44,7 @@
 
 @app.command("show")
 def show(context: typer.Context, service: str, as_json: bool = AsJson) -> None:
-    """Show the latest roll-out of a service, with the evidence of its latest step.
+    """Show the latest rollout of a service, with the evidence of its latest step.
 
     Example: medlar rollout show guide
     """
@@ -53,7 +53,7 @@
 
 @app.command("roll-back")
 def roll_back(context: typer.Context, service: str, as_json: bool = AsJson) -> None:
-    """Roll back the running roll-out of a service.
+    """Roll back the running rollout of a service.
 
     Example: medlar rollout roll-back guide
     """
@@ -61,7 +61,7 @@
 
 
 def _call(context: typer.Context, path: str, message, as_json: bool) -> None:
-    """Call the leader and print the roll-out that it returns."""
+    """Call the leader and print the rollout that it returns."""
 
     async def run_command(state: StateClient) -> SoftwareRollout:
         return await state.call_leader(path, message, SoftwareRollout, CALL_TIMEOUT_S)
--- a/medlarrail/programs/programs_test.py
+++ b/medlarrail/programs/programs_test.py
@@ -195,7 +195,7 @@
         assert missing.returncode == 4 and "NotFound" in missing.stderr
 
     def test_rollouts_are_refused_without_settings(self, processes):
-        """A deployment without limits of their exposure has no roll-outs."""
+        """A deployment without limits of their exposure has no rollouts."""
         start = ("rollout", "start", "guide", "v2", "--duration-s", "9")
         commands = (start, ("rollout", "show", "guide"), ("rollout", "roll-back", "x"))
         for command in commands:
--- a/medlarrail/protocol/cluster_view.py
+++ b/medlarrail/protocol/cluster_view.py
@@ -83,7 +83,7 @@
     reports: tuple[EntryReport, ...] | None = None
     """The calls that a follower received; None from an entry."""
     knows_rollouts: bool = False
-    """Whether the caller applies software roll-outs; if not, endpoints of a version
+    """Whether the caller applies software rollouts; if not, endpoints of a version
     under trial are not listed to it."""
 
     def get_registered_entry(self) -> RegisteredEntry:
@@ -128,7 +128,7 @@
     software_versions: tuple[ServiceVersions, ...] | None = None
     """The software versions that may have begun streams; None if nothing changed."""
     rollouts: tuple[SoftwareRollout, ...] | None = None
-    """The latest software roll-out of each service; None if nothing changed."""
+    """The latest software rollout of each service; None if nothing changed."""
     deployment: Deployment | None = None
     out_data_centres: tuple[str, ...] = ()
     limited_services: tuple[str, ...] = ()
--- a/medlarrail/protocol/replication.py
+++ b/medlarrail/protocol/replication.py
@@ -50,7 +50,7 @@
     taken: bool
     last_index: int
     knows_rollouts: bool = False
-    """Whether the member applies the software roll-outs in the log; members of an
+    """Whether the member applies the software rollouts in the log; members of an
     older version ignore them."""
 
 
--- a/medlarrail/protocol/software_rollouts.py
+++ b/medlarrail/protocol/software_rollouts.py
@@ -1,6 +1,6 @@
-"""Messages of software roll-outs: reports of entries, and calls of operators.
+"""Messages of software rollouts: reports of entries, and calls of operators.
 
-An entry sends one ``RolloutReport`` for each running roll-out to ``REPORTS_PATH`` of
+An entry sends one ``RolloutReport`` for each running rollout to ``REPORTS_PATH`` of
 the leader; its counts are cumulative, so a report may be lost or repeated.
 """
 
@@ -14,7 +14,7 @@
 
 @frozen
 class RolloutOrder:
-    """Orders a roll-out of ``target`` to be finished within ``duration_ms``."""
+    """Orders a rollout of ``target`` to be finished within ``duration_ms``."""
 
     service: str
     target: str
@@ -23,6 +23,6 @@
 
 @frozen
 class RolloutQuery:
-    """Names the service whose latest roll-out is to be shown or rolled back."""
+    """Names the service whose latest rollout is to be shown or rolled back."""
 
     service: str
--- a/medlarrail/settings/common.py
+++ b/medlarrail/settings/common.py
@@ -70,7 +70,7 @@
 
 
 def iterate_rollout_faults(policy: SoftwareRolloutPolicy):
-    """Yield the faults of the limits of software roll-outs."""
+    """Yield the faults of the limits of software rollouts."""
     if not 0 <= policy.exposure_ratio <= 1:
         yield ValidationFault(
             "$.software_rollouts.exposure_ratio", "not between 0 and 1"
--- a/medlarrail/settings/gateway.py
+++ b/medlarrail/settings/gateway.py
@@ -34,7 +34,7 @@
     drain: DrainPolicy = field(factory=DrainPolicy)
     isolation: IsolationPolicy = field(factory=IsolationPolicy)
     software_rollouts: SoftwareRolloutPolicy | None = None
-    """Limits of software roll-outs; None for a deployment without them."""
+    """Limits of software rollouts; None for a deployment without them."""
     max_connections: int = 2000
     """Concurrent caller connections: half of the process's file descriptors."""
     memory_limit_mb: int = 0
--- a/medlarrail/settings/settings_test.py
+++ b/medlarrail/settings/settings_test.py
@@ -76,7 +76,7 @@
     def test_limits_of_rollouts_are_not_those_of_the_deployment(
         self, name, kind, with_rollouts
     ):
-        """A deployment without them has no roll-outs."""
+        """A deployment without them has no rollouts."""
         rollout_bounds = ROLLOUT_BOUNDS if with_rollouts else {}
         entry = {**ENTRY, "bounds": {**BOUNDS, **rollout_bounds}}
         text = (TEMPLATES / f"{name}.json").read_text()
--- a/medlarrail/settings/state.py
+++ b/medlarrail/settings/state.py
@@ -27,7 +27,7 @@
     """``host:port`` that serves metrics without a key; empty for none."""
     rollout: RolloutPolicy = field(factory=RolloutPolicy)
     software_rollouts: SoftwareRolloutPolicy | None = None
-    """Limits of software roll-outs; None for a deployment without them."""
+    """Limits of software rollouts; None for a deployment without them."""
     server: ServerLimits = field(factory=lambda: ServerLimits(body_bytes=256_000_000))
     memory_limit_mb: int = 0
     """Memory of the VM in MB; 0 for what the system says."""
--- a/medlarrail/state/appliers.py
+++ b/medlarrail/state/appliers.py
@@ -30,7 +30,7 @@
 
 @applies(ops.NoOperation)
 def apply_no_operation(catalogue: Catalogue, index: int, envelope) -> None:
-    """Add and remove marks of endpoints, and apply steps of software roll-outs.
+    """Add and remove marks of endpoints, and apply steps of software rollouts.
 
     A newer mark of an endpoint stays.
     """
--- a/medlarrail/state/catalogue.py
+++ b/medlarrail/state/catalogue.py
@@ -116,7 +116,7 @@
     endpoint_marks: dict[str, EndpointMark] = field(factory=dict)
     """What was acknowledged to endpoints that left or are leaving, by their name."""
     software_rollouts: dict[str, SoftwareRollout] = field(factory=dict)
-    """The latest software roll-out of each service."""
+    """The latest software rollout of each service."""
 
     def apply(self, index: int, envelope: ops.Envelope) -> ops.Outcome:
         """Apply the log entry at ``index``; a resent command gets its first outcome."""
--- a/medlarrail/state/operations.py
+++ b/medlarrail/state/operations.py
@@ -43,7 +43,7 @@
 
 @frozen
 class NoOperation(Operation):
-    """The first log entry of a leader's term, and the carrier of marks and roll-outs.
+    """The first log entry of a leader's term, and the carrier of marks and rollouts.
 
     These are fields of a known operation because members of an older version ignore
     unknown fields, but cannot apply an unknown operation.
