--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -42,9 +42,7 @@
 )
 from medlarrail.relay.outbound import MAX_TURN_S, AnswerHead, OutboundConnection
 from medlarrail.relay.prefill_speeds import build_first_event
-from medlarrail.relay.rollout_observation import AttemptObservation
 from medlarrail.relay.table import Admission
-from medlarrail.relay.version_choice import VersionChoice
 from medlarrail.relay.workload_tracker import TrackedPrompt
 from medlarrail.transport.framing import Framing
 
@@ -86,7 +84,7 @@
     admission: Admission
     service: ServiceRule
     stream_order: StreamOrder
-    version_choice: VersionChoice | None
+    version_choice: "VersionChoice | None"  # noqa: F821
     """None in a deployment without software rollouts."""
     may_be_running: bool
     fallback_answer: BufferedAnswer | None
@@ -130,7 +128,7 @@
     """What shows that the answer is complete, None before its end."""
     cold_send: ColdSend | None = None
     """Set if the endpoint was cold when the request was sent."""
-    observation: AttemptObservation | None = None
+    observation: "AttemptObservation | None" = None  # noqa: F821
     """Set if the request was sent during a software rollout of its service."""
     _metadata: AnswerMetadata = field(factory=AnswerMetadata)
     _tracked_prompt: TrackedPrompt | None = None
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -48,7 +48,6 @@
 from medlarrail.relay.room_wait import RoomWait
 from medlarrail.relay.stream_version import StreamVersion
 from medlarrail.relay.table import Admission, choose_service
-from medlarrail.relay.version_choice import VersionChoice
 from medlarrail.relay.workload_lookup import WorkloadLookup
 from medlarrail.relay.workload_tracker import TrackedPrompt
 
@@ -96,7 +95,7 @@
     chooser: EndpointChooser = field(init=False)
     stream_version: StreamVersion = field(init=False)
     stream_order: StreamOrder = field(init=False)
-    version_choice: VersionChoice | None = None
+    version_choice: "VersionChoice | None" = None  # noqa: F821
     """None in a deployment without software rollouts."""
 
     def __attrs_post_init__(self):
@@ -119,7 +118,7 @@
         self.workload_lookup = WorkloadLookup(self)
         self.prompt_wait = PromptWait(self)
         if self.relay.rollouts is not None:
-            self.version_choice = VersionChoice(self, self.relay.rollouts)
+            self.version_choice = self.relay.rollouts.build_choice(self)
 
     @property
     def last_event_id(self) -> str:
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -45,8 +45,6 @@
 from medlarrail.relay.prefill_memory import PrefillMemory
 from medlarrail.relay.prefill_speeds import ServiceSpeeds
 from medlarrail.relay.relayed_request import RelayedRequest
-from medlarrail.relay.rollout_reporter import RolloutReporter
-from medlarrail.relay.rollout_traffic import RolloutTraffic
 from medlarrail.relay.room_queue import RoomQueue
 from medlarrail.relay.shutdown import Shutdown
 from medlarrail.relay.startup_hold import DEFAULT_LEFT_S, StartupHold
@@ -103,9 +101,9 @@
     """Key of the fingerprints and proofs of requests, the same at all entries."""
     table: RouteTable | None = None
     prompt_mix: PromptMix = field(factory=PromptMix)
-    rollouts: RolloutTraffic | None = None
+    rollouts: "RolloutTraffic | None" = None  # noqa: F821
     """None in a deployment without software rollouts."""
-    rollout_reporter: RolloutReporter | None = None
+    rollout_reporter: "RolloutReporter | None" = None  # noqa: F821
     crashes: CrashReporter = field(init=False)
     blocked_prompts: BlockedPrompts = field(init=False)
     suspected_requests: SuspectedRequests = field(init=False)
@@ -277,6 +275,11 @@
 
     def enable_rollouts(self, policy: SoftwareRolloutPolicy) -> None:
         """Apply software rollouts, and report what this entry sees of them."""
+        # Imported here because most deployments don't use them, and each class with
+        # generated methods adds half a millisecond to a start.
+        from medlarrail.relay.rollout_reporter import RolloutReporter
+        from medlarrail.relay.rollout_traffic import RolloutTraffic
+
         self.rollouts = RolloutTraffic(policy, self.endpoint_stats)
         self.rollout_reporter = RolloutReporter(self.rollouts, self.crashes.state)
 
--- a/medlarrail/relay/rollout_traffic.py
+++ b/medlarrail/relay/rollout_traffic.py
@@ -10,6 +10,7 @@
 from medlarrail.core.software_rollouts import RolloutReport, SoftwareRolloutPolicy
 from medlarrail.relay.endpoint_stats import EndpointStats
 from medlarrail.relay.service_rollout import ServiceRollout
+from medlarrail.relay.version_choice import VersionChoice
 from medlarrail.relay.version_sightings import VersionSightings
 
 
@@ -51,6 +52,10 @@
         known.update_use()
         return known
 
+    def build_choice(self, relayed: "RelayedRequest") -> VersionChoice:  # noqa: F821
+        """Return what chooses the software versions for a request."""
+        return VersionChoice(relayed, self)
+
     def begin_attempt(self, announced: Announcement) -> None:
         """Count a request in flight at an endpoint's version."""
         self._in_flight[announced.service, announced.software_version] += 1
--- a/medlarrail/relay/version_choice.py
+++ b/medlarrail/relay/version_choice.py
@@ -6,7 +6,6 @@
 from medlarrail.core.announcements import Announcement
 from medlarrail.core.software_rollouts import RolloutStage
 from medlarrail.relay.rollout_observation import AttemptObservation
-from medlarrail.relay.rollout_traffic import RolloutTraffic
 from medlarrail.relay.service_rollout import ServiceRollout
 
 
@@ -20,7 +19,7 @@
     """
 
     relayed: "RelayedRequest"  # noqa: F821
-    traffic: RolloutTraffic
+    traffic: "RolloutTraffic"  # noqa: F821
     _drawn: bool | None = None
     """Whether the request was drawn for the target, None before the draw."""
     _drawn_order: tuple[int, RolloutStage] | None = None
