Prefill sharing: no scope is built for requests without a plan

Every request built the scope of its context again, also short ones and those of plain services. The constant of a megabyte stood twice.

--- a/medlarrail/programs/memory.py
+++ b/medlarrail/programs/memory.py
@@ -5,10 +5,9 @@
 import eliot
 
 from medlarrail.policy.answer_memory import AnswerMemory
-from medlarrail.policy.held_memory import HeldMemory, get_budget_bytes
+from medlarrail.policy.held_memory import MEGABYTE, HeldMemory, get_budget_bytes
 from medlarrail.transport.memory_gate import MemoryGate
 
-MEGABYTE = 1_000_000
 CONTROL_GROUPS = Path("/sys/fs/cgroup")
 OWN_GROUP_FILE = Path("/proc/self/cgroup")
 MEMORY_FILE = Path("/proc/meminfo")
--- a/medlarrail/relay/prefill_sharing.py
+++ b/medlarrail/relay/prefill_sharing.py
@@ -159,14 +159,10 @@
     def get_planned(self, endpoint: EndpointView) -> PartReading:
         """Return how an endpoint gets the part, if it is the chosen one."""
         planned = self._planned
-        scope = self.relayed.get_scope(self._get_version(endpoint))
-        if (
-            planned is None
-            or planned.engine != endpoint.announced.name
-            or planned.scope != scope
-        ):
+        if planned is None or planned.engine != endpoint.announced.name:
             return PREFILL
-        return planned.reading
+        scope = self.relayed.get_scope(self._get_version(endpoint))
+        return planned.reading if planned.scope == scope else PREFILL
 
     def add_source(self, plan: TransferPlan, endpoint: EndpointView) -> TransferPlan:
         """Return ``plan`` with the engine that the part is fetched from, if any.
