Logs: the software version that an attempt assumed, and its connection's age

The lines of a request's attempts could not tell an event of an endpoint's next process from one of the process before: nothing had the software version that was assumed of the endpoint, nor the start and the version in its announcements. docs/OPERATIONS.md has the path from an event with another text to its process.

--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -244,6 +244,8 @@
                 service=announced.service,
                 address=announced.address,
                 state=announced.state,
+                started_ms=announced.started_ms,
+                software_version=announced.software_version,
                 sequence=announced.sequence,
                 cold_ms=announced.cold_ms,
             )
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -116,6 +116,8 @@
     """Seconds from sending the request to the first byte of the body."""
     dispatch: DispatchMetadata | None = None
     """The metadata sent with the request, None before it is sent."""
+    connection_age_s: float = 0.0
+    """Age of the connection when the request was sent on it."""
     framing: Framing | None = None
     """The framing of the answer, None before its head was received."""
     body_bytes: int = 0
@@ -263,6 +265,7 @@
         )
         self._tracked_prompt = self.relayed.begin_work(self.endpoint, self.dispatch)
         self._started_at = trio.current_time()
+        self.connection_age_s = self._started_at - connection.opened_at
         record = self.relayed.relay.endpoint_stats.get_record(
             self.endpoint.announced.name
         )
