Streams go on at an endpoint only once its process has announced itself

Callers saw events of two software versions joined: an endpoint of a service without reports was killed and started again at its name and address with other software. Until the new announcement reached a gateway, it took the next process for the one before, and streams that v1 had begun went on there.

One was sent 11 ms after the leading member had the announcement, which the gateway had not.

A name, an address and the latest announcement can belong to different processes; a connection cannot. Before a stream goes on at an endpoint that tells no start in a report, the leader is now asked when the endpoint announced itself. Only an announcement received while the connection of the request was open tells its process, and a stream goes on only if that has its version. On a connection in use the answer is immediate; on a new one it waits for the next announcement, up to 1.5 s. A leader that does not answer, or is of a version that does not tell, proves nothing.

--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -8,6 +8,7 @@
 
 from medlarrail.cluster.crash_ledger import CrashLedger
 from medlarrail.cluster.endpoint_marks import EndpointMarks
+from medlarrail.cluster.endpoint_sightings import EndpointSightings
 from medlarrail.cluster.registry import EndpointRegistry
 from medlarrail.cluster.software_rollouts import SoftwareRollouts
 from medlarrail.cluster.software_versions import SoftwareVersions
@@ -38,6 +39,12 @@
     LimitReport,
 )
 from medlarrail.protocol.empty import EmptyMessage
+from medlarrail.protocol.endpoint_sightings import (
+    MAX_SIGHTINGS_WAIT_S,
+    SIGHTINGS_PATH,
+    SightingsAnswer,
+    SightingsRequest,
+)
 from medlarrail.state.operations import (
     AddSoftwareVersion,
     BlockParts,
@@ -102,6 +109,7 @@
     rollout_policy: SoftwareRolloutPolicy | None = None
     """Limits of software rollouts; None if the deployment has none."""
     registry: EndpointRegistry = field(init=False)
+    sightings: EndpointSightings = field(init=False)
     crash_ledger: CrashLedger = field(init=False)
     software_versions: SoftwareVersions = field(init=False)
     software_rollouts: SoftwareRollouts = field(init=False)
@@ -123,6 +131,7 @@
 
     def __attrs_post_init__(self):
         self.registry = EndpointRegistry(self.clock)
+        self.sightings = EndpointSightings(self.clock)
         self.crash_ledger = CrashLedger(self.clock)
         self.software_versions = SoftwareVersions(self)
         self.software_rollouts = SoftwareRollouts(self)
@@ -221,6 +230,7 @@
         That is its software version, and that it is leaving. Announcements that were
         sent before a departure of which the log tells are ignored.
         """
+        received_at = self.clock()
         await self.member.confirm_reads()
         self.require_leading()
         is_outdated = self.registry.is_outdated(announced)
@@ -232,11 +242,19 @@
         if self.endpoint_marks.is_outdated(announced):
             get_metrics().count("announcements_outdated")
             return
-        self.record_announcement(announced)
+        self.record_announcement(announced, received_at)
+
+    def record_announcement(
+        self, announced: Announcement, received_at: float | None = None
+    ) -> None:
+        """Record an announcement of an endpoint whose software version is known.
 
-    def record_announcement(self, announced: Announcement) -> None:
-        """Record an announcement of an endpoint whose software version is known."""
+        It was received at ``received_at``, by default now.
+        """
         self.require_leading()
+        if not self.registry.is_outdated(announced):
+            heard_at = self.clock() if received_at is None else received_at
+            self.sightings.record(announced, heard_at)
         if self.registry.record_announcement(announced):
             eliot.log_message(
                 "endpoint:announced",
@@ -277,6 +295,17 @@
         await self.register_departure(request.message.name)
         return EmptyMessage()
 
+    @route("POST", SIGHTINGS_PATH, SightingsRequest)
+    async def handle_sightings(self, request: Request) -> SightingsAnswer:
+        """Tell an entry when the incarnations of an endpoint announced themselves."""
+        message: SightingsRequest = request.message
+        self.require_leading()
+        asked_at = self.clock()
+        name = message.endpoint
+        with trio.move_on_after(min(message.wait_s, MAX_SIGHTINGS_WAIT_S)):
+            await self.sightings.wait_heard(name, asked_at - message.max_age_s)
+        return SightingsAnswer(tuple(self.sightings.iterate(name, asked_at)))
+
     @route("POST", LIMITS_PATH, LimitReport)
     async def handle_limit(self, request: Request) -> EmptyMessage:
         """Record the rate that an endpoint named in an answer to an entry."""
@@ -518,6 +547,7 @@
     def _remove_expired_endpoints(self) -> None:
         if not self.is_settled():
             return
+        self.sightings.remove_expired()
         for name in self.registry.expire():
             eliot.log_message("endpoint:expired", endpoint=name)
             self.notify_waiters()
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterator
 from contextlib import aclosing, suppress
-from typing import Protocol
+from math import inf
+from typing import NoReturn, Protocol
 
 import trio
 from attrs import define, field, frozen
@@ -24,6 +25,7 @@
     StreamBroken,
     StreamMixed,
     StreamOutOfOrder,
+    UnknownRoute,
 )
 from medlarrail.core.metrics import get_metrics
 from medlarrail.policy.answer_end import EndEvidence
@@ -34,6 +36,7 @@
 from medlarrail.relay.events import OrderedEvents
 from medlarrail.relay.headers import END_CHECKED, get_header, iterate_end_to_end
 from medlarrail.relay.inbound import ServerExchange
+from medlarrail.relay.incarnations import ANNOUNCEMENT_TIMEOUT_S
 from medlarrail.relay.metadata import (
     AnswerMetadata,
     DispatchMetadata,
@@ -42,6 +45,7 @@
 )
 from medlarrail.relay.outbound import MAX_TURN_S, AnswerHead, OutboundConnection
 from medlarrail.relay.prefill_speeds import build_first_event
+from medlarrail.relay.stream_version import StreamVersion
 from medlarrail.relay.table import Admission
 from medlarrail.relay.workload_tracker import TrackedPrompt
 from medlarrail.transport.framing import Framing
@@ -84,6 +88,7 @@
     admission: Admission
     service: ServiceRule
     stream_order: StreamOrder
+    stream_version: StreamVersion
     version_choice: "VersionChoice | None"  # noqa: F821
     """None in a deployment without software rollouts."""
     may_be_running: bool
@@ -116,8 +121,8 @@
     """Seconds from sending the request to the first byte of the body."""
     dispatch: DispatchMetadata | None = None
     """The metadata sent with the request, None before it is sent."""
-    connection_age_s: float = 0.0
-    """Age of the connection when the request was sent on it."""
+    connection: OutboundConnection | None = None
+    """The connection on which the request was sent, None before that."""
     framing: Framing | None = None
     """The framing of the answer, None before its head was received."""
     body_bytes: int = 0
@@ -136,6 +141,11 @@
     _tracked_prompt: TrackedPrompt | None = None
     _started_at: float = 0.0
 
+    @property
+    def connection_age_s(self) -> float:
+        """Age of the connection when the request was sent on it."""
+        return self._started_at - self.connection.opened_at if self.connection else 0.0
+
     @property
     def limit_per_s(self) -> float | None:
         """The limit that the endpoint named in this answer."""
@@ -167,7 +177,9 @@
             version_choice.traffic.begin_attempt(announced)
         connection = None
         # A reply about the incarnation must not be a late copy of another answer.
-        new_connection = not route.repeatable or self._goes_on()
+        new_connection = not route.repeatable or (
+            self._goes_on() and self._get_report_path() != ""
+        )
         limit = relay.get_connection_limit(self.relayed.service, announced.name)
         try:
             with record.send_rate.reserve():
@@ -211,10 +223,15 @@
                 relay.pool.release(connection, self._metadata.keep_alive_s)
 
     def _goes_on(self) -> bool:
-        """Return whether this attempt is to go on with a stream of a model endpoint."""
+        """Return whether this attempt is to go on with a stream."""
         is_stream = self.relayed.admission.route.kind == "stream"
-        is_engine = self.relayed.service.engine is not None
-        return is_stream and is_engine and bool(self.relayed.last_event_id)
+        return is_stream and bool(self.relayed.last_event_id)
+
+    def _get_report_path(self) -> str:
+        """Return the path at which the endpoint tells its start, empty if at none."""
+        if self.relayed.service.engine is None:
+            return ""
+        return self.relayed.relay.header_codec.get_status_path(self.relayed.service)
 
     def _require_available(self) -> None:
         """Raise if the endpoint said meanwhile that it wants no requests.
@@ -235,13 +252,14 @@
         """Return whether ``connection`` can be used for a stream that goes on.
 
         A stream must not go on at the endpoint's next incarnation, which may have other
-        software. Raises ``EndpointOutOfService`` unless its status tells that it is the
-        announced one.
+        software. Raises ``EndpointOutOfService`` unless its report tells that it is the
+        announced one, or if it tells no start, unless it announces itself.
         """
         codec = self.relayed.relay.header_codec
         announced = self.endpoint.announced
-        path = codec.get_status_path(self.relayed.service)
+        path = self._get_report_path()
         if not path:
+            await self._require_heard(connection)
             return True
         status = None
         with trio.move_on_after(STATUS_TIMEOUT_S), suppress(RunFailure):
@@ -249,14 +267,36 @@
         if status is None or status.reply.is_other_than(
             announced.name, announced.started_ms
         ):
-            get_metrics().count("incarnations_unproven", service=announced.service)
-            raise EndpointOutOfService(endpoint=announced.name)
+            self._raise_unproven()
         if not connection.is_reusable() or status.keep_alive_s == 0:
             return False
         # A late copy of the status may arrive where the next answer is expected.
         connection.start_next_request()
         return True
 
+    async def _require_heard(self, connection: OutboundConnection) -> None:
+        """Wait until the process at the other end of ``connection`` announces itself.
+
+        Raises ``EndpointOutOfService`` if it does not, or has other software.
+        """
+        found = None
+        with suppress(UnknownRoute):
+            found = await self.relayed.relay.incarnations.find(
+                self.endpoint.announced.name,
+                connection.opened_at,
+                inf,
+                ANNOUNCEMENT_TIMEOUT_S,
+            )
+        version = self.relayed.stream_version.version
+        is_allowed = found is not None and found.software_version == version
+        if not is_allowed or not connection.is_quiet():
+            self._raise_unproven()
+
+    def _raise_unproven(self) -> NoReturn:
+        announced = self.endpoint.announced
+        get_metrics().count("incarnations_unproven", service=announced.service)
+        raise EndpointOutOfService(endpoint=announced.name)
+
     async def _run_exchange(self, connection: OutboundConnection) -> None:
         request = self.relayed.exchange.request
         self.dispatch = self.relayed.build_dispatch(self.endpoint)
@@ -265,7 +305,7 @@
         )
         self._tracked_prompt = self.relayed.begin_work(self.endpoint, self.dispatch)
         self._started_at = trio.current_time()
-        self.connection_age_s = self._started_at - connection.opened_at
+        self.connection = connection
         record = self.relayed.relay.endpoint_stats.get_record(
             self.endpoint.announced.name
         )
@@ -602,7 +642,7 @@
 
     def _record_stream_begun(self) -> None:
         """Record which software version the events come from, before the first."""
-        self.relayed.stream_version.record_begun(self.endpoint.announced)
+        self.relayed.stream_version.record_begun(self)
 
     async def _send_head(self, exchange: ServerExchange, head: AnswerHead) -> None:
         if exchange.started:
--- /dev/null
+++ b/medlarrail/relay/incarnations.py
@@ -0,0 +1,94 @@
+"""Finds out which incarnation of an endpoint is at the other end of a connection."""
+
+import eliot
+import trio
+from attrs import define
+
+from medlarrail.cluster.state_client import StateClient
+from medlarrail.core.errors import MedlarError, UnknownRoute
+from medlarrail.core.metrics import get_metrics
+from medlarrail.policy.incarnations import HeardIncarnation, find_incarnation
+
+ANNOUNCEMENT_TIMEOUT_S = 1.5
+"""Maximum time for the next announcement of an endpoint, a little more than their
+interval: callers of a stream leave after two seconds without an event."""
+LOOKUP_TIMEOUT_S = 0.5
+"""Time for an answer of the leading member, in addition to the time that it waits."""
+
+
+@define(eq=False)
+class IncarnationLookup:
+    """Asks the leading state member when endpoints announced themselves."""
+
+    state: StateClient | None = None
+
+    async def find(
+        self, endpoint: str, opened_at: float, closed_at: float, wait_s: float = 0.0
+    ) -> HeardIncarnation | None:
+        """Return the incarnation that had a connection, or None if that is not known.
+
+        The times are those of ``find_incarnation``, on trio's clock. Waits up to
+        ``wait_s`` seconds for an announcement after ``opened_at``. Raises
+        ``UnknownRoute`` if the member is of a version that does not tell.
+        """
+        # Imported here because only streams that go on need them, and each class with
+        # generated methods adds half a millisecond to a start.
+        from medlarrail.protocol.endpoint_sightings import (
+            SIGHTINGS_PATH,
+            SightingsAnswer,
+            SightingsRequest,
+        )
+
+        if self.state is None:
+            return None
+        sent_at = trio.current_time()
+        request = SightingsRequest(endpoint, sent_at - opened_at, wait_s)
+        try:
+            answer = await self.state.call_leader(
+                SIGHTINGS_PATH, request, SightingsAnswer, wait_s + LOOKUP_TIMEOUT_S
+            )
+        except UnknownRoute:
+            get_metrics().count("incarnation_lookups", outcome="unsupported")
+            raise
+        except MedlarError as error:
+            self._record("unanswered", endpoint, opened_at, reason=str(error))
+            return None
+        received_at = trio.current_time()
+        heard = [
+            HeardIncarnation(
+                one.started_ms,
+                one.software_version,
+                first_at=min(received_at, received_at - one.first_age_s),
+                last_at=sent_at - one.last_age_s,
+            )
+            for one in answer.sightings
+        ]
+        found = find_incarnation(heard, opened_at, closed_at)
+        self._record(
+            "known" if found else "unknown",
+            endpoint,
+            opened_at,
+            software_version=found.software_version if found else None,
+            heard=[
+                (
+                    one.started_ms,
+                    one.software_version,
+                    round(one.first_at - opened_at, 3),
+                    round(one.last_at - opened_at, 3),
+                )
+                for one in heard
+            ],
+        )
+        return found
+
+    @staticmethod
+    def _record(outcome: str, endpoint: str, opened_at: float, **fields) -> None:
+        """Log a lookup; times are in seconds since the connection was opened."""
+        get_metrics().count("incarnation_lookups", outcome=outcome)
+        eliot.log_message(
+            "endpoint:incarnation",
+            endpoint=endpoint,
+            outcome=outcome,
+            connection_age_ms=round((trio.current_time() - opened_at) * 1000, 1),
+            **fields,
+        )
--- /dev/null
+++ b/medlarrail/relay/replaced_processes_test.py
@@ -0,0 +1,107 @@
+"""Tests of streams at endpoints that start again in place, with other software.
+
+They keep their names and addresses and tell no start. Until a gateway gets the new
+announcement, the one before stands for both processes.
+"""
+
+import pytest
+import trio
+
+from medlarrail.core.deployment import ServiceRule
+from medlarrail.core.errors import PeerTimeout, UnknownRoute
+from medlarrail.protocol.endpoint_sightings import Sighting
+from medlarrail.relay.ended_endpoints_test import send_rest
+from medlarrail.relay.incomplete_answers_test import BODY, EVENTS, call
+from medlarrail.testing.builders import build_deployment, build_route
+from medlarrail.testing.scripted_endpoints import (
+    build_request,
+    start_relay,
+)
+
+DEPLOYMENT = build_deployment(
+    routes=(build_route(kind="stream", resumable=True, max_attempts=2),),
+    services=(ServiceRule("guide"),),
+)
+TAKE_UP = build_request(Last_Event_Id="1", X_Resumes="r0")
+SECOND = Sighting(2000, "v2", 0.0, 0.0)
+"""The next process, which has just announced itself."""
+FIRST_LONG_AGO = Sighting(1000, "v1", 60.0, 30.0)
+"""The process before, which was last heard of before any connection was opened."""
+FIRST = Sighting(1000, "v1", 60.0, 0.0)
+
+
+@pytest.fixture
+async def harness(nursery):
+    harness = await start_relay(nursery, DEPLOYMENT)
+    harness.relay.cluster_view.confirmed_at = trio.current_time()
+    harness.relay.origins.record("r0", "guide", "v1")
+    return harness
+
+
+def set_sightings(harness, name, *sightings):
+    harness.relay.incarnations.state.sightings[name] = sightings
+
+
+async def add(harness, script=send_rest, version="v1"):
+    return await harness.add(script, started_ms=1000, software_version=version)
+
+
+class TestContinuation:
+    @pytest.mark.parametrize(
+        "sightings", [(), (FIRST_LONG_AGO,), (FIRST_LONG_AGO, SECOND), (SECOND,)]
+    )
+    async def test_stream_goes_on_at_the_next_process(self, harness, sightings):
+        """Events of two software versions were joined."""
+        endpoint = await add(harness)
+        set_sightings(harness, "engine-1", *sightings)
+        answer = await call(harness, TAKE_UP)
+        assert answer.status == 503
+        assert not endpoint.requests
+
+    async def test_stream_does_not_go_on_at_the_process_it_began_at(self, harness):
+        endpoint = await add(harness)
+        set_sightings(harness, "engine-1", FIRST)
+        answer = await call(harness, TAKE_UP)
+        assert answer.body == BODY.removeprefix(EVENTS[0])
+        assert answer.ending == "proven"
+        assert endpoint.connections == 1
+
+    async def test_stream_waits_for_nothing_on_a_connection_in_use(self, harness):
+        """A connection is as old as the process that holds it can be taken to be."""
+        endpoint = await add(harness)
+        for _ in range(3):
+            await call(harness, TAKE_UP)
+        asked = harness.relay.incarnations.state.requests
+        assert endpoint.connections == 1
+        assert asked[0].max_age_s < asked[1].max_age_s < asked[2].max_age_s
+
+    async def test_stream_goes_on_without_an_answer_of_the_leader(self, harness):
+        endpoint = await add(harness)
+        for error in (UnknownRoute(path="x"), PeerTimeout(url="x")):
+            fail_calls(harness, error)
+            answer = await call(harness, TAKE_UP)
+            assert answer.status == 503
+        assert not endpoint.requests
+
+    async def test_connection_closes_while_the_announcement_is_awaited(self, harness):
+        """Its process has ended, and what has the address now is another one."""
+        endpoint = await add(harness)
+        state = harness.relay.incarnations.state
+        call_leader = state.call_leader
+
+        async def end_process(*args):
+            endpoint.stop()
+            await trio.sleep(0.05)
+            return await call_leader(*args)
+
+        state.call_leader = end_process
+        answer = await call(harness, TAKE_UP)
+        assert answer.status == 503
+        assert not endpoint.requests
+
+
+def fail_calls(harness, error):
+    async def call_leader(*args):
+        raise error
+
+    harness.relay.incarnations.state.call_leader = call_leader
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -33,6 +33,7 @@
 from medlarrail.relay.forwarding import MAX_CARRIED, Forwarder
 from medlarrail.relay.headers import OWN_ANSWER
 from medlarrail.relay.inbound import ServerExchange
+from medlarrail.relay.incarnations import IncarnationLookup
 from medlarrail.relay.limit_reporter import LimitReporter
 from medlarrail.relay.metadata import HeaderCodec, RequestMetadata
 from medlarrail.relay.outbound import OutboundPool
@@ -94,6 +95,7 @@
     workloads: WorkloadDirectory | None = None
     draining: bool = False
     shutdown: Shutdown = field(factory=Shutdown)
+    incarnations: IncarnationLookup = field(factory=IncarnationLookup)
     answer_memory: AnswerMemory = field(factory=AnswerMemory)
     startup: StartupHold | None = None
     """Set while the entry runs as a process that may have to wait for a leader."""
@@ -287,6 +289,7 @@
         """Set the client for reports to the leading state member."""
         self.crashes.state = self.blocked_prompts.state = state
         self.suspected_requests.state = self.limits.state = state
+        self.incarnations.state = state
         if self.rollout_reporter is not None:
             self.rollout_reporter.state = state
 
--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -58,10 +58,10 @@
             raise StreamVersionUnknown(service=service)
         self.version = version
 
-    def record_begun(self, announced: Announcement) -> None:
-        """Record that events of an endpoint are about to be sent to the caller."""
+    def record_begun(self, attempt: "Attempt") -> None:  # noqa: F821
+        """Record that events of an attempt are about to be sent to the caller."""
         if self.version is None:
-            self.version = announced.software_version
+            self.version = attempt.endpoint.announced.software_version
         relayed = self.relayed
         if relayed.origin_id:
             relayed.relay.origins.record(
--- a/medlarrail/testing/fleet.py
+++ b/medlarrail/testing/fleet.py
@@ -8,13 +8,14 @@
 
 import trio
 import trio.testing
-from attrs import define, field
+from attrs import define, evolve, field
 
 from medlarrail.cluster.cluster_view import ClusterViewClient
 from medlarrail.cluster.cluster_view_server import ClusterViewServer
 from medlarrail.cluster.crash_watch import CrashWatch
 from medlarrail.cluster.state_client import StateClient
 from medlarrail.cluster.stream_origin_keeper import StreamOriginKeeper
+from medlarrail.core.announcements import Announcement
 from medlarrail.core.deployment import Deployment
 from medlarrail.relay.header_codec import DefaultHeaderCodec
 from medlarrail.relay.metadata import HeaderCodec
@@ -32,6 +33,7 @@
 from medlarrail.transport.datagrams import DatagramSocket
 
 START_TIMEOUT_S = 10.0
+ANNOUNCEMENT_INTERVAL_S = 0.1
 REQUESTS_PER_S = 50.0
 """Rate of ``send_steadily``."""
 
@@ -122,6 +124,14 @@
             software_version=software_version,
         )
         await self.view_server.register_announcement(announcement)
+        self.nursery.start_soon(self._announce_steadily, announcement)
+
+    async def _announce_steadily(self, announcement: Announcement) -> None:
+        while True:
+            await trio.sleep(ANNOUNCEMENT_INTERVAL_S)
+            sequence = announcement.sequence + 1
+            announcement = evolve(announcement, sequence=sequence)
+            await self.view_server.register_announcement(announcement)
 
     async def restart_gateways(self, deployment: Deployment) -> RelayHarness:
         """Return a gateway that knows nothing of the others, which are forgotten."""
--- a/medlarrail/testing/partitioned_site.py
+++ b/medlarrail/testing/partitioned_site.py
@@ -89,7 +89,9 @@
             harness.relay.forwarder.data_centre = data_centre
             address = f"{HOST}:{harness.port}"
             entries.append(RegisteredEntry(name, address, data_centre))
+            announcing = harness.relay.incarnations.state
             harness.relay.connect_state(self.state)
+            harness.relay.incarnations.state = announcing
             await self.nursery.start(harness.relay.run_reporters)
             self.gateways.append(harness)
             self.paths.append(paths)
--- a/medlarrail/testing/scripted_endpoints.py
+++ b/medlarrail/testing/scripted_endpoints.py
@@ -14,7 +14,13 @@
 from medlarrail.cluster.cluster_view import ClusterView, EndpointView
 from medlarrail.core.announcements import Announcement
 from medlarrail.core.deployment import Deployment
+from medlarrail.core.invariants import require
 from medlarrail.policy.isolation import IsolationPolicy
+from medlarrail.protocol.endpoint_sightings import (
+    SIGHTINGS_PATH,
+    Sighting,
+    SightingsRequest,
+)
 from medlarrail.relay.endpoint_stats import EndpointStats
 from medlarrail.relay.header_codec import DefaultHeaderCodec
 from medlarrail.relay.inbound import InboundServer
@@ -181,6 +187,29 @@
     return run
 
 
+@define(eq=False, slots=False)
+class AnnouncingEndpoints:
+    """Stands for the leading member: all listed endpoints announce themselves steadily.
+
+    ``sightings`` has what is told of an endpoint in place of that.
+    """
+
+    cluster_view: ClusterView
+    sightings: dict[str, tuple[Sighting, ...]] = field(factory=dict)
+    requests: list[SightingsRequest] = field(factory=list)
+
+    async def call_leader(self, path, message, answer_type, timeout_s):
+        """Answer as ``StateClient.call_leader`` does."""
+        require(path == SIGHTINGS_PATH, "harness-knows-path", path)
+        self.requests.append(message)
+        if message.endpoint in self.sightings:
+            return answer_type(self.sightings[message.endpoint])
+        announced = self.cluster_view.endpoints[message.endpoint].announced
+        return answer_type(
+            (Sighting(announced.started_ms, announced.software_version, 1e6, 0.0),)
+        )
+
+
 @define(eq=False)
 class RelayHarness:
     """A relay with its endpoints; callers connect to ``port``."""
@@ -256,6 +285,7 @@
         server.limits = document.limits
 
     cluster_view.deployment_listeners.append(apply_limits)
+    relay.incarnations.state = AnnouncingEndpoints(cluster_view)
     harness = RelayHarness(nursery, relay, server)
     harness.configure(deployment or build_deployment())
     nursery.start_soon(relay.pool.loop_watch.run)
