HTTP server: a connection ends when its peer closes it

Cause: hypercorn's trio server waits for the idle timer of a connection before it releases it. After the peer had closed or reset an idle connection, its descriptor and memory were held until the timer ended, 75 s later.

Change: the idle timer ends with the connection. Tests: three of four cases of TestClosedConnections failed before; the fourth, a connection closed inside a request, guards the change.

--- a/medlarrail/transport/bounded_connections.py
+++ b/medlarrail/transport/bounded_connections.py
@@ -40,10 +40,13 @@
     """One connection that receives little at a time until a body is long."""
 
     holding: Holding
+    _is_closed_by_peer: bool = False
 
     async def protocol_send(self, event: Event) -> None:
         """Send an event of the protocol, and note whether a request is served."""
         if isinstance(event, Updated):
+            if self._is_closed_by_peer:
+                return
             state = "idle" if event.idle else "working"
             self.holding.start(state, trio.current_time())
         await super().protocol_send(event)
@@ -67,6 +70,9 @@
             await self.protocol.handle(RawData(bytes(data)))
             if not data:
                 break
+        self._is_closed_by_peer = True
+        # hypercorn ends a connection only together with its idle timer.
+        await self.idle_task.stop()
         await self.protocol.handle(Closed())
 
     def _is_in_body(self) -> bool:
--- a/medlarrail/transport/server_test.py
+++ b/medlarrail/transport/server_test.py
@@ -1,5 +1,7 @@
 """Tests of the server and the client over loopback."""
 
+from collections.abc import Callable
+
 import pytest
 import trio
 import trio.testing
@@ -20,6 +22,7 @@
 from medlarrail.transport.client import HttpClient
 from medlarrail.transport.routes import EventStream, Routes, route
 from medlarrail.transport.server import HttpServer, ServerLimits, drain_and_stop
+from medlarrail.transport.sockets import set_reset_on_close
 
 
 @frozen
@@ -202,6 +205,62 @@
         assert ended
 
 
+class TestClosedConnections:
+    """A peer that closes its connection after each call used a descriptor of a state
+    member for 75 s with each: members ran out of them and answered nobody."""
+
+    @staticmethod
+    async def call_and_close(
+        url: str, close: Callable[[trio.SocketStream], None]
+    ) -> None:
+        stream = await trio.open_tcp_stream("127.0.0.1", int(url.rsplit(":")[-1]))
+        body = b'{"text":"hi"}'
+        await stream.send_all(
+            b"POST /echo HTTP/1.1\r\nhost: x\r\ncontent-length: 13\r\n\r\n" + body
+        )
+        answer = b""
+        while body not in answer:
+            answer += await stream.receive_some(4096)
+        # The answer is followed by the start of the idle timer.
+        await trio.testing.wait_all_tasks_blocked(0.01)
+        close(stream)
+        await stream.aclose()
+
+    @staticmethod
+    async def wait_until_closed(server: HttpServer) -> None:
+        with trio.fail_after(5):
+            while server.gate.memory.holdings:
+                await trio.sleep(0.01)
+
+    @pytest.mark.parametrize("resets", [False, True])
+    async def test_connection_closed_by_its_peer_stays_open(self, server, url, resets):
+        for _ in range(20):
+            await self.call_and_close(
+                url, lambda stream: set_reset_on_close(stream, resets)
+            )
+        await self.wait_until_closed(server)
+
+    async def test_connection_closed_without_a_request_stays_open(self, server, url):
+        for _ in range(20):
+            port = int(url.rsplit(":")[-1])
+            stream = await trio.open_tcp_stream("127.0.0.1", port)
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            await stream.aclose()
+        await self.wait_until_closed(server)
+
+    async def test_connection_closed_inside_a_request_stays_open(
+        self, server, handlers, url
+    ):
+        for _ in range(20):
+            port = int(url.rsplit(":")[-1])
+            stream = await trio.open_tcp_stream("127.0.0.1", port)
+            await stream.send_all(b"GET /hang HTTP/1.1\r\nhost: x\r\n\r\n")
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            await stream.aclose()
+        handlers.release.set()
+        await self.wait_until_closed(server)
+
+
 class TestDrain:
     async def test_a_running_stream_completes_before_the_server_stops(
         self, server, handlers, url, client, nursery
