A take-up goes on at the version of the process that began the stream

Callers that took a stream up got events of two software versions joined. The endpoint that began it had started again in place, with other software, before the gateway had its announcement. The gateway recorded the version of the process before, told that to the state members, and everyone went on at it. So did the same gateway, for a later take-up.

The origin of a stream now also tells the endpoint and the time in which the connection of the first event was open: how long ago it was opened, and for how long it was open at least. While several versions are in service, whoever takes the stream up asks the leader which incarnation was heard of in that time. Its version is that of the stream. If none was, or the leader does not answer, the stream is refused (StreamVersionUnknown). With an older leader, or for an origin without an endpoint, all is as before, and if the leader does not answer while only one version is known.

The time that messages took is unknown, so the time told is shortened by it: by 0.1 s for the way to the state member, by the wait in that member's socket (it notes ten times a second that nothing waits, so that its own suspension counts), and by the duration of the query. A version that was proven in this way replaces one that was only announced. Origins that differ in their ages do not count as contradicted.

No further message is sent in calm. A batch has 25 origins instead of 40, 4.5 KB with names of 14 to 16 characters.

--- a/medlarrail/cluster/recent_origins.py
+++ b/medlarrail/cluster/recent_origins.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Iterator
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.policy.stream_versions import STREAM_RETENTION_S
@@ -12,11 +12,19 @@
 
 @define
 class KeptOrigin:
-    """An origin and when it was last told."""
+    """An origin, since when it is kept, and when it was last told."""
 
     origin: StreamOrigin
+    kept_since: float
     told_at: float
 
+    def get_origin(self, now: float) -> StreamOrigin:
+        """Return the origin with the age of its connection at ``now``."""
+        if not self.origin.endpoint:
+            return self.origin
+        age_s = self.origin.opened_ago_s + now - self.kept_since
+        return evolve(self.origin, opened_ago_s=round(age_s, 3))
+
 
 @define(eq=False)
 class RecentOrigins:
@@ -28,14 +36,25 @@
     """The latest told last."""
 
     def add(self, origin: StreamOrigin) -> StreamOrigin:
-        """Keep an origin; the first one of a stream stays, and is returned."""
+        """Keep an origin and return the one that is kept of its stream.
+
+        That is the first one, or the first one that is proven.
+        """
         now = self.clock()
-        kept = self._kept.setdefault(origin.stream, KeptOrigin(origin, now))
+        kept = self._kept.get(origin.stream)
+        if kept is None or (origin.proven and not kept.origin.proven):
+            kept = self._kept[origin.stream] = KeptOrigin(origin, now, now)
         kept.told_at = now
         self._kept.move_to_end(origin.stream)
         while len(self._kept) > self.max_count or self._is_oldest_expired(now):
             self._kept.popitem(last=False)
-        return kept.origin
+        return kept.get_origin(now)
+
+    def extend(self, stream: str, open_for_s: float) -> None:
+        """Note that the connection of a stream was open for so long."""
+        kept = self._kept.get(stream)
+        if kept is not None and kept.origin.open_for_s < open_for_s:
+            kept.origin = evolve(kept.origin, open_for_s=round(open_for_s, 3))
 
     def _is_oldest_expired(self, now: float) -> bool:
         oldest = next(iter(self._kept.values()))
@@ -44,10 +63,11 @@
     def find(self, stream: str) -> StreamOrigin | None:
         """Return the origin of a stream, or None if it is not kept."""
         kept = self._kept.get(stream)
-        return kept.origin if kept is not None else None
+        return kept.get_origin(self.clock()) if kept is not None else None
 
     def iterate_service(self, service: str) -> Iterator[StreamOrigin]:
         """Yield the origins of a service's streams."""
+        now = self.clock()
         for kept in self._kept.values():
             if kept.origin.service == service:
-                yield kept.origin
+                yield kept.get_origin(now)
--- a/medlarrail/cluster/stream_origin_keeper.py
+++ b/medlarrail/cluster/stream_origin_keeper.py
@@ -4,8 +4,10 @@
 stream are needed only while its caller waits, so they are not written to disk.
 """
 
+from sys import intern
+
 import trio
-from attrs import define, field
+from attrs import define, evolve, field
 
 from medlarrail.cluster.recent_origins import RecentOrigins
 from medlarrail.core.clock import Clock, get_boottime
@@ -23,7 +25,9 @@
 from medlarrail.transport.datagrams import DatagramSocket, decode_datagram
 
 MAX_ORIGINS = 100_000
-"""Maximum streams that are remembered, about 30 MB."""
+"""Maximum streams that are remembered, about 37 MB."""
+CHECK_INTERVAL_S = 0.1
+"""Interval at which the time is noted up to which no datagram has arrived."""
 
 
 @define(eq=False)
@@ -33,6 +37,9 @@
     datagram_socket: DatagramSocket
     clock: Clock = get_boottime
     _origins: RecentOrigins = field(init=False)
+    _drained_at: float = 0.0
+    """Latest time at which no datagram was waiting: after a suspension of the process,
+    those that are received may have waited for all of it."""
 
     def __attrs_post_init__(self):
         self._origins = RecentOrigins(MAX_ORIGINS, self.clock)
@@ -43,11 +50,18 @@
         task_status.started()
         try:
             while True:
-                for body in await self.datagram_socket.receive():
-                    self._handle(body[:1], body[1:])
+                self._note_drained()
+                with trio.move_on_after(CHECK_INTERVAL_S):
+                    for body in await self.datagram_socket.receive():
+                        self._handle(body[:1], body[1:])
         finally:
             self.datagram_socket.close()
 
+    def _note_drained(self) -> None:
+        now = self.clock()
+        if not self.datagram_socket.has_arrived():
+            self._drained_at = now
+
     def _handle(self, prefix: bytes, body: bytes) -> None:
         if prefix == RECORD_PREFIX:
             told = decode_datagram(body, StreamOrigins, "origins_unreadable")
@@ -61,7 +75,17 @@
             get_metrics().count("origins_unreadable", type="prefix")
 
     def _keep(self, origin: StreamOrigin) -> None:
-        if self._origins.add(origin) != origin:
+        waited_s = self.clock() - self._drained_at
+        origin = evolve(
+            origin,
+            # The same few names in all origins; each would take 60 bytes.
+            service=intern(origin.service),
+            software_version=intern(origin.software_version),
+            endpoint=intern(origin.endpoint),
+            open_for_s=round(origin.open_for_s - waited_s, 3),
+        )
+        kept = self._origins.add(origin)
+        if kept.contradicts(origin):
             get_metrics().count("origins_contradicted")
 
     def _answer(self, query: OriginQuery) -> None:
--- a/medlarrail/protocol/stream_origins.py
+++ b/medlarrail/protocol/stream_origins.py
@@ -12,17 +12,35 @@
 RECORD_PREFIX = b"O"
 QUERY_PREFIX = b"P"
 REPLY_PREFIX = b"S"
-MAX_BATCH_ORIGINS = 40
-"""Maximum origins in one datagram, about 4 KB."""
+MAX_BATCH_ORIGINS = 25
+"""Maximum origins in one datagram, up to 4.5 KB."""
 
 
 @frozen
 class StreamOrigin:
-    """The service and software version that began the stream with this key."""
+    """The service and software version that began the stream with this key.
+
+    Unless ``proven``, the version is the one that was announced of ``endpoint``, whose
+    process may have been another one. The connection on which it sent the first event
+    tells which. Programs that do not know of it leave the endpoint empty.
+    """
 
     stream: str
     service: str
     software_version: str
+    endpoint: str = ""
+    opened_ago_s: float = 0.0
+    """Seconds since the connection was opened, when this was sent. It may have been
+    earlier, by the time that messages took."""
+    open_for_s: float = 0.0
+    """Lower limit of the seconds for which it was open after that; below 0 if it may
+    have been opened earlier."""
+    proven: bool = False
+
+    def contradicts(self, other: "StreamOrigin") -> bool:
+        """Return whether another origin of the same stream cannot be true, too."""
+        mine = (self.service, self.software_version)
+        return mine != (other.service, other.software_version)
 
 
 @frozen
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -25,7 +25,6 @@
     StreamBroken,
     StreamMixed,
     StreamOutOfOrder,
-    UnknownRoute,
 )
 from medlarrail.core.metrics import get_metrics
 from medlarrail.policy.answer_end import EndEvidence
@@ -280,7 +279,7 @@
         Raises ``EndpointOutOfService`` if it does not, or has other software.
         """
         found = None
-        with suppress(UnknownRoute):
+        with suppress(MedlarError):
             found = await self.relayed.relay.incarnations.find(
                 self.endpoint.announced.name,
                 connection.opened_at,
@@ -316,6 +315,7 @@
             rejected = isinstance(failure, EndpointRefused)
             failed = failure is not None and not rejected
         finally:
+            self.relayed.stream_version.record_ended(self)
             seconds = self.first_byte_s or trio.current_time() - self._started_at
             # An endpoint that asks for time has not failed, nor is it fast.
             if self.retry_after_s is None:
--- a/medlarrail/relay/incarnations.py
+++ b/medlarrail/relay/incarnations.py
@@ -7,7 +7,6 @@
 from medlarrail.cluster.state_client import StateClient
 from medlarrail.core.errors import MedlarError, UnknownRoute
 from medlarrail.core.metrics import get_metrics
-from medlarrail.policy.incarnations import HeardIncarnation, find_incarnation
 
 ANNOUNCEMENT_TIMEOUT_S = 1.5
 """Maximum time for the next announcement of an endpoint, a little more than their
@@ -24,15 +23,17 @@
 
     async def find(
         self, endpoint: str, opened_at: float, closed_at: float, wait_s: float = 0.0
-    ) -> HeardIncarnation | None:
+    ) -> "HeardIncarnation | None":  # noqa: F821
         """Return the incarnation that had a connection, or None if that is not known.
 
         The times are those of ``find_incarnation``, on trio's clock. Waits up to
         ``wait_s`` seconds for an announcement after ``opened_at``. Raises
-        ``UnknownRoute`` if the member is of a version that does not tell.
+        ``UnknownRoute`` if the member is of a version that does not tell, or the
+        ``MedlarError`` of a call that is not answered.
         """
         # Imported here because only streams that go on need them, and each class with
         # generated methods adds half a millisecond to a start.
+        from medlarrail.policy.incarnations import HeardIncarnation, find_incarnation
         from medlarrail.protocol.endpoint_sightings import (
             SIGHTINGS_PATH,
             SightingsAnswer,
@@ -52,7 +53,7 @@
             raise
         except MedlarError as error:
             self._record("unanswered", endpoint, opened_at, reason=str(error))
-            return None
+            raise
         received_at = trio.current_time()
         heard = [
             HeardIncarnation(
--- a/medlarrail/relay/stream_origins.py
+++ b/medlarrail/relay/stream_origins.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 
 import trio
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from medlarrail.cluster.cluster_view import ClusterView
 from medlarrail.cluster.recent_origins import RecentOrigins
@@ -36,7 +36,22 @@
 MAX_QUERIES = 2
 """Attempts to get a reply, since a datagram may be lost."""
 MAX_ORIGINS = 20_000
-"""Maximum streams that are remembered, about 6 MB."""
+"""Maximum streams that are remembered, about 7 MB."""
+MAX_TRANSIT_S = 0.1
+"""Maximum time that a datagram takes to a state member."""
+
+
+@frozen
+class BeginConnection:
+    """The connection to ``endpoint`` on which the first event of a stream was sent.
+
+    It was open from ``opened_at`` to ``closed_at``, on trio's clock, or longer. As far
+    as these are uncertain, ``opened_at`` is too late and ``closed_at`` too early.
+    """
+
+    endpoint: str
+    opened_at: float
+    closed_at: float
 
 
 @frozen
@@ -45,6 +60,20 @@
 
     origin: StreamOrigin | None
     keepers_replied: bool = False
+    connection: BeginConnection | None = None
+    """None if the origin is proven, or told by a program that does not know it."""
+
+
+def build_found(
+    origin: StreamOrigin | None, keepers_replied: bool = False, delay_s: float = 0.0
+) -> FoundOrigin:
+    """Return an origin with its connection, whose times may be earlier by a delay."""
+    if origin is None or origin.proven or not origin.endpoint:
+        return FoundOrigin(origin, keepers_replied)
+    opened_at = trio.current_time() - origin.opened_ago_s
+    closed_at = opened_at + origin.open_for_s - delay_s
+    connection = BeginConnection(origin.endpoint, opened_at, closed_at)
+    return FoundOrigin(origin, keepers_replied, connection)
 
 
 @define(eq=False)
@@ -79,15 +108,38 @@
         addresses.sort(key=lambda address: get_weight(address, stream), reverse=True)
         return addresses[:KEEPER_COUNT]
 
-    def record(self, request_id: str, service: str, software_version: str) -> None:
-        """Record a stream whose first event is about to be sent."""
-        stream = get_stream_key(request_id)
-        origin = self._own.find(stream)
-        if origin is None:
-            origin = self._own.add(StreamOrigin(stream, service, software_version))
+    def record(
+        self,
+        request_id: str,
+        service: str,
+        software_version: str,
+        connection: BeginConnection | None = None,
+        proven: bool = False,
+    ) -> None:
+        """Record a stream of which events are about to be sent.
+
+        ``connection`` is that of its first event, None if it is not known.
+        """
+        origin = StreamOrigin(
+            get_stream_key(request_id), service, software_version, proven=proven
+        )
+        if connection is not None and not proven:
+            opened_at = connection.opened_at
+            origin = evolve(
+                origin,
+                endpoint=connection.endpoint,
+                opened_ago_s=trio.current_time() - opened_at,
+                open_for_s=round(connection.closed_at - opened_at, 3),
+            )
+        origin = self._own.add(origin)
         if self.cluster_view.has_several_versions(service):
             self._tell([origin])
 
+    def record_open(self, request_id: str, connection: BeginConnection) -> None:
+        """Note how long the connection of a stream's first event was open."""
+        open_for_s = connection.closed_at - connection.opened_at
+        self._own.extend(get_stream_key(request_id), open_for_s)
+
     def _tell_recent(self, service: str) -> None:
         """Tell the keepers of all streams of a service that now has two versions."""
         self._tell(self._own.iterate_service(service))
@@ -109,14 +161,16 @@
         stream = get_stream_key(request_id)
         own = self._own.find(stream)
         if own is not None:
-            return FoundOrigin(own)
+            return build_found(own)
         if self._queries is None:
             return FoundOrigin(None)
+        asked_at = trio.current_time()
         replies = await self._ask_keepers(stream)
         origin = next((reply.origin for reply in replies if reply.origin), None)
         status = "known" if origin else "unknown" if replies else "unanswered"
         get_metrics().count("stream_origins_asked", status=status)
-        return FoundOrigin(origin, bool(replies))
+        delay_s = MAX_TRANSIT_S + trio.current_time() - asked_at
+        return build_found(origin, bool(replies), delay_s)
 
     async def _ask_keepers(self, stream: str) -> list[OriginReply]:
         """Return the keepers' replies: those of all, or up to the first origin."""
--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -4,12 +4,13 @@
 from attrs import define
 
 from medlarrail.core.announcements import Announcement
-from medlarrail.core.errors import StreamVersionUnknown, UnknownRoute
+from medlarrail.core.errors import MedlarError, StreamVersionUnknown, UnknownRoute
 from medlarrail.policy.stream_versions import (
     choose_stream_version,
     is_version_certain,
 )
 from medlarrail.relay.incarnations import ANNOUNCEMENT_TIMEOUT_S
+from medlarrail.relay.stream_origins import BeginConnection
 
 
 @define(eq=False)
@@ -20,7 +21,11 @@
     version: str | None = None
     """None before the first event: the stream may begin at any version."""
     _first_attempt: "Attempt | None" = None  # noqa: F821
-    """The attempt that began the stream, until its endpoint's version is certain."""
+    """The attempt that brought the first event, if it was sent by this entry."""
+    _recorded_connection: BeginConnection | None = None
+    """The connection of the first event of a stream that is taken up."""
+    _proven: bool = False
+    """Whether the process that began the stream is known to have this version."""
 
     def allows(self, announced: Announcement) -> bool:
         """Return whether the stream may begin or go on at an endpoint."""
@@ -31,10 +36,13 @@
 
         Raises ``StreamVersionUnknown`` if several may have begun it.
         """
+        await self._find_recorded()
+        await self._prove()
+
+    async def _find_recorded(self) -> None:
+        """Find the version that is recorded of a stream that a caller takes up."""
         relayed = self.relayed
         is_stream = relayed.admission.route.kind == "stream"
-        if self._first_attempt is not None:
-            await self._check_first_attempt(self._first_attempt)
         if self.version is not None or not relayed.last_event_id or not is_stream:
             return
         relay = relayed.relay
@@ -65,13 +73,29 @@
         if version is None:
             raise StreamVersionUnknown(service=service)
         self.version = version
+        self._recorded_connection = found.connection
+        self._proven = found.origin is not None and found.origin.proven
+
+    def _get_connection(self) -> BeginConnection | None:
+        """Return the connection on which the stream began, if it is known."""
+        attempt = self._first_attempt
+        if attempt is None:
+            return self._recorded_connection
+        return BeginConnection(
+            attempt.endpoint.announced.name,
+            attempt.connection.opened_at,
+            attempt.connection.seen_open_at,
+        )
 
-    async def _check_first_attempt(self, attempt: "Attempt") -> None:  # noqa: F821
+    async def _prove(self) -> None:
         """Find the version of the process that began the stream.
 
         Raises ``StreamVersionUnknown`` if it may be another one than was announced.
         """
         relayed = self.relayed
+        connection = self._get_connection()
+        if self._proven or connection is None:
+            return
         view = relayed.relay.cluster_view
         service = relayed.service.name
         versions = view.list_stream_versions(service)
@@ -79,17 +103,21 @@
             return
         try:
             found = await relayed.relay.incarnations.find(
-                attempt.endpoint.announced.name,
-                attempt.connection.opened_at,
-                attempt.connection.seen_open_at,
+                connection.endpoint,
+                connection.opened_at,
+                connection.closed_at,
                 ANNOUNCEMENT_TIMEOUT_S,
             )
         except UnknownRoute:
             return
+        except MedlarError:
+            if self._first_attempt is None and set(versions) <= {self.version}:
+                return
+            found = None
         if found is None:
             raise StreamVersionUnknown(service=service)
         self.version = found.software_version
-        self._first_attempt = None
+        self._proven = True
 
     def record_begun(self, attempt: "Attempt") -> None:  # noqa: F821
         """Record that events of an attempt are about to be sent to the caller."""
@@ -99,5 +127,16 @@
         relayed = self.relayed
         if relayed.origin_id:
             relayed.relay.origins.record(
-                relayed.origin_id, relayed.service.name, self.version
+                relayed.origin_id,
+                relayed.service.name,
+                self.version,
+                self._get_connection(),
+                self._proven,
+            )
+
+    def record_ended(self, attempt: "Attempt") -> None:  # noqa: F821
+        """Record how long the connection on which the stream began was open."""
+        if attempt is self._first_attempt and self.relayed.origin_id:
+            self.relayed.relay.origins.record_open(
+                self.relayed.origin_id, self._get_connection()
             )
--- a/medlarrail/relay/stream_versions_test.py
+++ b/medlarrail/relay/stream_versions_test.py
@@ -43,6 +43,8 @@
     """Whether a stream that begins is reset; otherwise it goes on."""
     stalls: bool = False
     """Whether it stands still instead, until its connection is closed."""
+    interval_s: float = 0.001
+    """Between two events."""
 
     async def __call__(self, connection: ScriptedConnection, request: bytes) -> None:
         head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
@@ -59,7 +61,7 @@
                     return
             event = b"id: %d\ndata: %s\n\n" % (number, self.version.encode())
             await connection.send(b"%x\r\n%s\r\n" % (len(event), event))
-            await trio.sleep(0.001)
+            await trio.sleep(self.interval_s)
         await connection.send(b"0\r\n\r\n")
 
 
--- a/medlarrail/testing/fleet.py
+++ b/medlarrail/testing/fleet.py
@@ -77,6 +77,10 @@
     keeper: KeeperHost
     gateways: list[RelayHarness] = field(factory=list)
     endpoints: list[ScriptedEndpoint] = field(factory=list)
+    announcements: dict[str, Announcement] = field(factory=dict)
+    """What each endpoint announces steadily, by its name."""
+    silent: set[str] = field(factory=set)
+    """Names of endpoints that do not announce themselves."""
 
     async def start_gateway(self, deployment: Deployment, codec: HeaderCodec) -> None:
         """Start a gateway that polls the state member."""
@@ -123,14 +127,19 @@
             slots=32,
             software_version=software_version,
         )
+        self.announcements[name] = announcement
         await self.view_server.register_announcement(announcement)
-        self.nursery.start_soon(self._announce_steadily, announcement)
+        self.nursery.start_soon(self._announce_steadily, name)
 
-    async def _announce_steadily(self, announcement: Announcement) -> None:
+    async def _announce_steadily(self, name: str) -> None:
         while True:
             await trio.sleep(ANNOUNCEMENT_INTERVAL_S)
+            if name in self.silent:
+                continue
+            announcement = self.announcements[name]
             sequence = announcement.sequence + 1
             announcement = evolve(announcement, sequence=sequence)
+            self.announcements[name] = announcement
             await self.view_server.register_announcement(announcement)
 
     async def restart_gateways(self, deployment: Deployment) -> RelayHarness:
--- a/medlarrail/transport/datagrams.py
+++ b/medlarrail/transport/datagrams.py
@@ -104,6 +104,17 @@
             if bodies := list(self._iterate_arrived()):
                 return bodies
 
+    def has_arrived(self) -> bool:
+        """Return whether a datagram waits to be received."""
+        try:
+            self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            # The kernel's report on an earlier datagram, which was removed by this.
+            return True
+        return True
+
     def _iterate_arrived(self) -> Iterator[bytes]:
         for _ in range(MAX_BATCH):
             try:
