--- /dev/null
+++ b/medlarrail/cluster/endpoint_sightings_test.py
@@ -0,0 +1,187 @@
+"""Tests of what the leading state member tells of endpoints' incarnations."""
+
+import pytest
+import trio
+import trio.testing
+
+from medlarrail.cluster.endpoint_sightings import (
+    MAX_INCARNATIONS,
+    RETENTION_S,
+    EndpointSightings,
+)
+from medlarrail.core.errors import NotLeader
+from medlarrail.protocol.endpoint_sightings import (
+    MAX_SIGHTINGS_WAIT_S,
+    SIGHTINGS_PATH,
+    Sighting,
+    SightingsAnswer,
+    SightingsRequest,
+)
+from medlarrail.testing.builders import build_announcement
+from medlarrail.testing.cluster import Cluster
+from medlarrail.testing.view_members import ViewMembers
+
+NAME = "engine-1"
+
+
+def build(version: str = "v1", **changes):
+    return build_announcement(name=NAME, software_version=version, **changes)
+
+
+def list_told(sightings: EndpointSightings, asked_at: float) -> list[Sighting]:
+    return list(sightings.iterate(NAME, asked_at))
+
+
+class TestSightings:
+    def test_announcement_of_one_process_begins_another_incarnation(self):
+        sightings = EndpointSightings()
+        for received_at in (10.0, 11.0, 12.0):
+            sightings.record(build(), received_at)
+        assert list_told(sightings, 15.0) == [Sighting(1000, "v1", 5.0, 3.0)]
+
+    @pytest.mark.parametrize("next_one", [build("v2"), build(started_ms=2000)])
+    def test_next_process_continues_the_incarnation_before(self, next_one):
+        sightings = EndpointSightings()
+        sightings.record(build(), 10.0)
+        sightings.record(next_one, 12.0)
+        key = (next_one.started_ms, next_one.software_version)
+        assert list_told(sightings, 15.0) == [
+            Sighting(1000, "v1", 5.0, 5.0),
+            Sighting(*key, 3.0, 3.0),
+        ]
+
+    def test_process_with_the_version_of_an_earlier_one_is_taken_for_it(self):
+        """No process was there for all of the time from the first to the third."""
+        sightings = EndpointSightings()
+        for version, received_at in (("v1", 10.0), ("v2", 11.0), ("v1", 12.0)):
+            sightings.record(build(version), received_at)
+        told = list_told(sightings, 12.0)
+        assert [(one.first_age_s, one.last_age_s) for one in told] == [
+            (2.0, 2.0),
+            (1.0, 1.0),
+            (0.0, 0.0),
+        ]
+
+    def test_announcement_that_is_recorded_late_sets_the_time_back(self):
+        sightings = EndpointSightings()
+        for received_at in (10.0, 12.0, 11.0):
+            sightings.record(build(), received_at)
+        assert list_told(sightings, 12.0) == [Sighting(1000, "v1", 2.0, 0.0)]
+
+    def test_endpoint_that_starts_again_and_again_fills_memory(self):
+        sightings = EndpointSightings()
+        for number in range(10):
+            sightings.record(build(started_ms=number), float(number))
+        told = list_told(sightings, 10.0)
+        latest = list(range(10 - MAX_INCARNATIONS, 10))
+        assert [one.started_ms for one in told] == latest
+
+    def test_endpoints_that_are_gone_fill_memory(self):
+        now = 100.0
+        sightings = EndpointSightings(lambda: now)
+        sightings.record(build(), 100.0)
+        now += RETENTION_S
+        sightings.remove_expired()
+        assert list_told(sightings, now)
+        now += 0.1
+        sightings.remove_expired()
+        assert not list_told(sightings, now)
+
+    async def test_wait_ends_before_the_announcement(self, nursery, autojump_clock):
+        sightings = EndpointSightings()
+        sightings.record(build(), 10.0)
+        other = build_announcement(name="engine-2")
+        with trio.fail_after(1):
+            await sightings.wait_heard(NAME, 10.0)
+        with trio.move_on_after(1) as scope:
+            await sightings.wait_heard(NAME, 10.5)
+        assert scope.cancelled_caught
+        nursery.start_soon(sightings.wait_heard, NAME, 10.5)
+        for announced, received_at in ((other, 11.0), (build(), 10.4)):
+            await trio.testing.wait_all_tasks_blocked()
+            sightings.record(announced, received_at)
+        await trio.testing.wait_all_tasks_blocked()
+        assert len(nursery.child_tasks) == 1
+        sightings.record(build(), 11.0)
+        await trio.testing.wait_all_tasks_blocked()
+        assert not nursery.child_tasks
+
+
+@pytest.fixture
+async def members(tmp_path, nursery, autojump_clock):
+    started = ViewMembers(Cluster(tmp_path, nursery), nursery)
+    await started.start()
+    return started
+
+
+async def ask(members, server, max_age_s=0.0, wait_s=0.0) -> SightingsAnswer:
+    client = members.cluster.network.connect("mem://entry")
+    request = SightingsRequest(NAME, max_age_s, wait_s)
+    return await client.call(
+        server.member.url, SIGHTINGS_PATH, request, SightingsAnswer, 5.0
+    )
+
+
+class TestHandler:
+    async def test_follower_tells_what_it_heard_as_leader(
+        self, members, autojump_clock
+    ):
+        leader = await members.get_leader()
+        followers = [one for one in members.view_servers.values() if one is not leader]
+        for follower in followers:
+            with pytest.raises(NotLeader):
+                await ask(members, follower)
+
+    async def test_answer_waits_though_the_endpoint_was_heard_of(
+        self, members, autojump_clock
+    ):
+        leader = await members.get_leader()
+        await leader.register_announcement(build())
+        began_at = trio.current_time()
+        answer = await ask(members, leader, max_age_s=1.0, wait_s=1.5)
+        assert trio.current_time() - began_at < 0.5
+        assert [one.software_version for one in answer.sightings] == ["v1"]
+
+    async def test_answer_comes_before_the_next_announcement(
+        self, members, nursery, autojump_clock
+    ):
+        leader = await members.get_leader()
+        await leader.register_announcement(build())
+        await trio.sleep(1)
+
+        async def announce_next():
+            await trio.sleep(0.7)
+            await leader.register_announcement(build("v2", sequence=2))
+
+        nursery.start_soon(announce_next)
+        answer = await ask(members, leader, wait_s=1.5)
+        assert [one.software_version for one in answer.sightings] == ["v1", "v2"]
+        assert answer.sightings[1].first_age_s < 0
+
+    async def test_request_holds_a_handler_for_as_long_as_it_likes(
+        self, members, autojump_clock
+    ):
+        leader = await members.get_leader()
+        began_at = trio.current_time()
+        assert await ask(members, leader, wait_s=1000.0) == SightingsAnswer()
+        waited_s = trio.current_time() - began_at
+        assert MAX_SIGHTINGS_WAIT_S <= waited_s < MAX_SIGHTINGS_WAIT_S + 0.5
+
+    async def test_announcement_that_waits_for_the_log_counts_as_later(
+        self, members, autojump_clock, monkeypatch
+    ):
+        """Its process may have ended while the leader could not confirm its lease."""
+        leader = await members.get_leader()
+        confirm_reads = type(leader.member).confirm_reads
+
+        async def confirm_late(member):
+            await trio.sleep(3)
+            await confirm_reads(member)
+
+        monkeypatch.setattr(type(leader.member), "confirm_reads", confirm_late)
+        received_at = trio.current_time()
+        await leader.register_announcement(build())
+        answer = await ask(members, leader)
+        age_s = trio.current_time() - received_at
+        assert answer.sightings[0].last_age_s == pytest.approx(age_s, abs=0.2)
+        assert age_s >= 3
