Stream soak: links between gateways and endpoints stall, are delayed and reset

Nothing that broke between a gateway and a living endpoint was played: every fault ended or suspended a process. Endpoints now announce the address of a loopback proxy. Its links are stalled one way or both ways (in a fault of its own the endpoint starts again in place meanwhile), delayed, or reset.

The check of streams that are cut though sound knows the disturbances of an endpoint and its link.

--- a/medlarrail/platform/soak/__main__.py
+++ b/medlarrail/platform/soak/__main__.py
@@ -20,6 +20,7 @@
 import typer
 from attrs import asdict, define, field
 
+from medlarrail.platform.soak import link_faults  # noqa: F401
 from medlarrail.platform.soak.callers import Call, Caller
 from medlarrail.platform.soak.check import (
     Counts,
@@ -44,8 +45,8 @@
     """One run of the soak."""
 
     site: Site
-    only: str = ""
-    """Name of the only fault that is played, if it is not empty."""
+    only: tuple[str, ...] = ()
+    """Names of the only faults that are played, if there are any."""
     left_out: tuple[str, ...] = ()
     """Names of faults that are not played."""
     rollouts: list[Rollout] = field(factory=list)
@@ -67,6 +68,7 @@
         """Run callers and faults, then compare with what the endpoints ran."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(end_on_signal, nursery.cancel_scope)
+            self.site.link_nursery = nursery
             await self.site.start_all()
             self.site.note("started")
             nursery.start_soon(self.play_faults, duration_s)
@@ -108,13 +110,15 @@
                     nursery.start_soon(roll_out_steadily, faults, self.rollouts)
                 elif "release" not in self.left_out:
                     nursery.start_soon(faults.release, duration_s)
-        self.resume_gateways()
+        self.resume_processes()
 
-    def resume_gateways(self) -> None:
-        """Resume and start gateways that the end of the faults left as they were."""
-        for gateway in self.site.gateways:
-            if gateway.process.poll() is None:
-                gateway.process.send_signal(signal.SIGCONT)
+    def resume_processes(self) -> None:
+        """Resume processes and links that the end of the faults left as they were."""
+        for program in (*self.site.gateways, *self.site.engines):
+            if program.process.poll() is None:
+                program.process.send_signal(signal.SIGCONT)
+        for engine in (*self.site.engines, *self.site.ended_engines):
+            engine.link.end_faults()
 
     def write_record(self) -> None:
         """Write what the callers received."""
@@ -158,6 +162,11 @@
     return orjson.dumps(fields).decode()
 
 
+def split_names(option: str) -> tuple[str, ...]:
+    """Return the names in an option, separated by commas."""
+    return tuple(filter(None, option.split(",")))
+
+
 def main(
     seed: int = 1,
     duration: float = 60.0,
@@ -173,7 +182,7 @@
 
     ``--sources`` runs the programs of another checkout, with ``--mixed`` only half of
     the gateways. ``--disorder`` is the share of streams that endpoints send in no
-    order, ``--only`` names one fault in ``faults``, and ``--without`` some that are
+    order, ``--only`` names the faults that are played, and ``--without`` some that are
     left out, separated by commas. ``--rollouts`` orders software rollouts in place of
     the release. The logs are copied to ``--keep`` after a violation
     or the cut of a sound stream.
@@ -182,7 +191,7 @@
     own_sources = Sources(sources.resolve() if sources else None, mixed)
     limits = LIMITS if rollouts else None
     site = Site(folder, seed, own_sources, disorder, limits, report=typer.echo)
-    soak = StreamSoak(site, only, tuple(without.split(",")))
+    soak = StreamSoak(site, split_names(only), split_names(without))
     counts = Counts()
     try:
         counts = trio.run(soak.run, duration)
--- a/medlarrail/platform/soak/check.py
+++ b/medlarrail/platform/soak/check.py
@@ -176,9 +176,7 @@
 def count_calls(site: Site, calls: list[Call], runs: dict[str, list[Run]]) -> Counts:
     """Return the counts of a soak."""
     counts = Counts()
-    ends = {
-        program.settings_file.stem: program.ended_at for program in site.ended_engines
-    }
+    ends = {program.record: program.ended_at for program in site.ended_engines}
     carriers = read_carriers(site.folder)
     for call in calls:
         counts.calls[call.kind] += 1
@@ -214,15 +212,16 @@
     ends: dict[str, float | None],
     gateways: set[str],
 ) -> bool:
-    """Return whether neither an endpoint nor a gateway gave a reason for a cut.
+    """Return whether no endpoint, link or gateway gave a reason for a cut.
 
     ``gateways`` are those that the answer passed through.
     """
     run = runs[-1]
     ended_at = ends.get(run.record)
     is_alive = ended_at is None or ended_at > answer.ended_at
+    passed = {*gateways, *(one.record for one in runs)}
     is_disturbed = any(
-        one.gateway in gateways
+        one.record in passed
         and one.since < answer.ended_at
         and one.until > answer.sent_at
         for one in site.disturbances
--- a/medlarrail/platform/soak/check_test.py
+++ b/medlarrail/platform/soak/check_test.py
@@ -122,6 +122,8 @@
             ({}, {}, "edge-1", False),
             ({}, {}, "edge-2", True),
             ({}, {}, "edge-3", False),
+            ({}, {}, "engine-1", False),
+            ({}, {}, "engine-2", True),
         ],
     )
     def test_cut_of_a_sound_stream_is_not_counted(
--- a/medlarrail/platform/soak/engine.py
+++ b/medlarrail/platform/soak/engine.py
@@ -64,6 +64,7 @@
     service: str
     host: str
     port: int
+    announced_port: int
     version: str
     control_urls: list[str]
     record_file: str
@@ -116,7 +117,7 @@
         self.sequence += 1
         body = {
             "service": self.settings.service,
-            "address": f"{self.settings.host}:{self.settings.port}",
+            "address": f"{self.settings.host}:{self.settings.announced_port}",
             "zone": "leith",
             "version": self.settings.version,
             "slots": SLOTS,
--- a/medlarrail/platform/soak/faults.py
+++ b/medlarrail/platform/soak/faults.py
@@ -2,6 +2,7 @@
 
 import signal
 import time
+from collections.abc import Awaitable, Callable
 from contextlib import contextmanager
 from random import Random
 
@@ -25,6 +26,21 @@
 RELEASE_SHARE = 0.4
 """Part of the run after which the release begins."""
 RECONFIGURE_LIMIT_S = 10.0
+Action = Callable[["Faults"], Awaitable[None]]
+ACTIONS: dict[str, Action] = {}
+"""The faults that a series draws from, by name."""
+WEIGHTS: dict[str, int] = {}
+
+
+def register_action(weight: int = 1) -> Callable[[Action], Action]:
+    """Add a fault that is drawn in proportion to its weight."""
+
+    def register(action: Action) -> Action:
+        ACTIONS[action.__name__] = action
+        WEIGHTS[action.__name__] = weight
+        return action
+
+    return register
 
 
 @define(eq=False)
@@ -33,8 +49,8 @@
 
     site: Site
     random: Random
-    only: str = ""
-    """Name of the only fault that is played, if it is not empty."""
+    only: tuple[str, ...] = ()
+    """Names of the only faults that are played, if there are any."""
     left_out: tuple[str, ...] = ()
     """Names of faults that are not played."""
 
@@ -53,68 +69,64 @@
             self.site.busy.discard(program.name)
 
     @contextmanager
-    def disturb(self, gateway: RunningProgram):
-        """Record that a gateway is disturbed."""
-        disturbance = Disturbance(gateway.name, time.monotonic())
+    def disturb(self, program: RunningProgram):
+        """Record that a process, or the link of one, is disturbed."""
+        disturbance = Disturbance(program.record, time.monotonic())
         self.site.disturbances.append(disturbance)
         yield
         disturbance.until = time.monotonic() + SETTLING_S
 
     async def play_steadily(self) -> None:
         """Play one fault after the other until cancelled."""
-        actions = (
-            self.replace_engine,
-            self.replace_engine,
-            self.restart_engine,
-            self.drain_engine,
-            self.kill_gateway,
-            self.stop_gateway,
-            self.freeze_gateway,
-            self.freeze_over_restart,
-            self.kill_state,
-            self.change_configuration,
-        )
-        if self.only:
-            actions = (getattr(self, self.only),)
-        actions = [one for one in actions if one.__name__ not in self.left_out]
+        names = [name for name in self.only or ACTIONS if name not in self.left_out]
+        weights = [WEIGHTS[name] for name in names]
         while True:
             await trio.sleep(self.random.uniform(*PAUSE_S))
-            action = self.random.choice(actions)
-            self.site.fault_counts[action.__name__] += 1
-            await action()
+            (name,) = self.random.choices(names, weights)
+            self.site.fault_counts[name] += 1
+            await ACTIONS[name](self)
 
+    @register_action(weight=2)
     async def replace_engine(self) -> None:
         """Kill an endpoint and start another one."""
         with self.claim(self.site.engines) as engine:
             if engine is not None:
                 self.site.kill(engine)
-                await self._start_engine(engine)
+                await self.start_engine(engine)
 
+    @register_action()
     async def restart_engine(self) -> None:
         """Kill an endpoint and start it with the same name at the same address."""
         with self.claim(self.site.engines) as engine:
             if engine is not None:
                 self.site.kill(engine)
                 await trio.sleep(self.random.uniform(*RESTART_S))
-                await self._start_engine(engine, engine)
+                await self.start_engine(engine, engine)
 
+    @register_action()
     async def drain_engine(self) -> None:
         """Start another endpoint and let one leave."""
         with self.claim(self.site.engines) as engine:
             if engine is not None:
-                await self._start_engine(engine)
+                await self.start_engine(engine)
                 await self.site.stop(engine)
 
-    async def _start_engine(
+    async def start_engine(
         self, replaced: RunningProgram, like: RunningProgram | None = None
-    ) -> None:
+    ) -> RunningProgram:
+        """Start an endpoint in place of another one, and return it once it answers.
+
+        ``like`` gives it the name and address of another one.
+        """
         service = replaced.service
         version = self.site.software_version or replaced.version
         engine = self.site.add_engine(service, version, like)
         self.site.note(f"{engine.name} started: {service}, {engine.version}")
         with trio.move_on_after(START_TIMEOUT_S):
             await self.site.wait_engine(engine)
+        return engine
 
+    @register_action()
     async def kill_gateway(self) -> None:
         """Kill a gateway and start it again."""
         with self.claim(self.site.gateways) as gateway:
@@ -123,6 +135,7 @@
                     self.site.kill(gateway)
                     await self._start_gateway(gateway)
 
+    @register_action()
     async def stop_gateway(self) -> None:
         """Stop a gateway with SIGTERM and start it again."""
         with self.claim(self.site.gateways) as gateway:
@@ -140,6 +153,7 @@
             f"{gateway.name} {'late' if scope.cancelled_caught else 'ready'}"
         )
 
+    @register_action()
     async def freeze_gateway(self) -> None:
         """Suspend a gateway for a while."""
         with self.claim(self.site.gateways) as gateway:
@@ -149,6 +163,7 @@
                     await trio.sleep(self.random.uniform(*FREEZE_S))
                     self.site.signal(gateway, signal.SIGCONT)
 
+    @register_action()
     async def freeze_over_restart(self) -> None:
         """Suspend a gateway until an endpoint has started again at its address."""
         with (
@@ -161,9 +176,10 @@
                 self.site.signal(gateway, signal.SIGSTOP)
                 self.site.kill(engine)
                 with trio.move_on_after(FREEZE_S[1]):
-                    await self._start_engine(engine, engine)
+                    await self.start_engine(engine, engine)
                 self.site.signal(gateway, signal.SIGCONT)
 
+    @register_action()
     async def kill_state(self) -> None:
         """Kill a state member and start it with its own disk."""
         with self.claim(self.site.states, keep=2) as state:
@@ -173,6 +189,7 @@
                 self.site.restart_state(state)
                 await trio.sleep(self.random.uniform(*FREEZE_S))
 
+    @register_action()
     async def change_configuration(self) -> None:
         """Send a configuration with another number of routes."""
         self.site.config_version += 1
@@ -197,6 +214,6 @@
                     if not old:
                         return
                 else:
-                    await self._start_engine(engine)
+                    await self.start_engine(engine)
                     await self.site.stop(engine)
             await trio.sleep(self.random.uniform(*PAUSE_S))
--- a/medlarrail/platform/soak/rollouts.py
+++ b/medlarrail/platform/soak/rollouts.py
@@ -105,7 +105,7 @@
         """Return the runs at the service's endpoints, of one version or all."""
         programs = (*self.site.engines, *self.site.ended_engines)
         names = {
-            program.settings_file.stem
+            program.record
             for program in programs
             if program.service == self.service and version in ("", program.version)
         }
--- a/medlarrail/platform/soak/site.py
+++ b/medlarrail/platform/soak/site.py
@@ -1,4 +1,4 @@
-"""The processes of one soak: state members, gateways and endpoints.
+"""The processes of one soak: state members, gateways and endpoints, and their links.
 
 Only processes that were started here are signalled, each by its own handle.
 """
@@ -19,6 +19,7 @@
 from medlarrail.platform.soak.engine import MODEL, SLOTS
 from medlarrail.platform.soak.wire import call, call_any
 from medlarrail.testing.deployment import find_free_ports
+from medlarrail.testing.fault_proxy import FaultProxy
 from medlarrail.testing.scripted_endpoints import HOST
 
 ROOT = Path(__file__).parents[3]
@@ -53,18 +54,28 @@
     """Whether it was killed or asked to end."""
     ended_at: float | None = None
     """Time at which an endpoint was killed or began to leave, if it was."""
+    announced_port: int = 0
+    """Port that an endpoint announces: that of its link, if it has one."""
+    link: FaultProxy | None = None
+    """Proxy between the gateways and an endpoint."""
 
     @property
     def url(self) -> str:
         """URL at which the process listens."""
         return f"http://{HOST}:{self.port}"
 
+    @property
+    def record(self) -> str:
+        """Name of the process among all of a run: those started in place differ."""
+        return self.settings_file.stem
+
 
 @define
 class Disturbance:
-    """A time in which a gateway was disturbed; ``until`` is open while it lasts."""
+    """A time in which a process was disturbed; ``until`` is open while it lasts."""
 
-    gateway: str
+    record: str
+    """That of a gateway, or of an endpoint that was disturbed or whose link was."""
     since: float
     until: float = float("inf")
 
@@ -143,6 +154,8 @@
     """Share of the requests that endpoints answer with 500, by software version."""
     plain: bool = False
     """Whether endpoints answer in the plainest way."""
+    link_nursery: trio.Nursery | None = None
+    """Where the links run, None for endpoints that gateways reach directly."""
     report: Callable[[str], None] = print
     began_at: float = field(factory=time.monotonic)
     states: list[RunningProgram] = field(factory=list)
@@ -162,7 +175,7 @@
     config_version: int = 1
     ready_ports: dict[str, int] = field(factory=dict)
     reserved_ports: list[int] = field(factory=list)
-    """Ports of the members and gateways, which may not listen on them yet."""
+    """Ports that a program is going to listen on, or to announce again."""
 
     @property
     def control_urls(self) -> list[str]:
@@ -277,13 +290,16 @@
         """Start an endpoint; ``like`` gives it the name and address of another one."""
         self.engine_count += 1
         name = like.name if like is not None else f"i-{self.engine_count:04d}"
-        port = like.port if like is not None else self.find_engine_port()
+        announced = self.find_engine_port() if like is None else like.announced_port
+        self.reserved_ports.append(announced)
+        port = announced if self.link_nursery is None else self.find_engine_port()
         file = self.folder / f"engine-{self.engine_count}.json"
         settings = {
             "name": name,
             "service": service,
             "host": HOST,
             "port": port,
+            "announced_port": announced,
             "version": version,
             "control_urls": self.control_urls,
             "record_file": str(self.folder / f"engine-{self.engine_count}.runs"),
@@ -297,10 +313,23 @@
         engine = RunningProgram(
             name, "engine", command, ROOT, file, port, service, version
         )
+        engine.announced_port = announced
         self.start(engine)
         self.engines.append(engine)
+        if self.link_nursery is not None:
+            engine.link = FaultProxy(HOST, announced, port)
+            self.link_nursery.start_soon(self._run_link, engine)
         return engine
 
+    async def _run_link(self, engine: RunningProgram) -> None:
+        """Forward connections once the endpoint listens, so that none is refused."""
+        while await call("GET", f"{engine.url}/healthz") is None:
+            if engine.is_ending:
+                return
+            await trio.sleep(POLL_S)
+        if not engine.is_ending:
+            await engine.link.run()
+
     async def start_all(self) -> None:
         """Start all processes and return once the gateways accept requests."""
         self.build()
@@ -328,8 +357,9 @@
             await trio.sleep(POLL_S)
 
     async def wait_engine(self, engine: RunningProgram) -> None:
-        """Return once an endpoint answers."""
-        while await call("GET", f"{engine.url}/healthz") is None:
+        """Return once an endpoint answers at the address that it announces."""
+        url = f"http://{HOST}:{engine.announced_port}/healthz"
+        while await call("GET", url) is None:
             await trio.sleep(POLL_S)
 
     # Signals.
@@ -350,6 +380,13 @@
             self.ended_engines.append(program)
         self.signal(program, signal.SIGKILL)
         program.process.wait()
+        self._close_link(program)
+
+    @staticmethod
+    def _close_link(program: RunningProgram) -> None:
+        """Refuse connections from now on, as the address of an ended process does."""
+        if program.link is not None:
+            program.link.stop_listening()
 
     async def stop(self, program: RunningProgram) -> None:
         """Ask a process to end and wait until it has."""
@@ -361,11 +398,13 @@
             while program.process.poll() is None:
                 await trio.sleep(POLL_S)
             program.ended_at = time.monotonic()
+            self._close_link(program)
             return
         self.note(f"{program.name} did not end")
         program.ended_at = time.monotonic()
         program.process.kill()
         program.process.wait()
+        self._close_link(program)
 
     def end_all(self) -> None:
         """End all processes, also suspended ones."""
