Stream soak: endpoints freeze, and accept requests but are mute or slow

Endpoints were killed, stopped and replaced, never just late. The disturbance is recorded, so that a cut meanwhile is not counted as that of a sound stream; one after it is.

--- a/medlarrail/platform/soak/__main__.py
+++ b/medlarrail/platform/soak/__main__.py
@@ -20,7 +20,7 @@
 import typer
 from attrs import asdict, define, field
 
-from medlarrail.platform.soak import link_faults  # noqa: F401
+from medlarrail.platform.soak import endpoint_faults, link_faults  # noqa: F401
 from medlarrail.platform.soak.callers import Call, Caller
 from medlarrail.platform.soak.check import (
     Counts,
--- a/medlarrail/platform/soak/check_test.py
+++ b/medlarrail/platform/soak/check_test.py
@@ -4,13 +4,22 @@
 """
 
 import pytest
+import trio
+import trio.testing
 
 from medlarrail.platform.soak.callers import Answer, Call
 from medlarrail.platform.soak.check import Run, check_call, check_runs, is_sound
-from medlarrail.platform.soak.engine import BODY_LINES, disorder
+from medlarrail.platform.soak.engine import (
+    BODY_LINES,
+    Engine,
+    EngineConnection,
+    EngineSettings,
+    disorder,
+)
 from medlarrail.platform.soak.events import build_body, build_event, parse_events
 from medlarrail.platform.soak.rollouts import LIMITS, Rollout
 from medlarrail.platform.soak.site import Disturbance, RunningProgram, Site
+from medlarrail.platform.soak.wire import Head
 
 PROMPT = "c1-1"
 COUNT = 6
@@ -134,6 +143,10 @@
         cut = build_answer([1], "broken")
         run = self.build_run(**fields)
         assert is_sound(site, cut, [run], ends, {"edge-1", "edge-3"}) == sound
+        later = build_answer([1], "broken", sent_at=3.0, ended_at=4.0)
+        assert is_sound(site, later, [run], ends, {"edge-1", "edge-3"}) == (
+            sound or bool(disturbed)
+        )
         faulty = self.build_run(faulty=True)
         assert not is_sound(site, cut, [faulty, run], ends, {"edge-1", "edge-3"})
 
@@ -176,6 +189,19 @@
             assert kinds == ["late request"]
 
 
+async def test_mute_endpoint_answers(autojump_clock):
+    """A fault that does nothing would find nothing."""
+    values = dict.fromkeys(("name", "service", "host", "version", "record_file"), "")
+    values |= dict.fromkeys(("port", "announced_port", "seed"), 0)
+    engine = Engine(EngineSettings(**values, control_urls=[]), record_number=-1)
+    stream, _ = trio.testing.memory_stream_pair()
+    health = Head("GET /healthz HTTP/1.1", {})
+    began_at = trio.current_time()
+    engine.begin_trouble("/trouble/mute/1500")
+    await engine.answer(EngineConnection(stream), health)
+    assert trio.current_time() - began_at >= 1.5
+
+
 def test_endpoint_takes_the_port_of_a_gateway(tmp_path, monkeypatch):
     """A gateway that had not bound its port yet ended with "Address already in use"."""
     site = Site(tmp_path, 1)
--- a/medlarrail/platform/soak/engine.py
+++ b/medlarrail/platform/soak/engine.py
@@ -35,6 +35,8 @@
 SLOTS = 64
 EVENT_S = (0.02, 0.09)
 """Range of the pause between two events."""
+SLOW_FACTOR = 10
+"""How much longer the pauses of a slow endpoint are."""
 BODY_LINES = 40
 """Size of the body of an answer that is no stream."""
 SPLIT_SHARE = 0.3
@@ -54,6 +56,8 @@
 SHORTEST_DISORDERED = 3
 """Events of the shortest stream that may be sent in no order."""
 MODEL = "daka510000"
+TROUBLE_PATH = "/trouble/"
+"""Path at which the soak asks for trouble, as in ``/trouble/mute/1500``."""
 
 
 @frozen
@@ -104,6 +108,10 @@
     sequence: int = 0
     active: int = 0
     runs: Counter = field(factory=Counter)
+    mute_until: float = 0.0
+    """Time until which requests are received and not answered, on trio's clock."""
+    slow_until: float = 0.0
+    """Time until which the pauses between events are long, on trio's clock."""
 
     def record(self, what: str, request_id: str, **fields: object) -> None:
         """Write one line of the record."""
@@ -182,6 +190,10 @@
         """Answer one request; return whether the connection stays open."""
         method, path, _ = head.first_line.split(" ")
         request_id = head.headers.get("request-id", "")
+        if path.startswith(TROUBLE_PATH):
+            self.begin_trouble(path)
+            return await self.send_short(connection, "", "200 OK", {})
+        await trio.sleep_until(self.mute_until)
         expected = head.headers.get("expect-instance", self.settings.name)
         if expected != self.settings.name:
             return await self.send_short(connection, request_id, "421 Misdirected", {})
@@ -199,6 +211,15 @@
         finally:
             self.active -= 1
 
+    def begin_trouble(self, path: str) -> None:
+        """Be mute or slow for the milliseconds that the path names."""
+        kind, duration_ms = path.removeprefix(TROUBLE_PATH).split("/")
+        until = trio.current_time() + int(duration_ms) / 1000
+        if kind == "mute":
+            self.mute_until = until
+        else:
+            self.slow_until = until
+
     def is_reset_early(self, head: Head) -> bool:
         """Return whether a request is answered before its body was read."""
         is_upload = int(head.headers.get("content-length", 0)) >= UPLOAD_BYTES
@@ -271,9 +292,9 @@
                 pieces = pieces[:-1] or [pieces[0][: len(pieces[0]) // 2]]
             await self.send_head(connection, request_id, framing, pieces)
             for number, piece in enumerate(pieces, after + 1):
-                await trio.sleep(
-                    EVENT_S[0] + draw(*key, number) * (EVENT_S[1] - EVENT_S[0])
-                )
+                pause_s = EVENT_S[0] + draw(*key, number) * (EVENT_S[1] - EVENT_S[0])
+                is_slow = trio.current_time() < self.slow_until
+                await trio.sleep(pause_s * (SLOW_FACTOR if is_slow else 1))
                 await self.send_piece(connection, framing, piece, draw(*key, number, 1))
                 sent = number
             if framing == "chunks":
