Connections: what waits in a busy process counts as noticed late

Callers saw events of two software versions joined; an early end is possible in the same way. A call to receive that took over 1 ms counted as one that had waited for the peer, so the connection counted as open and empty at its begin. In a busy process, as after a suspension, other tasks run before the call returns, though the kernel held data and the end already. The end was then taken for one that was noticed at once, and the connection for open while the next process at the address had announced itself.

The lookup named v2, 0.689 s after the connection had been opened, for a connection that had ended before that; endpoint:incarnation has the times.

Whether anything waits is now asked of the kernel before the call. The new test in relay/outbound_test.py failed before.

--- a/medlarrail/relay/outbound.py
+++ b/medlarrail/relay/outbound.py
@@ -41,9 +41,6 @@
 """Maximum bytes of an answer with its framing."""
 MAX_INFORMATIONAL_HEADS = 16
 """Informational (1xx) heads before the answer: endpoints send one or two."""
-MIN_WAIT_S = 0.001
-"""Time from which a call to receive has waited for the peer: what the kernel holds
-already is returned sooner."""
 MAX_TURN_S = 0.00025
 """Time for which received bytes are decoded before other tasks run: an endpoint may
 send many events in few bytes, and each turn of the event loop delays all requests."""
@@ -191,13 +188,16 @@
         if self._received_bytes >= limit_bytes:
             raise AnswerTooLong(endpoint=self.address, limit_bytes=limit_bytes)
         called_at = trio.current_time()
+        # The duration of the call does not tell whether it waited for the peer: other
+        # tasks run before it returns.
+        waits = self.is_quiet()
         self.loop_watch.begin_wait()
         try:
             data = await self.stream.receive_some(READ_BYTES)
         finally:
             self.loop_watch.end_wait()
         now = trio.current_time()
-        if now - called_at > MIN_WAIT_S:
+        if waits:
             self.seen_open_at = max(called_at, self.loop_watch.awake_at)
         if not data:
             self.end_delay_s = now - self.seen_open_at
--- a/medlarrail/relay/outbound_test.py
+++ b/medlarrail/relay/outbound_test.py
@@ -1,9 +1,11 @@
 """Tests of what the connections to an endpoint tell about its process."""
 
+import time
 from contextlib import suppress
 
 import pytest
 import trio
+import trio.testing
 
 from medlarrail.core.errors import StreamBroken
 from medlarrail.relay.outbound import OutboundConnection, OutboundPool
@@ -11,6 +13,8 @@
 
 UPLOAD_BYTES = 8_000_000
 """More than the kernels of both sides hold."""
+SLOW_TURN_S = 0.01
+"""Time that another task takes of each turn of the event loop."""
 UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\npart"
 
 
@@ -79,6 +83,32 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_end_that_waited_counts_as_noticed_at_once_in_a_busy_process(nursery):
+    """After a suspension, many tasks run before the end of a connection is received."""
+
+    async def hog_processor() -> None:
+        while True:
+            time.sleep(SLOW_TURN_S)
+            await trio.sleep(0)
+
+    async def send_and_end(connection, request) -> None:
+        await connection.send(UNFRAMED)
+        connection.endpoint.stop()
+
+    endpoint = ScriptedEndpoint("engine-1", send_and_end)
+    await nursery.start(endpoint.run)
+    pool = OutboundPool()
+    connection = await pool.acquire(f"{HOST}:{endpoint.port}", new_connection=True)
+    await connection.send(b"GET", b"/", [(b"Host", b"guide")], b"")
+    await trio.testing.wait_all_tasks_blocked(0.05)
+    ended_at = trio.current_time()
+    nursery.start_soon(hog_processor)
+    await read_body(connection, bytearray())
+    nursery.cancel_scope.cancel()
+    assert connection.seen_open_at < ended_at
+    assert connection.end_delay_s > 2 * SLOW_TURN_S
+
+
 async def read_body(connection: OutboundConnection, received: bytearray) -> None:
     """Receive an answer, and its body into ``received``."""
     await connection.read_head()
