--- a/medlarrail/cluster/recent_origins.py
+++ b/medlarrail/cluster/recent_origins.py
@@ -20,7 +20,7 @@
 
     def get_origin(self, now: float) -> StreamOrigin:
         """Return the origin with the age of its connection at ``now``."""
-        if not self.origin.endpoint:
+        if now == self.kept_since or not self.origin.endpoint:
             return self.origin
         age_s = self.origin.opened_ago_s + now - self.kept_since
         return evolve(self.origin, opened_ago_s=round(age_s, 3))
--- a/medlarrail/relay/stream_origins.py
+++ b/medlarrail/relay/stream_origins.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 
 import trio
-from attrs import define, evolve, field, frozen
+from attrs import define, field, frozen
 
 from medlarrail.cluster.cluster_view import ClusterView
 from medlarrail.cluster.recent_origins import RecentOrigins
@@ -120,16 +120,18 @@
 
         ``connection`` is that of its first event, None if it is not known.
         """
-        origin = StreamOrigin(
-            get_stream_key(request_id), service, software_version, proven=proven
-        )
-        if connection is not None and not proven:
+        stream = get_stream_key(request_id)
+        if proven or connection is None:
+            origin = StreamOrigin(stream, service, software_version, proven=proven)
+        else:
             opened_at = connection.opened_at
-            origin = evolve(
-                origin,
-                endpoint=connection.endpoint,
-                opened_ago_s=trio.current_time() - opened_at,
-                open_for_s=round(connection.closed_at - opened_at, 3),
+            origin = StreamOrigin(
+                stream,
+                service,
+                software_version,
+                connection.endpoint,
+                round(trio.current_time() - opened_at, 3),
+                round(connection.closed_at - opened_at, 3),
             )
         origin = self._own.add(origin)
         if self.cluster_view.has_several_versions(service):
