--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -66,6 +66,8 @@
             service=service,
             version=version,
             recorded=found.origin is not None,
+            endpoint=found.connection.endpoint if found.connection else None,
+            proven=found.origin is not None and found.origin.proven,
             keepers_replied=found.keepers_replied,
             versions=sorted(versions),
             picture_age_s=round(view_age_s, 3),
