Announcements that waited for a suspended leader prove nothing later

Callers may get events of two software versions: an endpoint announces itself to a leader that is suspended, ends, and starts again in place with other software. A gateway connects to the next process. The leader goes on, reads the announcement of the process before, and tells the gateway that this one was heard of while the connection was open.

The leader now notes ten times a second that it runs. What it receives within a second after a gap of 0.4 s counts for the begin of the gap, as the earliest time at which it can have arrived. One that was received before the gap, and confirmed by the log after it, keeps its time. Cost: ten wake-ups a second at each member; for a second after a suspension of the leader a stream that goes on waits for the next announcement.

Tests failed before: two of the four on suspensions in cluster/endpoint_sightings_test.py, with the change taken out.

--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -520,6 +520,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._publish_when_due)
             nursery.start_soon(self.view_copy.run)
+            nursery.start_soon(self.sightings.run)
             nursery.start_soon(self.software_rollouts.run)
             await self._remove_expired()
 
--- a/medlarrail/cluster/endpoint_sightings.py
+++ b/medlarrail/cluster/endpoint_sightings.py
@@ -20,6 +20,13 @@
 """Time for which an endpoint is remembered after its latest announcement: longer than
 a stream takes."""
 
+AWAKE_INTERVAL_S = 0.1
+"""Interval at which the leader notes that it is not suspended."""
+MIN_SUSPENSION_S = 0.4
+"""Shortest time without a note that counts as a suspension."""
+BACKLOG_S = 1.0
+"""Time after a suspension in which announcements are handled that waited for it."""
+
 
 @define(eq=False)
 class EndpointSightings:
@@ -28,17 +35,47 @@
     clock: Clock = get_boottime
     _heard: dict[str, tuple[HeardIncarnation, ...]] = field(factory=dict)
     _recorded: trio.Event = field(factory=trio.Event)
+    _awake_at: float = float("inf")
+    """Latest note, infinite before the first."""
+    _suspended_at: float = float("-inf")
+    """Begin of the latest suspension, at the earliest."""
+    _resumed_at: float = float("-inf")
+
+    async def run(self) -> None:
+        """Note steadily that this process is not suspended, until cancelled."""
+        while True:
+            self.note_awake()
+            await trio.sleep(AWAKE_INTERVAL_S)
+
+    def note_awake(self) -> None:
+        """Note the time, and a suspension since the note before."""
+        now = self.clock()
+        if self._awake_at + MIN_SUSPENSION_S < now:
+            self._suspended_at, self._resumed_at = self._awake_at, now
+        self._awake_at = now
+
+    def _get_earliest_arrival(self, received_at: float) -> float:
+        """Return since when an announcement may have waited to be received.
+
+        Its sender may have ended during a suspension of this process.
+        """
+        if self._awake_at + MIN_SUSPENSION_S < received_at:
+            return self._awake_at
+        if received_at < self._resumed_at + BACKLOG_S:
+            return min(received_at, self._suspended_at)
+        return received_at
 
     def record(self, announced: Announcement, received_at: float) -> None:
         """Record an announcement that is not outdated."""
         heard = self._heard.get(announced.name, ())
         latest = heard[-1] if heard else None
         key = (announced.started_ms, announced.software_version)
+        arrived_at = self._get_earliest_arrival(received_at)
         if latest is not None and key == (latest.started_ms, latest.software_version):
-            latest_at = max(latest.last_at, received_at)
+            latest_at = max(latest.last_at, arrived_at)
             heard = (*heard[:-1], evolve(latest, last_at=latest_at))
         else:
-            heard = (*heard, HeardIncarnation(*key, received_at, received_at))
+            heard = (*heard, HeardIncarnation(*key, received_at, arrived_at))
         self._heard[announced.name] = heard[-MAX_INCARNATIONS:]
         self._recorded.set()
         self._recorded = trio.Event()
--- a/medlarrail/cluster/endpoint_sightings_test.py
+++ b/medlarrail/cluster/endpoint_sightings_test.py
@@ -5,6 +5,8 @@
 import trio.testing
 
 from medlarrail.cluster.endpoint_sightings import (
+    AWAKE_INTERVAL_S,
+    BACKLOG_S,
     MAX_INCARNATIONS,
     RETENTION_S,
     EndpointSightings,
@@ -87,6 +89,47 @@
         sightings.remove_expired()
         assert not list_told(sightings, now)
 
+    @pytest.mark.parametrize("noted_first", [False, True])
+    def test_announcement_that_waited_in_a_suspended_leader_counts_as_later(
+        self, noted_first
+    ):
+        """Its process had ended, and a gateway was connected to the next one."""
+        now = 100.0
+        sightings = EndpointSightings(lambda: now)
+        sightings.note_awake()
+        sightings.record(build(), now)
+        now += 5.0
+        if noted_first:
+            sightings.note_awake()
+        sightings.record(build(), now)
+        (told,) = list_told(sightings, now)
+        assert told.last_age_s == 5.0
+
+    def test_announcement_after_a_suspension_is_not_heard_of(self):
+        now = 100.0
+        sightings = EndpointSightings(lambda: now)
+        sightings.note_awake()
+        now += 5.0
+        while now < 105.0 + BACKLOG_S + AWAKE_INTERVAL_S:
+            sightings.note_awake()
+            now += AWAKE_INTERVAL_S
+        sightings.record(build(), now)
+        (told,) = list_told(sightings, now)
+        assert told.last_age_s == 0.0
+
+    def test_announcement_before_a_suspension_counts_for_its_begin(self):
+        """The log confirmed it only after the suspension."""
+        now = 100.0
+        sightings = EndpointSightings(lambda: now)
+        sightings.note_awake()
+        now = 100.09
+        sightings.note_awake()
+        now = 105.0
+        sightings.note_awake()
+        sightings.record(build(), 100.05)
+        (told,) = list_told(sightings, now)
+        assert told.last_age_s == pytest.approx(4.95)
+
     async def test_wait_ends_before_the_announcement(self, nursery, autojump_clock):
         sightings = EndpointSightings()
         sightings.record(build(), 10.0)
