Announcements of other endpoints no longer wake those who wait for one

At the target size the leading member would fall behind with announcements while streams go on: each of the 1,700 announcements in a second woke every request that waited for one of some other endpoint. A stream that goes on at an endpoint without a report, on a new connection, waits for up to a second.

There is now one event for each endpoint that is waited for. It is removed when set, or with the expired endpoints once nobody waits.

--- a/medlarrail/cluster/endpoint_sightings.py
+++ b/medlarrail/cluster/endpoint_sightings.py
@@ -34,7 +34,8 @@
 
     clock: Clock = get_boottime
     _heard: dict[str, tuple[HeardIncarnation, ...]] = field(factory=dict)
-    _recorded: trio.Event = field(factory=trio.Event)
+    _recorded: dict[str, trio.Event] = field(factory=dict)
+    """Set at the next announcement of an endpoint that is waited for."""
     _awake_at: float = float("inf")
     """Latest note, infinite before the first."""
     _suspended_at: float = float("-inf")
@@ -77,13 +78,14 @@
         else:
             heard = (*heard, HeardIncarnation(*key, received_at, arrived_at))
         self._heard[announced.name] = heard[-MAX_INCARNATIONS:]
-        self._recorded.set()
-        self._recorded = trio.Event()
+        recorded = self._recorded.pop(announced.name, None)
+        if recorded is not None:
+            recorded.set()
 
     async def wait_heard(self, name: str, since: float) -> None:
         """Return once an announcement of an endpoint was received after ``since``."""
         while not any(one.last_at >= since for one in self._heard.get(name, ())):
-            await self._recorded.wait()
+            await self._recorded.setdefault(name, trio.Event()).wait()
 
     def iterate(self, name: str, asked_at: float) -> Iterator[Sighting]:
         """Yield the incarnations of an endpoint, for a request of ``asked_at``."""
@@ -101,3 +103,6 @@
         for name, heard in list(self._heard.items()):
             if heard[-1].last_at < oldest:
                 del self._heard[name]
+        for name, recorded in list(self._recorded.items()):
+            if not recorded.statistics().tasks_waiting:
+                del self._recorded[name]
--- a/medlarrail/cluster/endpoint_sightings_test.py
+++ b/medlarrail/cluster/endpoint_sightings_test.py
@@ -25,6 +25,18 @@
 
 NAME = "engine-1"
 
+WAITERS = 64
+"""Streams of one endpoint that ended."""
+
+
+class StepCounter(trio.abc.Instrument):
+    """Counts how often tasks run."""
+
+    count = 0
+
+    def after_task_step(self, task) -> None:
+        self.count += 1
+
 
 def build(version: str = "v1", **changes):
     return build_announcement(name=NAME, software_version=version, **changes)
@@ -149,6 +161,33 @@
         await trio.testing.wait_all_tasks_blocked()
         assert not nursery.child_tasks
 
+    async def test_announcements_of_others_wake_all_who_wait(
+        self, nursery, autojump_clock
+    ):
+        """The leader took processor time for each of them, 1,700 times a second."""
+        sightings = EndpointSightings()
+        for _ in range(WAITERS):
+            nursery.start_soon(sightings.wait_heard, NAME, 10.0)
+        await trio.testing.wait_all_tasks_blocked()
+        steps = StepCounter()
+        trio.lowlevel.add_instrument(steps)
+        for number in range(50):
+            sightings.record(build_announcement(name=f"other-{number}"), 11.0)
+            await trio.testing.wait_all_tasks_blocked()
+        assert steps.count < 10 * WAITERS
+        sightings.record(build(), 11.0)
+        await trio.testing.wait_all_tasks_blocked()
+        trio.lowlevel.remove_instrument(steps)
+        assert not nursery.child_tasks
+
+    async def test_endpoints_that_were_waited_for_fill_memory(self, autojump_clock):
+        sightings = EndpointSightings(lambda: 100.0)
+        for number in range(10):
+            with trio.move_on_after(1):
+                await sightings.wait_heard(f"other-{number}", 10.0)
+        sightings.remove_expired()
+        assert not sightings._recorded
+
 
 @pytest.fixture
 async def members(tmp_path, nursery, autojump_clock):
