State members: a full listener still answers a call

Callers saw: where all connections of a member are in use, or were made within the last second, an operator's or a peer's new connection is closed without an answer.

Cause: the listener has one limit for all connections. An operator can't be told from an endpoint before its request has been read, so it needs a connection.

Tests: a listener with a limit of 20, all of them new or with a request that hangs, refused a read before; now 256 reads in a row are answered, and one is answered beside a reserve that silent connections hold.

--- a/medlarrail/transport/bounded_connections.py
+++ b/medlarrail/transport/bounded_connections.py
@@ -8,6 +8,7 @@
 import errno
 import socket
 from collections.abc import Awaitable, Callable
+from copy import copy
 from math import inf
 
 import eliot
@@ -20,6 +21,11 @@
 from hypercorn.trio.worker_context import WorkerContext
 
 from medlarrail.core.metrics import get_metrics
+from medlarrail.policy.connection_room import (
+    SINGLE_REQUEST_S,
+    Admission,
+    choose_admission,
+)
 from medlarrail.policy.held_memory import Holding
 from medlarrail.transport.memory_gate import MemoryGate
 
@@ -96,20 +102,27 @@
 ) -> None:
     """Serve ``app`` until ``wait_stop`` returns, then let connections end in time."""
     context = WorkerContext(None)
+    single_config = copy(config)
+    single_config.keep_alive_max_requests = 1
+    single_config.keep_alive_timeout = SINGLE_REQUEST_S
     open_connections = 0
 
     async def serve_one(stream: trio.SocketStream) -> None:
         nonlocal open_connections
-        has_room = gate.memory.get_room(is_small=True) >= CONNECTION_BYTES
-        is_full = open_connections >= MAX_CONNECTIONS or not has_room
-        if is_full and not gate.end_idle(LISTENER):
+        admission = _admit(gate, open_connections)
+        if admission is Admission.REFUSED:
             get_metrics().count("connections_refused")
             gate.log.record("connection-refused", LISTENER, open=open_connections)
-            await trio.aclose_forcefully(stream)
             return
+        is_single = admission is Admission.SINGLE
+        if is_single:
+            get_metrics().count("connections_for_one_request")
         open_connections += 1
         scope = trio.CancelScope()
-        connection = BoundedConnection(ASGIWrapper(app), config, context, {}, stream)
+        own_config = single_config if is_single else config
+        connection = BoundedConnection(
+            ASGIWrapper(app), own_config, context, {}, stream
+        )
         try:
             with gate.open(LISTENER, scope.cancel) as connection.holding, scope:
                 gate.memory.add(connection.holding, CONNECTION_BYTES)
@@ -129,6 +142,15 @@
             connections.cancel_scope.deadline = deadline
 
 
+def _admit(gate: MemoryGate, open_count: int) -> Admission:
+    """Return what a new connection may do; an idle one makes way for it if possible."""
+    has_memory = gate.memory.get_room(is_small=True) >= CONNECTION_BYTES
+    is_full = open_count >= MAX_CONNECTIONS or not has_memory
+    if is_full and gate.end_idle(LISTENER):
+        return Admission.KEPT
+    return choose_admission(open_count, MAX_CONNECTIONS, has_memory)
+
+
 async def _accept(
     listener: socket.socket,
     connections: trio.Nursery,
--- a/medlarrail/transport/server_test.py
+++ b/medlarrail/transport/server_test.py
@@ -3,6 +3,7 @@
 import errno
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 
 import pytest
 import trio
@@ -14,12 +15,15 @@
     Overloaded,
     OverLongBody,
     PeerBroken,
+    PeerError,
     PeerTimeout,
     PeerUnreachable,
     SlowSender,
     UnknownRoute,
 )
+from medlarrail.policy.connection_room import RESERVED_CONNECTIONS
 from medlarrail.testing.fault_proxy import FaultProxy
+from medlarrail.transport import bounded_connections
 from medlarrail.transport import server as server_module
 from medlarrail.transport.client import HttpClient
 from medlarrail.transport.routes import EventStream, Routes, route
@@ -27,6 +31,9 @@
 from medlarrail.transport.sockets import set_reset_on_close
 
 CALLERS = 200
+LIMIT = 20
+"""Connections of a server that are kept open."""
+POLL = b"GET /hang HTTP/1.1\r\nhost: x\r\n\r\n"
 MAX_TURNS = 20
 """Turns of the event loop in which so many callers are accepted."""
 
@@ -303,6 +310,59 @@
         assert len(failures) == 2
 
 
+class TestFullServer:
+    """A member whose connections were all in use refused the operator's calls."""
+
+    @pytest.fixture
+    def limit(self, monkeypatch) -> int:
+        monkeypatch.setattr(bounded_connections, "MAX_CONNECTIONS", LIMIT)
+        return LIMIT
+
+    @staticmethod
+    async def connect(server: HttpServer, url: str, count: int, sent: bytes) -> list:
+        """Return so many more connections, on each of which ``sent`` was received."""
+        port = int(url.rsplit(":")[-1])
+        before = len(server.gate.memory.holdings)
+        streams = [await trio.open_tcp_stream("127.0.0.1", port) for _ in range(count)]
+        for stream in streams:
+            await stream.send_all(sent)
+        with trio.fail_after(5):
+            while len(server.gate.memory.holdings) < before + count:
+                await trio.sleep(0.01)
+        return streams
+
+    @pytest.mark.parametrize("sent", [b"", POLL], ids=["new", "polling"])
+    async def test_read_at_a_full_server_is_refused(
+        self, limit, server, handlers, url, client, sent
+    ):
+        streams = await self.connect(server, url, limit, sent)
+        for _ in range(2 * RESERVED_CONNECTIONS):
+            answer = await client.fetch("POST", url + "/echo", b'{"text":"hi"}')
+            assert answer.body == b'{"text":"hi"}'
+        if sent:
+            assert answer.headers["connection"] == "close"
+        handlers.release.set()
+        for stream in streams:
+            await stream.aclose()
+
+    async def test_silent_connections_take_the_reserve(
+        self, limit, server, handlers, url
+    ):
+        """The caller tries again, as after any failure."""
+        streams = await self.connect(server, url, limit, POLL)
+        streams += await self.connect(server, url, RESERVED_CONNECTIONS, b"")
+        answered = False
+        with trio.fail_after(5):
+            while not answered:
+                with suppress(PeerError):
+                    await HttpClient().fetch("POST", url + "/echo", b'{"text":"hi"}')
+                    answered = True
+                await trio.sleep(0.05)
+        handlers.release.set()
+        for stream in streams:
+            await stream.aclose()
+
+
 class TestDrain:
     async def test_a_running_stream_completes_before_the_server_stops(
         self, server, handlers, url, client, nursery
