State members: the leader names itself as the address for later heartbeats

Callers saw: at 100 VMs and more the members' processors and connections were used up by heartbeats, and configurations were acknowledged late.

Cause: endpoints call any member, and all but the leader redirect them. With five members 1.8 calls were made for a heartbeat, each over a connection of its own.

Change: the acknowledgement has heartbeat-addr, the leader's own address. It holds until a heartbeat fails there; a member that no longer leads redirects or refuses as before. test_heartbeats_are_redirected_for_ever failed before.

--- a/medlarrail/platform/control.py
+++ b/medlarrail/platform/control.py
@@ -1,6 +1,7 @@
 """HTTP handlers for the platform's control calls from endpoints and operators."""
 
 import eliot
+import orjson
 from attrs import define
 
 from medlarrail.cluster.cluster_view_server import ClusterViewServer
@@ -58,12 +59,19 @@
     @route("PUT", "/instances/*")
     @reply_to_errors
     async def handle_announcement(self, request: Request) -> Reply:
-        """Record an endpoint's heartbeat."""
+        """Record an endpoint's heartbeat, and have the next ones sent to the leader.
+
+        Four of five would otherwise be redirected, over a connection more each.
+        """
         self.view_server.require_leading()
         await self.view_server.register_announcement(
             decode_announcement(request.tail, request.body)
         )
-        return EMPTY_OK
+        return self._build_acknowledgement()
+
+    def _build_acknowledgement(self) -> Reply:
+        address = self.view_server.member.url.partition("://")[2].rstrip("/")
+        return Reply(200, orjson.dumps({"heartbeat-addr": address}))
 
     @route("DELETE", "/instances/*")
     @reply_to_errors
--- a/medlarrail/platform/platform_test.py
+++ b/medlarrail/platform/platform_test.py
@@ -529,6 +529,17 @@
             answer = await call(follower, method, path, payload)
             assert answer.status == 307 and answer.headers["location"].endswith(path)
 
+    async def test_heartbeats_are_redirected_for_ever(self, control, autojump_clock):
+        """Followers redirected four of five heartbeats, which made two calls and two
+        connections of each."""
+        leading, follower = control
+        path = "/instances/i-1"
+        redirect = await call(follower, "PUT", path, HEARTBEAT)
+        acknowledged = await call(leading, "PUT", path, HEARTBEAT)
+        address = orjson.loads(acknowledged.body)["heartbeat-addr"]
+        assert "/" not in address
+        assert redirect.headers["location"].partition("://")[2] == address + path
+
     async def test_announcements_and_departures(self, control, autojump_clock):
         leading, _ = control
         assert (await call(leading, "PUT", "/instances/i-1", HEARTBEAT)).status == 200
