Stream soak: an endpoint of another service gets a killed one's address

The platform assigns the address of an endpoint that has ended to another service after two seconds. reuse_address plays it, and a run at an endpoint of another service than that of the route is a violation.

--- a/medlarrail/platform/soak/check.py
+++ b/medlarrail/platform/soak/check.py
@@ -13,7 +13,7 @@
 from medlarrail.platform.soak.callers import PROMISES, Answer, Call
 from medlarrail.platform.soak.engine import BODY_LINES
 from medlarrail.platform.soak.events import VERSIONS, Event, build_body, make_text
-from medlarrail.platform.soak.site import Site
+from medlarrail.platform.soak.site import ROUTES, Site
 
 
 @frozen
@@ -38,6 +38,7 @@
     """Whether the endpoint sent what the platform does not allow."""
     record: str
     began_at: float
+    service: str
     ended_at: float | None = None
     """None if the endpoint was killed before the end."""
     sent: int = 0
@@ -100,11 +101,12 @@
 
 
 def check_runs(calls: list[Call], runs: dict[str, list[Run]]) -> list[Violation]:
-    """Return requests that ran too often, or that ran although an answer denies it."""
+    """Return requests that ran too often, at another service or against a denial."""
     violations = []
     for call in calls:
         for answer in call.answers:
-            count = len(runs.get(answer.request_id, ()))
+            own = runs.get(answer.request_id, [])
+            count = len(own)
             if count > 1 and not call.repeatable:
                 violations.append(
                     Violation("run twice", answer.request_id, f"{count} runs")
@@ -112,6 +114,11 @@
             if count and answer.status in PROMISES:
                 detail = f"status {answer.status}"
                 violations.append(Violation("run denied", answer.request_id, detail))
+            violations += [
+                Violation("foreign run", answer.request_id, f"at {run.record}")
+                for run in own
+                if run.service != ROUTES[call.kind][1]
+            ]
     return violations
 
 
@@ -123,7 +130,8 @@
             entry = orjson.loads(line)
             if entry["what"] == "run":
                 framing, faulty = entry["framing"], entry["faulty"]
-                run = Run(entry["id"], framing, faulty, path.stem, entry["t"])
+                own = path.stem, entry["t"], entry["service"]
+                run = Run(entry["id"], framing, faulty, *own)
                 runs[entry["id"]].append(run)
             else:
                 own = (one for one in runs[entry["id"]] if one.record == path.stem)
--- a/medlarrail/platform/soak/check_test.py
+++ b/medlarrail/platform/soak/check_test.py
@@ -99,6 +99,7 @@
 class TestRuns:
     def build_run(self, **fields):
         defaults = {"framing": "close", "faulty": False, "began_at": 1.0}
+        defaults["service"] = "talk"
         return Run("r1", record="engine-1", **{**defaults, **fields})
 
     @pytest.mark.parametrize(
@@ -121,6 +122,14 @@
         kinds = [violation.kind for violation in check_runs([call], runs)]
         assert kinds == found
 
+    @pytest.mark.parametrize(
+        ("kind", "found"), [("safe", []), ("chat", ["foreign run"])]
+    )
+    def test_run_at_another_service_passes(self, kind, found):
+        call = Call(kind, PROMPT, COUNT, [build_answer([])])
+        violations = check_runs([call], {"r1": [self.build_run()]})
+        assert [violation.kind for violation in violations] == found
+
     @pytest.mark.parametrize(
         ("fields", "ends", "disturbed", "sound"),
         [
@@ -164,10 +173,10 @@
             site.engines.append(engine)
         rollout = Rollout(site, "talk", "v2", "v1", 10.0, 100.0)
         rollout.states_read, rollout.verdict_at = states, 105.0
-        runs = [Run("r1", "length", False, "v1", 101.0)] * old
-        runs += [Run("r2", "length", False, "v2", 101.0)] * new
+        runs = [Run("r1", "length", False, "v1", 101.0, "talk")] * old
+        runs += [Run("r2", "length", False, "v2", 101.0, "talk")] * new
         if late_at:
-            runs.append(Run("r3", "length", False, late_version, late_at))
+            runs.append(Run("r3", "length", False, late_version, late_at, "talk"))
         return [violation.kind for violation in rollout.check(runs)]
 
     def test_sound_rollouts_violate_the_promise(self, tmp_path):
--- a/medlarrail/platform/soak/endpoint_faults.py
+++ b/medlarrail/platform/soak/endpoint_faults.py
@@ -11,6 +11,9 @@
 KILL_SHARE = 0.3
 """Share of the suspended endpoints that are killed, half of which start in place."""
 
+REUSE_AFTER_S = (2.0, 3.0)
+"""Time from the end of an endpoint until one of another service has its address."""
+
 
 @register_action(weight=2)
 async def freeze_engine(faults: Faults) -> None:
@@ -41,6 +44,24 @@
     await _trouble(faults, "slow")
 
 
+@register_action()
+async def reuse_address(faults: Faults) -> None:
+    """Kill an endpoint, and start one of another service at its address later."""
+    site = faults.site
+    with faults.claim(site.engines) as engine:
+        if engine is None:
+            return
+        others = [one for one in site.engines if one.service != engine.service]
+        with faults.claim(others) as other:
+            if other is None:
+                return
+            site.kill(engine)
+            await faults.start_engine(engine)
+            await trio.sleep(faults.random.uniform(*REUSE_AFTER_S))
+            await faults.start_engine(other, at=engine)
+            await site.stop(other)
+
+
 async def _trouble(faults: Faults, kind: str) -> None:
     with faults.claim(faults.site.engines) as engine:
         if engine is None:
--- a/medlarrail/platform/soak/engine.py
+++ b/medlarrail/platform/soak/engine.py
@@ -267,6 +267,7 @@
         if disordered:
             numbers = disorder(numbers, int(count), draw(*key, "way"))
         own = {"engine": self.settings.name, "version": self.settings.version}
+        own["service"] = self.settings.service
         asked = {"kind": kind, "prompt": prompt, "after": after}
         early = self.is_reset_early(head)
         framing = "close" if early else framing
--- a/medlarrail/platform/soak/faults.py
+++ b/medlarrail/platform/soak/faults.py
@@ -112,15 +112,18 @@
                 await self.site.stop(engine)
 
     async def start_engine(
-        self, replaced: RunningProgram, like: RunningProgram | None = None
+        self,
+        replaced: RunningProgram,
+        like: RunningProgram | None = None,
+        at: RunningProgram | None = None,
     ) -> RunningProgram:
         """Start an endpoint in place of another one, and return it once it answers.
 
-        ``like`` gives it the name and address of another one.
+        For ``like`` and ``at`` see ``Site.add_engine``.
         """
         service = replaced.service
         version = self.site.software_version or replaced.version
-        engine = self.site.add_engine(service, version, like)
+        engine = self.site.add_engine(service, version, like, at)
         self.site.note(f"{engine.name} started: {service}, {engine.version}")
         with trio.move_on_after(START_TIMEOUT_S):
             await self.site.wait_engine(engine)
--- a/medlarrail/platform/soak/site.py
+++ b/medlarrail/platform/soak/site.py
@@ -33,6 +33,14 @@
 """Time-out of each route."""
 STATE_COUNT = 3
 GATEWAY_COUNT = 4
+ROUTES = {
+    "stream": ("streaming", "talk"),
+    "resumable": ("streaming", "talk"),
+    "chat": ("streaming", "chat"),
+    "safe": ("safe", "talk"),
+    "unsafe": ("unsafe", "talk"),
+}
+"""Kind and service of each route, by the first part of its path."""
 ENGINES = {"talk": 3, "chat": 2}
 """Number of endpoints of each service."""
 
@@ -97,14 +105,7 @@
 
 def build_configuration(version: int, extra_routes: int = 0) -> dict:
     """Return a configuration; later ones have further routes."""
-    kinds = (
-        ("stream", "streaming", "talk"),
-        ("resumable", "streaming", "talk"),
-        ("chat", "streaming", "chat"),
-        ("safe", "safe", "talk"),
-        ("unsafe", "unsafe", "talk"),
-        *((f"extra{number}", "safe", "talk") for number in range(extra_routes)),
-    )
+    extra = {f"extra{number}": ("safe", "talk") for number in range(extra_routes)}
     routes = [
         {
             "name": f"r-{prefix}",
@@ -121,7 +122,7 @@
             "sticky": prefix == "chat",
             "resumable": prefix in ("resumable", "chat"),
         }
-        for prefix, kind, service in kinds
+        for prefix, (kind, service) in (ROUTES | extra).items()
     ]
     engine = {"slots": SLOTS, "kv-capacity-tokens": 1_000_000, "kv-token-bytes": 1000}
     engine |= {"link-mbps": 100_000.0, "models": [{"name": MODEL}]}
@@ -285,12 +286,20 @@
                 return port
 
     def add_engine(
-        self, service: str, version: str, like: RunningProgram | None = None
+        self,
+        service: str,
+        version: str,
+        like: RunningProgram | None = None,
+        at: RunningProgram | None = None,
     ) -> RunningProgram:
-        """Start an endpoint; ``like`` gives it the name and address of another one."""
+        """Start an endpoint.
+
+        ``like`` gives it the name and address of another one, ``at`` its address alone.
+        """
         self.engine_count += 1
         name = like.name if like is not None else f"i-{self.engine_count:04d}"
-        announced = self.find_engine_port() if like is None else like.announced_port
+        last = like or at
+        announced = self.find_engine_port() if last is None else last.announced_port
         self.reserved_ports.append(announced)
         port = announced if self.link_nursery is None else self.find_engine_port()
         file = self.folder / f"engine-{self.engine_count}.json"
