Upgrade test: a rollout starts beside the latest version that ignores it

VERSION_BEFORE went to the latest landing, which knows rollouts and answers an order with another error (NotFound, as its settings have none) instead of RolloutsNotKnown. So test_rollout_starts_beside_members_that_ignore_it failed from that commit on. It guards against members that ignore rollouts: it plays the latest of these again, as before, with the same checks. The other tests play the latest landing.

--- a/medlarrail/platform/upgrade_test.py
+++ b/medlarrail/platform/upgrade_test.py
@@ -65,6 +65,8 @@
 
 VERSION_BEFORE = "cddbc9fb552c2d53a0f2d391184971afabde9bbc"
 """Commit of the version that runs when an upgrade to this one begins."""
+VERSION_WITHOUT_ROLLOUTS = "78c0a3c35ff4353382d3bdac9da01d2cf55c2994"
+"""Commit of the latest version that ignores rollouts of software."""
 ROOT = Path(__file__).parents[2]
 KEY = "a-key-for-this-test"
 WAIT_TIMEOUT_S = 20.0
@@ -96,9 +98,9 @@
 NAMES = ("core-1", "core-2", "core-3")
 
 
-def extract_version_before(path: Path) -> Path:
-    """Write the sources of the version before below ``path``, and return it."""
-    command = ["git", "-C", str(ROOT), "archive", VERSION_BEFORE, "medlarrail"]
+def extract_version(path: Path, commit: str = VERSION_BEFORE) -> Path:
+    """Write the sources of another version below ``path``, and return it."""
+    command = ["git", "-C", str(ROOT), "archive", commit, "medlarrail"]
     archive = subprocess.run(command, capture_output=True)
     if archive.returncode:
         pytest.skip("the repository's history is not there")
@@ -353,7 +355,7 @@
 ):
     """Each stream begins at a gateway of one version and is taken up at the other or
     the same; state members of one of the versions keep its origin."""
-    sources = {"before": extract_version_before(tmp_path / "before"), "this": ROOT}
+    sources = {"before": extract_version(tmp_path / "before"), "this": ROOT}
     site = MixedSite(tmp_path, nursery)
     went_on = Counter()
     try:
@@ -378,7 +380,7 @@
 async def test_members_of_two_versions_lose_changes(number, tmp_path):
     """Each member is replaced by one of this version and back, so that members of both
     versions lead and follow each other and read each other's disks."""
-    before = extract_version_before(tmp_path / "before")
+    before = extract_version(tmp_path / "before")
     members = MixedMembers(tmp_path)
     try:
         for name in NAMES:
@@ -400,9 +402,9 @@
 
 
 async def test_rollout_starts_beside_members_that_ignore_it(tmp_path):
-    """Members of the version before are replaced one after the other. A rollout that
+    """Members of an older version are replaced one after the other. A rollout that
     they ignore would be lost with the others, and undecided while they lead."""
-    before = extract_version_before(tmp_path / "before")
+    before = extract_version(tmp_path / "before", VERSION_WITHOUT_ROLLOUTS)
     members = MixedMembers(tmp_path)
     order = RolloutOrder("app", "v2", 600_000)
 
