Large events and answers that nobody reads, and incomplete ones, stay in the account

Callers saw: the gateway ended for lack of memory. 160 clients that asked for a stream with events of 0.9 MB and read nothing, or whose events never became complete, filled it.

Cause: an incomplete event was in no account. An answer or event that was received left the account of received answers, and was only added to that of the connections while it was sent, without a limit. Three copies of it were held.

Change: what is held of a stream, and answers until they are sent, are part of the account of received answers. Answers whose callers don't read for a second are given up first, then the largest. A caller that has got a part sees its connection close; nothing is repeated. Long answers are sent 64 KB at a time. A drop is no failure of the endpoint's version.

--- a/medlarrail/platform/untrusted_clients_test.py
+++ b/medlarrail/platform/untrusted_clients_test.py
@@ -25,9 +25,13 @@
     build_head,
     drip_head,
     pipeline_unread,
+    read_all,
+    read_nothing,
     read_slowly,
     read_usage,
     send_whole,
+    send_whole_to_older_version,
+    stay_idle,
     stop_short,
     stop_short_in_chunks,
     stop_short_in_pieces,
@@ -54,8 +58,12 @@
 USUAL_HEADERS = {"Api-Key": API_KEY, "Request-Id": "r1"}
 CLUSTER_KEY = "a-key-for-this-test"
 EVENT_BYTES = 16_000
+LARGE_BYTES = 900_000
+"""Size of a large answer and of a large event: legal for both."""
 NAMES = ("state", "gateway")
-PORTS = ("state", "gateway", "ready", "directory", "metrics", "work")
+OTHER_NAMES = ("state", "entry", "store")
+"""Programs that the platform's processes do without."""
+PORTS = (*NAMES, "entry", "store", "ready", "directory", "metrics", "work")
 
 
 def build_route(prefix: str, kind: str) -> dict:
@@ -73,33 +81,49 @@
 
 CONFIGURATION = {
     "version": 1,
-    "routes": [build_route("ask", "safe"), build_route("stream", "streaming")],
+    "routes": [
+        build_route("ask", "safe"),
+        build_route("large", "safe"),
+        build_route("stream", "streaming"),
+        build_route("long-event", "streaming"),
+        build_route("partial-event", "streaming"),
+    ],
     "services": [{"name": "plain", "health-path": "/healthz", "max-connections": 400}],
     "tenants": [{"name": "lea-college", "api-keys": [API_KEY], "priority": 1}],
 }
 
 
+BODIES_OF_ANSWERS = {b"ask": b"fine", b"large": b"x" * LARGE_BYTES}
+EVENT_SIZES = {b"stream": EVENT_BYTES, b"long-event": LARGE_BYTES}
+
+
 async def answer(connection, request: bytes) -> None:
-    """Answer as an endpoint; a stream has events without end."""
+    """Answer as an endpoint; a stream has events without end, or stops inside one."""
     request_id = get_value(request, b"request-id") or b""
     head = b"HTTP/1.1 200 OK\r\nRequest-Id: " + request_id
     head += b"\r\nResponse-Signature: s\r\n"
-    if not request.split(b" ", 2)[1].startswith(b"/stream/"):
-        await connection.send(head + b"Content-Length: 4\r\n\r\nfine")
+    name = request.split(b"/", 2)[1]
+    if name in BODIES_OF_ANSWERS:
+        body = BODIES_OF_ANSWERS[name]
+        await connection.send(head + b"Content-Length: %d\r\n\r\n" % len(body) + body)
         return
     await connection.send(head + b"Transfer-Encoding: chunked\r\n\r\n")
     number = 0
-    while True:
+    while name in EVENT_SIZES:
         number += 1
-        event = b"id: %d\ndata: %s\n\n" % (number, b"x" * EVENT_BYTES)
+        event = b"id: %d\ndata: %s\n\n" % (number, b"x" * EVENT_SIZES[name])
         await connection.send(b"%x\r\n%s\r\n" % (len(event), event))
+    event = b"id: 1\ndata: %s" % (b"x" * LARGE_BYTES)
+    await connection.send(b"%x\r\n%s\r\n" % (len(event), event))
+    await trio.sleep_forever()
 
 
 class Programs:
-    """A state member and a gateway as processes, and an endpoint."""
+    """Programs as processes; by default a state member and a gateway."""
 
-    def __init__(self, path):
+    def __init__(self, path, names=NAMES):
         self.path = path
+        self.names = names
         self.ports = dict(zip(PORTS, find_free_ports(len(PORTS), HOST), strict=True))
         self.state_url = self.get_url("state")
         self.processes = {}
@@ -134,13 +158,26 @@
                 "work_address": self.get_address("work"),
                 "isolation": {"mode": "last-known"},
             },
+            "entry": {
+                **common,
+                "listen": {"host": HOST, "port": 0, "url": self.get_url("entry")},
+                "state_urls": [self.state_url],
+            },
+            "store": {
+                **common,
+                "listen": {"host": HOST, "port": 0, "url": self.get_url("store")},
+                "entry_urls": [self.get_url("entry")],
+                "data_folder": str(self.path / "store"),
+                "memory_bytes": 1_000_000,
+                "disk_bytes": 1_000_000,
+            },
         }
-        for name in NAMES:
+        for name in self.names:
             file = self.path / f"{name}.json"
             file.write_bytes(orjson.dumps({"name": f"{name}-1", **settings[name]}))
             with (self.path / f"{name}.log").open("wb") as log:
                 self.processes[name] = subprocess.Popen(
-                    [sys.executable, "-m", "medlarrail.platform", name],
+                    get_command(name, file),
                     env={**os.environ, "MEDLARRAIL_BOOT": str(file)},
                     stdout=log,
                     stderr=log,
@@ -153,7 +190,7 @@
 
     def require_living(self) -> None:
         ended = {name: one.poll() for name, one in self.processes.items()}
-        assert ended == dict.fromkeys(NAMES)
+        assert ended == dict.fromkeys(self.names)
 
     def read_usage(self, name: str):
         return read_usage(self.processes[name].pid)
@@ -195,6 +232,8 @@
             "ready": build_head("GET", "/readyz", "ready"),
             "directory": build_head("GET", "/resolve", "directory"),
             "state": build_head("GET", "/config", "state"),
+            "entry": build_head("GET", "/v1/entries", "entry"),
+            "store": build_head("GET", "/health", "store"),
         }
         with trio.fail_after(WAIT_TIMEOUT_S):
             while await read_status(self.ports[name], heads[name]) != 200:
@@ -202,6 +241,14 @@
                 await trio.sleep(POLL_S)
 
 
+def get_command(name: str, file) -> list[str]:
+    """Return the command that starts a program with the settings in ``file``."""
+    if name in NAMES:
+        return [sys.executable, "-m", "medlarrail.platform", name]
+    code = f"from medlarrail.programs.{name} import main; main()"
+    return [sys.executable, "-c", code, "--settings", str(file)]
+
+
 async def read_status(port: int, head: bytes) -> int:
     """Return the status of the answer to a request, 0 without one."""
     try:
@@ -231,9 +278,24 @@
         running.stop()
 
 
+@pytest.fixture
+async def other_programs(tmp_path):
+    running = Programs(tmp_path, OTHER_NAMES)
+    running.start()
+    try:
+        with trio.fail_after(WAIT_TIMEOUT_S):
+            while not await running.put("/config", CONFIGURATION):
+                await trio.sleep(POLL_S)
+        for name in OTHER_NAMES:
+            await running.request_ordinary(name)
+        yield running
+    finally:
+        running.stop()
+
+
 async def check_crowd(programs: Programs, listener: str, shape, target: Target):
     """Let a crowd use one listener, and check the process that it belongs to."""
-    name = "state" if listener == "state" else "gateway"
+    name = listener if listener in programs.processes else "gateway"
     rest = programs.read_usage(name)
     crowd = Crowd(programs.ports[listener], shape(target))
     async with trio.open_nursery() as nursery:
@@ -274,7 +336,7 @@
 
 
 class TestCallersListener:
-    @pytest.mark.parametrize("shape", [*BODIES, drip_head])
+    @pytest.mark.parametrize("shape", [*BODIES, drip_head, send_whole_to_older_version])
     async def test_large_bodies_fill_the_memory(self, programs, shape):
         """Each body had a limit, but all together had none."""
         port = programs.ports["gateway"]
@@ -293,6 +355,30 @@
         target = Target(port, "GET", "/stream/1", ROUTE_HOST, USUAL_HEADERS)
         await check_crowd(programs, "gateway", read_slowly, target)
 
+    async def test_unread_large_answers_fill_the_memory(self, programs):
+        """An answer that was received whole was no longer limited while it waited."""
+        port = programs.ports["gateway"]
+        target = Target(port, "GET", "/large/1", ROUTE_HOST, USUAL_HEADERS)
+        await check_crowd(programs, "gateway", read_nothing, target)
+
+    async def test_unread_large_events_fill_the_memory(self, programs):
+        """Each stream holds the event that its caller does not read."""
+        port = programs.ports["gateway"]
+        target = Target(port, "GET", "/long-event/1", ROUTE_HOST, USUAL_HEADERS)
+        await check_crowd(programs, "gateway", read_nothing, target)
+
+    async def test_partial_events_fill_the_memory(self, programs):
+        """An event that is not complete was not in the account of a process."""
+        port = programs.ports["gateway"]
+        target = Target(port, "GET", "/partial-event/1", ROUTE_HOST, USUAL_HEADERS)
+        await check_crowd(programs, "gateway", read_all, target)
+
+    async def test_idle_connections_fill_the_memory(self, programs):
+        """Connections that are kept after an answer must not add up."""
+        port = programs.ports["gateway"]
+        target = Target(port, "GET", "/ask/1", ROUTE_HOST, USUAL_HEADERS)
+        await check_crowd(programs, "gateway", stay_idle, target)
+
     async def test_single_large_body_is_refused(self, programs):
         """A body within the limits is served in calm."""
         size = 4 * BODY_BYTES
@@ -311,10 +397,13 @@
 
 class TestAuxiliaryListeners:
     @pytest.mark.parametrize("listener", PATHS)
-    @pytest.mark.parametrize("shape", [pipeline_unread, stop_short, send_whole])
+    @pytest.mark.parametrize(
+        "shape",
+        [pipeline_unread, stop_short, send_whole, drip_head, stay_idle],
+    )
     async def test_clients_fill_the_memory(self, programs, listener, shape):
         """These listeners had the limits of the callers' one."""
-        method = "GET" if shape is pipeline_unread else "POST"
+        method = "POST" if shape in BODIES else "GET"
         port = programs.ports[listener]
         target = Target(port, method, PATHS[listener], "gateway-1")
         await check_crowd(programs, listener, shape, target)
--- a/medlarrail/policy/answer_memory_test.py
+++ b/medlarrail/policy/answer_memory_test.py
@@ -3,6 +3,7 @@
 import random
 
 from medlarrail.policy.answer_memory import AnswerMemory
+from medlarrail.policy.held_memory import MIN_STALL_S, Holding
 
 LIMIT_BYTES = 10_000
 PART_BYTES = 100
@@ -20,7 +21,7 @@
     peak = dropped = 0
     for _ in range(2000):
         answer = rng.choice([*endless_answers, *ordinary])
-        memory.add(answer, b"x" * PART_BYTES)
+        memory.add(answer, b"x" * PART_BYTES, 0.0)
         peak = max(peak, sum(len(held.data) for held in memory.answers))
         assert memory.held_bytes == sum(len(held.data) for held in memory.answers)
         if answer in ordinary:
@@ -44,7 +45,7 @@
     def test_closed_answer_is_still_counted(self):
         memory = AnswerMemory(LIMIT_BYTES)
         answer = memory.open()
-        memory.add(answer, b"x" * PART_BYTES)
+        memory.add(answer, b"x" * PART_BYTES, 0.0)
         memory.close(answer)
         memory.close(answer)
         assert memory.held_bytes == 0 and not memory.answers
@@ -52,7 +53,22 @@
     def test_single_answer_beyond_the_limit_is_held(self):
         memory = AnswerMemory(LIMIT_BYTES)
         answer = memory.open()
-        memory.add(answer, b"x" * (LIMIT_BYTES + 1))
+        memory.add(answer, b"x" * (LIMIT_BYTES + 1), 0.0)
         assert answer.is_dropped and memory.held_bytes == 0
-        memory.add(answer, b"x")
+        memory.add(answer, b"x", 0.0)
         assert memory.held_bytes == 0
+
+    def test_answers_that_nobody_reads_take_the_room_of_larger_ones(self):
+        ended = []
+        memory = AnswerMemory(LIMIT_BYTES)
+        for number in range(3):
+            unread = memory.open(lambda number=number: ended.append(number))
+            memory.resize(unread, 2000, 0.0)
+            unread.reader = Holding("callers", 0.0, "writing")
+        read = memory.open()
+        memory.resize(read, 3000, 0.0)
+        read.reader = Holding("callers", 0.0, "writing")
+        read.reader.start("writing", MIN_STALL_S)
+        memory.resize(memory.open(), 4000, MIN_STALL_S)
+        assert len(ended) == 2 and not read.is_dropped
+        assert memory.held_bytes == 2000 + 3000 + 4000
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -5,6 +5,7 @@
 from math import inf
 from typing import NoReturn, Protocol
 
+import eliot
 import trio
 from attrs import define, field, frozen
 
@@ -28,6 +29,7 @@
 )
 from medlarrail.core.metrics import get_metrics
 from medlarrail.policy.answer_end import EndEvidence
+from medlarrail.policy.answer_memory import HeldAnswer
 from medlarrail.policy.stream_order import OrderFault, StreamOrder, describe_id
 from medlarrail.relay.end_check import EndCheck
 from medlarrail.relay.endpoint_stats import ColdSend
@@ -48,12 +50,15 @@
 from medlarrail.relay.table import Admission
 from medlarrail.relay.workload_tracker import TrackedPrompt
 from medlarrail.transport.framing import Framing
+from medlarrail.transport.memory_gate import get_allocator
 
 MAX_EVENT_BYTES = 1_000_000
 """Maximum size of one event of a stream."""
 CHECKED_BYTES = 2048
 """Bytes of a stream that are checked at once, so that even the smallest events take
 about ``MAX_TURN_S``."""
+COUNTED_BYTES = 8192
+"""Bytes of the events of a stream from which on they are part of the account."""
 MAX_REJECTION_WAIT_S = 0.05
 """Maximum time to receive the body of a rejection, so that the connection can be
 reused."""
@@ -126,6 +131,8 @@
     """The framing of the answer, None before its head was received."""
     body_bytes: int = 0
     """Bytes of the body received so far."""
+    is_dropped: bool = False
+    """Whether the answer was given up for lack of memory."""
     partial_event: bool = False
     """Whether the bytes received of a stream end inside an event."""
     events: OrderedEvents | None = None
@@ -473,23 +480,32 @@
         one is the largest.
         """
         memory = self.relayed.relay.answer_memory
-        held = memory.open()
+        scope = trio.CancelScope()
+        held = memory.open(scope.cancel)
         try:
-            async with aclosing(connection.iterate_body()) as body:
-                async for part in body:
-                    self._record_first_byte()
-                    self.body_bytes += len(part)
-                    memory.add(held, part)
-                    if held.is_dropped:
-                        break
-            if held.is_dropped:
-                raise AnswerTooLong(
-                    endpoint=self.endpoint.announced.name,
-                    limit_bytes=memory.limit_bytes,
-                )
-            data = bytes(held.data)
+            with scope:
+                async with aclosing(connection.iterate_body()) as body:
+                    async for part in body:
+                        self._record_first_byte()
+                        self.body_bytes += len(part)
+                        if held.data:
+                            get_allocator()
+                        memory.add(held, part, trio.current_time())
+                        await trio.lowlevel.checkpoint_if_cancelled()
+                answer = await self._check_buffered(connection, head, held)
+                held.reader = self.relayed.exchange.connection.holding
+                await answer.send(self.relayed.exchange)
         finally:
             memory.close(held)
+        if scope.cancelled_caught:
+            self._raise_dropped(held)
+
+    async def _check_buffered(
+        self, connection: OutboundConnection, head: AnswerHead, held: HeldAnswer
+    ) -> BufferedAnswer:
+        """Return the answer to be sent; raises ``RunFailure`` for an unsound one."""
+        await trio.lowlevel.checkpoint_if_cancelled()
+        data = bytes(held.take_data())
         self._record_first_byte()
         if self.observation is not None:
             self.observation.record_whole()
@@ -502,10 +518,48 @@
         if failed or self.relayed.exchange.started:
             self.relayed.fallback_answer = answer
             raise self._build_failure(head)
-        await answer.send(self.relayed.exchange)
+        return answer
+
+    def _raise_dropped(self, held: HeldAnswer) -> NoReturn:
+        """Raise the error of an answer that was given up for lack of memory.
+
+        A caller that has got a part of it sees its connection close.
+        """
+        name = self.endpoint.announced.name
+        is_unread = held.reader is not None
+        self.is_dropped = True
+        get_metrics().count("answers_dropped", is_unread=is_unread)
+        eliot.log_message("answer:dropped", endpoint=name, is_unread=is_unread)
+        if is_unread:
+            self.relayed.exchange.abort()
+            raise trio.ClosedResourceError("the caller did not read its answer")
+        limit_bytes = self.relayed.relay.answer_memory.limit_bytes
+        raise AnswerTooLong(endpoint=name, limit_bytes=limit_bytes)
 
     async def _relay_stream(
         self, connection: OutboundConnection, head: AnswerHead
+    ) -> None:
+        """Relay a stream, and count what is held of it.
+
+        Raises ``AnswerTooLong`` if all answers take too much memory and this one has
+        the largest incomplete event.
+        """
+        memory = self.relayed.relay.answer_memory
+        scope = trio.CancelScope()
+        held = memory.open(scope.cancel)
+        try:
+            with scope:
+                await self._relay_events(connection, head, held)
+        finally:
+            memory.close(held)
+            if held.is_dropped and self.events is not None:
+                # A cancellation leaves frames in reference cycles, with the events.
+                self.events.clear()
+        if scope.cancelled_caught:
+            self._raise_dropped(held)
+
+    async def _relay_events(
+        self, connection: OutboundConnection, head: AnswerHead, held: HeldAnswer
     ) -> None:
         """Relay complete events as they arrive, as long as each goes on from the last.
 
@@ -534,8 +588,10 @@
                             endpoint=self.endpoint.announced.name,
                             limit_bytes=MAX_EVENT_BYTES,
                         )
-                    if passed := await self._check_events(events, part):
-                        await self._send_events(exchange, head, passed)
+                    held.data = await self._check_events(events, part)
+                    if held.data:
+                        await self._send_events(head, held)
+                    self._count_events(held, 0)
                     if events.fault is not None:
                         raise self._build_order_failure(events.fault)
                     if events.has_foreign:
@@ -554,9 +610,11 @@
             raise
         finally:
             self.partial_event = events.has_partial_event
+        held.data = events.take_rest()
+        if held.data:
+            await self._send_events(head, held)
+        held.reader = exchange.connection.holding
         await self._send_head(exchange, head)
-        if rest := events.take_rest():
-            await self._send_events(exchange, head, rest)
         if exchange.framing.proves_end and not self._states_end(head):
             raise EndUnproven(endpoint=self.endpoint.announced.name)
         await exchange.end()
@@ -575,14 +633,30 @@
                 turn_began_at = trio.current_time()
         return bytes(passed)
 
-    async def _send_events(
-        self, exchange: ServerExchange, head: AnswerHead, events: bytes
-    ) -> None:
+    async def _send_events(self, head: AnswerHead, held: HeldAnswer) -> None:
+        """Send the events in ``held``, which has the only reference to them."""
         if not self.first_byte_s:
             self._record_stream_begun()
         self._record_first_byte()
+        exchange = self.relayed.exchange
+        # It stays set if the sending is cancelled, which may leave a part of an event.
+        held.reader = exchange.connection.holding
+        self._count_events(held, len(held.data))
         await self._send_head(exchange, head)
-        await exchange.send_part(events)
+        await exchange.send_part(held.take_data())
+        held.reader = None
+
+    def _count_events(self, held: HeldAnswer, sent_bytes: int) -> None:
+        """Count the incomplete event, and those that are being sent if they are long.
+
+        Short ones are covered by what is counted for each connection.
+        """
+        size = self.events.buffered_bytes + sent_bytes
+        size = size if size > COUNTED_BYTES else 0
+        if size != held.held_bytes:
+            get_allocator()
+            memory = self.relayed.relay.answer_memory
+            memory.resize(held, size, trio.current_time())
 
     def _build_order_failure(self, fault: OrderFault) -> StreamOutOfOrder:
         get_metrics().count("streams_out_of_order", reason=fault.reason)
--- a/medlarrail/relay/events.py
+++ b/medlarrail/relay/events.py
@@ -143,6 +143,11 @@
             self._held.clear()
         return rest
 
+    def clear(self) -> None:
+        """Free incomplete and held events of an answer that is given up."""
+        self._splitter.take_remainder()
+        self._held.clear()
+
     def _remove_foreign(self, events: bytes) -> bytes:
         """Return the ``events`` before the first with a line that is part of none."""
         text = b"\n" + events.removeprefix(BYTE_ORDER_MARK)
--- a/medlarrail/relay/inbound.py
+++ b/medlarrail/relay/inbound.py
@@ -45,7 +45,7 @@
 """Maximum bytes per read of the head of a request."""
 MAX_PIPELINED_BYTES = 16384
 """Maximum bytes read ahead on a connection; the remainder stays in the kernel."""
-WRITE_BYTES = 131072
+WRITE_BYTES = 65536
 """Bytes of a long answer that are written at a time."""
 FIRST_CHUNKS_BYTES = 2 * READ_BYTES
 """Memory for the beginning of a body of unknown length."""
@@ -109,8 +109,17 @@
         )
 
     async def send_part(self, part: bytes) -> None:
-        """Send a part of the body."""
-        await self.connection.send(h11.Data(data=part))
+        """Send a part of the body; of a long one a little at a time is copied."""
+        if len(part) <= WRITE_BYTES:
+            await self.connection.send(h11.Data(data=part))
+            return
+        try:
+            for begin in range(0, len(part), WRITE_BYTES):
+                piece = part[begin : begin + WRITE_BYTES]
+                await self.connection.send(h11.Data(data=piece))
+        finally:
+            # A cancellation leaves this frame in a reference cycle.
+            del part
 
     async def end(self) -> None:
         """Complete the answer."""
@@ -447,20 +456,12 @@
         data = self.protocol.send(event)
         if not data:
             return
-        holding, memory = self.holding, self.server.gate.memory
+        holding = self.holding
         state = holding.state
         holding.start("writing", trio.current_time())
-        counted = len(data) if len(data) > WRITE_BYTES else 0
-        memory.add(holding, counted)
         try:
-            if not counted:
-                await self.stream.send_all(data)
-                return
-            for begin in range(0, len(data), WRITE_BYTES):
-                await self.stream.send_all(data[begin : begin + WRITE_BYTES])
-                holding.record_bytes(WRITE_BYTES, trio.current_time())
+            await self.stream.send_all(data)
         finally:
-            memory.add(holding, -counted)
             if not holding.is_ended:
                 holding.start(state, trio.current_time())
 
--- a/medlarrail/relay/rollout_observation.py
+++ b/medlarrail/relay/rollout_observation.py
@@ -129,8 +129,8 @@
     if attempt.end_evidence is EndEvidence.LATE:
         return False
     if isinstance(failure, AnswerTooLong):
-        # A buffered answer is dropped for want of memory at this entry.
-        return attempt.events is not None
+        # An answer is also dropped for want of memory at this entry.
+        return attempt.events is not None and not attempt.is_dropped
     return isinstance(failure, FAILURES)
 
 
--- a/medlarrail/testing/client_crowd.py
+++ b/medlarrail/testing/client_crowd.py
@@ -146,6 +146,50 @@
     return run
 
 
+def read_nothing(target: Target) -> Shape:
+    """Return a client that sends one request and reads nothing of its answer."""
+
+    async def run(stream: trio.SocketStream) -> None:
+        await stream.send_all(target.build_head())
+        await trio.sleep_forever()
+
+    return run
+
+
+def read_all(target: Target) -> Shape:
+    """Return a client that sends one request and reads what it is sent."""
+
+    async def run(stream: trio.SocketStream) -> None:
+        await stream.send_all(target.build_head())
+        while await stream.receive_some(READ_BYTES):
+            pass
+
+    return run
+
+
+def stay_idle(target: Target) -> Shape:
+    """Return a client that keeps its connection after an answer, and reads no more."""
+
+    async def run(stream: trio.SocketStream) -> None:
+        await stream.send_all(target.build_head())
+        await stream.receive_some(READ_BYTES)
+        await trio.sleep_forever()
+
+    return run
+
+
+def send_whole_to_older_version(target: Target) -> Shape:
+    """Return a client of HTTP/1.0 that sends one body and keeps its connection."""
+    head = target.build_head(Content_Length=str(BODY_BYTES), Connection="keep-alive")
+    data = head.replace(b"HTTP/1.1", b"HTTP/1.0", 1) + b"x" * BODY_BYTES
+
+    async def run(stream: trio.SocketStream) -> None:
+        await stream.send_all(data)
+        await trio.sleep_forever()
+
+    return run
+
+
 @define
 class Crowd:
     """Clients of one shape; each connects again when it was refused."""
--- a/medlarrail/transport/client.py
+++ b/medlarrail/transport/client.py
@@ -284,7 +284,7 @@
         try:
             async with aclosing(self.iterate()) as parts:
                 async for part in parts:
-                    self.memory.add(held, part)
+                    self.memory.add(held, part, trio.current_time())
                     if held.is_dropped or len(held.data) > max_bytes:
                         break
             if held.is_dropped or len(held.data) > max_bytes:
--- a/medlarrail/transport/memory_gate.py
+++ b/medlarrail/transport/memory_gate.py
@@ -83,7 +83,7 @@
         if not self.memory.can_ever_grant(count):
             self._refuse(holding, count, 0.0)
         if count > SMALL_BYTES:
-            _get_allocator()
+            get_allocator()
         waiter = self.memory.request(holding, count, began_at)
         if waiter.is_granted:
             return
@@ -169,7 +169,7 @@
 
 
 @cache
-def _get_allocator():
+def get_allocator():
     """Return the C library, after it was told to keep large blocks out of its heap.
 
     By default it does so only until the first large block is freed. A heap with holes
@@ -187,6 +187,6 @@
 def return_memory() -> None:
     """Return free memory to the system."""
     gc.collect()
-    allocator = _get_allocator()
+    allocator = get_allocator()
     if hasattr(allocator, "malloc_trim"):
         allocator.malloc_trim(0)
