An entry and a store are told how much memory they may hold for others

Callers saw: an entry ended for lack of memory. 160 clients without a key sent bodies of 1 MB that stopped short of their end.

Cause: entries and stores took the default account of 256 MB, had no setting, and never returned memory.

Change: the setting memory_limit_mb of gateways and state members; 0 stands for what the system says. Received answers are part of the account, and the upkeep runs.

--- a/medlarrail/platform/untrusted_clients_test.py
+++ b/medlarrail/platform/untrusted_clients_test.py
@@ -420,3 +420,28 @@
         """Answers that nobody reads must not pile up."""
         target = Target(programs.ports["state"], "GET", "/unknown", "state-1")
         await check_crowd(programs, "state", pipeline_unread, target)
+
+
+COMPLETIONS_PATH = "/v1/chat/completions"
+
+
+class TestEntry:
+    @pytest.mark.parametrize("shape", [*BODIES, drip_head])
+    async def test_large_bodies_fill_the_memory(self, other_programs, shape):
+        """An entry was not told how much memory its machine has."""
+        port = other_programs.ports["entry"]
+        target = Target(port, "POST", COMPLETIONS_PATH, "entry-1")
+        await check_crowd(other_programs, "entry", shape, target)
+
+    async def test_pipelined_requests_fill_the_memory(self, other_programs):
+        """Answers that nobody reads must not pile up."""
+        target = Target(other_programs.ports["entry"], "GET", "/v1/entries", "entry-1")
+        await check_crowd(other_programs, "entry", pipeline_unread, target)
+
+
+class TestStore:
+    @pytest.mark.parametrize("shape", [stop_short, stop_short_in_chunks, send_whole])
+    async def test_large_bodies_fill_the_memory(self, other_programs, shape):
+        """Only processes and operators use a store, but anyone may connect."""
+        target = Target(other_programs.ports["store"], "POST", "/health", "store-1")
+        await check_crowd(other_programs, "store", shape, target)
--- a/medlarrail/programs/entry.py
+++ b/medlarrail/programs/entry.py
@@ -17,6 +17,7 @@
 from medlarrail.ownership.rollout import Rollout
 from medlarrail.programs.command_line import build_program
 from medlarrail.programs.daemon import SettingsReloader, wait_for_stop_signal
+from medlarrail.programs.memory import build_answer_memory, build_memory_gate
 from medlarrail.programs.monitoring import Monitoring
 from medlarrail.protocol.status import (
     ENTRY_STATUS_PATH,
@@ -71,7 +72,8 @@
 
     def __attrs_post_init__(self):
         settings = self.settings
-        peers = HttpClient(settings.keys.cluster)
+        self.gate = build_memory_gate(settings.memory_limit_mb)
+        peers = HttpClient(settings.keys.cluster, build_answer_memory(self.gate))
         state = LogClient(peers, settings.state_urls)
         self.follower = Follower(peers, settings.state_urls)
         self.session = Session(
@@ -119,7 +121,7 @@
             Monitoring(self.settings.name),
             guard=build_guard(self.settings.keys),
         )
-        return HttpServer(routes, self.settings.server)
+        return HttpServer(routes, self.settings.server, self.gate)
 
     @route("POST", ENTRY_STATUS_PATH)
     async def handle_status(self, request: Request) -> EntryStatus:
@@ -154,6 +156,7 @@
             self.permits.run,
             self.endpoint_handlers.run,
             self.rollout.run,
+            self.gate.run_upkeep,
         ):
             self.nursery.start_soon(run)
 
--- a/medlarrail/programs/store.py
+++ b/medlarrail/programs/store.py
@@ -11,6 +11,7 @@
 from medlarrail.core.metrics import get_metrics
 from medlarrail.programs.command_line import build_program
 from medlarrail.programs.daemon import SettingsReloader, wait_for_stop_signal
+from medlarrail.programs.memory import build_answer_memory, build_memory_gate
 from medlarrail.programs.monitoring import Monitoring
 from medlarrail.protocol.endpoints import (
     ANNOUNCE_STORE_PATH,
@@ -61,7 +62,8 @@
 
 async def run_store(settings: StoreSettings, reloader: SettingsReloader) -> None:
     """Run a store until SIGTERM, then complete the requests in progress."""
-    client = HttpClient(settings.keys.cluster)
+    gate = build_memory_gate(settings.memory_limit_mb)
+    client = HttpClient(settings.keys.cluster, build_answer_memory(gate))
     blocks = BlockStore(
         DataFolder(Path(settings.data_folder)),
         settings.memory_bytes,
@@ -76,8 +78,9 @@
         routes = Routes.collect(
             store, Monitoring(settings.name), guard=build_guard(settings.keys)
         )
-        server = HttpServer(routes, settings.server)
+        server = HttpServer(routes, settings.server, gate)
         await nursery.start(server.run, listen.host, listen.bind_port)
+        nursery.start_soon(gate.run_upkeep)
         nursery.start_soon(announce, settings, client)
         await wait_for_stop_signal()
         await server.wait_idle()
--- a/medlarrail/settings/entry.py
+++ b/medlarrail/settings/entry.py
@@ -22,4 +22,6 @@
     routing: RoutingPolicy = field(factory=RoutingPolicy)
     weights: CostWeights = field(factory=CostWeights)
     server: ServerLimits = field(factory=ServerLimits)
+    memory_limit_mb: int = 0
+    """Memory of the VM in MB; 0 for what the system says."""
     log_file: str = ""
--- a/medlarrail/settings/store.py
+++ b/medlarrail/settings/store.py
@@ -22,4 +22,6 @@
     disk_bytes: int
     eviction: Literal["value", "lru"] = "value"
     server: ServerLimits = field(factory=lambda: ServerLimits(body_bytes=64_000_000))
+    memory_limit_mb: int = 0
+    """Memory of the VM in MB; 0 for what the system says."""
     log_file: str = ""
