Tests: callers in calm and refused once-only requests

160 callers with 4 requests of up to 60 KB each are all served, and no limit of memory takes a decision.

--- a/medlarrail/platform/untrusted_clients_test.py
+++ b/medlarrail/platform/untrusted_clients_test.py
@@ -9,6 +9,7 @@
 import os
 import subprocess
 import sys
+from collections import Counter
 
 import orjson
 import pytest
@@ -55,6 +56,11 @@
 POLL_S = 0.1
 ROUTE_HOST = "tickets.example"
 API_KEY = "a-key-of-a-caller"
+NOT_RUN = (408, 421, 429, 503)
+"""Statuses that promise that the request has not run."""
+ORDINARY_SIZES = (0, 2000, 20_000, 60_000)
+"""Sizes of the bodies of ordinary requests."""
+ONCE_ONLY_CALLERS = 40
 USUAL_HEADERS = {"Api-Key": API_KEY, "Request-Id": "r1"}
 CLUSTER_KEY = "a-key-for-this-test"
 EVENT_BYTES = 16_000
@@ -84,6 +90,7 @@
     "routes": [
         build_route("ask", "safe"),
         build_route("large", "safe"),
+        build_route("once", "unsafe"),
         build_route("stream", "streaming"),
         build_route("long-event", "streaming"),
         build_route("partial-event", "streaming"),
@@ -93,7 +100,7 @@
 }
 
 
-BODIES_OF_ANSWERS = {b"ask": b"fine", b"large": b"x" * LARGE_BYTES}
+BODIES_OF_ANSWERS = {b"ask": b"fine", b"once": b"fine", b"large": b"x" * LARGE_BYTES}
 EVENT_SIZES = {b"stream": EVENT_BYTES, b"long-event": LARGE_BYTES}
 
 
@@ -270,6 +277,7 @@
         with trio.fail_after(WAIT_TIMEOUT_S):
             while not await running.put("/config", CONFIGURATION):
                 await trio.sleep(POLL_S)
+        running.endpoint = endpoint
         nursery.start_soon(running.keep_announced, endpoint)
         for name in ("gateway", "ready", "directory", "state"):
             await running.request_ordinary(name)
@@ -391,6 +399,59 @@
         chunk = b"%x\r\n" % size + b"x" * size + b"\r\n0\r\n\r\n"
         assert await read_status(port, head + chunk) == 200
 
+    async def test_ordinary_callers_are_refused_in_calm(self, programs):
+        """Limits against crowds must not meet callers within the limits."""
+        port = programs.ports["gateway"]
+        statuses = Counter()
+
+        async def request_often(number: int) -> None:
+            for size in ORDINARY_SIZES:
+                headers = {"Api-Key": API_KEY, "Request-Id": f"{number}-{size}"}
+                headers["Content-Length"] = str(size)
+                head = build_head("POST", "/ask/1", ROUTE_HOST, headers)
+                statuses[await read_status(port, head + b"x" * size)] += 1
+
+        async with trio.open_nursery() as nursery:
+            for number in range(CLIENTS):
+                nursery.start_soon(request_often, number)
+        assert statuses == {200: CLIENTS * len(ORDINARY_SIZES)}
+        url = programs.get_url("metrics") + "/metrics"
+        reply = await HttpClient().fetch("GET", url)
+        assert reply.status == 200 and b"memory_decisions" not in reply.body
+
+    async def test_refused_once_only_requests_run(self, programs):
+        """A refusal for lack of memory says that the request did not run."""
+        port = programs.ports["gateway"]
+        headers = {"Api-Key": API_KEY, "Request-Id": "unfinished"}
+        target = Target(port, "POST", "/once/1", ROUTE_HOST, headers)
+        crowd = Crowd(port, stop_short(target))
+        statuses = {}
+
+        async def request_once(number: int) -> None:
+            headers = {"Api-Key": API_KEY, "Request-Id": f"once-{number}"}
+            headers["Content-Length"] = str(BODY_BYTES)
+            head = build_head("POST", "/once/1", ROUTE_HOST, headers)
+            status = await read_status(port, head + b"x" * BODY_BYTES)
+            statuses[headers["Request-Id"]] = status
+
+        async with trio.open_nursery() as nursery:
+            await nursery.start(crowd.run)
+            with trio.move_on_after(WAIT_TIMEOUT_S):
+                async with trio.open_nursery() as callers:
+                    for number in range(ONCE_ONLY_CALLERS):
+                        callers.start_soon(request_once, number)
+            nursery.cancel_scope.cancel()
+        programs.require_living()
+        seen = Counter(
+            (get_value(request, b"request-id") or b"").decode()
+            for request in programs.endpoint.requests
+        )
+        refused = [name for name, status in statuses.items() if status in NOT_RUN]
+        print("requests:", Counter(statuses.values()))
+        assert refused and "unfinished" not in seen
+        assert not [name for name in refused if seen[name]]
+        assert not [name for name, count in seen.items() if count > 1 and "-" in name]
+
 
 PATHS = {"ready": "/readyz", "directory": "/resolve"}
 
