Stream soak: deadlines inside streams, and callers that leave and take up

A tenth of the requests has a deadline of 0.3 to 3 s, and their callers wait for what comes then. Endpoints stop work at the deadline that they are told and break the connection off. Callers leave a twentieth of the streams inside and take those that they may up at another gateway.

A cut after the deadline does not count as that of a sound stream.

--- a/medlarrail/platform/soak/callers.py
+++ b/medlarrail/platform/soak/callers.py
@@ -12,7 +12,13 @@
 from medlarrail.platform.soak.site import KEY, ROUTE_HOST, Site
 from medlarrail.platform.soak.wire import EndedEarly, Head, MessageReader, build_head
 
-DEADLINE_MS = 15_000
+DEADLINE_S = 15.0
+SHORT_DEADLINE_SHARE = 0.1
+SHORT_DEADLINE_S = (0.3, 3.0)
+"""Deadlines of which most end inside a stream; the callers wait for what comes then."""
+LEAVE_SHARE = 0.05
+"""Share of the streams that their caller leaves inside, and takes up elsewhere if it
+may."""
 ANSWER_LIMIT_S = 25.0
 """Time after which a caller gives up; longer than the deadline, so that an answer ends
 by what the gateway does or by its end."""
@@ -53,11 +59,12 @@
     sent_at: float
     last_event_id: int = 0
     """Event after which the stream was to go on, 0 for a new one."""
+    deadline_s: float = DEADLINE_S
     http10: bool = False
     status: int = 0
     framing: str = ""
     ending: str = "none"
-    """``regular``, ``broken`` or ``given up``; ``none`` without a head."""
+    """``regular``, ``broken``, ``left`` or ``given up``; ``none`` without a head."""
     body: bytes = b""
     events: list[Event] = field(factory=list)
     retry_after_s: float = 0.0
@@ -157,7 +164,7 @@
             "Api-Key": KEY,
             "Model": "daka510000",
             "Token-Usage": f"100,{call.count}",
-            "Deadline-Ms": DEADLINE_MS,
+            "Deadline-Ms": int(answer.deadline_s * 1000),
         }
         if answer.last_event_id:
             headers["Last-Event-Id"] = answer.last_event_id
@@ -178,8 +185,12 @@
             gateway,
             time.monotonic(),
             events[-1].number if events else 0,
-            self.random.random() < OLD_CALLER_SHARE,
+            http10=self.random.random() < OLD_CALLER_SHARE,
         )
+        if self.random.random() < SHORT_DEADLINE_SHARE:
+            answer.deadline_s = self.random.uniform(*SHORT_DEADLINE_S)
+        leaves = call.is_stream and self.random.random() < LEAVE_SHARE
+        last_block = self.random.randint(1, call.count) if leaves else call.count * 9
         received = bytearray()
         with trio.move_on_after(ANSWER_LIMIT_S) as scope:
             try:
@@ -192,8 +203,13 @@
                 answer.ending = "broken"
                 async for part in connection.reader.iterate_body(head):
                     received += part
-                answer.ending = "regular"
-                await self._keep(head, answer)
+                    if received.count(b"\n\n") >= last_block:
+                        answer.ending = "left"
+                        await self._close()
+                        break
+                else:
+                    answer.ending = "regular"
+                    await self._keep(head, answer)
             except (OSError, EndedEarly, trio.BrokenResourceError):
                 await self._close()
         if scope.cancelled_caught:
--- a/medlarrail/platform/soak/check.py
+++ b/medlarrail/platform/soak/check.py
@@ -220,7 +220,7 @@
     ends: dict[str, float | None],
     gateways: set[str],
 ) -> bool:
-    """Return whether no endpoint, link or gateway gave a reason for a cut.
+    """Return whether no endpoint, link, gateway or deadline gave a reason for a cut.
 
     ``gateways`` are those that the answer passed through.
     """
@@ -235,4 +235,7 @@
         for one in site.disturbances
     )
     is_faulty = any(one.faulty for one in runs)
-    return not is_faulty and not is_disturbed and (run.complete or is_alive)
+    is_late = answer.ended_at - answer.sent_at >= answer.deadline_s
+    if is_faulty or is_disturbed or is_late:
+        return False
+    return run.complete or is_alive
--- a/medlarrail/platform/soak/engine.py
+++ b/medlarrail/platform/soak/engine.py
@@ -95,6 +95,11 @@
         self.sent += data
         await self.stream.send_all(data)
 
+    def reset(self) -> None:
+        """Break the connection off."""
+        set_reset_on_close(self.stream, True)
+        self.stream.socket.close()
+
 
 @define(eq=False)
 class Engine:
@@ -207,9 +212,13 @@
             return await self.send_short(connection, request_id, status, {})
         self.active += 1
         try:
-            return await self.run_request(connection, head, path)
+            with trio.move_on_after(int(head.headers["deadline-ms"]) / 1000):
+                return await self.run_request(connection, head, path)
         finally:
             self.active -= 1
+        # Nobody waits any longer; a regular close would look like the answer's end.
+        connection.reset()
+        return False
 
     def begin_trouble(self, path: str) -> None:
         """Be mute or slow for the milliseconds that the path names."""
@@ -305,8 +314,7 @@
                 second = build_head("HTTP/1.1 200 OK", {"Content-Length": len(event)})
                 await connection.send(second + event)
             if early:
-                set_reset_on_close(connection.stream, True)
-                connection.stream.socket.close()
+                connection.reset()
                 return False
             complete = True
         finally:
