Stream soak: ports of endpoints behind links are never chosen twice

An endpoint's own port was not reserved: one that was chosen and not bound yet became the announced port of another, whose link then failed with "Address already in use" and ended the run (seen once, with 8 endpoints).

--- a/medlarrail/platform/soak/site.py
+++ b/medlarrail/platform/soak/site.py
@@ -283,6 +283,7 @@
         while True:
             (port,) = find_free_ports(1, HOST)
             if port not in self.reserved_ports:
+                self.reserved_ports.append(port)
                 return port
 
     def add_engine(
@@ -300,7 +301,6 @@
         name = like.name if like is not None else f"i-{self.engine_count:04d}"
         last = like or at
         announced = self.find_engine_port() if last is None else last.announced_port
-        self.reserved_ports.append(announced)
         port = announced if self.link_nursery is None else self.find_engine_port()
         file = self.folder / f"engine-{self.engine_count}.json"
         settings = {
