--- a/medlarrail/platform/soak/__main__.py
+++ b/medlarrail/platform/soak/__main__.py
@@ -32,11 +32,15 @@
 )
 from medlarrail.platform.soak.faults import Faults
 from medlarrail.platform.soak.rollouts import LIMITS, Rollout, roll_out_steadily
-from medlarrail.platform.soak.site import Site, Sources
+from medlarrail.platform.soak.site import ENGINES, GATEWAY_COUNT, Site, Sources
 
 CALLER_COUNT = 32
+CALLERS_PER_GATEWAY = 2
+"""Callers of each gateway, if these are more than ``CALLER_COUNT``."""
 SERIES_COUNT = 2
 """Series of faults that overlap."""
+PROCESSES_PER_SERIES = 25
+"""Processes of each series, if that makes more than ``SERIES_COUNT``."""
 VIOLATIONS_EXIT_CODE = 1
 
 
@@ -91,7 +95,8 @@
         """Run the callers until the last call of each has ended."""
         until = time.monotonic() + duration_s
         async with trio.open_nursery() as nursery:
-            for number in range(CALLER_COUNT):
+            count = CALLERS_PER_GATEWAY * self.site.gateway_count
+            for number in range(max(CALLER_COUNT, count)):
                 name = f"c{number}"
                 random = Random(f"{self.site.seed}-{name}")
                 caller = Caller(name, self.site, random, self.take)
@@ -101,7 +106,8 @@
         """Play all series of faults, and the release, for the time of the run."""
         with trio.move_on_after(duration_s):
             async with trio.open_nursery() as nursery:
-                for number in range(SERIES_COUNT):
+                count = self.site.process_count // PROCESSES_PER_SERIES
+                for number in range(max(SERIES_COUNT, count)):
                     random = Random(f"{self.site.seed}-faults-{number}")
                     faults = Faults(self.site, random, self.only, self.left_out)
                     nursery.start_soon(faults.play_steadily)
@@ -176,6 +182,8 @@
     only: str = "",
     without: str = "",
     rollouts: bool = False,
+    gateways: int = GATEWAY_COUNT,
+    engines: int = 0,
     keep: Path | None = None,
 ) -> None:
     """Run a soak of ``duration`` seconds.
@@ -184,13 +192,17 @@
     the gateways. ``--disorder`` is the share of streams that endpoints send in no
     order, ``--only`` names the faults that are played, and ``--without`` some that are
     left out, separated by commas. ``--rollouts`` orders software rollouts in place of
-    the release. The logs are copied to ``--keep`` after a violation
+    the release. ``--gateways`` is their number, and ``--engines`` that of the endpoints
+    of each service, if it is given. The logs are copied to ``--keep`` after a violation
     or the cut of a sound stream.
     """
     folder = Path(tempfile.mkdtemp(prefix="stream-soak-"))
     own_sources = Sources(sources.resolve() if sources else None, mixed)
     limits = LIMITS if rollouts else None
     site = Site(folder, seed, own_sources, disorder, limits, report=typer.echo)
+    site.gateway_count = gateways
+    if engines:
+        site.engine_counts = dict.fromkeys(ENGINES, engines)
     soak = StreamSoak(site, split_names(only), split_names(without))
     counts = Counts()
     try:
--- a/medlarrail/platform/soak/check_test.py
+++ b/medlarrail/platform/soak/check_test.py
@@ -3,8 +3,11 @@
 A check that finds nothing in sound runs may be one that cannot find anything.
 """
 
+import subprocess
 from functools import partial
+from random import Random
 
+import orjson
 import pytest
 import trio
 import trio.testing
@@ -19,6 +22,7 @@
     disorder,
 )
 from medlarrail.platform.soak.events import build_body, build_event, parse_events
+from medlarrail.platform.soak.faults import Faults
 from medlarrail.platform.soak.rollouts import LIMITS, Rollout
 from medlarrail.platform.soak.site import Disturbance, RunningProgram, Site
 from medlarrail.platform.soak.wire import Head, build_head
@@ -240,6 +244,20 @@
                 pass
 
 
+async def test_gateway_that_a_reload_ends_passes(tmp_path):
+    """Nothing else would show that a signal has ended it."""
+    site = Site(tmp_path, 1, gateway_count=1, report=lambda text: None)
+    site.build()
+    gateway = site.gateways[0]
+    gateway.process = subprocess.Popen(["sleep", "9"])
+    await Faults(site, Random(1)).reload_gateway()
+    gateway.process.wait()
+    settings = orjson.loads(gateway.settings_file.read_bytes())
+    assert sorted(settings["state_urls"]) == sorted(site.control_urls)
+    site.states.clear()
+    assert site.list_own_ends() == ["edge-1"]
+
+
 def test_endpoint_takes_the_port_of_a_gateway(tmp_path, monkeypatch):
     """A gateway that had not bound its port yet ended with "Address already in use"."""
     site = Site(tmp_path, 1)
--- a/medlarrail/platform/soak/faults.py
+++ b/medlarrail/platform/soak/faults.py
@@ -6,6 +6,7 @@
 from contextlib import contextmanager
 from random import Random
 
+import orjson
 import trio
 from attrs import define
 
@@ -26,6 +27,8 @@
 RELEASE_SHARE = 0.4
 """Part of the run after which the release begins."""
 RECONFIGURE_LIMIT_S = 10.0
+INVALID_SHARE = 0.3
+"""Share of the reloads of settings that are no JSON."""
 Action = Callable[["Faults"], Awaitable[None]]
 ACTIONS: dict[str, Action] = {}
 """The faults that a series draws from, by name."""
@@ -166,6 +169,22 @@
                     await trio.sleep(self.random.uniform(*FREEZE_S))
                     self.site.signal(gateway, signal.SIGCONT)
 
+    @register_action()
+    async def reload_gateway(self) -> None:
+        """Let a gateway read its settings again, some of them invalid ones."""
+        # Nothing may be cut by it, so the gateway does not count as disturbed.
+        with self.claim(self.site.gateways, keep=0) as gateway:
+            if gateway is None:
+                return
+            settings = orjson.loads(gateway.settings_file.read_bytes())
+            self.random.shuffle(settings["state_urls"])
+            data = orjson.dumps(settings)
+            is_valid = self.random.random() >= INVALID_SHARE
+            gateway.settings_file.write_bytes(data if is_valid else data[:-1])
+            self.site.signal(gateway, signal.SIGHUP)
+            await trio.sleep(SETTLING_S)
+            gateway.settings_file.write_bytes(data)
+
     @register_action()
     async def freeze_over_restart(self) -> None:
         """Suspend a gateway until an endpoint has started again at its address."""
--- a/medlarrail/platform/soak/site.py
+++ b/medlarrail/platform/soak/site.py
@@ -27,6 +27,8 @@
 KEY = "a-key-of-a-caller"
 CLUSTER_KEY = "a-key-for-this-soak"
 START_TIMEOUT_S = 30.0
+START_TIME_S = 0.6
+"""Time for the start of each process, in addition."""
 STOP_TIMEOUT_S = 30.0
 POLL_S = 0.05
 TIMEOUT_MS = 15_000
@@ -178,6 +180,11 @@
     reserved_ports: list[int] = field(factory=list)
     """Ports that a program is going to listen on, or to announce again."""
 
+    @property
+    def process_count(self) -> int:
+        """Number of processes at the start."""
+        return self.state_count + self.gateway_count + sum(self.engine_counts.values())
+
     @property
     def control_urls(self) -> list[str]:
         """URLs of the state members."""
@@ -347,7 +354,7 @@
         for service, count in self.engine_counts.items():
             for _ in range(count):
                 self.add_engine(service, "v1")
-        with trio.fail_after(START_TIMEOUT_S):
+        with trio.fail_after(START_TIMEOUT_S + START_TIME_S * self.process_count):
             while not await self.configure(build_configuration(self.config_version)):
                 await trio.sleep(POLL_S)
             for engine in self.engines:
