Gateways: start without the records that only state members need

The test of a restarted gateway failed: 210 classes with generated methods, where 200 are the bound. All records of the configuration stood in one module, which a gateway imported for five of them.

No record changed. medlarrail/programs/startup_test.py passes and leaves the list of known failures.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -20,14 +20,14 @@
     RegisteredEntry,
 )
 from medlarrail.core.clock import PROCESS_STARTED_AT, Clock, get_boottime
-from medlarrail.core.deployment import Deployment
-from medlarrail.core.entities import (
+from medlarrail.core.cluster_records import (
     BlockedParts,
     DesiredVersion,
     ServiceVersions,
     SharedPart,
     is_request_key,
 )
+from medlarrail.core.deployment import Deployment
 from medlarrail.core.errors import MedlarError
 from medlarrail.core.invariants import require
 from medlarrail.core.metrics import get_metrics
--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -16,9 +16,9 @@
 from medlarrail.consensus.replication import LogMember
 from medlarrail.core.announcements import Announcement, RegisteredEntry
 from medlarrail.core.clock import Clock, get_boottime
+from medlarrail.core.cluster_records import DesiredVersion, SharedPart
 from medlarrail.core.deployment import Deployment
 from medlarrail.core.deployment_check import check_deployment
-from medlarrail.core.entities import DesiredVersion, SharedPart
 from medlarrail.core.errors import MedlarError, NotLeader
 from medlarrail.core.metrics import get_metrics
 from medlarrail.core.software_rollouts import SoftwareRolloutPolicy
--- a/medlarrail/cluster/crash_ledger.py
+++ b/medlarrail/cluster/crash_ledger.py
@@ -9,7 +9,7 @@
 from attrs import define, field, frozen
 
 from medlarrail.core.clock import Clock, get_boottime
-from medlarrail.core.entities import SharedPart, is_request_key
+from medlarrail.core.cluster_records import SharedPart, is_request_key
 from medlarrail.policy.crashing_parts import Crash, find_crashing_parts
 from medlarrail.policy.crashing_requests import needs_trial
 
--- a/medlarrail/cluster/crash_watch.py
+++ b/medlarrail/cluster/crash_watch.py
@@ -13,7 +13,7 @@
 from medlarrail.cluster.crash_ledger import CrashCause, Incarnation, RecordedCrash
 from medlarrail.cluster.request_trials import RequestTrials
 from medlarrail.core.clock import Clock, get_wall_time
-from medlarrail.core.entities import BlockedParts, SharedPart
+from medlarrail.core.cluster_records import BlockedParts, SharedPart
 from medlarrail.core.errors import MedlarError, NotLeader
 from medlarrail.core.metrics import get_metrics
 from medlarrail.policy.crashing_parts import get_trial_delay_s
--- a/medlarrail/cluster/crash_watch_test.py
+++ b/medlarrail/cluster/crash_watch_test.py
@@ -16,7 +16,7 @@
 )
 from medlarrail.cluster.crash_watch import CrashWatch
 from medlarrail.cluster.state_client import StateClient
-from medlarrail.core.entities import REQUEST_KEY_PREFIX, DesiredVersion
+from medlarrail.core.cluster_records import REQUEST_KEY_PREFIX, DesiredVersion
 from medlarrail.core.metrics import get_metrics
 from medlarrail.policy.crashing_parts import get_trial_delay_s
 from medlarrail.policy.notification import MAX_UPDATES_PER_S, get_poll_wait_s
--- a/medlarrail/cluster/leader_load_test.py
+++ b/medlarrail/cluster/leader_load_test.py
@@ -16,7 +16,7 @@
 from medlarrail.cluster.crash_watch import CrashWatch
 from medlarrail.cluster.state_client import StateClient
 from medlarrail.core.announcements import Announcement
-from medlarrail.core.entities import REQUEST_KEY_PREFIX
+from medlarrail.core.cluster_records import REQUEST_KEY_PREFIX
 from medlarrail.core.errors import EndpointUnreachable, MedlarError
 from medlarrail.protocol.cluster_view import ANNOUNCEMENTS_PATH
 from medlarrail.protocol.empty import EmptyMessage
--- a/medlarrail/cluster/request_trials.py
+++ b/medlarrail/cluster/request_trials.py
@@ -6,7 +6,7 @@
 from attrs import define, field
 
 from medlarrail.cluster.crash_ledger import CrashLedger
-from medlarrail.core.entities import SharedPart
+from medlarrail.core.cluster_records import SharedPart
 
 MAX_TRIAL_S = 1.0
 """Time after which a trial without a result no longer holds up others."""
--- a/medlarrail/cluster/request_trials_test.py
+++ b/medlarrail/cluster/request_trials_test.py
@@ -12,7 +12,7 @@
     RESULT_TIMEOUT_S,
     RequestTrials,
 )
-from medlarrail.core.entities import REQUEST_KEY_PREFIX, SharedPart
+from medlarrail.core.cluster_records import REQUEST_KEY_PREFIX, SharedPart
 from medlarrail.policy.crashing_requests import NEVER_S, get_request_trial_delay_s
 
 JUDGED_S = DECISION_DELAY_S + 0.01
--- a/medlarrail/core/codec.py
+++ b/medlarrail/core/codec.py
@@ -12,7 +12,7 @@
 from attrs import fields
 from cattrs.preconf.orjson import make_converter
 
-from medlarrail.core.entities import ValidationFault
+from medlarrail.core.cluster_records import ValidationFault
 from medlarrail.core.errors import (
     BadField,
     BadJson,
--- a/medlarrail/core/deployment_check.py
+++ b/medlarrail/core/deployment_check.py
@@ -3,8 +3,8 @@
 from collections import Counter
 from collections.abc import Iterator
 
+from medlarrail.core.cluster_records import ValidationFault
 from medlarrail.core.deployment import Deployment, RouteRule
-from medlarrail.core.entities import ValidationFault
 from medlarrail.core.errors import DeploymentInvalid
 
 
--- a/medlarrail/core/placement.py
+++ b/medlarrail/core/placement.py
@@ -6,8 +6,10 @@
 import hashlib
 from collections.abc import Iterable, Iterator
 from functools import lru_cache
+from typing import TYPE_CHECKING
 
-from medlarrail.core.entities import EntrySession, SessionView
+if TYPE_CHECKING:
+    from medlarrail.core.entities import EntrySession, SessionView
 
 MAX_RANKINGS = 32
 """Rankings that are remembered: the same nodes are ranked for each request."""
@@ -30,7 +32,7 @@
     return tuple(ranked)
 
 
-def get_owner(view: SessionView, endpoint: str) -> EntrySession | None:
+def get_owner(view: "SessionView", endpoint: str) -> "EntrySession | None":
     """Return the session that owns ``endpoint`` under ``view``."""
     owners = view.list_owners()
     if not owners:
@@ -41,7 +43,7 @@
 
 
 def iterate_owned(
-    view: SessionView, entry: str, endpoints: Iterable[str]
+    view: "SessionView", entry: str, endpoints: Iterable[str]
 ) -> Iterator[str]:
     """Yield those of ``endpoints`` that ``entry`` owns under ``view``."""
     for name in endpoints:
--- a/medlarrail/ownership/rollout.py
+++ b/medlarrail/ownership/rollout.py
@@ -16,7 +16,8 @@
 from medlarrail.cluster.follower import Follower
 from medlarrail.cluster.log_client import LogClient
 from medlarrail.cluster.session import Session
-from medlarrail.core.entities import DesiredVersion, EndpointOrder
+from medlarrail.core.cluster_records import DesiredVersion
+from medlarrail.core.entities import EndpointOrder
 from medlarrail.core.errors import (
     FencedOff,
     LoadLimit,
--- a/medlarrail/ownership/rollout_test.py
+++ b/medlarrail/ownership/rollout_test.py
@@ -4,7 +4,8 @@
 import trio
 from attrs import define, field
 
-from medlarrail.core.entities import DesiredVersion, EndpointOrder
+from medlarrail.core.cluster_records import DesiredVersion
+from medlarrail.core.entities import EndpointOrder
 from medlarrail.core.errors import FencedOff, NotFound
 from medlarrail.ownership.rollout import Rollout
 from medlarrail.protocol.endpoints import (
--- a/medlarrail/platform/documents.py
+++ b/medlarrail/platform/documents.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from medlarrail.core.cluster_records import ValidationFault
 from medlarrail.core.codec import is_out_of_range, parse_json
 from medlarrail.core.deployment import (
     AccountRule,
@@ -13,7 +14,6 @@
     StoreSpec,
     TrafficShare,
 )
-from medlarrail.core.entities import ValidationFault
 from medlarrail.core.errors import BadJson, DeploymentInvalid
 
 MIN_CALLER_TIMEOUT_MS = 2000
--- a/medlarrail/platform/prompts_test.py
+++ b/medlarrail/platform/prompts_test.py
@@ -9,8 +9,8 @@
     StoreListing,
 )
 from medlarrail.core.announcements import ModelWeights
+from medlarrail.core.cluster_records import DesiredVersion
 from medlarrail.core.deployment import EngineSpec, ServiceRule, StoreSpec
-from medlarrail.core.entities import DesiredVersion
 from medlarrail.core.metrics import get_metrics
 from medlarrail.core.scopes import ContextScope
 from medlarrail.platform.header_codec import REPORT_PATH, PlatformHeaderCodec
--- a/medlarrail/programs/operator_resources.py
+++ b/medlarrail/programs/operator_resources.py
@@ -3,7 +3,8 @@
 import typer
 from attrs import frozen
 
-from medlarrail.core.entities import DesiredVersion, EndpointOrder
+from medlarrail.core.cluster_records import DesiredVersion
+from medlarrail.core.entities import EndpointOrder
 from medlarrail.programs.operator_common import (
     AsJson,
     CommandId,
--- a/medlarrail/protocol/cluster_view.py
+++ b/medlarrail/protocol/cluster_view.py
@@ -9,13 +9,13 @@
 from attrs import frozen
 
 from medlarrail.core.announcements import RegisteredEndpoint, RegisteredEntry
-from medlarrail.core.deployment import Deployment
-from medlarrail.core.entities import (
+from medlarrail.core.cluster_records import (
     BlockedParts,
     DesiredVersion,
     ServiceVersions,
     SharedPart,
 )
+from medlarrail.core.deployment import Deployment
 from medlarrail.core.software_rollouts import SoftwareRollout
 
 CLUSTER_VIEW_PATH = "/internal/picture"
--- a/medlarrail/relay/blocked_prompts.py
+++ b/medlarrail/relay/blocked_prompts.py
@@ -8,7 +8,7 @@
 from medlarrail.cluster.cluster_view import ClusterView
 from medlarrail.cluster.state_client import StateClient
 from medlarrail.core.clock import Clock, get_wall_time
-from medlarrail.core.entities import BlockedParts, SharedPart
+from medlarrail.core.cluster_records import BlockedParts, SharedPart
 from medlarrail.core.errors import PromptBlocked, RequestBlocked
 from medlarrail.core.metrics import get_metrics
 from medlarrail.protocol.crashes import TRIALS_PATH, TrialRequest
--- a/medlarrail/relay/blocked_prompts_test.py
+++ b/medlarrail/relay/blocked_prompts_test.py
@@ -5,7 +5,7 @@
 from attrs import define, evolve, field
 
 from medlarrail.cluster.cluster_view import ClusterView
-from medlarrail.core.entities import BlockedParts
+from medlarrail.core.cluster_records import BlockedParts
 from medlarrail.core.errors import PeerTimeout, PromptBlocked
 from medlarrail.protocol.crashes import TrialAnswer
 from medlarrail.relay.blocked_prompts import BlockedPrompts
--- a/medlarrail/relay/crash_reporter.py
+++ b/medlarrail/relay/crash_reporter.py
@@ -17,7 +17,7 @@
 from medlarrail.cluster.cluster_view import ClusterView
 from medlarrail.cluster.state_client import StateClient
 from medlarrail.core.announcements import Announcement
-from medlarrail.core.entities import SharedPart, is_request_key
+from medlarrail.core.cluster_records import SharedPart, is_request_key
 from medlarrail.core.errors import EndpointUnreachable, MedlarError
 from medlarrail.core.metrics import get_metrics
 from medlarrail.policy.notification import get_report_interval_s
--- a/medlarrail/relay/crash_reporter_test.py
+++ b/medlarrail/relay/crash_reporter_test.py
@@ -7,7 +7,7 @@
 from attrs import define, evolve, field
 
 from medlarrail.cluster.cluster_view import ClusterView, EndpointView
-from medlarrail.core.entities import BlockedParts, SharedPart
+from medlarrail.core.cluster_records import BlockedParts, SharedPart
 from medlarrail.core.errors import PeerTimeout
 from medlarrail.policy.notification import MAX_UPDATES_PER_S
 from medlarrail.protocol.crashes import (
--- a/medlarrail/relay/crashing_requests_test.py
+++ b/medlarrail/relay/crashing_requests_test.py
@@ -8,8 +8,8 @@
 import trio
 from attrs import define, evolve, field
 
+from medlarrail.core.cluster_records import BlockedParts, SharedPart
 from medlarrail.core.deployment import AccountRule
-from medlarrail.core.entities import BlockedParts, SharedPart
 from medlarrail.policy.crashing_requests import NEVER_S
 from medlarrail.relay import crash_evidence
 from medlarrail.relay.fingerprint import RequestFingerprint
--- a/medlarrail/relay/fingerprint.py
+++ b/medlarrail/relay/fingerprint.py
@@ -9,7 +9,7 @@
 
 from attrs import frozen
 
-from medlarrail.core.entities import REQUEST_KEY_PREFIX
+from medlarrail.core.cluster_records import REQUEST_KEY_PREFIX
 from medlarrail.relay.metadata import InboundRequest, RequestMetadata
 
 DIGEST_BYTES = 12
--- a/medlarrail/relay/fingerprint_test.py
+++ b/medlarrail/relay/fingerprint_test.py
@@ -3,7 +3,7 @@
 import pytest
 from attrs import evolve
 
-from medlarrail.core.entities import is_request_key
+from medlarrail.core.cluster_records import is_request_key
 from medlarrail.relay.fingerprint import get_fingerprint
 from medlarrail.relay.metadata import InboundRequest, PromptPart, RequestMetadata
 from medlarrail.testing.logs import collect_messages
--- a/medlarrail/relay/metadata.py
+++ b/medlarrail/relay/metadata.py
@@ -10,8 +10,8 @@
 from attrs import field, frozen
 
 from medlarrail.core.announcements import Announcement
+from medlarrail.core.cluster_records import is_request_key
 from medlarrail.core.deployment import ServiceRule
-from medlarrail.core.entities import is_request_key
 from medlarrail.core.errors import MedlarError
 from medlarrail.core.placement import get_weight
 
--- a/medlarrail/relay/prefill_sharing_test.py
+++ b/medlarrail/relay/prefill_sharing_test.py
@@ -14,8 +14,8 @@
 
 from medlarrail.cluster.cluster_view import ClusterView, EndpointView
 from medlarrail.core.announcements import ModelWeights
+from medlarrail.core.cluster_records import DesiredVersion
 from medlarrail.core.deployment import AccountRule, EngineSpec, ServiceRule
-from medlarrail.core.entities import DesiredVersion
 from medlarrail.core.errors import Overloaded
 from medlarrail.policy.context import TransferPlan
 from medlarrail.relay.endpoint_stats import EndpointStats
--- a/medlarrail/relay/suspected_requests.py
+++ b/medlarrail/relay/suspected_requests.py
@@ -6,7 +6,7 @@
 
 from medlarrail.cluster.cluster_view import ClusterView
 from medlarrail.cluster.state_client import StateClient
-from medlarrail.core.entities import SharedPart
+from medlarrail.core.cluster_records import SharedPart
 from medlarrail.core.errors import RequestOnTrial
 from medlarrail.core.metrics import get_metrics
 from medlarrail.protocol.crashes import REQUEST_TRIALS_PATH, SuspectTrialRequest
--- a/medlarrail/settings/common.py
+++ b/medlarrail/settings/common.py
@@ -2,7 +2,7 @@
 
 from attrs import frozen
 
-from medlarrail.core.entities import ValidationFault
+from medlarrail.core.cluster_records import ValidationFault
 from medlarrail.core.software_rollouts import SoftwareRolloutPolicy
 
 
--- a/medlarrail/state/appliers.py
+++ b/medlarrail/state/appliers.py
@@ -6,9 +6,9 @@
 
 from attrs import evolve
 
+from medlarrail.core.cluster_records import DesiredVersion
 from medlarrail.core.entities import (
     DataCentre,
-    DesiredVersion,
     Endpoint,
     EntrySession,
     SessionView,
--- a/medlarrail/state/catalogue.py
+++ b/medlarrail/state/catalogue.py
@@ -11,18 +11,20 @@
 from attrs import define, field, frozen
 
 from medlarrail.core.announcements import EndpointMark
+from medlarrail.core.cluster_records import (
+    BlockedParts,
+    DesiredVersion,
+    ServiceVersions,
+)
 from medlarrail.core.codec import encode_error
 from medlarrail.core.deployment import Deployment
 from medlarrail.core.entities import (
-    BlockedParts,
     Contract,
     DataCentre,
-    DesiredVersion,
     Endpoint,
     EndpointOrder,
     LedgerKey,
     MemberInfo,
-    ServiceVersions,
     SessionView,
     Store,
     WeightLoad,
--- a/medlarrail/state/operations.py
+++ b/medlarrail/state/operations.py
@@ -10,12 +10,11 @@
 from attrs import field, frozen
 
 from medlarrail.core.announcements import EndpointMark
+from medlarrail.core.cluster_records import BlockedParts, DesiredVersion
 from medlarrail.core.codec import register_tagged
 from medlarrail.core.deployment import Deployment
 from medlarrail.core.entities import (
-    BlockedParts,
     Contract,
-    DesiredVersion,
     Endpoint,
     EndpointOrder,
     EndpointState,
