The limits of a process count where its memory is not set

Callers saw nothing yet: without memory_limit_mb a process held for others what 30% of the machine allows, up to 1 GB, also where its address space or its data are limited to less.

Change: the lowest of the limits of the control group, of the process and of the machine counts.

--- a/medlarrail/programs/memory.py
+++ b/medlarrail/programs/memory.py
@@ -1,5 +1,7 @@
 """Memory that a process may use, and the account of what it holds for others."""
 
+import resource
+from collections.abc import Iterator
 from pathlib import Path
 
 import eliot
@@ -17,10 +19,19 @@
     """Return the memory of this process: the setting, or what the system allows."""
     if limit_mb > 0:
         return limit_mb * MEGABYTE
-    return min([*_iterate_group_limits(), _read_total_bytes()])
+    limits = [*_iterate_group_limits(), *_iterate_process_limits()]
+    return min([*limits, _read_total_bytes()])
 
 
-def _iterate_group_limits():
+def _iterate_process_limits() -> Iterator[int]:
+    """Yield the limits of the address space and of the data of this process."""
+    for kind in (resource.RLIMIT_AS, resource.RLIMIT_DATA):
+        limit, _ = resource.getrlimit(kind)
+        if limit != resource.RLIM_INFINITY:
+            yield limit
+
+
+def _iterate_group_limits() -> Iterator[int]:
     """Yield the limits of the control groups of this process that have one."""
     try:
         lines = OWN_GROUP_FILE.read_text().splitlines()
