Bodies with the key of an endpoint wait for memory, too

Callers saw: a state member ended for lack of memory, if clients that have the key of an endpoint sent bodies that stop short of their end.

Cause: bodies with any key were counted, but never waited for memory. That is meant for the system's own processes; endpoints are outside of it.

--- a/medlarrail/platform/untrusted_clients_test.py
+++ b/medlarrail/platform/untrusted_clients_test.py
@@ -16,6 +16,7 @@
 import trio
 
 from medlarrail.core.errors import PeerError
+from medlarrail.protocol.cluster_view import ANNOUNCEMENTS_PATH
 from medlarrail.testing.client_crowd import (
     BODY_BYTES,
     CLIENTS,
@@ -62,6 +63,7 @@
 """Sizes of the bodies of ordinary requests."""
 ONCE_ONLY_CALLERS = 40
 USUAL_HEADERS = {"Api-Key": API_KEY, "Request-Id": "r1"}
+ENDPOINT_KEY = "a-key-of-an-endpoint"
 CLUSTER_KEY = "a-key-for-this-test"
 EVENT_BYTES = 16_000
 LARGE_BYTES = 900_000
@@ -144,7 +146,7 @@
     def start(self) -> None:
         common = {
             "data_centre": "leith",
-            "keys": {"cluster": CLUSTER_KEY},
+            "keys": {"cluster": CLUSTER_KEY, "endpoint": ENDPOINT_KEY},
             "memory_limit_mb": MEMORY_LIMIT_MB,
         }
         settings = {
@@ -477,6 +479,14 @@
         target = Target(programs.ports["state"], "PUT", "/config", "state-1")
         await check_crowd(programs, "state", shape, target)
 
+    @pytest.mark.parametrize("shape", [stop_short, stop_short_in_pieces])
+    async def test_bodies_with_an_endpoint_key_fill_the_memory(self, programs, shape):
+        """Bodies with any key were counted, but never waited for memory."""
+        headers = {"Authorization": f"Bearer {ENDPOINT_KEY}"}
+        port = programs.ports["state"]
+        target = Target(port, "POST", ANNOUNCEMENTS_PATH, "state-1", headers)
+        await check_crowd(programs, "state", shape, target)
+
     async def test_pipelined_requests_fill_the_memory(self, programs):
         """Answers that nobody reads must not pile up."""
         target = Target(programs.ports["state"], "GET", "/unknown", "state-1")
--- a/medlarrail/programs/entry.py
+++ b/medlarrail/programs/entry.py
@@ -39,6 +39,8 @@
 from medlarrail.transport.server import HttpServer
 
 DRAIN_POLL_S = 0.05
+ENDPOINT_PATHS = ("/v1/announce", "/v1/report", "/v1/cache-events", "/v1/leave")
+"""Prefixes of the paths that endpoints use."""
 
 
 def format_labels(sample: Sample) -> str:
@@ -185,13 +187,11 @@
     return Guard(
         {
             "/internal/": cluster,
-            "/v1/announce": endpoints,
-            "/v1/report": endpoints,
-            "/v1/cache-events": endpoints,
-            "/v1/leave": endpoints,
+            **dict.fromkeys(ENDPOINT_PATHS, endpoints),
             ENTRY_STATUS_PATH: operators,
             "/metrics": operators,
-        }
+        },
+        ENDPOINT_PATHS,
     )
 
 
--- a/medlarrail/programs/state.py
+++ b/medlarrail/programs/state.py
@@ -90,7 +90,8 @@
             ANNOUNCEMENTS_PATH: endpoints,
             DEPARTURES_PATH: endpoints,
             "/metrics": operators,
-        }
+        },
+        endpoint_paths=(ANNOUNCEMENTS_PATH, DEPARTURES_PATH),
     )
 
 
--- a/medlarrail/serving/access.py
+++ b/medlarrail/serving/access.py
@@ -57,10 +57,13 @@
     """
 
     rings: dict[str, KeyRing]
+    endpoint_paths: tuple[str, ...] = ()
+    """Prefixes of the paths that endpoints use, which are outside of the system."""
 
-    def protects(self, path: str) -> bool:
-        """Return whether a request for ``path`` needs one of the keys."""
-        return any(path.startswith(prefix) for prefix in self.rings)
+    def trusts(self, path: str) -> bool:
+        """Return whether a request for ``path`` needs a key of the system itself."""
+        is_protected = any(path.startswith(prefix) for prefix in self.rings)
+        return is_protected and not path.startswith(self.endpoint_paths)
 
     def __call__(self, request: Request) -> None:
         prefixes = [prefix for prefix in self.rings if request.path.startswith(prefix)]
--- a/medlarrail/transport/routes.py
+++ b/medlarrail/transport/routes.py
@@ -127,8 +127,8 @@
         if self.guard is None:
             return False
         self.guard(request)
-        protects = getattr(self.guard, "protects", None)
-        return protects is not None and protects(request.path)
+        trusts = getattr(self.guard, "trusts", None)
+        return trusts is not None and trusts(request.path)
 
     async def answer(self, request: Request) -> Reply | EventStream:
         """Return the answer to ``request``; a typed error becomes an error answer."""
