Stream soak: endpoints that close regularly inside an answer, as an option

--early-closes lets living endpoints close a share of the streams without a length before their last event. Off by default. Its early ends are violations of a kind of their own, so that others in the same run show.

--- a/medlarrail/platform/soak/__main__.py
+++ b/medlarrail/platform/soak/__main__.py
@@ -28,6 +28,7 @@
     check_call,
     check_runs,
     count_calls,
+    name_early_closes,
     read_runs,
 )
 from medlarrail.platform.soak.faults import Faults
@@ -82,6 +83,7 @@
             self.record(Violation("end of a process", name, "by itself"))
         self.site.end_all()
         runs = read_runs(self.site.folder)
+        self.violations = name_early_closes(self.violations, runs)
         for violation in check_runs(self.calls, runs):
             self.record(violation)
         all_runs = [run for own in runs.values() for run in own]
@@ -158,6 +160,7 @@
         "answers": dict(sorted(counts.answers.items())),
         "complete": counts.complete,
         "taken_up": counts.taken_up,
+        "closed_early": counts.closed_early,
         "cut": counts.cut,
         "cut_though_sound": len(counts.cut_sound),
         "cut_though_sound_per_1000": counts.cut_sound_per_1000,
@@ -184,6 +187,7 @@
     rollouts: bool = False,
     gateways: int = GATEWAY_COUNT,
     engines: int = 0,
+    early_closes: float = 0.0,
     keep: Path | None = None,
 ) -> None:
     """Run a soak of ``duration`` seconds.
@@ -193,14 +197,16 @@
     order, ``--only`` names the faults that are played, and ``--without`` some that are
     left out, separated by commas. ``--rollouts`` orders software rollouts in place of
     the release. ``--gateways`` is their number, and ``--engines`` that of the endpoints
-    of each service, if it is given. The logs are copied to ``--keep`` after a violation
+    of each service, if it is given. ``--early-closes`` is the share of the streams
+    without a length that living endpoints close before the end, which no gateway can
+    tell from whole ones. The logs are copied to ``--keep`` after a violation
     or the cut of a sound stream.
     """
     folder = Path(tempfile.mkdtemp(prefix="stream-soak-"))
     own_sources = Sources(sources.resolve() if sources else None, mixed)
     limits = LIMITS if rollouts else None
     site = Site(folder, seed, own_sources, disorder, limits, report=typer.echo)
-    site.gateway_count = gateways
+    site.gateway_count, site.early_closes = gateways, early_closes
     if engines:
         site.engine_counts = dict.fromkeys(ENGINES, engines)
     soak = StreamSoak(site, split_names(only), split_names(without))
--- a/medlarrail/platform/soak/check.py
+++ b/medlarrail/platform/soak/check.py
@@ -8,13 +8,15 @@
 from pathlib import Path
 
 import orjson
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from medlarrail.platform.soak.callers import PROMISES, Answer, Call
 from medlarrail.platform.soak.engine import BODY_LINES
 from medlarrail.platform.soak.events import VERSIONS, Event, build_body, make_text
 from medlarrail.platform.soak.site import ROUTES, Site
 
+EARLY_CLOSE = "early end after an early close"
+
 
 @frozen
 class Violation:
@@ -43,6 +45,8 @@
     """None if the endpoint was killed before the end."""
     sent: int = 0
     complete: bool = False
+    closed_early: bool = False
+    """Whether a living endpoint closed it regularly before its last event."""
 
 
 def find_version(prompt: str, event: Event) -> str:
@@ -122,6 +126,22 @@
     return violations
 
 
+def name_early_closes(
+    violations: list[Violation], runs: dict[str, list[Run]]
+) -> list[Violation]:
+    """Return the violations, with a kind of their own for early ends of such runs.
+
+    They stay violations: nothing in the bytes tells such an answer from a whole one.
+    """
+    return [
+        evolve(one, kind=EARLY_CLOSE)
+        if one.kind == "early end"
+        and any(run.closed_early for run in runs.get(one.request_id, ())[-1:])
+        else one
+        for one in violations
+    ]
+
+
 def read_runs(folder: Path) -> dict[str, list[Run]]:
     """Return the runs that the endpoints recorded, by request ID."""
     runs: dict[str, list[Run]] = defaultdict(list)
@@ -132,6 +152,7 @@
                 framing, faulty = entry["framing"], entry["faulty"]
                 own = path.stem, entry["t"], entry["service"]
                 run = Run(entry["id"], framing, faulty, *own)
+                run.closed_early = entry["closed_early"]
                 runs[entry["id"]].append(run)
             else:
                 own = (one for one in runs[entry["id"]] if one.record == path.stem)
@@ -170,6 +191,8 @@
     """Streams whose caller has all events."""
     taken_up: int = 0
     """Streams that were asked for again after an event."""
+    closed_early: int = 0
+    """Runs that a living endpoint closed regularly before their last event."""
     cut: int = 0
     """Answers of streams that broke off visibly."""
     cut_sound: list[Answer] = field(factory=list)
@@ -198,6 +221,7 @@
             counts.answers[outcome] += 1
             own = runs.get(answer.request_id, [])
             counts.framings.update(run.framing for run in own)
+            counts.closed_early += sum(run.closed_early for run in own)
             counts.cut += answer.status == 200 and answer.ending == "broken"
             if not own or not is_cut(answer):
                 continue
--- a/medlarrail/platform/soak/check_test.py
+++ b/medlarrail/platform/soak/check_test.py
@@ -13,7 +13,16 @@
 import trio.testing
 
 from medlarrail.platform.soak.callers import Answer, Call
-from medlarrail.platform.soak.check import Run, check_call, check_runs, is_cut, is_sound
+from medlarrail.platform.soak.check import (
+    EARLY_CLOSE,
+    Run,
+    Violation,
+    check_call,
+    check_runs,
+    is_cut,
+    is_sound,
+    name_early_closes,
+)
 from medlarrail.platform.soak.engine import (
     BODY_LINES,
     Engine,
@@ -135,6 +144,14 @@
         kinds = [violation.kind for violation in check_runs([call], runs)]
         assert kinds == found
 
+    @pytest.mark.parametrize("closed_early", [False, True])
+    def test_early_close_hides_another_early_end(self, closed_early):
+        found = [Violation("early end", "r1", ""), Violation("hole", "r1", "")]
+        last = self.build_run(closed_early=closed_early)
+        runs = {"r1": [self.build_run(closed_early=True), last]}
+        kinds = [violation.kind for violation in name_early_closes(found, runs)]
+        assert kinds == [EARLY_CLOSE if closed_early else "early end", "hole"]
+
     @pytest.mark.parametrize(
         ("kind", "found"), [("safe", []), ("chat", ["foreign run"])]
     )
--- a/medlarrail/platform/soak/engine.py
+++ b/medlarrail/platform/soak/engine.py
@@ -77,6 +77,9 @@
     """Share of the streams with events that are in no order."""
     failures: float = 0.0
     """Share of the requests that are answered with 500."""
+    early_closes: float = 0.0
+    """Share of the streams without a length that are closed regularly before their
+    last event."""
     plain: bool = False
     """Whether all answers have a length and none is sent twice."""
 
@@ -282,8 +285,12 @@
         framing = "close" if early else framing
         mixed = kind in STREAMING and framing == "close" and not early
         mixed = mixed and draw(*key, "mixed") < MIXED_SHARE
-        faulty = late or disordered or early or mixed or failed
-        self.record("run", request_id, **own, **asked, framing=framing, faulty=faulty)
+        closed_early = kind in STREAMING and framing == "close" and len(numbers) > 1
+        closed_early &= not (early or mixed)
+        closed_early &= draw(*key, "close") < self.settings.early_closes
+        faulty = late or disordered or early or mixed or failed or closed_early
+        own |= {"faulty": faulty, "closed_early": closed_early}
+        self.record("run", request_id, **own, **asked, framing=framing)
         sent = after
         complete = False
         try:
@@ -300,6 +307,8 @@
                 pieces = [build_body(prompt, self.settings.version, BODY_LINES)]
             if early and pieces:
                 pieces = pieces[:-1] or [pieces[0][: len(pieces[0]) // 2]]
+            if closed_early:
+                pieces = pieces[: 1 + int(draw(*key, "kept") * (len(pieces) - 1))]
             await self.send_head(connection, request_id, framing, pieces)
             for number, piece in enumerate(pieces, after + 1):
                 pause_s = EVENT_S[0] + draw(*key, number) * (EVENT_S[1] - EVENT_S[0])
@@ -316,7 +325,7 @@
             if early:
                 connection.reset()
                 return False
-            complete = True
+            complete = not closed_early
         finally:
             self.record("end", request_id, sent=sent, complete=complete)
         connection.earlier = bytes(connection.sent)
--- a/medlarrail/platform/soak/site.py
+++ b/medlarrail/platform/soak/site.py
@@ -155,6 +155,8 @@
     engine_counts: dict[str, int] = field(factory=ENGINES.copy)
     failures: dict[str, float] = field(factory=dict)
     """Share of the requests that endpoints answer with 500, by software version."""
+    early_closes: float = 0.0
+    """Share of the streams without a length that endpoints close before the end."""
     plain: bool = False
     """Whether endpoints answer in the plainest way."""
     link_nursery: trio.Nursery | None = None
@@ -322,6 +324,7 @@
             "seed": self.seed,
             "disorder": self.disorder,
             "failures": self.failures.get(version, 0.0),
+            "early_closes": self.early_closes,
             "plain": self.plain,
         }
         file.write_bytes(orjson.dumps(settings))
