Stream soak: events of up to 67 KB in a share of the streams

They fill the buffers between endpoint, gateway and caller, which the small ones never did. Slow callers read them in larger parts, so that they need not give up.

--- a/medlarrail/platform/soak/callers.py
+++ b/medlarrail/platform/soak/callers.py
@@ -8,7 +8,7 @@
 from attrs import define, field
 
 from medlarrail.platform.soak.engine import STREAMING, UPLOAD_BYTES
-from medlarrail.platform.soak.events import Event, parse_events
+from medlarrail.platform.soak.events import LARGE_SUFFIX, Event, parse_events
 from medlarrail.platform.soak.site import KEY, ROUTE_HOST, Site
 from medlarrail.platform.soak.wire import EndedEarly, Head, MessageReader, build_head
 
@@ -46,6 +46,10 @@
 SLOW_SHARE = 0.1
 SLOW_READ_BYTES = 200
 SLOW_PAUSE_S = 0.1
+LARGE_SHARE = 0.03
+"""Share of the streams with events of up to 67 KB."""
+SLOW_LARGE_READ_BYTES = 20_000
+"""What a slow caller reads at once of large events, so that it need not give up."""
 NEW_CONNECTION_SHARE = 0.5
 MAX_RETRY_AFTER_S = 2.0
 
@@ -131,6 +135,8 @@
             self.calls += 1
             kind = self.random.choice(KINDS)
             prompt = f"{self.name}-{self.calls}"
+            if kind in STREAMING and self.random.random() < LARGE_SHARE:
+                prompt += LARGE_SUFFIX
             call = Call(kind, prompt, self.random.randint(*EVENT_COUNTS))
             await self.run(call)
             self.on_end(call)
@@ -195,6 +201,10 @@
         with trio.move_on_after(ANSWER_LIMIT_S) as scope:
             try:
                 connection = await self._connect(gateway)
+                if connection.reader.pause_s:
+                    is_large = call.prompt.endswith(LARGE_SUFFIX)
+                    size = SLOW_LARGE_READ_BYTES if is_large else SLOW_READ_BYTES
+                    connection.reader.read_bytes = size
                 await connection.stream.send_all(self._build_request(call, answer))
                 head = await connection.reader.read_head()
                 answer.status = head.status
--- a/medlarrail/platform/soak/check_test.py
+++ b/medlarrail/platform/soak/check_test.py
@@ -11,6 +11,7 @@
 import pytest
 import trio
 import trio.testing
+from attrs import evolve
 
 from medlarrail.platform.soak.callers import Answer, Call
 from medlarrail.platform.soak.check import (
@@ -30,7 +31,12 @@
     EngineSettings,
     disorder,
 )
-from medlarrail.platform.soak.events import build_body, build_event, parse_events
+from medlarrail.platform.soak.events import (
+    LARGE_SUFFIX,
+    build_body,
+    build_event,
+    parse_events,
+)
 from medlarrail.platform.soak.faults import Faults
 from medlarrail.platform.soak.rollouts import LIMITS, Rollout
 from medlarrail.platform.soak.site import Disturbance, RunningProgram, Site
@@ -78,6 +84,15 @@
     def test_planted_fault_inside_an_answer_passes(self, numbers, kind):
         assert list_kinds(build_answer(numbers)) == [kind]
 
+    def test_fault_in_large_events_passes(self):
+        prompt = PROMPT + LARGE_SUFFIX
+        call = Call("stream", prompt, 1, [build_answer([1], prompt=prompt)])
+        assert check_call(call) == []
+        (event,) = call.list_events()
+        assert 1000 < len(event.text) <= 70_000
+        call.answers[0].events[0] = evolve(event, text=event.text[:-1])
+        assert [one.kind for one in check_call(call)] == ["foreign event"]
+
     def test_caller_that_left_takes_another_version(self):
         left = build_answer([1, 2], "left")
         assert not is_cut(left)
--- a/medlarrail/platform/soak/events.py
+++ b/medlarrail/platform/soak/events.py
@@ -7,6 +7,11 @@
 VERSIONS = tuple(f"v{number}" for number in range(1, 21))
 """Software versions of the endpoints."""
 
+LARGE_SUFFIX = "-large"
+"""End of the prompts whose events are large."""
+MAX_REPEATS = 1400
+"""Times that each line of a large event repeats its text: up to 67 KB for the event."""
+
 
 @frozen
 class Event:
@@ -29,7 +34,10 @@
 def make_text(prompt: str, version: str, number: int) -> str:
     """Return the text of one event; some texts have several lines."""
     digest = hashlib.sha256(f"{prompt}/{version}/{number}".encode()).hexdigest()
-    lines = [digest[:16], digest[16:32], digest[32:48]]
+    repeats = 1
+    if prompt.endswith(LARGE_SUFFIX):
+        repeats += int(draw(prompt, number, "size") * MAX_REPEATS)
+    lines = [digest[start : start + 16] * repeats for start in (0, 16, 32)]
     return "\n".join(lines[: 1 + int(draw(prompt, number, "lines") * 3)])
 
 
