A status without a start proves nothing about an endpoint's process

A stream could go on at the next process at an endpoint's address, with other software: if its reply to the call for its status told no start (a rejection, an error, a report that is too long or lacks it, or a codec whose status has none), the reply was taken for that of the process before. Such an endpoint now has to announce itself while the connection is open, as one without a report.

Failed before: test_next_incarnation_that_tells_no_start_goes_on_with_streams.

--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -259,7 +259,8 @@
 
         A stream must not go on at the endpoint's next incarnation, which may have other
         software. Raises ``EndpointOutOfService`` unless its report tells that it is the
-        announced one, or if it tells no start, unless it announces itself.
+        announced one. An endpoint whose report tells no start, or that has none, must
+        announce itself.
         """
         codec = self.relayed.relay.header_codec
         announced = self.endpoint.announced
@@ -278,6 +279,8 @@
             return False
         # A late copy of the status may arrive where the next answer is expected.
         connection.start_next_request()
+        if not (status.reply.started_ms and announced.started_ms):
+            await self._require_heard(connection)
         return True
 
     async def _require_heard(self, connection: OutboundConnection) -> None:
--- a/medlarrail/relay/restarted_endpoints_test.py
+++ b/medlarrail/relay/restarted_endpoints_test.py
@@ -11,6 +11,7 @@
 from attrs import evolve
 
 from medlarrail.core.deployment import EngineSpec, ServiceRule
+from medlarrail.protocol.endpoint_sightings import Sighting
 from medlarrail.relay.ended_endpoints_test import send_rest
 from medlarrail.relay.header_codec import DefaultHeaderCodec
 from medlarrail.relay.incomplete_answers_test import BODY, EVENTS, call
@@ -97,11 +98,23 @@
         assert endpoint.connections == 4 == len(endpoint.requests)
 
     async def test_stream_needs_a_start(self, harness):
-        """Endpoints that do not tell their start serve it as before."""
+        """An endpoint that does not tell it serves the stream if it is heard of."""
         await add_endpoint(harness, 0)
         answer = await call(harness, TAKE_UP)
         assert answer.body == BODY.removeprefix(EVENTS[0])
 
+    async def test_next_incarnation_that_tells_no_start_goes_on_with_streams(
+        self, harness
+    ):
+        """Its status was taken for that of the process before."""
+        endpoint = await add_endpoint(harness, 0)
+        before = Sighting(STARTED_MS, "", 60.0, 30.0)
+        after = Sighting(STARTED_MS + 500, "v2", 0.0, 0.0)
+        harness.relay.incarnations.state.sightings[endpoint.name] = (before, after)
+        answer = await call(harness, TAKE_UP)
+        assert answer.status == 503
+        assert not endpoint.requests
+
     async def test_endpoint_that_closes_after_its_status_serves_nothing(self, harness):
         endpoint = await add_endpoint(harness, STARTED_MS, Connection="close")
         answer = await call(harness, TAKE_UP)
