The connection after a status must be that of the same process

An endpoint may close its connection after it told its status. The stream then went on, on a second connection, at whatever process had the address by then, which may be the next one with other software if the gateway was suspended in between. That process now has to announce itself while the second connection is open.

Costs such endpoints up to the interval of announcements for each stream that goes on there; those that keep the connection open are not concerned.

Found by reading, shown by the test; not seen in a run.

Failed before: test_next_incarnation_has_the_address_after_the_status.

--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -201,6 +201,8 @@
                     connection = await relay.pool.acquire(
                         announced.address, new_connection, limit
                     )
+                    # The next process may have got the address meanwhile.
+                    await self._require_heard(connection)
                 self._require_available()
                 await self.relayed.exchange.require_caller()
                 self.cold_send = relay.endpoint_stats.record_sent(self.endpoint)
--- a/medlarrail/relay/restarted_endpoints_test.py
+++ b/medlarrail/relay/restarted_endpoints_test.py
@@ -115,6 +115,16 @@
         assert answer.status == 503
         assert not endpoint.requests
 
+    async def test_next_incarnation_has_the_address_after_the_status(self, harness):
+        """The process before closed its connection after it."""
+        endpoint = await add_endpoint(harness, STARTED_MS, Connection="close")
+        before = Sighting(STARTED_MS, "", 60.0, 30.0)
+        after = Sighting(STARTED_MS + 500, "v2", 0.0, 0.0)
+        harness.relay.incarnations.state.sightings[endpoint.name] = (before, after)
+        answer = await call(harness, TAKE_UP)
+        assert answer.status == 503
+        assert not endpoint.requests
+
     async def test_endpoint_that_closes_after_its_status_serves_nothing(self, harness):
         endpoint = await add_endpoint(harness, STARTED_MS, Connection="close")
         answer = await call(harness, TAKE_UP)
