Unframed answers: an end long after the latest bytes may be that of the process

Callers got streams without a length that ended early and looked complete. Their endpoint was killed while its link held everything back, so the end of the connection arrived up to 2.5 s later. The next process at the address replied to the call after the end.

The time for which the process may have ended was counted from when the connection was last seen open, which shows nothing of the peer. It is counted from the latest bytes now. If it is over 0.1 s and nothing else tells the process from the next one, the leader is asked whether one incarnation announced itself before the request and after the end (evidence "announced"). So a sound answer whose end follows late is passed on, up to 1.5 s later, also where it was cut as "late" before, as with a gateway that was suspended.

Failed before: two of the three cases of test_next_process_proves_an_end_that_a_link_held_back. Stopped endpoints of the tests do not announce themselves any more; two tests whose process is replaced say so.

--- a/medlarrail/policy/answer_end.py
+++ b/medlarrail/policy/answer_end.py
@@ -37,13 +37,16 @@
     CONNECTED = "connected"
     """The endpoint accepted a connection after the end and kept it open, or one from
     before the request is open; used if it may not be called or does not answer."""
+    ANNOUNCED = "announced"
+    """The incarnation that had announced itself before the request did so again after
+    the end; used if nothing else tells it from the next one."""
     GONE = "gone"
     """Nothing accepts connections at the endpoint's address."""
     REPLACED = "replaced"
     """Another endpoint, or another incarnation, answers at the address."""
     LATE = "late"
-    """The end was noticed so late that another incarnation may have the address, and
-    nothing tells which one it is."""
+    """The end was noticed, or followed the latest bytes, so late that another
+    incarnation may have the address, and nothing tells which one it is."""
     SILENT = "silent"
     """The endpoint did not answer in time."""
     PEER = "peer"
@@ -63,7 +66,12 @@
 
 
 SUFFICIENT = frozenset(
-    (EndEvidence.FRAMING, EndEvidence.ANSWERED, EndEvidence.CONNECTED)
+    (
+        EndEvidence.FRAMING,
+        EndEvidence.ANSWERED,
+        EndEvidence.CONNECTED,
+        EndEvidence.ANNOUNCED,
+    )
 )
 
 
@@ -145,7 +153,7 @@
     """Return ``evidence``, unless it may be that of the next process at the address.
 
     ``has_same_process`` is what other connections to the endpoint show, None if
-    nothing, and ``delay_s`` the time that the end may have waited to be noticed.
+    nothing, and ``delay_s`` the time for which the process may have ended already.
     """
     if has_same_process is None:
         return EndEvidence.LATE if delay_s > MAX_END_DELAY_S else evidence
--- a/medlarrail/policy/answer_end_test.py
+++ b/medlarrail/policy/answer_end_test.py
@@ -87,4 +87,5 @@
             EndEvidence.FRAMING,
             EndEvidence.ANSWERED,
             EndEvidence.CONNECTED,
+            EndEvidence.ANNOUNCED,
         }
--- a/medlarrail/relay/end_check.py
+++ b/medlarrail/relay/end_check.py
@@ -14,7 +14,12 @@
 
 from medlarrail.cluster.cluster_view import EndpointView
 from medlarrail.core.deployment import ServiceRule
-from medlarrail.core.errors import ConnectionsUsedUp, EndpointUnreachable, RunFailure
+from medlarrail.core.errors import (
+    ConnectionsUsedUp,
+    EndpointUnreachable,
+    MedlarError,
+    RunFailure,
+)
 from medlarrail.core.metrics import get_metrics
 from medlarrail.policy.answer_end import (
     EndEvidence,
@@ -23,6 +28,7 @@
     judge_reply,
 )
 from medlarrail.relay.endpoint_status import read_status
+from medlarrail.relay.incarnations import ANNOUNCEMENT_TIMEOUT_S
 from medlarrail.relay.outbound import CONNECT_TIMEOUT_S, OutboundConnection
 
 if TYPE_CHECKING:
@@ -57,6 +63,8 @@
             await self._wait_until_received()
             if self._judge_exchange() is None:
                 evidence = await self._call_until_answered()
+            if evidence is EndEvidence.LATE and await self._is_announced(began_at):
+                evidence = EndEvidence.ANNOUNCED
         if evidence is EndEvidence.SILENT and self._is_connected():
             # A request for the status may wait for a slot, as any other one.
             evidence = EndEvidence.CONNECTED
@@ -78,6 +86,20 @@
             self.answered.check_broken(), self.answered.is_request_received()
         )
 
+    async def _is_announced(self, ended_at: float) -> bool:
+        """Return whether one incarnation ran from before the request to the end."""
+        incarnations = self.relay.incarnations
+        try:
+            found = await incarnations.find(
+                self.endpoint.announced.name,
+                ended_at,
+                self.answered.sent_at,
+                ANNOUNCEMENT_TIMEOUT_S,
+            )
+        except MedlarError:
+            return False
+        return found is not None
+
     def _is_connected(self) -> bool:
         """Return whether a connection from before the request is open still."""
         return self.relay.pool.has_same_process(self.answered) is True
--- a/medlarrail/relay/ended_endpoints_test.py
+++ b/medlarrail/relay/ended_endpoints_test.py
@@ -13,6 +13,7 @@
 
 from medlarrail.core.deployment import Deployment, ServiceRule
 from medlarrail.policy.answer_end import MAX_END_DELAY_S
+from medlarrail.protocol.endpoint_sightings import Sighting
 from medlarrail.relay.incomplete_answers_test import (
     BODY,
     DEPLOYMENTS,
@@ -112,6 +113,9 @@
     async def test_stream_of_an_endpoint_that_ends_goes_on_elsewhere(self, nursery):
         """A resumable stream was ended instead."""
         harness = await start_relay(nursery, CONTINUED_STREAM)
+        # Only one software version is in service.
+        view = harness.relay.cluster_view
+        view.confirmed_at = view.clock()
         script = build_script(end_in_answer, send_rest)
         endpoints = [await harness.add(script) for _ in range(2)]
         answer = await call(harness, build_request())
@@ -241,6 +245,7 @@
             nursery, add_status(streams) if has_status else streams
         )
         await harness.add(end_during_suspension)
+        harness.relay.incarnations.state.sightings["engine-1"] = ()
         with collect_messages("request:attempt") as attempts:
             answer = await call(harness, build_request())
         assert answer.ending == "broken"
@@ -335,6 +340,7 @@
 
         harness = await start_relay(nursery, add_status(DEPLOYMENTS["fixed-stream"]))
         await harness.add(end_during_suspension)
+        harness.relay.incarnations.state.sightings["engine-1"] = ()
         with collect_messages("request:attempt") as attempts:
             await call(harness, build_request())
         assert attempts[-1]["end_evidence"] == "late"
@@ -394,6 +400,32 @@
         answer, _ = await self.receive(nursery, "fixed-stream", None, end_later)
         assert answer == ReceivedAnswer(200, EVENTS[0], "closed")
 
+    @pytest.mark.parametrize(
+        "sightings, evidence",
+        [
+            ((Sighting(1000, "", 60.0, 0.0),), "announced"),
+            ((Sighting(1000, "", 60.0, 5.0), Sighting(2000, "", 0.0, 0.0)), "late"),
+            ((Sighting(1000, "", 60.0, 5.0),), "late"),
+        ],
+    )
+    async def test_next_process_proves_an_end_that_a_link_held_back(
+        self, nursery, sightings, evidence
+    ):
+        """It replied to the call after the end, which arrived at an awake gateway."""
+
+        async def end_later(connection, request):
+            await connection.send(UNFRAMED_HEAD + EVENTS[0])
+            await trio.sleep(3 * MAX_END_DELAY_S)
+            await connection.stream.aclose()
+
+        harness = await start_relay(nursery, add_status(DEPLOYMENTS["fixed-stream"]))
+        await harness.add(end_later)
+        harness.relay.incarnations.state.sightings["engine-1"] = sightings
+        with collect_messages("request:attempt") as attempts:
+            answer = await call(harness, build_request())
+        assert attempts[-1]["end_evidence"] == evidence
+        assert answer.ending == ("closed" if evidence == "announced" else "broken")
+
     async def test_log_tells_what_showed_the_end(self, nursery):
         """The logs could not tell a sound end from that of an endpoint that ended."""
         outcomes = []
--- a/medlarrail/relay/outbound.py
+++ b/medlarrail/relay/outbound.py
@@ -101,13 +101,15 @@
     answer_ended: bool = False
     """Whether the answer was received completely."""
     end_delay_s: float = 0.0
-    """Upper limit of the time that the end of the connection waited here until it was
-    noticed."""
+    """Upper limit of the time from the latest bytes to the end, and of the time that
+    these or the end waited here. A link may hold the end back for as long."""
     loop_watch: LoopWatch = field(factory=LoopWatch)
     _received_bytes: int = 0
     """Bytes received since the request was sent."""
     seen_open_at: float = 0.0
     """Latest time at which nothing waited to be received, not even an end."""
+    _seen_running_at: float = 0.0
+    """Latest time after which bytes arrived."""
     _turn_began_at: float = 0.0
 
     def start_next_request(self) -> None:
@@ -126,7 +128,7 @@
         self.request_sent = self.answer_ended = self.is_broken = False
         self._method = method
         self._received_bytes = 0
-        self.sent_at = self.seen_open_at = trio.current_time()
+        self.sent_at = self.seen_open_at = self._seen_running_at = trio.current_time()
         if body or method not in (b"GET", b"HEAD", b"DELETE"):
             headers = [*headers, (b"Content-Length", str(len(body)).encode())]
         request = h11.Request(method=method, target=target, headers=headers)
@@ -200,7 +202,9 @@
         if waits:
             self.seen_open_at = max(called_at, self.loop_watch.awake_at)
         if not data:
-            self.end_delay_s = now - self.seen_open_at
+            self.end_delay_s = now - self._seen_running_at
+        elif waits:
+            self._seen_running_at = self.seen_open_at
         self._received_bytes += len(data)
         self._turn_began_at = now
         self.protocol.receive_data(data)
--- a/medlarrail/testing/scripted_endpoints.py
+++ b/medlarrail/testing/scripted_endpoints.py
@@ -48,6 +48,9 @@
 READ_BYTES = 65536
 STATUS_PATH = "/endpoint-status"
 CLUSTER_KEY = b"cluster-key"
+LONG_AGO_S = 1e6
+_ended_addresses: set[str] = set()
+"""Addresses of endpoints that were stopped."""
 Script = Callable[["ScriptedConnection", bytes], Awaitable[None]]
 
 
@@ -93,12 +96,14 @@
         """Listen until cancelled or stopped."""
         listeners = await trio.open_tcp_listeners(self.port, host=HOST)
         self.port = listeners[0].socket.getsockname()[1]
+        _ended_addresses.discard(f"{HOST}:{self.port}")
         task_status.started()
         with self._scope:
             await trio.serve_listeners(self._serve, listeners)
 
     def stop(self) -> None:
         """Close the listener and all connections, as the end of its process does."""
+        _ended_addresses.add(f"{HOST}:{self.port}")
         self._scope.cancel()
 
     async def _serve(self, stream: trio.SocketStream) -> None:
@@ -189,7 +194,7 @@
 
 @define(eq=False, slots=False)
 class AnnouncingEndpoints:
-    """Stands for the leading member: all listed endpoints announce themselves steadily.
+    """Stands for the leading member: listed endpoints announce themselves steadily.
 
     ``sightings`` has what is told of an endpoint in place of that.
     """
@@ -205,9 +210,9 @@
         if message.endpoint in self.sightings:
             return answer_type(self.sightings[message.endpoint])
         announced = self.cluster_view.endpoints[message.endpoint].announced
-        return answer_type(
-            (Sighting(announced.started_ms, announced.software_version, 1e6, 0.0),)
-        )
+        last_age_s = LONG_AGO_S if announced.address in _ended_addresses else 0.0
+        incarnation = (announced.started_ms, announced.software_version)
+        return answer_type((Sighting(*incarnation, LONG_AGO_S, last_age_s),))
 
 
 @define(eq=False)
