Test: the first process of a version breaks off before anybody heard of it

A stream that it began goes on at the version before: while one version is listed, the version that was announced is taken to be certain (is_version_certain).

--- a/medlarrail/relay/replaced_processes_test.py
+++ b/medlarrail/relay/replaced_processes_test.py
@@ -174,3 +174,18 @@
         answer = await call(harness, build_request())
         assert answer.body == BODY
         assert len(harness.relay.incarnations.state.requests) == 1
+
+    async def test_first_process_of_a_version_is_taken_for_the_one_before(
+        self, harness
+    ):
+        """It broke off before it announced itself, so nobody knew of its version."""
+
+        async def break_off(connection, request):
+            set_sightings(harness, connection.endpoint.name, FIRST_LONG_AGO)
+            await reset_after_an_event(connection, request)
+
+        script = build_script(break_off, send_rest)
+        endpoints = [await add(harness, script) for _ in range(2)]
+        answer = await call(harness, build_request())
+        assert sum(len(one.requests) for one in endpoints) == 1
+        assert (answer.body, answer.ending) == (EVENTS[0], "broken")
