--- a/medlarrail/policy/incarnations.py
+++ b/medlarrail/policy/incarnations.py
@@ -18,7 +18,8 @@
 
     ``started_ms`` is the Unix time of its start, 0 if it does not tell. ``first_at`` is
     an upper limit of the time of the first announcement, and ``last_at`` a lower limit
-    of that of the latest one, in seconds on the clock of the connection.
+    of that of the latest one, in seconds on the clock of the connection: where they are
+    uncertain, nothing is found rather than another process.
     """
 
     started_ms: int
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterator
 from contextlib import aclosing, suppress
-from math import inf
 from typing import NoReturn, Protocol
 
 import eliot
@@ -33,11 +32,14 @@
 from medlarrail.policy.stream_order import OrderFault, StreamOrder, describe_id
 from medlarrail.relay.end_check import EndCheck
 from medlarrail.relay.endpoint_stats import ColdSend
-from medlarrail.relay.endpoint_status import STATUS_TIMEOUT_S, read_status
 from medlarrail.relay.events import OrderedEvents
 from medlarrail.relay.headers import END_CHECKED, get_header, iterate_end_to_end
 from medlarrail.relay.inbound import ServerExchange
-from medlarrail.relay.incarnations import ANNOUNCEMENT_TIMEOUT_S
+from medlarrail.relay.incarnation_check import (
+    check_incarnation,
+    get_report_path,
+    require_announced,
+)
 from medlarrail.relay.metadata import (
     AnswerMetadata,
     DispatchMetadata,
@@ -183,9 +185,9 @@
             version_choice.traffic.begin_attempt(announced)
         connection = None
         # A reply about the incarnation must not be a late copy of another answer.
-        new_connection = not route.repeatable or (
-            self._goes_on() and self._get_report_path() != ""
-        )
+        goes_on = route.kind == "stream" and bool(self.relayed.last_event_id)
+        has_report = get_report_path(self.relayed) != ""
+        new_connection = not route.repeatable or (goes_on and has_report)
         limit = relay.get_connection_limit(self.relayed.service, announced.name)
         try:
             with record.send_rate.reserve():
@@ -195,14 +197,16 @@
                 if not connection.reused:
                     relay.forwarder.record_connected(announced.service)
                 self._require_available()
-                if self._goes_on() and not await self._check_incarnation(connection):
+                if goes_on and not await check_incarnation(
+                    self.relayed, announced, connection
+                ):
                     relay.pool.discard(connection)
                     connection = None
                     connection = await relay.pool.acquire(
                         announced.address, new_connection, limit
                     )
                     # The next process may have got the address meanwhile.
-                    await self._require_heard(connection)
+                    await require_announced(self.relayed, announced, connection)
                 self._require_available()
                 await self.relayed.exchange.require_caller()
                 self.cold_send = relay.endpoint_stats.record_sent(self.endpoint)
@@ -230,17 +234,6 @@
             if connection is not None:
                 relay.pool.release(connection, self._metadata.keep_alive_s)
 
-    def _goes_on(self) -> bool:
-        """Return whether this attempt is to go on with a stream."""
-        is_stream = self.relayed.admission.route.kind == "stream"
-        return is_stream and bool(self.relayed.last_event_id)
-
-    def _get_report_path(self) -> str:
-        """Return the path at which the endpoint tells its start, empty if at none."""
-        if self.relayed.service.engine is None:
-            return ""
-        return self.relayed.relay.header_codec.get_status_path(self.relayed.service)
-
     def _require_available(self) -> None:
         """Raise if the endpoint said meanwhile that it wants no requests.
 
@@ -256,58 +249,6 @@
         if version_choice is not None and not version_choice.may_send(announced):
             raise EndpointOutOfService(endpoint=announced.name)
 
-    async def _check_incarnation(self, connection: OutboundConnection) -> bool:
-        """Return whether ``connection`` can be used for a stream that goes on.
-
-        A stream must not go on at the endpoint's next incarnation, which may have other
-        software. Raises ``EndpointOutOfService`` unless its report tells that it is the
-        announced one. An endpoint whose report tells no start, or that has none, must
-        announce itself.
-        """
-        codec = self.relayed.relay.header_codec
-        announced = self.endpoint.announced
-        path = self._get_report_path()
-        if not path:
-            await self._require_heard(connection)
-            return True
-        status = None
-        with trio.move_on_after(STATUS_TIMEOUT_S), suppress(RunFailure):
-            status = await read_status(codec, connection, announced, path)
-        if status is None or status.reply.is_other_than(
-            announced.name, announced.started_ms
-        ):
-            self._raise_unproven()
-        if not connection.is_reusable() or status.keep_alive_s == 0:
-            return False
-        # A late copy of the status may arrive where the next answer is expected.
-        connection.start_next_request()
-        if not (status.reply.started_ms and announced.started_ms):
-            await self._require_heard(connection)
-        return True
-
-    async def _require_heard(self, connection: OutboundConnection) -> None:
-        """Wait until the process at the other end of ``connection`` announces itself.
-
-        Raises ``EndpointOutOfService`` if it does not, or has other software.
-        """
-        found = None
-        with suppress(MedlarError):
-            found = await self.relayed.relay.incarnations.find(
-                self.endpoint.announced.name,
-                connection.opened_at,
-                inf,
-                ANNOUNCEMENT_TIMEOUT_S,
-            )
-        version = self.relayed.stream_version.version
-        is_allowed = found is not None and found.software_version == version
-        if not is_allowed or not connection.is_quiet():
-            self._raise_unproven()
-
-    def _raise_unproven(self) -> NoReturn:
-        announced = self.endpoint.announced
-        get_metrics().count("incarnations_unproven", service=announced.service)
-        raise EndpointOutOfService(endpoint=announced.name)
-
     async def _run_exchange(self, connection: OutboundConnection) -> None:
         request = self.relayed.exchange.request
         self.dispatch = self.relayed.build_dispatch(self.endpoint)
