Streams: one listed software version does not prove which process began a stream

Callers got events of one version after those of another, in the same answer. A process that starts again in place with other software sends events before anybody has heard of it. While only one version was listed, the gateway took its stream for one of that version and went on there without a question (is_version_certain). A list that is fresh says what was announced, not what runs.

Now the process that began a stream must be known by something positive whenever the stream is to go on: the leader heard of it while its connection was open. If the leader is not reached, the stream does not go on either. "stream:version" in the log has the listed and the proven version.

--- a/medlarrail/policy/stream_versions.py
+++ b/medlarrail/policy/stream_versions.py
@@ -15,20 +15,6 @@
 """Age of the cluster state up to which it is taken to list every version."""
 
 
-def is_version_certain(
-    version: str, in_service: Collection[str], view_age_s: float
-) -> bool:
-    """Return whether an endpoint's announced version is also that of its streams.
-
-    If others are in service, or may be, the endpoint may have started again with one
-    of them before its announcement was received.
-
-    >>> is_version_certain("v1", ["v1"], 0.5), is_version_certain("v1", ["v1"], 9.0)
-    (True, False)
-    """
-    return set(in_service) <= {version} and view_age_s <= MAX_VIEW_AGE_S
-
-
 def choose_stream_version(
     recorded: str | None,
     in_service: Collection[str],
--- a/medlarrail/relay/replaced_processes_test.py
+++ b/medlarrail/relay/replaced_processes_test.py
@@ -164,16 +164,17 @@
         fail_calls(harness, PeerTimeout(url="x"))
         assert await self.call(harness) == (0, 0)
 
-    async def test_stream_asks_the_leader_while_one_version_is_in_service(
-        self, harness
-    ):
-        """Only the endpoint at which it goes on has to announce itself."""
+    async def test_sound_streams_ask_the_leader(self, harness):
+        """Only after a break is it asked, once for each of the two endpoints."""
         script = build_script(reset_after_an_event, send_rest)
         for _ in range(2):
             await add(harness, script)
         answer = await call(harness, build_request())
         assert answer.body == BODY
-        assert len(harness.relay.incarnations.state.requests) == 1
+        asked = harness.relay.incarnations.state.requests
+        assert sorted(one.endpoint for one in asked) == ["engine-1", "engine-2"]
+        await call(harness, build_request())
+        assert len(asked) == 2
 
     async def test_first_process_of_a_version_is_taken_for_the_one_before(
         self, harness
--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -5,10 +5,7 @@
 
 from medlarrail.core.announcements import Announcement
 from medlarrail.core.errors import MedlarError, StreamVersionUnknown, UnknownRoute
-from medlarrail.policy.stream_versions import (
-    choose_stream_version,
-    is_version_certain,
-)
+from medlarrail.policy.stream_versions import choose_stream_version
 from medlarrail.relay.incarnations import ANNOUNCEMENT_TIMEOUT_S
 from medlarrail.relay.stream_origins import BeginConnection
 
@@ -81,17 +78,14 @@
     async def _prove(self) -> None:
         """Find the version of the process that began the stream.
 
-        Raises ``StreamVersionUnknown`` if it may be another one than was announced.
+        The listed versions prove nothing: a process may send events before anybody
+        has heard of it. Raises ``StreamVersionUnknown`` if nothing tells the version.
         """
         relayed = self.relayed
         connection = self._connection
         if self._proven or connection is None:
             return
-        view = relayed.relay.cluster_view
-        service = relayed.service.name
-        versions = view.list_stream_versions(service)
-        if is_version_certain(self.version, versions, view.get_age_s()):
-            return
+        announced, found = self.version, None
         try:
             found = await relayed.relay.incarnations.find(
                 connection.endpoint,
@@ -102,13 +96,31 @@
         except UnknownRoute:
             return
         except MedlarError:
-            if not self._is_own and set(versions) <= {self.version}:
-                return
-            found = None
-        if found is None:
-            raise StreamVersionUnknown(service=service)
-        self.version = found.software_version
-        self._proven = True
+            pass
+        if found is not None:
+            self.version = found.software_version
+            self._proven = True
+        self._log_proof(announced, connection)
+        if not self._proven:
+            raise StreamVersionUnknown(service=relayed.service.name)
+
+    def _log_proof(self, announced: str, connection: BeginConnection) -> None:
+        relayed = self.relayed
+        eliot.log_message(
+            "stream:version",
+            request=relayed.metadata.request_id,
+            began_as=relayed.origin_id,
+            service=relayed.service.name,
+            endpoint=connection.endpoint,
+            proven=self._proven,
+            announced=announced,
+            version=self.version if self._proven else None,
+            is_own=self._is_own,
+            known_for_s=round(connection.closed_at - connection.opened_at, 3),
+            versions=sorted(
+                relayed.relay.cluster_view.list_stream_versions(relayed.service.name)
+            ),
+        )
 
     def record_begun(self, attempt: "Attempt") -> None:  # noqa: F821
         """Record that events of an attempt are about to be sent to the caller."""
