Streams: connections that overlap lead to one process

A stream whose endpoint ends soon after the opening of its connection is refused, as nobody heard of the process in that time. But an answer shows that a process ran from the opening of its connection to the sending of the request, and only one has an address at a time: such times that overlap are of the same process (policy/process_spans.py). The gateway asks for an announcement within the joined time, which is that of all traffic to the endpoint.

--- /dev/null
+++ b/medlarrail/policy/process_spans.py
@@ -0,0 +1,66 @@
+"""Finds out for how long one process is known to have had an endpoint's address.
+
+Handles endpoints that start again at their address before anybody hears of it. An
+answer shows that the process at the other end of a connection ran from the opening of
+the connection to the sending of the request. Only one process has an address at a
+time, so if two such times overlap, they are of the same process. The longer the time,
+the more likely it is that the process announced itself within it.
+"""
+
+from attrs import define, field, frozen
+
+MAX_SPANS = 8
+"""Spans that are remembered of one address."""
+
+
+@frozen
+class ProcessSpan:
+    """A time in which one process ran, from ``since`` to ``until``, in seconds."""
+
+    since: float
+    until: float
+
+    def overlaps(self, other: "ProcessSpan") -> bool:
+        """Return whether both share a moment, so that they are of one process."""
+        return self.since <= other.until and other.since <= self.until
+
+    def join(self, other: "ProcessSpan") -> "ProcessSpan":
+        """Return the time from the begin of the earlier to the end of the later one."""
+        return ProcessSpan(min(self.since, other.since), max(self.until, other.until))
+
+
+@define(eq=False)
+class ProcessSpans:
+    """The latest spans of the processes at one address, none of which overlap.
+
+    >>> spans = ProcessSpans()
+    >>> spans.record(ProcessSpan(0.0, 5.0))
+    ProcessSpan(since=0.0, until=5.0)
+    >>> spans.record(ProcessSpan(4.0, 9.0))
+    ProcessSpan(since=0.0, until=9.0)
+    >>> spans.find(ProcessSpan(6.0, 6.5))
+    ProcessSpan(since=0.0, until=9.0)
+    """
+
+    _spans: list[ProcessSpan] = field(factory=list)
+    """In the order of time."""
+
+    def record(self, span: ProcessSpan) -> ProcessSpan:
+        """Add a time in which one process ran, and return what is known of it."""
+        apart = []
+        for other in self._spans:
+            if span.overlaps(other):
+                span = span.join(other)
+            else:
+                apart.append(other)
+        # Spans are recorded late if an answer is, so the new one may not be the last.
+        self._spans = sorted([*apart, span], key=lambda one: one.until)[-MAX_SPANS:]
+        return span
+
+    def find(self, span: ProcessSpan) -> ProcessSpan:
+        """Return the known time of the process that ran in ``span``."""
+        return next((one for one in self._spans if one.overlaps(span)), span)
+
+    def ended_before(self, time: float) -> bool:
+        """Return whether all spans ended before ``time``."""
+        return all(one.until < time for one in self._spans)
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -324,6 +324,8 @@
         self.framing = head.framing
         metadata = relay.header_codec.read_answer(head.status, head.headers)
         self._require_own_answer(metadata, reused)
+        if metadata.request_id or not reused:
+            relay.pool.record_answered(self.connection)
         self._metadata = metadata
         if self._metadata.load is not None:
             record.load = self._metadata.load
--- a/medlarrail/relay/incarnation_check.py
+++ b/medlarrail/relay/incarnation_check.py
@@ -69,9 +69,10 @@
     stream.
     """
     found = None
+    since = relayed.relay.pool.find_span(connection).since
     with suppress(MedlarError):
         found = await relayed.relay.incarnations.find(
-            announced.name, connection.opened_at, inf, ANNOUNCEMENT_TIMEOUT_S
+            announced.name, since, inf, ANNOUNCEMENT_TIMEOUT_S
         )
     version = relayed.stream_version.version
     is_allowed = found is not None and found.software_version == version
--- a/medlarrail/relay/outbound.py
+++ b/medlarrail/relay/outbound.py
@@ -23,6 +23,7 @@
 )
 from medlarrail.core.loop_watch import LoopWatch
 from medlarrail.core.metrics import get_metrics
+from medlarrail.policy.process_spans import ProcessSpan, ProcessSpans
 from medlarrail.relay.metadata import Header
 from medlarrail.transport.framing import Framing, get_framing
 from medlarrail.transport.sockets import connect
@@ -53,6 +54,8 @@
 CLOSED_RETENTION_S = 60.0
 """Time for which it is remembered that an endpoint closed an idle connection: longer
 than a request takes."""
+SPAN_RETENTION_S = 60.0
+"""Time for which it is remembered when a process ran: longer than a stream takes."""
 KEEP_ALIVE_RATIO = 0.7
 """Fraction of the endpoint's keep-alive time for which a connection is reused."""
 CONNECTION_ERRORS = (
@@ -90,6 +93,8 @@
     opened_at: float = 0.0
     sent_at: float = 0.0
     """Time at which the sending of the current request began."""
+    answered_at: float | None = None
+    """``sent_at`` of the latest request that was answered, None before the first."""
     reused: bool = False
     """Whether it was used for an earlier request."""
     _method: bytes = b""
@@ -259,6 +264,8 @@
     """The open connections by address."""
     _idle_closed_at: dict[str, float] = field(factory=dict)
     """When an endpoint was last found to have closed an idle connection, by address."""
+    _spans: dict[str, ProcessSpans] = field(factory=dict)
+    """When the processes at each address are known to have run."""
 
     def count_open(self, address: str) -> int:
         """Return the number of open connections to an endpoint, including idle ones."""
@@ -365,6 +372,23 @@
         )
         return False if has_closed or closed_at >= ended_after else None
 
+    def record_answered(self, connection: OutboundConnection) -> None:
+        """Record that an answer to the current request has begun."""
+        connection.answered_at = connection.sent_at
+        spans = self._spans.setdefault(connection.address, ProcessSpans())
+        spans.record(ProcessSpan(connection.opened_at, connection.sent_at))
+
+    def find_span(self, connection: OutboundConnection) -> ProcessSpan:
+        """Return when the process at the other end is known to have run.
+
+        That is the moment of the opening for a connection without an answer.
+        """
+        if connection.answered_at is None:
+            return ProcessSpan(connection.opened_at, connection.opened_at)
+        span = ProcessSpan(connection.opened_at, connection.answered_at)
+        spans = self._spans.get(connection.address)
+        return span if spans is None else spans.find(span)
+
     def release(
         self, connection: OutboundConnection, keep_alive_s: float | None
     ) -> None:
@@ -405,10 +429,13 @@
                 self._discard_idle(idle.popleft())
             if not idle:
                 del self.idle[address]
-        since = trio.current_time() - CLOSED_RETENTION_S
+        now = trio.current_time()
         for address, closed_at in list(self._idle_closed_at.items()):
-            if closed_at < since:
+            if closed_at < now - CLOSED_RETENTION_S:
                 del self._idle_closed_at[address]
+        for address, spans in list(self._spans.items()):
+            if spans.ended_before(now - SPAN_RETENTION_S):
+                del self._spans[address]
 
     def close_address(self, address: str) -> None:
         """Close the idle connections to a departed endpoint."""
--- a/medlarrail/relay/replaced_processes_test.py
+++ b/medlarrail/relay/replaced_processes_test.py
@@ -17,6 +17,7 @@
 from medlarrail.testing.scripted_endpoints import (
     build_request,
     build_script,
+    get_value,
     start_relay,
 )
 
@@ -176,6 +177,46 @@
         await call(harness, build_request())
         assert len(asked) == 2
 
+    async def test_stream_on_a_new_connection_of_a_known_process_is_cut(self, harness):
+        """Answers to later requests on an older connection show that it is the same
+        process, which was heard of before the new connection was opened."""
+        is_second_open, is_answered = trio.Event(), trio.Event()
+
+        async def answer(connection, request):
+            request_id = get_value(request, b"x-request-id")
+            if request_id == b"r-older":
+                await is_second_open.wait()
+            elif request_id == b"r1" and connection.endpoint.name == "engine-1":
+                is_second_open.set()
+                await is_answered.wait()
+                last_age_s = trio.current_time() - heard_at
+                first = Sighting(1000, "v1", 60.0, last_age_s)
+                set_sightings(harness, "engine-1", first)
+                await reset_after_an_event(connection, request)
+                return
+            await send_rest(connection, request)
+
+        endpoint = await add(harness, answer)
+        await call(harness, build_request(X_Request_Id="r0"))
+        heard_at = trio.current_time()
+        await trio.sleep(0.05)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call, harness, build_request(X_Request_Id="r-older"))
+            await trio.sleep(0.02)
+            answers = []
+
+            async def call_and_keep():
+                answers.append(await call(harness, build_request()))
+
+            nursery.start_soon(call_and_keep)
+            await is_second_open.wait()
+            await trio.sleep(0.05)
+            await call(harness, build_request(X_Request_Id="r-later"))
+            await add(harness)
+            is_answered.set()
+        assert endpoint.connections == 2
+        assert (answers[0].body, answers[0].ending) == (BODY, "proven")
+
     async def test_first_process_of_a_version_is_taken_for_the_one_before(
         self, harness
     ):
--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -1,12 +1,13 @@
 """Keeps one stream at the software version that began it, over all its attempts."""
 
 import eliot
-from attrs import define
+from attrs import define, evolve
 
 from medlarrail.core.announcements import Announcement
 from medlarrail.core.errors import MedlarError, StreamVersionUnknown, UnknownRoute
 from medlarrail.policy.stream_versions import choose_stream_version
 from medlarrail.relay.incarnations import ANNOUNCEMENT_TIMEOUT_S
+from medlarrail.relay.outbound import OutboundConnection
 from medlarrail.relay.stream_origins import BeginConnection
 
 
@@ -19,8 +20,8 @@
     """None before the first event: the stream may begin at any version."""
     _connection: BeginConnection | None = None
     """The connection of the first event, if it is known."""
-    _is_own: bool = False
-    """Whether this entry sent the first event, in this request."""
+    _own_connection: OutboundConnection | None = None
+    """The same, if this entry sent the first event in this request."""
     _proven: bool = False
     """Whether the process that began the stream is known to have this version."""
 
@@ -82,6 +83,8 @@
         has heard of it. Raises ``StreamVersionUnknown`` if nothing tells the version.
         """
         relayed = self.relayed
+        if self._own_connection is not None:
+            self._update_connection()
         connection = self._connection
         if self._proven or connection is None:
             return
@@ -104,6 +107,13 @@
         if not self._proven:
             raise StreamVersionUnknown(service=relayed.service.name)
 
+    def _update_connection(self) -> None:
+        """Use what later answers of the process have shown since the first event."""
+        span = self.relayed.relay.pool.find_span(self._own_connection)
+        self._connection = evolve(
+            self._connection, opened_at=span.since, closed_at=span.until
+        )
+
     def _log_proof(self, announced: str, connection: BeginConnection) -> None:
         relayed = self.relayed
         eliot.log_message(
@@ -115,7 +125,7 @@
             proven=self._proven,
             announced=announced,
             version=self.version if self._proven else None,
-            is_own=self._is_own,
+            is_own=self._own_connection is not None,
             known_for_s=round(connection.closed_at - connection.opened_at, 3),
             versions=sorted(
                 relayed.relay.cluster_view.list_stream_versions(relayed.service.name)
@@ -126,13 +136,12 @@
         """Record that events of an attempt are about to be sent to the caller."""
         if self.version is None:
             self.version = attempt.endpoint.announced.software_version
-            self._is_own = True
+            self._own_connection = attempt.connection
             # What the endpoint sent was sent after its request. The connection may have
             # ended long before the end arrives here, so that proves no more.
+            span = self.relayed.relay.pool.find_span(attempt.connection)
             self._connection = BeginConnection(
-                attempt.endpoint.announced.name,
-                attempt.connection.opened_at,
-                attempt.connection.sent_at,
+                attempt.endpoint.announced.name, span.since, span.until
             )
         relayed = self.relayed
         if relayed.origin_id:
