Stream soak: first heartbeats come late

The soak's endpoints announced themselves as soon as they served. The platform's send heartbeats about every 1.2 s, so gateways reach a process for up to that long before anybody has heard of it.

Endpoints record when their first heartbeat was acknowledged. Sound streams that are cut and began before that are counted apart, as cut_unannounced: the end of an answer without a length can't be told from the end of the process before. A run of another version than began the stream is no longer counted as cut though sound: it must not go on.

--- a/medlarrail/platform/soak/__main__.py
+++ b/medlarrail/platform/soak/__main__.py
@@ -31,6 +31,7 @@
     name_early_closes,
     read_runs,
 )
+from medlarrail.platform.soak.engine import HEARTBEAT_S
 from medlarrail.platform.soak.faults import Faults
 from medlarrail.platform.soak.rollouts import LIMITS, Rollout, roll_out_steadily
 from medlarrail.platform.soak.site import ENGINES, GATEWAY_COUNT, Site, Sources
@@ -50,6 +51,9 @@
     """One run of the soak."""
 
     site: Site
+    first_heartbeat_s: float = HEARTBEAT_S
+    """Longest time after which an endpoint that starts during the run announces
+    itself."""
     only: tuple[str, ...] = ()
     """Names of the only faults that are played, if there are any."""
     left_out: tuple[str, ...] = ()
@@ -76,6 +80,7 @@
             self.site.link_nursery = nursery
             await self.site.start_all()
             self.site.note("started")
+            self.site.first_heartbeat_s = self.first_heartbeat_s
             nursery.start_soon(self.play_faults, duration_s)
             await self.run_callers(duration_s)
             nursery.cancel_scope.cancel()
@@ -164,6 +169,7 @@
         "cut": counts.cut,
         "cut_though_sound": len(counts.cut_sound),
         "cut_though_sound_per_1000": counts.cut_sound_per_1000,
+        "cut_unannounced": counts.cut_unannounced,
         "rollouts": [rollout.verdict for rollout in soak.rollouts],
         "faults": dict(sorted(soak.site.fault_counts.items())),
         "violations": kinds,
@@ -188,6 +194,7 @@
     gateways: int = GATEWAY_COUNT,
     engines: int = 0,
     early_closes: float = 0.0,
+    prompt_heartbeats: bool = False,
     keep: Path | None = None,
 ) -> None:
     """Run a soak of ``duration`` seconds.
@@ -199,8 +206,9 @@
     the release. ``--gateways`` is their number, and ``--engines`` that of the endpoints
     of each service, if it is given. ``--early-closes`` is the share of the streams
     without a length that living endpoints close before the end, which no gateway can
-    tell from whole ones. The logs are copied to ``--keep`` after a violation
-    or the cut of a sound stream.
+    tell from whole ones. With ``--prompt-heartbeats`` an endpoint announces itself at
+    once, not up to an interval of heartbeats after its start. The logs are copied to
+    ``--keep`` after a violation or the cut of a sound stream.
     """
     folder = Path(tempfile.mkdtemp(prefix="stream-soak-"))
     own_sources = Sources(sources.resolve() if sources else None, mixed)
@@ -209,7 +217,8 @@
     site.gateway_count, site.early_closes = gateways, early_closes
     if engines:
         site.engine_counts = dict.fromkeys(ENGINES, engines)
-    soak = StreamSoak(site, split_names(only), split_names(without))
+    names = split_names(only), split_names(without)
+    soak = StreamSoak(site, 0.0 if prompt_heartbeats else HEARTBEAT_S, *names)
     counts = Counts()
     try:
         counts = trio.run(soak.run, duration)
--- a/medlarrail/platform/soak/check.py
+++ b/medlarrail/platform/soak/check.py
@@ -41,6 +41,7 @@
     record: str
     began_at: float
     service: str
+    version: str = ""
     ended_at: float | None = None
     """None if the endpoint was killed before the end."""
     sent: int = 0
@@ -151,10 +152,10 @@
             if entry["what"] == "run":
                 framing, faulty = entry["framing"], entry["faulty"]
                 own = path.stem, entry["t"], entry["service"]
-                run = Run(entry["id"], framing, faulty, *own)
+                run = Run(entry["id"], framing, faulty, *own, entry["version"])
                 run.closed_early = entry["closed_early"]
                 runs[entry["id"]].append(run)
-            else:
+            elif entry["what"] == "end":
                 own = (one for one in runs[entry["id"]] if one.record == path.stem)
                 run = next(one for one in own if one.ended_at is None)
                 run.ended_at = entry["t"]
@@ -164,6 +165,17 @@
     return runs
 
 
+def read_announcements(folder: Path) -> dict[str, float]:
+    """Return when each endpoint's first heartbeat was acknowledged, by record."""
+    announcements = {}
+    for path in folder.glob("*.runs"):
+        for line in path.read_bytes().splitlines():
+            entry = orjson.loads(line)
+            if entry["what"] == "announced":
+                announcements[path.stem] = entry["t"]
+    return announcements
+
+
 def read_carriers(folder: Path) -> dict[str, set[str]]:
     """Return the gateways to which others forwarded requests, by request ID."""
     carriers: dict[str, set[str]] = defaultdict(set)
@@ -197,6 +209,8 @@
     """Answers of streams that broke off visibly."""
     cut_sound: list[Answer] = field(factory=list)
     """Answers of streams that were cut though their run was sound."""
+    cut_unannounced: int = 0
+    """The same, of runs that began before their process was heard of."""
 
     @property
     def cut_sound_per_1000(self) -> float:
@@ -208,6 +222,7 @@
     """Return the counts of a soak."""
     counts = Counts()
     ends = {program.record: program.ended_at for program in site.ended_engines}
+    announcements = read_announcements(site.folder)
     carriers = read_carriers(site.folder)
     for call in calls:
         counts.calls[call.kind] += 1
@@ -226,11 +241,26 @@
             if not own or not is_cut(answer):
                 continue
             gateways = {answer.gateway, *carriers.get(answer.request_id, ())}
-            if is_sound(site, answer, own, ends, gateways):
+            origin = find_origin_version(call)
+            if not is_sound(site, answer, own, ends, gateways, origin):
+                continue
+            if is_announced(own[-1], announcements):
                 counts.cut_sound.append(answer)
+            else:
+                counts.cut_unannounced += 1
     return counts
 
 
+def find_origin_version(call: Call) -> str:
+    """Return the software version that began a stream, empty before its first event."""
+    return next((find_version(call.prompt, one) for one in call.list_events()), "")
+
+
+def is_announced(run: Run, announcements: dict[str, float]) -> bool:
+    """Return whether the process of a run had announced itself before it."""
+    return announcements.get(run.record, float("inf")) <= run.began_at
+
+
 def is_cut(answer: Answer) -> bool:
     """Return whether a run was withheld from its caller, in part or wholly."""
     is_broken = answer.status == 200 and answer.ending == "broken"
@@ -243,10 +273,12 @@
     runs: list[Run],
     ends: dict[str, float | None],
     gateways: set[str],
+    origin: str = "",
 ) -> bool:
     """Return whether no endpoint, link, gateway or deadline gave a reason for a cut.
 
-    ``gateways`` are those that the answer passed through.
+    ``gateways`` are those that the answer passed through. ``origin`` is the software
+    version that began the stream, if it is known: a run of another one must not go on.
     """
     run = runs[-1]
     ended_at = ends.get(run.record)
@@ -260,6 +292,7 @@
     )
     is_faulty = any(one.faulty for one in runs)
     is_late = answer.ended_at - answer.sent_at >= answer.deadline_s
-    if is_faulty or is_disturbed or is_late:
+    is_other_version = origin not in ("", run.version)
+    if is_faulty or is_disturbed or is_late or is_other_version:
         return False
     return run.complete or is_alive
--- a/medlarrail/platform/soak/check_test.py
+++ b/medlarrail/platform/soak/check_test.py
@@ -20,9 +20,12 @@
     Violation,
     check_call,
     check_runs,
+    count_calls,
+    is_announced,
     is_cut,
     is_sound,
     name_early_closes,
+    read_runs,
 )
 from medlarrail.platform.soak.engine import (
     BODY_LINES,
@@ -206,6 +209,37 @@
         faulty = self.build_run(faulty=True)
         assert not is_sound(site, cut, [faulty, run], ends, {"edge-1", "edge-3"})
 
+    @pytest.mark.parametrize(
+        ("origin", "sound"), [("", True), ("v1", True), ("v2", False)]
+    )
+    def test_run_of_another_version_has_to_go_on(self, origin, sound, tmp_path):
+        """A stream that was rightly ended would count as cut though sound."""
+        site, cut = Site(tmp_path, 1), build_answer([1], "broken")
+        run = self.build_run(version="v1")
+        assert is_sound(site, cut, [run], {}, {"edge-1"}, origin) == sound
+
+    def test_late_first_heartbeat_hides_a_cut_of_a_sound_stream(self, tmp_path):
+        lines = [
+            {"what": "run", "id": "r1", "t": 1.0},
+            {"what": "announced", "id": "", "t": 1.5},
+            {"what": "run", "id": "r2", "t": 2.0},
+        ]
+        common = {"framing": "close", "faulty": False, "closed_early": False}
+        common |= {"service": "talk", "version": "v1"}
+        data = b"\n".join(orjson.dumps(common | line) for line in lines)
+        (tmp_path / "engine-1.runs").write_bytes(data)
+        calls = [
+            Call("stream", PROMPT, COUNT, [build_answer([1], "broken", request_id=one)])
+            for one in ("r1", "r2")
+        ]
+        counts = count_calls(Site(tmp_path, 1), calls, read_runs(tmp_path))
+        assert [one.request_id for one in counts.cut_sound] == ["r2"]
+        assert counts.cut_unannounced == 1
+
+    def test_stream_of_an_endpoint_that_never_announced_itself_counts_as_sound(self):
+        assert not is_announced(self.build_run(), {"engine-2": 0.5})
+        assert is_announced(self.build_run(), {"engine-1": 0.5})
+
 
 class TestRollouts:
     """Runs from a second after the order, at which the verdict is due at 5 s."""
--- a/medlarrail/platform/soak/engine.py
+++ b/medlarrail/platform/soak/engine.py
@@ -82,6 +82,8 @@
     last event."""
     plain: bool = False
     """Whether all answers have a length and none is sent twice."""
+    first_heartbeat_s: float = 0.0
+    """Time from the start until the endpoint first announces itself."""
 
 
 @define(eq=False)
@@ -149,8 +151,13 @@
 
     async def announce_steadily(self) -> None:
         """Send heartbeats until cancelled."""
+        await trio.sleep(self.settings.first_heartbeat_s)
+        is_recorded = False
         while True:
-            await self.announce()
+            is_acknowledged = await self.announce()
+            if is_acknowledged and not is_recorded:
+                self.record("announced", "")
+                is_recorded = True
             await trio.sleep(HEARTBEAT_S)
 
     async def leave_on_signal(self, scope: trio.CancelScope) -> None:
--- a/medlarrail/platform/soak/site.py
+++ b/medlarrail/platform/soak/site.py
@@ -17,6 +17,7 @@
 from attrs import define, field, frozen
 
 from medlarrail.platform.soak.engine import MODEL, SLOTS
+from medlarrail.platform.soak.events import draw
 from medlarrail.platform.soak.wire import call, call_any
 from medlarrail.testing.deployment import find_free_ports
 from medlarrail.testing.fault_proxy import FaultProxy
@@ -159,6 +160,8 @@
     """Share of the streams without a length that endpoints close before the end."""
     plain: bool = False
     """Whether endpoints answer in the plainest way."""
+    first_heartbeat_s: float = 0.0
+    """Longest time after which an endpoint first announces itself."""
     link_nursery: trio.Nursery | None = None
     """Where the links run, None for endpoints that gateways reach directly."""
     report: Callable[[str], None] = print
@@ -326,6 +329,8 @@
             "failures": self.failures.get(version, 0.0),
             "early_closes": self.early_closes,
             "plain": self.plain,
+            "first_heartbeat_s": self.first_heartbeat_s
+            * draw(self.seed, self.engine_count, "first heartbeat"),
         }
         file.write_bytes(orjson.dumps(settings))
         command = [sys.executable, "-m", "medlarrail.platform.soak.engine"]
