--- a/medlarrail/platform/soak/__main__.py
+++ b/medlarrail/platform/soak/__main__.py
@@ -20,7 +20,11 @@
 import typer
 from attrs import asdict, define, field
 
-from medlarrail.platform.soak import endpoint_faults, link_faults  # noqa: F401
+from medlarrail.platform.soak import (  # noqa: F401
+    endpoint_faults,
+    link_faults,
+    version_faults,
+)
 from medlarrail.platform.soak.callers import Call, Caller
 from medlarrail.platform.soak.check import (
     Counts,
--- a/medlarrail/platform/soak/faults.py
+++ b/medlarrail/platform/soak/faults.py
@@ -119,13 +119,14 @@
         replaced: RunningProgram,
         like: RunningProgram | None = None,
         at: RunningProgram | None = None,
+        version: str = "",
     ) -> RunningProgram:
         """Start an endpoint in place of another one, and return it once it answers.
 
         For ``like`` and ``at`` see ``Site.add_engine``.
         """
         service = replaced.service
-        version = self.site.software_version or replaced.version
+        version = version or self.site.software_version or replaced.version
         engine = self.site.add_engine(service, version, like, at)
         self.site.note(f"{engine.name} started: {service}, {engine.version}")
         with trio.move_on_after(START_TIMEOUT_S):
@@ -139,7 +140,7 @@
             if gateway is not None:
                 with self.disturb(gateway):
                     self.site.kill(gateway)
-                    await self._start_gateway(gateway)
+                    await self.restart_gateway(gateway)
 
     @register_action()
     async def stop_gateway(self) -> None:
@@ -148,9 +149,10 @@
             if gateway is not None:
                 with self.disturb(gateway):
                     await self.site.stop(gateway)
-                    await self._start_gateway(gateway)
+                    await self.restart_gateway(gateway)
 
-    async def _start_gateway(self, gateway: RunningProgram) -> None:
+    async def restart_gateway(self, gateway: RunningProgram) -> None:
+        """Start a gateway that has ended, and return once it accepts requests."""
         await trio.sleep(self.random.uniform(*RESTART_S))
         self.site.start(gateway)
         with trio.move_on_after(START_TIMEOUT_S) as scope:
