Stream soak: links between endpoints and state members

Each endpoint announces itself through a link of its own to each state member, so that its heartbeats can be held back while gateways reach it. Redirects take the links, too. An endpoint that starts in place gets the links of the one before, and what is held back arrives after the end of its sender.

--- a/medlarrail/platform/soak/__main__.py
+++ b/medlarrail/platform/soak/__main__.py
@@ -21,6 +21,7 @@
 from attrs import asdict, define, field
 
 from medlarrail.platform.soak import (  # noqa: F401
+    control_faults,
     endpoint_faults,
     link_faults,
     version_faults,
--- a/medlarrail/platform/soak/check_test.py
+++ b/medlarrail/platform/soak/check_test.py
@@ -4,6 +4,7 @@
 """
 
 import subprocess
+import time
 from functools import partial
 from random import Random
 
@@ -27,6 +28,7 @@
     name_early_closes,
     read_runs,
 )
+from medlarrail.platform.soak.control_faults import hold
 from medlarrail.platform.soak.engine import (
     BODY_LINES,
     Engine,
@@ -44,6 +46,8 @@
 from medlarrail.platform.soak.rollouts import LIMITS, Rollout
 from medlarrail.platform.soak.site import Disturbance, RunningProgram, Site
 from medlarrail.platform.soak.wire import Head, build_head
+from medlarrail.testing.fault_proxy import FaultProxy
+from medlarrail.testing.scripted_endpoints import HOST
 
 PROMPT = "c1-1"
 COUNT = 6
@@ -310,6 +314,49 @@
                 pass
 
 
+class TestHeldHeartbeats:
+    @pytest.fixture
+    def site(self, tmp_path):
+        site = Site(tmp_path, 1, report=lambda text: None)
+        site.engines.append(self.build_engine(site, "engine-1"))
+        return site
+
+    def build_engine(self, site, record):
+        file = site.folder / f"{record}.json"
+        return RunningProgram("i-1", "engine", [], site.folder, file, 1)
+
+    async def test_heartbeat_is_lost_with_its_sender(self, site, nursery):
+        """Without such heartbeats nothing arrives after the end of its sender."""
+        received = trio.Event()
+
+        async def serve(stream):
+            assert b"".join([part async for part in stream]) == b"heartbeat"
+            received.set()
+
+        (listener,) = await nursery.start(partial(trio.serve_tcp, serve, 0, host=HOST))
+        port = listener.socket.getsockname()[1]
+        link = FaultProxy(HOST, site.find_engine_port(), port)
+        await nursery.start(link.run)
+        site.engines[0].control_links = [link]
+        with trio.fail_after(5):
+            with hold(Faults(site, Random(1)), site.engines[0]):
+                sender = await trio.open_tcp_stream(HOST, link.port)
+                await sender.send_all(b"heartbeat")
+                await sender.aclose()
+                await trio.testing.wait_all_tasks_blocked(0.05)
+                assert not received.is_set()
+            await received.wait()
+        nursery.cancel_scope.cancel()
+
+    def test_next_process_behind_a_cut_counts_as_undisturbed(self, site):
+        since = time.monotonic()
+        with hold(Faults(site, Random(1)), site.engines[0]):
+            site.ended_engines.append(site.engines.pop())
+            site.engines.append(self.build_engine(site, "engine-2"))
+        assert {one.record for one in site.disturbances} == {"engine-1", "engine-2"}
+        assert all(since <= one.since < one.until for one in site.disturbances)
+
+
 async def test_gateway_that_a_reload_ends_passes(tmp_path):
     """Nothing else would show that a signal has ended it."""
     site = Site(tmp_path, 1, gateway_count=1, report=lambda text: None)
--- a/medlarrail/platform/soak/engine.py
+++ b/medlarrail/platform/soak/engine.py
@@ -84,6 +84,8 @@
     """Whether all answers have a length and none is sent twice."""
     first_heartbeat_s: float = 0.0
     """Time from the start until the endpoint first announces itself."""
+    control_links: dict[str, str] = field(factory=dict)
+    """URL of the link to each state member, by the member's URL."""
 
 
 @define(eq=False)
@@ -146,8 +148,14 @@
             "born": self.born,
             "sequence": self.sequence,
         }
-        path = f"/instances/{self.settings.name}"
-        return await call_any("PUT", self.settings.control_urls, path, body)
+        return await self.call_control("PUT", body)
+
+    async def call_control(self, method: str, body: object = None) -> bool:
+        """Make one call about this endpoint; return whether it was acknowledged."""
+        settings = self.settings
+        path = f"/instances/{settings.name}"
+        links = settings.control_links
+        return await call_any(method, settings.control_urls, path, body, links)
 
     async def announce_steadily(self) -> None:
         """Send heartbeats until cancelled."""
@@ -170,8 +178,7 @@
         await trio.sleep(DRAIN_S)
         while self.active:
             await trio.sleep(0.01)
-        path = f"/instances/{self.settings.name}"
-        await call_any("DELETE", self.settings.control_urls, path)
+        await self.call_control("DELETE")
         scope.cancel()
 
     async def run(self) -> None:
--- a/medlarrail/platform/soak/site.py
+++ b/medlarrail/platform/soak/site.py
@@ -69,6 +69,9 @@
     """Port that an endpoint announces: that of its link, if it has one."""
     link: FaultProxy | None = None
     """Proxy between the gateways and an endpoint."""
+    control_links: list[FaultProxy] = field(factory=list)
+    """Proxies between an endpoint and each state member, if it has some. The endpoint
+    that is started in its place gets the same ones."""
 
     @property
     def url(self) -> str:
@@ -307,13 +310,15 @@
     ) -> RunningProgram:
         """Start an endpoint.
 
-        ``like`` gives it the name and address of another one, ``at`` its address alone.
+        ``like`` gives it the name, the address and the links to the state members of
+        another one, ``at`` its address alone.
         """
         self.engine_count += 1
         name = like.name if like is not None else f"i-{self.engine_count:04d}"
         last = like or at
         announced = self.find_engine_port() if last is None else last.announced_port
         port = announced if self.link_nursery is None else self.find_engine_port()
+        links = self.add_control_links() if like is None else like.control_links
         file = self.folder / f"engine-{self.engine_count}.json"
         settings = {
             "name": name,
@@ -323,6 +328,10 @@
             "announced_port": announced,
             "version": version,
             "control_urls": self.control_urls,
+            "control_links": {
+                state.url: f"http://{HOST}:{link.port}"
+                for state, link in zip(self.states, links, strict=False)
+            },
             "record_file": str(self.folder / f"engine-{self.engine_count}.runs"),
             "seed": self.seed,
             "disorder": self.disorder,
@@ -337,7 +346,7 @@
         engine = RunningProgram(
             name, "engine", command, ROOT, file, port, service, version
         )
-        engine.announced_port = announced
+        engine.announced_port, engine.control_links = announced, links
         self.start(engine)
         self.engines.append(engine)
         if self.link_nursery is not None:
@@ -345,6 +354,21 @@
             self.link_nursery.start_soon(self._run_link, engine)
         return engine
 
+    def add_control_links(self) -> list[FaultProxy]:
+        """Start links from one endpoint to each state member.
+
+        They outlive the endpoint, as what it sent may be on its way.
+        """
+        if self.link_nursery is None:
+            return []
+        links = [
+            FaultProxy(HOST, self.find_engine_port(), state.port)
+            for state in self.states
+        ]
+        for link in links:
+            self.link_nursery.start_soon(link.run)
+        return links
+
     async def _run_link(self, engine: RunningProgram) -> None:
         """Forward connections once the endpoint listens, so that none is refused."""
         while await call("GET", f"{engine.url}/healthz") is None:
--- a/medlarrail/platform/soak/soak_test.py
+++ b/medlarrail/platform/soak/soak_test.py
@@ -63,6 +63,13 @@
     run_soak(*options, "--without", "release", duration_s=15, seed=4)
 
 
+def test_stream_that_began_behind_a_cut_goes_on_at_the_version_before():
+    """The cut held the heartbeats of a process with other software back, or let them
+    arrive after its end."""
+    options = "--only", "restart_behind_cut,delay_heartbeat_over_restart"
+    run_soak(*options, "--without", "release", duration_s=12, seed=1)
+
+
 def test_rollout_breaks_its_promises_while_members_end():
     """A version gets more than its share, or requests after the verdict, or the
     verdict changes, while state members are killed."""
--- a/medlarrail/platform/soak/wire.py
+++ b/medlarrail/platform/soak/wire.py
@@ -3,7 +3,7 @@
 Independent of the product's own reading of messages, which the soak checks.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 
 import orjson
 import trio
@@ -12,6 +12,7 @@
 READ_BYTES = 65536
 CALL_TIMEOUT_S = 1.0
 MAX_REDIRECTS = 2
+NO_LINKS: Mapping[str, str] = {}
 
 
 class EndedEarly(Exception):
@@ -142,13 +143,28 @@
     return None
 
 
-async def call(method: str, url: str, body: object = None) -> Head | None:
+def reroute(url: str, links: Mapping[str, str]) -> str:
+    """Return the URL by way of the link to its host, if there is one.
+
+    >>> reroute("http://a:1/config", {"http://a:1": "http://b:2"})
+    'http://b:2/config'
+    """
+    scheme, _, rest = url.partition("://")
+    address, slash, path = rest.partition("/")
+    base = f"{scheme}://{address}"
+    return links.get(base, base) + slash + path
+
+
+async def call(
+    method: str, url: str, body: object = None, links: Mapping[str, str] = NO_LINKS
+) -> Head | None:
     """Make one control call; return the head of the answer, None without one in time.
 
-    Redirects are followed.
+    Redirects are followed. ``links`` has the URL at which each host is reached, if it
+    is not its own.
     """
     for _ in range(1 + MAX_REDIRECTS):
-        answer = await fetch(method, url, body)
+        answer = await fetch(method, reroute(url, links), body)
         if answer is None:
             return None
         head, _ = answer
@@ -159,11 +175,15 @@
 
 
 async def call_any(
-    method: str, urls: list[str], path: str, body: object = None
+    method: str,
+    urls: list[str],
+    path: str,
+    body: object = None,
+    links: Mapping[str, str] = NO_LINKS,
 ) -> bool:
     """Make a control call at one member after the other until one acknowledges it."""
     for url in urls:
-        head = await call(method, url + path, body)
+        head = await call(method, url + path, body, links)
         if head is not None and head.status < 300:
             return True
     return False
