--- a/medlarrail/platform/soak/engine.py
+++ b/medlarrail/platform/soak/engine.py
@@ -82,6 +82,10 @@
     last event."""
     plain: bool = False
     """Whether all answers have a length and none is sent twice."""
+    first_heartbeat_s: float = 0.0
+    """Time from the start until the endpoint first announces itself."""
+    control_links: dict[str, str] = field(factory=dict)
+    """URL of the link to each state member, by the member's URL."""
 
 
 @define(eq=False)
@@ -144,13 +148,24 @@
             "born": self.born,
             "sequence": self.sequence,
         }
-        path = f"/instances/{self.settings.name}"
-        return await call_any("PUT", self.settings.control_urls, path, body)
+        return await self.call_control("PUT", body)
+
+    async def call_control(self, method: str, body: object = None) -> bool:
+        """Make one call about this endpoint; return whether it was acknowledged."""
+        settings = self.settings
+        path = f"/instances/{settings.name}"
+        links = settings.control_links
+        return await call_any(method, settings.control_urls, path, body, links)
 
     async def announce_steadily(self) -> None:
         """Send heartbeats until cancelled."""
+        await trio.sleep(self.settings.first_heartbeat_s)
+        is_recorded = False
         while True:
-            await self.announce()
+            is_acknowledged = await self.announce()
+            if is_acknowledged and not is_recorded:
+                self.record("announced", "")
+                is_recorded = True
             await trio.sleep(HEARTBEAT_S)
 
     async def leave_on_signal(self, scope: trio.CancelScope) -> None:
@@ -163,8 +178,7 @@
         await trio.sleep(DRAIN_S)
         while self.active:
             await trio.sleep(0.01)
-        path = f"/instances/{self.settings.name}"
-        await call_any("DELETE", self.settings.control_urls, path)
+        await self.call_control("DELETE")
         scope.cancel()
 
     async def run(self) -> None:
--- a/medlarrail/platform/soak/site.py
+++ b/medlarrail/platform/soak/site.py
@@ -17,6 +17,7 @@
 from attrs import define, field, frozen
 
 from medlarrail.platform.soak.engine import MODEL, SLOTS
+from medlarrail.platform.soak.events import draw
 from medlarrail.platform.soak.wire import call, call_any
 from medlarrail.testing.deployment import find_free_ports
 from medlarrail.testing.fault_proxy import FaultProxy
@@ -68,6 +69,9 @@
     """Port that an endpoint announces: that of its link, if it has one."""
     link: FaultProxy | None = None
     """Proxy between the gateways and an endpoint."""
+    control_links: list[FaultProxy] = field(factory=list)
+    """Proxies between an endpoint and each state member, if it has some. The endpoint
+    that is started in its place gets the same ones."""
 
     @property
     def url(self) -> str:
@@ -159,6 +163,8 @@
     """Share of the streams without a length that endpoints close before the end."""
     plain: bool = False
     """Whether endpoints answer in the plainest way."""
+    first_heartbeat_s: float = 0.0
+    """Longest time after which an endpoint first announces itself."""
     link_nursery: trio.Nursery | None = None
     """Where the links run, None for endpoints that gateways reach directly."""
     report: Callable[[str], None] = print
@@ -304,13 +310,15 @@
     ) -> RunningProgram:
         """Start an endpoint.
 
-        ``like`` gives it the name and address of another one, ``at`` its address alone.
+        ``like`` gives it the name, the address and the links to the state members of
+        another one, ``at`` its address alone.
         """
         self.engine_count += 1
         name = like.name if like is not None else f"i-{self.engine_count:04d}"
         last = like or at
         announced = self.find_engine_port() if last is None else last.announced_port
         port = announced if self.link_nursery is None else self.find_engine_port()
+        links = self.add_control_links() if like is None else like.control_links
         file = self.folder / f"engine-{self.engine_count}.json"
         settings = {
             "name": name,
@@ -320,19 +328,25 @@
             "announced_port": announced,
             "version": version,
             "control_urls": self.control_urls,
+            "control_links": {
+                state.url: f"http://{HOST}:{link.port}"
+                for state, link in zip(self.states, links, strict=False)
+            },
             "record_file": str(self.folder / f"engine-{self.engine_count}.runs"),
             "seed": self.seed,
             "disorder": self.disorder,
             "failures": self.failures.get(version, 0.0),
             "early_closes": self.early_closes,
             "plain": self.plain,
+            "first_heartbeat_s": self.first_heartbeat_s
+            * draw(self.seed, self.engine_count, "first heartbeat"),
         }
         file.write_bytes(orjson.dumps(settings))
         command = [sys.executable, "-m", "medlarrail.platform.soak.engine"]
         engine = RunningProgram(
             name, "engine", command, ROOT, file, port, service, version
         )
-        engine.announced_port = announced
+        engine.announced_port, engine.control_links = announced, links
         self.start(engine)
         self.engines.append(engine)
         if self.link_nursery is not None:
@@ -340,6 +354,21 @@
             self.link_nursery.start_soon(self._run_link, engine)
         return engine
 
+    def add_control_links(self) -> list[FaultProxy]:
+        """Start links from one endpoint to each state member.
+
+        They outlive the endpoint, as what it sent may be on its way.
+        """
+        if self.link_nursery is None:
+            return []
+        links = [
+            FaultProxy(HOST, self.find_engine_port(), state.port)
+            for state in self.states
+        ]
+        for link in links:
+            self.link_nursery.start_soon(link.run)
+        return links
+
     async def _run_link(self, engine: RunningProgram) -> None:
         """Forward connections once the endpoint listens, so that none is refused."""
         while await call("GET", f"{engine.url}/healthz") is None:
