Test of ended endpoints: the endpoint is heard of while its connection is open

The test held that a stream goes on elsewhere after the end of an endpoint that nobody had heard of since its connection was opened, as one version was listed. The endpoint now announces itself during its stream, as one does that ends later; what the caller must get is unchanged.

--- a/medlarrail/relay/ended_endpoints_test.py
+++ b/medlarrail/relay/ended_endpoints_test.py
@@ -113,11 +113,16 @@
     async def test_stream_of_an_endpoint_that_ends_goes_on_elsewhere(self, nursery):
         """A resumable stream was ended instead."""
         harness = await start_relay(nursery, CONTINUED_STREAM)
-        # Only one software version is in service.
-        view = harness.relay.cluster_view
-        view.confirmed_at = view.clock()
-        script = build_script(end_in_answer, send_rest)
-        endpoints = [await harness.add(script) for _ in range(2)]
+
+        async def announce_and_end(connection, request):
+            announced = Sighting(1000, "v1", 60.0, 0.0)
+            name = connection.endpoint.name
+            harness.relay.incarnations.state.sightings[name] = (announced,)
+            await end_in_answer(connection, request)
+
+        script = build_script(announce_and_end, send_rest)
+        own = {"started_ms": 1000, "software_version": "v1"}
+        endpoints = [await harness.add(script, **own) for _ in range(2)]
         answer = await call(harness, build_request())
         assert answer.body == BODY and answer.ending == "closed"
         assert [len(endpoint.requests) for endpoint in endpoints] == [1, 1]
