Streams: after a break, the report tells whether the announced process runs

A stream that begins at a process that nobody has heard of cannot go on after its end. It began there though other endpoints were undisturbed, and a gateway that had seen the endpoint break a moment before knew that its process might be gone.

After a connection was refused, closed while idle, or broken, a gateway reads the report on the next connection that it opens to that endpoint for a resumable stream. If the start is that of the announced process, the version of the streams there is proven, and nothing more is read until the next break. Otherwise the stream begins at another endpoint, if there is one. Nothing is read in calm.

--- a/medlarrail/policy/process_spans.py
+++ b/medlarrail/policy/process_spans.py
@@ -15,10 +15,14 @@
 
 @frozen
 class ProcessSpan:
-    """A time in which one process ran, from ``since`` to ``until``, in seconds."""
+    """A time in which one process ran, from ``since`` to ``until``, in seconds.
+
+    ``started_ms`` is the Unix time of its start, 0 if it has not told that.
+    """
 
     since: float
     until: float
+    started_ms: int = 0
 
     def overlaps(self, other: "ProcessSpan") -> bool:
         """Return whether both share a moment, so that they are of one process."""
@@ -26,7 +30,11 @@
 
     def join(self, other: "ProcessSpan") -> "ProcessSpan":
         """Return the time from the begin of the earlier to the end of the later one."""
-        return ProcessSpan(min(self.since, other.since), max(self.until, other.until))
+        return ProcessSpan(
+            min(self.since, other.since),
+            max(self.until, other.until),
+            self.started_ms or other.started_ms,
+        )
 
 
 @define(eq=False)
@@ -34,12 +42,12 @@
     """The latest spans of the processes at one address, none of which overlap.
 
     >>> spans = ProcessSpans()
-    >>> spans.record(ProcessSpan(0.0, 5.0))
-    ProcessSpan(since=0.0, until=5.0)
+    >>> spans.record(ProcessSpan(0.0, 5.0, started_ms=1796617508282))
+    ProcessSpan(since=0.0, until=5.0, started_ms=1796617508282)
     >>> spans.record(ProcessSpan(4.0, 9.0))
-    ProcessSpan(since=0.0, until=9.0)
+    ProcessSpan(since=0.0, until=9.0, started_ms=1796617508282)
     >>> spans.find(ProcessSpan(6.0, 6.5))
-    ProcessSpan(since=0.0, until=9.0)
+    ProcessSpan(since=0.0, until=9.0, started_ms=1796617508282)
     """
 
     _spans: list[ProcessSpan] = field(factory=list)
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -9,6 +9,7 @@
 from attrs import define, field, frozen
 
 from medlarrail.cluster.cluster_view import EndpointView
+from medlarrail.core.announcements import Announcement
 from medlarrail.core.deployment import ServiceRule
 from medlarrail.core.errors import (
     AnswerCrossed,
@@ -36,6 +37,7 @@
 from medlarrail.relay.headers import END_CHECKED, get_header, iterate_end_to_end
 from medlarrail.relay.inbound import ServerExchange
 from medlarrail.relay.incarnation_check import (
+    check_beginning,
     check_incarnation,
     get_report_path,
     require_announced,
@@ -97,6 +99,7 @@
     stream_version: StreamVersion
     version_choice: "VersionChoice | None"  # noqa: F821
     """None in a deployment without software rollouts."""
+    chooser: "EndpointChooser"  # noqa: F821
     may_be_running: bool
     fallback_answer: BufferedAnswer | None
     """An endpoint's error answer, sent to the caller if no other attempt is made."""
@@ -197,16 +200,15 @@
                 if not connection.reused:
                     relay.forwarder.record_connected(announced.service)
                 self._require_available()
-                if goes_on and not await check_incarnation(
-                    self.relayed, announced, connection
-                ):
+                if not await self._check_process(announced, connection):
                     relay.pool.discard(connection)
                     connection = None
                     connection = await relay.pool.acquire(
                         announced.address, new_connection, limit
                     )
-                    # The next process may have got the address meanwhile.
-                    await require_announced(self.relayed, announced, connection)
+                    if goes_on:
+                        # The next process may have got the address meanwhile.
+                        await require_announced(self.relayed, announced, connection)
                 self._require_available()
                 await self.relayed.exchange.require_caller()
                 self.cold_send = relay.endpoint_stats.record_sent(self.endpoint)
@@ -234,6 +236,22 @@
             if connection is not None:
                 relay.pool.release(connection, self._metadata.keep_alive_s)
 
+    async def _check_process(
+        self, announced: Announcement, connection: OutboundConnection
+    ) -> bool:
+        """Return whether ``connection`` can be used; raises ``EndpointOutOfService``.
+
+        Only streams that others may go on with are checked.
+        """
+        route = self.relayed.admission.route
+        if route.kind != "stream":
+            return True
+        if self.relayed.last_event_id:
+            return await check_incarnation(self.relayed, announced, connection)
+        if route.resumable:
+            return await check_beginning(self.relayed, announced, connection)
+        return True
+
     def _require_available(self) -> None:
         """Raise if the endpoint said meanwhile that it wants no requests.
 
--- a/medlarrail/relay/endpoint_choice.py
+++ b/medlarrail/relay/endpoint_choice.py
@@ -89,6 +89,10 @@
         candidates = self._build_prompt_candidates(self._list_available())
         return [candidate.name for candidate in candidates]
 
+    def has_choice(self) -> bool:
+        """Return whether an endpoint is left that was not tried."""
+        return bool(self._list_available())
+
     def choose(self) -> Choice:
         """Return the choice for the next attempt."""
         available = self._list_available()
--- a/medlarrail/relay/outbound.py
+++ b/medlarrail/relay/outbound.py
@@ -10,6 +10,7 @@
 import termios
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable
+from math import inf
 
 import h11
 import trio
@@ -266,6 +267,9 @@
     """When an endpoint was last found to have closed an idle connection, by address."""
     _spans: dict[str, ProcessSpans] = field(factory=dict)
     """When the processes at each address are known to have run."""
+    _broken_at: dict[str, float] = field(factory=dict)
+    """When a process last refused, closed or broke a connection, by address, unless
+    the one that runs since then is known."""
 
     def count_open(self, address: str) -> int:
         """Return the number of open connections to an endpoint, including idle ones."""
@@ -338,6 +342,7 @@
                 self._record_closed(address)
         get_metrics().count("endpoint_connections")
         if stream is None:
+            self.record_broken(address)
             raise EndpointUnreachable(endpoint=address)
         connection = OutboundConnection(
             address,
@@ -372,11 +377,31 @@
         )
         return False if has_closed or closed_at >= ended_after else None
 
-    def record_answered(self, connection: OutboundConnection) -> None:
-        """Record that an answer to the current request has begun."""
+    def record_answered(
+        self, connection: OutboundConnection, started_ms: int = 0
+    ) -> None:
+        """Record that an answer to the current request has begun.
+
+        ``started_ms`` is the start of the process, if the answer tells it.
+        """
         connection.answered_at = connection.sent_at
         spans = self._spans.setdefault(connection.address, ProcessSpans())
-        spans.record(ProcessSpan(connection.opened_at, connection.sent_at))
+        spans.record(ProcessSpan(connection.opened_at, connection.sent_at, started_ms))
+
+    def record_broken(self, address: str) -> None:
+        """Record that a process may have ended and the next one have its address."""
+        self._broken_at[address] = trio.current_time()
+
+    def record_known(self, connection: OutboundConnection) -> None:
+        """Record that the process at the other end is the announced one."""
+        if self._broken_at.get(connection.address, inf) < connection.opened_at:
+            del self._broken_at[connection.address]
+
+    def may_be_next_process(self, connection: OutboundConnection) -> bool:
+        """Return whether the announced process may have ended before the opening."""
+        if connection.reused:
+            return False
+        return self._broken_at.get(connection.address, inf) <= connection.opened_at
 
     def find_span(self, connection: OutboundConnection) -> ProcessSpan:
         """Return when the process at the other end is known to have run.
@@ -413,6 +438,7 @@
         """Close an idle connection, which the endpoint may have closed."""
         if not connection.is_quiet():
             self._idle_closed_at[connection.address] = trio.current_time()
+            self.record_broken(connection.address)
         self.discard(connection)
 
     def _record_closed(self, address: str) -> None:
@@ -433,6 +459,9 @@
         for address, closed_at in list(self._idle_closed_at.items()):
             if closed_at < now - CLOSED_RETENTION_S:
                 del self._idle_closed_at[address]
+        for address, broken_at in list(self._broken_at.items()):
+            if broken_at < now - SPAN_RETENTION_S:
+                del self._broken_at[address]
         for address, spans in list(self._spans.items()):
             if spans.ended_before(now - SPAN_RETENTION_S):
                 del self._spans[address]
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -399,6 +399,7 @@
             if isinstance(error, StreamBroken | AnswerTooLong) and not is_late:
                 self.relay.endpoint_stats.health.record_failure(name)
             if isinstance(error, StreamBroken):
+                self.relay.pool.record_broken(endpoint.announced.address)
                 self.evidence.record_broken(endpoint)
                 if not is_late:
                     self.relay.forwarder.record_unreachable(endpoint.announced)
--- a/medlarrail/relay/restarted_endpoints_test.py
+++ b/medlarrail/relay/restarted_endpoints_test.py
@@ -167,3 +167,74 @@
         answer = await call(harness, TAKE_UP)
         assert sum(len(endpoint.requests) for endpoint in harness.endpoints) == 1
         assert answer.status == 502
+
+
+class TestStreamsThatBegin:
+    """An endpoint has broken off, and may have started again since."""
+
+    @pytest.fixture
+    async def harness(self, nursery):
+        return await start_relay(nursery, DEPLOYMENT, StartHeaderCodec())
+
+    async def break_off(self, harness: RelayHarness, started_ms: int, *scripts):
+        """Return an endpoint that has just broken off, which tells ``started_ms``."""
+        script = build_script(reset_after_an_event, *scripts, send_rest)
+        endpoint = await add_endpoint(harness, started_ms, script)
+        await call(harness, build_request())
+        endpoint.requests.clear()
+        return endpoint
+
+    async def test_stream_begins_at_a_process_that_nobody_has_heard_of(self, harness):
+        """After a further break it could not go on."""
+        restarted = await self.break_off(harness, STARTED_MS + 500)
+        other = await add_endpoint(harness, STARTED_MS)
+        for _ in range(4):
+            answer = await call(harness, build_request())
+            assert answer.body == BODY
+        assert (len(restarted.requests), len(other.requests)) == (0, 4)
+
+    async def test_stream_is_refused_at_the_only_endpoint(self, harness):
+        """What it serves without a break is whole."""
+        restarted = await self.break_off(harness, STARTED_MS + 500)
+        answer = await call(harness, build_request())
+        assert answer.body == BODY
+        assert len(restarted.requests) == 1
+
+    async def test_report_does_not_prove_which_process_began_a_stream(self, harness):
+        """Nobody has heard of it while the connection of the stream was open."""
+        endpoint = await self.break_off(harness, STARTED_MS, reset_after_an_event)
+        harness.relay.incarnations.state.sightings[endpoint.name] = ()
+        other = await add_endpoint(harness, STARTED_MS)
+        other_view = harness.relay.cluster_view.endpoints.pop(other.name)
+
+        async def add_other():
+            while not endpoint.requests:
+                await trio.sleep(0)
+            harness.relay.cluster_view.endpoints[other.name] = other_view
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(add_other)
+            answer = await call(harness, build_request())
+        assert answer.body == BODY
+        assert (len(endpoint.requests), len(other.requests)) == (1, 1)
+
+    async def test_reports_are_read_after_the_announced_process_is_known(self, harness):
+        endpoint = await self.break_off(harness, STARTED_MS)
+        for _ in range(4):
+            await call(harness, build_request())
+        assert len(endpoint.requests) == 4
+        assert len(endpoint.status_requests) == 1
+
+    async def test_report_does_not_come(self, harness):
+        """The endpoint closes the connection of the call instead."""
+        endpoint = await self.break_off(harness, STARTED_MS)
+
+        async def close(connection, request):
+            connection.reset()
+
+        endpoint.status_script = close
+        answer = await call(harness, build_request())
+        assert answer.body == BODY
+        other = await add_endpoint(harness, STARTED_MS)
+        await call(harness, build_request())
+        assert (len(endpoint.requests), len(other.requests)) == (1, 1)
--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -83,11 +83,11 @@
         has heard of it. Raises ``StreamVersionUnknown`` if nothing tells the version.
         """
         relayed = self.relayed
+        if self._proven or self._connection is None:
+            return
         if self._own_connection is not None:
             self._update_connection()
         connection = self._connection
-        if self._proven or connection is None:
-            return
         announced, found = self.version, None
         try:
             found = await relayed.relay.incarnations.find(
@@ -139,10 +139,11 @@
             self._own_connection = attempt.connection
             # What the endpoint sent was sent after its request. The connection may have
             # ended long before the end arrives here, so that proves no more.
+            announced = attempt.endpoint.announced
             span = self.relayed.relay.pool.find_span(attempt.connection)
-            self._connection = BeginConnection(
-                attempt.endpoint.announced.name, span.since, span.until
-            )
+            self._connection = BeginConnection(announced.name, span.since, span.until)
+            # The process has told its start in a report, so its announcement is known.
+            self._proven = 0 != span.started_ms == announced.started_ms
         relayed = self.relayed
         if relayed.origin_id:
             relayed.relay.origins.record(
