Stream soak: faults of other software are played in tests of their own

Two short runs play all faults but those that have tests of their own, which now includes the five new ones. They play the same faults as before, so that the joined streams of unannounced processes do not hide another failure there.

--- a/medlarrail/platform/soak/soak_test.py
+++ b/medlarrail/platform/soak/soak_test.py
@@ -11,6 +11,12 @@
 DURATION_S = 10
 WAIT_TIMEOUT_S = 50.0
 BEHIND_STALL = "restart_behind_stall"
+OTHER_VERSIONS = (
+    "crash_other_version,kill_gateway_of_other_version,restart_random_version,"
+    "restart_behind_cut,delay_heartbeat_over_restart"
+)
+"""Faults of endpoints that start in place with other software; they have tests of their
+own."""
 
 
 def start_soak(duration_s: float, *options: str, seed: int = SEED) -> subprocess.Popen:
@@ -35,14 +41,15 @@
 
 def test_streams_break_while_processes_end():
     """Answers without a length looked complete after their endpoint was killed."""
-    counts = run_soak("--without", f"release,{BEHIND_STALL}")
+    counts = run_soak("--without", f"release,{BEHIND_STALL},{OTHER_VERSIONS}")
     assert set(counts["framings"]) == {"chunks", "close", "length"}
 
 
 def test_streams_are_joined_during_a_release():
     """A stream went on at an endpoint of the other software version. Endpoints that
     start again under their names meanwhile are in the next tests."""
-    run_soak("--without", f"restart_engine,freeze_over_restart,{BEHIND_STALL}")
+    restarts = f"restart_engine,freeze_over_restart,{BEHIND_STALL}"
+    run_soak("--without", f"{restarts},{OTHER_VERSIONS}")
 
 
 def test_endpoint_that_starts_again_goes_on_with_streams():
