Stream soak: counts of the streams that callers take up

The last line now tells how many of them go on, how many had two announced endpoints of their version when they were first taken up, how many tries were answered, and why the gateway that was asked refused the others. A stream goes on if a later answer brings an event or its end. "taken_up" is the group of these counts.

--- a/medlarrail/platform/soak/__main__.py
+++ b/medlarrail/platform/soak/__main__.py
@@ -34,12 +34,14 @@
     check_runs,
     count_calls,
     name_early_closes,
+    read_announcements,
     read_runs,
 )
 from medlarrail.platform.soak.engine import HEARTBEAT_S
 from medlarrail.platform.soak.faults import Faults
 from medlarrail.platform.soak.rollouts import LIMITS, Rollout, roll_out_steadily
 from medlarrail.platform.soak.site import ENGINES, GATEWAY_COUNT, Site, Sources
+from medlarrail.platform.soak.take_ups import TakeUps, count_take_ups
 
 CALLER_COUNT = 32
 CALLERS_PER_GATEWAY = 2
@@ -66,6 +68,7 @@
     rollouts: list[Rollout] = field(factory=list)
     calls: list[Call] = field(factory=list)
     violations: list[Violation] = field(factory=list)
+    take_ups: TakeUps = field(factory=TakeUps)
 
     def take(self, call: Call) -> None:
         """Check a call that has ended."""
@@ -101,6 +104,8 @@
             for violation in rollout.check(all_runs):
                 self.record(violation)
         self.write_record()
+        announcements = read_announcements(self.site.folder)
+        self.take_ups = count_take_ups(self.site, self.calls, announcements)
         return count_calls(self.site, self.calls, runs)
 
     async def run_callers(self, duration_s: float) -> None:
@@ -169,7 +174,10 @@
         "framings": dict(sorted(counts.framings.items())),
         "answers": dict(sorted(counts.answers.items())),
         "complete": counts.complete,
-        "taken_up": counts.taken_up,
+        "taken_up": asdict(soak.take_ups),
+        "refused_per_1000": round(
+            1000 * soak.take_ups.refused / max(1, counts.streams), 1
+        ),
         "closed_early": counts.closed_early,
         "cut": counts.cut,
         "cut_though_sound": len(counts.cut_sound),
--- a/medlarrail/platform/soak/check.py
+++ b/medlarrail/platform/soak/check.py
@@ -201,8 +201,6 @@
     streams: int = 0
     complete: int = 0
     """Streams whose caller has all events."""
-    taken_up: int = 0
-    """Streams that were asked for again after an event."""
     closed_early: int = 0
     """Runs that a living endpoint closed regularly before their last event."""
     cut: int = 0
@@ -230,7 +228,6 @@
             continue
         counts.streams += 1
         counts.complete += call.answers[-1].complete
-        counts.taken_up += any(one.last_event_id for one in call.answers)
         for answer in call.answers:
             outcome = answer.ending if answer.status == 200 else str(answer.status)
             counts.answers[outcome] += 1
--- a/medlarrail/platform/soak/check_test.py
+++ b/medlarrail/platform/soak/check_test.py
@@ -45,6 +45,7 @@
 from medlarrail.platform.soak.faults import Faults
 from medlarrail.platform.soak.rollouts import LIMITS, Rollout
 from medlarrail.platform.soak.site import Disturbance, RunningProgram, Site
+from medlarrail.platform.soak.take_ups import count_take_ups, read_reasons
 from medlarrail.platform.soak.wire import Head, build_head
 from medlarrail.testing.fault_proxy import FaultProxy
 from medlarrail.testing.scripted_endpoints import HOST
@@ -314,6 +315,60 @@
                 pass
 
 
+class TestTakeUps:
+    def count(self, site, *tries):
+        begun = build_answer([1, 2], "broken")
+        call = Call("chat", PROMPT, COUNT, [begun, *tries])
+        return count_take_ups(site, [call], {"engine-1": 0.5, "engine-2": 2.5})
+
+    @pytest.mark.parametrize(
+        ("answer", "answered", "refused"),
+        [
+            (build_answer([], status=503), 0, 1),
+            (build_answer([3], "broken"), 1, 0),
+            (build_answer([], "broken"), 0, 0),
+            (build_answer([], "regular"), 1, 0),
+        ],
+    )
+    def test_stream_that_is_refused_goes_on(self, answer, answered, refused, tmp_path):
+        site = Site(tmp_path, 1)
+        answer = evolve(answer, last_event_id=2)
+        counts = self.count(site, evolve(answer, status=503, events=[]), answer)
+        assert (counts.streams, counts.tries) == (1, 2)
+        assert (counts.gone_on, counts.answered) == (answered, answered)
+        assert counts.refused == 1 + refused
+
+    @pytest.mark.parametrize(
+        ("sent_at", "version", "ended_at", "spared"),
+        [
+            (3.0, "v1", None, 1),
+            (3.0, "v2", None, 0),
+            (3.0, "v1", 2.9, 0),
+            (2.0, "v1", None, 0),
+        ],
+    )
+    def test_endpoint_that_nobody_heard_of_goes_on(
+        self, sent_at, version, ended_at, spared, tmp_path
+    ):
+        site = Site(tmp_path, 1)
+        for record in ("engine-1", "engine-2"):
+            engine = RunningProgram(
+                "", "", [], tmp_path, tmp_path / f"{record}.json", 1, "chat", "v1"
+            )
+            site.engines.append(engine)
+        site.engines[1].version, site.engines[1].ended_at = version, ended_at
+        taken_up = build_answer([3], "broken", last_event_id=2, sent_at=sent_at)
+        assert self.count(site, taken_up).spared == spared
+
+    def test_refusal_has_no_reason(self, tmp_path):
+        line = {"message_type": "request:refused", "status": 503, "request": "r1"}
+        line["reason"] = "No endpoint is known. (service='chat')"
+        data = orjson.dumps(line) + b"\n"
+        (tmp_path / "edge-1.log").write_bytes(data + b'{"message_type":"request:refu')
+        assert read_reasons(tmp_path, {"r1": "edge-1"}) == {"No endpoint is known.": 1}
+        assert read_reasons(tmp_path, {"r1": "edge-2"}) == {}
+
+
 class TestHeldHeartbeats:
     @pytest.fixture
     def site(self, tmp_path):
