--- a/medlarrail/relay/restarted_endpoints_test.py
+++ b/medlarrail/relay/restarted_endpoints_test.py
@@ -188,7 +188,11 @@
         """After a further break it could not go on."""
         restarted = await self.break_off(harness, STARTED_MS + 500)
         other = await add_endpoint(harness, STARTED_MS)
+        record = harness.relay.endpoint_stats.get_record(other.name)
         for _ in range(4):
+            # The other one is not preferred for its answers.
+            for _ in range(9):
+                record.record_answer(1.0, failed=True)
             answer = await call(harness, build_request())
             assert answer.body == BODY
         assert (len(restarted.requests), len(other.requests)) == (0, 4)
