Streams: a process that nobody has heard of gets none on a connection that is reused

The connection on which the report had shown the next process went back to the pool, and the next stream began on it unchecked.

The check now depends on the endpoint, not on the connection: after a break all connections for resumable streams are new and checked, until the announced process is known. A process that told a later start than the announced one is not asked again. A stream avoids two such endpoints, and begins at the third: a whole service may have started again unannounced. Spans of processes are plain tuples, so that a start generates one class less (startup test).

--- a/medlarrail/policy/process_spans.py
+++ b/medlarrail/policy/process_spans.py
@@ -7,7 +7,7 @@
 the more likely it is that the process announced itself within it.
 """
 
-from attrs import define, field, frozen
+from attrs import frozen
 
 MAX_SPANS = 8
 """Spans that are remembered of one address."""
@@ -37,38 +37,27 @@
         )
 
 
-@define(eq=False)
-class ProcessSpans:
-    """The latest spans of the processes at one address, none of which overlap.
+def add_span(
+    spans: tuple[ProcessSpan, ...], span: ProcessSpan
+) -> tuple[ProcessSpan, ...]:
+    """Return the latest spans at an address, none of which overlap, with a further one.
 
-    >>> spans = ProcessSpans()
-    >>> spans.record(ProcessSpan(0.0, 5.0, started_ms=1796617508282))
-    ProcessSpan(since=0.0, until=5.0, started_ms=1796617508282)
-    >>> spans.record(ProcessSpan(4.0, 9.0))
-    ProcessSpan(since=0.0, until=9.0, started_ms=1796617508282)
-    >>> spans.find(ProcessSpan(6.0, 6.5))
-    ProcessSpan(since=0.0, until=9.0, started_ms=1796617508282)
-    """
-
-    _spans: list[ProcessSpan] = field(factory=list)
-    """In the order of time."""
-
-    def record(self, span: ProcessSpan) -> ProcessSpan:
-        """Add a time in which one process ran, and return what is known of it."""
-        apart = []
-        for other in self._spans:
-            if span.overlaps(other):
-                span = span.join(other)
-            else:
-                apart.append(other)
-        # Spans are recorded late if an answer is, so the new one may not be the last.
-        self._spans = sorted([*apart, span], key=lambda one: one.until)[-MAX_SPANS:]
-        return span
+    They are in the order of time. Answers come in any order, so the new one need not be
+    the last.
 
-    def find(self, span: ProcessSpan) -> ProcessSpan:
-        """Return the known time of the process that ran in ``span``."""
-        return next((one for one in self._spans if one.overlaps(span)), span)
-
-    def ended_before(self, time: float) -> bool:
-        """Return whether all spans ended before ``time``."""
-        return all(one.until < time for one in self._spans)
+    >>> spans = add_span((), ProcessSpan(0.0, 5.0, started_ms=1796617508282))
+    >>> add_span(spans, ProcessSpan(4.0, 9.0))
+    (ProcessSpan(since=0.0, until=9.0, started_ms=1796617508282),)
+    """
+    apart = []
+    for other in spans:
+        if span.overlaps(other):
+            span = span.join(other)
+        else:
+            apart.append(other)
+    return tuple(sorted([*apart, span], key=lambda one: one.until)[-MAX_SPANS:])
+
+
+def find_span(spans: tuple[ProcessSpan, ...], span: ProcessSpan) -> ProcessSpan:
+    """Return the known time of the process that ran in ``span``."""
+    return next((one for one in spans if one.overlaps(span)), span)
--- a/medlarrail/policy/process_spans_test.py
+++ b/medlarrail/policy/process_spans_test.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from medlarrail.policy.process_spans import ProcessSpan, ProcessSpans
+from medlarrail.policy.process_spans import ProcessSpan, add_span, find_span
 
 LIVES = st.lists(
     st.tuples(st.floats(0.001, 9), st.floats(0.001, 9)), min_size=1, max_size=6
@@ -37,20 +37,19 @@
             (process, data.draw(draw_answered(process)))
             for process in data.draw(st.permutations(processes * 3))
         ]
-        spans = ProcessSpans()
+        spans = ()
         for process, span in answered:
-            known = spans.record(span)
+            spans = add_span(spans, span)
+            known = find_span(spans, span)
             assert process.since <= known.since <= span.since
             assert span.until <= known.until <= process.until
-            assert spans.find(span) == known
 
     def test_connections_that_overlap_are_not_joined(self):
-        spans = ProcessSpans()
-        spans.record(ProcessSpan(0.0, 2.0))
-        spans.record(ProcessSpan(5.0, 7.0))
-        assert spans.record(ProcessSpan(1.0, 6.0)) == ProcessSpan(0.0, 7.0)
+        spans = add_span((), ProcessSpan(0.0, 2.0))
+        spans = add_span(spans, ProcessSpan(5.0, 7.0, started_ms=1000))
+        spans = add_span(spans, ProcessSpan(1.0, 6.0))
+        assert spans == (ProcessSpan(0.0, 7.0, started_ms=1000),)
 
     def test_connection_without_an_answer_extends_nothing(self):
-        spans = ProcessSpans()
-        spans.record(ProcessSpan(0.0, 2.0))
-        assert spans.find(ProcessSpan(3.0, 3.0)) == ProcessSpan(3.0, 3.0)
+        spans = add_span((), ProcessSpan(0.0, 2.0))
+        assert find_span(spans, ProcessSpan(3.0, 3.0)) == ProcessSpan(3.0, 3.0)
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -9,7 +9,6 @@
 from attrs import define, field, frozen
 
 from medlarrail.cluster.cluster_view import EndpointView
-from medlarrail.core.announcements import Announcement
 from medlarrail.core.deployment import ServiceRule
 from medlarrail.core.errors import (
     AnswerCrossed,
@@ -40,6 +39,7 @@
     check_beginning,
     check_incarnation,
     get_report_path,
+    has_unknown_process,
     require_announced,
 )
 from medlarrail.relay.metadata import (
@@ -194,17 +194,27 @@
         limit = relay.get_connection_limit(self.relayed.service, announced.name)
         try:
             with record.send_rate.reserve():
+                is_unknown = has_unknown_process(self.relayed, announced)
                 connection = await relay.pool.acquire(
-                    announced.address, new_connection, limit
+                    announced.address, new_connection or is_unknown, limit
                 )
                 if not connection.reused:
                     relay.forwarder.record_connected(announced.service)
                 self._require_available()
-                if not await self._check_process(announced, connection):
+                is_usable = True
+                if goes_on:
+                    is_usable = await check_incarnation(
+                        self.relayed, announced, connection
+                    )
+                elif is_unknown:
+                    is_usable = await check_beginning(
+                        self.relayed, announced, connection
+                    )
+                if not is_usable:
                     relay.pool.discard(connection)
                     connection = None
                     connection = await relay.pool.acquire(
-                        announced.address, new_connection, limit
+                        announced.address, new_connection or is_unknown, limit
                     )
                     if goes_on:
                         # The next process may have got the address meanwhile.
@@ -236,22 +246,6 @@
             if connection is not None:
                 relay.pool.release(connection, self._metadata.keep_alive_s)
 
-    async def _check_process(
-        self, announced: Announcement, connection: OutboundConnection
-    ) -> bool:
-        """Return whether ``connection`` can be used; raises ``EndpointOutOfService``.
-
-        Only streams that others may go on with are checked.
-        """
-        route = self.relayed.admission.route
-        if route.kind != "stream":
-            return True
-        if self.relayed.last_event_id:
-            return await check_incarnation(self.relayed, announced, connection)
-        if route.resumable:
-            return await check_beginning(self.relayed, announced, connection)
-        return True
-
     def _require_available(self) -> None:
         """Raise if the endpoint said meanwhile that it wants no requests.
 
--- a/medlarrail/relay/incarnation_check.py
+++ b/medlarrail/relay/incarnation_check.py
@@ -21,6 +21,9 @@
 from medlarrail.relay.incarnations import ANNOUNCEMENT_TIMEOUT_S
 from medlarrail.relay.outbound import OutboundConnection
 
+MAX_AVOIDED = 2
+"""Endpoints that one stream does not begin at, though it could be served there."""
+
 
 def get_report_path(relayed: "AttemptRequest") -> str:  # noqa: F821
     """Return the path at which endpoints tell their start, empty if at none."""
@@ -58,36 +61,61 @@
     return True
 
 
+def has_unknown_process(
+    relayed: "AttemptRequest",  # noqa: F821
+    announced: Announcement,
+) -> bool:
+    """Return whether a report has to tell which process a stream would begin at.
+
+    That is so after a break. Raises ``EndpointOutOfService`` if it is known that the
+    process started after the announced one, and another endpoint can be used.
+    """
+    route = relayed.admission.route
+    pool = relayed.relay.pool
+    if route.kind != "stream" or not route.resumable or relayed.last_event_id:
+        return False
+    if not announced.started_ms or not get_report_path(relayed):
+        return False
+    if pool.get_latest_start(announced.address) > announced.started_ms:
+        _avoid_unannounced(relayed, announced)
+    return pool.is_process_unknown(announced.address)
+
+
 async def check_beginning(
     relayed: "AttemptRequest",  # noqa: F821
     announced: Announcement,
     connection: OutboundConnection,
 ) -> bool:
-    """Return whether ``connection`` can be used for a stream that begins.
+    """Return whether a new ``connection`` can be used for a stream that begins.
 
-    After a break, the report of the endpoint tells whether the announced process runs.
-    Raises ``EndpointOutOfService`` if it does not, and another endpoint can be used: a
-    stream whose process nobody has heard of could not go on after a further break.
+    Raises ``EndpointOutOfService`` if the process at the other end is not the announced
+    one, and another endpoint can be used: a stream whose process nobody has heard of
+    could not go on after a further break.
     """
-    path = get_report_path(relayed)
-    pool = relayed.relay.pool
-    if not path or not announced.started_ms:
-        return True
-    if not pool.may_be_next_process(connection):
-        return True
-    status = await _read_status(relayed, announced, connection, path)
+    status = await _read_status(
+        relayed, announced, connection, get_report_path(relayed)
+    )
     is_known = status is not None and status.reply.started_ms == announced.started_ms
     get_metrics().count("beginnings_checked", is_known=is_known)
     if is_known:
-        pool.record_known(connection)
-    elif relayed.chooser.has_choice():
-        _raise_unproven(announced)
+        relayed.relay.pool.record_known(connection)
+    else:
+        _avoid_unannounced(relayed, announced)
     if status is None or status.keep_alive_s == 0 or not connection.is_reusable():
         return False
     connection.start_next_request()
     return True
 
 
+def _avoid_unannounced(
+    relayed: "AttemptRequest",  # noqa: F821
+    announced: Announcement,
+) -> None:
+    """Raise ``EndpointOutOfService`` if there may be an announced process elsewhere."""
+    if len(relayed.tried) <= MAX_AVOIDED and relayed.chooser.has_choice():
+        _raise_unproven(announced)
+
+
 async def _read_status(
     relayed: "AttemptRequest",  # noqa: F821
     announced: Announcement,
--- a/medlarrail/relay/outbound.py
+++ b/medlarrail/relay/outbound.py
@@ -24,7 +24,7 @@
 )
 from medlarrail.core.loop_watch import LoopWatch
 from medlarrail.core.metrics import get_metrics
-from medlarrail.policy.process_spans import ProcessSpan, ProcessSpans
+from medlarrail.policy.process_spans import ProcessSpan, add_span, find_span
 from medlarrail.relay.metadata import Header
 from medlarrail.transport.framing import Framing, get_framing
 from medlarrail.transport.sockets import connect
@@ -265,7 +265,7 @@
     """The open connections by address."""
     _idle_closed_at: dict[str, float] = field(factory=dict)
     """When an endpoint was last found to have closed an idle connection, by address."""
-    _spans: dict[str, ProcessSpans] = field(factory=dict)
+    _spans: dict[str, tuple[ProcessSpan, ...]] = field(factory=dict)
     """When the processes at each address are known to have run."""
     _broken_at: dict[str, float] = field(factory=dict)
     """When a process last refused, closed or broke a connection, by address, unless
@@ -385,8 +385,9 @@
         ``started_ms`` is the start of the process, if the answer tells it.
         """
         connection.answered_at = connection.sent_at
-        spans = self._spans.setdefault(connection.address, ProcessSpans())
-        spans.record(ProcessSpan(connection.opened_at, connection.sent_at, started_ms))
+        address = connection.address
+        span = ProcessSpan(connection.opened_at, connection.sent_at, started_ms)
+        self._spans[address] = add_span(self._spans.get(address, ()), span)
 
     def record_broken(self, address: str) -> None:
         """Record that a process may have ended and the next one have its address."""
@@ -397,11 +398,13 @@
         if self._broken_at.get(connection.address, inf) < connection.opened_at:
             del self._broken_at[connection.address]
 
-    def may_be_next_process(self, connection: OutboundConnection) -> bool:
-        """Return whether the announced process may have ended before the opening."""
-        if connection.reused:
-            return False
-        return self._broken_at.get(connection.address, inf) <= connection.opened_at
+    def is_process_unknown(self, address: str) -> bool:
+        """Return whether the process at an address may not be the announced one."""
+        return address in self._broken_at
+
+    def get_latest_start(self, address: str) -> int:
+        """Return the latest start that a process at an address told, 0 for none."""
+        return max((one.started_ms for one in self._spans.get(address, ())), default=0)
 
     def find_span(self, connection: OutboundConnection) -> ProcessSpan:
         """Return when the process at the other end is known to have run.
@@ -411,8 +414,7 @@
         if connection.answered_at is None:
             return ProcessSpan(connection.opened_at, connection.opened_at)
         span = ProcessSpan(connection.opened_at, connection.answered_at)
-        spans = self._spans.get(connection.address)
-        return span if spans is None else spans.find(span)
+        return find_span(self._spans.get(connection.address, ()), span)
 
     def release(
         self, connection: OutboundConnection, keep_alive_s: float | None
@@ -463,7 +465,7 @@
             if broken_at < now - SPAN_RETENTION_S:
                 del self._broken_at[address]
         for address, spans in list(self._spans.items()):
-            if spans.ended_before(now - SPAN_RETENTION_S):
+            if spans[-1].until < now - SPAN_RETENTION_S:
                 del self._spans[address]
 
     def close_address(self, address: str) -> None:
--- a/medlarrail/relay/restarted_endpoints_test.py
+++ b/medlarrail/relay/restarted_endpoints_test.py
@@ -191,6 +191,7 @@
         record = harness.relay.endpoint_stats.get_record(other.name)
         for _ in range(4):
             # The other one is not preferred for its answers.
+            harness.relay.endpoint_stats.health.record_success(restarted.name)
             for _ in range(9):
                 record.record_answer(1.0, failed=True)
             answer = await call(harness, build_request())
