Failing tests: streams of an unannounced process go on at the listed version

An endpoint starts again in place with other software and is not announced yet. Its streams go on at the only listed version: through another gateway, by a take-up at another gateway (the first one killed or there, the process ended or not), and after the state members that keep origins were restarted or do not reply. In each case v1 came after v2.

--- /dev/null
+++ b/medlarrail/relay/unrecorded_streams_test.py
@@ -0,0 +1,141 @@
+"""Tests of streams of a process that nobody has heard of, beside one listed version.
+
+An endpoint starts again in place with other software and does not announce itself. The
+only listed version is not that of its streams, which go on through a gateway that did
+not send their first events.
+"""
+
+import pytest
+import trio
+
+from medlarrail.relay.forwarding import Forwarder
+from medlarrail.relay.request_relay import RetryPolicy
+from medlarrail.relay.stream_versions_test import (
+    DEPLOYMENT,
+    EVENTS_BEFORE_BREAK,
+    ReceivedStream,
+    VersionScript,
+    begin,
+    take_up,
+)
+from medlarrail.relay.taken_up_streams_test import (
+    HEARD_S,
+    IN_PLACE,
+    begin_in_place,
+    send_in_place,
+    start_in_place,
+)
+from medlarrail.testing.fleet import Fleet, start_fleet
+from medlarrail.testing.scripted_endpoints import RelayHarness
+
+
+async def start(nursery, path, **script_changes) -> Fleet:
+    """Start two gateways, ``engine`` and two other endpoints, all announced as v1.
+
+    The next process of ``engine`` has the address, with v2.
+    """
+    fleet = await start_fleet(nursery, path, DEPLOYMENT, gateways=2)
+    for name in (IN_PLACE, "other-1", "other-2"):
+        script = VersionScript("v1", **script_changes)
+        await fleet.add_endpoint(name, script, "v1")
+    await fleet.wait_for_endpoints(3)
+    for gateway in fleet.gateways:
+        gateway.relay.retries = RetryPolicy(slack=1000.0)
+    await trio.sleep(HEARD_S)
+    start_in_place(fleet)
+    return fleet
+
+
+@pytest.fixture
+async def fleet(nursery, tmp_path) -> Fleet:
+    """Endpoints at which streams that begin stand still."""
+    return await start(nursery, tmp_path, breaks=False, stalls=True)
+
+
+def cut_off_after_first_event(fleet: Fleet, monkeypatch) -> None:
+    """Let the first gateway reach no endpoint once ``engine`` has had a request."""
+    endpoint = fleet.endpoints[0]
+    monkeypatch.setattr(
+        Forwarder,
+        "is_partitioned",
+        lambda self, service: self.entry == "gateway-1" and bool(endpoint.requests),
+    )
+
+
+def require_not_joined(stream: ReceivedStream) -> None:
+    assert set(stream.versions) == {b"v2"}
+    assert stream.last_id == EVENTS_BEFORE_BREAK
+
+
+class TestForwarding:
+    async def test_broken_stream_goes_on_at_the_listed_version_through_a_peer(
+        self, nursery, tmp_path, monkeypatch
+    ):
+        """The peer did not find which process had begun it."""
+        fleet = await start(nursery, tmp_path)
+        cut_off_after_first_event(fleet, monkeypatch)
+        with send_in_place(fleet.gateways[0]):
+            stream = await begin(fleet.gateways[0])
+        require_not_joined(stream)
+
+    async def test_take_up_goes_on_at_the_listed_version_through_a_peer(
+        self, fleet, monkeypatch
+    ):
+        """The gateway that knew the origin did not pass it on."""
+        cut_off_after_first_event(fleet, monkeypatch)
+        stream = await begin_in_place(fleet.gateways[0], b"v2")
+        await take_up(fleet.gateways[0], stream)
+        require_not_joined(stream)
+
+
+async def get_other_gateway(fleet: Fleet, is_killed: bool) -> RelayHarness:
+    """Return a gateway that did not begin the streams, in place of all or beside."""
+    if is_killed:
+        return await fleet.restart_gateways(DEPLOYMENT)
+    return fleet.gateways[1]
+
+
+class TestTakeUp:
+    @pytest.mark.parametrize("has_ended", [False, True])
+    @pytest.mark.parametrize("is_killed", [False, True])
+    async def test_stream_goes_on_at_the_listed_version_at_another_gateway(
+        self, fleet, is_killed, has_ended
+    ):
+        """The gateway that sent its first events was killed, or is there."""
+        stream = await begin_in_place(fleet.gateways[0], b"v2")
+        if has_ended:
+            fleet.endpoints[0].stop()
+        gateway = await get_other_gateway(fleet, is_killed)
+        await take_up(gateway, stream)
+        require_not_joined(stream)
+
+    @pytest.mark.parametrize("is_killed", [False, True])
+    async def test_origin_is_not_known_while_one_version_is_listed(
+        self, fleet, is_killed
+    ):
+        """Only the gateway that sent its first events knew the connection."""
+        stream = await begin_in_place(fleet.gateways[0], b"v2")
+        gateway = await get_other_gateway(fleet, is_killed)
+        found = await gateway.relay.origins.find(stream.request_id)
+        assert found.keepers_replied
+        assert found.origin is not None
+        assert found.connection.endpoint == IN_PLACE
+
+
+class TestKeepers:
+    async def test_stream_goes_on_after_its_keepers_were_restarted(self, fleet):
+        """They replied that they did not know it, which was taken for the proof that
+        no other version had begun it."""
+        stream = await begin_in_place(fleet.gateways[0], b"v2")
+        await fleet.keeper.restart()
+        await take_up(fleet.gateways[1], stream)
+        require_not_joined(stream)
+        assert stream.refused
+
+    async def test_stream_goes_on_though_no_keeper_replies(self, fleet):
+        """The cluster view was fresh, which tells nothing of unannounced processes."""
+        stream = await begin_in_place(fleet.gateways[0], b"v2")
+        fleet.keeper.stop()
+        await take_up(fleet.gateways[1], stream)
+        require_not_joined(stream)
+        assert stream.refused
