State members are told of each stream that may be taken up elsewhere

Callers got events of v1 after events of v2, through another gateway or on a take-up there, while only v1 was listed. An endpoint had started again in place with v2 and was not announced yet.

Cause: state members were told of streams only while several versions were listed. So another gateway found no origin, nor the connection that tells which process began the stream, and took the only listed version.

Change: two state members are told of every stream on a resumable route before its first event, whatever is listed. A forwarded request needs no new header: the peer finds the origin there. Telling them of recent streams when a second version is listed has no use any more, as nobody takes streams of other routes up, and is removed with its listeners.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -91,8 +91,6 @@
     """Blocked sets of parts by their first part."""
     software_versions: dict[str, frozenset[str]] = field(factory=dict)
     """By service, the software versions that may have begun streams."""
-    version_listeners: list[Callable[[str], None]] = field(factory=list)
-    """Called with each service that gets a second software version."""
     rollouts: dict[str, SoftwareRollout] = field(factory=dict)
     """The latest software rollout of each service."""
     rollout_listeners: list[Callable[[], None]] = field(factory=list)
@@ -178,18 +176,9 @@
                 notify()
 
     def _apply_software_versions(self, listed: tuple[ServiceVersions, ...]) -> None:
-        previous = self.software_versions
         self.software_versions = {
             item.service: frozenset(item.versions) for item in listed
         }
-        for service, versions in self.software_versions.items():
-            if len(versions) > 1 and len(previous.get(service, ())) < 2:
-                for notify in self.version_listeners:
-                    notify(service)
-
-    def has_several_versions(self, service: str) -> bool:
-        """Return whether several software versions may have begun streams."""
-        return len(self.software_versions.get(service, ())) > 1
 
     def list_stream_versions(self, service: str) -> frozenset[str]:
         """Return all software versions that may have begun streams of a service."""
--- a/medlarrail/cluster/recent_origins.py
+++ b/medlarrail/cluster/recent_origins.py
@@ -1,7 +1,6 @@
 """The origins of the streams that began lately, within limits of number and age."""
 
 from collections import OrderedDict
-from collections.abc import Iterator
 
 from attrs import define, evolve, field
 
@@ -58,10 +57,3 @@
         """Return the origin of a stream, or None if it is not kept."""
         kept = self._kept.get(stream)
         return kept.get_origin(self.clock()) if kept is not None else None
-
-    def iterate_service(self, service: str) -> Iterator[StreamOrigin]:
-        """Yield the origins of a service's streams."""
-        now = self.clock()
-        for kept in self._kept.values():
-            if kept.origin.service == service:
-                yield kept.get_origin(now)
--- a/medlarrail/cluster/stream_origin_keeper.py
+++ b/medlarrail/cluster/stream_origin_keeper.py
@@ -50,13 +50,17 @@
         task_status.started()
         try:
             while True:
-                self._note_drained()
-                with trio.move_on_after(CHECK_INTERVAL_S):
-                    for body in await self.datagram_socket.receive():
-                        self._handle(body[:1], body[1:])
+                await self.receive()
         finally:
             self.datagram_socket.close()
 
+    async def receive(self) -> None:
+        """Handle the datagrams that have arrived, or arrive within a moment."""
+        self._note_drained()
+        with trio.move_on_after(CHECK_INTERVAL_S):
+            for body in await self.datagram_socket.receive():
+                self._handle(body[:1], body[1:])
+
     def _note_drained(self) -> None:
         now = self.clock()
         if not self.datagram_socket.has_arrived():
--- a/medlarrail/protocol/stream_origins.py
+++ b/medlarrail/protocol/stream_origins.py
@@ -12,8 +12,6 @@
 RECORD_PREFIX = b"O"
 QUERY_PREFIX = b"P"
 REPLY_PREFIX = b"S"
-MAX_BATCH_ORIGINS = 25
-"""Maximum origins in one datagram, up to 4.5 KB."""
 
 
 @frozen
@@ -45,7 +43,10 @@
 
 @frozen
 class StreamOrigins:
-    """Origins of streams that an entry tells a state member."""
+    """Origins of streams that an entry tells a state member.
+
+    Entries of the version before send up to 25 in one datagram, 4.5 KB.
+    """
 
     origins: tuple[StreamOrigin, ...]
 
--- a/medlarrail/relay/stream_origins.py
+++ b/medlarrail/relay/stream_origins.py
@@ -1,12 +1,10 @@
 """Remembers at which software version streams began, and asks others about theirs.
 
-While a service has endpoints of one version only, its streams are remembered here. As
-soon as another one is listed, this entry tells the state members of all streams that
-it served lately, and from then on of each new one before its first event is sent.
+Two state members are told of each stream that a caller may take up elsewhere, before
+its first event is sent. That does not depend on the versions that are listed: a process
+that has not announced itself may have another one.
 """
 
-from collections.abc import Iterable
-
 import trio
 from attrs import define, field, frozen
 
@@ -17,7 +15,6 @@
 from medlarrail.core.metrics import get_metrics
 from medlarrail.core.placement import get_weight
 from medlarrail.protocol.stream_origins import (
-    MAX_BATCH_ORIGINS,
     QUERY_PREFIX,
     RECORD_PREFIX,
     OriginQuery,
@@ -90,7 +87,6 @@
 
     def __attrs_post_init__(self):
         self._own = RecentOrigins(MAX_ORIGINS, self.clock)
-        self.cluster_view.version_listeners.append(self._tell_recent)
 
     def connect(self, datagram_socket: DatagramSocket, work_address: str) -> None:
         """Use a socket, whose address others know as ``work_address``."""
@@ -115,10 +111,12 @@
         software_version: str,
         connection: BeginConnection | None = None,
         proven: bool = False,
+        resumable: bool = True,
     ) -> None:
         """Record a stream of which events are about to be sent.
 
-        ``connection`` is that of its first event, None if it is not known.
+        ``connection`` is that of its first event, None if it is not known. State
+        members are told of it if its route is ``resumable``.
         """
         stream = get_stream_key(request_id)
         if proven or connection is None:
@@ -134,24 +132,14 @@
                 round(connection.closed_at - opened_at, 3),
             )
         origin = self._own.add(origin)
-        if self.cluster_view.has_several_versions(service):
-            self._tell([origin])
-
-    def _tell_recent(self, service: str) -> None:
-        """Tell the keepers of all streams of a service that now has two versions."""
-        self._tell(self._own.iterate_service(service))
+        if resumable:
+            self._tell(origin)
 
-    def _tell(self, origins: Iterable[StreamOrigin]) -> None:
+    def _tell(self, origin: StreamOrigin) -> None:
         if self._datagram_socket is None:
             return
-        by_keeper: dict[str, list[StreamOrigin]] = {}
-        for origin in origins:
-            for address in self.list_keepers(origin.stream):
-                by_keeper.setdefault(address, []).append(origin)
-        for address, told in by_keeper.items():
-            for start in range(0, len(told), MAX_BATCH_ORIGINS):
-                batch = StreamOrigins(tuple(told[start : start + MAX_BATCH_ORIGINS]))
-                self._datagram_socket.send([address], RECORD_PREFIX + encode(batch))
+        body = RECORD_PREFIX + encode(StreamOrigins((origin,)))
+        self._datagram_socket.send(self.list_keepers(origin.stream), body)
 
     async def find(self, request_id: str) -> FoundOrigin:
         """Return the origin of the stream that this request began."""
--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -130,4 +130,5 @@
                 self.version,
                 self._connection,
                 self._proven,
+                relayed.admission.route.resumable,
             )
--- a/medlarrail/standins/capacity.py
+++ b/medlarrail/standins/capacity.py
@@ -17,7 +17,9 @@
 import trio
 from attrs import evolve, frozen
 
+from medlarrail.cluster.cluster_view import ClusterView
 from medlarrail.cluster.owner_map import OwnerMap
+from medlarrail.cluster.stream_origin_keeper import StreamOriginKeeper
 from medlarrail.core.codec import decode, encode
 from medlarrail.core.entities import (
     CallRule,
@@ -31,6 +33,7 @@
 from medlarrail.ownership.fairness import FairQueue
 from medlarrail.protocol.control import RENEW_PATH, RenewAnswer, RenewRequest
 from medlarrail.protocol.permits import ACQUIRE_PATH, AcquireAnswer, AcquireRequest
+from medlarrail.relay.stream_origins import BeginConnection, StreamOriginDirectory
 from medlarrail.state.blocks import Block, BlockStore, build_info
 from medlarrail.state.catalogue import Catalogue, CatalogueImage
 from medlarrail.state.folder import DataFolder
@@ -46,6 +49,7 @@
 from medlarrail.testing.deployment import Layout, write_deployment
 from medlarrail.testing.processes import Processes
 from medlarrail.transport.client import HttpClient
+from medlarrail.transport.datagrams import DatagramSocket
 from medlarrail.transport.routes import Routes, route
 from medlarrail.transport.server import HttpServer
 
@@ -55,6 +59,8 @@
 IDLE_S = 8.0
 WARM_UP_S = 3.0
 ENTRY_COUNTS = (1, 3, 6)
+MEMBERS = 16
+STREAMS = 5000
 
 
 @frozen
@@ -231,6 +237,44 @@
     return unit_costs
 
 
+async def _measure_origins() -> list[UnitCost]:
+    """Return the time to tell state members of a stream, and to keep what is told."""
+    sockets = [DatagramSocket("127.0.0.1:0", "key") for _ in range(MEMBERS)]
+    for datagram_socket in sockets:
+        await datagram_socket.open()
+    urls = [f"http://127.0.0.1:{one.get_port()}" for one in sockets]
+    directory = StreamOriginDirectory(ClusterView(member_urls=tuple(urls)))
+    own_socket = DatagramSocket("127.0.0.1:0", "key")
+    await own_socket.open()
+    directory.connect(own_socket, "")
+
+    def record(number: int) -> None:
+        now = trio.current_time()
+        connection = BeginConnection("engine-100", now - 12.3, now - 0.1)
+        directory.record(f"request-{number:024x}", "service-12", "v1.2.3", connection)
+
+    started_at = time.process_time()
+    for number in range(STREAMS):
+        record(number)
+    told_s = (time.process_time() - started_at) / STREAMS
+    keeper = StreamOriginKeeper(sockets[0])
+    directory.cluster_view.member_urls = (urls[0],)
+    while sockets[0].has_arrived():
+        await keeper.receive()
+    kept_s = 0.0
+    for number in range(STREAMS):
+        record(STREAMS + number)
+        started_at = time.process_time()
+        await keeper.receive()
+        kept_s += time.process_time() - started_at
+    for datagram_socket in (own_socket, *sockets):
+        datagram_socket.close()
+    return [
+        UnitCost("time to tell of a stream", f"{MEMBERS} members", told_s * 1e6, "us"),
+        UnitCost("time to keep an origin", "datagram", kept_s / STREAMS * 1e6, "us"),
+    ]
+
+
 async def _measure_idle(entries: int) -> list[UnitCost]:
     """Return the idle processor time and memory of each role."""
     folder = Path(tempfile.mkdtemp(prefix="medlar-capacity-"))
@@ -283,5 +327,6 @@
     with tempfile.TemporaryDirectory() as folder:
         yield trio.run(_measure_store, Path(folder))
     yield from trio.run(_measure_calls)
+    yield from trio.run(_measure_origins)
     for count in ENTRY_COUNTS:
         yield from trio.run(_measure_idle, count)
