--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -152,4 +152,5 @@
                 self.version,
                 self._connection,
                 self._proven,
+                relayed.admission.route.resumable,
             )
