Leader: a process that ran before the change of leader is known since then

Cause: sightings are in the memory of one leader. After a change the first announcement that the next one receives counted as the first of its sender, so no stream whose first event was sent before could be proven, though its process lives and announces itself on. Followers knew nothing that is usable: the log has versions of services without names, copies of the view are kept with more than 24 entries only, and redirected announcements reach one member of five.

test_marks_stop_an_older_member lists all fields of the operation, so it has the new one.

--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -9,6 +9,7 @@
 from medlarrail.cluster.crash_ledger import CrashLedger
 from medlarrail.cluster.endpoint_marks import EndpointMarks
 from medlarrail.cluster.endpoint_sightings import EndpointSightings
+from medlarrail.cluster.known_incarnations import KnownIncarnations
 from medlarrail.cluster.registry import EndpointRegistry
 from medlarrail.cluster.software_rollouts import SoftwareRollouts
 from medlarrail.cluster.software_versions import SoftwareVersions
@@ -109,6 +110,7 @@
     rollout_policy: SoftwareRolloutPolicy | None = None
     """Limits of software rollouts; None if the deployment has none."""
     registry: EndpointRegistry = field(init=False)
+    known_incarnations: KnownIncarnations = field(init=False)
     sightings: EndpointSightings = field(init=False)
     crash_ledger: CrashLedger = field(init=False)
     software_versions: SoftwareVersions = field(init=False)
@@ -131,7 +133,8 @@
 
     def __attrs_post_init__(self):
         self.registry = EndpointRegistry(self.clock)
-        self.sightings = EndpointSightings(self.clock)
+        self.known_incarnations = KnownIncarnations(self)
+        self.sightings = EndpointSightings(self.clock, self.known_incarnations)
         self.crash_ledger = CrashLedger(self.clock)
         self.software_versions = SoftwareVersions(self)
         self.software_rollouts = SoftwareRollouts(self)
@@ -142,7 +145,10 @@
 
     def _on_applied(self, entry: LogEntry, outcome: Outcome) -> None:
         operation = entry.envelope.operation
-        has_rollouts = isinstance(operation, NoOperation) and operation.rollouts
+        has_rollouts = False
+        if isinstance(operation, NoOperation):
+            self.known_incarnations.on_applied(operation.incarnations)
+            has_rollouts = bool(operation.rollouts)
         if has_rollouts:
             self.software_rollouts.on_applied(operation.rollouts, entry)
         if has_rollouts or isinstance(operation, CONFIGURATION_OPERATIONS):
@@ -207,6 +213,7 @@
             self._term = leadership.term
             self.registry.clear()
             self.crash_ledger.clear()
+            self.known_incarnations.clear_unreported()
             self.entries.clear()
             self.follower_calls.clear()
             self._limited_at.clear()
@@ -521,6 +528,7 @@
             nursery.start_soon(self._publish_when_due)
             nursery.start_soon(self.view_copy.run)
             nursery.start_soon(self.sightings.run)
+            nursery.start_soon(self.known_incarnations.run)
             nursery.start_soon(self.software_rollouts.run)
             await self._remove_expired()
 
--- a/medlarrail/cluster/endpoint_marks_test.py
+++ b/medlarrail/cluster/endpoint_marks_test.py
@@ -129,6 +129,7 @@
         assert operation.pop("marks")
         del operation["removed_marks"]
         assert operation.pop("rollouts") == []
+        assert operation.pop("incarnations") == []
         assert operation == {"kind": "NoOperation"}
         from_plain(plain, LogEntry)
 
--- a/medlarrail/cluster/endpoint_sightings.py
+++ b/medlarrail/cluster/endpoint_sightings.py
@@ -9,6 +9,7 @@
 import trio
 from attrs import define, evolve, field
 
+from medlarrail.cluster.known_incarnations import KnownIncarnations
 from medlarrail.core.announcements import Announcement
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.policy.incarnations import HeardIncarnation
@@ -33,6 +34,8 @@
     """The latest incarnations of each endpoint, oldest first."""
 
     clock: Clock = get_boottime
+    known: KnownIncarnations | None = None
+    """What this member knew of before it led; None if it is alone."""
     _heard: dict[str, tuple[HeardIncarnation, ...]] = field(factory=dict)
     _recorded: dict[str, trio.Event] = field(factory=dict)
     """Set at the next announcement of an endpoint that is waited for."""
@@ -76,12 +79,18 @@
             latest_at = max(latest.last_at, arrived_at)
             heard = (*heard[:-1], evolve(latest, last_at=latest_at))
         else:
-            heard = (*heard, HeardIncarnation(*key, received_at, arrived_at))
+            first_at = self._find_first_at(announced, received_at)
+            heard = (*heard, HeardIncarnation(*key, first_at, arrived_at))
         self._heard[announced.name] = heard[-MAX_INCARNATIONS:]
         recorded = self._recorded.pop(announced.name, None)
         if recorded is not None:
             recorded.set()
 
+    def _find_first_at(self, announced: Announcement, received_at: float) -> float:
+        """Return when an incarnation, now heard of, announced itself at the latest."""
+        since = self.known.find_since(announced) if self.known is not None else None
+        return received_at if since is None else min(received_at, since)
+
     async def wait_heard(self, name: str, since: float) -> None:
         """Return once an announcement of an endpoint was received after ``since``."""
         while not any(one.last_at >= since for one in self._heard.get(name, ())):
--- a/medlarrail/core/announcements.py
+++ b/medlarrail/core/announcements.py
@@ -49,6 +49,15 @@
         )
 
 
+@frozen
+class EndpointIncarnation:
+    """One process of an endpoint, as it announces itself."""
+
+    name: str
+    started_ms: int
+    software_version: str
+
+
 @frozen
 class EndpointMark:
     """What was acknowledged to an endpoint that leaves or is gone.
--- a/medlarrail/state/operations.py
+++ b/medlarrail/state/operations.py
@@ -9,7 +9,7 @@
 
 from attrs import field, frozen
 
-from medlarrail.core.announcements import EndpointMark
+from medlarrail.core.announcements import EndpointIncarnation, EndpointMark
 from medlarrail.core.cluster_records import BlockedParts, DesiredVersion
 from medlarrail.core.codec import register_tagged
 from medlarrail.core.deployment import Deployment
@@ -42,8 +42,9 @@
 
 @frozen
 class NoOperation(Operation):
-    """The first log entry of a leader's term, and the carrier of marks and rollouts.
+    """The first log entry of a leader's term, and the carrier of what came later.
 
+    ``incarnations`` have announced themselves to the leader; they change no catalogue.
     These are fields of a known operation because members of an older version ignore
     unknown fields, but cannot apply an unknown operation.
     """
@@ -51,6 +52,7 @@
     marks: tuple[EndpointMark, ...] = ()
     removed_marks: tuple[EndpointMark, ...] = ()
     rollouts: tuple[SoftwareRollout, ...] = ()
+    incarnations: tuple[EndpointIncarnation, ...] = ()
 
 
 @frozen
