Leader: endpoints without a start are taken for ones that ran while another led

Cause: a member that leads again still has what it heard as leader before. An endpoint that tells no start was continued over the time in which another member led, and may have heard of a process of another version in between.

Change: what was heard of such endpoints is forgotten at the begin of a leadership. A start identifies one process, so the others are continued.

--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -214,6 +214,7 @@
             self.registry.clear()
             self.crash_ledger.clear()
             self.known_incarnations.clear_unreported()
+            self.sightings.begin_term()
             self.entries.clear()
             self.follower_calls.clear()
             self._limited_at.clear()
--- a/medlarrail/cluster/endpoint_sightings.py
+++ b/medlarrail/cluster/endpoint_sightings.py
@@ -69,6 +69,15 @@
             return min(received_at, self._suspended_at)
         return received_at
 
+    def begin_term(self) -> None:
+        """Forget the endpoints that tell no start, at the begin of a leadership.
+
+        Others of their version may have started while another member led.
+        """
+        for name, heard in list(self._heard.items()):
+            if not all(one.started_ms for one in heard):
+                del self._heard[name]
+
     def record(self, announced: Announcement, received_at: float) -> None:
         """Record an announcement that is not outdated."""
         heard = self._heard.get(announced.name, ())
--- a/medlarrail/cluster/endpoint_sightings_test.py
+++ b/medlarrail/cluster/endpoint_sightings_test.py
@@ -214,6 +214,28 @@
             with pytest.raises(NotLeader):
                 await ask(members, follower)
 
+    @pytest.mark.parametrize("started_ms", [0, 1000])
+    async def test_process_that_another_leader_heard_of_is_overlooked(
+        self, started_ms, members, autojump_clock
+    ):
+        """Without starts, those of one version before and after it were taken for one
+        that had run all the time. A start tells that it was one."""
+        leader = await members.get_leader()
+        await leader.register_announcement(build("v1", started_ms=started_ms))
+        leader.member.step_down("test")
+        await trio.sleep(10)
+        while await members.get_leader() is not leader:
+            (await members.get_leader()).member.step_down("test")
+            await trio.sleep(3)
+        heard_at = trio.current_time()
+        await leader.register_announcement(
+            build("v1", started_ms=started_ms, sequence=20)
+        )
+        answer = await ask(members, leader)
+        (told,) = answer.sightings
+        ran_on = told.first_age_s > trio.current_time() - heard_at + 5
+        assert ran_on == bool(started_ms)
+
     async def test_answer_waits_though_the_endpoint_was_heard_of(
         self, members, autojump_clock
     ):
