Incarnations: a late announcement of the process before hides the next one

Cause: if an announcement is received after its sender's end, while a connection to the next process is open, both incarnations count as heard of, and nothing was found.

Change: of several incarnations at the address of a connection, the one with the latest start has it. The others were heard of before the connection closed and did not run beside it, so they ended before. It holds only if the start is over 5 s later than the others: the clock of a VM may be set back between two starts, and then the order of starts is not that of the processes. Without starts, an address, or the address of the connection, several prove nothing, as before. The leader tells the address of each incarnation, in a field that older entries ignore; those at another address are left out.

A process that is not heard of while the connection is open stays as it was: a late announcement names the process before.

--- a/medlarrail/cluster/endpoint_sightings.py
+++ b/medlarrail/cluster/endpoint_sightings.py
@@ -82,14 +82,20 @@
         """Record an announcement that is not outdated."""
         heard = self._heard.get(announced.name, ())
         latest = heard[-1] if heard else None
-        key = (announced.started_ms, announced.software_version)
         arrived_at = self._get_earliest_arrival(received_at)
-        if latest is not None and key == (latest.started_ms, latest.software_version):
+        if latest is not None and _is_sender(latest, announced):
             latest_at = max(latest.last_at, arrived_at)
             heard = (*heard[:-1], evolve(latest, last_at=latest_at))
         else:
             first_at = self._find_first_at(announced, received_at)
-            heard = (*heard, HeardIncarnation(*key, first_at, arrived_at))
+            incarnation = HeardIncarnation(
+                announced.started_ms,
+                announced.software_version,
+                first_at,
+                arrived_at,
+                announced.address,
+            )
+            heard = (*heard, incarnation)
         self._heard[announced.name] = heard[-MAX_INCARNATIONS:]
         recorded = self._recorded.pop(announced.name, None)
         if recorded is not None:
@@ -113,6 +119,7 @@
                 one.software_version,
                 asked_at - one.first_at,
                 asked_at - one.last_at,
+                one.address,
             )
 
     def remove_expired(self) -> None:
@@ -124,3 +131,12 @@
         for name, recorded in list(self._recorded.items()):
             if not recorded.statistics().tasks_waiting:
                 del self._recorded[name]
+
+
+def _is_sender(incarnation: HeardIncarnation, announced: Announcement) -> bool:
+    """Return whether an incarnation may have sent an announcement."""
+    return (
+        incarnation.started_ms == announced.started_ms
+        and incarnation.software_version == announced.software_version
+        and incarnation.address == announced.address
+    )
--- a/medlarrail/cluster/endpoint_sightings_test.py
+++ b/medlarrail/cluster/endpoint_sightings_test.py
@@ -46,12 +46,16 @@
     return list(sightings.iterate(NAME, asked_at))
 
 
+def build_sighting(started_ms, version, first_age_s, last_age_s) -> Sighting:
+    return Sighting(started_ms, version, first_age_s, last_age_s, build().address)
+
+
 class TestSightings:
     def test_announcement_of_one_process_begins_another_incarnation(self):
         sightings = EndpointSightings()
         for received_at in (10.0, 11.0, 12.0):
             sightings.record(build(), received_at)
-        assert list_told(sightings, 15.0) == [Sighting(1000, "v1", 5.0, 3.0)]
+        assert list_told(sightings, 15.0) == [build_sighting(1000, "v1", 5.0, 3.0)]
 
     @pytest.mark.parametrize("next_one", [build("v2"), build(started_ms=2000)])
     def test_next_process_continues_the_incarnation_before(self, next_one):
@@ -60,8 +64,18 @@
         sightings.record(next_one, 12.0)
         key = (next_one.started_ms, next_one.software_version)
         assert list_told(sightings, 15.0) == [
-            Sighting(1000, "v1", 5.0, 5.0),
-            Sighting(*key, 3.0, 3.0),
+            build_sighting(1000, "v1", 5.0, 5.0),
+            build_sighting(*key, 3.0, 3.0),
+        ]
+
+    def test_process_at_another_address_continues_the_one_before(self):
+        """Its clock told the same start as that of a suspended one of its name."""
+        sightings = EndpointSightings()
+        sightings.record(build(address="10.0.0.1:80"), 10.0)
+        sightings.record(build(address="10.0.0.2:80"), 12.0)
+        assert list_told(sightings, 15.0) == [
+            Sighting(1000, "v1", 5.0, 5.0, "10.0.0.1:80"),
+            Sighting(1000, "v1", 3.0, 3.0, "10.0.0.2:80"),
         ]
 
     def test_process_with_the_version_of_an_earlier_one_is_taken_for_it(self):
@@ -80,7 +94,7 @@
         sightings = EndpointSightings()
         for received_at in (10.0, 12.0, 11.0):
             sightings.record(build(), received_at)
-        assert list_told(sightings, 12.0) == [Sighting(1000, "v1", 2.0, 0.0)]
+        assert list_told(sightings, 12.0) == [build_sighting(1000, "v1", 2.0, 0.0)]
 
     def test_endpoint_that_starts_again_and_again_fills_memory(self):
         sightings = EndpointSightings()
--- a/medlarrail/policy/incarnations_test.py
+++ b/medlarrail/policy/incarnations_test.py
@@ -1,15 +1,27 @@
 """Tests of the incarnation that is taken to have had a connection."""
 
+import random
+from collections import Counter
 from itertools import groupby
 
+import pytest
 from attrs import evolve, frozen
 from hypothesis import given
 from hypothesis import strategies as st
 
-from medlarrail.policy.incarnations import HeardIncarnation, find_incarnation
+from medlarrail.policy.incarnations import (
+    MAX_CLOCK_STEP_MS,
+    HeardIncarnation,
+    find_incarnation,
+)
 
 VERSIONS = ("v1", "v2")
 TIMES = st.integers(0, 20).map(float)
+SERIES_COUNT = 20_000
+RESTART_S = 0.03
+"""Shortest time from the end of a process to the start of the next one."""
+ADDRESS = "10.0.0.9:8080"
+OTHER_ADDRESS = "10.0.0.10:8080"
 
 
 @frozen
@@ -46,6 +58,38 @@
     return tuple(processes)
 
 
+@frozen
+class LateProcess:
+    """One of several processes in turn; announcements are received at any time after.
+
+    ``started_ms`` is by the clock of its VM, which may be set back between two.
+    """
+
+    number: int
+    began_at: float
+    ended_at: float
+    started_ms: int
+    received: tuple[float, ...]
+
+
+def build_late_processes(series: random.Random) -> list[LateProcess]:
+    """Return processes that have one address in turn, some never heard of."""
+    processes = []
+    began_at = 0.0
+    for number in range(series.randint(1, 4)):
+        ended_at = began_at + series.choice((0.1, 1.0, 4.0, 20.0))
+        sent = (
+            series.uniform(began_at, ended_at) for _ in range(series.choice((0, 1, 3)))
+        )
+        received = tuple(at + series.choice((0.0, 0.3, 2.0, 10.0)) for at in sent)
+        clock_ms = 1 + series.choice((0, MAX_CLOCK_STEP_MS))
+        started_ms = int(began_at * 1000) + clock_ms
+        process = LateProcess(number, began_at, ended_at, started_ms, received)
+        processes.append(process)
+        began_at = ended_at + series.choice((RESTART_S, 1.0))
+    return processes
+
+
 def build_heard(
     processes: tuple[Process, ...], until: float, tell_start: bool
 ) -> list[HeardIncarnation]:
@@ -112,6 +156,77 @@
         ):
             assert found.started_ms == process.number
 
+    def test_late_announcements_name_another_process_than_one_that_was_heard_of(self):
+        """Nor may they name a process that was not yet there."""
+        series = random.Random(1)
+        outcomes = Counter()
+        for _ in range(SERIES_COUNT):
+            processes = build_late_processes(series)
+            process = series.choice(processes)
+            opened_at = series.uniform(process.began_at, process.ended_at)
+            closed_at = series.uniform(opened_at, process.ended_at)
+            opened_by = opened_at + series.choice((0.0, 0.1))
+            closed_from = closed_at - series.choice((0.0, 0.1))
+            heard = {
+                one.number: HeardIncarnation(
+                    one.started_ms,
+                    str(one.number),
+                    min(one.received) + series.choice((0.0, 0.1)),
+                    max(one.received) - series.choice((0.0, 0.1)),
+                    ADDRESS,
+                )
+                for one in processes
+                if one.received
+            }
+            found = find_incarnation(heard.values(), opened_by, closed_from, ADDRESS)
+            own = heard.get(process.number)
+            if own and own.first_at <= closed_from and own.last_at >= opened_by:
+                assert found in (None, own)
+                outcomes["unknown" if found is None else "own"] += 1
+            elif found is not None:
+                assert int(found.software_version) < process.number
+                outcomes["before"] += 1
+        assert min(outcomes[kind] for kind in ("own", "unknown", "before")) > 100
+
+    def test_late_announcement_of_the_process_before_hides_the_next_one(self):
+        before = HeardIncarnation(1000, "v1", 0.0, 22.5, ADDRESS)
+        after = HeardIncarnation(22000, "v2", 22.7, 30.0, ADDRESS)
+        heard = [before, after]
+        assert find_incarnation(heard, 22.3, 23.0, ADDRESS) is after
+        assert find_incarnation(reversed(heard), 22.3, 23.0, ADDRESS) is after
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"started_ms": 0},
+            {"started_ms": 1000 + MAX_CLOCK_STEP_MS},
+            {"address": ""},
+        ],
+    )
+    def test_starts_that_tell_no_order_name_the_wrong_process(self, changes):
+        """Without a start, or if the clock of the VM may have been set back, and if a
+        leader of an older version does not tell that both had the address."""
+        before = HeardIncarnation(1000, "v1", 0.0, 22.5, ADDRESS)
+        after = HeardIncarnation(22000, "v2", 22.7, 30.0, ADDRESS)
+        heard = [before, evolve(after, **changes)]
+        assert find_incarnation(heard, 22.3, 23.0, ADDRESS) is None
+
+    def test_starts_of_an_unknown_connection_name_the_latest_process(self):
+        before = HeardIncarnation(1000, "v1", 0.0, 22.5, ADDRESS)
+        after = HeardIncarnation(22000, "v2", 22.7, 30.0, ADDRESS)
+        assert find_incarnation([before, after], 22.3, 23.0) is None
+
+    def test_process_at_another_address_is_taken_for_the_one_of_a_connection(self):
+        """One that was suspended was started again elsewhere under its name."""
+        suspended = HeardIncarnation(1000, "v1", 0.0, 22.5, ADDRESS)
+        restarted = HeardIncarnation(22000, "v2", 22.7, 30.0, OTHER_ADDRESS)
+        heard = [suspended, restarted]
+        assert find_incarnation(heard, 20.0, 23.0, ADDRESS) is suspended
+        assert find_incarnation(heard, 22.6, 24.0, ADDRESS) is None
+        assert find_incarnation(heard, 22.6, 24.0, OTHER_ADDRESS) is restarted
+        told_no_address = evolve(restarted, address="")
+        assert find_incarnation([told_no_address], 22.6, 24.0, ADDRESS)
+
     def test_late_announcement_names_the_process_before(self):
         """The limit of the evidence: nothing tells when an announcement was sent.
 
--- a/medlarrail/protocol/endpoint_sightings.py
+++ b/medlarrail/protocol/endpoint_sightings.py
@@ -29,12 +29,14 @@
     """One incarnation, with the ages of its first and latest announcement.
 
     They are in seconds when the request was received, below 0 if received later.
+    ``address`` is empty from a leader of a version that does not tell it.
     """
 
     started_ms: int
     software_version: str
     first_age_s: float
     last_age_s: float
+    address: str = ""
 
 
 @frozen
