Leader: an announcement counts as received, however long it was delayed

Cause: an announcement shows that its sender ran when it was sent. It counted for the time at which it arrived, so one that a link had held back until its sender had ended was taken for a sign of life of that process, while a connection to the next one was open.

Change: announcements of one incarnation are numbered and about 1.2 s apart, so one counts for 1.6 s after the one before it for each call between the two, at the latest. One that arrives 0.6 s or more after the one before did not wait for the same event and counts for the arrival of that one, at the least; a pause of the sender, calls that it does not count or a longer interval make it older by an interval, not for ever. One with a lower number than the latest does not count. The time is never later than before. Processes without a start are left as they were, since the next one counts anew.

--- a/medlarrail/cluster/endpoint_sightings.py
+++ b/medlarrail/cluster/endpoint_sightings.py
@@ -7,12 +7,11 @@
 from collections.abc import Iterator
 
 import trio
-from attrs import define, evolve, field
+from attrs import define, field
 
 from medlarrail.cluster.known_incarnations import KnownIncarnations
 from medlarrail.core.announcements import Announcement
 from medlarrail.core.clock import Clock, get_boottime
-from medlarrail.policy.incarnations import HeardIncarnation
 from medlarrail.protocol.endpoint_sightings import Sighting
 
 MAX_INCARNATIONS = 3
@@ -28,6 +27,57 @@
 BACKLOG_S = 1.0
 """Time after a suspension in which announcements are handled that waited for it."""
 
+MAX_INTERVAL_S = 1.6
+"""Time by which a process that runs has sent its next announcement: a third more than
+their interval."""
+MIN_SPACING_S = 0.6
+"""Time between two announcements from which on they have not waited for the same event:
+half of their interval."""
+
+
+@define
+class SeenIncarnation:
+    """An incarnation of an endpoint, and when its announcements were received.
+
+    ``first_at`` is an upper limit of the time of the first announcement. ``last_at`` is
+    that of the latest one, less the time by which it is known to have been delayed.
+    """
+
+    started_ms: int
+    software_version: str
+    address: str
+    first_at: float
+    last_at: float
+    sequence: int
+    arrived_at: float
+
+    def is_sender(self, announced: Announcement) -> bool:
+        """Return whether it may have sent an announcement."""
+        return (
+            self.started_ms == announced.started_ms
+            and self.software_version == announced.software_version
+            and self.address == announced.address
+        )
+
+    def extend(self, sequence: int, arrived_at: float) -> None:
+        """Count a further announcement, as sent when it was due at the latest.
+
+        One that is overdue was delayed, or its sender paused, which the next one tells.
+        """
+        sent_by = arrived_at
+        count = sequence - self.sequence
+        # Without a start, another process may count anew.
+        if count > 0 and self.started_ms:
+            sent_by = self.last_at + count * MAX_INTERVAL_S
+            if arrived_at >= self.arrived_at + MIN_SPACING_S:
+                sent_by = max(sent_by, self.arrived_at)
+            sent_by = min(sent_by, arrived_at)
+        elif count < 0 and self.started_ms:
+            return
+        self.last_at = max(self.last_at, sent_by)
+        self.sequence = sequence
+        self.arrived_at = max(self.arrived_at, arrived_at)
+
 
 @define(eq=False)
 class EndpointSightings:
@@ -36,7 +86,7 @@
     clock: Clock = get_boottime
     known: KnownIncarnations | None = None
     """What this member knew of before it led; None if it is alone."""
-    _heard: dict[str, tuple[HeardIncarnation, ...]] = field(factory=dict)
+    _heard: dict[str, tuple[SeenIncarnation, ...]] = field(factory=dict)
     _recorded: dict[str, trio.Event] = field(factory=dict)
     """Set at the next announcement of an endpoint that is waited for."""
     _awake_at: float = float("inf")
@@ -83,20 +133,19 @@
         heard = self._heard.get(announced.name, ())
         latest = heard[-1] if heard else None
         arrived_at = self._get_earliest_arrival(received_at)
-        if latest is not None and _is_sender(latest, announced):
-            latest_at = max(latest.last_at, arrived_at)
-            heard = (*heard[:-1], evolve(latest, last_at=latest_at))
+        if latest is not None and latest.is_sender(announced):
+            latest.extend(announced.sequence, arrived_at)
         else:
-            first_at = self._find_first_at(announced, received_at)
-            incarnation = HeardIncarnation(
+            incarnation = SeenIncarnation(
                 announced.started_ms,
                 announced.software_version,
-                first_at,
-                arrived_at,
                 announced.address,
+                self._find_first_at(announced, received_at),
+                arrived_at,
+                announced.sequence,
+                arrived_at,
             )
-            heard = (*heard, incarnation)
-        self._heard[announced.name] = heard[-MAX_INCARNATIONS:]
+            self._heard[announced.name] = (*heard, incarnation)[-MAX_INCARNATIONS:]
         recorded = self._recorded.pop(announced.name, None)
         if recorded is not None:
             recorded.set()
@@ -131,12 +180,3 @@
         for name, recorded in list(self._recorded.items()):
             if not recorded.statistics().tasks_waiting:
                 del self._recorded[name]
-
-
-def _is_sender(incarnation: HeardIncarnation, announced: Announcement) -> bool:
-    """Return whether an incarnation may have sent an announcement."""
-    return (
-        incarnation.started_ms == announced.started_ms
-        and incarnation.software_version == announced.software_version
-        and incarnation.address == announced.address
-    )
--- a/medlarrail/cluster/endpoint_sightings_test.py
+++ b/medlarrail/cluster/endpoint_sightings_test.py
@@ -1,5 +1,8 @@
 """Tests of what the leading state member tells of endpoints' incarnations."""
 
+import random
+from collections.abc import Iterator
+
 import pytest
 import trio
 import trio.testing
@@ -8,6 +11,7 @@
     AWAKE_INTERVAL_S,
     BACKLOG_S,
     MAX_INCARNATIONS,
+    MAX_INTERVAL_S,
     RETENTION_S,
     EndpointSightings,
 )
@@ -25,6 +29,13 @@
 
 NAME = "engine-1"
 
+INTERVAL_S = 1.2
+"""Interval of announcements, about."""
+LIVES = 200
+BEATS = 100
+MAX_LATE_SHARE = 0.001
+"""Share of the announcements of processes that run which may count as earlier."""
+
 WAITERS = 64
 """Streams of one endpoint that ended."""
 
@@ -50,6 +61,14 @@
     return Sighting(started_ms, version, first_age_s, last_age_s, build().address)
 
 
+def iterate_beats(series: random.Random, count: int) -> Iterator[float]:
+    """Yield the times at which a process announces itself, about steadily."""
+    at = series.uniform(0.0, 100.0)
+    for _ in range(count):
+        yield at
+        at += INTERVAL_S * series.uniform(0.9, 1.1)
+
+
 class TestSightings:
     def test_announcement_of_one_process_begins_another_incarnation(self):
         sightings = EndpointSightings()
@@ -156,6 +175,76 @@
         (told,) = list_told(sightings, now)
         assert told.last_age_s == pytest.approx(4.95)
 
+    def test_announcement_after_the_end_of_its_sender_counts_as_received(self):
+        """A connection to the next process was open, and the one before was named."""
+        series = random.Random(1)
+        for _ in range(LIVES):
+            sightings = EndpointSightings()
+            for sequence, sent_at in enumerate(iterate_beats(series, BEATS)):
+                sightings.record(build(sequence=sequence), sent_at)
+            late_at = sent_at + INTERVAL_S + series.uniform(0.5, 10.0)
+            sightings.record(build(sequence=sequence + 1), late_at)
+            (told,) = list_told(sightings, late_at)
+            last_at = late_at - told.last_age_s
+            assert last_at <= sent_at + MAX_INTERVAL_S
+            assert last_at <= sent_at + INTERVAL_S + 0.5
+
+    def test_announcements_that_are_released_together_count_as_received(self):
+        """They waited in a link that stalled, and their sender has ended."""
+        sightings = EndpointSightings()
+        for sequence in range(10):
+            sightings.record(build(sequence=sequence), sequence * INTERVAL_S)
+        last_at = 9 * INTERVAL_S
+        for sequence in (10, 11):
+            sightings.record(build(sequence=sequence), 60.0 + 0.01 * sequence)
+        (told,) = list_told(sightings, 61.0)
+        assert 61.0 - told.last_age_s <= last_at + 2 * MAX_INTERVAL_S + 0.01
+
+    def test_steady_announcements_count_as_earlier_than_received(self):
+        series = random.Random(2)
+        earlier = []
+        for _ in range(LIVES):
+            sightings = EndpointSightings()
+            for sequence, sent_at in enumerate(iterate_beats(series, BEATS)):
+                received_at = sent_at + series.uniform(0.0, 0.1)
+                sightings.record(build(sequence=sequence), received_at)
+                (told,) = list_told(sightings, received_at)
+                earlier.append(told.last_age_s > 1e-6)
+        assert sum(earlier) <= MAX_LATE_SHARE * len(earlier)
+
+    @pytest.mark.parametrize("interval_s", [INTERVAL_S, 3.0])
+    @pytest.mark.parametrize("count", [0, 1])
+    def test_process_that_paused_counts_as_ended(self, interval_s, count):
+        """It was suspended, or sends less often. After a few announcements the latest
+        counts as at most an interval old, whether or not those that got no answer are
+        counted."""
+        sightings = EndpointSightings()
+        for sequence in range(10):
+            sightings.record(build(sequence=sequence), sequence * interval_s)
+        resumed_at = 9 * interval_s + 8.0
+        for number in range(3):
+            received_at = resumed_at + number * interval_s
+            sequence = 10 + 6 * count + number
+            sightings.record(build(sequence=sequence), received_at)
+        (told,) = list_told(sightings, received_at)
+        assert told.last_age_s <= interval_s
+
+    def test_announcement_from_before_the_latest_one_counts_as_later(self):
+        """A new leader has no other records of the endpoint, and takes it for news."""
+        sightings = EndpointSightings()
+        sightings.record(build(sequence=5), 10.0)
+        sightings.record(build(sequence=4), 12.0)
+        (told,) = list_told(sightings, 12.0)
+        assert told.last_age_s == 2.0
+
+    @pytest.mark.parametrize("sequence", [1, 20])
+    def test_process_without_a_start_counts_on_from_the_one_before(self, sequence):
+        sightings = EndpointSightings()
+        sightings.record(build(started_ms=0, sequence=10), 10.0)
+        sightings.record(build(started_ms=0, sequence=sequence), 12.0)
+        (told,) = list_told(sightings, 12.0)
+        assert told.last_age_s == 0.0
+
     async def test_wait_ends_before_the_announcement(self, nursery, autojump_clock):
         sightings = EndpointSightings()
         sightings.record(build(), 10.0)
