Followers do not wake up to note that they run

Cause: the task that notices suspensions of the leader ran at all state members, ten times a second, though only the leader records announcements.

Change: it runs from the begin of a leadership to its end. The time between two leaderships is not noted, so the latest note is forgotten at the begin: otherwise the announcements of the first second count for the end of the leadership before.

--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -223,6 +223,10 @@
             self.entries_revision += 1
             self._publish()
 
+    def _is_leading(self) -> bool:
+        """Return whether this member leads, with or without a valid lease."""
+        return self.member.leadership is not None
+
     def is_settled(self) -> bool:
         """Return whether every live endpoint and entry had time to announce itself."""
         leadership = self.member.leadership
@@ -528,7 +532,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._publish_when_due)
             nursery.start_soon(self.view_copy.run)
-            nursery.start_soon(self.sightings.run)
+            nursery.start_soon(self.sightings.run, self._is_leading)
             nursery.start_soon(self.known_incarnations.run)
             nursery.start_soon(self.software_rollouts.run)
             await self._remove_expired()
--- a/medlarrail/cluster/endpoint_sightings.py
+++ b/medlarrail/cluster/endpoint_sightings.py
@@ -4,7 +4,7 @@
 entry was connected to, the times of the incarnation before it are needed, too.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import trio
 from attrs import define, field
@@ -90,16 +90,20 @@
     _recorded: dict[str, trio.Event] = field(factory=dict)
     """Set at the next announcement of an endpoint that is waited for."""
     _awake_at: float = float("inf")
-    """Latest note, infinite before the first."""
+    """Latest note, infinite before the first one as leader."""
     _suspended_at: float = float("-inf")
     """Begin of the latest suspension, at the earliest."""
     _resumed_at: float = float("-inf")
+    _term_began: trio.Event = field(factory=trio.Event)
 
-    async def run(self) -> None:
-        """Note steadily that this process is not suspended, until cancelled."""
+    async def run(self, is_leading: Callable[[], bool]) -> None:
+        """Note steadily, while leading, that this process is not suspended."""
         while True:
-            self.note_awake()
-            await trio.sleep(AWAKE_INTERVAL_S)
+            await self._term_began.wait()
+            self._term_began = trio.Event()
+            while is_leading():
+                self.note_awake()
+                await trio.sleep(AWAKE_INTERVAL_S)
 
     def note_awake(self) -> None:
         """Note the time, and a suspension since the note before."""
@@ -120,10 +124,12 @@
         return received_at
 
     def begin_term(self) -> None:
-        """Forget the endpoints that tell no start, at the begin of a leadership.
+        """Begin a leadership, and forget the endpoints that tell no start.
 
         Others of their version may have started while another member led.
         """
+        self._awake_at = float("inf")
+        self._term_began.set()
         for name, heard in list(self._heard.items()):
             if not all(one.started_ms for one in heard):
                 del self._heard[name]
--- a/medlarrail/cluster/endpoint_sightings_test.py
+++ b/medlarrail/cluster/endpoint_sightings_test.py
@@ -1,6 +1,7 @@
 """Tests of what the leading state member tells of endpoints' incarnations."""
 
 import random
+from collections import Counter
 from collections.abc import Iterator
 
 import pytest
@@ -317,6 +318,38 @@
             with pytest.raises(NotLeader):
                 await ask(members, follower)
 
+    async def test_followers_wake_up_to_note_that_they_run(
+        self, members, autojump_clock, monkeypatch
+    ):
+        """Ten times a second each, for what the leader alone needs."""
+        leader = await members.get_leader()
+        noted = Counter()
+        note_awake = EndpointSightings.note_awake
+
+        def count(sightings):
+            noted[id(sightings)] += 1
+            note_awake(sightings)
+
+        monkeypatch.setattr(EndpointSightings, "note_awake", count)
+        await trio.sleep(10)
+        assert noted.keys() == {id(leader.sightings)}
+        assert noted[id(leader.sightings)] >= 9 / AWAKE_INTERVAL_S
+
+    async def test_time_between_two_leaderships_counts_as_a_suspension(
+        self, members, autojump_clock
+    ):
+        """The first announcements counted for the end of the earlier leadership."""
+        leader = await members.get_leader()
+        await leader.register_announcement(build())
+        while True:
+            await trio.sleep(5)
+            (await members.get_leader()).member.step_down("test")
+            if await members.get_leader() is leader:
+                break
+        await leader.register_announcement(build(sequence=20))
+        answer = await ask(members, leader)
+        assert answer.sightings[0].last_age_s < 1.0
+
     @pytest.mark.parametrize("started_ms", [0, 1000])
     async def test_process_that_another_leader_heard_of_is_overlooked(
         self, started_ms, members, autojump_clock
