Merge what later leaders know of endpoints, and announcements that were delayed

Lookups name the address of their connection where it is known, so that an incarnation of the same name at another address is left out.

--- a/medlarrail/cluster/endpoint_sightings_test.py
+++ b/medlarrail/cluster/endpoint_sightings_test.py
@@ -1,5 +1,9 @@
 """Tests of what the leading state member tells of endpoints' incarnations."""
 
+import random
+from collections import Counter
+from collections.abc import Iterator
+
 import pytest
 import trio
 import trio.testing
@@ -8,6 +12,7 @@
     AWAKE_INTERVAL_S,
     BACKLOG_S,
     MAX_INCARNATIONS,
+    MAX_INTERVAL_S,
     RETENTION_S,
     EndpointSightings,
 )
@@ -25,6 +30,13 @@
 
 NAME = "engine-1"
 
+INTERVAL_S = 1.2
+"""Interval of announcements, about."""
+LIVES = 200
+BEATS = 100
+MAX_LATE_SHARE = 0.001
+"""Share of the announcements of processes that run which may count as earlier."""
+
 WAITERS = 64
 """Streams of one endpoint that ended."""
 
@@ -46,12 +58,24 @@
     return list(sightings.iterate(NAME, asked_at))
 
 
+def build_sighting(started_ms, version, first_age_s, last_age_s) -> Sighting:
+    return Sighting(started_ms, version, first_age_s, last_age_s, build().address)
+
+
+def iterate_beats(series: random.Random, count: int) -> Iterator[float]:
+    """Yield the times at which a process announces itself, about steadily."""
+    at = series.uniform(0.0, 100.0)
+    for _ in range(count):
+        yield at
+        at += INTERVAL_S * series.uniform(0.9, 1.1)
+
+
 class TestSightings:
     def test_announcement_of_one_process_begins_another_incarnation(self):
         sightings = EndpointSightings()
         for received_at in (10.0, 11.0, 12.0):
             sightings.record(build(), received_at)
-        assert list_told(sightings, 15.0) == [Sighting(1000, "v1", 5.0, 3.0)]
+        assert list_told(sightings, 15.0) == [build_sighting(1000, "v1", 5.0, 3.0)]
 
     @pytest.mark.parametrize("next_one", [build("v2"), build(started_ms=2000)])
     def test_next_process_continues_the_incarnation_before(self, next_one):
@@ -60,8 +84,18 @@
         sightings.record(next_one, 12.0)
         key = (next_one.started_ms, next_one.software_version)
         assert list_told(sightings, 15.0) == [
-            Sighting(1000, "v1", 5.0, 5.0),
-            Sighting(*key, 3.0, 3.0),
+            build_sighting(1000, "v1", 5.0, 5.0),
+            build_sighting(*key, 3.0, 3.0),
+        ]
+
+    def test_process_at_another_address_continues_the_one_before(self):
+        """Its clock told the same start as that of a suspended one of its name."""
+        sightings = EndpointSightings()
+        sightings.record(build(address="10.0.0.1:80"), 10.0)
+        sightings.record(build(address="10.0.0.2:80"), 12.0)
+        assert list_told(sightings, 15.0) == [
+            Sighting(1000, "v1", 5.0, 5.0, "10.0.0.1:80"),
+            Sighting(1000, "v1", 3.0, 3.0, "10.0.0.2:80"),
         ]
 
     def test_process_with_the_version_of_an_earlier_one_is_taken_for_it(self):
@@ -80,7 +114,7 @@
         sightings = EndpointSightings()
         for received_at in (10.0, 12.0, 11.0):
             sightings.record(build(), received_at)
-        assert list_told(sightings, 12.0) == [Sighting(1000, "v1", 2.0, 0.0)]
+        assert list_told(sightings, 12.0) == [build_sighting(1000, "v1", 2.0, 0.0)]
 
     def test_endpoint_that_starts_again_and_again_fills_memory(self):
         sightings = EndpointSightings()
@@ -142,6 +176,76 @@
         (told,) = list_told(sightings, now)
         assert told.last_age_s == pytest.approx(4.95)
 
+    def test_announcement_after_the_end_of_its_sender_counts_as_received(self):
+        """A connection to the next process was open, and the one before was named."""
+        series = random.Random(1)
+        for _ in range(LIVES):
+            sightings = EndpointSightings()
+            for sequence, sent_at in enumerate(iterate_beats(series, BEATS)):
+                sightings.record(build(sequence=sequence), sent_at)
+            late_at = sent_at + INTERVAL_S + series.uniform(0.5, 10.0)
+            sightings.record(build(sequence=sequence + 1), late_at)
+            (told,) = list_told(sightings, late_at)
+            last_at = late_at - told.last_age_s
+            assert last_at <= sent_at + MAX_INTERVAL_S
+            assert last_at <= sent_at + INTERVAL_S + 0.5
+
+    def test_announcements_that_are_released_together_count_as_received(self):
+        """They waited in a link that stalled, and their sender has ended."""
+        sightings = EndpointSightings()
+        for sequence in range(10):
+            sightings.record(build(sequence=sequence), sequence * INTERVAL_S)
+        last_at = 9 * INTERVAL_S
+        for sequence in (10, 11):
+            sightings.record(build(sequence=sequence), 60.0 + 0.01 * sequence)
+        (told,) = list_told(sightings, 61.0)
+        assert 61.0 - told.last_age_s <= last_at + 2 * MAX_INTERVAL_S + 0.01
+
+    def test_steady_announcements_count_as_earlier_than_received(self):
+        series = random.Random(2)
+        earlier = []
+        for _ in range(LIVES):
+            sightings = EndpointSightings()
+            for sequence, sent_at in enumerate(iterate_beats(series, BEATS)):
+                received_at = sent_at + series.uniform(0.0, 0.1)
+                sightings.record(build(sequence=sequence), received_at)
+                (told,) = list_told(sightings, received_at)
+                earlier.append(told.last_age_s > 1e-6)
+        assert sum(earlier) <= MAX_LATE_SHARE * len(earlier)
+
+    @pytest.mark.parametrize("interval_s", [INTERVAL_S, 3.0])
+    @pytest.mark.parametrize("count", [0, 1])
+    def test_process_that_paused_counts_as_ended(self, interval_s, count):
+        """It was suspended, or sends less often. After a few announcements the latest
+        counts as at most an interval old, whether or not those that got no answer are
+        counted."""
+        sightings = EndpointSightings()
+        for sequence in range(10):
+            sightings.record(build(sequence=sequence), sequence * interval_s)
+        resumed_at = 9 * interval_s + 8.0
+        for number in range(3):
+            received_at = resumed_at + number * interval_s
+            sequence = 10 + 6 * count + number
+            sightings.record(build(sequence=sequence), received_at)
+        (told,) = list_told(sightings, received_at)
+        assert told.last_age_s <= interval_s
+
+    def test_announcement_from_before_the_latest_one_counts_as_later(self):
+        """A new leader has no other records of the endpoint, and takes it for news."""
+        sightings = EndpointSightings()
+        sightings.record(build(sequence=5), 10.0)
+        sightings.record(build(sequence=4), 12.0)
+        (told,) = list_told(sightings, 12.0)
+        assert told.last_age_s == 2.0
+
+    @pytest.mark.parametrize("sequence", [1, 20])
+    def test_process_without_a_start_counts_on_from_the_one_before(self, sequence):
+        sightings = EndpointSightings()
+        sightings.record(build(started_ms=0, sequence=10), 10.0)
+        sightings.record(build(started_ms=0, sequence=sequence), 12.0)
+        (told,) = list_told(sightings, 12.0)
+        assert told.last_age_s == 0.0
+
     async def test_wait_ends_before_the_announcement(self, nursery, autojump_clock):
         sightings = EndpointSightings()
         sightings.record(build(), 10.0)
@@ -214,6 +318,60 @@
             with pytest.raises(NotLeader):
                 await ask(members, follower)
 
+    async def test_followers_wake_up_to_note_that_they_run(
+        self, members, autojump_clock, monkeypatch
+    ):
+        """Ten times a second each, for what the leader alone needs."""
+        leader = await members.get_leader()
+        noted = Counter()
+        note_awake = EndpointSightings.note_awake
+
+        def count(sightings):
+            noted[id(sightings)] += 1
+            note_awake(sightings)
+
+        monkeypatch.setattr(EndpointSightings, "note_awake", count)
+        await trio.sleep(10)
+        assert noted.keys() == {id(leader.sightings)}
+        assert noted[id(leader.sightings)] >= 9 / AWAKE_INTERVAL_S
+
+    async def test_time_between_two_leaderships_counts_as_a_suspension(
+        self, members, autojump_clock
+    ):
+        """The first announcements counted for the end of the earlier leadership."""
+        leader = await members.get_leader()
+        await leader.register_announcement(build())
+        while True:
+            await trio.sleep(5)
+            (await members.get_leader()).member.step_down("test")
+            if await members.get_leader() is leader:
+                break
+        await leader.register_announcement(build(sequence=20))
+        answer = await ask(members, leader)
+        assert answer.sightings[0].last_age_s < 1.0
+
+    @pytest.mark.parametrize("started_ms", [0, 1000])
+    async def test_process_that_another_leader_heard_of_is_overlooked(
+        self, started_ms, members, autojump_clock
+    ):
+        """Without starts, those of one version before and after it were taken for one
+        that had run all the time. A start tells that it was one."""
+        leader = await members.get_leader()
+        await leader.register_announcement(build("v1", started_ms=started_ms))
+        leader.member.step_down("test")
+        await trio.sleep(10)
+        while await members.get_leader() is not leader:
+            (await members.get_leader()).member.step_down("test")
+            await trio.sleep(3)
+        heard_at = trio.current_time()
+        await leader.register_announcement(
+            build("v1", started_ms=started_ms, sequence=20)
+        )
+        answer = await ask(members, leader)
+        (told,) = answer.sightings
+        ran_on = told.first_age_s > trio.current_time() - heard_at + 5
+        assert ran_on == bool(started_ms)
+
     async def test_answer_waits_though_the_endpoint_was_heard_of(
         self, members, autojump_clock
     ):
--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -95,6 +95,7 @@
                 connection.opened_at,
                 connection.closed_at,
                 ANNOUNCEMENT_TIMEOUT_S,
+                self._own_connection.address if self._own_connection else "",
             )
         except UnknownRoute:
             return
