Stream soak: a wider deployment, and state members killed in series

--wide adds a second service of models, spreads the processes over three data centres, and lets two state members join the three that found the cluster during the run. Half of the gateways are told of all five, so that origins can be kept by members that others are not told of. A new fault kills one state member soon after the other.

--- a/medlarrail/platform/soak/__main__.py
+++ b/medlarrail/platform/soak/__main__.py
@@ -40,7 +40,14 @@
 from medlarrail.platform.soak.engine import HEARTBEAT_S
 from medlarrail.platform.soak.faults import Faults
 from medlarrail.platform.soak.rollouts import LIMITS, Rollout, roll_out_steadily
-from medlarrail.platform.soak.site import ENGINES, GATEWAY_COUNT, Site, Sources
+from medlarrail.platform.soak.site import (
+    DATA_CENTRES,
+    GATEWAY_COUNT,
+    WIDE_ENGINES,
+    WIDE_STATE_COUNT,
+    Site,
+    Sources,
+)
 from medlarrail.platform.soak.take_ups import TakeUps, count_take_ups
 
 CALLER_COUNT = 32
@@ -128,6 +135,8 @@
                     random = Random(f"{self.site.seed}-faults-{number}")
                     faults = Faults(self.site, random, self.only, self.left_out)
                     nursery.start_soon(faults.play_steadily)
+                random = Random(f"{self.site.seed}-joins")
+                nursery.start_soon(self.site.join_states, random)
                 faults = Faults(self.site, Random(f"{self.site.seed}-release"))
                 if self.site.software_rollouts is not None:
                     nursery.start_soon(roll_out_steadily, faults, self.rollouts)
@@ -208,6 +217,7 @@
     engines: int = 0,
     early_closes: float = 0.0,
     prompt_heartbeats: bool = False,
+    wide: bool = False,
     keep: Path | None = None,
 ) -> None:
     """Run a soak of ``duration`` seconds.
@@ -220,7 +230,9 @@
     of each service, if it is given. ``--early-closes`` is the share of the streams
     without a length that living endpoints close before the end, which no gateway can
     tell from whole ones. With ``--prompt-heartbeats`` an endpoint announces itself at
-    once, not up to an interval of heartbeats after its start. The logs are copied to
+    once, not up to an interval of heartbeats after its start. ``--wide`` adds a second
+    service of models, two data centres, and two state members that join during the
+    run and that only half of the gateways are told of. The logs are copied to
     ``--keep`` after a violation or the cut of a sound stream.
     """
     folder = Path(tempfile.mkdtemp(prefix="stream-soak-"))
@@ -228,8 +240,11 @@
     limits = LIMITS if rollouts else None
     site = Site(folder, seed, own_sources, disorder, limits, report=typer.echo)
     site.gateway_count, site.early_closes = gateways, early_closes
+    if wide:
+        site.engine_counts, site.state_count = dict(WIDE_ENGINES), WIDE_STATE_COUNT
+        site.data_centre_count = len(DATA_CENTRES)
     if engines:
-        site.engine_counts = dict.fromkeys(ENGINES, engines)
+        site.engine_counts = dict.fromkeys(site.engine_counts, engines)
     names = split_names(only), split_names(without)
     soak = StreamSoak(site, 0.0 if prompt_heartbeats else HEARTBEAT_S, *names)
     counts = Counts()
--- a/medlarrail/platform/soak/callers.py
+++ b/medlarrail/platform/soak/callers.py
@@ -34,8 +34,9 @@
     "stream",
     "safe",
     "unsafe",
+    "assist",
 )
-REPEATABLE = ("resumable", "chat", "safe")
+REPEATABLE = ("resumable", "chat", "assist", "safe")
 PROMISES = (408, 421, 429, 503)
 """Statuses that promise that a request has not run and never will."""
 UPLOAD_SHARE = 0.05
@@ -133,7 +134,7 @@
         """Make calls until ``until`` on the monotonic clock; the last one ends."""
         while time.monotonic() < until:
             self.calls += 1
-            kind = self.random.choice(KINDS)
+            kind = self.random.choice(self.site.choose_routes(KINDS))
             prompt = f"{self.name}-{self.calls}"
             if kind in STREAMING and self.random.random() < LARGE_SHARE:
                 prompt += LARGE_SUFFIX
--- a/medlarrail/platform/soak/check_test.py
+++ b/medlarrail/platform/soak/check_test.py
@@ -44,7 +44,12 @@
 )
 from medlarrail.platform.soak.faults import Faults
 from medlarrail.platform.soak.rollouts import LIMITS, Rollout
-from medlarrail.platform.soak.site import Disturbance, RunningProgram, Site
+from medlarrail.platform.soak.site import (
+    WIDE_ENGINES,
+    Disturbance,
+    RunningProgram,
+    Site,
+)
 from medlarrail.platform.soak.take_ups import count_take_ups, read_reasons
 from medlarrail.platform.soak.wire import Head, build_head
 from medlarrail.testing.fault_proxy import FaultProxy
@@ -426,6 +431,27 @@
     assert site.list_own_ends() == ["edge-1"]
 
 
+def test_all_gateways_are_told_of_members_that_join(tmp_path):
+    """Then origins could not be told to members by lists that differ."""
+    site = Site(tmp_path, 1, state_count=5)
+    site.build()
+    states = [*site.states, *site.later_states]
+    counts = {}
+    for program in (*states, *site.gateways):
+        settings = orjson.loads(program.settings_file.read_bytes())
+        counts[program.name] = len(settings.get("seeds") or settings["state_urls"])
+    assert [counts[state.name] for state in states] == [3, 3, 3, 5, 5]
+    assert [counts[gateway.name] for gateway in site.gateways] == [3, 5, 3, 5]
+    assert site.states == states[:3]
+
+
+def test_callers_use_a_service_without_endpoints(tmp_path):
+    site = Site(tmp_path, 1)
+    assert site.choose_routes(["chat", "assist"]) == ["chat"]
+    site.engine_counts = dict(WIDE_ENGINES)
+    assert site.choose_routes(["chat", "assist"]) == ["chat", "assist"]
+
+
 def test_endpoint_takes_the_port_of_a_gateway(tmp_path, monkeypatch):
     """A gateway that had not bound its port yet ended with "Address already in use"."""
     site = Site(tmp_path, 1)
--- a/medlarrail/platform/soak/engine.py
+++ b/medlarrail/platform/soak/engine.py
@@ -51,7 +51,7 @@
 """Share of the uploads that get a part of an answer without a length, and a reset,
 before they were read."""
 FRAMINGS = ("length", "chunks", "close")
-STREAMING = ("stream", "resumable", "chat")
+STREAMING = ("stream", "resumable", "chat", "assist")
 """Routes, by the first part of the path, whose answers are streams."""
 SHORTEST_DISORDERED = 3
 """Events of the shortest stream that may be sent in no order."""
@@ -84,6 +84,7 @@
     """Whether all answers have a length and none is sent twice."""
     first_heartbeat_s: float = 0.0
     """Time from the start until the endpoint first announces itself."""
+    zone: str = "leith"
     control_links: dict[str, str] = field(factory=dict)
     """URL of the link to each state member, by the member's URL."""
 
@@ -138,7 +139,7 @@
         body = {
             "service": self.settings.service,
             "address": f"{self.settings.host}:{self.settings.announced_port}",
-            "zone": "leith",
+            "zone": self.settings.zone,
             "version": self.settings.version,
             "slots": SLOTS,
             "state": self.state,
--- a/medlarrail/platform/soak/faults.py
+++ b/medlarrail/platform/soak/faults.py
@@ -206,12 +206,21 @@
     @register_action()
     async def kill_state(self) -> None:
         """Kill a state member and start it with its own disk."""
+        await self._kill_state(FREEZE_S)
+
+    @register_action()
+    async def kill_states_in_series(self) -> None:
+        """Kill one state member soon after the other."""
+        for _ in range(len(self.site.states)):
+            await self._kill_state(RESTART_S)
+
+    async def _kill_state(self, pause_s: tuple[float, float]) -> None:
         with self.claim(self.site.states, keep=2) as state:
             if state is not None:
                 self.site.kill(state)
                 await trio.sleep(self.random.uniform(*RESTART_S))
                 self.site.restart_state(state)
-                await trio.sleep(self.random.uniform(*FREEZE_S))
+                await trio.sleep(self.random.uniform(*pause_s))
 
     @register_action()
     async def change_configuration(self) -> None:
--- a/medlarrail/platform/soak/site.py
+++ b/medlarrail/platform/soak/site.py
@@ -9,8 +9,9 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
+from random import Random
 
 import orjson
 import trio
@@ -40,12 +41,20 @@
     "stream": ("streaming", "talk"),
     "resumable": ("streaming", "talk"),
     "chat": ("streaming", "chat"),
+    "assist": ("streaming", "assist"),
     "safe": ("safe", "talk"),
     "unsafe": ("unsafe", "talk"),
 }
 """Kind and service of each route, by the first part of its path."""
+MODEL_SERVICES = ("chat", "assist")
+RESUMABLE = ("resumable", *MODEL_SERVICES)
 ENGINES = {"talk": 3, "chat": 2}
 """Number of endpoints of each service."""
+WIDE_ENGINES = ENGINES | {"assist": 3}
+WIDE_STATE_COUNT = 5
+DATA_CENTRES = ("leith", "hobart", "kingston")
+JOIN_PAUSE_S = (1.0, 5.0)
+"""Range of the pause before each state member that joins."""
 
 
 @define(eq=False)
@@ -65,6 +74,7 @@
     """Whether it was killed or asked to end."""
     ended_at: float | None = None
     """Time at which an endpoint was killed or began to leave, if it was."""
+    data_centre: str = DATA_CENTRES[0]
     announced_port: int = 0
     """Port that an endpoint announces: that of its link, if it has one."""
     link: FaultProxy | None = None
@@ -125,8 +135,8 @@
             "service": service,
             "max-attempts": 2,
             "public": False,
-            "sticky": prefix == "chat",
-            "resumable": prefix in ("resumable", "chat"),
+            "sticky": prefix in MODEL_SERVICES,
+            "resumable": prefix in RESUMABLE,
         }
         for prefix, (kind, service) in (ROUTES | extra).items()
     ]
@@ -138,7 +148,7 @@
         "routes": routes,
         "services": [
             {"name": "talk", **common},
-            {"name": "chat", **common, "engine": engine},
+            *({"name": name, **common, "engine": engine} for name in MODEL_SERVICES),
         ],
         "tenants": [{"name": "bozi300", "api-keys": [KEY], "priority": 1}],
     }
@@ -155,6 +165,9 @@
     software_rollouts: dict | None = None
     """Limits of software rollouts, None for a site without them."""
     state_count: int = STATE_COUNT
+    """Number of state members. Those after the third join during the run; the first
+    three, and every other gateway, are not told of them."""
+    data_centre_count: int = 1
     gateway_count: int = GATEWAY_COUNT
     engine_counts: dict[str, int] = field(factory=ENGINES.copy)
     failures: dict[str, float] = field(factory=dict)
@@ -170,6 +183,8 @@
     report: Callable[[str], None] = print
     began_at: float = field(factory=time.monotonic)
     states: list[RunningProgram] = field(factory=list)
+    later_states: list[RunningProgram] = field(factory=list)
+    """State members that have not been started yet."""
     gateways: list[RunningProgram] = field(factory=list)
     engines: list[RunningProgram] = field(factory=list)
     """Endpoints that run; those that ended are in ``ended_engines``."""
@@ -195,8 +210,8 @@
 
     @property
     def control_urls(self) -> list[str]:
-        """URLs of the state members."""
-        return [state.url for state in self.states]
+        """URLs of the state members, also of those that join later."""
+        return [state.url for state in (*self.states, *self.later_states)]
 
     @property
     def rollout_settings(self) -> dict:
@@ -207,6 +222,10 @@
         limits = self.software_rollouts
         return {} if limits is None else {"software_rollouts": limits}
 
+    def choose_routes(self, kinds: Sequence[str]) -> list[str]:
+        """Return the routes whose services have endpoints."""
+        return [kind for kind in kinds if ROUTES[kind][1] in self.engine_counts]
+
     def note(self, text: str) -> None:
         """Print one line of the timeline."""
         self.report(f"{time.monotonic() - self.began_at:7.2f} {text}")
@@ -221,20 +240,23 @@
         ports = iter(self.reserved_ports)
         for number in range(self.state_count):
             name = f"core-{number + 1}"
-            self.states.append(self._build_program(name, "state", number, next(ports)))
-        for state in self.states:
+            state = self._build_program(name, "state", number, next(ports))
+            is_later = number >= STATE_COUNT
+            (self.later_states if is_later else self.states).append(state)
+        for state in (*self.states, *self.later_states):
             self._write_state_settings(state, first_start=True)
         for number in range(self.gateway_count):
             name = f"edge-{number + 1}"
             gateway = self._build_program(name, "gateway", number, next(ports))
             self.gateways.append(gateway)
             self.ready_ports[name] = next(ports)
+            is_told = number % 2 == 1
             settings = {
                 "name": name,
-                "data_centre": "leith",
+                "data_centre": gateway.data_centre,
                 "keys": {"cluster": CLUSTER_KEY},
                 "listen": {"host": HOST, "port": 0, "url": gateway.url},
-                "state_urls": self.control_urls,
+                "state_urls": self.control_urls[: None if is_told else STATE_COUNT],
                 "health_address": f"{HOST}:{self.ready_ports[name]}",
                 "directory_address": f"{HOST}:{next(ports)}",
                 "metrics_address": f"{HOST}:{next(ports)}",
@@ -251,16 +273,23 @@
         command = [sys.executable, "-m", "medlarrail.platform", role]
         sources = self.sources.choose(role, number)
         file = self.folder / f"{name}.json"
-        return RunningProgram(name, role, command, sources, file, port)
+        program = RunningProgram(name, role, command, sources, file, port)
+        program.data_centre = self.choose_data_centre(number)
+        return program
+
+    def choose_data_centre(self, number: int) -> str:
+        """Return the data centre of the process with a number."""
+        return DATA_CENTRES[number % self.data_centre_count]
 
     def _write_state_settings(self, state: RunningProgram, first_start: bool) -> None:
+        is_founder = int(state.name.removeprefix("core-")) <= STATE_COUNT
         settings = {
             "name": state.name,
-            "data_centre": "leith",
+            "data_centre": state.data_centre,
             "keys": {"cluster": CLUSTER_KEY},
             "listen": {"host": HOST, "port": 0, "url": state.url},
             "data_folder": str(self.folder / state.name),
-            "seeds": self.control_urls,
+            "seeds": self.control_urls[: STATE_COUNT if is_founder else None],
             "first_start": first_start,
             "rollout": {"at_once": 3},
             **self.rollout_settings,
@@ -293,6 +322,15 @@
         self._write_state_settings(state, first_start=False)
         self.start(state)
 
+    async def join_states(self, random: Random) -> None:
+        """Start the state members that join the cluster, one after the other."""
+        while self.later_states:
+            await trio.sleep(random.uniform(*JOIN_PAUSE_S))
+            state = self.later_states.pop(0)
+            self.states.append(state)
+            self.start(state)
+            self.note(f"{state.name} joins")
+
     def find_engine_port(self) -> int:
         """Return a free port that no other program is going to listen on."""
         while True:
@@ -319,6 +357,8 @@
         announced = self.find_engine_port() if last is None else last.announced_port
         port = announced if self.link_nursery is None else self.find_engine_port()
         links = self.add_control_links() if like is None else like.control_links
+        data_centre = self.choose_data_centre(self.engine_count)
+        data_centre = data_centre if like is None else like.data_centre
         file = self.folder / f"engine-{self.engine_count}.json"
         settings = {
             "name": name,
@@ -329,9 +369,10 @@
             "version": version,
             "control_urls": self.control_urls,
             "control_links": {
-                state.url: f"http://{HOST}:{link.port}"
-                for state, link in zip(self.states, links, strict=False)
+                url: f"http://{HOST}:{link.port}"
+                for url, link in zip(self.control_urls, links, strict=False)
             },
+            "zone": data_centre,
             "record_file": str(self.folder / f"engine-{self.engine_count}.runs"),
             "seed": self.seed,
             "disorder": self.disorder,
@@ -347,6 +388,7 @@
             name, "engine", command, ROOT, file, port, service, version
         )
         engine.announced_port, engine.control_links = announced, links
+        engine.data_centre = data_centre
         self.start(engine)
         self.engines.append(engine)
         if self.link_nursery is not None:
@@ -363,7 +405,7 @@
             return []
         links = [
             FaultProxy(HOST, self.find_engine_port(), state.port)
-            for state in self.states
+            for state in (*self.states, *self.later_states)
         ]
         for link in links:
             self.link_nursery.start_soon(link.run)
