--- a/medlarrail/platform/soak/check_test.py
+++ b/medlarrail/platform/soak/check_test.py
@@ -31,6 +31,7 @@
 from medlarrail.platform.soak.control_faults import hold
 from medlarrail.platform.soak.engine import (
     BODY_LINES,
+    HEARTBEAT_S,
     Engine,
     EngineConnection,
     EngineSettings,
@@ -308,6 +309,25 @@
         await engine.answer(EngineConnection(stream), health)
         assert trio.current_time() - began_at >= 1.5
 
+    async def test_late_first_heartbeat_is_sent_at_once(
+        self, engine, tmp_path, nursery, monkeypatch, autojump_clock
+    ):
+        sent_at = []
+
+        async def announce(engine):
+            sent_at.append(trio.current_time())
+            return len(sent_at) > 1
+
+        monkeypatch.setattr(Engine, "announce", announce)
+        engine.settings = evolve(engine.settings, first_heartbeat_s=0.9)
+        began_at = trio.current_time()
+        nursery.start_soon(engine.announce_steadily)
+        await trio.sleep(4 * HEARTBEAT_S)
+        nursery.cancel_scope.cancel()
+        assert sent_at[0] - began_at >= 0.9
+        record = (tmp_path / "engine.runs").read_text()
+        assert len(sent_at) > 2 and record.count("announced") == 1
+
     async def test_endpoint_runs_after_its_deadline(self, engine, nursery):
         listeners = await nursery.start(partial(trio.serve_tcp, engine.serve, 0))
         port = listeners[0].socket.getsockname()[1]
