A state member that started again lately is no evidence that nobody began a stream

Callers got events of v1 after events of v2, on take-ups at another gateway after the state members that keep the stream's origin had started again, or while they did not reply. The process that began the stream was not announced, and only v1 was listed.

Cause: silence was taken for evidence. "Not recorded" of a member that had forgotten all, or a cluster view of up to 2 s alone, counted as proof that only the listed version can have begun the stream.

Change: a reply tells for how long the member has kept all origins that it was told: since its start, since datagrams did not fit in its socket (the kernel counts them), or since it dropped one for want of room before it was 30 s old. A stream that nobody knows goes on at the only listed version only if one of its two members has kept them for 30 s, or does not tell, as those of the version before. It is then one of a gateway of the version before, which tells nobody while one version is listed. Else it is refused (StreamVersionUnknown).

The price: after a restart of all members, streams that began before it go on at the gateway that sent their first events only, for 30 s; at others they are refused. The same holds where no member replies, and for gateways without a work_address, which tell and ask nobody. Nothing tells such a stream from one of an unannounced process. Members that started again know the streams that begin from then on.

Tests: one claimed that a stream goes on if the keepers have just forgotten it. It stands for a stream of a gateway of the version before now, with a keeper that is old enough, and still requires all events; the case of the new keeper is checked to be refused. Sites of partitioned gateways had no state members that keep origins, so that a peer could know nothing of the stream; they have one now, and their checks are unchanged.

--- a/medlarrail/cluster/recent_origins.py
+++ b/medlarrail/cluster/recent_origins.py
@@ -33,6 +33,11 @@
     clock: Clock = get_boottime
     _kept: OrderedDict[str, KeptOrigin] = field(factory=OrderedDict)
     """The latest told last."""
+    complete_since: float = field(init=False)
+    """Since when all origins that were told are kept, up to their expiry."""
+
+    def __attrs_post_init__(self):
+        self.complete_since = self.clock()
 
     def add(self, origin: StreamOrigin) -> StreamOrigin:
         """Keep an origin and return the one that is kept of its stream.
@@ -45,13 +50,25 @@
             kept = self._kept[origin.stream] = KeptOrigin(origin, now, now)
         kept.told_at = now
         self._kept.move_to_end(origin.stream)
-        while len(self._kept) > self.max_count or self._is_oldest_expired(now):
-            self._kept.popitem(last=False)
+        self._remove_expired(now)
+        while len(self._kept) > self.max_count:
+            _, dropped = self._kept.popitem(last=False)
+            self.complete_since = max(self.complete_since, dropped.told_at)
         return kept.get_origin(now)
 
-    def _is_oldest_expired(self, now: float) -> bool:
+    def _remove_expired(self, now: float) -> None:
         oldest = next(iter(self._kept.values()))
-        return now - oldest.told_at > STREAM_RETENTION_S
+        while now - oldest.told_at > STREAM_RETENTION_S:
+            self._kept.popitem(last=False)
+            oldest = next(iter(self._kept.values()))
+
+    def mark_lost(self) -> None:
+        """Note that origins may have been told up to now that are not kept."""
+        self.complete_since = self.clock()
+
+    def get_kept_for_s(self) -> float:
+        """Return the seconds for which all origins that were told are kept."""
+        return self.clock() - self.complete_since
 
     def find(self, stream: str) -> StreamOrigin | None:
         """Return the origin of a stream, or None if it is not kept."""
--- a/medlarrail/cluster/stream_origin_keeper.py
+++ b/medlarrail/cluster/stream_origin_keeper.py
@@ -36,13 +36,15 @@
 
     datagram_socket: DatagramSocket
     clock: Clock = get_boottime
-    _origins: RecentOrigins = field(init=False)
+    origins: RecentOrigins = field(init=False)
     _drained_at: float = 0.0
     """Latest time at which no datagram was waiting: after a suspension of the process,
     those that are received may have waited for all of it."""
+    _dropped: int = 0
+    """Datagrams that did not fit in the socket, as far as that is noted."""
 
     def __attrs_post_init__(self):
-        self._origins = RecentOrigins(MAX_ORIGINS, self.clock)
+        self.origins = RecentOrigins(MAX_ORIGINS, self.clock)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled; raises ``OSError`` if the address is in use."""
@@ -58,9 +60,19 @@
         """Handle the datagrams that have arrived, or arrive within a moment."""
         self._note_drained()
         with trio.move_on_after(CHECK_INTERVAL_S):
-            for body in await self.datagram_socket.receive():
+            bodies = await self.datagram_socket.receive()
+            self._note_dropped()
+            for body in bodies:
                 self._handle(body[:1], body[1:])
 
+    def _note_dropped(self) -> None:
+        """Note that datagrams did not fit in the socket, as after a suspension."""
+        dropped = self.datagram_socket.dropped
+        if dropped != self._dropped:
+            get_metrics().count("origins_dropped")
+            self._dropped = dropped
+            self.origins.mark_lost()
+
     def _note_drained(self) -> None:
         now = self.clock()
         if not self.datagram_socket.has_arrived():
@@ -88,10 +100,12 @@
             endpoint=intern(origin.endpoint),
             open_for_s=round(origin.open_for_s - waited_s, 3),
         )
-        kept = self._origins.add(origin)
+        kept = self.origins.add(origin)
         if kept.contradicts(origin):
             get_metrics().count("origins_contradicted")
 
     def _answer(self, query: OriginQuery) -> None:
-        reply = OriginReply(query.number, self._origins.find(query.stream))
+        origin = self.origins.find(query.stream)
+        kept_for_s = round(self.origins.get_kept_for_s(), 3)
+        reply = OriginReply(query.number, origin, kept_for_s)
         self.datagram_socket.send([query.reply_to], REPLY_PREFIX + encode(reply))
--- a/medlarrail/cluster/stream_origin_keeper_test.py
+++ b/medlarrail/cluster/stream_origin_keeper_test.py
@@ -4,11 +4,13 @@
 import pytest
 import trio
 import trio.testing
+from attrs import evolve
 
 from medlarrail.cluster.recent_origins import RecentOrigins
 from medlarrail.cluster.stream_origin_keeper import StreamOriginKeeper
 from medlarrail.core.codec import decode, encode
 from medlarrail.core.metrics import get_metrics
+from medlarrail.policy.stream_versions import STREAM_RETENTION_S
 from medlarrail.protocol.stream_origins import (
     QUERY_PREFIX,
     RECORD_PREFIX,
@@ -69,6 +71,23 @@
         clock.now += 3
         assert kept.add(ORIGIN) == OLD_ORIGIN
 
+    def test_origins_beyond_the_limit_count_as_never_told(self, clock):
+        """The oldest ones make room, though callers may still take them up."""
+        kept = RecentOrigins(2, clock)
+        for number in range(3):
+            clock.now += 10
+            kept.add(evolve(ORIGIN, stream=f"s{number}"))
+        clock.now += 1
+        assert kept.get_kept_for_s() == 21
+        assert kept.find("s0") is None
+
+    def test_expired_origins_count_as_lost(self, clock):
+        kept = RecentOrigins(2, clock)
+        for number in range(3):
+            clock.now += STREAM_RETENTION_S + 1
+            kept.add(evolve(ORIGIN, stream=f"s{number}"))
+        assert kept.get_kept_for_s() == 3 * (STREAM_RETENTION_S + 1)
+
 
 class KeeperHarness:
     """A keeper that runs, and a socket of an entry."""
@@ -90,11 +109,14 @@
         self.entry.send([address], prefix + encode(message))
 
     async def find(self, stream: str) -> StreamOrigin | None:
+        return (await self.ask(stream)).origin
+
+    async def ask(self, stream: str) -> OriginReply:
         reply_to = f"{HOST}:{self.entry.get_port()}"
         self.send(QUERY_PREFIX, OriginQuery(1, reply_to, stream))
         with trio.fail_after(2):
             (body,) = await self.entry.receive()
-        return decode(body[1:], OriginReply).origin
+        return decode(body[1:], OriginReply)
 
 
 @pytest.fixture
@@ -105,6 +127,24 @@
 
 
 class TestKeeper:
+    async def test_reply_leaves_out_for_how_long_origins_were_kept(self, harness):
+        """A keeper that started again lately may have forgotten a stream."""
+        assert (await harness.ask("s1")).kept_for_s == 0
+        harness.clock.now += 60
+        assert (await harness.ask("s1")).kept_for_s == 60
+
+    async def test_datagrams_that_did_not_fit_count_as_never_told(self, harness):
+        """The process was suspended until its socket was full."""
+        harness.clock.now += 60
+        for number in range(5000):
+            harness.tell(evolve(ORIGIN, stream=f"s{number}"))
+        await trio.testing.wait_all_tasks_blocked()
+        reply = await harness.ask("s4999")
+        assert reply.origin is None
+        assert reply.kept_for_s == 0
+        harness.clock.now += 60
+        assert (await harness.ask("s4999")).kept_for_s == 60
+
     async def test_reply_leaves_out_the_time_for_which_it_was_kept(self, harness):
         harness.tell(ORIGIN)
         assert await harness.find("s1") == ORIGIN
--- a/medlarrail/policy/stream_versions.py
+++ b/medlarrail/policy/stream_versions.py
@@ -29,27 +29,38 @@
     return set(in_service) <= {version} and view_age_s <= MAX_VIEW_AGE_S
 
 
+def is_never_told(kept_for_s: float | None) -> bool:
+    """Return whether a member that does not know a stream was never told of it.
+
+    ``kept_for_s`` says for how long it has kept all origins that it was told, None if
+    it does not tell. One that has started again lately may have forgotten the stream.
+
+    >>> is_never_told(60.0), is_never_told(5.0), is_never_told(None)
+    (True, False, True)
+    """
+    return kept_for_s is None or kept_for_s >= STREAM_RETENTION_S
+
+
 def choose_stream_version(
-    recorded: str | None,
-    in_service: Collection[str],
-    keepers_replied: bool,
-    view_age_s: float,
+    recorded: str | None, in_service: Collection[str], never_told: bool
 ) -> str | None:
     """Return the version at which a stream goes on, or None if it is not known.
 
     ``recorded`` is the version that is remembered for the stream, and ``in_service``
-    has all versions that may have begun it. If that is only one, it must be certain
-    that no other has come: the members that remember streams have replied that they do
-    not know this one, or the cluster state is recent.
+    has all versions that are listed. A stream of which members were ``never_told``
+    began at an entry of the version before, which tells them unless only one version
+    is listed. Without that evidence, a process that has not announced itself may have
+    begun it.
 
-    >>> choose_stream_version(None, ["v1"], True, 0.5)
+    >>> choose_stream_version(None, ["v1"], True)
     'v1'
-    >>> choose_stream_version(None, ["v1", "v2"], True, 0.5) is None
+    >>> choose_stream_version(None, ["v1"], False) is None
+    True
+    >>> choose_stream_version(None, ["v1", "v2"], True) is None
     True
     """
     if recorded is not None:
         return recorded
-    is_certain = keepers_replied or view_age_s <= MAX_VIEW_AGE_S
-    if len(in_service) == 1 and is_certain:
+    if len(in_service) == 1 and never_told:
         return next(iter(in_service))
     return None
--- a/medlarrail/protocol/stream_origins.py
+++ b/medlarrail/protocol/stream_origins.py
@@ -66,6 +66,9 @@
 
     number: int
     origin: StreamOrigin | None = None
+    kept_for_s: float | None = None
+    """Seconds for which the member has kept all origins that it was told, None from one
+    that does not tell."""
 
 
 def get_stream_key(request_id: str) -> str:
--- a/medlarrail/relay/stream_origins.py
+++ b/medlarrail/relay/stream_origins.py
@@ -14,6 +14,7 @@
 from medlarrail.core.codec import encode
 from medlarrail.core.metrics import get_metrics
 from medlarrail.core.placement import get_weight
+from medlarrail.policy.stream_versions import is_never_told
 from medlarrail.protocol.stream_origins import (
     QUERY_PREFIX,
     RECORD_PREFIX,
@@ -59,18 +60,19 @@
     keepers_replied: bool = False
     connection: BeginConnection | None = None
     """None if the origin is proven, or told by a program that does not know it."""
+    never_told: bool = False
+    """Whether a member that would know a stream of which it was told does not."""
 
 
-def build_found(
-    origin: StreamOrigin | None, keepers_replied: bool = False, delay_s: float = 0.0
-) -> FoundOrigin:
-    """Return an origin with its connection, whose times may be earlier by a delay."""
+def build_connection(
+    origin: StreamOrigin | None, delay_s: float = 0.0
+) -> BeginConnection | None:
+    """Return the connection of an origin, whose times may be earlier by a delay."""
     if origin is None or origin.proven or not origin.endpoint:
-        return FoundOrigin(origin, keepers_replied)
+        return None
     opened_at = trio.current_time() - origin.opened_ago_s
     closed_at = opened_at + origin.open_for_s - delay_s
-    connection = BeginConnection(origin.endpoint, opened_at, closed_at)
-    return FoundOrigin(origin, keepers_replied, connection)
+    return BeginConnection(origin.endpoint, opened_at, closed_at)
 
 
 @define(eq=False)
@@ -146,16 +148,22 @@
         stream = get_stream_key(request_id)
         own = self._own.find(stream)
         if own is not None:
-            return build_found(own)
+            return FoundOrigin(own, connection=build_connection(own))
         if self._queries is None:
             return FoundOrigin(None)
         asked_at = trio.current_time()
         replies = await self._ask_keepers(stream)
         origin = next((reply.origin for reply in replies if reply.origin), None)
-        status = "known" if origin else "unknown" if replies else "unanswered"
-        get_metrics().count("stream_origins_asked", status=status)
+        never_told = origin is None and any(
+            is_never_told(reply.kept_for_s) for reply in replies
+        )
+        get_metrics().count(
+            "stream_origins_asked", status=_get_status(origin, replies, never_told)
+        )
         delay_s = MAX_TRANSIT_S + trio.current_time() - asked_at
-        return build_found(origin, bool(replies), delay_s)
+        return FoundOrigin(
+            origin, bool(replies), build_connection(origin, delay_s), never_told
+        )
 
     async def _ask_keepers(self, stream: str) -> list[OriginReply]:
         """Return the keepers' replies: those of all, or up to the first origin."""
@@ -177,3 +185,14 @@
             for address in self.list_keepers(stream):
                 nursery.start_soon(ask, address)
         return replies
+
+
+def _get_status(
+    origin: StreamOrigin | None, replies: list[OriginReply], never_told: bool
+) -> str:
+    """Return the outcome of a query for the counter."""
+    if origin is not None:
+        return "known"
+    if never_told:
+        return "unknown"
+    return "forgotten" if replies else "unanswered"
--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -56,8 +56,7 @@
             version = choose_stream_version(
                 found.origin.software_version if found.origin else None,
                 versions,
-                found.keepers_replied,
-                view_age_s,
+                found.never_told,
             )
         eliot.log_message(
             "stream:resumed",
@@ -69,6 +68,7 @@
             endpoint=found.connection.endpoint if found.connection else None,
             proven=found.origin is not None and found.origin.proven,
             keepers_replied=found.keepers_replied,
+            never_told=found.never_told,
             versions=sorted(versions),
             picture_age_s=round(view_age_s, 3),
         )
--- a/medlarrail/relay/stream_versions_test.py
+++ b/medlarrail/relay/stream_versions_test.py
@@ -11,7 +11,7 @@
 import trio
 from attrs import define, field
 
-from medlarrail.policy.stream_versions import MAX_VIEW_AGE_S
+from medlarrail.policy.stream_versions import MAX_VIEW_AGE_S, STREAM_RETENTION_S
 from medlarrail.relay.forwarding import Forwarder
 from medlarrail.relay.request_relay import RetryPolicy
 from medlarrail.testing.builders import build_deployment, build_route
@@ -230,10 +230,10 @@
         assert fleet.count_requests() == sent_before
 
     async def test_a_stream_of_the_only_version_is_refused(self, nursery, tmp_path):
-        """Nobody remembers it, but only one version can have begun it."""
+        """It began at a gateway of the version before, which told nobody."""
         fleet = await start(nursery, tmp_path, {"v1": 2}, breaks=False, stalls=True)
         stream = await begin(fleet.gateways[0], EVENTS_BEFORE_BREAK)
-        await fleet.keeper.restart()
+        await fleet.keeper.restart(STREAM_RETENTION_S)
         started = await fleet.restart_gateways(DEPLOYMENT)
         await take_up(started, stream)
         assert stream.is_complete
--- a/medlarrail/relay/unrecorded_streams_test.py
+++ b/medlarrail/relay/unrecorded_streams_test.py
@@ -145,6 +145,24 @@
         require_not_joined(stream)
         assert stream.refused
 
+    async def test_stream_is_refused_where_it_began(self, fleet):
+        """The gateway that sent its first events needs no keeper."""
+        gateway = fleet.gateways[0]
+        gateway.relay.cluster_view.endpoints.pop(IN_PLACE)
+        stream = await begin(gateway, EVENTS_BEFORE_BREAK)
+        await fleet.keeper.restart()
+        await take_up(gateway, stream)
+        assert set(stream.versions) == {b"v1"}
+        assert stream.is_complete
+
+    async def test_stream_that_began_after_the_restart_is_refused(self, fleet):
+        """The keepers were told of it, though they have kept origins for a moment."""
+        gateway = fleet.gateways[0]
+        await fleet.keeper.restart()
+        stream = await begin_in_place(gateway, b"v2")
+        found = await fleet.gateways[1].relay.origins.find(stream.request_id)
+        assert found.connection.endpoint == IN_PLACE
+
     async def test_stream_goes_on_though_no_keeper_replies(self, fleet):
         """The cluster view was fresh, which tells nothing of unannounced processes."""
         stream = await begin_in_place(fleet.gateways[0], b"v2")
--- a/medlarrail/testing/fleet.py
+++ b/medlarrail/testing/fleet.py
@@ -14,15 +14,14 @@
 from medlarrail.cluster.cluster_view_server import ClusterViewServer
 from medlarrail.cluster.crash_watch import CrashWatch
 from medlarrail.cluster.state_client import StateClient
-from medlarrail.cluster.stream_origin_keeper import StreamOriginKeeper
 from medlarrail.core.announcements import Announcement
 from medlarrail.core.deployment import Deployment
 from medlarrail.relay.header_codec import DefaultHeaderCodec
 from medlarrail.relay.metadata import HeaderCodec
 from medlarrail.testing.builders import build_announcement
 from medlarrail.testing.cluster import Cluster
+from medlarrail.testing.origin_keepers import KeeperHost, connect_origins
 from medlarrail.testing.scripted_endpoints import (
-    CLUSTER_KEY,
     HOST,
     RelayHarness,
     Script,
@@ -30,7 +29,6 @@
     build_request,
     start_relay,
 )
-from medlarrail.transport.datagrams import DatagramSocket
 
 START_TIMEOUT_S = 10.0
 ANNOUNCEMENT_INTERVAL_S = 0.1
@@ -38,35 +36,6 @@
 """Rate of ``send_steadily``."""
 
 
-@define(eq=False)
-class KeeperHost:
-    """A keeper of streams' origins on loopback, which can lose its memory."""
-
-    nursery: trio.Nursery
-    address: str = f"{HOST}:0"
-    _scope: trio.CancelScope = field(factory=trio.CancelScope)
-
-    async def start(self) -> None:
-        """Start the keeper at its address, or at any if it has none yet."""
-        datagram_socket = DatagramSocket(self.address, CLUSTER_KEY.decode())
-        await self.nursery.start(self._run, StreamOriginKeeper(datagram_socket))
-        self.address = f"{HOST}:{datagram_socket.get_port()}"
-
-    async def _run(self, keeper: StreamOriginKeeper, task_status) -> None:
-        with trio.CancelScope() as self._scope:
-            await keeper.run(task_status)
-
-    async def restart(self) -> None:
-        """End the keeper, and start one that knows nothing."""
-        self.stop()
-        await trio.testing.wait_all_tasks_blocked()
-        await self.start()
-
-    def stop(self) -> None:
-        """End the keeper."""
-        self._scope.cancel()
-
-
 @define(eq=False)
 class Fleet:
     """Gateways and the state member that they follow."""
@@ -96,24 +65,11 @@
             ready=True,
         )
         harness.relay.connect_state(view_client.state)
-        await self._connect_stream_origins(harness)
+        await connect_origins(self.nursery, harness.relay.origins)
         await self.nursery.start(harness.relay.run_reporters)
         self.nursery.start_soon(view_client.run)
         self.gateways.append(harness)
 
-    async def _connect_stream_origins(self, harness: RelayHarness) -> None:
-        datagram_socket = DatagramSocket(f"{HOST}:0", CLUSTER_KEY.decode())
-        await datagram_socket.open()
-        origins = harness.relay.origins
-        origins.connect(datagram_socket, f"{HOST}:{datagram_socket.get_port()}")
-
-        async def receive() -> None:
-            while True:
-                for body in await datagram_socket.receive():
-                    origins.handle_reply(body[1:])
-
-        self.nursery.start_soon(receive)
-
     async def add_endpoint(
         self, name: str, script: Script, software_version: str = ""
     ) -> None:
--- a/medlarrail/testing/partitioned_site.py
+++ b/medlarrail/testing/partitioned_site.py
@@ -10,6 +10,7 @@
 from medlarrail.core.deployment import Deployment
 from medlarrail.protocol.crashes import BREAKS_PATH, CrashReport
 from medlarrail.testing.builders import build_cluster_view_answer
+from medlarrail.testing.origin_keepers import KeeperHost, connect_origins
 from medlarrail.testing.paths import CutMode, CutPaths
 from medlarrail.testing.scripted_endpoints import (
     HOST,
@@ -79,6 +80,8 @@
         self, count: int, deployment: Deployment, data_centres: tuple[str, ...]
     ) -> None:
         """Start gateways that know each other, placed in the data centres in turn."""
+        keeper = KeeperHost(self.nursery)
+        await keeper.start()
         entries = []
         for number in range(count):
             name = f"gateway-{number}"
@@ -92,12 +95,18 @@
             announcing = harness.relay.incarnations.state
             harness.relay.connect_state(self.state)
             harness.relay.incarnations.state = announcing
+            await connect_origins(self.nursery, harness.relay.origins)
             await self.nursery.start(harness.relay.run_reporters)
             self.gateways.append(harness)
             self.paths.append(paths)
         answer = build_cluster_view_answer([entry.name for entry in entries])
+        answer = evolve(
+            answer,
+            entries=tuple(entries),
+            member_urls=(f"http://{keeper.address}",),
+        )
         for harness in self.gateways:
-            harness.relay.cluster_view.apply(evolve(answer, entries=tuple(entries)))
+            harness.relay.cluster_view.apply(answer)
 
     async def add_endpoint(self, script: Script | None = None, **changes) -> None:
         """Start an endpoint that all gateways know."""
--- a/medlarrail/transport/datagrams.py
+++ b/medlarrail/transport/datagrams.py
@@ -7,6 +7,7 @@
 
 import hmac
 import socket
+import sys
 from collections.abc import Iterable, Iterator
 from functools import lru_cache
 from typing import TypeVar
@@ -27,6 +28,10 @@
 """Keys whose MACs are remembered as begun; a process uses one."""
 MAX_BATCH = 32
 """Datagrams received in one turn of the event loop."""
+SO_RXQ_OVFL = 40
+"""Linux's option for a socket to tell how many datagrams did not fit in it."""
+ANCILLARY_BYTES = 64
+"""Space for that number."""
 
 
 def sign_datagram(key: str, body: bytes) -> bytes:
@@ -70,12 +75,15 @@
 
     address: str
     key: str
+    dropped: int = field(default=0, init=False)
+    """Datagrams that did not fit in the socket, up to the latest one received."""
     _socket: socket.socket = field(init=False)
 
     async def open(self) -> None:
         """Bind the address; raises ``OSError`` if it is in use."""
         self._socket = socket.socket(type=socket.SOCK_DGRAM)
         self._socket.setblocking(False)
+        self._socket.setsockopt(socket.SOL_SOCKET, SO_RXQ_OVFL, 1)
         self._socket.bind(_split_address(self.address))
 
     def get_port(self) -> int:
@@ -118,13 +126,18 @@
     def _iterate_arrived(self) -> Iterator[bytes]:
         for _ in range(MAX_BATCH):
             try:
-                data = self._socket.recv(MAX_DATAGRAM_BYTES)
+                data, ancillary, *_ = self._socket.recvmsg(
+                    MAX_DATAGRAM_BYTES, ANCILLARY_BYTES
+                )
             except BlockingIOError:
                 return
             except OSError as error:
                 # The kernel reports that an earlier datagram reached a closed port.
                 get_metrics().count("datagrams_failed", reason=type(error).__name__)
                 continue
+            for _, kind, value in ancillary:
+                if kind == SO_RXQ_OVFL:
+                    self.dropped = int.from_bytes(value, sys.byteorder)
             body = verify_datagram(self.key, data)
             if body is None:
                 get_metrics().count("datagrams_unsealed")
