Gateways that list other state members find each other's origins

While members join, a gateway that lists three of them tells others than one that lists five asks. Its streams counted as unknown there: they were refused, or went on at the only listed version, as a stream that nobody knows.

Cause: the two members of a stream are chosen by the list of each gateway, and only those two were asked.

Change: if neither knows the stream, all others are asked, too. A reply of theirs is no evidence that nobody was told of it, as they need not have been told.

--- a/medlarrail/relay/stream_origins.py
+++ b/medlarrail/relay/stream_origins.py
@@ -100,11 +100,11 @@
         """Pass a keeper's reply to the query that waits for it."""
         self._queries.handle_reply(body)
 
-    def list_keepers(self, stream: str) -> list[str]:
-        """Return the addresses of the state members that keep a stream's origin."""
+    def list_members(self, stream: str) -> list[str]:
+        """Return the addresses of the state members, the stream's keepers first."""
         addresses = [url.partition("://")[2] for url in self.cluster_view.member_urls]
         addresses.sort(key=lambda address: get_weight(address, stream), reverse=True)
-        return addresses[:KEEPER_COUNT]
+        return addresses
 
     def record(
         self,
@@ -141,7 +141,8 @@
         if self._datagram_socket is None:
             return
         body = RECORD_PREFIX + encode(StreamOrigins((origin,)))
-        self._datagram_socket.send(self.list_keepers(origin.stream), body)
+        keepers = self.list_members(origin.stream)[:KEEPER_COUNT]
+        self._datagram_socket.send(keepers, body)
 
     async def find(self, request_id: str) -> FoundOrigin:
         """Return the origin of the stream that this request began."""
@@ -152,8 +153,12 @@
         if self._queries is None:
             return FoundOrigin(None)
         asked_at = trio.current_time()
-        replies = await self._ask_keepers(stream)
-        origin = next((reply.origin for reply in replies if reply.origin), None)
+        members = self.list_members(stream)
+        replies = await self._ask(members[:KEEPER_COUNT], stream)
+        origin = _find_origin(replies)
+        if origin is None:
+            # An entry that lists other members may have told another one.
+            origin = _find_origin(await self._ask(members[KEEPER_COUNT:], stream))
         never_told = origin is None and any(
             is_never_told(reply.kept_for_s) for reply in replies
         )
@@ -165,8 +170,8 @@
             origin, bool(replies), build_connection(origin, delay_s), never_told
         )
 
-    async def _ask_keepers(self, stream: str) -> list[OriginReply]:
-        """Return the keepers' replies: those of all, or up to the first origin."""
+    async def _ask(self, addresses: list[str], stream: str) -> list[OriginReply]:
+        """Return the members' replies: those of all, or up to the first origin."""
         replies: list[OriginReply] = []
         async with trio.open_nursery() as nursery:
 
@@ -182,11 +187,15 @@
                         nursery.cancel_scope.cancel()
                     return
 
-            for address in self.list_keepers(stream):
+            for address in addresses:
                 nursery.start_soon(ask, address)
         return replies
 
 
+def _find_origin(replies: list[OriginReply]) -> StreamOrigin | None:
+    return next((reply.origin for reply in replies if reply.origin), None)
+
+
 def _get_status(
     origin: StreamOrigin | None, replies: list[OriginReply], never_told: bool
 ) -> str:
