--- a/medlarrail/platform/soak/soak_test.py
+++ b/medlarrail/platform/soak/soak_test.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import orjson
+import pytest
 
 SEED = 7
 DURATION_S = 10
@@ -57,10 +58,12 @@
     run_soak("--only", "freeze_over_restart")
 
 
-def test_link_hides_that_an_endpoint_started_again():
+@pytest.mark.parametrize("heartbeats", ["prompt", "late"])
+def test_link_hides_that_an_endpoint_started_again(heartbeats):
     """The next process at the address replied to the check of an end that the link had
     held back, and was taken for the one that had begun a stream."""
-    run_soak("--only", BEHIND_STALL)
+    options = ["--prompt-heartbeats"] if heartbeats == "prompt" else []
+    run_soak("--only", BEHIND_STALL, *options)
 
 
 def test_stream_of_an_unannounced_process_goes_on_at_the_version_before():
