Failing test: take-ups that name no known request go on at the listed version

Callers get events of v1 after events of v2 if they take a stream up without naming the request that brought its first event, or by a name that nobody knows, and the process that began it has not announced itself. State members were told of the stream, but cannot find it by that name, and their reply counts as proof that only the listed version has begun it.

--- a/medlarrail/relay/unrecorded_streams_test.py
+++ b/medlarrail/relay/unrecorded_streams_test.py
@@ -135,6 +135,19 @@
         assert found.origin is None
 
 
+class TestUnknownNames:
+    @pytest.mark.parametrize("resumes", ["", "another"])
+    async def test_take_up_that_names_no_known_request_goes_on_at_the_listed_version(
+        self, fleet, resumes
+    ):
+        """The keepers were told of the stream, but cannot find it. That they do not
+        know the name was taken for the proof that only one version had begun it."""
+        stream = await begin_in_place(fleet.gateways[0], b"v2")
+        await take_up(fleet.gateways[1], stream, X_Resumes=resumes)
+        require_not_joined(stream)
+        assert stream.refused
+
+
 class TestKeepers:
     async def test_stream_goes_on_after_its_keepers_were_restarted(self, fleet):
         """They replied that they did not know it, which was taken for the proof that
