Rollouts: the search for another endpoint keeps what is reserved for a stream

Callers get 503 for new streams at the only endpoint that is left, during a software rollout, if it is of the target and has broken a connection off: until its report tells the announced start.

Cause: whether another endpoint can be used was found by the selection for the next attempt, which draws a version and takes the reservation at the target back. The attempt in progress needs it.

Change: the question has no effect on the draw.

Result: the new test failed with 503 (EndpointOutOfService) before.

--- a/medlarrail/relay/endpoint_choice.py
+++ b/medlarrail/relay/endpoint_choice.py
@@ -90,8 +90,16 @@
         return [candidate.name for candidate in candidates]
 
     def has_choice(self) -> bool:
-        """Return whether an endpoint is left that was not tried."""
-        return bool(self._list_available())
+        """Return whether an endpoint is left that was not tried.
+
+        Unlike ``choose``, it neither draws a software version nor takes back what is
+        reserved for the request.
+        """
+        version_choice = self.relayed.version_choice
+        return any(
+            version_choice is None or version_choice.may_wait_for(endpoint.announced)
+            for endpoint in self._list_untried()
+        )
 
     def choose(self) -> Choice:
         """Return the choice for the next attempt."""
@@ -130,20 +138,24 @@
 
         During a software rollout these are those of the versions for this request.
         """
-        stats = self.relay.endpoint_stats
+        available = self._list_untried()
         available = [
+            endpoint for endpoint in available if not endpoint.loading
+        ] or available
+        if self.relayed.version_choice is None:
+            return available
+        return self.relayed.version_choice.select(available)
+
+    def _list_untried(self) -> list[EndpointView]:
+        """Return the available endpoints that were not tried."""
+        stats = self.relay.endpoint_stats
+        return [
             endpoint
             for endpoint in stats.iterate_available(self.service)
             if endpoint.announced.name not in self.relayed.tried
             and self.relayed.stream_version.allows(endpoint.announced)
             and self.relay.has_free_connection(self.service, endpoint.announced.name)
         ]
-        available = [
-            endpoint for endpoint in available if not endpoint.loading
-        ] or available
-        if self.relayed.version_choice is None:
-            return available
-        return self.relayed.version_choice.select(available)
 
     def _list_usable(self, available: list[EndpointView]) -> list[UsableEndpoint]:
         """Return the endpoints whose weights this request may use."""
--- a/medlarrail/relay/rollout_traffic_test.py
+++ b/medlarrail/relay/rollout_traffic_test.py
@@ -11,7 +11,7 @@
 import trio.testing
 from attrs import define, evolve, field
 
-from medlarrail.core.deployment import Deployment, ServiceRule
+from medlarrail.core.deployment import Deployment, EngineSpec, ServiceRule
 from medlarrail.core.errors import PeerTimeout
 from medlarrail.core.metrics import get_metrics
 from medlarrail.core.software_rollouts import (
@@ -26,6 +26,7 @@
 from medlarrail.protocol.empty import EmptyMessage
 from medlarrail.protocol.software_rollouts import REPORTS_PATH
 from medlarrail.relay.divided_room import DividedRoom
+from medlarrail.relay.ended_endpoints_test import send_rest
 from medlarrail.relay.forwarding import Forwarder
 from medlarrail.relay.header_codec import DefaultHeaderCodec
 from medlarrail.relay.inbound import ServerExchange
@@ -34,6 +35,7 @@
 from medlarrail.relay.relayed_request import RelayedRequest
 from medlarrail.relay.request_forwarding import RequestForwarding
 from medlarrail.relay.request_relay import RetryPolicy
+from medlarrail.relay.restarted_endpoints_test import StartHeaderCodec
 from medlarrail.relay.rollout_counts import get_latency_class
 from medlarrail.relay.rollout_reporter import MIN_INTERVAL_S
 from medlarrail.relay.rollout_traffic import RolloutTraffic
@@ -42,6 +44,8 @@
 from medlarrail.testing.builders import build_deployment, build_route
 from medlarrail.testing.logs import collect_messages
 from medlarrail.testing.scripted_endpoints import (
+    HOST,
+    STATUS_PATH,
     RelayHarness,
     Script,
     ScriptedConnection,
@@ -928,3 +932,20 @@
         gaps = [b - a for a, b in zip(state.times, state.times[1:], strict=False)]
         assert len(gaps) >= 1
         assert min(gaps) >= MIN_INTERVAL_S - 0.01
+
+
+class TestUnannouncedProcesses:
+    async def test_stream_is_refused_at_the_only_endpoint(self, nursery, monkeypatch):
+        """It is of the target, and has broken off. The search for another endpoint took
+        back what was reserved for the stream there."""
+        allow_all(monkeypatch)
+        service = ServiceRule("guide", health_path=STATUS_PATH, engine=EngineSpec())
+        deployment = evolve(STREAM, services=(service,))
+        codec = StartHeaderCodec()
+        site = await start_site(
+            nursery, deployment, new=send_rest, counts=(0, 1), codec=codec
+        )
+        (endpoint,) = site.harness.endpoints
+        site.harness.relay.pool.record_broken(f"{HOST}:{endpoint.port}")
+        answer = await site.harness.send(build_request())
+        assert answer.startswith(b"HTTP/1.1 200"), answer
