Streams that begin after a break use an open connection if new ones are reset

A stream is lost (502) at an endpoint that resets further connections, as at its limit of them, though one to it is open and idle, if a connection to it has broken off before.

Cause: the report is read on a new connection. If it is not answered, the stream was sent on another new connection, too.

Change: it is sent on an idle connection if there is one.

Result: the new test failed with 502 before.

--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -213,8 +213,10 @@
                 if not is_usable:
                     relay.pool.discard(connection)
                     connection = None
+                    # A stream that begins can use a connection that is open: the
+                    # endpoint may take no further ones.
                     connection = await relay.pool.acquire(
-                        announced.address, new_connection or is_unknown, limit
+                        announced.address, new_connection, limit
                     )
                     if goes_on:
                         # The next process may have got the address meanwhile.
--- a/medlarrail/relay/restarted_endpoints_test.py
+++ b/medlarrail/relay/restarted_endpoints_test.py
@@ -17,6 +17,7 @@
 from medlarrail.relay.incomplete_answers_test import BODY, EVENTS, call
 from medlarrail.testing.builders import build_deployment, build_route
 from medlarrail.testing.scripted_endpoints import (
+    HOST,
     STATUS_PATH,
     RelayHarness,
     ScriptedEndpoint,
@@ -243,3 +244,23 @@
         other = await add_endpoint(harness, STARTED_MS)
         await call(harness, build_request())
         assert (len(endpoint.requests), len(other.requests)) == (1, 1)
+
+    async def test_stream_is_lost_at_an_endpoint_that_takes_no_more_connections(
+        self, harness
+    ):
+        """One in use was passed over for new ones, which the endpoint reset."""
+        accepted = []
+
+        async def serve(connection, request):
+            if accepted and connection is not accepted[0]:
+                connection.reset()
+            else:
+                accepted.append(connection)
+                await send_rest(connection, request)
+
+        endpoint = await add_endpoint(harness, STARTED_MS, serve)
+        endpoint.status_script = serve
+        await call(harness, build_request())
+        harness.relay.pool.record_broken(f"{HOST}:{endpoint.port}")
+        answer = await call(harness, build_request())
+        assert answer.body == BODY
