Streams that begin wait for two reports at most, 0.4 s each

New streams are refused (503) while three endpoints that have broken off do not answer calls for their report, though they would serve the streams.

Cause: up to three reports were waited for, 1 s each, which is longer than the deadline in the test. Callers leave after 2 s without an event. The third report changes nothing for the stream, since no further endpoint is avoided.

Change: no report is read for the third endpoint, and a beginning waits 0.4 s for one.

--- a/medlarrail/relay/incarnation_check.py
+++ b/medlarrail/relay/incarnation_check.py
@@ -23,6 +23,9 @@
 
 MAX_AVOIDED = 2
 """Endpoints that one stream does not begin at, though it could be served there."""
+BEGINNING_TIMEOUT_S = 0.4
+"""Maximum time for a report before a stream begins: callers leave after two seconds
+without an event, and ``MAX_AVOIDED`` reports may be waited for."""
 
 
 def get_report_path(relayed: "AttemptRequest") -> str:  # noqa: F821
@@ -67,8 +70,9 @@
 ) -> bool:
     """Return whether a report has to tell which process a stream would begin at.
 
-    That is so after a break. Raises ``EndpointOutOfService`` if it is known that the
-    process started after the announced one, and another endpoint can be used.
+    That is so after a break, unless ``MAX_AVOIDED`` endpoints were tried. Raises
+    ``EndpointOutOfService`` if it is known that the process started after the announced
+    one, and another endpoint can be used.
     """
     route = relayed.admission.route
     pool = relayed.relay.pool
@@ -76,6 +80,8 @@
         return False
     if not announced.started_ms or not get_report_path(relayed):
         return False
+    if len(relayed.tried) > MAX_AVOIDED:
+        return False
     if pool.get_latest_start(announced.address) > announced.started_ms:
         _avoid_unannounced(relayed, announced)
     return pool.is_process_unknown(announced.address)
@@ -92,8 +98,9 @@
     one, and another endpoint can be used: a stream whose process nobody has heard of
     could not go on after a further break.
     """
+    path = get_report_path(relayed)
     status = await _read_status(
-        relayed, announced, connection, get_report_path(relayed)
+        relayed, announced, connection, path, BEGINNING_TIMEOUT_S
     )
     is_known = status is not None and status.reply.started_ms == announced.started_ms
     get_metrics().count("beginnings_checked", is_known=is_known)
@@ -112,7 +119,7 @@
     announced: Announcement,
 ) -> None:
     """Raise ``EndpointOutOfService`` if there may be an announced process elsewhere."""
-    if len(relayed.tried) <= MAX_AVOIDED and relayed.chooser.has_choice():
+    if relayed.chooser.has_choice():
         _raise_unproven(announced)
 
 
@@ -121,10 +128,11 @@
     announced: Announcement,
     connection: OutboundConnection,
     path: str,
+    timeout_s: float = STATUS_TIMEOUT_S,
 ) -> EndpointStatus | None:
     """Return the report that is read on a new connection, None without a whole one."""
     status = None
-    with trio.move_on_after(STATUS_TIMEOUT_S), suppress(RunFailure):
+    with trio.move_on_after(timeout_s), suppress(RunFailure):
         status = await read_status(
             relayed.relay.header_codec, connection, announced, path
         )
--- a/medlarrail/relay/restarted_endpoints_test.py
+++ b/medlarrail/relay/restarted_endpoints_test.py
@@ -264,3 +264,18 @@
         harness.relay.pool.record_broken(f"{HOST}:{endpoint.port}")
         answer = await call(harness, build_request())
         assert answer.body == BODY
+
+    async def test_caller_leaves_while_reports_are_waited_for(self, harness):
+        """Each of the endpoints had broken off, and none answered in time."""
+
+        async def wait(connection, request):
+            await trio.sleep_forever()
+
+        for _ in range(3):
+            endpoint = await add_endpoint(harness, STARTED_MS)
+            endpoint.status_script = wait
+            harness.relay.pool.record_broken(f"{HOST}:{endpoint.port}")
+        began_at = trio.current_time()
+        answer = await call(harness, build_request())
+        assert answer.body == BODY
+        assert trio.current_time() < began_at + 2
