Streams begin at a process whose clock was set back

An endpoint gets no resumable streams from a gateway that has read a later start of the process before at its address, as long as the present one answers other requests: its VM's clock was set back between the two.

Cause: the latest of all starts that were told at an address counted, and the times of processes are forgotten only if none of them was extended for 60 s.

Change: the start of the process that ran last counts.

Result: the new test failed before, the stream began at the other endpoint.

--- a/medlarrail/relay/outbound.py
+++ b/medlarrail/relay/outbound.py
@@ -403,8 +403,13 @@
         return address in self._broken_at
 
     def get_latest_start(self, address: str) -> int:
-        """Return the latest start that a process at an address told, 0 for none."""
-        return max((one.started_ms for one in self._spans.get(address, ())), default=0)
+        """Return the start of the process that was last known to run at an address.
+
+        0 if it has not told that. The one before may have told a later start, as the
+        clock of its VM may have been set back.
+        """
+        spans = self._spans.get(address)
+        return spans[-1].started_ms if spans else 0
 
     def find_span(self, connection: OutboundConnection) -> ProcessSpan:
         """Return when the process at the other end is known to have run.
--- a/medlarrail/relay/restarted_endpoints_test.py
+++ b/medlarrail/relay/restarted_endpoints_test.py
@@ -11,6 +11,7 @@
 from attrs import evolve
 
 from medlarrail.core.deployment import EngineSpec, ServiceRule
+from medlarrail.policy.process_spans import ProcessSpan
 from medlarrail.protocol.endpoint_sightings import Sighting
 from medlarrail.relay.ended_endpoints_test import send_rest
 from medlarrail.relay.header_codec import DefaultHeaderCodec
@@ -265,6 +266,21 @@
         answer = await call(harness, build_request())
         assert answer.body == BODY
 
+    async def test_process_whose_clock_was_set_back_gets_no_streams(self, harness):
+        """The process before had told a later start, which counted for as long as the
+        next one answered requests."""
+        endpoint = await add_endpoint(harness, STARTED_MS)
+        address = f"{HOST}:{endpoint.port}"
+        pool = harness.relay.pool
+        pool._spans[address] = (ProcessSpan(-9.0, -8.0, STARTED_MS + 500),)
+        await call(harness, build_request(X_Request_Id="r0"))
+        other = await add_endpoint(harness, STARTED_MS)
+        record = harness.relay.endpoint_stats.get_record(other.name)
+        for _ in range(9):
+            record.record_answer(1.0, failed=True)
+        await call(harness, build_request())
+        assert (len(endpoint.requests), len(other.requests)) == (2, 0)
+
     async def test_caller_leaves_while_reports_are_waited_for(self, harness):
         """Each of the endpoints had broken off, and none answered in time."""
 
