--- a/medlarrail/relay/restarted_endpoints_test.py
+++ b/medlarrail/relay/restarted_endpoints_test.py
@@ -11,12 +11,14 @@
 from attrs import evolve
 
 from medlarrail.core.deployment import EngineSpec, ServiceRule
+from medlarrail.policy.process_spans import ProcessSpan
 from medlarrail.protocol.endpoint_sightings import Sighting
 from medlarrail.relay.ended_endpoints_test import send_rest
 from medlarrail.relay.header_codec import DefaultHeaderCodec
 from medlarrail.relay.incomplete_answers_test import BODY, EVENTS, call
 from medlarrail.testing.builders import build_deployment, build_route
 from medlarrail.testing.scripted_endpoints import (
+    HOST,
     STATUS_PATH,
     RelayHarness,
     ScriptedEndpoint,
@@ -243,3 +245,53 @@
         other = await add_endpoint(harness, STARTED_MS)
         await call(harness, build_request())
         assert (len(endpoint.requests), len(other.requests)) == (1, 1)
+
+    async def test_stream_is_lost_at_an_endpoint_that_takes_no_more_connections(
+        self, harness
+    ):
+        """One in use was passed over for new ones, which the endpoint reset."""
+        accepted = []
+
+        async def serve(connection, request):
+            if accepted and connection is not accepted[0]:
+                connection.reset()
+            else:
+                accepted.append(connection)
+                await send_rest(connection, request)
+
+        endpoint = await add_endpoint(harness, STARTED_MS, serve)
+        endpoint.status_script = serve
+        await call(harness, build_request())
+        harness.relay.pool.record_broken(f"{HOST}:{endpoint.port}")
+        answer = await call(harness, build_request())
+        assert answer.body == BODY
+
+    async def test_process_whose_clock_was_set_back_gets_no_streams(self, harness):
+        """The process before had told a later start, which counted for as long as the
+        next one answered requests."""
+        endpoint = await add_endpoint(harness, STARTED_MS)
+        address = f"{HOST}:{endpoint.port}"
+        pool = harness.relay.pool
+        pool._spans[address] = (ProcessSpan(-9.0, -8.0, STARTED_MS + 500),)
+        await call(harness, build_request(X_Request_Id="r0"))
+        other = await add_endpoint(harness, STARTED_MS)
+        record = harness.relay.endpoint_stats.get_record(other.name)
+        for _ in range(9):
+            record.record_answer(1.0, failed=True)
+        await call(harness, build_request())
+        assert (len(endpoint.requests), len(other.requests)) == (2, 0)
+
+    async def test_caller_leaves_while_reports_are_waited_for(self, harness):
+        """Each of the endpoints had broken off, and none answered in time."""
+
+        async def wait(connection, request):
+            await trio.sleep_forever()
+
+        for _ in range(3):
+            endpoint = await add_endpoint(harness, STARTED_MS)
+            endpoint.status_script = wait
+            harness.relay.pool.record_broken(f"{HOST}:{endpoint.port}")
+        began_at = trio.current_time()
+        answer = await call(harness, build_request())
+        assert answer.body == BODY
+        assert trio.current_time() < began_at + 2
