--- a/medlarrail/platform/soak/check_test.py
+++ b/medlarrail/platform/soak/check_test.py
@@ -4,6 +4,7 @@
 """
 
 import subprocess
+import time
 from functools import partial
 from random import Random
 
@@ -20,10 +21,14 @@
     Violation,
     check_call,
     check_runs,
+    count_calls,
+    is_announced,
     is_cut,
     is_sound,
     name_early_closes,
+    read_runs,
 )
+from medlarrail.platform.soak.control_faults import hold
 from medlarrail.platform.soak.engine import (
     BODY_LINES,
     Engine,
@@ -40,7 +45,10 @@
 from medlarrail.platform.soak.faults import Faults
 from medlarrail.platform.soak.rollouts import LIMITS, Rollout
 from medlarrail.platform.soak.site import Disturbance, RunningProgram, Site
+from medlarrail.platform.soak.take_ups import count_take_ups, read_reasons
 from medlarrail.platform.soak.wire import Head, build_head
+from medlarrail.testing.fault_proxy import FaultProxy
+from medlarrail.testing.scripted_endpoints import HOST
 
 PROMPT = "c1-1"
 COUNT = 6
@@ -206,6 +214,37 @@
         faulty = self.build_run(faulty=True)
         assert not is_sound(site, cut, [faulty, run], ends, {"edge-1", "edge-3"})
 
+    @pytest.mark.parametrize(
+        ("origin", "sound"), [("", True), ("v1", True), ("v2", False)]
+    )
+    def test_run_of_another_version_has_to_go_on(self, origin, sound, tmp_path):
+        """A stream that was rightly ended would count as cut though sound."""
+        site, cut = Site(tmp_path, 1), build_answer([1], "broken")
+        run = self.build_run(version="v1")
+        assert is_sound(site, cut, [run], {}, {"edge-1"}, origin) == sound
+
+    def test_late_first_heartbeat_hides_a_cut_of_a_sound_stream(self, tmp_path):
+        lines = [
+            {"what": "run", "id": "r1", "t": 1.0},
+            {"what": "announced", "id": "", "t": 1.5},
+            {"what": "run", "id": "r2", "t": 2.0},
+        ]
+        common = {"framing": "close", "faulty": False, "closed_early": False}
+        common |= {"service": "talk", "version": "v1"}
+        data = b"\n".join(orjson.dumps(common | line) for line in lines)
+        (tmp_path / "engine-1.runs").write_bytes(data)
+        calls = [
+            Call("stream", PROMPT, COUNT, [build_answer([1], "broken", request_id=one)])
+            for one in ("r1", "r2")
+        ]
+        counts = count_calls(Site(tmp_path, 1), calls, read_runs(tmp_path))
+        assert [one.request_id for one in counts.cut_sound] == ["r2"]
+        assert counts.cut_unannounced == 1
+
+    def test_stream_of_an_endpoint_that_never_announced_itself_counts_as_sound(self):
+        assert not is_announced(self.build_run(), {"engine-2": 0.5})
+        assert is_announced(self.build_run(), {"engine-1": 0.5})
+
 
 class TestRollouts:
     """Runs from a second after the order, at which the verdict is due at 5 s."""
@@ -276,6 +315,103 @@
                 pass
 
 
+class TestTakeUps:
+    def count(self, site, *tries):
+        begun = build_answer([1, 2], "broken")
+        call = Call("chat", PROMPT, COUNT, [begun, *tries])
+        return count_take_ups(site, [call], {"engine-1": 0.5, "engine-2": 2.5})
+
+    @pytest.mark.parametrize(
+        ("answer", "answered", "refused"),
+        [
+            (build_answer([], status=503), 0, 1),
+            (build_answer([3], "broken"), 1, 0),
+            (build_answer([], "broken"), 0, 0),
+            (build_answer([], "regular"), 1, 0),
+        ],
+    )
+    def test_stream_that_is_refused_goes_on(self, answer, answered, refused, tmp_path):
+        site = Site(tmp_path, 1)
+        answer = evolve(answer, last_event_id=2)
+        counts = self.count(site, evolve(answer, status=503, events=[]), answer)
+        assert (counts.streams, counts.tries) == (1, 2)
+        assert (counts.gone_on, counts.answered) == (answered, answered)
+        assert counts.refused == 1 + refused
+
+    @pytest.mark.parametrize(
+        ("sent_at", "version", "ended_at", "spared"),
+        [
+            (3.0, "v1", None, 1),
+            (3.0, "v2", None, 0),
+            (3.0, "v1", 2.9, 0),
+            (2.0, "v1", None, 0),
+        ],
+    )
+    def test_endpoint_that_nobody_heard_of_goes_on(
+        self, sent_at, version, ended_at, spared, tmp_path
+    ):
+        site = Site(tmp_path, 1)
+        for record in ("engine-1", "engine-2"):
+            engine = RunningProgram(
+                "", "", [], tmp_path, tmp_path / f"{record}.json", 1, "chat", "v1"
+            )
+            site.engines.append(engine)
+        site.engines[1].version, site.engines[1].ended_at = version, ended_at
+        taken_up = build_answer([3], "broken", last_event_id=2, sent_at=sent_at)
+        assert self.count(site, taken_up).spared == spared
+
+    def test_refusal_has_no_reason(self, tmp_path):
+        line = {"message_type": "request:refused", "status": 503, "request": "r1"}
+        line["reason"] = "No endpoint is known. (service='chat')"
+        data = orjson.dumps(line) + b"\n"
+        (tmp_path / "edge-1.log").write_bytes(data + b'{"message_type":"request:refu')
+        assert read_reasons(tmp_path, {"r1": "edge-1"}) == {"No endpoint is known.": 1}
+        assert read_reasons(tmp_path, {"r1": "edge-2"}) == {}
+
+
+class TestHeldHeartbeats:
+    @pytest.fixture
+    def site(self, tmp_path):
+        site = Site(tmp_path, 1, report=lambda text: None)
+        site.engines.append(self.build_engine(site, "engine-1"))
+        return site
+
+    def build_engine(self, site, record):
+        file = site.folder / f"{record}.json"
+        return RunningProgram("i-1", "engine", [], site.folder, file, 1)
+
+    async def test_heartbeat_is_lost_with_its_sender(self, site, nursery):
+        """Without such heartbeats nothing arrives after the end of its sender."""
+        received = trio.Event()
+
+        async def serve(stream):
+            assert b"".join([part async for part in stream]) == b"heartbeat"
+            received.set()
+
+        (listener,) = await nursery.start(partial(trio.serve_tcp, serve, 0, host=HOST))
+        port = listener.socket.getsockname()[1]
+        link = FaultProxy(HOST, site.find_engine_port(), port)
+        await nursery.start(link.run)
+        site.engines[0].control_links = [link]
+        with trio.fail_after(5):
+            with hold(Faults(site, Random(1)), site.engines[0]):
+                sender = await trio.open_tcp_stream(HOST, link.port)
+                await sender.send_all(b"heartbeat")
+                await sender.aclose()
+                await trio.testing.wait_all_tasks_blocked(0.05)
+                assert not received.is_set()
+            await received.wait()
+        nursery.cancel_scope.cancel()
+
+    def test_next_process_behind_a_cut_counts_as_undisturbed(self, site):
+        since = time.monotonic()
+        with hold(Faults(site, Random(1)), site.engines[0]):
+            site.ended_engines.append(site.engines.pop())
+            site.engines.append(self.build_engine(site, "engine-2"))
+        assert {one.record for one in site.disturbances} == {"engine-1", "engine-2"}
+        assert all(since <= one.since < one.until for one in site.disturbances)
+
+
 async def test_gateway_that_a_reload_ends_passes(tmp_path):
     """Nothing else would show that a signal has ended it."""
     site = Site(tmp_path, 1, gateway_count=1, report=lambda text: None)
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -36,8 +36,10 @@
 from medlarrail.relay.headers import END_CHECKED, get_header, iterate_end_to_end
 from medlarrail.relay.inbound import ServerExchange
 from medlarrail.relay.incarnation_check import (
+    check_beginning,
     check_incarnation,
     get_report_path,
+    has_unknown_process,
     require_announced,
 )
 from medlarrail.relay.metadata import (
@@ -97,6 +99,7 @@
     stream_version: StreamVersion
     version_choice: "VersionChoice | None"  # noqa: F821
     """None in a deployment without software rollouts."""
+    chooser: "EndpointChooser"  # noqa: F821
     may_be_running: bool
     fallback_answer: BufferedAnswer | None
     """An endpoint's error answer, sent to the caller if no other attempt is made."""
@@ -191,22 +194,31 @@
         limit = relay.get_connection_limit(self.relayed.service, announced.name)
         try:
             with record.send_rate.reserve():
+                is_unknown = has_unknown_process(self.relayed, announced)
                 connection = await relay.pool.acquire(
-                    announced.address, new_connection, limit
+                    announced.address, new_connection or is_unknown, limit
                 )
                 if not connection.reused:
                     relay.forwarder.record_connected(announced.service)
                 self._require_available()
-                if goes_on and not await check_incarnation(
-                    self.relayed, announced, connection
-                ):
+                is_usable = True
+                if goes_on:
+                    is_usable = await check_incarnation(
+                        self.relayed, announced, connection
+                    )
+                elif is_unknown:
+                    is_usable = await check_beginning(
+                        self.relayed, announced, connection
+                    )
+                if not is_usable:
                     relay.pool.discard(connection)
                     connection = None
                     connection = await relay.pool.acquire(
-                        announced.address, new_connection, limit
+                        announced.address, new_connection or is_unknown, limit
                     )
-                    # The next process may have got the address meanwhile.
-                    await require_announced(self.relayed, announced, connection)
+                    if goes_on:
+                        # The next process may have got the address meanwhile.
+                        await require_announced(self.relayed, announced, connection)
                 self._require_available()
                 await self.relayed.exchange.require_caller()
                 self.cold_send = relay.endpoint_stats.record_sent(self.endpoint)
@@ -324,6 +336,8 @@
         self.framing = head.framing
         metadata = relay.header_codec.read_answer(head.status, head.headers)
         self._require_own_answer(metadata, reused)
+        if metadata.request_id or not reused:
+            relay.pool.record_answered(self.connection)
         self._metadata = metadata
         if self._metadata.load is not None:
             record.load = self._metadata.load
--- a/medlarrail/relay/incarnation_check.py
+++ b/medlarrail/relay/incarnation_check.py
@@ -13,10 +13,17 @@
 from medlarrail.core.announcements import Announcement
 from medlarrail.core.errors import EndpointOutOfService, MedlarError, RunFailure
 from medlarrail.core.metrics import get_metrics
-from medlarrail.relay.endpoint_status import STATUS_TIMEOUT_S, read_status
+from medlarrail.relay.endpoint_status import (
+    STATUS_TIMEOUT_S,
+    EndpointStatus,
+    read_status,
+)
 from medlarrail.relay.incarnations import ANNOUNCEMENT_TIMEOUT_S
 from medlarrail.relay.outbound import OutboundConnection
 
+MAX_AVOIDED = 2
+"""Endpoints that one stream does not begin at, though it could be served there."""
+
 
 def get_report_path(relayed: "AttemptRequest") -> str:  # noqa: F821
     """Return the path at which endpoints tell their start, empty if at none."""
@@ -40,11 +47,7 @@
     if not path:
         await require_announced(relayed, announced, connection)
         return True
-    status = None
-    with trio.move_on_after(STATUS_TIMEOUT_S), suppress(RunFailure):
-        status = await read_status(
-            relayed.relay.header_codec, connection, announced, path
-        )
+    status = await _read_status(relayed, announced, connection, path)
     if status is None or status.reply.is_other_than(
         announced.name, announced.started_ms
     ):
@@ -58,6 +61,78 @@
     return True
 
 
+def has_unknown_process(
+    relayed: "AttemptRequest",  # noqa: F821
+    announced: Announcement,
+) -> bool:
+    """Return whether a report has to tell which process a stream would begin at.
+
+    That is so after a break. Raises ``EndpointOutOfService`` if it is known that the
+    process started after the announced one, and another endpoint can be used.
+    """
+    route = relayed.admission.route
+    pool = relayed.relay.pool
+    if route.kind != "stream" or not route.resumable or relayed.last_event_id:
+        return False
+    if not announced.started_ms or not get_report_path(relayed):
+        return False
+    if pool.get_latest_start(announced.address) > announced.started_ms:
+        _avoid_unannounced(relayed, announced)
+    return pool.is_process_unknown(announced.address)
+
+
+async def check_beginning(
+    relayed: "AttemptRequest",  # noqa: F821
+    announced: Announcement,
+    connection: OutboundConnection,
+) -> bool:
+    """Return whether a new ``connection`` can be used for a stream that begins.
+
+    Raises ``EndpointOutOfService`` if the process at the other end is not the announced
+    one, and another endpoint can be used: a stream whose process nobody has heard of
+    could not go on after a further break.
+    """
+    status = await _read_status(
+        relayed, announced, connection, get_report_path(relayed)
+    )
+    is_known = status is not None and status.reply.started_ms == announced.started_ms
+    get_metrics().count("beginnings_checked", is_known=is_known)
+    if is_known:
+        relayed.relay.pool.record_known(connection)
+    else:
+        _avoid_unannounced(relayed, announced)
+    if status is None or status.keep_alive_s == 0 or not connection.is_reusable():
+        return False
+    connection.start_next_request()
+    return True
+
+
+def _avoid_unannounced(
+    relayed: "AttemptRequest",  # noqa: F821
+    announced: Announcement,
+) -> None:
+    """Raise ``EndpointOutOfService`` if there may be an announced process elsewhere."""
+    if len(relayed.tried) <= MAX_AVOIDED and relayed.chooser.has_choice():
+        _raise_unproven(announced)
+
+
+async def _read_status(
+    relayed: "AttemptRequest",  # noqa: F821
+    announced: Announcement,
+    connection: OutboundConnection,
+    path: str,
+) -> EndpointStatus | None:
+    """Return the report that is read on a new connection, None without a whole one."""
+    status = None
+    with trio.move_on_after(STATUS_TIMEOUT_S), suppress(RunFailure):
+        status = await read_status(
+            relayed.relay.header_codec, connection, announced, path
+        )
+    if status is not None and status.reply.endpoint in ("", announced.name):
+        relayed.relay.pool.record_answered(connection, status.reply.started_ms)
+    return status
+
+
 async def require_announced(
     relayed: "AttemptRequest",  # noqa: F821
     announced: Announcement,
@@ -69,9 +144,10 @@
     stream.
     """
     found = None
+    since = relayed.relay.pool.find_span(connection).since
     with suppress(MedlarError):
         found = await relayed.relay.incarnations.find(
-            announced.name, connection.opened_at, inf, ANNOUNCEMENT_TIMEOUT_S
+            announced.name, since, inf, ANNOUNCEMENT_TIMEOUT_S
         )
     version = relayed.stream_version.version
     is_allowed = found is not None and found.software_version == version
--- a/medlarrail/relay/outbound.py
+++ b/medlarrail/relay/outbound.py
@@ -10,6 +10,7 @@
 import termios
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable
+from math import inf
 
 import h11
 import trio
@@ -23,6 +24,7 @@
 )
 from medlarrail.core.loop_watch import LoopWatch
 from medlarrail.core.metrics import get_metrics
+from medlarrail.policy.process_spans import ProcessSpan, add_span, find_span
 from medlarrail.relay.metadata import Header
 from medlarrail.transport.framing import Framing, get_framing
 from medlarrail.transport.sockets import connect
@@ -53,6 +55,8 @@
 CLOSED_RETENTION_S = 60.0
 """Time for which it is remembered that an endpoint closed an idle connection: longer
 than a request takes."""
+SPAN_RETENTION_S = 60.0
+"""Time for which it is remembered when a process ran: longer than a stream takes."""
 KEEP_ALIVE_RATIO = 0.7
 """Fraction of the endpoint's keep-alive time for which a connection is reused."""
 CONNECTION_ERRORS = (
@@ -90,6 +94,8 @@
     opened_at: float = 0.0
     sent_at: float = 0.0
     """Time at which the sending of the current request began."""
+    answered_at: float | None = None
+    """``sent_at`` of the latest request that was answered, None before the first."""
     reused: bool = False
     """Whether it was used for an earlier request."""
     _method: bytes = b""
@@ -259,6 +265,11 @@
     """The open connections by address."""
     _idle_closed_at: dict[str, float] = field(factory=dict)
     """When an endpoint was last found to have closed an idle connection, by address."""
+    _spans: dict[str, tuple[ProcessSpan, ...]] = field(factory=dict)
+    """When the processes at each address are known to have run."""
+    _broken_at: dict[str, float] = field(factory=dict)
+    """When a process last refused, closed or broke a connection, by address, unless
+    the one that runs since then is known."""
 
     def count_open(self, address: str) -> int:
         """Return the number of open connections to an endpoint, including idle ones."""
@@ -331,6 +342,7 @@
                 self._record_closed(address)
         get_metrics().count("endpoint_connections")
         if stream is None:
+            self.record_broken(address)
             raise EndpointUnreachable(endpoint=address)
         connection = OutboundConnection(
             address,
@@ -365,6 +377,45 @@
         )
         return False if has_closed or closed_at >= ended_after else None
 
+    def record_answered(
+        self, connection: OutboundConnection, started_ms: int = 0
+    ) -> None:
+        """Record that an answer to the current request has begun.
+
+        ``started_ms`` is the start of the process, if the answer tells it.
+        """
+        connection.answered_at = connection.sent_at
+        address = connection.address
+        span = ProcessSpan(connection.opened_at, connection.sent_at, started_ms)
+        self._spans[address] = add_span(self._spans.get(address, ()), span)
+
+    def record_broken(self, address: str) -> None:
+        """Record that a process may have ended and the next one have its address."""
+        self._broken_at[address] = trio.current_time()
+
+    def record_known(self, connection: OutboundConnection) -> None:
+        """Record that the process at the other end is the announced one."""
+        if self._broken_at.get(connection.address, inf) < connection.opened_at:
+            del self._broken_at[connection.address]
+
+    def is_process_unknown(self, address: str) -> bool:
+        """Return whether the process at an address may not be the announced one."""
+        return address in self._broken_at
+
+    def get_latest_start(self, address: str) -> int:
+        """Return the latest start that a process at an address told, 0 for none."""
+        return max((one.started_ms for one in self._spans.get(address, ())), default=0)
+
+    def find_span(self, connection: OutboundConnection) -> ProcessSpan:
+        """Return when the process at the other end is known to have run.
+
+        That is the moment of the opening for a connection without an answer.
+        """
+        if connection.answered_at is None:
+            return ProcessSpan(connection.opened_at, connection.opened_at)
+        span = ProcessSpan(connection.opened_at, connection.answered_at)
+        return find_span(self._spans.get(connection.address, ()), span)
+
     def release(
         self, connection: OutboundConnection, keep_alive_s: float | None
     ) -> None:
@@ -389,6 +440,7 @@
         """Close an idle connection, which the endpoint may have closed."""
         if not connection.is_quiet():
             self._idle_closed_at[connection.address] = trio.current_time()
+            self.record_broken(connection.address)
         self.discard(connection)
 
     def _record_closed(self, address: str) -> None:
@@ -405,10 +457,16 @@
                 self._discard_idle(idle.popleft())
             if not idle:
                 del self.idle[address]
-        since = trio.current_time() - CLOSED_RETENTION_S
+        now = trio.current_time()
         for address, closed_at in list(self._idle_closed_at.items()):
-            if closed_at < since:
+            if closed_at < now - CLOSED_RETENTION_S:
                 del self._idle_closed_at[address]
+        for address, broken_at in list(self._broken_at.items()):
+            if broken_at < now - SPAN_RETENTION_S:
+                del self._broken_at[address]
+        for address, spans in list(self._spans.items()):
+            if spans[-1].until < now - SPAN_RETENTION_S:
+                del self._spans[address]
 
     def close_address(self, address: str) -> None:
         """Close the idle connections to a departed endpoint."""
--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -1,15 +1,13 @@
 """Keeps one stream at the software version that began it, over all its attempts."""
 
 import eliot
-from attrs import define
+from attrs import define, evolve
 
 from medlarrail.core.announcements import Announcement
 from medlarrail.core.errors import MedlarError, StreamVersionUnknown, UnknownRoute
-from medlarrail.policy.stream_versions import (
-    choose_stream_version,
-    is_version_certain,
-)
+from medlarrail.policy.stream_versions import choose_stream_version
 from medlarrail.relay.incarnations import ANNOUNCEMENT_TIMEOUT_S
+from medlarrail.relay.outbound import OutboundConnection
 from medlarrail.relay.stream_origins import BeginConnection
 
 
@@ -22,8 +20,8 @@
     """None before the first event: the stream may begin at any version."""
     _connection: BeginConnection | None = None
     """The connection of the first event, if it is known."""
-    _is_own: bool = False
-    """Whether this entry sent the first event, in this request."""
+    _own_connection: OutboundConnection | None = None
+    """The same, if this entry sent the first event in this request."""
     _proven: bool = False
     """Whether the process that began the stream is known to have this version."""
 
@@ -81,17 +79,16 @@
     async def _prove(self) -> None:
         """Find the version of the process that began the stream.
 
-        Raises ``StreamVersionUnknown`` if it may be another one than was announced.
+        The listed versions prove nothing: a process may send events before anybody
+        has heard of it. Raises ``StreamVersionUnknown`` if nothing tells the version.
         """
         relayed = self.relayed
-        connection = self._connection
-        if self._proven or connection is None:
-            return
-        view = relayed.relay.cluster_view
-        service = relayed.service.name
-        versions = view.list_stream_versions(service)
-        if is_version_certain(self.version, versions, view.get_age_s()):
+        if self._proven or self._connection is None:
             return
+        if self._own_connection is not None:
+            self._update_connection()
+        connection = self._connection
+        announced, found = self.version, None
         try:
             found = await relayed.relay.incarnations.find(
                 connection.endpoint,
@@ -102,26 +99,51 @@
         except UnknownRoute:
             return
         except MedlarError:
-            if not self._is_own and set(versions) <= {self.version}:
-                return
-            found = None
-        if found is None:
-            raise StreamVersionUnknown(service=service)
-        self.version = found.software_version
-        self._proven = True
+            pass
+        if found is not None:
+            self.version = found.software_version
+            self._proven = True
+        self._log_proof(announced, connection)
+        if not self._proven:
+            raise StreamVersionUnknown(service=relayed.service.name)
+
+    def _update_connection(self) -> None:
+        """Use what later answers of the process have shown since the first event."""
+        span = self.relayed.relay.pool.find_span(self._own_connection)
+        self._connection = evolve(
+            self._connection, opened_at=span.since, closed_at=span.until
+        )
+
+    def _log_proof(self, announced: str, connection: BeginConnection) -> None:
+        relayed = self.relayed
+        eliot.log_message(
+            "stream:version",
+            request=relayed.metadata.request_id,
+            began_as=relayed.origin_id,
+            service=relayed.service.name,
+            endpoint=connection.endpoint,
+            proven=self._proven,
+            announced=announced,
+            version=self.version if self._proven else None,
+            is_own=self._own_connection is not None,
+            known_for_s=round(connection.closed_at - connection.opened_at, 3),
+            versions=sorted(
+                relayed.relay.cluster_view.list_stream_versions(relayed.service.name)
+            ),
+        )
 
     def record_begun(self, attempt: "Attempt") -> None:  # noqa: F821
         """Record that events of an attempt are about to be sent to the caller."""
         if self.version is None:
             self.version = attempt.endpoint.announced.software_version
-            self._is_own = True
+            self._own_connection = attempt.connection
             # What the endpoint sent was sent after its request. The connection may have
             # ended long before the end arrives here, so that proves no more.
-            self._connection = BeginConnection(
-                attempt.endpoint.announced.name,
-                attempt.connection.opened_at,
-                attempt.connection.sent_at,
-            )
+            announced = attempt.endpoint.announced
+            span = self.relayed.relay.pool.find_span(attempt.connection)
+            self._connection = BeginConnection(announced.name, span.since, span.until)
+            # The process has told its start in a report, so its announcement is known.
+            self._proven = 0 != span.started_ms == announced.started_ms
         relayed = self.relayed
         if relayed.origin_id:
             relayed.relay.origins.record(
