--- a/medlarrail/relay/unrecorded_streams_test.py
+++ b/medlarrail/relay/unrecorded_streams_test.py
@@ -8,8 +8,10 @@
 import pytest
 import trio
 
+from medlarrail.policy.stream_versions import STREAM_RETENTION_S
 from medlarrail.relay.forwarding import Forwarder
 from medlarrail.relay.request_relay import RetryPolicy
+from medlarrail.relay.stream_origins import StreamOriginDirectory
 from medlarrail.relay.stream_versions_test import (
     DEPLOYMENT,
     EVENTS_BEFORE_BREAK,
@@ -170,3 +172,15 @@
         await take_up(fleet.gateways[1], stream)
         require_not_joined(stream)
         assert stream.refused
+
+    async def test_stream_of_a_gateway_that_is_cut_off_from_the_keepers_goes_on(
+        self, fleet, monkeypatch
+    ):
+        """What it told them was lost, and they replied that they were told nothing."""
+        await fleet.keeper.restart(STREAM_RETENTION_S)
+        first = fleet.gateways[0]
+        monkeypatch.setattr(StreamOriginDirectory, "_tell", lambda self, origin: None)
+        stream = await begin_in_place(first, b"v2")
+        await take_up(fleet.gateways[1], stream)
+        require_not_joined(stream)
+        assert stream.refused
