A stream that no member was told of is not taken for one of an older gateway

Callers got events of v1 after events of v2. A gateway that no state member hears, as it is cut off from them, served a stream of a process that was not announced. At another gateway the members replied that they were told nothing for 30 s, and the stream went on at the only listed version.

Cause: that reply counted as evidence that the stream began at a gateway of the version before, which tells nobody while one version is listed. What was told may as well be lost.

Change: gateways say in their polls that they tell of all streams (tells_streams), and the list of gateways says so of each. A stream whose first request the caller names goes on at the only listed version only while a gateway without that is listed, and for 30 s after. A leader or follower of the version before drops the field; then all is as it was. Callers that do not name the first request are treated as before: nobody can know their streams.

The price: a stream of which both members lost the datagram, or whose gateway was cut off from them, is refused at other gateways (StreamVersionUnknown). During an upgrade, so is one of the last gateway of the version before, at gateways that started after it had ended.

Tests: the one of a stream of an older gateway lists such a gateway now, and still requires all events.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -37,6 +37,7 @@
     get_poll_timeout_s,
     get_poll_wait_s,
 )
+from medlarrail.policy.stream_versions import STREAM_RETENTION_S
 from medlarrail.protocol.cluster_view import (
     CLUSTER_VIEW_PATH,
     ClusterViewAnswer,
@@ -102,6 +103,8 @@
     _listed_limits: dict[str, float | None] = field(factory=dict)
     """The endpoints that the present leader has listed, with the rates they named."""
     _listed_entries: tuple[RegisteredEntry, ...] = ()
+    _untold_streams_at: float = float("-inf")
+    """When an entry that does not tell of all streams was last listed, if none is."""
     _is_list_open: bool = False
     """Whether a whole list was received that its leader may still add to, since it has
     not been settled yet."""
@@ -180,6 +183,17 @@
             item.service: frozenset(item.versions) for item in listed
         }
 
+    def may_have_untold_streams(self) -> bool:
+        """Return whether state members need not know of a stream to be taken up.
+
+        An entry of the version before is listed, or was so lately.
+        """
+        untold_s = self.clock() - self._untold_streams_at
+        return self._lists_untold_streams() or untold_s <= STREAM_RETENTION_S
+
+    def _lists_untold_streams(self) -> bool:
+        return not all(entry.tells_streams for entry in self.entries)
+
     def list_stream_versions(self, service: str) -> frozenset[str]:
         """Return all software versions that may have begun streams of a service."""
         return self.software_versions.get(service, frozenset()) | {
@@ -295,6 +309,8 @@
         self, listed: tuple[RegisteredEntry, ...], settled: bool
     ) -> None:
         """Apply a list of entries; that of an unsettled leader may be incomplete."""
+        if self._lists_untold_streams():
+            self._untold_streams_at = self.clock()
         if settled:
             self.entries = listed
             self.entries_settled = True
@@ -317,6 +333,7 @@
     data_centre: str
     work_address: str = ""
     ready: bool = False
+    tells_streams: bool = True
     list_limited_services: Callable[[], tuple[str, ...]] = tuple
     """Returns the services of which this entry was told that they are limited."""
     member_choice: MemberChoice = field(init=False)
@@ -410,6 +427,7 @@
             limited_services=self.list_limited_services(),
             reads_age=True,
             knows_rollouts=True,
+            tells_streams=self.tells_streams,
             entry_count=self.cluster_view.entry_count,
         )
 
--- a/medlarrail/cluster/cluster_view_test.py
+++ b/medlarrail/cluster/cluster_view_test.py
@@ -19,6 +19,7 @@
     get_entry_timeout_s,
     get_poll_wait_s,
 )
+from medlarrail.policy.stream_versions import STREAM_RETENTION_S
 from medlarrail.protocol.cluster_view import ClusterViewAnswer
 from medlarrail.testing.builders import (
     build_announcement,
@@ -72,6 +73,22 @@
         cluster_view.apply(build_answer(entries=(second,)))
         assert cluster_view.entries == (second,)
 
+    def test_streams_of_an_older_entry_are_unknown_once_it_has_left(self):
+        """Its callers take them up elsewhere, though it told nobody of them."""
+        now = [1000.0]
+        cluster_view = ClusterView(clock=lambda: now[0])
+        older = RegisteredEntry("a", "1", "leith")
+        entry = RegisteredEntry("b", "2", "leith", tells_streams=True)
+        assert not cluster_view.may_have_untold_streams()
+        cluster_view.apply(build_answer(entries=(older, entry)))
+        now[0] += 2 * STREAM_RETENTION_S
+        assert cluster_view.may_have_untold_streams()
+        cluster_view.apply(build_answer(entries=(entry,)))
+        now[0] += STREAM_RETENTION_S
+        assert cluster_view.may_have_untold_streams()
+        now[0] += 1
+        assert not cluster_view.may_have_untold_streams()
+
     def test_outdated_announcement_is_ignored(self):
         cluster_view = ClusterView()
         cluster_view.apply(build_answer(endpoints=(build_registered(sequence=9),)))
--- a/medlarrail/core/announcements.py
+++ b/medlarrail/core/announcements.py
@@ -109,3 +109,6 @@
     address: str
     data_centre: str
     work_address: str = ""
+    tells_streams: bool = False
+    """Whether it tells state members of all streams that may be taken up; entries of
+    the version before tell of some."""
--- a/medlarrail/protocol/cluster_view.py
+++ b/medlarrail/protocol/cluster_view.py
@@ -85,11 +85,17 @@
     knows_rollouts: bool = False
     """Whether the caller applies software rollouts; if not, endpoints of a version
     under trial are not listed to it."""
+    tells_streams: bool = False
+    """See ``RegisteredEntry``."""
 
     def get_registered_entry(self) -> RegisteredEntry:
         """Return the calling entry as it is listed to others."""
         return RegisteredEntry(
-            self.entry, self.address, self.data_centre, self.work_address
+            self.entry,
+            self.address,
+            self.data_centre,
+            self.work_address,
+            self.tells_streams,
         )
 
 
--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -44,17 +44,21 @@
         if self.version is not None or not relayed.last_event_id or not is_stream:
             return
         relay = relayed.relay
+        view = relay.cluster_view
         service = relayed.service.name
         found = await relay.origins.find(relayed.origin_id)
-        versions = relay.cluster_view.list_stream_versions(service)
-        view_age_s = relay.cluster_view.get_age_s()
+        versions = view.list_stream_versions(service)
+        never_told = found.never_told
+        if relayed.metadata.resumes and not view.may_have_untold_streams():
+            # Each entry tells of all streams, so what was told of this one is lost.
+            never_told = False
         if found.origin is not None and found.origin.service != service:
             version = None
         else:
             version = choose_stream_version(
                 found.origin.software_version if found.origin else None,
                 versions,
-                found.never_told,
+                never_told,
             )
         eliot.log_message(
             "stream:resumed",
@@ -66,9 +70,9 @@
             endpoint=found.connection.endpoint if found.connection else None,
             proven=found.origin is not None and found.origin.proven,
             keepers_replied=found.keepers_replied,
-            never_told=found.never_told,
+            never_told=never_told,
             versions=sorted(versions),
-            picture_age_s=round(view_age_s, 3),
+            picture_age_s=round(view.get_age_s(), 3),
         )
         if version is None:
             raise StreamVersionUnknown(service=service)
--- a/medlarrail/relay/stream_versions_test.py
+++ b/medlarrail/relay/stream_versions_test.py
@@ -13,6 +13,7 @@
 
 from medlarrail.policy.stream_versions import STREAM_RETENTION_S
 from medlarrail.relay.forwarding import Forwarder
+from medlarrail.relay.header_codec import DefaultHeaderCodec
 from medlarrail.relay.request_relay import RetryPolicy
 from medlarrail.testing.builders import build_deployment, build_route
 from medlarrail.testing.fleet import Fleet, start_fleet
@@ -236,7 +237,10 @@
         fleet = await start(nursery, tmp_path, {"v1": 2}, breaks=False, stalls=True)
         stream = await begin(fleet.gateways[0], EVENTS_BEFORE_BREAK)
         await fleet.keeper.restart(STREAM_RETENTION_S)
+        codec = DefaultHeaderCodec()
+        await fleet.start_gateway(DEPLOYMENT, codec, tells_streams=False)
         started = await fleet.restart_gateways(DEPLOYMENT)
+        await fleet.wait(lambda one: one.relay.cluster_view.may_have_untold_streams())
         await take_up(started, stream)
         assert stream.is_complete
 
--- a/medlarrail/testing/fleet.py
+++ b/medlarrail/testing/fleet.py
@@ -51,8 +51,13 @@
     silent: set[str] = field(factory=set)
     """Names of endpoints that do not announce themselves."""
 
-    async def start_gateway(self, deployment: Deployment, codec: HeaderCodec) -> None:
-        """Start a gateway that polls the state member."""
+    async def start_gateway(
+        self, deployment: Deployment, codec: HeaderCodec, tells_streams: bool = True
+    ) -> None:
+        """Start a gateway that polls the state member.
+
+        Unless it ``tells_streams``, it is listed as one of the version before.
+        """
         name = f"gateway-{len(self.gateways) + 1}"
         harness = await start_relay(self.nursery, deployment, codec, name=name)
         peers = self.cluster.network.connect(f"mem://{name}")
@@ -63,6 +68,7 @@
             f"{HOST}:{harness.port}",
             "leith",
             ready=True,
+            tells_streams=tells_streams,
         )
         harness.relay.connect_state(view_client.state)
         await connect_origins(self.nursery, harness.relay.origins)
