--- a/medlarrail/relay/incarnations.py
+++ b/medlarrail/relay/incarnations.py
@@ -22,12 +22,17 @@
     state: StateClient | None = None
 
     async def find(
-        self, endpoint: str, opened_at: float, closed_at: float, wait_s: float = 0.0
+        self,
+        endpoint: str,
+        opened_at: float,
+        closed_at: float,
+        wait_s: float = 0.0,
+        address: str = "",
     ) -> "HeardIncarnation | None":  # noqa: F821
         """Return the incarnation that had a connection, or None if that is not known.
 
-        The times are those of ``find_incarnation``, on trio's clock. Waits up to
-        ``wait_s`` seconds for an announcement after ``opened_at``. Raises
+        The times and the address are those of ``find_incarnation``, on trio's clock.
+        Waits up to ``wait_s`` seconds for an announcement after ``opened_at``. Raises
         ``UnknownRoute`` if the member is of a version that does not tell, or the
         ``MedlarError`` of a call that is not answered.
         """
@@ -61,10 +66,11 @@
                 one.software_version,
                 first_at=min(received_at, received_at - one.first_age_s),
                 last_at=sent_at - one.last_age_s,
+                address=one.address,
             )
             for one in answer.sightings
         ]
-        found = find_incarnation(heard, opened_at, closed_at)
+        found = find_incarnation(heard, opened_at, closed_at, address)
         self._record(
             "known" if found else "unknown",
             endpoint,
--- a/medlarrail/state/operations.py
+++ b/medlarrail/state/operations.py
@@ -23,6 +23,7 @@
     Store,
     StoredAnswer,
 )
+from medlarrail.core.incarnations import EndpointIncarnation
 from medlarrail.core.software_rollouts import SoftwareRollout
 
 LedgerState = Literal["dispatched", "done", "not_dispatched", "unknown"]
@@ -42,8 +43,9 @@
 
 @frozen
 class NoOperation(Operation):
-    """The first log entry of a leader's term, and the carrier of marks and rollouts.
+    """The first log entry of a leader's term, and the carrier of what came later.
 
+    ``incarnations`` have announced themselves to the leader; they change no catalogue.
     These are fields of a known operation because members of an older version ignore
     unknown fields, but cannot apply an unknown operation.
     """
@@ -51,6 +53,7 @@
     marks: tuple[EndpointMark, ...] = ()
     removed_marks: tuple[EndpointMark, ...] = ()
     rollouts: tuple[SoftwareRollout, ...] = ()
+    incarnations: tuple[EndpointIncarnation, ...] = ()
 
 
 @frozen
