Logs tell what proves the version of a stream, and which landing runs

Cause: an attempt that passed on events of another version could not be told from a sound one. No line had whether the version was proven and by what, what the process told of itself, which state members were told or asked, or which code a gateway ran.

--- a/medlarrail/policy/incarnations.py
+++ b/medlarrail/policy/incarnations.py
@@ -33,6 +33,25 @@
     address: str = ""
 
 
+def list_possible(
+    heard: Iterable[HeardIncarnation],
+    opened_at: float,
+    closed_at: float,
+    address: str = "",
+) -> list[HeardIncarnation]:
+    """Return the incarnations that were heard of while a connection was open.
+
+    The arguments are those of ``find_incarnation``.
+    """
+    return [
+        one
+        for one in heard
+        if one.first_at <= closed_at
+        and one.last_at >= opened_at
+        and (not address or one.address in ("", address))
+    ]
+
+
 def find_incarnation(
     heard: Iterable[HeardIncarnation],
     opened_at: float,
@@ -55,13 +74,7 @@
     >>> find_incarnation([before, after], 22.1, 22.4) is None
     True
     """
-    found = [
-        one
-        for one in heard
-        if one.first_at <= closed_at
-        and one.last_at >= opened_at
-        and (not address or one.address in ("", address))
-    ]
+    found = list_possible(heard, opened_at, closed_at, address)
     if len(found) <= 1:
         return found[0] if found else None
     if not address or not all(one.address and one.started_ms for one in found):
--- a/medlarrail/programs/daemon.py
+++ b/medlarrail/programs/daemon.py
@@ -13,6 +13,7 @@
 
 from medlarrail.core.errors import SettingsInvalid
 from medlarrail.core.logs import open_standard_output
+from medlarrail.core.sources import get_source_digest
 from medlarrail.settings.loading import load_settings
 
 
@@ -111,6 +112,7 @@
         "program:started",
         name=settings.name,
         processor_s=round(get_processor_s(), 3),
+        sources=get_source_digest(),
     )
     trio.run(run, settings)
     eliot.log_message("program:stopped", name=settings.name)
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -152,6 +152,20 @@
     _tracked_prompt: TrackedPrompt | None = None
     _started_at: float = 0.0
 
+    @property
+    def sent_after_s(self) -> float:
+        """Time from the receipt of the request to the sending on the connection."""
+        if self.connection is None:
+            return 0.0
+        return self._started_at - self.relayed.exchange.request.received_at
+
+    @property
+    def told_started_ms(self) -> int:
+        """Unix time of the start that the process told in a report, 0 if in none."""
+        if self.connection is None:
+            return 0
+        return self.relayed.relay.pool.find_span(self.connection).started_ms
+
     @property
     def connection_age_s(self) -> float:
         """Age of the connection when the request was sent on it."""
@@ -642,7 +656,11 @@
     async def _check_end(self, connection: OutboundConnection) -> EndEvidence:
         """Return what shows that an unframed answer is complete, or is not."""
         check = EndCheck(
-            self.relayed.relay, self.endpoint, self.relayed.service, connection
+            self.relayed.relay,
+            self.endpoint,
+            self.relayed.service,
+            connection,
+            self.relayed.metadata.request_id,
         )
         return await check.run()
 
--- a/medlarrail/relay/end_check.py
+++ b/medlarrail/relay/end_check.py
@@ -54,6 +54,7 @@
     endpoint: EndpointView
     service: ServiceRule
     answered: OutboundConnection
+    request_id: str = ""
 
     async def run(self) -> EndEvidence:
         """Return whether the endpoint outlived its answer."""
@@ -95,6 +96,7 @@
                 ended_at,
                 self.answered.sent_at,
                 ANNOUNCEMENT_TIMEOUT_S,
+                request_id=self.request_id,
             )
         except MedlarError:
             return False
--- a/medlarrail/relay/incarnation_check.py
+++ b/medlarrail/relay/incarnation_check.py
@@ -147,7 +147,12 @@
     since = relayed.relay.pool.find_span(connection).since
     with suppress(MedlarError):
         found = await relayed.relay.incarnations.find(
-            announced.name, since, inf, ANNOUNCEMENT_TIMEOUT_S, connection.address
+            announced.name,
+            since,
+            inf,
+            ANNOUNCEMENT_TIMEOUT_S,
+            connection.address,
+            relayed.metadata.request_id,
         )
     version = relayed.stream_version.version
     is_allowed = found is not None and found.software_version == version
--- a/medlarrail/relay/incarnations.py
+++ b/medlarrail/relay/incarnations.py
@@ -1,5 +1,8 @@
 """Finds out which incarnation of an endpoint is at the other end of a connection."""
 
+from functools import partial
+from math import isfinite
+
 import eliot
 import trio
 from attrs import define
@@ -28,17 +31,23 @@
         closed_at: float,
         wait_s: float = 0.0,
         address: str = "",
+        request_id: str = "",
     ) -> "HeardIncarnation | None":  # noqa: F821
         """Return the incarnation that had a connection, or None if that is not known.
 
-        The times and the address are those of ``find_incarnation``, on trio's clock.
+        The times and the address are those of ``find_incarnation``, on trio's clock;
+        ``request_id`` is that of the request that asks, for the log.
         Waits up to ``wait_s`` seconds for an announcement after ``opened_at``. Raises
         ``UnknownRoute`` if the member is of a version that does not tell, or the
         ``MedlarError`` of a call that is not answered.
         """
         # Imported here because only streams that go on need them, and each class with
         # generated methods adds half a millisecond to a start.
-        from medlarrail.policy.incarnations import HeardIncarnation, find_incarnation
+        from medlarrail.policy.incarnations import (
+            HeardIncarnation,
+            find_incarnation,
+            list_possible,
+        )
         from medlarrail.protocol.endpoint_sightings import (
             SIGHTINGS_PATH,
             SightingsAnswer,
@@ -48,16 +57,17 @@
         if self.state is None:
             return None
         sent_at = trio.current_time()
+        record = partial(self._record, request_id, endpoint, opened_at, closed_at)
         request = SightingsRequest(endpoint, sent_at - opened_at, wait_s)
         try:
             answer = await self.state.call_leader(
                 SIGHTINGS_PATH, request, SightingsAnswer, wait_s + LOOKUP_TIMEOUT_S
             )
         except UnknownRoute:
-            get_metrics().count("incarnation_lookups", outcome="unsupported")
+            record("unsupported")
             raise
         except MedlarError as error:
-            self._record("unanswered", endpoint, opened_at, reason=str(error))
+            record("unanswered", reason=str(error))
             raise
         received_at = trio.current_time()
         heard = [
@@ -71,10 +81,14 @@
             for one in answer.sightings
         ]
         found = find_incarnation(heard, opened_at, closed_at, address)
-        self._record(
+        reason = ""
+        if found is None:
+            possible = list_possible(heard, opened_at, closed_at, address)
+            reason = "several heard" if possible else "none heard"
+        record(
             "known" if found else "unknown",
-            endpoint,
-            opened_at,
+            reason=reason,
+            started_ms=found.started_ms if found else None,
             software_version=found.software_version if found else None,
             heard=[
                 (
@@ -89,13 +103,23 @@
         return found
 
     @staticmethod
-    def _record(outcome: str, endpoint: str, opened_at: float, **fields) -> None:
+    def _record(
+        request_id: str,
+        endpoint: str,
+        opened_at: float,
+        closed_at: float,
+        outcome: str,
+        **fields,
+    ) -> None:
         """Log a lookup; times are in seconds since the connection was opened."""
         get_metrics().count("incarnation_lookups", outcome=outcome)
+        open_for_s = closed_at - opened_at
         eliot.log_message(
             "endpoint:incarnation",
+            request=request_id,
             endpoint=endpoint,
             outcome=outcome,
             connection_age_ms=round((trio.current_time() - opened_at) * 1000, 1),
+            open_for_s=round(open_for_s, 3) if isfinite(open_for_s) else None,
             **fields,
         )
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -85,6 +85,8 @@
     interrupted: bool = False
     """Whether the gateway has ended this request to shut down."""
     _scope: trio.CancelScope | None = None
+    _unlogged: Attempt | None = None
+    """The attempt in progress."""
     forwarding: RequestForwarding = field(init=False)
     room_wait: RoomWait = field(init=False)
     part_location: PartLocation = field(init=False)
@@ -149,6 +151,9 @@
             self.relay.shutdown.active.discard(self)
             if self.version_choice is not None:
                 self.version_choice.release()
+            # The caller may have got events of an attempt that did not end.
+            if self._unlogged is not None:
+                self._log_attempt(self._unlogged, "stopped" if ended else "abandoned")
             # The caller disconnected: cancellation, or a failed write.
             if not ended:
                 self._log_abandoned()
@@ -379,7 +384,7 @@
     async def _attempt(self, endpoint: EndpointView) -> bool:
         """Make one attempt; returns whether the caller has been answered."""
         name = endpoint.announced.name
-        attempt = Attempt(self, endpoint)
+        attempt = self._unlogged = Attempt(self, endpoint)
         self.tried.append(name)
         try:
             await attempt.run()
@@ -444,6 +449,7 @@
         )
 
     def _log_attempt(self, attempt: Attempt, outcome: str) -> None:
+        self._unlogged = None
         request = self.exchange.request
         events = attempt.events
         is_broken = isinstance(self.failure, StreamBroken)
@@ -463,7 +469,11 @@
             shared_parts=[part.identity for part in self.metadata.shared_parts],
             started_ms=attempt.endpoint.announced.started_ms,
             software_version=attempt.endpoint.announced.software_version,
+            told_started_ms=attempt.told_started_ms,
             stream_version=self.stream_version.version,
+            stream_evidence=self.stream_version.evidence,
+            told_keepers=self.stream_version.told_keepers,
+            sent_ms=round(attempt.sent_after_s * 1000, 1),
             connection_age_ms=round(attempt.connection_age_s * 1000, 1),
             cold=asdict(attempt.cold_send) if attempt.cold_send else None,
             transfers=attempt.dispatch.describe_transfers() if attempt.dispatch else [],
--- a/medlarrail/relay/stream_origins.py
+++ b/medlarrail/relay/stream_origins.py
@@ -6,7 +6,7 @@
 """
 
 import trio
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from medlarrail.cluster.cluster_view import ClusterView
 from medlarrail.cluster.recent_origins import RecentOrigins
@@ -59,6 +59,10 @@
     keepers_replied: bool = False
     connection: BeginConnection | None = None
     """None if the origin is proven, or told by a program that does not know it."""
+    keepers: dict[str, str] = field(factory=dict)
+    """What each state member replied that was asked: ``known``, ``unknown``,
+    ``unanswered``, or ``asked`` if another one was faster. Empty if this entry knew
+    the origin."""
 
 
 def build_found(
@@ -112,9 +116,11 @@
         connection: BeginConnection | None = None,
         proven: bool = False,
         resumable: bool = True,
-    ) -> None:
+    ) -> tuple[str, ...]:
         """Record a stream of which events are about to be sent.
 
+        Returns the addresses of the state members that are told of it.
+
         ``connection`` is that of its first event, None if it is not known. State
         members are told of it if its route is ``resumable``.
         """
@@ -132,14 +138,15 @@
                 round(connection.closed_at - opened_at, 3),
             )
         origin = self._own.add(origin)
-        if resumable:
-            self._tell(origin)
+        return self._tell(origin) if resumable else ()
 
-    def _tell(self, origin: StreamOrigin) -> None:
+    def _tell(self, origin: StreamOrigin) -> tuple[str, ...]:
         if self._datagram_socket is None:
-            return
+            return ()
         body = RECORD_PREFIX + encode(StreamOrigins((origin,)))
-        self._datagram_socket.send(self.list_keepers(origin.stream), body)
+        keepers = self.list_keepers(origin.stream)
+        self._datagram_socket.send(keepers, body)
+        return tuple(keepers)
 
     async def find(self, request_id: str) -> FoundOrigin:
         """Return the origin of the stream that this request began."""
@@ -150,29 +157,38 @@
         if self._queries is None:
             return FoundOrigin(None)
         asked_at = trio.current_time()
-        replies = await self._ask_keepers(stream)
+        keepers: dict[str, str] = {}
+        replies = await self._ask_keepers(stream, keepers)
         origin = next((reply.origin for reply in replies if reply.origin), None)
         status = "known" if origin else "unknown" if replies else "unanswered"
         get_metrics().count("stream_origins_asked", status=status)
         delay_s = MAX_TRANSIT_S + trio.current_time() - asked_at
-        return build_found(origin, bool(replies), delay_s)
+        return evolve(build_found(origin, bool(replies), delay_s), keepers=keepers)
+
+    async def _ask_keepers(
+        self, stream: str, keepers: dict[str, str]
+    ) -> list[OriginReply]:
+        """Return the keepers' replies: those of all, or up to the first origin.
 
-    async def _ask_keepers(self, stream: str) -> list[OriginReply]:
-        """Return the keepers' replies: those of all, or up to the first origin."""
+        Notes in ``keepers`` what each of them replied.
+        """
         replies: list[OriginReply] = []
         async with trio.open_nursery() as nursery:
 
             async def ask(address: str) -> None:
+                keepers[address] = "asked"
                 for _ in range(MAX_QUERIES):
                     number = self._queries.get_number()
                     query = OriginQuery(number, self._work_address, stream)
                     reply = await self._queries.ask(address, query, REPLY_TIMEOUT_S)
                     if reply is None:
                         continue
+                    keepers[address] = "known" if reply.origin else "unknown"
                     replies.append(reply)
                     if reply.origin is not None:
                         nursery.cancel_scope.cancel()
                     return
+                keepers[address] = "unanswered"
 
             for address in self.list_keepers(stream):
                 nursery.start_soon(ask, address)
--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -8,7 +8,7 @@
 from medlarrail.policy.stream_versions import choose_stream_version
 from medlarrail.relay.incarnations import ANNOUNCEMENT_TIMEOUT_S
 from medlarrail.relay.outbound import OutboundConnection
-from medlarrail.relay.stream_origins import BeginConnection
+from medlarrail.relay.stream_origins import BeginConnection, FoundOrigin
 
 
 @define(eq=False)
@@ -24,6 +24,12 @@
     """The same, if this entry sent the first event in this request."""
     _proven: bool = False
     """Whether the process that began the stream is known to have this version."""
+    evidence: str = ""
+    """What tells the version, for the log: ``report`` and ``announcements`` of the
+    process, a proven ``origin``, or without a proof one that is ``recorded``,
+    ``announced`` of the endpoint, or the only one that is ``listed``."""
+    told_keepers: tuple[str, ...] = ()
+    """State members that were told of the stream."""
 
     def allows(self, announced: Announcement) -> bool:
         """Return whether the stream may begin or go on at an endpoint."""
@@ -67,6 +73,8 @@
             endpoint=found.connection.endpoint if found.connection else None,
             proven=found.origin is not None and found.origin.proven,
             keepers_replied=found.keepers_replied,
+            keepers=found.keepers,
+            reason=_explain_unknown(found) if version is None else "",
             versions=sorted(versions),
             picture_age_s=round(view_age_s, 3),
         )
@@ -75,6 +83,10 @@
         self.version = version
         self._connection = found.connection
         self._proven = found.origin is not None and found.origin.proven
+        if found.origin is None:
+            self.evidence = "listed"
+        else:
+            self.evidence = "origin" if self._proven else "recorded"
 
     async def _prove(self) -> None:
         """Find the version of the process that began the stream.
@@ -88,7 +100,7 @@
         if self._own_connection is not None:
             self._update_connection()
         connection = self._connection
-        announced, found = self.version, None
+        announced, found, reason = self.version, None, ""
         try:
             found = await relayed.relay.incarnations.find(
                 connection.endpoint,
@@ -96,15 +108,20 @@
                 connection.closed_at,
                 ANNOUNCEMENT_TIMEOUT_S,
                 self._own_connection.address if self._own_connection else "",
+                relayed.metadata.request_id,
             )
         except UnknownRoute:
+            self._log_proof(announced, connection, reason="leader of an older version")
             return
         except MedlarError:
-            pass
+            reason = "leader unanswered"
         if found is not None:
             self.version = found.software_version
             self._proven = True
-        self._log_proof(announced, connection)
+            self.evidence = "announcements"
+        else:
+            reason = reason or "process unknown"
+        self._log_proof(announced, connection, found, reason)
         if not self._proven:
             raise StreamVersionUnknown(service=relayed.service.name)
 
@@ -115,7 +132,13 @@
             self._connection, opened_at=span.since, closed_at=span.until
         )
 
-    def _log_proof(self, announced: str, connection: BeginConnection) -> None:
+    def _log_proof(
+        self,
+        announced: str,
+        connection: BeginConnection,
+        found: "HeardIncarnation | None" = None,  # noqa: F821
+        reason: str = "",
+    ) -> None:
         relayed = self.relayed
         eliot.log_message(
             "stream:version",
@@ -126,6 +149,8 @@
             proven=self._proven,
             announced=announced,
             version=self.version if self._proven else None,
+            started_ms=found.started_ms if found else None,
+            reason=reason,
             is_own=self._own_connection is not None,
             known_for_s=round(connection.closed_at - connection.opened_at, 3),
             versions=sorted(
@@ -145,9 +170,10 @@
             self._connection = BeginConnection(announced.name, span.since, span.until)
             # The process has told its start in a report, so its announcement is known.
             self._proven = 0 != span.started_ms == announced.started_ms
+            self.evidence = "report" if self._proven else "announced"
         relayed = self.relayed
         if relayed.origin_id:
-            relayed.relay.origins.record(
+            self.told_keepers = relayed.relay.origins.record(
                 relayed.origin_id,
                 relayed.service.name,
                 self.version,
@@ -155,3 +181,10 @@
                 self._proven,
                 relayed.admission.route.resumable,
             )
+
+
+def _explain_unknown(found: FoundOrigin) -> str:
+    """Return why the version of a stream that a caller takes up is not known."""
+    if found.origin is not None:
+        return "other service"
+    return "not recorded" if found.keepers_replied else "no keeper replied"
