--- a/medlarrail/platform/soak/check_test.py
+++ b/medlarrail/platform/soak/check_test.py
@@ -31,6 +31,7 @@
 from medlarrail.platform.soak.control_faults import hold
 from medlarrail.platform.soak.engine import (
     BODY_LINES,
+    HEARTBEAT_S,
     Engine,
     EngineConnection,
     EngineSettings,
@@ -44,7 +45,12 @@
 )
 from medlarrail.platform.soak.faults import Faults
 from medlarrail.platform.soak.rollouts import LIMITS, Rollout
-from medlarrail.platform.soak.site import Disturbance, RunningProgram, Site
+from medlarrail.platform.soak.site import (
+    WIDE_ENGINES,
+    Disturbance,
+    RunningProgram,
+    Site,
+)
 from medlarrail.platform.soak.take_ups import count_take_ups, read_reasons
 from medlarrail.platform.soak.wire import Head, build_head
 from medlarrail.testing.fault_proxy import FaultProxy
@@ -303,6 +309,25 @@
         await engine.answer(EngineConnection(stream), health)
         assert trio.current_time() - began_at >= 1.5
 
+    async def test_late_first_heartbeat_is_sent_at_once(
+        self, engine, tmp_path, nursery, monkeypatch, autojump_clock
+    ):
+        sent_at = []
+
+        async def announce(engine):
+            sent_at.append(trio.current_time())
+            return len(sent_at) > 1
+
+        monkeypatch.setattr(Engine, "announce", announce)
+        engine.settings = evolve(engine.settings, first_heartbeat_s=0.9)
+        began_at = trio.current_time()
+        nursery.start_soon(engine.announce_steadily)
+        await trio.sleep(4 * HEARTBEAT_S)
+        nursery.cancel_scope.cancel()
+        assert sent_at[0] - began_at >= 0.9
+        record = (tmp_path / "engine.runs").read_text()
+        assert len(sent_at) > 2 and record.count("announced") == 1
+
     async def test_endpoint_runs_after_its_deadline(self, engine, nursery):
         listeners = await nursery.start(partial(trio.serve_tcp, engine.serve, 0))
         port = listeners[0].socket.getsockname()[1]
@@ -426,6 +451,27 @@
     assert site.list_own_ends() == ["edge-1"]
 
 
+def test_all_gateways_are_told_of_members_that_join(tmp_path):
+    """Then origins could not be told to members by lists that differ."""
+    site = Site(tmp_path, 1, state_count=5)
+    site.build()
+    states = [*site.states, *site.later_states]
+    counts = {}
+    for program in (*states, *site.gateways):
+        settings = orjson.loads(program.settings_file.read_bytes())
+        counts[program.name] = len(settings.get("seeds") or settings["state_urls"])
+    assert [counts[state.name] for state in states] == [3, 3, 3, 5, 5]
+    assert [counts[gateway.name] for gateway in site.gateways] == [3, 5, 3, 5]
+    assert site.states == states[:3]
+
+
+def test_callers_use_a_service_without_endpoints(tmp_path):
+    site = Site(tmp_path, 1)
+    assert site.choose_routes(["chat", "assist"]) == ["chat"]
+    site.engine_counts = dict(WIDE_ENGINES)
+    assert site.choose_routes(["chat", "assist"]) == ["chat", "assist"]
+
+
 def test_endpoint_takes_the_port_of_a_gateway(tmp_path, monkeypatch):
     """A gateway that had not bound its port yet ended with "Address already in use"."""
     site = Site(tmp_path, 1)
--- a/medlarrail/relay/stream_origins.py
+++ b/medlarrail/relay/stream_origins.py
@@ -6,7 +6,7 @@
 """
 
 import trio
-from attrs import define, evolve, field, frozen
+from attrs import define, field, frozen
 
 from medlarrail.cluster.cluster_view import ClusterView
 from medlarrail.cluster.recent_origins import RecentOrigins
@@ -14,6 +14,7 @@
 from medlarrail.core.codec import encode
 from medlarrail.core.metrics import get_metrics
 from medlarrail.core.placement import get_weight
+from medlarrail.policy.stream_versions import is_never_told
 from medlarrail.protocol.stream_origins import (
     QUERY_PREFIX,
     RECORD_PREFIX,
@@ -59,22 +60,23 @@
     keepers_replied: bool = False
     connection: BeginConnection | None = None
     """None if the origin is proven, or told by a program that does not know it."""
+    never_told: bool = False
+    """Whether a member that would know a stream of which it was told does not."""
     keepers: dict[str, str] = field(factory=dict)
     """What each state member replied that was asked: ``known``, ``unknown``,
-    ``unanswered``, or ``asked`` if another one was faster. Empty if this entry knew
-    the origin."""
+    ``forgotten`` if it has started since, ``unanswered``, or ``asked`` if another one
+    was faster. Empty if this entry knew the origin."""
 
 
-def build_found(
-    origin: StreamOrigin | None, keepers_replied: bool = False, delay_s: float = 0.0
-) -> FoundOrigin:
-    """Return an origin with its connection, whose times may be earlier by a delay."""
+def build_connection(
+    origin: StreamOrigin | None, delay_s: float = 0.0
+) -> BeginConnection | None:
+    """Return the connection of an origin, whose times may be earlier by a delay."""
     if origin is None or origin.proven or not origin.endpoint:
-        return FoundOrigin(origin, keepers_replied)
+        return None
     opened_at = trio.current_time() - origin.opened_ago_s
     closed_at = opened_at + origin.open_for_s - delay_s
-    connection = BeginConnection(origin.endpoint, opened_at, closed_at)
-    return FoundOrigin(origin, keepers_replied, connection)
+    return BeginConnection(origin.endpoint, opened_at, closed_at)
 
 
 @define(eq=False)
@@ -102,11 +104,11 @@
         """Pass a keeper's reply to the query that waits for it."""
         self._queries.handle_reply(body)
 
-    def list_keepers(self, stream: str) -> list[str]:
-        """Return the addresses of the state members that keep a stream's origin."""
+    def list_members(self, stream: str) -> list[str]:
+        """Return the addresses of the state members, the stream's keepers first."""
         addresses = [url.partition("://")[2] for url in self.cluster_view.member_urls]
         addresses.sort(key=lambda address: get_weight(address, stream), reverse=True)
-        return addresses[:KEEPER_COUNT]
+        return addresses
 
     def record(
         self,
@@ -144,7 +146,7 @@
         if self._datagram_socket is None:
             return ()
         body = RECORD_PREFIX + encode(StreamOrigins((origin,)))
-        keepers = self.list_keepers(origin.stream)
+        keepers = self.list_members(origin.stream)[:KEEPER_COUNT]
         self._datagram_socket.send(keepers, body)
         return tuple(keepers)
 
@@ -153,22 +155,32 @@
         stream = get_stream_key(request_id)
         own = self._own.find(stream)
         if own is not None:
-            return build_found(own)
+            return FoundOrigin(own, connection=build_connection(own))
         if self._queries is None:
             return FoundOrigin(None)
         asked_at = trio.current_time()
+        members = self.list_members(stream)
         keepers: dict[str, str] = {}
-        replies = await self._ask_keepers(stream, keepers)
-        origin = next((reply.origin for reply in replies if reply.origin), None)
-        status = "known" if origin else "unknown" if replies else "unanswered"
-        get_metrics().count("stream_origins_asked", status=status)
+        replies = await self._ask(members[:KEEPER_COUNT], stream, keepers)
+        origin = _find_origin(replies)
+        if origin is None:
+            # An entry that lists other members may have told another one.
+            others = await self._ask(members[KEEPER_COUNT:], stream, keepers)
+            origin = _find_origin(others)
+        never_told = origin is None and any(
+            is_never_told(reply.kept_for_s) for reply in replies
+        )
+        get_metrics().count(
+            "stream_origins_asked", status=_get_status(origin, replies, never_told)
+        )
         delay_s = MAX_TRANSIT_S + trio.current_time() - asked_at
-        return evolve(build_found(origin, bool(replies), delay_s), keepers=keepers)
+        connection = build_connection(origin, delay_s)
+        return FoundOrigin(origin, bool(replies), connection, never_told, keepers)
 
-    async def _ask_keepers(
-        self, stream: str, keepers: dict[str, str]
+    async def _ask(
+        self, addresses: list[str], stream: str, keepers: dict[str, str]
     ) -> list[OriginReply]:
-        """Return the keepers' replies: those of all, or up to the first origin.
+        """Return the members' replies: those of all, or up to the first origin.
 
         Notes in ``keepers`` what each of them replied.
         """
@@ -183,13 +195,34 @@
                     reply = await self._queries.ask(address, query, REPLY_TIMEOUT_S)
                     if reply is None:
                         continue
-                    keepers[address] = "known" if reply.origin else "unknown"
+                    keepers[address] = _describe(reply)
                     replies.append(reply)
                     if reply.origin is not None:
                         nursery.cancel_scope.cancel()
                     return
                 keepers[address] = "unanswered"
 
-            for address in self.list_keepers(stream):
+            for address in addresses:
                 nursery.start_soon(ask, address)
         return replies
+
+
+def _find_origin(replies: list[OriginReply]) -> StreamOrigin | None:
+    return next((reply.origin for reply in replies if reply.origin), None)
+
+
+def _describe(reply: OriginReply) -> str:
+    if reply.origin is not None:
+        return "known"
+    return "unknown" if is_never_told(reply.kept_for_s) else "forgotten"
+
+
+def _get_status(
+    origin: StreamOrigin | None, replies: list[OriginReply], never_told: bool
+) -> str:
+    """Return the outcome of a query for the counter."""
+    if origin is not None:
+        return "known"
+    if never_told:
+        return "unknown"
+    return "forgotten" if replies else "unanswered"
--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -60,8 +60,7 @@
             version = choose_stream_version(
                 found.origin.software_version if found.origin else None,
                 versions,
-                found.keepers_replied,
-                view_age_s,
+                found.never_told,
             )
         eliot.log_message(
             "stream:resumed",
@@ -75,6 +74,7 @@
             keepers_replied=found.keepers_replied,
             keepers=found.keepers,
             reason=_explain_unknown(found) if version is None else "",
+            never_told=found.never_told,
             versions=sorted(versions),
             picture_age_s=round(view_age_s, 3),
         )
@@ -187,4 +187,6 @@
     """Return why the version of a stream that a caller takes up is not known."""
     if found.origin is not None:
         return "other service"
-    return "not recorded" if found.keepers_replied else "no keeper replied"
+    if not found.keepers_replied:
+        return "no keeper replied"
+    return "not recorded" if found.never_told else "forgotten"
