--- a/medlarrail/relay/stream_origins.py
+++ b/medlarrail/relay/stream_origins.py
@@ -62,8 +62,8 @@
     """None if the origin is proven, or told by a program that does not know it."""
     never_told: bool = False
     """Whether a member that would know a stream of which it was told does not."""
-    keepers: dict[str, str] = field(factory=dict)
-    """What each state member replied that was asked: ``known``, ``unknown``,
+    keepers: dict[str, str] = field(factory=dict, eq=False)
+    """For the log, what each member replied that was asked: ``known``, ``unknown``,
     ``forgotten`` if it has started since, ``unanswered``, or ``asked`` if another one
     was faster. Empty if this entry knew the origin."""
 
