--- a/medlarrail/relay/stream_origins.py
+++ b/medlarrail/relay/stream_origins.py
@@ -62,6 +62,10 @@
     """None if the origin is proven, or told by a program that does not know it."""
     never_told: bool = False
     """Whether a member that would know a stream of which it was told does not."""
+    keepers: dict[str, str] = field(factory=dict, eq=False)
+    """For the log, what each member replied that was asked: ``known``, ``unknown``,
+    ``forgotten`` if it has started since, ``unanswered``, or ``asked`` if another one
+    was faster. Empty if this entry knew the origin."""
 
 
 def build_connection(
@@ -114,9 +118,11 @@
         connection: BeginConnection | None = None,
         proven: bool = False,
         resumable: bool = True,
-    ) -> None:
+    ) -> tuple[str, ...]:
         """Record a stream of which events are about to be sent.
 
+        Returns the addresses of the state members that are told of it.
+
         ``connection`` is that of its first event, None if it is not known. State
         members are told of it if its route is ``resumable``.
         """
@@ -134,15 +140,15 @@
                 round(connection.closed_at - opened_at, 3),
             )
         origin = self._own.add(origin)
-        if resumable:
-            self._tell(origin)
+        return self._tell(origin) if resumable else ()
 
-    def _tell(self, origin: StreamOrigin) -> None:
+    def _tell(self, origin: StreamOrigin) -> tuple[str, ...]:
         if self._datagram_socket is None:
-            return
+            return ()
         body = RECORD_PREFIX + encode(StreamOrigins((origin,)))
         keepers = self.list_members(origin.stream)[:KEEPER_COUNT]
         self._datagram_socket.send(keepers, body)
+        return tuple(keepers)
 
     async def find(self, request_id: str) -> FoundOrigin:
         """Return the origin of the stream that this request began."""
@@ -154,11 +160,13 @@
             return FoundOrigin(None)
         asked_at = trio.current_time()
         members = self.list_members(stream)
-        replies = await self._ask(members[:KEEPER_COUNT], stream)
+        keepers: dict[str, str] = {}
+        replies = await self._ask(members[:KEEPER_COUNT], stream, keepers)
         origin = _find_origin(replies)
         if origin is None:
             # An entry that lists other members may have told another one.
-            origin = _find_origin(await self._ask(members[KEEPER_COUNT:], stream))
+            others = await self._ask(members[KEEPER_COUNT:], stream, keepers)
+            origin = _find_origin(others)
         never_told = origin is None and any(
             is_never_told(reply.kept_for_s) for reply in replies
         )
@@ -166,26 +174,33 @@
             "stream_origins_asked", status=_get_status(origin, replies, never_told)
         )
         delay_s = MAX_TRANSIT_S + trio.current_time() - asked_at
-        return FoundOrigin(
-            origin, bool(replies), build_connection(origin, delay_s), never_told
-        )
+        connection = build_connection(origin, delay_s)
+        return FoundOrigin(origin, bool(replies), connection, never_told, keepers)
 
-    async def _ask(self, addresses: list[str], stream: str) -> list[OriginReply]:
-        """Return the members' replies: those of all, or up to the first origin."""
+    async def _ask(
+        self, addresses: list[str], stream: str, keepers: dict[str, str]
+    ) -> list[OriginReply]:
+        """Return the members' replies: those of all, or up to the first origin.
+
+        Notes in ``keepers`` what each of them replied.
+        """
         replies: list[OriginReply] = []
         async with trio.open_nursery() as nursery:
 
             async def ask(address: str) -> None:
+                keepers[address] = "asked"
                 for _ in range(MAX_QUERIES):
                     number = self._queries.get_number()
                     query = OriginQuery(number, self._work_address, stream)
                     reply = await self._queries.ask(address, query, REPLY_TIMEOUT_S)
                     if reply is None:
                         continue
+                    keepers[address] = _describe(reply)
                     replies.append(reply)
                     if reply.origin is not None:
                         nursery.cancel_scope.cancel()
                     return
+                keepers[address] = "unanswered"
 
             for address in addresses:
                 nursery.start_soon(ask, address)
@@ -196,6 +211,12 @@
     return next((reply.origin for reply in replies if reply.origin), None)
 
 
+def _describe(reply: OriginReply) -> str:
+    if reply.origin is not None:
+        return "known"
+    return "unknown" if is_never_told(reply.kept_for_s) else "forgotten"
+
+
 def _get_status(
     origin: StreamOrigin | None, replies: list[OriginReply], never_told: bool
 ) -> str:
