Postmortem of streams joined at unannounced processes; refusals of unnamed take-ups say so

A refused take-up whose caller names no request has the reason "not named" in the log. A short soak plays gateways that are killed while an unannounced process lives, and random versions, which were left out of the general runs without a test of their own. The version before is in the upgrade test.

--- a/medlarrail/platform/soak/soak_test.py
+++ b/medlarrail/platform/soak/soak_test.py
@@ -73,6 +73,11 @@
     run_soak(*options, "--without", "release", duration_s=15, seed=4)
 
 
+def test_stream_of_a_living_unannounced_process_goes_on_at_the_version_before():
+    """The gateway that had sent its first events was killed."""
+    run_soak("--only", "kill_gateway_of_other_version,restart_random_version")
+
+
 def test_stream_that_began_behind_a_cut_goes_on_at_the_version_before():
     """The cut held the heartbeats of a process with other software back, or let them
     arrive after its end."""
--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -76,7 +76,7 @@
             proven=found.origin is not None and found.origin.proven,
             keepers_replied=found.keepers_replied,
             keepers=found.keepers,
-            reason=_explain_unknown(found) if version is None else "",
+            reason=self._explain_unknown(found) if version is None else "",
             never_told=never_told,
             versions=sorted(versions),
             picture_age_s=round(view.get_age_s(), 3),
@@ -91,6 +91,16 @@
         else:
             self.evidence = "origin" if self._proven else "recorded"
 
+    def _explain_unknown(self, found: FoundOrigin) -> str:
+        """Return why the version of a stream that a caller takes up is not known."""
+        if found.origin is not None:
+            return "other service"
+        if not self.relayed.metadata.resumes:
+            return "not named"
+        if not found.keepers_replied:
+            return "no keeper replied"
+        return "not recorded" if found.never_told else "forgotten"
+
     async def _prove(self) -> None:
         """Find the version of the process that began the stream.
 
@@ -185,12 +195,3 @@
                 self._proven,
                 relayed.admission.route.resumable,
             )
-
-
-def _explain_unknown(found: FoundOrigin) -> str:
-    """Return why the version of a stream that a caller takes up is not known."""
-    if found.origin is not None:
-        return "other service"
-    if not found.keepers_replied:
-        return "no keeper replied"
-    return "not recorded" if found.never_told else "forgotten"
