--- a/medlarrail/platform/soak/callers.py
+++ b/medlarrail/platform/soak/callers.py
@@ -77,6 +77,11 @@
     retry_after_s: float = 0.0
     ended_at: float = 0.0
 
+    @property
+    def deadline_ms(self) -> int:
+        """The deadline as the gateway is told."""
+        return int(self.deadline_s * 1000)
+
     @property
     def complete(self) -> bool:
         """Whether the answer looks complete to the caller."""
@@ -173,7 +178,7 @@
             "Api-Key": KEY,
             "Model": "daka510000",
             "Token-Usage": f"100,{call.count}",
-            "Deadline-Ms": int(answer.deadline_s * 1000),
+            "Deadline-Ms": answer.deadline_ms,
         }
         if answer.last_event_id:
             headers["Last-Event-Id"] = answer.last_event_id
--- a/medlarrail/platform/soak/check.py
+++ b/medlarrail/platform/soak/check.py
@@ -288,7 +288,7 @@
         for one in site.disturbances
     )
     is_faulty = any(one.faulty for one in runs)
-    is_late = answer.ended_at - answer.sent_at >= answer.deadline_s
+    is_late = answer.ended_at - answer.sent_at >= answer.deadline_ms / 1000
     is_other_version = origin not in ("", run.version)
     if is_faulty or is_disturbed or is_late or is_other_version:
         return False
