Take-ups that name nothing are told not to try again

They were refused up to five times within a moment, each time for the same reason: nobody can find a stream that is not named. Retry-After is what is left of the deadline.

--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -82,7 +82,10 @@
             picture_age_s=round(view.get_age_s(), 3),
         )
         if version is None:
-            raise StreamVersionUnknown(service=service)
+            # Nobody will ever find a stream that is not named.
+            named = relayed.metadata.resumes
+            retry_after_s = None if named else relayed.get_remaining_s()
+            raise StreamVersionUnknown(service=service, retry_after_s=retry_after_s)
         self.version = version
         self._connection = found.connection
         self._proven = found.origin is not None and found.origin.proven
--- a/medlarrail/relay/unrecorded_streams_test.py
+++ b/medlarrail/relay/unrecorded_streams_test.py
@@ -29,7 +29,11 @@
 )
 from medlarrail.testing.builders import build_deployment, build_route
 from medlarrail.testing.fleet import Fleet, start_fleet
-from medlarrail.testing.scripted_endpoints import RelayHarness
+from medlarrail.testing.scripted_endpoints import (
+    RelayHarness,
+    build_request,
+    get_value,
+)
 
 
 async def start(nursery, path, deployment=DEPLOYMENT, **script_changes) -> Fleet:
@@ -150,6 +154,14 @@
         require_not_joined(stream)
         assert stream.refused
 
+    async def test_caller_that_names_nothing_tries_again_at_once(self, fleet):
+        """It would be refused until its deadline."""
+        (route,) = DEPLOYMENT.routes
+        request = build_request(X_Request_Id="r1", Last_Event_Id="3")
+        answer = await fleet.gateways[1].send(request)
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert float(get_value(answer, b"retry-after")) > 0.9 * route.timeout_ms / 1000
+
 
 class TestKeepers:
     async def test_stream_goes_on_after_its_keepers_were_restarted(self, fleet):
