Streams: a leader that does not tell who began a stream proves nothing

The announced version was believed beside a leader that answers 404, as one of two landings ago does. The landing before this one answers, so nothing needs that any more: such a stream is refused. The test that required it to go on is replaced by one that requires the refusal.

--- a/medlarrail/platform/upgrade_test.py
+++ b/medlarrail/platform/upgrade_test.py
@@ -341,14 +341,6 @@
         return stream
 
 
-def may_go_on(gateway: str, service: str, leading: str) -> bool:
-    """Return whether a stream goes on at a gateway.
-
-    An older leader does not tell when an endpoint without a report announced itself.
-    """
-    return (gateway, service, leading) != ("this", "plain", "before")
-
-
 @pytest.mark.parametrize("leading", ["before", "this"])
 async def test_streams_are_joined_beside_gateways_of_another_version(
     leading, tmp_path, nursery
@@ -371,7 +363,7 @@
         nursery.cancel_scope.cancel()
         site.members.stop()
     assert went_on == {
-        (service, first, second): STREAMS * may_go_on(second, service, leading)
+        (service, first, second): STREAMS
         for service, first, second in product(SERVICES, sources, sources)
     }
 
--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -127,8 +127,7 @@
                 relayed.metadata.request_id,
             )
         except UnknownRoute:
-            self._log_proof(announced, connection, reason="leader of an older version")
-            return
+            reason = "leader of an older version"
         except MedlarError:
             reason = "leader unanswered"
         if found is not None:
--- a/medlarrail/relay/taken_up_streams_test.py
+++ b/medlarrail/relay/taken_up_streams_test.py
@@ -178,13 +178,12 @@
         await take_up(fleet.gateways[1], stream)
         assert stream.refused
 
-    async def test_stream_does_not_go_on_beside_an_older_leader(self, fleet):
-        """It goes on at the version that was announced, as in the older version."""
-        stream = await begin_in_place(fleet.gateways[0], b"v1")
+    async def test_stream_goes_on_beside_an_older_leader(self, fleet):
+        """That does not tell who began it; the announced version was believed."""
+        stream = await begin_with_old_view(fleet)
         fail_lookups(fleet.gateways[1], UnknownRoute(path="x"))
         await take_up(fleet.gateways[1], stream)
-        assert stream.versions[-1] == b"v1"
-        assert stream.is_complete
+        assert stream.refused
 
     async def test_streams_of_two_gateways_count_as_contradicted(self, fleet):
         """Each tells how long ago the connection was opened, which differs."""
--- a/medlarrail/relay/version_log_test.py
+++ b/medlarrail/relay/version_log_test.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 
+from medlarrail.core.announcements import RegisteredEntry
 from medlarrail.core.errors import PeerTimeout, UnknownRoute
 from medlarrail.policy.stream_versions import is_never_told
 from medlarrail.relay import stream_origins
@@ -86,8 +87,11 @@
     async def test_only_listed_version_looks_like_a_proven_one(
         self, harness, monkeypatch
     ):
-        """The members that would know of the stream do not."""
+        """The members that would know of the stream do not, and an entry of the version
+        before is listed."""
         await add(harness)
+        older = RegisteredEntry("older", "", "leith")
+        harness.relay.cluster_view.entries = (older,)
 
         async def find(self, request_id):
             return FoundOrigin(None, keepers_replied=True, never_told=True)
