--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -151,8 +151,8 @@
         self,
         announced: str,
         connection: BeginConnection,
-        found: "HeardIncarnation | None" = None,  # noqa: F821
-        reason: str = "",
+        found: "HeardIncarnation | None",  # noqa: F821
+        reason: str,
     ) -> None:
         relayed = self.relayed
         eliot.log_message(
