Take-ups that name nothing ask no state member

Each asked all members in vain before it was refused. Whether it is unnamed is now decided in one place; a stream that began through another gateway was logged as unnamed, too.

--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -31,6 +31,15 @@
     told_keepers: tuple[str, ...] = ()
     """State members that were told of the stream."""
 
+    @property
+    def _is_unnamed(self) -> bool:
+        """Whether a caller takes the stream up without naming its first request.
+
+        Nobody can find such a stream, now or later.
+        """
+        metadata = self.relayed.metadata
+        return bool(metadata.last_event_id) and not metadata.resumes
+
     def allows(self, announced: Announcement) -> bool:
         """Return whether the stream may begin or go on at an endpoint."""
         return self.version is None or announced.software_version == self.version
@@ -52,7 +61,10 @@
         relay = relayed.relay
         view = relay.cluster_view
         service = relayed.service.name
-        found = await relay.origins.find(relayed.origin_id)
+        if self._is_unnamed and not view.may_have_untold_streams():
+            found = FoundOrigin(None)
+        else:
+            found = await relay.origins.find(relayed.origin_id)
         versions = view.list_stream_versions(service)
         # If each entry tells of all streams, what was told of this one is lost, or its
         # caller has not named it.
@@ -82,9 +94,7 @@
             picture_age_s=round(view.get_age_s(), 3),
         )
         if version is None:
-            # Nobody will ever find a stream that is not named.
-            named = relayed.metadata.resumes
-            retry_after_s = None if named else relayed.get_remaining_s()
+            retry_after_s = relayed.get_remaining_s() if self._is_unnamed else None
             raise StreamVersionUnknown(service=service, retry_after_s=retry_after_s)
         self.version = version
         self._connection = found.connection
@@ -98,7 +108,7 @@
         """Return why the version of a stream that a caller takes up is not known."""
         if found.origin is not None:
             return "other service"
-        if not self.relayed.metadata.resumes:
+        if self._is_unnamed:
             return "not named"
         if not found.keepers_replied:
             return "no keeper replied"
