Streams go on for callers that do not name them

What callers saw: a caller that takes a stream up without naming the request that began it was refused until its deadline (503).

Cause: state members kept origins by the name of the first request alone.

Change: an origin has the key of what its request asked for. A gateway asks all members for the streams of the same request, and proves each; the caller's stream goes on if all are of one version. All members but one must reply and have kept what they were told for 30 s, since otherwise the caller's own stream may be missing among those found. Streams that last are told again every 10 s: their origins were forgotten after 30 s. A gateway that forwards such a request no longer names it by the ID of the take-up, by which nobody finds it.

--- a/medlarrail/cluster/recent_origins.py
+++ b/medlarrail/cluster/recent_origins.py
@@ -1,15 +1,16 @@
 """The origins of the streams that began lately, within limits of number and age."""
 
 from collections import OrderedDict
+from itertools import islice
 
 from attrs import define, evolve, field
 
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.policy.stream_versions import STREAM_RETENTION_S
-from medlarrail.protocol.stream_origins import StreamOrigin
+from medlarrail.protocol.stream_origins import MAX_SAME_STREAMS, StreamOrigin
 
 
-@define
+@define(eq=False)
 class KeptOrigin:
     """An origin, since when it is kept, and when it was last told."""
 
@@ -33,6 +34,7 @@
     clock: Clock = get_boottime
     _kept: OrderedDict[str, KeptOrigin] = field(factory=OrderedDict)
     """The latest told last."""
+    _by_content: dict[str, list[KeptOrigin]] = field(factory=dict)
     complete_since: float = field(init=False)
     """Since when all origins that were told are kept, up to their expiry."""
 
@@ -47,21 +49,38 @@
         now = self.clock()
         kept = self._kept.get(origin.stream)
         if kept is None or (origin.proven and not kept.origin.proven):
+            if kept is not None:
+                self._remove_content(kept)
             kept = self._kept[origin.stream] = KeptOrigin(origin, now, now)
+            if origin.content:
+                self._by_content.setdefault(origin.content, []).append(kept)
         kept.told_at = now
         self._kept.move_to_end(origin.stream)
         self._remove_expired(now)
         while len(self._kept) > self.max_count:
-            _, dropped = self._kept.popitem(last=False)
+            dropped = self._pop_oldest()
             self.complete_since = max(self.complete_since, dropped.told_at)
         return kept.get_origin(now)
 
     def _remove_expired(self, now: float) -> None:
         oldest = next(iter(self._kept.values()))
         while now - oldest.told_at > STREAM_RETENTION_S:
-            self._kept.popitem(last=False)
+            self._pop_oldest()
             oldest = next(iter(self._kept.values()))
 
+    def _pop_oldest(self) -> KeptOrigin:
+        _, kept = self._kept.popitem(last=False)
+        self._remove_content(kept)
+        return kept
+
+    def _remove_content(self, kept: KeptOrigin) -> None:
+        content = kept.origin.content
+        if content:
+            same = self._by_content[content]
+            same.remove(kept)
+            if not same:
+                del self._by_content[content]
+
     def mark_lost(self) -> None:
         """Note that origins may have been told up to now that are not kept."""
         self.complete_since = self.clock()
@@ -74,3 +93,9 @@
         """Return the origin of a stream, or None if it is not kept."""
         kept = self._kept.get(stream)
         return kept.get_origin(self.clock()) if kept is not None else None
+
+    def list_same(self, content: str) -> tuple[StreamOrigin, ...]:
+        """Return the origins of streams with a content, up to one above the maximum."""
+        now = self.clock()
+        same = islice(self._by_content.get(content, ()), MAX_SAME_STREAMS + 1)
+        return tuple(kept.get_origin(now) for kept in same)
--- a/medlarrail/cluster/stream_origin_keeper_test.py
+++ b/medlarrail/cluster/stream_origin_keeper_test.py
@@ -4,7 +4,7 @@
 import pytest
 import trio
 import trio.testing
-from attrs import evolve
+from attrs import asdict, evolve
 
 from medlarrail.cluster.recent_origins import RecentOrigins
 from medlarrail.cluster.stream_origin_keeper import StreamOriginKeeper
@@ -12,6 +12,7 @@
 from medlarrail.core.metrics import get_metrics
 from medlarrail.policy.stream_versions import STREAM_RETENTION_S
 from medlarrail.protocol.stream_origins import (
+    MAX_SAME_STREAMS,
     QUERY_PREFIX,
     RECORD_PREFIX,
     OriginQuery,
@@ -89,6 +90,33 @@
         assert kept.get_kept_for_s() == 3 * (STREAM_RETENTION_S + 1)
 
 
+class TestContents:
+    def test_streams_of_another_request_are_listed(self, clock):
+        kept = RecentOrigins(10, clock)
+        first = evolve(ORIGIN, content="c1")
+        kept.add(first)
+        kept.add(evolve(ORIGIN, stream="s2", content="c2"))
+        kept.add(evolve(ORIGIN, stream="s3"))
+        assert kept.list_same("c1") == (first,)
+        assert kept.list_same("c3") == kept.list_same("") == ()
+
+    def test_stream_is_listed_twice_once_it_is_proven(self, clock):
+        kept = RecentOrigins(10, clock)
+        proven = evolve(PROVEN_ORIGIN, content="c1")
+        for origin in (evolve(ORIGIN, content="c1"), proven):
+            kept.add(origin)
+        assert kept.list_same("c1") == (proven,)
+
+    @pytest.mark.parametrize("limit, waits_s", [(10, STREAM_RETENTION_S + 1), (1, 0)])
+    def test_forgotten_stream_is_listed(self, clock, limit, waits_s):
+        kept = RecentOrigins(limit, clock)
+        kept.add(evolve(ORIGIN, content="c1"))
+        clock.now += waits_s
+        kept.add(evolve(ORIGIN, stream="s2", content="c2"))
+        assert kept.list_same("c1") == ()
+        assert len(kept.list_same("c2")) == 1
+
+
 class KeeperHarness:
     """A keeper that runs, and a socket of an entry."""
 
@@ -111,9 +139,12 @@
     async def find(self, stream: str) -> StreamOrigin | None:
         return (await self.ask(stream)).origin
 
-    async def ask(self, stream: str) -> OriginReply:
+    async def list_same(self, content: str) -> tuple[StreamOrigin, ...]:
+        return (await self.ask("", content)).same
+
+    async def ask(self, stream: str, content: str = "") -> OriginReply:
         reply_to = f"{HOST}:{self.entry.get_port()}"
-        self.send(QUERY_PREFIX, OriginQuery(1, reply_to, stream))
+        self.send(QUERY_PREFIX, OriginQuery(1, reply_to, stream, content))
         with trio.fail_after(2):
             (body,) = await self.entry.receive()
         return decode(body[1:], OriginReply)
@@ -176,11 +207,33 @@
             StreamOrigin(f"{number:016x}", name, name, name, 12345.678, 12345.678)
             for number in range(MAX_BATCH_ORIGINS)
         ]
-        message = StreamOrigins(tuple(origins))
+        told = [asdict(origin) for origin in origins]
+        for fields in told:
+            del fields["content"]
+        message = {"origins": told}
         assert len(encode(message)) < MAX_DATAGRAM_BYTES
-        harness.tell(*origins)
+        harness.send(RECORD_PREFIX, message)
         assert await harness.find(origins[-1].stream) is not None
 
+    async def test_origins_of_the_same_request_are_longer_than_a_datagram(
+        self, harness
+    ):
+        name = "n" * 60
+        for number in range(MAX_SAME_STREAMS + 2):
+            harness.tell(
+                StreamOrigin(
+                    f"{number:016x}",
+                    name,
+                    name,
+                    name,
+                    12345.678,
+                    12345.678,
+                    content="c",
+                )
+            )
+        same = await harness.list_same("c")
+        assert len(same) == MAX_SAME_STREAMS + 1
+
     async def test_origin_of_an_older_entry_is_unreadable(self, harness):
         """It lacks what later versions tell, and a later one may tell more."""
         plain = {"stream": "s1", "service": "guide", "software_version": "v1"}
--- a/medlarrail/protocol/stream_origins.py
+++ b/medlarrail/protocol/stream_origins.py
@@ -12,6 +12,8 @@
 RECORD_PREFIX = b"O"
 QUERY_PREFIX = b"P"
 REPLY_PREFIX = b"S"
+MAX_SAME_STREAMS = 8
+"""Maximum streams with one content among which that of a caller is looked for."""
 
 
 @frozen
@@ -34,6 +36,9 @@
     """Lower limit of the seconds for which it was open after that; below 0 if it may
     have been opened earlier."""
     proven: bool = False
+    content: str = ""
+    """Key of what the request asks for, the same if a caller sends it again; empty from
+    programs that do not tell it."""
 
     def contradicts(self, other: "StreamOrigin") -> bool:
         """Return whether another origin of the same stream cannot be true, too."""
@@ -53,11 +58,15 @@
 
 @frozen
 class OriginQuery:
-    """Asks for the origin of a stream; the reply goes to ``reply_to``."""
+    """Asks for the origin of a stream; the reply goes to ``reply_to``.
+
+    With ``content`` it asks for those of all streams of the same request instead.
+    """
 
     number: int
     reply_to: str
     stream: str
+    content: str = ""
 
 
 @frozen
@@ -69,6 +78,9 @@
     kept_for_s: float | None = None
     """Seconds for which the member has kept all origins that it was told, None from one
     that does not tell."""
+    same: tuple[StreamOrigin, ...] | None = None
+    """Origins of streams with the content that was asked for, one more than
+    ``MAX_SAME_STREAMS`` if there are more. None from one that keeps no contents."""
 
 
 def get_stream_key(request_id: str) -> str:
--- a/medlarrail/relay/forwarding.py
+++ b/medlarrail/relay/forwarding.py
@@ -329,7 +329,7 @@
                 request.headers,
                 max(1, int(relayed.get_remaining_s() * 1000)),
                 relayed.last_event_id,
-                relayed.origin_id if relayed.last_event_id else "",
+                relayed.stream_version.named_id if relayed.last_event_id else "",
             )
             self._started_at = trio.current_time()
             failure = await self._exchange(
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -50,6 +50,7 @@
 from medlarrail.relay.shutdown import Shutdown
 from medlarrail.relay.startup_hold import DEFAULT_LEFT_S, StartupHold
 from medlarrail.relay.stream_origins import StreamOriginDirectory
+from medlarrail.relay.stream_version import tell_running_streams
 from medlarrail.relay.suspected_requests import SuspectedRequests
 from medlarrail.relay.table import Admission, RouteTable
 from medlarrail.relay.workload_directory import WorkloadDirectory
@@ -299,6 +300,7 @@
             await nursery.start(self.crashes.run)
             nursery.start_soon(self.limits.run)
             nursery.start_soon(self.forwarder.run)
+            nursery.start_soon(tell_running_streams, self)
             if self.rollout_reporter is not None:
                 nursery.start_soon(self.rollout_reporter.run)
             task_status.started()
--- a/medlarrail/relay/stream_origins.py
+++ b/medlarrail/relay/stream_origins.py
@@ -14,8 +14,9 @@
 from medlarrail.core.codec import encode
 from medlarrail.core.metrics import get_metrics
 from medlarrail.core.placement import get_weight
-from medlarrail.policy.stream_versions import is_never_told
+from medlarrail.policy.stream_versions import STREAM_RETENTION_S, is_never_told
 from medlarrail.protocol.stream_origins import (
+    MAX_SAME_STREAMS,
     QUERY_PREFIX,
     RECORD_PREFIX,
     OriginQuery,
@@ -34,7 +35,9 @@
 MAX_QUERIES = 2
 """Attempts to get a reply, since a datagram may be lost."""
 MAX_ORIGINS = 20_000
-"""Maximum streams that are remembered, about 7 MB."""
+"""Maximum streams that are remembered, about 12 MB."""
+NO_REPLY = "no keeper replied"
+"""Reason in logs: too few state members reply."""
 MAX_TRANSIT_S = 0.1
 """Maximum time that a datagram takes to a state member."""
 
@@ -118,17 +121,21 @@
         connection: BeginConnection | None = None,
         proven: bool = False,
         resumable: bool = True,
+        content: str = "",
     ) -> tuple[str, ...]:
         """Record a stream of which events are about to be sent.
 
         Returns the addresses of the state members that are told of it.
 
         ``connection`` is that of its first event, None if it is not known. State
-        members are told of it if its route is ``resumable``.
+        members are told of it if its route is ``resumable``. ``content`` is the key by
+        which they find it for callers that do not name the request.
         """
         stream = get_stream_key(request_id)
         if proven or connection is None:
-            origin = StreamOrigin(stream, service, software_version, proven=proven)
+            origin = StreamOrigin(
+                stream, service, software_version, proven=proven, content=content
+            )
         else:
             opened_at = connection.opened_at
             origin = StreamOrigin(
@@ -138,6 +145,7 @@
                 connection.endpoint,
                 round(trio.current_time() - opened_at, 3),
                 round(connection.closed_at - opened_at, 3),
+                content=content,
             )
         origin = self._own.add(origin)
         return self._tell(origin) if resumable else ()
@@ -177,8 +185,48 @@
         connection = build_connection(origin, delay_s)
         return FoundOrigin(origin, bool(replies), connection, never_told, keepers)
 
+    async def list_same(
+        self, content: str
+    ) -> tuple[list[FoundOrigin], str, dict[str, str]]:
+        """Return the origins of all streams whose request had a content.
+
+        Also returns why some may be missing, empty if none is, and what each member
+        replied. Each stream was told to ``KEEPER_COUNT`` members, so one of those that
+        reply knows it if fewer than that do not.
+        """
+        if self._queries is None:
+            return [], NO_REPLY, {}
+        asked_at = trio.current_time()
+        members = self.list_members(content)
+        keepers: dict[str, str] = {}
+        replies = await self._ask(members, "", keepers, content)
+        delay_s = MAX_TRANSIT_S + trio.current_time() - asked_at
+        kept = [reply for reply in replies if reply.same is not None]
+        complete = [one for one in kept if one.kept_for_s >= STREAM_RETENTION_S]
+        reason = ""
+        if len(complete) < max(1, len(members) - KEEPER_COUNT + 1):
+            reason = "forgotten" if len(replies) == len(members) else NO_REPLY
+        elif any(len(reply.same) > MAX_SAME_STREAMS for reply in kept):
+            reason = "too many streams of the same request"
+        # Both keepers of a stream tell it, and one may not know that it is proven.
+        told = sorted(
+            (origin for reply in kept for origin in reply.same),
+            key=lambda origin: origin.proven,
+        )
+        origins = {origin.stream: origin for origin in told}
+        found = [
+            FoundOrigin(origin, True, build_connection(origin, delay_s))
+            for origin in origins.values()
+        ]
+        get_metrics().count("same_streams_asked", status=reason or "complete")
+        return found, reason, keepers
+
     async def _ask(
-        self, addresses: list[str], stream: str, keepers: dict[str, str]
+        self,
+        addresses: list[str],
+        stream: str,
+        keepers: dict[str, str],
+        content: str = "",
     ) -> list[OriginReply]:
         """Return the members' replies: those of all, or up to the first origin.
 
@@ -191,7 +239,7 @@
                 keepers[address] = "asked"
                 for _ in range(MAX_QUERIES):
                     number = self._queries.get_number()
-                    query = OriginQuery(number, self._work_address, stream)
+                    query = OriginQuery(number, self._work_address, stream, content)
                     reply = await self._queries.ask(address, query, REPLY_TIMEOUT_S)
                     if reply is None:
                         continue
@@ -212,7 +260,7 @@
 
 
 def _describe(reply: OriginReply) -> str:
-    if reply.origin is not None:
+    if reply.origin is not None or reply.same:
         return "known"
     return "unknown" if is_never_told(reply.kept_for_s) else "forgotten"
 
--- a/medlarrail/relay/stream_origins_test.py
+++ b/medlarrail/relay/stream_origins_test.py
@@ -4,7 +4,10 @@
 import trio
 
 from medlarrail.cluster.cluster_view import ClusterView
+from medlarrail.policy.stream_versions import STREAM_RETENTION_S
+from medlarrail.protocol.stream_origins import MAX_SAME_STREAMS
 from medlarrail.relay.stream_origins import (
+    NO_REPLY,
     BeginConnection,
     FoundOrigin,
     StreamOriginDirectory,
@@ -33,10 +36,10 @@
     return hosts
 
 
-def record(origins: StreamOriginDirectory, request_id: str) -> None:
+def record(origins: StreamOriginDirectory, request_id: str, content: str = "") -> None:
     now = trio.current_time()
     connection = BeginConnection("engine-1", now - 2, now)
-    origins.record(request_id, "guide", "v1", connection)
+    origins.record(request_id, "guide", "v1", connection, content=content)
 
 
 class TestFind:
@@ -61,3 +64,59 @@
         began_at = trio.current_time()
         assert await origins.find("r0") == FoundOrigin(None)
         assert trio.current_time() - began_at < MAX_UNANSWERED_S
+
+
+class TestSameStreams:
+    @pytest.fixture
+    async def origins(self, nursery, keepers) -> StreamOriginDirectory:
+        """A gateway whose state members have run for long."""
+        for keeper in keepers:
+            await keeper.restart(STREAM_RETENTION_S)
+        return await connect(nursery, keepers)
+
+    async def test_stream_of_another_gateway_is_missing(
+        self, nursery, keepers, origins
+    ):
+        """Which members it told depends on its name, which the caller does not tell."""
+        other = await connect(nursery, keepers)
+        for number in range(3):
+            record(other, f"r{number}", "c1")
+        record(origins, "r3", "c1")
+        record(origins, "r4", "c2")
+        same, reason, _ = await origins.list_same("c1")
+        assert len(same) == 4
+        assert not reason
+
+    @pytest.mark.parametrize("stopped, expected", [(1, ""), (2, NO_REPLY)])
+    async def test_both_members_that_know_a_stream_do_not_reply(
+        self, keepers, origins, stopped, expected
+    ):
+        """The stream of another caller with the same request was taken for it."""
+        record(origins, "r0", "c1")
+        for keeper in keepers[:stopped]:
+            keeper.stop()
+        _, reason, _ = await origins.list_same("c1")
+        assert reason == expected
+
+    @pytest.mark.parametrize("restarted, expected", [(1, ""), (2, "forgotten")])
+    async def test_both_members_that_knew_a_stream_started_again(
+        self, keepers, origins, restarted, expected
+    ):
+        record(origins, "r0", "c1")
+        for keeper in keepers[:restarted]:
+            await keeper.restart()
+        _, reason, _ = await origins.list_same("c1")
+        assert reason == expected
+
+    @pytest.mark.parametrize(
+        "count, expected",
+        [
+            (MAX_SAME_STREAMS, ""),
+            (4 * MAX_SAME_STREAMS, "too many streams of the same request"),
+        ],
+    )
+    async def test_stream_is_beyond_those_that_are_told(self, origins, count, expected):
+        for number in range(count):
+            record(origins, f"r{number}", "c1")
+        _, reason, _ = await origins.list_same("c1")
+        assert reason == expected
--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -1,14 +1,23 @@
 """Keeps one stream at the software version that began it, over all its attempts."""
 
 import eliot
+import trio
 from attrs import define, evolve
 
 from medlarrail.core.announcements import Announcement
 from medlarrail.core.errors import MedlarError, StreamVersionUnknown, UnknownRoute
-from medlarrail.policy.stream_versions import choose_stream_version
+from medlarrail.policy.stream_versions import (
+    STREAM_RETENTION_S,
+    choose_stream_version,
+)
 from medlarrail.relay.incarnations import ANNOUNCEMENT_TIMEOUT_S
 from medlarrail.relay.outbound import OutboundConnection
-from medlarrail.relay.stream_origins import BeginConnection, FoundOrigin
+from medlarrail.relay.stream_origins import NO_REPLY, BeginConnection, FoundOrigin
+
+TELL_INTERVAL_S = STREAM_RETENTION_S / 3
+"""Interval at which state members are told again of streams that last."""
+UNKNOWN_PROCESS = "process unknown"
+"""Reason in logs: nobody has heard of the process that began the stream."""
 
 
 @define(eq=False)
@@ -27,19 +36,23 @@
     evidence: str = ""
     """What tells the version, for the log: ``report`` and ``announcements`` of the
     process, a proven ``origin``, or without a proof one that is ``recorded``,
-    ``announced`` of the endpoint, or the only one that is ``listed``."""
+    ``announced`` of the endpoint, or the only one that is ``listed``. ``same`` are all
+    streams of the same request, if a caller does not name its own."""
     told_keepers: tuple[str, ...] = ()
     """State members that were told of the stream."""
 
     @property
     def _is_unnamed(self) -> bool:
-        """Whether a caller takes the stream up without naming its first request.
-
-        Nobody can find such a stream, now or later.
-        """
+        """Whether a caller takes the stream up without naming its first request."""
         metadata = self.relayed.metadata
         return bool(metadata.last_event_id) and not metadata.resumes
 
+    @property
+    def named_id(self) -> str:
+        """ID by which another entry finds a stream that goes on, empty if by none."""
+        is_known = self.told_keepers or not self._is_unnamed
+        return self.relayed.origin_id if is_known else ""
+
     def allows(self, announced: Announcement) -> bool:
         """Return whether the stream may begin or go on at an endpoint."""
         return self.version is None or announced.software_version == self.version
@@ -49,25 +62,77 @@
 
         Raises ``StreamVersionUnknown`` if several may have begun it.
         """
-        await self._find_recorded()
+        relayed = self.relayed
+        is_stream = relayed.admission.route.kind == "stream"
+        if self.version is None and relayed.last_event_id and is_stream:
+            if self._is_unnamed:
+                await self._find_same()
+            else:
+                await self._find_recorded()
         await self._prove()
 
+    async def _find_same(self) -> None:
+        """Find the version of all streams that may be the one that a caller takes up.
+
+        They are those of the same request. Several of one version are as good as one.
+        """
+        relayed = self.relayed
+        view = relayed.relay.cluster_view
+        service = relayed.service.name
+        content = relayed.evidence.fingerprint.digest
+        same, reason, keepers = await relayed.relay.origins.list_same(content)
+        versions: set[str | None] = set()
+        if not reason and any(one.origin.service != service for one in same):
+            reason = "other service"
+        if not reason:
+            versions = await self._prove_all(same)
+            if view.may_have_untold_streams():
+                # Entries of the version before tell contents to nobody.
+                versions |= view.list_stream_versions(service)
+            reason = _explain_versions(versions)
+        eliot.log_message(
+            "stream:resumed-unnamed",
+            request=relayed.metadata.request_id,
+            content=content,
+            service=service,
+            same=[(one.origin.stream, one.origin.software_version) for one in same],
+            versions=sorted(str(version) for version in versions),
+            keepers=keepers,
+            reason=reason,
+        )
+        if reason:
+            may_change = reason in (NO_REPLY, UNKNOWN_PROCESS)
+            raise StreamVersionUnknown(
+                service=service,
+                retry_after_s=None if may_change else relayed.get_remaining_s(),
+            )
+        (self.version,) = versions
+        self._proven = bool(same)
+        self.evidence = "same" if same else "listed"
+
+    async def _prove_all(self, same: list[FoundOrigin]) -> set[str | None]:
+        """Return the versions that began streams, with None for one that is unknown."""
+        versions = {one.origin.software_version for one in same if one.origin.proven}
+
+        async def prove(connection: BeginConnection) -> None:
+            found, _ = await self._find_incarnation(connection)
+            versions.add(found.software_version if found is not None else None)
+
+        async with trio.open_nursery() as nursery:
+            for one in same:
+                if one.connection is not None:
+                    nursery.start_soon(prove, one.connection)
+        return versions
+
     async def _find_recorded(self) -> None:
-        """Find the version that is recorded of a stream that a caller takes up."""
+        """Find the version that is recorded of a stream that a caller names."""
         relayed = self.relayed
-        is_stream = relayed.admission.route.kind == "stream"
-        if self.version is not None or not relayed.last_event_id or not is_stream:
-            return
         relay = relayed.relay
         view = relay.cluster_view
         service = relayed.service.name
-        if self._is_unnamed and not view.may_have_untold_streams():
-            found = FoundOrigin(None)
-        else:
-            found = await relay.origins.find(relayed.origin_id)
+        found = await relay.origins.find(relayed.origin_id)
         versions = view.list_stream_versions(service)
-        # If each entry tells of all streams, what was told of this one is lost, or its
-        # caller has not named it.
+        # If each entry tells of all streams, what was told of this one is lost.
         never_told = found.never_told and view.may_have_untold_streams()
         if found.origin is not None and found.origin.service != service:
             version = None
@@ -94,8 +159,7 @@
             picture_age_s=round(view.get_age_s(), 3),
         )
         if version is None:
-            retry_after_s = relayed.get_remaining_s() if self._is_unnamed else None
-            raise StreamVersionUnknown(service=service, retry_after_s=retry_after_s)
+            raise StreamVersionUnknown(service=service)
         self.version = version
         self._connection = found.connection
         self._proven = found.origin is not None and found.origin.proven
@@ -108,10 +172,8 @@
         """Return why the version of a stream that a caller takes up is not known."""
         if found.origin is not None:
             return "other service"
-        if self._is_unnamed:
-            return "not named"
         if not found.keepers_replied:
-            return "no keeper replied"
+            return NO_REPLY
         return "not recorded" if found.never_told else "forgotten"
 
     async def _prove(self) -> None:
@@ -125,8 +187,21 @@
             return
         if self._own_connection is not None:
             self._update_connection()
-        connection = self._connection
-        announced, found, reason = self.version, None, ""
+        connection, announced = self._connection, self.version
+        found, reason = await self._find_incarnation(connection)
+        if found is not None:
+            self.version = found.software_version
+            self._proven = True
+            self.evidence = "announcements"
+        self._log_proof(announced, connection, found, reason)
+        if not self._proven:
+            raise StreamVersionUnknown(service=relayed.service.name)
+
+    async def _find_incarnation(
+        self, connection: BeginConnection
+    ) -> tuple["HeardIncarnation | None", str]:  # noqa: F821
+        """Return the process that had a connection, or None and why it is unknown."""
+        relayed = self.relayed
         try:
             found = await relayed.relay.incarnations.find(
                 connection.endpoint,
@@ -137,18 +212,10 @@
                 relayed.metadata.request_id,
             )
         except UnknownRoute:
-            reason = "leader of an older version"
+            return None, "leader of an older version"
         except MedlarError:
-            reason = "leader unanswered"
-        if found is not None:
-            self.version = found.software_version
-            self._proven = True
-            self.evidence = "announcements"
-        else:
-            reason = reason or "process unknown"
-        self._log_proof(announced, connection, found, reason)
-        if not self._proven:
-            raise StreamVersionUnknown(service=relayed.service.name)
+            return None, "leader unanswered"
+        return found, "" if found is not None else UNKNOWN_PROCESS
 
     def _update_connection(self) -> None:
         """Use what later answers of the process have shown since the first event."""
@@ -196,14 +263,41 @@
             # The process has told its start in a report, so its announcement is known.
             self._proven = 0 != span.started_ms == announced.started_ms
             self.evidence = "report" if self._proven else "announced"
-        relayed = self.relayed
         is_listed_only = self._connection is None and not self._proven
-        if relayed.origin_id and not is_listed_only:
-            self.told_keepers = relayed.relay.origins.record(
-                relayed.origin_id,
-                relayed.service.name,
-                self.version,
-                self._connection,
-                self._proven,
-                relayed.admission.route.resumable,
-            )
+        if self.relayed.origin_id and not is_listed_only:
+            self._record()
+
+    def _record(self) -> None:
+        relayed = self.relayed
+        resumable = relayed.admission.route.resumable
+        self.told_keepers = relayed.relay.origins.record(
+            relayed.origin_id,
+            relayed.service.name,
+            self.version,
+            self._connection,
+            self._proven,
+            resumable,
+            relayed.evidence.fingerprint.digest if resumable else "",
+        )
+
+    def tell_again(self) -> None:
+        """Tell state members again of a stream that goes on, so that they keep it."""
+        if self.told_keepers:
+            self._record()
+
+
+def _explain_versions(versions: set[str | None]) -> str:
+    """Return why these do not tell the version of a stream, empty if they do."""
+    if not versions:
+        return "not recorded"
+    if None in versions:
+        return UNKNOWN_PROCESS
+    return "several versions" if len(versions) > 1 else ""
+
+
+async def tell_running_streams(relay: "RequestRelay") -> None:  # noqa: F821
+    """Tell state members again of all streams that callers may take up."""
+    while True:
+        await trio.sleep(TELL_INTERVAL_S)
+        for relayed in tuple(relay.shutdown.active):
+            relayed.stream_version.tell_again()
--- a/medlarrail/relay/unrecorded_streams_test.py
+++ b/medlarrail/relay/unrecorded_streams_test.py
@@ -9,6 +9,7 @@
 import trio
 
 from medlarrail.policy.stream_versions import STREAM_RETENTION_S
+from medlarrail.relay import stream_version
 from medlarrail.relay.forwarding import Forwarder
 from medlarrail.relay.request_relay import RetryPolicy
 from medlarrail.relay.stream_origins import StreamOriginDirectory
@@ -23,6 +24,7 @@
 from medlarrail.relay.taken_up_streams_test import (
     HEARD_S,
     IN_PLACE,
+    announce,
     begin_in_place,
     send_in_place,
     start_in_place,
@@ -163,6 +165,92 @@
         assert float(get_value(answer, b"retry-after")) > 0.9 * route.timeout_ms / 1000
 
 
+@pytest.fixture
+async def known_fleet(fleet) -> Fleet:
+    """A fleet whose keeper has run for long."""
+    await fleet.keeper.restart(STREAM_RETENTION_S)
+    return fleet
+
+
+async def begin_at(fleet: Fleet, number: int, version: bytes) -> ReceivedStream:
+    """Begin a stream through the first gateway at an endpoint that has announced."""
+    view = fleet.gateways[0].relay.cluster_view
+    kept = fleet.endpoints[number].name
+    others = {
+        name: view.endpoints.pop(name) for name in list(view.endpoints) if name != kept
+    }
+    stream = await begin(fleet.gateways[0], EVENTS_BEFORE_BREAK)
+    view.endpoints.update(others)
+    assert set(stream.versions) == {version}
+    return stream
+
+
+class TestUnnamedStreams:
+    """Callers take streams up, and do not name the request that began them."""
+
+    async def test_stream_is_refused_though_its_request_is_known(self, known_fleet):
+        """Nothing that clients of some platforms send names a stream."""
+        stream = await begin_at(known_fleet, 1, b"v1")
+        await take_up(known_fleet.gateways[1], stream, X_Resumes="")
+        assert set(stream.versions) == {b"v1"}
+        assert stream.is_complete
+
+    async def test_stream_is_refused_through_a_peer(self, known_fleet, monkeypatch):
+        """The peer was told the ID of the take-up, by which nobody finds a stream."""
+        stream = await begin_at(known_fleet, 1, b"v1")
+        monkeypatch.setattr(
+            Forwarder, "is_partitioned", lambda self, service: self.entry == "gateway-1"
+        )
+        await take_up(known_fleet.gateways[0], stream, X_Resumes="")
+        assert set(stream.versions) == {b"v1"}
+        assert stream.is_complete
+
+    async def test_stream_goes_on_at_the_version_of_another_caller(self, known_fleet):
+        """Both sent the same request."""
+        await announce(known_fleet)
+        await trio.sleep(HEARD_S)
+        streams = [
+            await begin_at(known_fleet, 1, b"v1"),
+            await begin_at(known_fleet, 0, b"v2"),
+        ]
+        for stream in streams:
+            await take_up(known_fleet.gateways[1], stream, X_Resumes="")
+            assert stream.refused
+            assert len(set(stream.versions)) == 1
+
+    async def test_stream_is_refused_for_one_of_its_version(self, known_fleet):
+        first, second = [await begin_at(known_fleet, 1, b"v1") for _ in range(2)]
+        await take_up(known_fleet.gateways[1], first, X_Resumes="")
+        await take_up(known_fleet.gateways[1], second, X_Resumes="")
+        assert first.is_complete
+        assert second.is_complete
+
+    async def test_stream_of_an_unannounced_process_goes_on_for_another_one(
+        self, known_fleet
+    ):
+        """The process of one of two was known, which was taken for that of both."""
+        stream = await begin_in_place(known_fleet.gateways[0], b"v2")
+        await begin_at(known_fleet, 1, b"v1")
+        await take_up(known_fleet.gateways[1], stream, X_Resumes="")
+        require_not_joined(stream)
+        assert stream.refused
+
+    async def test_stream_that_lasts_is_forgotten(
+        self, known_fleet, nursery, monkeypatch
+    ):
+        """The stream of another caller with the same request was taken for it."""
+        gateway = known_fleet.gateways[0]
+        monkeypatch.setattr(stream_version, "TELL_INTERVAL_S", 0.1)
+        nursery.start_soon(stream_version.tell_running_streams, gateway.relay)
+        async with await gateway.connect() as connection:
+            await connection.send_all(build_request(X_Request_Id="r1"))
+            await connection.receive_some()
+            await known_fleet.keeper.restart()
+            await trio.sleep(HEARD_S)
+            found = await known_fleet.gateways[1].relay.origins.find("r1")
+        assert found.origin is not None
+
+
 class TestKeepers:
     async def test_stream_goes_on_after_its_keepers_were_restarted(self, fleet):
         """They replied that they did not know it, which was taken for the proof that
