Streams without a name go on 15 s after state members have started

Streams that last are told again every 5 s, and callers of others come back at once, so a member has been told of all that matter after three such intervals.

--- a/medlarrail/policy/stream_versions.py
+++ b/medlarrail/policy/stream_versions.py
@@ -12,6 +12,12 @@
 """Time for which the origin of a stream is remembered, and for which a version counts
 as in service after its last endpoint has left: longer than a caller waits."""
 
+TELL_INTERVAL_S = 5.0
+"""Interval at which state members are told again of streams that last."""
+RELEARNING_S = 3 * TELL_INTERVAL_S
+"""Time after its start in which a state member is told of all streams that a caller may
+take up: those that last are told again, and callers of the others have come back."""
+
 
 def is_never_told(kept_for_s: float | None) -> bool:
     """Return whether a member that does not know a stream was never told of it.
--- a/medlarrail/relay/stream_origins.py
+++ b/medlarrail/relay/stream_origins.py
@@ -14,7 +14,7 @@
 from medlarrail.core.codec import encode
 from medlarrail.core.metrics import get_metrics
 from medlarrail.core.placement import get_weight
-from medlarrail.policy.stream_versions import STREAM_RETENTION_S, is_never_told
+from medlarrail.policy.stream_versions import RELEARNING_S, is_never_told
 from medlarrail.protocol.stream_origins import (
     MAX_SAME_STREAMS,
     QUERY_PREFIX,
@@ -202,7 +202,7 @@
         replies = await self._ask(members, "", keepers, content)
         delay_s = MAX_TRANSIT_S + trio.current_time() - asked_at
         kept = [reply for reply in replies if reply.same is not None]
-        complete = [one for one in kept if one.kept_for_s >= STREAM_RETENTION_S]
+        complete = [one for one in kept if one.kept_for_s >= RELEARNING_S]
         reason = ""
         if len(complete) < max(1, len(members) - KEEPER_COUNT + 1):
             reason = "forgotten" if len(replies) == len(members) else NO_REPLY
--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -6,16 +6,11 @@
 
 from medlarrail.core.announcements import Announcement
 from medlarrail.core.errors import MedlarError, StreamVersionUnknown, UnknownRoute
-from medlarrail.policy.stream_versions import (
-    STREAM_RETENTION_S,
-    choose_stream_version,
-)
+from medlarrail.policy.stream_versions import TELL_INTERVAL_S, choose_stream_version
 from medlarrail.relay.incarnations import ANNOUNCEMENT_TIMEOUT_S
 from medlarrail.relay.outbound import OutboundConnection
 from medlarrail.relay.stream_origins import NO_REPLY, BeginConnection, FoundOrigin
 
-TELL_INTERVAL_S = STREAM_RETENTION_S / 3
-"""Interval at which state members are told again of streams that last."""
 UNKNOWN_PROCESS = "process unknown"
 """Reason in logs: nobody has heard of the process that began the stream."""
 
