Questions about incarnations are held for 0.5 s each, not for 1.5 s

A question to the leader was held until the endpoint announced itself, up to 1.5 s, but the first attempt of a call with 2 s has 1 s. Then all connections to the leader were given up and the request was sent again as it was, with the age of the connection from before: an announcement that had arrived just before counted as too old. An endpoint that was not heard of counted as "unanswered".

Each call is held for 0.5 s now and has 0.25 s more for its first attempt; the next one has the age of that moment. If no member leads, the whole takes 2 s as before, 2.5 s at most.

--- a/medlarrail/relay/incarnations.py
+++ b/medlarrail/relay/incarnations.py
@@ -10,12 +10,16 @@
 from medlarrail.cluster.state_client import StateClient
 from medlarrail.core.errors import MedlarError, UnknownRoute
 from medlarrail.core.metrics import get_metrics
+from medlarrail.transport.client import FIRST_ATTEMPT_SHARE
 
 ANNOUNCEMENT_TIMEOUT_S = 1.5
 """Maximum time for the next announcement of an endpoint, a little more than their
 interval: callers of a stream leave after two seconds without an event."""
+MAX_HOLD_S = 0.5
+"""Longest time for which one request is held at the leading member."""
 LOOKUP_TIMEOUT_S = 0.5
-"""Time for an answer of the leading member, in addition to the time that it waits."""
+"""Time for an answer of the leading member, in addition to the time that it waits. Half
+of it is for the first attempt."""
 
 
 @define(eq=False)
@@ -48,28 +52,33 @@
             find_incarnation,
             list_possible,
         )
-        from medlarrail.protocol.endpoint_sightings import (
-            SIGHTINGS_PATH,
-            SightingsAnswer,
-            SightingsRequest,
-        )
+        from medlarrail.protocol.endpoint_sightings import SightingsRequest
 
         if self.state is None:
             return None
-        sent_at = trio.current_time()
         record = partial(self._record, request_id, endpoint, opened_at, closed_at)
-        request = SightingsRequest(endpoint, sent_at - opened_at, wait_s)
+        wait_until = trio.current_time() + wait_s
+        deadline = wait_until + LOOKUP_TIMEOUT_S
         try:
-            answer = await self.state.call_leader(
-                SIGHTINGS_PATH, request, SightingsAnswer, wait_s + LOOKUP_TIMEOUT_S
-            )
+            while True:
+                sent_at = trio.current_time()
+                hold_s = min(MAX_HOLD_S, max(0.0, wait_until - sent_at))
+                answer = await self._ask(
+                    SightingsRequest(endpoint, sent_at - opened_at, hold_s),
+                    deadline - sent_at,
+                )
+                received_at = trio.current_time()
+                was_held = received_at - sent_at >= hold_s > 0
+                if not was_held or any(
+                    sent_at - one.last_age_s >= opened_at for one in answer.sightings
+                ):
+                    break
         except UnknownRoute:
             record("unsupported")
             raise
         except MedlarError as error:
             record("unanswered", reason=str(error))
             raise
-        received_at = trio.current_time()
         heard = [
             HeardIncarnation(
                 one.started_ms,
@@ -102,6 +111,26 @@
         )
         return found
 
+    async def _ask(
+        self,
+        request: "SightingsRequest",  # noqa: F821
+        remaining_s: float,
+    ) -> "SightingsAnswer":  # noqa: F821
+        """Send a request that the leading member holds.
+
+        One that is not answered in the first attempt is sent again as it is, and would
+        then miss the announcements that were received meanwhile.
+        """
+        from medlarrail.protocol.endpoint_sightings import (
+            SIGHTINGS_PATH,
+            SightingsAnswer,
+        )
+
+        least_s = (request.wait_s + LOOKUP_TIMEOUT_S / 2) / FIRST_ATTEMPT_SHARE
+        return await self.state.call_leader(
+            SIGHTINGS_PATH, request, SightingsAnswer, max(least_s, remaining_s)
+        )
+
     @staticmethod
     def _record(
         request_id: str,
