Take-ups without a name: more evidence that the caller's own stream is found

- The gateway did not look into its own memory; streams of requests without an ID were not recorded; the replies of all members together could name more than eight streams; a stream that is neither proven nor has a connection did not count; a gateway of the version before, replaced by a present one, was not reckoned with by gateways that started later; a stream found by the listed versions was told to others as proven.
Callers are refused to their deadline if a member that replies has forgotten.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -10,7 +10,7 @@
 
 import eliot
 import trio
-from attrs import define, field
+from attrs import Factory, define, field
 
 from medlarrail.cluster.member_choice import MemberChoice
 from medlarrail.cluster.state_client import StateClient
@@ -105,6 +105,9 @@
     _listed_entries: tuple[RegisteredEntry, ...] = ()
     _untold_streams_at: float = float("-inf")
     """When an entry that does not tell of all streams was last listed, if none is."""
+    _created_at: float = field(
+        default=Factory(lambda self: self.clock(), takes_self=True), init=False
+    )
     _is_list_open: bool = False
     """Whether a whole list was received that its leader may still add to, since it has
     not been settled yet."""
@@ -191,6 +194,15 @@
         untold_s = self.clock() - self._untold_streams_at
         return self._lists_untold_streams() or untold_s <= STREAM_RETENTION_S
 
+    def may_have_untold_contents(self) -> bool:
+        """Return whether members need not know of a stream by what its request asks.
+
+        An entry of the version before may have been replaced before this view was
+        received for the first time.
+        """
+        is_new = self.clock() - self._created_at <= STREAM_RETENTION_S
+        return is_new or self.may_have_untold_streams()
+
     def _lists_untold_streams(self) -> bool:
         return not all(entry.tells_streams for entry in self.entries)
 
--- a/medlarrail/cluster/recent_origins.py
+++ b/medlarrail/cluster/recent_origins.py
@@ -7,7 +7,7 @@
 
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.policy.stream_versions import STREAM_RETENTION_S
-from medlarrail.protocol.stream_origins import MAX_SAME_STREAMS, StreamOrigin
+from medlarrail.protocol.stream_origins import MAX_CANDIDATES, StreamOrigin
 
 
 @define(eq=False)
@@ -34,7 +34,7 @@
     clock: Clock = get_boottime
     _kept: OrderedDict[str, KeptOrigin] = field(factory=OrderedDict)
     """The latest told last."""
-    _by_content: dict[str, list[KeptOrigin]] = field(factory=dict)
+    _by_content: dict[str, dict[str, KeptOrigin]] = field(factory=dict)
     complete_since: float = field(init=False)
     """Since when all origins that were told are kept, up to their expiry."""
 
@@ -53,7 +53,8 @@
                 self._remove_content(kept)
             kept = self._kept[origin.stream] = KeptOrigin(origin, now, now)
             if origin.content:
-                self._by_content.setdefault(origin.content, []).append(kept)
+                same = self._by_content.setdefault(origin.content, {})
+                same[origin.stream] = kept
         kept.told_at = now
         self._kept.move_to_end(origin.stream)
         self._remove_expired(now)
@@ -77,7 +78,7 @@
         content = kept.origin.content
         if content:
             same = self._by_content[content]
-            same.remove(kept)
+            del same[kept.origin.stream]
             if not same:
                 del self._by_content[content]
 
@@ -94,8 +95,8 @@
         kept = self._kept.get(stream)
         return kept.get_origin(self.clock()) if kept is not None else None
 
-    def list_same(self, content: str) -> tuple[StreamOrigin, ...]:
+    def list_candidates(self, content: str) -> tuple[StreamOrigin, ...]:
         """Return the origins of streams with a content, up to one above the maximum."""
         now = self.clock()
-        same = islice(self._by_content.get(content, ()), MAX_SAME_STREAMS + 1)
-        return tuple(kept.get_origin(now) for kept in same)
+        same = self._by_content.get(content, {}).values()
+        return tuple(kept.get_origin(now) for kept in islice(same, MAX_CANDIDATES + 1))
--- a/medlarrail/cluster/stream_origin_keeper.py
+++ b/medlarrail/cluster/stream_origin_keeper.py
@@ -25,7 +25,7 @@
 from medlarrail.transport.datagrams import DatagramSocket, decode_datagram
 
 MAX_ORIGINS = 100_000
-"""Maximum streams that are remembered, about 60 MB."""
+"""Maximum streams that are remembered, about 70 MB."""
 CHECK_INTERVAL_S = 0.1
 """Interval at which the time is noted up to which no datagram has arrived."""
 
@@ -109,6 +109,6 @@
             query.number,
             self.origins.find(query.stream),
             round(self.origins.get_kept_for_s(), 3),
-            self.origins.list_same(query.content) if query.content else None,
+            self.origins.list_candidates(query.content) if query.content else None,
         )
         self.datagram_socket.send([query.reply_to], REPLY_PREFIX + encode(reply))
--- a/medlarrail/cluster/stream_origin_keeper_test.py
+++ b/medlarrail/cluster/stream_origin_keeper_test.py
@@ -12,7 +12,7 @@
 from medlarrail.core.metrics import get_metrics
 from medlarrail.policy.stream_versions import STREAM_RETENTION_S
 from medlarrail.protocol.stream_origins import (
-    MAX_SAME_STREAMS,
+    MAX_CANDIDATES,
     QUERY_PREFIX,
     RECORD_PREFIX,
     OriginQuery,
@@ -97,15 +97,15 @@
         kept.add(first)
         kept.add(evolve(ORIGIN, stream="s2", content="c2"))
         kept.add(evolve(ORIGIN, stream="s3"))
-        assert kept.list_same("c1") == (first,)
-        assert kept.list_same("c3") == kept.list_same("") == ()
+        assert kept.list_candidates("c1") == (first,)
+        assert kept.list_candidates("c3") == kept.list_candidates("") == ()
 
     def test_stream_is_listed_twice_once_it_is_proven(self, clock):
         kept = RecentOrigins(10, clock)
         proven = evolve(PROVEN_ORIGIN, content="c1")
         for origin in (evolve(ORIGIN, content="c1"), proven):
             kept.add(origin)
-        assert kept.list_same("c1") == (proven,)
+        assert kept.list_candidates("c1") == (proven,)
 
     @pytest.mark.parametrize("limit, waits_s", [(10, STREAM_RETENTION_S + 1), (1, 0)])
     def test_forgotten_stream_is_listed(self, clock, limit, waits_s):
@@ -113,8 +113,8 @@
         kept.add(evolve(ORIGIN, content="c1"))
         clock.now += waits_s
         kept.add(evolve(ORIGIN, stream="s2", content="c2"))
-        assert kept.list_same("c1") == ()
-        assert len(kept.list_same("c2")) == 1
+        assert kept.list_candidates("c1") == ()
+        assert len(kept.list_candidates("c2")) == 1
 
 
 class KeeperHarness:
@@ -139,8 +139,8 @@
     async def find(self, stream: str) -> StreamOrigin | None:
         return (await self.ask(stream)).origin
 
-    async def list_same(self, content: str) -> tuple[StreamOrigin, ...]:
-        return (await self.ask("", content)).same
+    async def list_candidates(self, content: str) -> tuple[StreamOrigin, ...]:
+        return (await self.ask("", content)).candidates
 
     async def ask(self, stream: str, content: str = "") -> OriginReply:
         reply_to = f"{HOST}:{self.entry.get_port()}"
@@ -219,7 +219,7 @@
         self, harness
     ):
         name = "n" * 60
-        for number in range(MAX_SAME_STREAMS + 2):
+        for number in range(MAX_CANDIDATES + 2):
             harness.tell(
                 StreamOrigin(
                     f"{number:016x}",
@@ -231,8 +231,8 @@
                     content="c",
                 )
             )
-        same = await harness.list_same("c")
-        assert len(same) == MAX_SAME_STREAMS + 1
+        same = await harness.list_candidates("c")
+        assert len(same) == MAX_CANDIDATES + 1
 
     async def test_origin_of_an_older_entry_is_unreadable(self, harness):
         """It lacks what later versions tell, and a later one may tell more."""
--- a/medlarrail/protocol/stream_origins.py
+++ b/medlarrail/protocol/stream_origins.py
@@ -12,7 +12,7 @@
 RECORD_PREFIX = b"O"
 QUERY_PREFIX = b"P"
 REPLY_PREFIX = b"S"
-MAX_SAME_STREAMS = 8
+MAX_CANDIDATES = 8
 """Maximum streams with one content among which that of a caller is looked for."""
 
 
@@ -78,9 +78,9 @@
     kept_for_s: float | None = None
     """Seconds for which the member has kept all origins that it was told, None from one
     that does not tell."""
-    same: tuple[StreamOrigin, ...] | None = None
+    candidates: tuple[StreamOrigin, ...] | None = None
     """Origins of streams with the content that was asked for, one more than
-    ``MAX_SAME_STREAMS`` if there are more. None from one that keeps no contents."""
+    ``MAX_CANDIDATES`` if there are more. None from one that keeps no contents."""
 
 
 def get_stream_key(request_id: str) -> str:
--- a/medlarrail/relay/crash_evidence.py
+++ b/medlarrail/relay/crash_evidence.py
@@ -1,7 +1,8 @@
 """What one request tells of crashes of endpoints, and whether it may be sent.
 
 A request is a suspect by the shared parts of its prompt and by its whole content. Its
-content is hashed only if it broke off, or if some request of its service is watched.
+content is hashed only if it broke off, if some request of its service is watched, or if
+its stream may be taken up.
 """
 
 from functools import cached_property
--- a/medlarrail/relay/stream_origins.py
+++ b/medlarrail/relay/stream_origins.py
@@ -16,7 +16,7 @@
 from medlarrail.core.placement import get_weight
 from medlarrail.policy.stream_versions import RELEARNING_S, is_never_told
 from medlarrail.protocol.stream_origins import (
-    MAX_SAME_STREAMS,
+    MAX_CANDIDATES,
     QUERY_PREFIX,
     RECORD_PREFIX,
     OriginQuery,
@@ -35,7 +35,7 @@
 MAX_QUERIES = 2
 """Attempts to get a reply, since a datagram may be lost."""
 MAX_ORIGINS = 20_000
-"""Maximum streams that are remembered, about 12 MB."""
+"""Maximum streams that are remembered, about 14 MB."""
 NO_REPLY = "no keeper replied"
 """Reason in logs: too few state members reply."""
 MAX_TRANSIT_S = 0.1
@@ -185,7 +185,7 @@
         connection = build_connection(origin, delay_s)
         return FoundOrigin(origin, bool(replies), connection, never_told, keepers)
 
-    async def list_same(
+    async def list_candidates(
         self, content: str
     ) -> tuple[list[FoundOrigin], str, dict[str, str]]:
         """Return the origins of all streams whose request had a content.
@@ -198,28 +198,33 @@
             return [], NO_REPLY, {}
         asked_at = trio.current_time()
         members = self.list_members(content)
-        keepers: dict[str, str] = {}
-        replies = await self._ask(members, "", keepers, content)
+        replied: dict[str, str] = {}
+        replies = await self._ask(members, "", replied, content)
         delay_s = MAX_TRANSIT_S + trio.current_time() - asked_at
-        kept = [reply for reply in replies if reply.same is not None]
+        kept = [reply for reply in replies if reply.candidates is not None]
         complete = [one for one in kept if one.kept_for_s >= RELEARNING_S]
-        reason = ""
-        if len(complete) < max(1, len(members) - KEEPER_COUNT + 1):
-            reason = "forgotten" if len(replies) == len(members) else NO_REPLY
-        elif any(len(reply.same) > MAX_SAME_STREAMS for reply in kept):
-            reason = "too many streams of the same request"
         # Both keepers of a stream tell it, and one may not know that it is proven.
         told = sorted(
-            (origin for reply in kept for origin in reply.same),
+            (origin for reply in kept for origin in reply.candidates),
             key=lambda origin: origin.proven,
         )
-        origins = {origin.stream: origin for origin in told}
-        found = [
-            FoundOrigin(origin, True, build_connection(origin, delay_s))
-            for origin in origins.values()
-        ]
-        get_metrics().count("same_streams_asked", status=reason or "complete")
-        return found, reason, keepers
+        found = {
+            origin.stream: FoundOrigin(origin, True, build_connection(origin, delay_s))
+            for origin in told
+        }
+        # Members may not have got what they were told.
+        for origin in self._own.list_candidates(content):
+            connection = build_connection(origin)
+            found.setdefault(origin.stream, FoundOrigin(origin, True, connection))
+        reason = ""
+        if len(complete) < max(1, len(members) - KEEPER_COUNT + 1):
+            # A later answer would be wrong once those that forgot have run for longer.
+            has_forgotten = len(complete) < len(kept)
+            reason = "forgotten" if has_forgotten else NO_REPLY
+        elif len(found) > MAX_CANDIDATES:
+            reason = "too many streams of the same request"
+        get_metrics().count("stream_contents_asked", status=reason or "complete")
+        return list(found.values()), reason, replied
 
     async def _ask(
         self,
@@ -260,7 +265,7 @@
 
 
 def _describe(reply: OriginReply) -> str:
-    if reply.origin is not None or reply.same:
+    if reply.origin is not None or reply.candidates:
         return "known"
     return "unknown" if is_never_told(reply.kept_for_s) else "forgotten"
 
--- a/medlarrail/relay/stream_origins_test.py
+++ b/medlarrail/relay/stream_origins_test.py
@@ -5,7 +5,7 @@
 
 from medlarrail.cluster.cluster_view import ClusterView
 from medlarrail.policy.stream_versions import RELEARNING_S
-from medlarrail.protocol.stream_origins import MAX_SAME_STREAMS
+from medlarrail.protocol.stream_origins import MAX_CANDIDATES
 from medlarrail.relay.stream_origins import (
     NO_REPLY,
     BeginConnection,
@@ -66,7 +66,7 @@
         assert trio.current_time() - began_at < MAX_UNANSWERED_S
 
 
-class TestSameStreams:
+class TestContents:
     @pytest.fixture
     async def origins(self, nursery, keepers) -> StreamOriginDirectory:
         """A gateway whose state members have run for long."""
@@ -83,7 +83,7 @@
             record(other, f"r{number}", "c1")
         record(origins, "r3", "c1")
         record(origins, "r4", "c2")
-        same, reason, _ = await origins.list_same("c1")
+        same, reason, _ = await origins.list_candidates("c1")
         assert len(same) == 4
         assert not reason
 
@@ -95,7 +95,7 @@
         record(origins, "r0", "c1")
         for keeper in keepers[:stopped]:
             keeper.stop()
-        _, reason, _ = await origins.list_same("c1")
+        _, reason, _ = await origins.list_candidates("c1")
         assert reason == expected
 
     @pytest.mark.parametrize("restarted, expected", [(1, ""), (2, "forgotten")])
@@ -105,18 +105,29 @@
         record(origins, "r0", "c1")
         for keeper in keepers[:restarted]:
             await keeper.restart()
-        _, reason, _ = await origins.list_same("c1")
+        _, reason, _ = await origins.list_candidates("c1")
         assert reason == expected
 
     @pytest.mark.parametrize(
         "count, expected",
         [
-            (MAX_SAME_STREAMS, ""),
-            (4 * MAX_SAME_STREAMS, "too many streams of the same request"),
+            (MAX_CANDIDATES, ""),
+            (MAX_CANDIDATES + 4, "too many streams of the same request"),
+            (4 * MAX_CANDIDATES, "too many streams of the same request"),
         ],
     )
     async def test_stream_is_beyond_those_that_are_told(self, origins, count, expected):
         for number in range(count):
             record(origins, f"r{number}", "c1")
-        _, reason, _ = await origins.list_same("c1")
+        _, reason, _ = await origins.list_candidates("c1")
         assert reason == expected
+
+    async def test_gateway_lists_fewer_members_than_the_one_that_told(
+        self, nursery, keepers, origins
+    ):
+        """All that it lists reply, and a stream is known to none of them."""
+        other = await connect(nursery, keepers[:MEMBERS_BEFORE])
+        for number in range(STREAMS):
+            record(origins, f"r{number}", f"c{number}")
+        answers = [await other.list_candidates(f"c{n}") for n in range(STREAMS)]
+        assert all(found or reason for found, reason, _ in answers)
--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -1,5 +1,7 @@
 """Keeps one stream at the software version that began it, over all its attempts."""
 
+from secrets import token_hex
+
 import eliot
 import trio
 from attrs import define, evolve
@@ -11,6 +13,8 @@
 from medlarrail.relay.outbound import OutboundConnection
 from medlarrail.relay.stream_origins import NO_REPLY, BeginConnection, FoundOrigin
 
+TOLD_AT_ONCE = 20
+"""Streams of which state members are told again without a pause."""
 UNKNOWN_PROCESS = "process unknown"
 """Reason in logs: nobody has heard of the process that began the stream."""
 
@@ -31,10 +35,13 @@
     evidence: str = ""
     """What tells the version, for the log: ``report`` and ``announcements`` of the
     process, a proven ``origin``, or without a proof one that is ``recorded``,
-    ``announced`` of the endpoint, or the only one that is ``listed``. ``same`` are all
-    streams of the same request, if a caller does not name its own."""
+    ``announced`` of the endpoint, or the only one that is ``listed``. By
+    ``content`` it is that of all streams of the same request, if a caller does not name
+    its own."""
     told_keepers: tuple[str, ...] = ()
     """State members that were told of the stream."""
+    _recorded_id: str = ""
+    """ID by which the stream is recorded: a random one if its request has none."""
 
     @property
     def _is_unnamed(self) -> bool:
@@ -61,27 +68,29 @@
         is_stream = relayed.admission.route.kind == "stream"
         if self.version is None and relayed.last_event_id and is_stream:
             if self._is_unnamed:
-                await self._find_same()
+                await self._find_by_content()
             else:
                 await self._find_recorded()
         await self._prove()
 
-    async def _find_same(self) -> None:
+    async def _find_by_content(self) -> None:
         """Find the version of all streams that may be the one that a caller takes up.
 
-        They are those of the same request. Several of one version are as good as one.
+        They are those with the same content. Several of one version are as good as one.
         """
         relayed = self.relayed
         view = relayed.relay.cluster_view
         service = relayed.service.name
         content = relayed.evidence.fingerprint.digest
-        same, reason, keepers = await relayed.relay.origins.list_same(content)
+        origins = relayed.relay.origins
+        candidates, reason, members = await origins.list_candidates(content)
         versions: set[str | None] = set()
-        if not reason and any(one.origin.service != service for one in same):
+        may_be_untold = view.may_have_untold_contents()
+        if not reason and any(one.origin.service != service for one in candidates):
             reason = "other service"
         if not reason:
-            versions = await self._prove_all(same)
-            if view.may_have_untold_streams():
+            versions = await self._prove_all(candidates)
+            if may_be_untold:
                 # Entries of the version before tell contents to nobody.
                 versions |= view.list_stream_versions(service)
             reason = _explain_versions(versions)
@@ -90,9 +99,11 @@
             request=relayed.metadata.request_id,
             content=content,
             service=service,
-            same=[(one.origin.stream, one.origin.software_version) for one in same],
+            candidates=[
+                (one.origin.stream, one.origin.software_version) for one in candidates
+            ],
             versions=sorted(str(version) for version in versions),
-            keepers=keepers,
+            members=members,
             reason=reason,
         )
         if reason:
@@ -102,20 +113,24 @@
                 retry_after_s=None if may_change else relayed.get_remaining_s(),
             )
         (self.version,) = versions
-        self._proven = bool(same)
-        self.evidence = "same" if same else "listed"
+        self._proven = bool(candidates) and not may_be_untold
+        self.evidence = "content" if self._proven else "listed"
 
-    async def _prove_all(self, same: list[FoundOrigin]) -> set[str | None]:
+    async def _prove_all(self, candidates: list[FoundOrigin]) -> set[str | None]:
         """Return the versions that began streams, with None for one that is unknown."""
-        versions = {one.origin.software_version for one in same if one.origin.proven}
+        versions: set[str | None] = set()
 
         async def prove(connection: BeginConnection) -> None:
             found, _ = await self._find_incarnation(connection)
             versions.add(found.software_version if found is not None else None)
 
         async with trio.open_nursery() as nursery:
-            for one in same:
-                if one.connection is not None:
+            for one in candidates:
+                if one.origin.proven:
+                    versions.add(one.origin.software_version)
+                elif one.connection is None:
+                    versions.add(None)
+                else:
                     nursery.start_soon(prove, one.connection)
         return versions
 
@@ -259,14 +274,15 @@
             self._proven = 0 != span.started_ms == announced.started_ms
             self.evidence = "report" if self._proven else "announced"
         is_listed_only = self._connection is None and not self._proven
-        if self.relayed.origin_id and not is_listed_only:
+        if not is_listed_only:
             self._record()
 
     def _record(self) -> None:
         relayed = self.relayed
         resumable = relayed.admission.route.resumable
+        self._recorded_id = self._recorded_id or relayed.origin_id or token_hex(8)
         self.told_keepers = relayed.relay.origins.record(
-            relayed.origin_id,
+            self._recorded_id,
             relayed.service.name,
             self.version,
             self._connection,
@@ -291,8 +307,15 @@
 
 
 async def tell_running_streams(relay: "RequestRelay") -> None:  # noqa: F821
-    """Tell state members again of all streams that callers may take up."""
+    """Tell state members again of all streams that callers may take up.
+
+    They are told over the whole interval, since what does not fit in the members'
+    sockets at once is lost.
+    """
     while True:
-        await trio.sleep(TELL_INTERVAL_S)
-        for relayed in tuple(relay.shutdown.active):
-            relayed.stream_version.tell_again()
+        active = list(relay.shutdown.active)
+        batches = range(0, max(1, len(active)), TOLD_AT_ONCE)
+        for first in batches:
+            for relayed in active[first : first + TOLD_AT_ONCE]:
+                relayed.stream_version.tell_again()
+            await trio.sleep(TELL_INTERVAL_S / len(batches))
--- a/medlarrail/relay/unrecorded_streams_test.py
+++ b/medlarrail/relay/unrecorded_streams_test.py
@@ -19,6 +19,7 @@
     ReceivedStream,
     VersionScript,
     begin,
+    receive,
     take_up,
 )
 from medlarrail.relay.taken_up_streams_test import (
@@ -172,14 +173,32 @@
     return fleet
 
 
-async def begin_at(fleet: Fleet, number: int, version: bytes) -> ReceivedStream:
+async def begin_as(gateway: RelayHarness, request_id: str) -> ReceivedStream:
+    """Begin a stream by a request with this ID."""
+    stream = ReceivedStream(request_id)
+    request = build_request(X_Request_Id=request_id)
+    stream.receive(await receive(gateway, request, EVENTS_BEFORE_BREAK))
+    return stream
+
+
+def lose_origins(patch: pytest.MonkeyPatch) -> None:
+    """Let no state member get what gateways tell it."""
+    patch.setattr(StreamOriginDirectory, "_tell", lambda self, origin: ())
+
+
+async def begin_at(
+    fleet: Fleet, number: int, version: bytes, request_id: str = ""
+) -> ReceivedStream:
     """Begin a stream through the first gateway at an endpoint that has announced."""
     view = fleet.gateways[0].relay.cluster_view
     kept = fleet.endpoints[number].name
     others = {
         name: view.endpoints.pop(name) for name in list(view.endpoints) if name != kept
     }
-    stream = await begin(fleet.gateways[0], EVENTS_BEFORE_BREAK)
+    if request_id:
+        stream = await begin_as(fleet.gateways[0], request_id)
+    else:
+        stream = await begin(fleet.gateways[0], EVENTS_BEFORE_BREAK)
     view.endpoints.update(others)
     assert set(stream.versions) == {version}
     return stream
@@ -235,6 +254,76 @@
         require_not_joined(stream)
         assert stream.refused
 
+    async def test_stream_is_unknown_where_it_began(self, known_fleet, monkeypatch):
+        """The members had not got what they were told, and the gateway did not look
+        into its own memory."""
+        with monkeypatch.context() as patch:
+            lose_origins(patch)
+            stream = await begin_in_place(known_fleet.gateways[0], b"v2")
+        await begin_at(known_fleet, 1, b"v1")
+        await take_up(known_fleet.gateways[0], stream, X_Resumes="")
+        require_not_joined(stream)
+
+    async def test_stream_of_a_request_without_an_id_is_not_recorded(self, known_fleet):
+        gateway = known_fleet.gateways[0]
+        stream = ReceivedStream("")
+        with send_in_place(gateway):
+            answer = await receive(gateway, build_request(), EVENTS_BEFORE_BREAK)
+        stream.receive(answer)
+        await begin_at(known_fleet, 1, b"v1")
+        await take_up(known_fleet.gateways[1], stream, X_Resumes="")
+        require_not_joined(stream)
+
+    async def test_gateway_of_the_version_before_was_replaced(
+        self, known_fleet, monkeypatch
+    ):
+        """It had told nobody what its streams asked for, and was not listed any more
+        when the one started at which the caller came back."""
+        await announce(known_fleet)
+        await trio.sleep(HEARD_S)
+        record = StreamOriginDirectory.record
+
+        def record_without_content(self, *args):
+            return record(self, *args[:-1])
+
+        with monkeypatch.context() as patch:
+            patch.setattr(StreamOriginDirectory, "record", record_without_content)
+            stream = await begin_in_place(known_fleet.gateways[0], b"v2")
+        await begin_at(known_fleet, 1, b"v1")
+        await take_up(known_fleet.gateways[1], stream, X_Resumes="")
+        require_not_joined(stream)
+
+    async def test_caller_begins_again_at_a_gateway_that_is_cut_off(
+        self, known_fleet, monkeypatch
+    ):
+        """Its first stream was told to the members, and the second one to nobody."""
+        await begin_at(known_fleet, 1, b"v1")
+        with monkeypatch.context() as patch:
+            lose_origins(patch)
+            stream = await begin_in_place(known_fleet.gateways[0], b"v2")
+        await take_up(known_fleet.gateways[1], stream, X_Resumes="")
+        require_not_joined(stream)
+
+    async def test_caller_comes_back_long_after_its_keepers_were_restarted(
+        self, known_fleet
+    ):
+        """Meanwhile another stream of the same request began."""
+        stream = await begin_in_place(known_fleet.gateways[0], b"v2")
+        await known_fleet.keeper.restart(RELEARNING_S)
+        await begin_at(known_fleet, 1, b"v1")
+        await take_up(known_fleet.gateways[1], stream, X_Resumes="")
+        require_not_joined(stream)
+
+    @pytest.mark.parametrize("resumes", ["", "first"])
+    async def test_two_streams_have_the_same_request_id(self, known_fleet, resumes):
+        """The origin of the second one was dropped."""
+        await begin_at(known_fleet, 1, b"v1", "first")
+        gateway = known_fleet.gateways[1]
+        with send_in_place(gateway):
+            stream = await begin_as(gateway, "first")
+        await take_up(known_fleet.gateways[0], stream, X_Resumes=resumes)
+        require_not_joined(stream)
+
     async def test_stream_that_lasts_is_forgotten(
         self, known_fleet, nursery, monkeypatch
     ):
