Stream soak: read the endpoints' records once

The check of a run and the count of sound streams that were cut each read all records. One pass now collects runs and announcements together.

--- a/medlarrail/platform/soak/__main__.py
+++ b/medlarrail/platform/soak/__main__.py
@@ -34,8 +34,7 @@
     check_runs,
     count_calls,
     name_early_closes,
-    read_announcements,
-    read_runs,
+    read_records,
 )
 from medlarrail.platform.soak.engine import HEARTBEAT_S
 from medlarrail.platform.soak.faults import Faults
@@ -102,7 +101,8 @@
         for name in self.site.list_own_ends():
             self.record(Violation("end of a process", name, "by itself"))
         self.site.end_all()
-        runs = read_runs(self.site.folder)
+        records = read_records(self.site.folder)
+        runs = records.runs
         self.violations = name_early_closes(self.violations, runs)
         for violation in check_runs(self.calls, runs):
             self.record(violation)
@@ -111,9 +111,8 @@
             for violation in rollout.check(all_runs):
                 self.record(violation)
         self.write_record()
-        announcements = read_announcements(self.site.folder)
-        self.take_ups = count_take_ups(self.site, self.calls, announcements)
-        return count_calls(self.site, self.calls, runs)
+        self.take_ups = count_take_ups(self.site, self.calls, records.announcements)
+        return count_calls(self.site, self.calls, records)
 
     async def run_callers(self, duration_s: float) -> None:
         """Run the callers until the last call of each has ended."""
--- a/medlarrail/platform/soak/check.py
+++ b/medlarrail/platform/soak/check.py
@@ -50,6 +50,33 @@
     """Whether a living endpoint closed it regularly before its last event."""
 
 
+@define
+class Records:
+    """What the endpoints recorded."""
+
+    runs: dict[str, list[Run]] = field(factory=lambda: defaultdict(list))
+    """Runs in the order of their begin, by request ID."""
+    announcements: dict[str, float] = field(factory=dict)
+    """When the first heartbeat of each endpoint was acknowledged, by record."""
+
+    def add(self, record: str, entry: dict) -> None:
+        """Add one line of an endpoint's record."""
+        runs = self.runs[entry["id"]] if entry["id"] else []
+        if entry["what"] == "run":
+            framing, faulty = entry["framing"], entry["faulty"]
+            own = record, entry["t"], entry["service"]
+            run = Run(entry["id"], framing, faulty, *own, entry["version"])
+            run.closed_early = entry["closed_early"]
+            runs.append(run)
+        elif entry["what"] == "end":
+            own = (one for one in runs if one.record == record)
+            run = next(one for one in own if one.ended_at is None)
+            run.ended_at = entry["t"]
+            run.sent, run.complete = entry["sent"], entry["complete"]
+        elif entry["what"] == "announced":
+            self.announcements[record] = entry["t"]
+
+
 def find_version(prompt: str, event: Event) -> str:
     """Return the software version that made an event, empty if none did."""
     texts = ((make_text(prompt, one, event.number), one) for one in VERSIONS)
@@ -143,37 +170,15 @@
     ]
 
 
-def read_runs(folder: Path) -> dict[str, list[Run]]:
-    """Return the runs that the endpoints recorded, by request ID."""
-    runs: dict[str, list[Run]] = defaultdict(list)
+def read_records(folder: Path) -> Records:
+    """Return what the endpoints recorded."""
+    records = Records()
     for path in sorted(folder.glob("*.runs")):
         for line in path.read_bytes().splitlines():
-            entry = orjson.loads(line)
-            if entry["what"] == "run":
-                framing, faulty = entry["framing"], entry["faulty"]
-                own = path.stem, entry["t"], entry["service"]
-                run = Run(entry["id"], framing, faulty, *own, entry["version"])
-                run.closed_early = entry["closed_early"]
-                runs[entry["id"]].append(run)
-            elif entry["what"] == "end":
-                own = (one for one in runs[entry["id"]] if one.record == path.stem)
-                run = next(one for one in own if one.ended_at is None)
-                run.ended_at = entry["t"]
-                run.sent, run.complete = entry["sent"], entry["complete"]
-    for entries in runs.values():
+            records.add(path.stem, orjson.loads(line))
+    for entries in records.runs.values():
         entries.sort(key=lambda run: run.began_at)
-    return runs
-
-
-def read_announcements(folder: Path) -> dict[str, float]:
-    """Return when each endpoint's first heartbeat was acknowledged, by record."""
-    announcements = {}
-    for path in folder.glob("*.runs"):
-        for line in path.read_bytes().splitlines():
-            entry = orjson.loads(line)
-            if entry["what"] == "announced":
-                announcements[path.stem] = entry["t"]
-    return announcements
+    return records
 
 
 def read_carriers(folder: Path) -> dict[str, set[str]]:
@@ -216,11 +221,10 @@
         return round(1000 * len(self.cut_sound) / max(1, self.streams), 2)
 
 
-def count_calls(site: Site, calls: list[Call], runs: dict[str, list[Run]]) -> Counts:
+def count_calls(site: Site, calls: list[Call], records: Records) -> Counts:
     """Return the counts of a soak."""
     counts = Counts()
     ends = {program.record: program.ended_at for program in site.ended_engines}
-    announcements = read_announcements(site.folder)
     carriers = read_carriers(site.folder)
     for call in calls:
         counts.calls[call.kind] += 1
@@ -231,7 +235,7 @@
         for answer in call.answers:
             outcome = answer.ending if answer.status == 200 else str(answer.status)
             counts.answers[outcome] += 1
-            own = runs.get(answer.request_id, [])
+            own = records.runs.get(answer.request_id, [])
             counts.framings.update(run.framing for run in own)
             counts.closed_early += sum(run.closed_early for run in own)
             counts.cut += answer.status == 200 and answer.ending == "broken"
@@ -241,7 +245,7 @@
             origin = find_origin_version(call)
             if not is_sound(site, answer, own, ends, gateways, origin):
                 continue
-            if all(is_announced(run, announcements) for run in own):
+            if all(is_announced(run, records.announcements) for run in own):
                 counts.cut_sound.append(answer)
             else:
                 counts.cut_unannounced += 1
--- a/medlarrail/platform/soak/check_test.py
+++ b/medlarrail/platform/soak/check_test.py
@@ -26,7 +26,7 @@
     is_cut,
     is_sound,
     name_early_closes,
-    read_runs,
+    read_records,
 )
 from medlarrail.platform.soak.control_faults import hold
 from medlarrail.platform.soak.engine import (
@@ -243,7 +243,7 @@
             Call("stream", PROMPT, COUNT, [build_answer([1], "broken", request_id=one)])
             for one in ("r1", "r2")
         ]
-        counts = count_calls(Site(tmp_path, 1), calls, read_runs(tmp_path))
+        counts = count_calls(Site(tmp_path, 1), calls, read_records(tmp_path))
         assert [one.request_id for one in counts.cut_sound] == ["r2"]
         assert counts.cut_unannounced == 1
 
--- a/medlarrail/platform/soak/rollouts_test.py
+++ b/medlarrail/platform/soak/rollouts_test.py
@@ -14,7 +14,7 @@
 import trio
 from attrs import define, field
 
-from medlarrail.platform.soak.check import Run, read_runs
+from medlarrail.platform.soak.check import Run, read_records
 from medlarrail.platform.soak.rollouts import SERVICE, Rollout
 from medlarrail.platform.soak.site import KEY, ROUTE_HOST, RunningProgram, Site
 from medlarrail.platform.soak.wire import (
@@ -137,7 +137,8 @@
 
     def list_runs(self, version: str) -> list[Run]:
         """Return the runs at a version in the order of their beginning."""
-        runs = (run for runs in read_runs(self.site.folder).values() for run in runs)
+        records = read_records(self.site.folder)
+        runs = (run for runs in records.runs.values() for run in runs)
         own = self.rollout.list_runs(list(runs), version)
         return sorted(own, key=lambda run: run.began_at)
 
@@ -177,7 +178,8 @@
         """Check the only verdict, the exposure, and the requests after the verdict."""
         until = self.rollout.ordered_at + self.rollout.duration_s
         await trio.sleep(max(0, until - time.monotonic()))
-        runs = (run for runs in read_runs(self.site.folder).values() for run in runs)
+        records = read_records(self.site.folder)
+        runs = (run for runs in records.runs.values() for run in runs)
         assert self.rollout.check(list(runs)) == []
 
     async def assert_unused(self, version: str) -> None:
