Stream soak: callers that name nothing, and requests with the same content

A tenth repeat the content of a stream that runs or has ended within 10 s (`--repeated`), so that equal requests run at two versions during releases. Before, each call had a prompt of its own, and the padding of the body was drawn for each request, so that a take-up could differ from its own first request.

Equal requests get equal texts at one version, so each event also names the request whose run wrote it, and the check compares it with the request that brought it.

--- a/medlarrail/platform/soak/__main__.py
+++ b/medlarrail/platform/soak/__main__.py
@@ -26,7 +26,7 @@
     link_faults,
     version_faults,
 )
-from medlarrail.platform.soak.callers import Call, Caller
+from medlarrail.platform.soak.callers import REPEATED_SHARE, Call, Caller
 from medlarrail.platform.soak.check import (
     Counts,
     Violation,
@@ -73,6 +73,8 @@
     """Names of faults that are not played."""
     rollouts: list[Rollout] = field(factory=list)
     calls: list[Call] = field(factory=list)
+    recent: list[Call] = field(factory=list)
+    """Streams whose content callers may repeat."""
     violations: list[Violation] = field(factory=list)
     take_ups: TakeUps = field(factory=TakeUps)
 
@@ -122,7 +124,7 @@
             for number in range(max(CALLER_COUNT, count)):
                 name = f"c{number}"
                 random = Random(f"{self.site.seed}-{name}")
-                caller = Caller(name, self.site, random, self.take)
+                caller = Caller(name, self.site, random, self.take, self.recent)
                 nursery.start_soon(caller.call_steadily, until)
 
     async def play_faults(self, duration_s: float) -> None:
@@ -215,6 +217,7 @@
     gateways: int = GATEWAY_COUNT,
     engines: int = 0,
     early_closes: float = 0.0,
+    repeated: float = REPEATED_SHARE,
     prompt_heartbeats: bool = False,
     wide: bool = False,
     keep: Path | None = None,
@@ -228,17 +231,20 @@
     the release. ``--gateways`` is their number, and ``--engines`` that of the endpoints
     of each service, if it is given. ``--early-closes`` is the share of the streams
     without a length that living endpoints close before the end, which no gateway can
-    tell from whole ones. With ``--prompt-heartbeats`` an endpoint announces itself at
-    once, not up to an interval of heartbeats after its start. ``--wide`` adds a second
-    service of models, two data centres, and two state members that join during the
-    run and that only half of the gateways are told of. The logs are copied to
-    ``--keep`` after a violation or the cut of a sound stream.
+    tell from whole ones. ``--repeated`` is the share of the calls with the content of
+    a recent stream, which may run at another software version. With
+    ``--prompt-heartbeats`` an endpoint announces itself at once, not up to an interval
+    of heartbeats after its start. ``--wide`` adds a second service of models, two data
+    centres, and two state members that join during the run and that only half of the
+    gateways are told of. The logs are copied to ``--keep`` after a violation or the cut
+    of a sound stream.
     """
     folder = Path(tempfile.mkdtemp(prefix="stream-soak-"))
     own_sources = Sources(sources.resolve() if sources else None, mixed)
     limits = LIMITS if rollouts else None
     site = Site(folder, seed, own_sources, disorder, limits, report=typer.echo)
     site.gateway_count, site.early_closes = gateways, early_closes
+    site.repeated_share = repeated
     if wide:
         site.engine_counts, site.state_count = dict(WIDE_ENGINES), WIDE_STATE_COUNT
         site.data_centre_count = len(DATA_CENTRES)
--- a/medlarrail/platform/soak/callers.py
+++ b/medlarrail/platform/soak/callers.py
@@ -5,7 +5,7 @@
 from random import Random
 
 import trio
-from attrs import define, field
+from attrs import define, evolve, field
 
 from medlarrail.platform.soak.engine import STREAMING, UPLOAD_BYTES
 from medlarrail.platform.soak.events import LARGE_SUFFIX, Event, parse_events
@@ -44,8 +44,15 @@
 only a part."""
 OLD_CALLER_SHARE = 0.1
 """Share of the requests of HTTP/1.0."""
-UNNAMED_SHARE = 0.1
-"""Share of the take-ups that do not name the request that brought the first event."""
+UNNAMED_SHARE = 0.5
+"""Share of the calls that do not name the request that brought the first event when
+they take a stream up."""
+REPEATED_SHARE = 0.1
+"""Share of the calls with the content of a recent stream of this or another caller."""
+RECENT_S = 10.0
+"""Time after its end in which a stream is recent; those that run are, too."""
+RUNNING_SHARE = 0.5
+"""Share of the repeated contents that are of a stream that runs, if there is one."""
 SLOW_SHARE = 0.1
 SLOW_READ_BYTES = 200
 SLOW_PAUSE_S = 0.1
@@ -96,6 +103,11 @@
     prompt: str
     count: int
     answers: list[Answer] = field(factory=list)
+    is_upload: bool = False
+    """Whether the body is one of ``UPLOAD_BYTES``."""
+    is_named: bool = True
+    """Whether take-ups name the request that brought the first event."""
+    ended_at: float = float("inf")
 
     @property
     def is_stream(self) -> bool:
@@ -133,6 +145,8 @@
     site: Site
     random: Random
     on_end: Callable[[Call], None]
+    recent: list[Call] = field(factory=list)
+    """Streams of all callers that may be taken up, and whose content others repeat."""
     calls: int = 0
     sends: int = 0
     connection: CallerConnection | None = None
@@ -141,16 +155,34 @@
         """Make calls until ``until`` on the monotonic clock; the last one ends."""
         while time.monotonic() < until:
             self.calls += 1
-            kind = self.random.choice(self.site.choose_routes(KINDS))
-            prompt = f"{self.name}-{self.calls}"
-            if kind in STREAMING and self.random.random() < LARGE_SHARE:
-                prompt += LARGE_SUFFIX
-            call = Call(kind, prompt, self.random.randint(*EVENT_COUNTS))
+            call = self.choose_call()
             await self.run(call)
+            call.ended_at = time.monotonic()
             self.on_end(call)
             await trio.sleep(self.random.uniform(0, 0.1))
         await self._close()
 
+    def choose_call(self) -> Call:
+        """Return the next call: with a content of its own, or with a recent one."""
+        since = time.monotonic() - RECENT_S
+        self.recent[:] = [one for one in self.recent if one.ended_at > since]
+        is_named = self.random.random() >= UNNAMED_SHARE
+        if self.recent and self.random.random() < self.site.repeated_share:
+            running = [one for one in self.recent if one.ended_at == float("inf")]
+            is_running = running and self.random.random() < RUNNING_SHARE
+            like = self.random.choice(running if is_running else self.recent)
+            return evolve(like, answers=[], is_named=is_named, ended_at=float("inf"))
+        kind = self.random.choice(self.site.choose_routes(KINDS))
+        prompt = f"{self.name}-{self.calls}"
+        if kind in STREAMING and self.random.random() < LARGE_SHARE:
+            prompt += LARGE_SUFFIX
+        is_upload = self.random.random() < UPLOAD_SHARE
+        count = self.random.randint(*EVENT_COUNTS)
+        call = Call(kind, prompt, count, is_upload=is_upload, is_named=is_named)
+        if call.is_stream and call.repeatable:
+            self.recent.append(call)
+        return call
+
     async def run(self, call: Call) -> None:
         """Send a request, and again as long as that is allowed and of use."""
         gateway = ""
@@ -167,10 +199,11 @@
                 return
             await trio.sleep(min(answer.retry_after_s, MAX_RETRY_AFTER_S))
 
-    def _build_request(self, call: Call, answer: Answer) -> bytes:
+    def build_request(self, call: Call, answer: Answer) -> bytes:
+        """Return a request; those of a call differ in what is not its content."""
         version = "HTTP/1.0" if answer.http10 else "HTTP/1.1"
         body = b'{"prompt":"%s"}' % call.prompt.encode()
-        if self.random.random() < UPLOAD_SHARE:
+        if call.is_upload:
             body = body.ljust(UPLOAD_BYTES)
         headers: dict[str, object] = {
             "Host": ROUTE_HOST,
@@ -182,7 +215,7 @@
         }
         if answer.last_event_id:
             headers["Last-Event-Id"] = answer.last_event_id
-            if self.random.random() >= UNNAMED_SHARE:
+            if call.is_named:
                 headers["Resumes"] = call.find_origin()
         if answer.http10 or self.random.random() < 0.5:
             headers["Content-Length"] = len(body)
@@ -214,7 +247,7 @@
                     is_large = call.prompt.endswith(LARGE_SUFFIX)
                     size = SLOW_LARGE_READ_BYTES if is_large else SLOW_READ_BYTES
                     connection.reader.read_bytes = size
-                await connection.stream.send_all(self._build_request(call, answer))
+                await connection.stream.send_all(self.build_request(call, answer))
                 head = await connection.reader.read_head()
                 answer.status = head.status
                 answer.framing = head.framing
--- a/medlarrail/platform/soak/check.py
+++ b/medlarrail/platform/soak/check.py
@@ -1,7 +1,8 @@
 """Checks what callers received against the promise of a stream.
 
 Each event once, in order, of one run or of a continuation at the same software
-version, and a regular end only after the last event.
+version, and a regular end only after the last event. The events of an answer are of
+runs of its own request, also while others with the same content run.
 """
 
 from collections import Counter, defaultdict
@@ -92,6 +93,8 @@
         for event in answer.events:
             version = find_version(call.prompt, event)
             kind = classify(last, event.number, origin, version)
+            if not kind and event.request_id != answer.request_id:
+                kind = "event of another request"
             if kind:
                 detail = f"{event.number} after {last}, {version or 'unknown'}"
                 detail += f" after {origin or 'nothing'}"
--- a/medlarrail/platform/soak/check_test.py
+++ b/medlarrail/platform/soak/check_test.py
@@ -14,7 +14,7 @@
 import trio.testing
 from attrs import evolve
 
-from medlarrail.platform.soak.callers import Answer, Call
+from medlarrail.platform.soak.callers import Answer, Call, Caller
 from medlarrail.platform.soak.check import (
     EARLY_CLOSE,
     Run,
@@ -62,8 +62,11 @@
 
 def build_answer(numbers, ending="regular", version="v1", prompt=PROMPT, **fields):
     """Return an answer with the events ``numbers``."""
-    body = b"".join(build_event(prompt, version, number) for number in numbers)
-    defaults = {"request_id": "r1", "gateway": "edge-1", "sent_at": 1.0}
+    request_id = fields.setdefault("request_id", "r1")
+    body = b"".join(
+        build_event(prompt, version, number, request_id) for number in numbers
+    )
+    defaults = {"gateway": "edge-1", "sent_at": 1.0}
     defaults |= {"status": 200, "framing": "close", "ended_at": 2.0}
     return Answer(**{**defaults, **fields}, ending=ending, events=parse_events(body))
 
@@ -130,6 +133,14 @@
     def test_events_of_another_prompt_pass(self):
         assert list_kinds(build_answer([1], prompt="c1-2")) == ["foreign event"]
 
+    def test_events_of_another_request_with_the_same_content_pass(self):
+        """Their texts are those of the own request, if the software version is."""
+        begun = build_answer([1, 2], "broken")
+        other = build_answer(range(3, 7), request_id="r2")
+        assert list_kinds(begun, other) == []
+        other.request_id = "r3"
+        assert list_kinds(begun, other) == ["event of another request"]
+
     @pytest.mark.parametrize("way", [0.0, 0.9])
     def test_faulty_endpoint_sends_sound_streams(self, way):
         numbers = disorder(list(range(1, 7)), COUNT, way)
@@ -394,6 +405,63 @@
         assert read_reasons(tmp_path, {"r1": "edge-2"}) == {}
 
 
+class TestContents:
+    """Without requests of the same content no take-up that names nothing could go on
+    with another caller's stream."""
+
+    @pytest.fixture
+    def caller(self, tmp_path):
+        site = Site(tmp_path, 1, repeated_share=1.0)
+        return Caller("c1", site, Random(1), lambda call: None)
+
+    @pytest.mark.parametrize(
+        ("ended_s", "repeats"), [(-1.0, True), (9.0, True), (11.0, False)]
+    )
+    def test_content_of_a_recent_stream_is_not_repeated(self, caller, ended_s, repeats):
+        recent = Call("chat", PROMPT, COUNT, [build_answer([1])], is_upload=True)
+        recent.ended_at = time.monotonic() - ended_s
+        caller.recent.append(recent)
+        call = caller.choose_call()
+        assert call.answers == [] and call.ended_at > time.monotonic()
+        contents = [
+            (one.kind, one.prompt, one.count, one.is_upload) for one in (recent, call)
+        ]
+        assert (len(set(contents)) == 1) == repeats
+
+    def test_most_repeated_streams_have_ended(self, caller):
+        """Nobody takes a stream up again after its end."""
+        for number in range(9):
+            ended = Call("chat", f"c2-{number}", COUNT)
+            ended.ended_at = time.monotonic() - 1.0
+            caller.recent.append(ended)
+        caller.recent.append(Call("chat", PROMPT, COUNT))
+        prompts = [caller.choose_call().prompt for _ in range(200)]
+        assert prompts.count(PROMPT) > 80 and len(set(prompts)) > 5
+
+    def test_request_that_may_not_run_twice_is_repeated(self, caller):
+        caller.recent = []
+        for _ in range(50):
+            caller.choose_call()
+            (call,) = caller.recent or [Call("resumable", "", 1)]
+            assert call.kind in ("resumable", "chat")
+
+    def test_take_up_has_another_content(self, caller):
+        """The padding of the body was drawn for each request of a call."""
+        bodies = set()
+        for number in range(100):
+            answer = Answer(f"r{number}", "edge-1", 1.0, number, http10=True)
+            call = Call("chat", PROMPT, COUNT)
+            _, _, body = caller.build_request(call, answer).partition(b"\r\n\r\n")
+            bodies.add(body)
+        assert len(bodies) == 1
+
+    def test_unnamed_take_up_names_its_request(self, caller):
+        for is_named in (True, False):
+            call = Call("chat", PROMPT, COUNT, [build_answer([1])], is_named=is_named)
+            answer = Answer("r2", "edge-1", 1.0, 1)
+            assert (b"Resumes: r1" in caller.build_request(call, answer)) == is_named
+
+
 class TestHeldHeartbeats:
     @pytest.fixture
     def site(self, tmp_path):
--- a/medlarrail/platform/soak/engine.py
+++ b/medlarrail/platform/soak/engine.py
@@ -315,7 +315,7 @@
                 await connection.stream.send_all(connection.earlier)
             if kind in STREAMING:
                 pieces = [
-                    build_event(prompt, self.settings.version, number)
+                    build_event(prompt, self.settings.version, number, request_id)
                     for number in numbers
                 ]
             else:
@@ -334,7 +334,8 @@
             if framing == "chunks":
                 await connection.send(b"0\r\n\r\n")
             if mixed:
-                event = build_event(prompt, self.settings.version, int(count) + 1)
+                version, last = self.settings.version, int(count) + 1
+                event = build_event(prompt, version, last, request_id)
                 second = build_head("HTTP/1.1 200 OK", {"Content-Length": len(event)})
                 await connection.send(second + event)
             if early:
--- a/medlarrail/platform/soak/events.py
+++ b/medlarrail/platform/soak/events.py
@@ -1,4 +1,4 @@
-"""Texts of streams that tell the prompt, the software version and the event."""
+"""Events that tell the prompt, the software version, their number and their run."""
 
 import hashlib
 
@@ -19,6 +19,8 @@
 
     number: int
     text: str
+    request_id: str = ""
+    """ID of the request whose run wrote it."""
 
 
 def draw(*keys: object) -> float:
@@ -41,9 +43,9 @@
     return "\n".join(lines[: 1 + int(draw(prompt, number, "lines") * 3)])
 
 
-def build_event(prompt: str, version: str, number: int) -> bytes:
+def build_event(prompt: str, version: str, number: int, request_id: str) -> bytes:
     """Return the bytes of one event; some have a comment before it or in it."""
-    fields = [f"id: {number}"]
+    fields = [f"id: {number}", f"event: {request_id}"]
     fields += [f"data: {line}" for line in make_text(prompt, version, number).split()]
     comment = draw(prompt, number, "comment")
     if comment < 0.1:
@@ -63,15 +65,16 @@
 def parse_events(data: bytes) -> list[Event]:
     """Return the complete events in ``data``; a partial one at the end is left out.
 
-    >>> parse_events(b": x\\n\\nid: 4\\ndata: a\\ndata: b\\n\\nid: 5\\ndata: c")
-    [Event(number=4, text='a\\nb')]
+    >>> parse_events(b": x\\n\\nid: 4\\nevent: r\\ndata: a\\ndata: b\\n\\nid: 5\\n")
+    [Event(number=4, text='a\\nb', request_id='r')]
     """
     events = []
     for block in data.split(b"\n\n")[:-1]:
         lines = block.decode().split("\n")
         numbers = [line[4:] for line in lines if line.startswith("id: ")]
         texts = [line[6:] for line in lines if line.startswith("data: ")]
+        names = [line[7:] for line in lines if line.startswith("event: ")]
         if numbers or texts:
             number = int(numbers[0]) if numbers else 0
-            events.append(Event(number, "\n".join(texts)))
+            events.append(Event(number, "\n".join(texts), "".join(names)))
     return events
--- a/medlarrail/platform/soak/site.py
+++ b/medlarrail/platform/soak/site.py
@@ -174,6 +174,8 @@
     """Share of the requests that endpoints answer with 500, by software version."""
     early_closes: float = 0.0
     """Share of the streams without a length that endpoints close before the end."""
+    repeated_share: float = 0.0
+    """Share of the calls with the content of a recent stream."""
     plain: bool = False
     """Whether endpoints answer in the plainest way."""
     first_heartbeat_s: float = 0.0
