Stream soak: take-ups are counted by what their callers tell

One count mixed streams whose caller names the first request with streams whose caller names nothing, of which the refused share hid that of the others. They are counted apart, and those that name nothing while equal requests began at several versions again, with the share of the streams with two endpoints that went on.

--- a/medlarrail/platform/soak/__main__.py
+++ b/medlarrail/platform/soak/__main__.py
@@ -76,7 +76,8 @@
     recent: list[Call] = field(factory=list)
     """Streams whose content callers may repeat."""
     violations: list[Violation] = field(factory=list)
-    take_ups: TakeUps = field(factory=TakeUps)
+    take_ups: dict[str, TakeUps] = field(factory=dict)
+    """Streams that were taken up, by what their callers tell."""
 
     def take(self, call: Call) -> None:
         """Check a call that has ended."""
@@ -177,6 +178,7 @@
     kinds: dict[str, int] = {}
     for violation in soak.violations:
         kinds[violation.kind] = kinds.get(violation.kind, 0) + 1
+    refused = sum(own.refused for own in soak.take_ups.values())
     fields = {
         "seed": soak.site.seed,
         "calls": sum(counts.calls.values()),
@@ -184,10 +186,8 @@
         "framings": dict(sorted(counts.framings.items())),
         "answers": dict(sorted(counts.answers.items())),
         "complete": counts.complete,
-        "taken_up": asdict(soak.take_ups),
-        "refused_per_1000": round(
-            1000 * soak.take_ups.refused / max(1, counts.streams), 1
-        ),
+        "taken_up": {name: asdict(own) for name, own in soak.take_ups.items()},
+        "refused_per_1000": round(1000 * refused / max(1, counts.streams), 1),
         "closed_early": counts.closed_early,
         "cut": counts.cut,
         "cut_though_sound": len(counts.cut_sound),
--- a/medlarrail/platform/soak/check_test.py
+++ b/medlarrail/platform/soak/check_test.py
@@ -51,7 +51,14 @@
     RunningProgram,
     Site,
 )
-from medlarrail.platform.soak.take_ups import count_take_ups, read_reasons
+from medlarrail.platform.soak.take_ups import (
+    AMBIGUOUS,
+    NAMED,
+    UNNAMED,
+    TakeUps,
+    count_take_ups,
+    read_reasons,
+)
 from medlarrail.platform.soak.wire import Head, build_head
 from medlarrail.testing.fault_proxy import FaultProxy
 from medlarrail.testing.scripted_endpoints import HOST
@@ -352,10 +359,15 @@
 
 
 class TestTakeUps:
-    def count(self, site, *tries):
+    def count(self, site, *tries, name=NAMED, others=()):
+        """Return the counts of a stream, in which all others have to be 0."""
         begun = build_answer([1, 2], "broken")
-        call = Call("chat", PROMPT, COUNT, [begun, *tries])
-        return count_take_ups(site, [call], {"engine-1": 0.5, "engine-2": 2.5})
+        call = Call("chat", PROMPT, COUNT, [begun, *tries], is_named=name == NAMED)
+        announcements = {"engine-1": 0.5, "engine-2": 2.5}
+        counts = count_take_ups(site, [call, *others], announcements)
+        own = counts.pop(name)
+        assert all(one == TakeUps() for one in counts.values())
+        return own
 
     @pytest.mark.parametrize(
         ("answer", "answered", "refused"),
@@ -396,12 +408,39 @@
         taken_up = build_answer([3], "broken", last_event_id=2, sent_at=sent_at)
         assert self.count(site, taken_up).spared == spared
 
+    @pytest.mark.parametrize(
+        ("version", "kind", "name"),
+        [
+            ("v1", "chat", UNNAMED),
+            ("v2", "chat", AMBIGUOUS),
+            ("v2", "assist", UNNAMED),
+            ("v2", "chat", NAMED),
+        ],
+    )
+    def test_caller_that_names_nothing_counts_as_one_that_does(
+        self, version, kind, name, tmp_path
+    ):
+        line = {"message_type": "request:refused", "status": 503, "request": "r2"}
+        data = orjson.dumps(line | {"reason": "Unknown. (service='chat')"})
+        (tmp_path / "edge-1.log").write_bytes(data)
+        refused = Answer("r2", "edge-1", 3.0, 2, status=503)
+        gone_on = build_answer([3], last_event_id=2, sent_at=4.0)
+        others = [
+            Call(kind, PROMPT, COUNT, [build_answer([1], version=version)]),
+            Call(kind, PROMPT, COUNT, [Answer("r4", "edge-1", 1.0, status=503)]),
+        ]
+        site = Site(tmp_path, 1)
+        counts = self.count(site, refused, gone_on, name=name, others=others)
+        assert (counts.streams, counts.tries, counts.gone_on) == (1, 2, 1)
+        assert counts.reasons == {"Unknown.": 1}
+
     def test_refusal_has_no_reason(self, tmp_path):
         line = {"message_type": "request:refused", "status": 503, "request": "r1"}
         line["reason"] = "No endpoint is known. (service='chat')"
         data = orjson.dumps(line) + b"\n"
         (tmp_path / "edge-1.log").write_bytes(data + b'{"message_type":"request:refu')
-        assert read_reasons(tmp_path, {"r1": "edge-1"}) == {"No endpoint is known.": 1}
+        reasons = read_reasons(tmp_path, {"r1": "edge-1"})
+        assert reasons == {"r1": "No endpoint is known."}
         assert read_reasons(tmp_path, {"r1": "edge-2"}) == {}
 
 
--- a/medlarrail/platform/soak/take_ups.py
+++ b/medlarrail/platform/soak/take_ups.py
@@ -1,6 +1,11 @@
-"""Counts what becomes of streams that callers take up, and why others are refused."""
+"""Counts what becomes of streams that callers take up, and why others are refused.
 
-from collections import Counter
+Streams of callers that name the first request are counted apart from those of others,
+of which a gateway may not know which stream they mean.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
 from pathlib import Path
 
 import orjson
@@ -13,6 +18,10 @@
 REFUSED_STATUS = 503
 SPARE_COUNT = 2
 """Endpoints at which a stream can go on while one of them ends."""
+NAMED = "named"
+UNNAMED = "unnamed"
+AMBIGUOUS = "ambiguous"
+"""Unnamed, while streams of the same content began at several software versions."""
 
 
 @define
@@ -25,6 +34,8 @@
     spared: int = 0
     """Streams that had ``SPARE_COUNT`` endpoints when they were first taken up."""
     spared_gone_on: int = 0
+    share: float = 0.0
+    """Share of the spared ones that went on."""
     tries: int = 0
     answered: int = 0
     """Tries that brought an event or the end."""
@@ -40,6 +51,7 @@
         self.gone_on += answered > 0
         self.spared += is_spared
         self.spared_gone_on += is_spared and answered > 0
+        self.share = round(self.spared_gone_on / max(1, self.spared), 2)
         self.tries += len(tries)
         self.answered += answered
         self.refused += sum(one.status == REFUSED_STATUS for one in tries)
@@ -69,12 +81,12 @@
     )
 
 
-def read_reasons(folder: Path, gateways: dict[str, str]) -> Counter:
-    """Return why requests were refused, without the data of the errors.
+def read_reasons(folder: Path, gateways: dict[str, str]) -> dict[str, str]:
+    """Return why requests were refused, by their ID, without the data of the errors.
 
     ``gateways`` has the gateway that each request was sent to, by the request's ID.
     """
-    reasons: Counter = Counter()
+    reasons = {}
     for path in folder.glob("edge-*.log"):
         for line in path.read_bytes().splitlines():
             # A killed process may have written a part of its last line.
@@ -82,22 +94,36 @@
                 entry = orjson.loads(line)
                 is_own = gateways.get(entry["request"]) == path.stem
                 if is_own and entry["status"] == REFUSED_STATUS:
-                    reasons[entry["reason"].partition(" (")[0]] += 1
+                    reasons[entry["request"]] = entry["reason"].partition(" (")[0]
     return reasons
 
 
+def find_ambiguous(calls: Iterable[Call]) -> set[tuple[str, str]]:
+    """Return the kinds and prompts of streams that began at several versions."""
+    versions = defaultdict(set)
+    for call in calls:
+        if call.is_stream and (version := find_origin_version(call)):
+            versions[call.kind, call.prompt].add(version)
+    return {content for content, found in versions.items() if len(found) > 1}
+
+
 def count_take_ups(
     site: Site, calls: list[Call], announcements: dict[str, float]
-) -> TakeUps:
-    """Return the counts of the streams that were taken up."""
-    counts = TakeUps()
-    gateways: dict[str, str] = {}
-    for call in calls:
-        tries = list_tries(call) if call.is_stream else []
-        if tries:
-            at = tries[0].sent_at
-            count = count_endpoints(site, call, at, announcements)
-            counts.add(call, count >= SPARE_COUNT)
-            gateways |= {one.request_id: one.gateway for one in tries}
-    counts.reasons = read_reasons(site.folder, gateways)
+) -> dict[str, TakeUps]:
+    """Return the counts of the streams that were taken up, by what the caller tells."""
+    counts = {name: TakeUps() for name in (NAMED, UNNAMED, AMBIGUOUS)}
+    ambiguous = find_ambiguous(calls)
+    taken_up = [call for call in calls if call.is_stream and list_tries(call)]
+    sent = [one for call in taken_up for one in list_tries(call)]
+    reasons = read_reasons(site.folder, {one.request_id: one.gateway for one in sent})
+    for call in taken_up:
+        tries = list_tries(call)
+        is_ambiguous = (call.kind, call.prompt) in ambiguous
+        name = AMBIGUOUS if is_ambiguous else UNNAMED
+        own = counts[NAMED if call.is_named else name]
+        count = count_endpoints(site, call, tries[0].sent_at, announcements)
+        own.add(call, count >= SPARE_COUNT)
+        own.reasons.update(
+            reasons[one.request_id] for one in tries if one.request_id in reasons
+        )
     return counts
