Question about an incarnation: the time for which it was held is known

The state member tells ages as of the receipt of the question, and answers after the next announcement, up to 1.5 s later. The gateway took all of that time for the way of the answer, so the first announcement counted as up to 1.2 s later than it was. A sound stream without a length that began within that time after its process was first heard of, and whose end was noticed late, was cut ("late", "none heard").

An announcement that was received after the question shows for how long it was held, at the least. The receipt is that much earlier than the answer, but not before the question was sent: a gateway that was suspended does not count the hold.

The new tests fail without it.

--- a/medlarrail/relay/incarnations.py
+++ b/medlarrail/relay/incarnations.py
@@ -70,11 +70,14 @@
             record("unanswered", reason=str(error))
             raise
         received_at = trio.current_time()
+        # What was received after the question shows for how long it was held.
+        held_s = max((-one.last_age_s for one in answer.sightings), default=0.0)
+        asked_by = max(sent_at, received_at - max(0.0, held_s))
         heard = [
             HeardIncarnation(
                 one.started_ms,
                 one.software_version,
-                first_at=min(received_at, received_at - one.first_age_s),
+                first_at=min(received_at, asked_by - one.first_age_s),
                 last_at=sent_at - one.last_age_s,
                 address=one.address,
             )
