End of an answer: the process that a report has told is not another one

After an answer without a length the gateway asks the endpoint for its report and compares the start with the announced one. A stream that had begun at a process that nobody had heard of yet, whose report the gateway had read before, was cut as that of a process that had been replaced, though the same start was told both times.

The start that a report told in the time of the connection counts before the announced one. The new test fails without it.

--- a/medlarrail/relay/end_check.py
+++ b/medlarrail/relay/end_check.py
@@ -137,6 +137,7 @@
             if not path or not self._may_call():
                 return await self._watch(connection)
             announced = self.endpoint.announced
+            started_ms = self._find_started_ms()
             status = await read_status(
                 self.relay.header_codec, connection, announced, path
             )
@@ -144,7 +145,7 @@
             return judge_reply(
                 status.reply,
                 announced.name,
-                announced.started_ms,
+                started_ms,
                 self.relay.pool.has_same_process(self.answered),
                 self.answered.end_delay_s,
             )
@@ -153,6 +154,14 @@
         finally:
             self.relay.pool.release(connection, keep_alive_s)
 
+    def _find_started_ms(self) -> int:
+        """Return the start of the process that answered, 0 if it is not known.
+
+        Nobody may have heard of that process, which a report has told.
+        """
+        told_ms = self.relay.pool.find_span(self.answered).started_ms
+        return told_ms or self.endpoint.announced.started_ms
+
     async def _watch(self, connection: OutboundConnection) -> EndEvidence | None:
         """Return what an unused connection shows, None if the endpoint closed it."""
         await trio.sleep(RETRY_INTERVAL_S)
--- a/medlarrail/relay/restarted_endpoints_test.py
+++ b/medlarrail/relay/restarted_endpoints_test.py
@@ -13,7 +13,7 @@
 from medlarrail.core.deployment import EngineSpec, ServiceRule
 from medlarrail.policy.process_spans import ProcessSpan
 from medlarrail.protocol.endpoint_sightings import Sighting
-from medlarrail.relay.ended_endpoints_test import send_rest
+from medlarrail.relay.ended_endpoints_test import send_rest, send_unframed
 from medlarrail.relay.header_codec import DefaultHeaderCodec
 from medlarrail.relay.incomplete_answers_test import BODY, EVENTS, call
 from medlarrail.testing.builders import build_deployment, build_route
@@ -207,6 +207,23 @@
         assert answer.body == BODY
         assert len(restarted.requests) == 1
 
+    @pytest.mark.parametrize("ends", [False, True])
+    async def test_process_that_nobody_has_heard_of_ends_a_stream(self, harness, ends):
+        """Its report after an answer without a length was taken for that of the next
+        process, though it had told the same start before."""
+
+        async def end_answer(connection, request):
+            await send_unframed(connection, request)
+            if ends:
+                next_one = await add_endpoint(harness, STARTED_MS + 900)
+                endpoint.status_script = next_one.status_script
+
+        endpoint = await self.break_off(harness, STARTED_MS + 500, end_answer)
+        answer = await call(harness, build_request())
+        assert len(endpoint.status_requests) == 2
+        assert answer.body == BODY
+        assert answer.ending == ("broken" if ends else "closed")
+
     async def test_report_does_not_prove_which_process_began_a_stream(self, harness):
         """Nobody has heard of it while the connection of the stream was open."""
         endpoint = await self.break_off(harness, STARTED_MS, reset_after_an_event)
