--- a/medlarrail/platform/soak/__main__.py
+++ b/medlarrail/platform/soak/__main__.py
@@ -26,7 +26,7 @@
     link_faults,
     version_faults,
 )
-from medlarrail.platform.soak.callers import Call, Caller
+from medlarrail.platform.soak.callers import REPEATED_SHARE, Call, Caller
 from medlarrail.platform.soak.check import (
     Counts,
     Violation,
@@ -34,8 +34,7 @@
     check_runs,
     count_calls,
     name_early_closes,
-    read_announcements,
-    read_runs,
+    read_records,
 )
 from medlarrail.platform.soak.engine import HEARTBEAT_S
 from medlarrail.platform.soak.faults import Faults
@@ -74,8 +73,11 @@
     """Names of faults that are not played."""
     rollouts: list[Rollout] = field(factory=list)
     calls: list[Call] = field(factory=list)
+    recent: list[Call] = field(factory=list)
+    """Streams whose content callers may repeat."""
     violations: list[Violation] = field(factory=list)
-    take_ups: TakeUps = field(factory=TakeUps)
+    take_ups: dict[str, TakeUps] = field(factory=dict)
+    """Streams that were taken up, by what their callers tell."""
 
     def take(self, call: Call) -> None:
         """Check a call that has ended."""
@@ -102,7 +104,8 @@
         for name in self.site.list_own_ends():
             self.record(Violation("end of a process", name, "by itself"))
         self.site.end_all()
-        runs = read_runs(self.site.folder)
+        records = read_records(self.site.folder)
+        runs = records.runs
         self.violations = name_early_closes(self.violations, runs)
         for violation in check_runs(self.calls, runs):
             self.record(violation)
@@ -111,9 +114,8 @@
             for violation in rollout.check(all_runs):
                 self.record(violation)
         self.write_record()
-        announcements = read_announcements(self.site.folder)
-        self.take_ups = count_take_ups(self.site, self.calls, announcements)
-        return count_calls(self.site, self.calls, runs)
+        self.take_ups = count_take_ups(self.site, self.calls, records.announcements)
+        return count_calls(self.site, self.calls, records)
 
     async def run_callers(self, duration_s: float) -> None:
         """Run the callers until the last call of each has ended."""
@@ -123,7 +125,7 @@
             for number in range(max(CALLER_COUNT, count)):
                 name = f"c{number}"
                 random = Random(f"{self.site.seed}-{name}")
-                caller = Caller(name, self.site, random, self.take)
+                caller = Caller(name, self.site, random, self.take, self.recent)
                 nursery.start_soon(caller.call_steadily, until)
 
     async def play_faults(self, duration_s: float) -> None:
@@ -176,6 +178,7 @@
     kinds: dict[str, int] = {}
     for violation in soak.violations:
         kinds[violation.kind] = kinds.get(violation.kind, 0) + 1
+    refused = sum(own.refused for own in soak.take_ups.values())
     fields = {
         "seed": soak.site.seed,
         "calls": sum(counts.calls.values()),
@@ -183,10 +186,8 @@
         "framings": dict(sorted(counts.framings.items())),
         "answers": dict(sorted(counts.answers.items())),
         "complete": counts.complete,
-        "taken_up": asdict(soak.take_ups),
-        "refused_per_1000": round(
-            1000 * soak.take_ups.refused / max(1, counts.streams), 1
-        ),
+        "taken_up": {name: asdict(own) for name, own in soak.take_ups.items()},
+        "refused_per_1000": round(1000 * refused / max(1, counts.streams), 1),
         "closed_early": counts.closed_early,
         "cut": counts.cut,
         "cut_though_sound": len(counts.cut_sound),
@@ -216,6 +217,7 @@
     gateways: int = GATEWAY_COUNT,
     engines: int = 0,
     early_closes: float = 0.0,
+    repeated: float = REPEATED_SHARE,
     prompt_heartbeats: bool = False,
     wide: bool = False,
     keep: Path | None = None,
@@ -229,17 +231,20 @@
     the release. ``--gateways`` is their number, and ``--engines`` that of the endpoints
     of each service, if it is given. ``--early-closes`` is the share of the streams
     without a length that living endpoints close before the end, which no gateway can
-    tell from whole ones. With ``--prompt-heartbeats`` an endpoint announces itself at
-    once, not up to an interval of heartbeats after its start. ``--wide`` adds a second
-    service of models, two data centres, and two state members that join during the
-    run and that only half of the gateways are told of. The logs are copied to
-    ``--keep`` after a violation or the cut of a sound stream.
+    tell from whole ones. ``--repeated`` is the share of the calls with the content of
+    a recent stream, which may run at another software version. With
+    ``--prompt-heartbeats`` an endpoint announces itself at once, not up to an interval
+    of heartbeats after its start. ``--wide`` adds a second service of models, two data
+    centres, and two state members that join during the run and that only half of the
+    gateways are told of. The logs are copied to ``--keep`` after a violation or the cut
+    of a sound stream.
     """
     folder = Path(tempfile.mkdtemp(prefix="stream-soak-"))
     own_sources = Sources(sources.resolve() if sources else None, mixed)
     limits = LIMITS if rollouts else None
     site = Site(folder, seed, own_sources, disorder, limits, report=typer.echo)
     site.gateway_count, site.early_closes = gateways, early_closes
+    site.repeated_share = repeated
     if wide:
         site.engine_counts, site.state_count = dict(WIDE_ENGINES), WIDE_STATE_COUNT
         site.data_centre_count = len(DATA_CENTRES)
--- a/medlarrail/platform/soak/check_test.py
+++ b/medlarrail/platform/soak/check_test.py
@@ -14,7 +14,7 @@
 import trio.testing
 from attrs import evolve
 
-from medlarrail.platform.soak.callers import Answer, Call
+from medlarrail.platform.soak.callers import Answer, Call, Caller
 from medlarrail.platform.soak.check import (
     EARLY_CLOSE,
     Run,
@@ -26,7 +26,7 @@
     is_cut,
     is_sound,
     name_early_closes,
-    read_runs,
+    read_records,
 )
 from medlarrail.platform.soak.control_faults import hold
 from medlarrail.platform.soak.engine import (
@@ -51,7 +51,14 @@
     RunningProgram,
     Site,
 )
-from medlarrail.platform.soak.take_ups import count_take_ups, read_reasons
+from medlarrail.platform.soak.take_ups import (
+    AMBIGUOUS,
+    NAMED,
+    UNNAMED,
+    TakeUps,
+    count_take_ups,
+    read_reasons,
+)
 from medlarrail.platform.soak.wire import Head, build_head
 from medlarrail.testing.fault_proxy import FaultProxy
 from medlarrail.testing.scripted_endpoints import HOST
@@ -62,8 +69,11 @@
 
 def build_answer(numbers, ending="regular", version="v1", prompt=PROMPT, **fields):
     """Return an answer with the events ``numbers``."""
-    body = b"".join(build_event(prompt, version, number) for number in numbers)
-    defaults = {"request_id": "r1", "gateway": "edge-1", "sent_at": 1.0}
+    request_id = fields.setdefault("request_id", "r1")
+    body = b"".join(
+        build_event(prompt, version, number, request_id) for number in numbers
+    )
+    defaults = {"gateway": "edge-1", "sent_at": 1.0}
     defaults |= {"status": 200, "framing": "close", "ended_at": 2.0}
     return Answer(**{**defaults, **fields}, ending=ending, events=parse_events(body))
 
@@ -130,6 +140,14 @@
     def test_events_of_another_prompt_pass(self):
         assert list_kinds(build_answer([1], prompt="c1-2")) == ["foreign event"]
 
+    def test_events_of_another_request_with_the_same_content_pass(self):
+        """Their texts are those of the own request, if the software version is."""
+        begun = build_answer([1, 2], "broken")
+        other = build_answer(range(3, 7), request_id="r2")
+        assert list_kinds(begun, other) == []
+        other.request_id = "r3"
+        assert list_kinds(begun, other) == ["event of another request"]
+
     @pytest.mark.parametrize("way", [0.0, 0.9])
     def test_faulty_endpoint_sends_sound_streams(self, way):
         numbers = disorder(list(range(1, 7)), COUNT, way)
@@ -243,7 +261,7 @@
             Call("stream", PROMPT, COUNT, [build_answer([1], "broken", request_id=one)])
             for one in ("r1", "r2")
         ]
-        counts = count_calls(Site(tmp_path, 1), calls, read_runs(tmp_path))
+        counts = count_calls(Site(tmp_path, 1), calls, read_records(tmp_path))
         assert [one.request_id for one in counts.cut_sound] == ["r2"]
         assert counts.cut_unannounced == 1
 
@@ -341,10 +359,15 @@
 
 
 class TestTakeUps:
-    def count(self, site, *tries):
+    def count(self, site, *tries, name=NAMED, others=()):
+        """Return the counts of a stream, in which all others have to be 0."""
         begun = build_answer([1, 2], "broken")
-        call = Call("chat", PROMPT, COUNT, [begun, *tries])
-        return count_take_ups(site, [call], {"engine-1": 0.5, "engine-2": 2.5})
+        call = Call("chat", PROMPT, COUNT, [begun, *tries], is_named=name == NAMED)
+        announcements = {"engine-1": 0.5, "engine-2": 2.5}
+        counts = count_take_ups(site, [call, *others], announcements)
+        own = counts.pop(name)
+        assert all(one == TakeUps() for one in counts.values())
+        return own
 
     @pytest.mark.parametrize(
         ("answer", "answered", "refused"),
@@ -385,15 +408,99 @@
         taken_up = build_answer([3], "broken", last_event_id=2, sent_at=sent_at)
         assert self.count(site, taken_up).spared == spared
 
+    @pytest.mark.parametrize(
+        ("version", "kind", "name"),
+        [
+            ("v1", "chat", UNNAMED),
+            ("v2", "chat", AMBIGUOUS),
+            ("v2", "assist", UNNAMED),
+            ("v2", "chat", NAMED),
+        ],
+    )
+    def test_caller_that_names_nothing_counts_as_one_that_does(
+        self, version, kind, name, tmp_path
+    ):
+        line = {"message_type": "request:refused", "status": 503, "request": "r2"}
+        data = orjson.dumps(line | {"reason": "Unknown. (service='chat')"})
+        (tmp_path / "edge-1.log").write_bytes(data)
+        refused = Answer("r2", "edge-1", 3.0, 2, status=503)
+        gone_on = build_answer([3], last_event_id=2, sent_at=4.0)
+        others = [
+            Call(kind, PROMPT, COUNT, [build_answer([1], version=version)]),
+            Call(kind, PROMPT, COUNT, [Answer("r4", "edge-1", 1.0, status=503)]),
+        ]
+        site = Site(tmp_path, 1)
+        counts = self.count(site, refused, gone_on, name=name, others=others)
+        assert (counts.streams, counts.tries, counts.gone_on) == (1, 2, 1)
+        assert counts.reasons == {"Unknown.": 1}
+
     def test_refusal_has_no_reason(self, tmp_path):
         line = {"message_type": "request:refused", "status": 503, "request": "r1"}
         line["reason"] = "No endpoint is known. (service='chat')"
         data = orjson.dumps(line) + b"\n"
         (tmp_path / "edge-1.log").write_bytes(data + b'{"message_type":"request:refu')
-        assert read_reasons(tmp_path, {"r1": "edge-1"}) == {"No endpoint is known.": 1}
+        reasons = read_reasons(tmp_path, {"r1": "edge-1"})
+        assert reasons == {"r1": "No endpoint is known."}
         assert read_reasons(tmp_path, {"r1": "edge-2"}) == {}
 
 
+class TestContents:
+    """Without requests of the same content no take-up that names nothing could go on
+    with another caller's stream."""
+
+    @pytest.fixture
+    def caller(self, tmp_path):
+        site = Site(tmp_path, 1, repeated_share=1.0)
+        return Caller("c1", site, Random(1), lambda call: None)
+
+    @pytest.mark.parametrize(
+        ("ended_s", "repeats"), [(-1.0, True), (9.0, True), (11.0, False)]
+    )
+    def test_content_of_a_recent_stream_is_not_repeated(self, caller, ended_s, repeats):
+        recent = Call("chat", PROMPT, COUNT, [build_answer([1])], is_upload=True)
+        recent.ended_at = time.monotonic() - ended_s
+        caller.recent.append(recent)
+        call = caller.choose_call()
+        assert call.answers == [] and call.ended_at > time.monotonic()
+        contents = [
+            (one.kind, one.prompt, one.count, one.is_upload) for one in (recent, call)
+        ]
+        assert (len(set(contents)) == 1) == repeats
+
+    def test_most_repeated_streams_have_ended(self, caller):
+        """Nobody takes a stream up again after its end."""
+        for number in range(9):
+            ended = Call("chat", f"c2-{number}", COUNT)
+            ended.ended_at = time.monotonic() - 1.0
+            caller.recent.append(ended)
+        caller.recent.append(Call("chat", PROMPT, COUNT))
+        prompts = [caller.choose_call().prompt for _ in range(200)]
+        assert prompts.count(PROMPT) > 80 and len(set(prompts)) > 5
+
+    def test_request_that_may_not_run_twice_is_repeated(self, caller):
+        caller.recent = []
+        for _ in range(50):
+            caller.choose_call()
+            (call,) = caller.recent or [Call("resumable", "", 1)]
+            assert call.kind in ("resumable", "chat")
+
+    def test_take_up_has_another_content(self, caller):
+        """The padding of the body was drawn for each request of a call."""
+        bodies = set()
+        for number in range(100):
+            answer = Answer(f"r{number}", "edge-1", 1.0, number, http10=True)
+            call = Call("chat", PROMPT, COUNT)
+            _, _, body = caller.build_request(call, answer).partition(b"\r\n\r\n")
+            bodies.add(body)
+        assert len(bodies) == 1
+
+    def test_unnamed_take_up_names_its_request(self, caller):
+        for is_named in (True, False):
+            call = Call("chat", PROMPT, COUNT, [build_answer([1])], is_named=is_named)
+            answer = Answer("r2", "edge-1", 1.0, 1)
+            assert (b"Resumes: r1" in caller.build_request(call, answer)) == is_named
+
+
 class TestHeldHeartbeats:
     @pytest.fixture
     def site(self, tmp_path):
--- a/medlarrail/relay/incarnations_test.py
+++ b/medlarrail/relay/incarnations_test.py
@@ -13,6 +13,8 @@
 STARTED_MS = 1000
 LATENCY_S = 0.05
 """Time that an answer of the leader takes."""
+HOLD_S = 1.0
+CLOSED_AGO_S = 0.3
 
 
 @define(eq=False, slots=False)
@@ -88,3 +90,43 @@
         leader = HoldingLeader(trio.current_time() + 60.0)
         assert await IncarnationLookup(leader).find(NAME, 0.0, 0.0) is None
         assert len(leader.requests) == 1
+
+
+@define
+class AnsweringLeader:
+    """Answers once an announcement has come, ``HOLD_S`` after the question."""
+
+    first_age_s: float
+    hold_s: float = HOLD_S
+    """Time of the hold on the clock of the gateway."""
+    reply_s: float = 0.0
+
+    async def call_leader(self, path, message, answer_type, timeout_s):
+        await trio.sleep(self.hold_s + self.reply_s)
+        return answer_type((Sighting(1000, "v1", self.first_age_s, -HOLD_S),))
+
+
+class TestAges:
+    """The question is whether the incarnation that announces itself now was heard of
+    before ``CLOSED_AGO_S``."""
+
+    async def find(self, leader: AnsweringLeader):
+        now = trio.current_time()
+        lookup = IncarnationLookup(leader)
+        return await lookup.find("engine-1", now, now - CLOSED_AGO_S, 2 * HOLD_S)
+
+    async def test_hold_counts_as_the_way_of_the_answer(self, autojump_clock):
+        """Streams that had begun within it after the first announcement were cut."""
+        found = await self.find(AnsweringLeader(CLOSED_AGO_S + 0.1))
+        assert found is not None and found.software_version == "v1"
+
+    @pytest.mark.parametrize("hold_s", [HOLD_S, 0.0])
+    async def test_later_announcement_counts(self, autojump_clock, hold_s):
+        """The gateway may have been suspended, and not count the hold."""
+        assert await self.find(AnsweringLeader(CLOSED_AGO_S - 0.1, hold_s)) is None
+
+    async def test_way_of_the_question_and_the_answer_is_not_counted(
+        self, autojump_clock
+    ):
+        leader = AnsweringLeader(CLOSED_AGO_S + 0.1, reply_s=0.2)
+        assert await self.find(leader) is None
