Metrics: labels that are truth values no longer break the export

After the first answer that was given up, each scrape of a gateway's metrics was closed without an answer, until the process was started again. The counters answers_dropped, peer_answers_too_long and beginnings_checked have a truth value as a label, and the export of the client library takes only text.

The values of all labels are now kept as text, where they are counted and where they are asked for. The new test failed before with an AttributeError in the export.

--- a/medlarrail/core/metrics.py
+++ b/medlarrail/core/metrics.py
@@ -25,6 +25,11 @@
     value: int
 
 
+def _format_labels(labels: dict[str, str | bool]) -> tuple[tuple[str, str], ...]:
+    """Return sorted labels; the export takes values of no other type than text."""
+    return tuple(sorted((name, str(value)) for name, value in labels.items()))
+
+
 @define
 class Metrics:
     """The counters and histograms of this process."""
@@ -33,9 +38,9 @@
     _histograms: dict[str, HdrHistogram] = field(factory=dict)
     _gauges: dict[str, float] = field(factory=dict)
 
-    def count(self, name: str, amount: int = 1, **labels: str) -> None:
+    def count(self, name: str, amount: int = 1, **labels: str | bool) -> None:
         """Add ``amount`` to the counter ``name`` with ``labels``."""
-        self._counters[name, tuple(sorted(labels.items()))] += amount
+        self._counters[name, _format_labels(labels)] += amount
 
     def set_gauge(self, name: str, value: float) -> None:
         """Set the present value of the gauge ``name``."""
@@ -45,9 +50,9 @@
         """Yield the names and values of the gauges in alphabetical order."""
         yield from sorted(self._gauges.items())
 
-    def get_count(self, name: str, **labels: str) -> int:
+    def get_count(self, name: str, **labels: str | bool) -> int:
         """Return the sum of the counter over all label sets that include ``labels``."""
-        required = set(labels.items())
+        required = set(_format_labels(labels))
         return sum(
             sample.value
             for sample in self.iterate_samples()
--- a/medlarrail/core/metrics_test.py
+++ b/medlarrail/core/metrics_test.py
@@ -24,6 +24,15 @@
         assert 'medlar_refusals_total{reason="overloaded"} 1.0' in text
         assert 'medlar_first_token_seconds{quantile="0.95"}' in text
 
+    @pytest.mark.parametrize("value", [True, False])
+    def test_labels_that_are_truth_values_are_exported(self, value):
+        """The export failed from the first one on, for all metrics."""
+        metrics = Metrics()
+        metrics.count("answers_dropped", is_unread=value)
+        assert metrics.get_count("answers_dropped", is_unread=value) == 1
+        text = format_prometheus(metrics).decode()
+        assert f'medlar_answers_dropped_total{{is_unread="{value}"}} 1.0' in text
+
 
 class TestRequire:
     def test_a_broken_invariant_is_counted_and_raised(self):
