Test of untrusted clients: the endpoint stays registered

All announcements of the test's endpoint had the same sequence number, and such a repetition does not keep an endpoint registered: it expired 15 s after its first one. From then on the gateway refused each ordinary request for lack of an endpoint, so a test that took longer failed, however the process under test behaved.

The number now grows, as that of real endpoints does. In a test with crowds at four listeners, ordinary requests were refused with 503 for 30 s before, with no endpoint in the gateway's view; they are answered now.

--- a/medlarrail/platform/untrusted_clients_test.py
+++ b/medlarrail/platform/untrusted_clients_test.py
@@ -136,6 +136,7 @@
         self.ports = dict(zip(PORTS, find_free_ports(len(PORTS), HOST), strict=True))
         self.state_url = self.get_url("state")
         self.processes = {}
+        self.sequence = 0
 
     def get_address(self, name: str) -> str:
         return f"{HOST}:{self.ports[name]}"
@@ -205,13 +206,17 @@
         return read_usage(self.processes[name].pid)
 
     async def announce(self, endpoint: ScriptedEndpoint) -> bool:
-        """Register the endpoint, as it does itself again and again."""
+        """Register the endpoint, as it does itself again and again.
+
+        An announcement without a higher sequence number does not keep it registered.
+        """
+        self.sequence += 1
         announcement = {
             "service": "plain",
             "address": f"{HOST}:{endpoint.port}",
             "zone": "leith",
             "state": "ready",
-            "sequence": 1,
+            "sequence": self.sequence,
             "slots": 400,
         }
         return await self.put(f"/instances/{endpoint.name}", announcement)
