Tests of untrusted clients: several listeners at once, and more shapes

Clients of all tests came to one listener. Bodies of HTTP/1.0 and idle connections are now also sent to an entry, slow heads, small chunks, pipelined requests and idle connections to a store, and idle connections to a state member.

--- a/medlarrail/platform/untrusted_clients_test.py
+++ b/medlarrail/platform/untrusted_clients_test.py
@@ -71,7 +71,23 @@
 NAMES = ("state", "gateway")
 OTHER_NAMES = ("state", "entry", "store")
 """Programs that the platform's processes do without."""
-PORTS = (*NAMES, "entry", "store", "ready", "directory", "metrics", "work")
+PORTS = (
+    *NAMES,
+    "entry",
+    "store",
+    "ready",
+    "directory",
+    "metrics",
+    "state-metrics",
+    "work",
+)
+OWNERS = {
+    "ready": "gateway",
+    "directory": "gateway",
+    "metrics": "gateway",
+    "state-metrics": "state",
+}
+"""Program of each listener that is not the main one of a program."""
 
 
 def build_route(prefix: str, kind: str) -> dict:
@@ -155,6 +171,7 @@
                 **common,
                 "listen": {"host": HOST, "port": 0, "url": self.state_url},
                 "data_folder": str(self.path / "data"),
+                "metrics_address": self.get_address("state-metrics"),
                 "seeds": [self.state_url],
                 "first_start": True,
             },
@@ -245,6 +262,8 @@
             "gateway": gateway_head,
             "ready": build_head("GET", "/readyz", "ready"),
             "directory": build_head("GET", "/resolve", "directory"),
+            "metrics": build_head("GET", "/metrics", "metrics"),
+            "state-metrics": build_head("GET", "/metrics", "metrics"),
             "state": build_head("GET", "/config", "state"),
             "entry": build_head("GET", "/v1/entries", "entry"),
             "store": build_head("GET", "/health", "store"),
@@ -254,6 +273,12 @@
                 self.require_living()
                 await trio.sleep(POLL_S)
 
+    async def request_ordinary_at_once(self, names) -> None:
+        """Make one ordinary request at each listener until it is answered."""
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                nursery.start_soon(self.request_ordinary, name)
+
 
 def get_command(name: str, file) -> list[str]:
     """Return the command that starts a program with the settings in ``file``."""
@@ -310,18 +335,24 @@
 
 async def check_crowd(programs: Programs, listener: str, shape, target: Target):
     """Let a crowd use one listener, and check the process that it belongs to."""
-    name = listener if listener in programs.processes else "gateway"
+    await check_crowds(programs, {listener: shape(target)})
+
+
+async def check_crowds(programs: Programs, shapes: dict):
+    """Let a crowd use each listener of one process at once, and check the process."""
+    (name,) = {OWNERS.get(listener, listener) for listener in shapes}
     rest = programs.read_usage(name)
-    crowd = Crowd(programs.ports[listener], shape(target))
+    crowds = [Crowd(programs.ports[one], shape) for one, shape in shapes.items()]
     async with trio.open_nursery() as nursery:
-        await nursery.start(crowd.run)
+        for crowd in crowds:
+            await nursery.start(crowd.run)
         await trio.sleep(HOLD_S)
         with_crowd = programs.read_usage(name)
-        await programs.request_ordinary(listener)
+        await programs.request_ordinary_at_once(shapes)
         nursery.cancel_scope.cancel()
     programs.require_living()
-    assert crowd.connected >= CLIENTS
-    await programs.request_ordinary(listener)
+    assert all(crowd.connected >= CLIENTS for crowd in crowds)
+    await programs.request_ordinary_at_once(shapes)
     peak = programs.read_usage(name).peak
     with trio.move_on_after(WAIT_TIMEOUT_S / 2):
         while programs.read_usage(name).resident > RETURN_RATIO * rest.resident:
@@ -336,7 +367,7 @@
         after.descriptors,
     )
     assert peak < MEMORY_LIMIT_MB * 1_000_000
-    spare = DESCRIPTORS_PER_CLIENT * CLIENTS + SPARE_DESCRIPTORS
+    spare = DESCRIPTORS_PER_CLIENT * CLIENTS * len(crowds) + SPARE_DESCRIPTORS
     assert with_crowd.descriptors < rest.descriptors + spare
     assert after.resident <= RETURN_RATIO * rest.resident
 
@@ -477,6 +508,50 @@
         await check_crowd(programs, listener, shape, target)
 
 
+class TestSeveralListeners:
+    @pytest.mark.parametrize("shape", [stop_short, pipeline_unread, stay_idle])
+    async def test_clients_of_a_gateway_fill_the_memory(self, programs, shape):
+        """The bounds of each listener must not add up to more than the process has."""
+        method = "POST" if shape in BODIES else "GET"
+        headers = {} if shape is pipeline_unread else USUAL_HEADERS
+        port = programs.ports["gateway"]
+        callers = Target(port, method, "/ask/1", ROUTE_HOST, headers)
+        shapes = {"gateway": shape(callers)}
+        for listener, path in (PATHS | {"metrics": "/metrics"}).items():
+            target = Target(programs.ports[listener], method, path, "gateway-1")
+            shapes[listener] = shape(target)
+        await check_crowds(programs, shapes)
+
+    async def test_unread_answers_and_bodies_fill_the_memory(self, programs):
+        """Answers, bodies and requests sent ahead are in one account."""
+        ports = programs.ports
+        unread = Target(ports["gateway"], "GET", "/large/1", ROUTE_HOST, USUAL_HEADERS)
+        shapes = {
+            "gateway": read_nothing(unread),
+            "ready": stop_short(Target(ports["ready"], "POST", "/readyz", "ready")),
+            "directory": pipeline_unread(
+                Target(ports["directory"], "GET", "/resolve", "directory")
+            ),
+            "metrics": read_nothing(
+                Target(ports["metrics"], "GET", "/metrics", "metrics")
+            ),
+        }
+        await check_crowds(programs, shapes)
+
+    @pytest.mark.parametrize("shape", [stop_short, pipeline_unread])
+    async def test_clients_of_a_state_member_fill_the_memory(self, programs, shape):
+        """A member's metrics have a listener of their own."""
+        method = "PUT" if shape in BODIES else "GET"
+        ports = programs.ports
+        shapes = {
+            "state": shape(Target(ports["state"], method, "/config", "state-1")),
+            "state-metrics": shape(
+                Target(ports["state-metrics"], method, "/metrics", "metrics")
+            ),
+        }
+        await check_crowds(programs, shapes)
+
+
 class TestStateMember:
     @pytest.mark.parametrize("shape", [*BODIES, drip_head])
     async def test_large_bodies_fill_the_memory(self, programs, shape):
@@ -497,12 +572,17 @@
         target = Target(programs.ports["state"], "GET", "/unknown", "state-1")
         await check_crowd(programs, "state", pipeline_unread, target)
 
+    async def test_idle_connections_fill_the_memory(self, programs):
+        """Connections that are kept after an answer must not add up."""
+        target = Target(programs.ports["state"], "GET", "/config", "state-1")
+        await check_crowd(programs, "state", stay_idle, target)
+
 
 COMPLETIONS_PATH = "/v1/chat/completions"
 
 
 class TestEntry:
-    @pytest.mark.parametrize("shape", [*BODIES, drip_head])
+    @pytest.mark.parametrize("shape", [*BODIES, drip_head, send_whole_to_older_version])
     async def test_large_bodies_fill_the_memory(self, other_programs, shape):
         """An entry was not told how much memory its machine has."""
         port = other_programs.ports["entry"]
@@ -514,10 +594,30 @@
         target = Target(other_programs.ports["entry"], "GET", "/v1/entries", "entry-1")
         await check_crowd(other_programs, "entry", pipeline_unread, target)
 
+    async def test_idle_connections_fill_the_memory(self, other_programs):
+        """Connections that are kept after an answer must not add up."""
+        target = Target(other_programs.ports["entry"], "GET", "/v1/entries", "entry-1")
+        await check_crowd(other_programs, "entry", stay_idle, target)
+
 
 class TestStore:
-    @pytest.mark.parametrize("shape", [stop_short, stop_short_in_chunks, send_whole])
+    @pytest.mark.parametrize(
+        "shape",
+        [
+            stop_short,
+            stop_short_in_chunks,
+            stop_short_in_small_chunks,
+            send_whole,
+            drip_head,
+        ],
+    )
     async def test_large_bodies_fill_the_memory(self, other_programs, shape):
         """Only processes and operators use a store, but anyone may connect."""
         target = Target(other_programs.ports["store"], "POST", "/health", "store-1")
         await check_crowd(other_programs, "store", shape, target)
+
+    @pytest.mark.parametrize("shape", [pipeline_unread, stay_idle])
+    async def test_unread_answers_fill_the_memory(self, other_programs, shape):
+        """Answers that nobody reads must not pile up."""
+        target = Target(other_programs.ports["store"], "GET", "/health", "store-1")
+        await check_crowd(other_programs, "store", shape, target)
--- a/medlarrail/testing/client_crowd.py
+++ b/medlarrail/testing/client_crowd.py
@@ -47,20 +47,21 @@
     path: str
     host: str
     headers: dict[str, str] = field(factory=dict)
+    body_bytes: int = BODY_BYTES
 
     def build_head(self, **headers: str) -> bytes:
         """Return the head of a request; ``_`` in header names becomes ``-``."""
         added = {name.replace("_", "-"): value for name, value in headers.items()}
         return build_head(self.method, self.path, self.host, self.headers | added)
 
-    def build_body_head(self) -> bytes:
+    def build_body_head(self, **headers: str) -> bytes:
         """Return the head of a request with a large body of a stated length."""
-        return self.build_head(Content_Length=str(BODY_BYTES))
+        return self.build_head(Content_Length=str(self.body_bytes), **headers)
 
 
 def stop_short(target: Target) -> Shape:
     """Return a client that sends a body at once, except for its end."""
-    data = target.build_body_head() + b"x" * (BODY_BYTES - WITHHELD_BYTES)
+    data = target.build_body_head() + b"x" * (target.body_bytes - WITHHELD_BYTES)
 
     async def run(stream: trio.SocketStream) -> None:
         await stream.send_all(data)
@@ -75,7 +76,7 @@
 
     async def run(stream: trio.SocketStream) -> None:
         await stream.send_all(target.build_body_head())
-        for _ in range((BODY_BYTES - WITHHELD_BYTES) // PIECE_BYTES):
+        for _ in range((target.body_bytes - WITHHELD_BYTES) // PIECE_BYTES):
             await stream.send_all(piece)
             await trio.sleep(0.01)
         await trio.sleep_forever()
@@ -87,7 +88,7 @@
     """Return a client that sends a body in chunks, without the last one."""
     chunk = b"%x\r\n" % chunk_bytes + b"x" * chunk_bytes + b"\r\n"
     head = target.build_head(Transfer_Encoding="chunked")
-    chunks = chunk * (BODY_BYTES // chunk_bytes)
+    chunks = chunk * (target.body_bytes // chunk_bytes)
 
     async def run(stream: trio.SocketStream) -> None:
         await stream.send_all(head + chunks)
@@ -103,7 +104,7 @@
 
 def send_whole(target: Target) -> Shape:
     """Return a client that sends one complete body and reads the answer."""
-    data = target.build_body_head() + b"x" * BODY_BYTES
+    data = target.build_body_head() + b"x" * target.body_bytes
 
     async def run(stream: trio.SocketStream) -> None:
         await stream.send_all(data)
@@ -180,8 +181,8 @@
 
 def send_whole_to_older_version(target: Target) -> Shape:
     """Return a client of HTTP/1.0 that sends one body and keeps its connection."""
-    head = target.build_head(Content_Length=str(BODY_BYTES), Connection="keep-alive")
-    data = head.replace(b"HTTP/1.1", b"HTTP/1.0", 1) + b"x" * BODY_BYTES
+    head = target.build_body_head(Connection="keep-alive")
+    data = head.replace(b"HTTP/1.1", b"HTTP/1.0", 1) + b"x" * target.body_bytes
 
     async def run(stream: trio.SocketStream) -> None:
         await stream.send_all(data)
