Bodies with a key of the system wait for memory beyond a reserve

A crowd with a valid key of the system ended a state member, an entry or a store: bodies with a key were counted and never waited, so that their sum had no bound, and a single one at a state member may have 256 MB.

A crowd without a key still does not delay peers.

A body of 16 MB with a key is received in calm before and after.

--- a/medlarrail/platform/untrusted_clients_test.py
+++ b/medlarrail/platform/untrusted_clients_test.py
@@ -17,6 +17,9 @@
 
 from medlarrail.core.errors import PeerError
 from medlarrail.protocol.cluster_view import ANNOUNCEMENTS_PATH
+from medlarrail.protocol.contexts import COPY_PATH
+from medlarrail.protocol.permits import ACQUIRE_PATH
+from medlarrail.protocol.replication import SNAPSHOT_PATH
 from medlarrail.testing.client_crowd import (
     BODY_BYTES,
     CLIENTS,
@@ -65,6 +68,13 @@
 USUAL_HEADERS = {"Api-Key": API_KEY, "Request-Id": "r1"}
 ENDPOINT_KEY = "a-key-of-an-endpoint"
 CLUSTER_KEY = "a-key-for-this-test"
+CLUSTER_HEADERS = {"Authorization": f"Bearer {CLUSTER_KEY}"}
+LONGEST_BYTES = 256_000_000
+"""Maximum size of a body at a state member."""
+LONGEST_STORE_BYTES = 64_000_000
+"""Maximum size of a body at a store."""
+PEER_BODY_BYTES = 16_000_000
+"""Size of a peer's body that a machine with little memory takes in calm."""
 EVENT_BYTES = 16_000
 LARGE_BYTES = 900_000
 """Size of a large answer and of a large event: legal for both."""
@@ -577,6 +587,28 @@
         target = Target(programs.ports["state"], "GET", "/config", "state-1")
         await check_crowd(programs, "state", stay_idle, target)
 
+    @pytest.mark.parametrize("shape", [stop_short, stop_short_in_chunks, send_whole])
+    async def test_bodies_with_the_cluster_key_fill_the_memory(self, programs, shape):
+        """Bodies with a key of the system were counted, but never waited."""
+        port = programs.ports["state"]
+        target = Target(port, "POST", SNAPSHOT_PATH, "state-1", CLUSTER_HEADERS)
+        await check_crowd(programs, "state", shape, target)
+
+    async def test_longest_bodies_with_the_cluster_key_fill_the_memory(self, programs):
+        """One body of legal size could be longer than the memory of the machine."""
+        port = programs.ports["state"]
+        target = Target(
+            port, "POST", SNAPSHOT_PATH, "state-1", CLUSTER_HEADERS, LONGEST_BYTES
+        )
+        await check_crowd(programs, "state", stop_short_in_pieces, target)
+
+    async def test_single_body_with_the_cluster_key_is_refused(self, programs):
+        """A peer's body has room in calm: this one is only not valid JSON."""
+        size = PEER_BODY_BYTES
+        headers = {**CLUSTER_HEADERS, "Content-Length": str(size)}
+        head = build_head("POST", SNAPSHOT_PATH, "state-1", headers)
+        assert await read_status(programs.ports["state"], head + b"x" * size) == 400
+
 
 COMPLETIONS_PATH = "/v1/chat/completions"
 
@@ -599,6 +631,12 @@
         target = Target(other_programs.ports["entry"], "GET", "/v1/entries", "entry-1")
         await check_crowd(other_programs, "entry", stay_idle, target)
 
+    async def test_bodies_with_the_cluster_key_fill_the_memory(self, other_programs):
+        """Bodies with a key of the system were counted, but never waited."""
+        port = other_programs.ports["entry"]
+        target = Target(port, "POST", ACQUIRE_PATH, "entry-1", CLUSTER_HEADERS)
+        await check_crowd(other_programs, "entry", stop_short, target)
+
 
 class TestStore:
     @pytest.mark.parametrize(
@@ -621,3 +659,12 @@
         """Answers that nobody reads must not pile up."""
         target = Target(other_programs.ports["store"], "GET", "/health", "store-1")
         await check_crowd(other_programs, "store", shape, target)
+
+    @pytest.mark.parametrize("size", [BODY_BYTES, LONGEST_STORE_BYTES])
+    async def test_bodies_with_the_cluster_key_fill_the_memory(
+        self, other_programs, size
+    ):
+        """Bodies with a key of the system were counted, but never waited."""
+        port = other_programs.ports["store"]
+        target = Target(port, "POST", COPY_PATH, "store-1", CLUSTER_HEADERS, size)
+        await check_crowd(other_programs, "store", stop_short_in_pieces, target)
--- a/medlarrail/policy/held_memory.py
+++ b/medlarrail/policy/held_memory.py
@@ -55,6 +55,8 @@
     progress_at: float
     state: str = "idle"
     held_bytes: int = 0
+    exempt_bytes: int = 0
+    """Bytes of these that did not wait, because a peer sends them."""
     is_waiting: bool = False
     """Whether it waits for memory."""
     is_ended: bool = False
@@ -108,6 +110,7 @@
 
     limit_bytes: int = DEFAULT_BUDGET_BYTES
     held_bytes: int = 0
+    exempt_bytes: int = 0
     holdings: set[Holding] = field(factory=set)
     waiters: list[Waiter] = field(factory=list)
 
@@ -124,6 +127,19 @@
         if count < 0:
             self.grant_waiters()
 
+    def add_exempt(self, holding: Holding, count: int) -> bool:
+        """Add bytes of a peer without a wait; return whether there was room.
+
+        Peers have room of the reserve's size beside the limit, so that no crowd delays
+        them. More than that waits, as a crowd may have a key, too.
+        """
+        if self.exempt_bytes + count > RESERVE_RATIO * self.limit_bytes:
+            return False
+        self.exempt_bytes += count
+        holding.exempt_bytes += count
+        self.add(holding, count)
+        return True
+
     def request(self, holding: Holding, count: int, now: float) -> Waiter:
         """Ask for ``count`` bytes more, which are granted at once or later.
 
@@ -146,6 +162,7 @@
         """Free all that is held for a peer."""
         if holding in self.holdings:
             self.holdings.remove(holding)
+            self.exempt_bytes -= holding.exempt_bytes
             self.add(holding, -holding.held_bytes)
 
     def get_room(self, is_small: bool) -> int:
--- a/medlarrail/policy/held_memory_test.py
+++ b/medlarrail/policy/held_memory_test.py
@@ -4,6 +4,7 @@
 
 from medlarrail.policy.held_memory import (
     MIN_STALL_S,
+    RESERVE_RATIO,
     SMALL_BYTES,
     HeldMemory,
     get_budget_bytes,
@@ -102,3 +103,20 @@
         memory = HeldMemory(get_budget_bytes(150_000_000))
         assert memory.can_ever_grant(4_194_304)
         assert HeldMemory(get_budget_bytes(0)).can_ever_grant(2 * 4_194_304)
+
+    def test_crowd_with_a_key_holds_more_than_the_reserve(self):
+        """Bodies with a key were counted without a bound."""
+        memory = HeldMemory(LIMIT_BYTES)
+        peers = [memory.open("peers", 0.0) for _ in range(CROWD)]
+        exempt = [one for one in peers if memory.add_exempt(one, LARGE_BYTES)]
+        assert 0 < memory.exempt_bytes <= RESERVE_RATIO * LIMIT_BYTES
+        assert memory.held_bytes == memory.exempt_bytes == len(exempt) * LARGE_BYTES
+        for holding in peers:
+            memory.close(holding)
+        assert memory.held_bytes == memory.exempt_bytes == 0
+
+    def test_crowd_without_a_key_delays_peers(self):
+        """The log has to go on while others hold all that there is."""
+        memory = HeldMemory(LIMIT_BYTES)
+        memory.add(memory.open("callers", 0.0), LIMIT_BYTES)
+        assert memory.add_exempt(memory.open("peers", 0.0), 10 * LARGE_BYTES)
--- a/medlarrail/transport/server.py
+++ b/medlarrail/transport/server.py
@@ -122,7 +122,7 @@
     async def _read_body(
         self, request: Request, receive, holding: Holding, scope: trio.CancelScope
     ) -> bytes:
-        """Return the body; a sender without a key waits for memory if it is large."""
+        """Return the body; a large one waits for memory."""
         declared = request.headers.get("content-length", "")
         size = int(declared) if declared.isdecimal() else 0
         is_large = size > SMALL_BYTES or "transfer-encoding" in request.headers
@@ -230,15 +230,15 @@
     holding: Holding
     limits: ServerLimits
     is_trusted: bool
-    """Whether the memory is counted without waiting for it."""
+    """Whether the sender has a key of the system, and waits only if many megabytes of
+    such senders are held."""
     acquired: int = 0
     body: bytearray = field(factory=bytearray)
 
     async def acquire(self, count: int) -> None:
         """Count ``count`` bytes more, after a wait if there is no room."""
-        if self.is_trusted:
-            self.gate.memory.add(self.holding, count)
-        elif count:
+        is_exempt = self.is_trusted and self.gate.memory.add_exempt(self.holding, count)
+        if count and not is_exempt:
             await self.gate.acquire(self.holding, count)
             self.holding.start("receiving", trio.current_time())
         self.acquired += count
