Large answers of an entry stay in the account until they are sent

Callers that ask for large answers and do not read them ended an entry: an answer left the account of received answers once it was received, and hypercorn keeps all of it, and a copy, until its write ends.

An answer of an entry of more than 64 KB is now a part of the account until it is sent. Those that their callers do not read for a second are given up first, then the largest. hypercorn shields its writes from cancellation, so the connection's socket is closed. Its bytes are written 64 KB at a time, which shows what a caller reads.

--- a/medlarrail/platform/untrusted_clients_test.py
+++ b/medlarrail/platform/untrusted_clients_test.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 from collections import Counter
+from random import Random
 
 import orjson
 import pytest
@@ -18,8 +19,16 @@
 from medlarrail.core.errors import PeerError
 from medlarrail.protocol.cluster_view import ANNOUNCEMENTS_PATH
 from medlarrail.protocol.contexts import COPY_PATH
+from medlarrail.protocol.control import CHANGE_PATH, ChangeAnswer, ChangeRequest
 from medlarrail.protocol.permits import ACQUIRE_PATH
 from medlarrail.protocol.replication import SNAPSHOT_PATH
+from medlarrail.serving.access import get_digest
+from medlarrail.serving.caller_api import SERVICES_PREFIX
+from medlarrail.settings.common import Keys, Listen
+from medlarrail.standins.service import Receipt, Service
+from medlarrail.standins.settings import StandinSettings
+from medlarrail.state.operations import SetContract
+from medlarrail.testing.builders import build_contract, build_endpoint
 from medlarrail.testing.client_crowd import (
     BODY_BYTES,
     CLIENTS,
@@ -45,6 +54,8 @@
 from medlarrail.testing.deployment import find_free_ports
 from medlarrail.testing.scripted_endpoints import HOST, ScriptedEndpoint, get_value
 from medlarrail.transport.client import HttpClient
+from medlarrail.transport.routes import Reply, Request, Routes, route
+from medlarrail.transport.server import HttpServer
 
 MEMORY_LIMIT_MB = 150
 """Memory of the smallest VM."""
@@ -90,6 +101,7 @@
     "metrics",
     "state-metrics",
     "work",
+    "service",
 )
 OWNERS = {
     "ready": "gateway",
@@ -611,6 +623,53 @@
 
 
 COMPLETIONS_PATH = "/v1/chat/completions"
+SERVICE_SLOTS = 8
+"""Calls that the service answers at a time, so few that the entry receives each answer
+whole."""
+
+
+class LargeAnswers(Service):
+    """A service with large answers."""
+
+    @route("GET", "/large")
+    async def handle_large(self, request: Request) -> Reply:
+        reply = self._reply(request, Receipt("", 1, 1))
+        return Reply(body=b"x" * LARGE_BYTES, headers=reply.headers)
+
+
+async def start_service(programs: Programs, nursery) -> None:
+    """Start a service with large answers, and allow an account to use it."""
+    settings = StandinSettings(
+        name="service-1",
+        data_centre="leith",
+        listen=Listen(HOST, programs.ports["service"], programs.get_url("service")),
+        keys=Keys(CLUSTER_KEY, ENDPOINT_KEY),
+        entry_urls=(programs.get_url("entry"),),
+        endpoint=build_endpoint(
+            kind="service",
+            serves="plain",
+            weight_version="",
+            cold_limit=SERVICE_SLOTS,
+            warm_limit=SERVICE_SLOTS,
+            block_bytes=0,
+        ),
+    )
+    service = LargeAnswers(settings, HttpClient(ENDPOINT_KEY), Random(1))
+    server = HttpServer(Routes.collect(service))
+    await nursery.start(server.run, HOST, programs.ports["service"])
+    nursery.start_soon(service.run)
+    contract = build_contract(
+        keys_sha256=(get_digest(API_KEY),),
+        max_running=2 * CLIENTS,
+        queue_wait_s=WAIT_TIMEOUT_S,
+    )
+    await HttpClient(CLUSTER_KEY).call(
+        programs.state_url,
+        CHANGE_PATH,
+        ChangeRequest(SetContract(contract), "contract-1"),
+        ChangeAnswer,
+        WAIT_TIMEOUT_S,
+    )
 
 
 class TestEntry:
@@ -637,6 +696,18 @@
         target = Target(port, "POST", ACQUIRE_PATH, "entry-1", CLUSTER_HEADERS)
         await check_crowd(other_programs, "entry", stop_short, target)
 
+    async def test_unread_large_answers_fill_the_memory(self, other_programs, nursery):
+        """An answer that is being sent was in no account."""
+        await start_service(other_programs, nursery)
+        path = f"{SERVICES_PREFIX}plain/large"
+        port = other_programs.ports["entry"]
+        headers = {"Authorization": f"Bearer {API_KEY}"}
+        target = Target(port, "GET", path, "entry-1", headers)
+        with trio.fail_after(WAIT_TIMEOUT_S):
+            while await read_status(port, target.build_head()) != 200:
+                await trio.sleep(POLL_S)
+        await check_crowd(other_programs, "entry", read_nothing, target)
+
 
 class TestStore:
     @pytest.mark.parametrize(
--- a/medlarrail/programs/entry.py
+++ b/medlarrail/programs/entry.py
@@ -75,7 +75,8 @@
     def __attrs_post_init__(self):
         settings = self.settings
         self.gate = build_memory_gate(settings.memory_limit_mb)
-        peers = HttpClient(settings.keys.cluster, build_answer_memory(self.gate))
+        self.answers = build_answer_memory(self.gate)
+        peers = HttpClient(settings.keys.cluster, self.answers)
         state = LogClient(peers, settings.state_urls)
         self.follower = Follower(peers, settings.state_urls)
         self.session = Session(
@@ -123,7 +124,7 @@
             Monitoring(self.settings.name),
             guard=build_guard(self.settings.keys),
         )
-        return HttpServer(routes, self.settings.server, self.gate)
+        return HttpServer(routes, self.settings.server, self.gate, self.answers)
 
     @route("POST", ENTRY_STATUS_PATH)
     async def handle_status(self, request: Request) -> EntryStatus:
--- a/medlarrail/transport/bounded_connections.py
+++ b/medlarrail/transport/bounded_connections.py
@@ -45,6 +45,8 @@
 """Connections accepted in one turn of the event loop: more would delay the requests of
 those that are open."""
 ACCEPT_RETRY_PAUSE_S = 0.1
+WRITE_BYTES = 65536
+"""Bytes of an answer that are written at a time, and noted as progress."""
 CAPACITY_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS)
 """Errors of the system while the process, or the VM, has no room for a connection."""
 
@@ -57,6 +59,9 @@
 
     async def protocol_send(self, event: Event) -> None:
         """Send an event of the protocol, and note whether a request is served."""
+        if isinstance(event, RawData):
+            await self._write(event.data)
+            return
         if isinstance(event, Updated):
             if self._is_closed_by_peer:
                 return
@@ -64,6 +69,19 @@
             self.holding.start(state, trio.current_time())
         await super().protocol_send(event)
 
+    async def _write(self, data: bytes) -> None:
+        """Write all of ``data``, noting what the peer reads."""
+        async with self.send_lock:
+            try:
+                # A part of an event must not be left out; ``abort`` ends the write.
+                with trio.CancelScope(shield=True), memoryview(data) as view:
+                    for start in range(0, len(view), WRITE_BYTES):
+                        part = view[start : start + WRITE_BYTES]
+                        await self.stream.send_all(part)
+                        self.holding.record_bytes(len(part), trio.current_time())
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                await self.protocol.handle(Closed())
+
     async def _read_data(self) -> None:
         body_bytes = 0
         while True:
@@ -120,12 +138,20 @@
         open_connections += 1
         scope = trio.CancelScope()
         own_config = single_config if is_single else config
-        connection = BoundedConnection(
-            ASGIWrapper(app), own_config, context, {}, stream
-        )
+
+        def abort() -> None:
+            scope.cancel()
+            # hypercorn shields its writes, so that only this ends them.
+            stream.socket.close()
+
         try:
-            with gate.open(LISTENER, scope.cancel) as connection.holding, scope:
-                gate.memory.add(connection.holding, CONNECTION_BYTES)
+            with gate.open(LISTENER, scope.cancel) as holding, scope:
+                gate.memory.add(holding, CONNECTION_BYTES)
+                state = {"holding": holding, "abort": abort}
+                connection = BoundedConnection(
+                    ASGIWrapper(app), own_config, context, state, stream
+                )
+                connection.holding = holding
                 await connection
         finally:
             open_connections -= 1
--- a/medlarrail/transport/server.py
+++ b/medlarrail/transport/server.py
@@ -6,8 +6,8 @@
 """
 
 import socket
-from collections.abc import Awaitable, Callable
-from contextlib import aclosing
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import aclosing, contextmanager
 from urllib.parse import parse_qsl, unquote
 
 import eliot
@@ -25,6 +25,7 @@
     TooManyConnections,
 )
 from medlarrail.core.metrics import get_metrics
+from medlarrail.policy.answer_memory import AnswerMemory
 from medlarrail.policy.held_memory import SMALL_BYTES, Holding
 from medlarrail.transport.bounded_connections import LISTENER, serve_connections
 from medlarrail.transport.memory_gate import MemoryGate
@@ -80,6 +81,9 @@
     routes: Routes
     limits: ServerLimits = field(factory=ServerLimits)
     gate: MemoryGate = field(factory=MemoryGate)
+    answers: AnswerMemory | None = None
+    """The account of large answers until they are sent; None if those who ask are
+    trusted to read them."""
     active: int = 0
     _idle_event: trio.Event = field(factory=trio.Event)
     _stop_event: trio.Event = field(factory=trio.Event)
@@ -96,7 +100,8 @@
             async with trio.open_nursery() as nursery:
                 if not messages.is_complete:
                     nursery.start_soon(messages.discard)
-                await _send_answer(answer, receive, send)
+                with self._count_answer(answer, scope):
+                    await _send_answer(answer, receive, send)
                 nursery.cancel_scope.cancel()
         finally:
             self.active -= 1
@@ -104,6 +109,30 @@
                 self._idle_event.set()
                 self._idle_event = trio.Event()
 
+    @contextmanager
+    def _count_answer(self, answer: Reply | EventStream, scope) -> Iterator[None]:
+        """Count a large answer while it is sent, or give up its connection for it."""
+        size = len(answer.body) if isinstance(answer, Reply) else 0
+        if self.answers is None or size <= SMALL_BYTES:
+            yield
+            return
+        connection = scope["state"]
+
+        def drop() -> None:
+            is_unread = held.is_unread(trio.current_time())
+            get_metrics().count("answers_dropped", is_unread=is_unread)
+            eliot.log_message("answer:dropped", bytes=size, is_unread=is_unread)
+            connection["abort"]()
+
+        held = self.answers.open(drop)
+        held.reader = connection["holding"]
+        held.reader.start("working", trio.current_time())
+        try:
+            self.answers.resize(held, size, trio.current_time())
+            yield
+        finally:
+            self.answers.close(held)
+
     async def _answer(self, scope, receive) -> Reply | EventStream:
         request = _build_request(scope, b"")
         try:
