Readers of the document share it, and answers are sent in parts

Callers that ask a state member for a large deployment document and do not read it ended the member: each had a copy of the document of its own, and h11 made another one of the whole answer, which lived until it was written.

The encoded document is now kept and shared by all answers, and answers of all programs are passed on 64 KB at a time, so that an unread one holds one part.

--- a/medlarrail/platform/control.py
+++ b/medlarrail/platform/control.py
@@ -55,6 +55,8 @@
     """Handlers of the platform's control calls on one state member."""
 
     view_server: ClusterViewServer
+    _encoded: tuple = (None, b"")
+    """The deployment that was read last, and its source; all readers share it."""
 
     @route("PUT", "/instances/*")
     @reply_to_errors
@@ -94,7 +96,9 @@
         deployment = await self.view_server.read_deployment()
         if deployment is None:
             return Reply(UNAVAILABLE_STATUS, b"{}")
-        return Reply(200, deployment.source.encode(), JSON)
+        if self._encoded[0] is not deployment:
+            self._encoded = (deployment, deployment.source.encode())
+        return Reply(200, self._encoded[1], JSON)
 
     @route("POST", "/evacuate/*")
     @reply_to_errors
--- a/medlarrail/platform/untrusted_clients_test.py
+++ b/medlarrail/platform/untrusted_clients_test.py
@@ -84,6 +84,8 @@
 """Maximum size of a body at a state member."""
 LONGEST_STORE_BYTES = 64_000_000
 """Maximum size of a body at a store."""
+LARGE_TENANTS = 8000
+"""Tenants of a document of about a megabyte."""
 PEER_BODY_BYTES = 16_000_000
 """Size of a peer's body that a machine with little memory takes in calm."""
 EVENT_BYTES = 16_000
@@ -599,6 +601,18 @@
         target = Target(programs.ports["state"], "GET", "/config", "state-1")
         await check_crowd(programs, "state", stay_idle, target)
 
+    async def test_unread_large_documents_fill_the_memory(self, programs):
+        """Each reader of the document had two copies of it."""
+        tenants = [
+            {"name": f"tenant-{number}", "api-keys": [f"{number:0>64}"], "priority": 1}
+            for number in range(LARGE_TENANTS)
+        ]
+        document = {**CONFIGURATION, "version": 2}
+        document["tenants"] = CONFIGURATION["tenants"] + tenants
+        assert await programs.put("/config", document)
+        target = Target(programs.ports["state"], "GET", "/config", "state-1")
+        await check_crowd(programs, "state", read_nothing, target)
+
     @pytest.mark.parametrize("shape", [stop_short, stop_short_in_chunks, send_whole])
     async def test_bodies_with_the_cluster_key_fill_the_memory(self, programs, shape):
         """Bodies with a key of the system were counted, but never waited."""
--- a/medlarrail/transport/server.py
+++ b/medlarrail/transport/server.py
@@ -27,7 +27,11 @@
 from medlarrail.core.metrics import get_metrics
 from medlarrail.policy.answer_memory import AnswerMemory
 from medlarrail.policy.held_memory import SMALL_BYTES, Holding
-from medlarrail.transport.bounded_connections import LISTENER, serve_connections
+from medlarrail.transport.bounded_connections import (
+    LISTENER,
+    WRITE_BYTES,
+    serve_connections,
+)
 from medlarrail.transport.memory_gate import MemoryGate
 from medlarrail.transport.routes import (
     EventStream,
@@ -316,7 +320,12 @@
         **answer.headers,
     }
     await send(_build_response_start(answer.status, headers))
-    await send({"type": "http.response.body", "body": answer.body})
+    # Each part is copied until it is written.
+    body = answer.body
+    for start in range(0, len(body), WRITE_BYTES):
+        part = body[start : start + WRITE_BYTES]
+        await send({"type": "http.response.body", "body": part, "more_body": True})
+    await send({"type": "http.response.body", "body": b""})
 
 
 def _build_response_start(status: int, headers: dict[str, str]) -> dict:
