Known red: bodies of many JSON elements fill the memory

Clients without a key that send bodies of legal size with very many small elements end a state member or an entry. A body's bytes are in the account, but what it takes to decode them is not: an empty object of three bytes needs about 70.

--- a/medlarrail/platform/untrusted_clients_test.py
+++ b/medlarrail/platform/untrusted_clients_test.py
@@ -43,6 +43,7 @@
     read_nothing,
     read_slowly,
     read_usage,
+    send_many_elements,
     send_whole,
     send_whole_to_older_version,
     stay_idle,
@@ -613,6 +614,11 @@
         target = Target(programs.ports["state"], "GET", "/config", "state-1")
         await check_crowd(programs, "state", read_nothing, target)
 
+    async def test_bodies_of_many_elements_fill_the_memory(self, programs):
+        """A decoded body needs many times its bytes."""
+        target = Target(programs.ports["state"], "PUT", "/config", "state-1")
+        await check_crowd(programs, "state", send_many_elements, target)
+
     @pytest.mark.parametrize("shape", [stop_short, stop_short_in_chunks, send_whole])
     async def test_bodies_with_the_cluster_key_fill_the_memory(self, programs, shape):
         """Bodies with a key of the system were counted, but never waited."""
@@ -722,6 +728,12 @@
                 await trio.sleep(POLL_S)
         await check_crowd(other_programs, "entry", read_nothing, target)
 
+    async def test_bodies_of_many_elements_fill_the_memory(self, other_programs):
+        """A decoded body needs many times its bytes."""
+        port = other_programs.ports["entry"]
+        target = Target(port, "POST", COMPLETIONS_PATH, "entry-1")
+        await check_crowd(other_programs, "entry", send_many_elements, target)
+
 
 class TestStore:
     @pytest.mark.parametrize(
--- a/medlarrail/testing/client_crowd.py
+++ b/medlarrail/testing/client_crowd.py
@@ -16,6 +16,8 @@
 CLIENTS = 160
 BODY_BYTES = 1_000_000
 """Size of a large body: legal, and all of them need more than the smallest VM has."""
+ELEMENTS_BYTES = 7_900_000
+"""Size of a body of many elements: below the limit of entries and state members."""
 WITHHELD_BYTES = 10
 """Bytes by which an unfinished body stops short of its end."""
 PIECE_BYTES = 16_384
@@ -102,6 +104,19 @@
     return stop_short_in_chunks(target, 1)
 
 
+def send_many_elements(target: Target) -> Shape:
+    """Return a client that sends one complete body of JSON with many small elements."""
+    body = b"[" + b"{}," * ((ELEMENTS_BYTES - 4) // 3) + b"{}]"
+    data = target.build_head(Content_Length=str(len(body))) + body
+
+    async def run(stream: trio.SocketStream) -> None:
+        await stream.send_all(data)
+        while await stream.receive_some(READ_BYTES):
+            pass
+
+    return run
+
+
 def send_whole(target: Target) -> Shape:
     """Return a client that sends one complete body and reads the answer."""
     data = target.build_body_head() + b"x" * target.body_bytes
