--- a/medlarrail/platform/untrusted_clients_test.py
+++ b/medlarrail/platform/untrusted_clients_test.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 from collections import Counter
+from random import Random
 
 import orjson
 import pytest
@@ -17,6 +18,17 @@
 
 from medlarrail.core.errors import PeerError
 from medlarrail.protocol.cluster_view import ANNOUNCEMENTS_PATH
+from medlarrail.protocol.contexts import COPY_PATH
+from medlarrail.protocol.control import CHANGE_PATH, ChangeAnswer, ChangeRequest
+from medlarrail.protocol.permits import ACQUIRE_PATH
+from medlarrail.protocol.replication import SNAPSHOT_PATH
+from medlarrail.serving.access import get_digest
+from medlarrail.serving.caller_api import SERVICES_PREFIX
+from medlarrail.settings.common import Keys, Listen
+from medlarrail.standins.service import Receipt, Service
+from medlarrail.standins.settings import StandinSettings
+from medlarrail.state.operations import SetContract
+from medlarrail.testing.builders import build_contract, build_endpoint
 from medlarrail.testing.client_crowd import (
     BODY_BYTES,
     CLIENTS,
@@ -31,6 +43,7 @@
     read_nothing,
     read_slowly,
     read_usage,
+    send_many_elements,
     send_whole,
     send_whole_to_older_version,
     stay_idle,
@@ -42,6 +55,8 @@
 from medlarrail.testing.deployment import find_free_ports
 from medlarrail.testing.scripted_endpoints import HOST, ScriptedEndpoint, get_value
 from medlarrail.transport.client import HttpClient
+from medlarrail.transport.routes import Reply, Request, Routes, route
+from medlarrail.transport.server import HttpServer
 
 MEMORY_LIMIT_MB = 150
 """Memory of the smallest VM."""
@@ -65,13 +80,39 @@
 USUAL_HEADERS = {"Api-Key": API_KEY, "Request-Id": "r1"}
 ENDPOINT_KEY = "a-key-of-an-endpoint"
 CLUSTER_KEY = "a-key-for-this-test"
+CLUSTER_HEADERS = {"Authorization": f"Bearer {CLUSTER_KEY}"}
+LONGEST_BYTES = 256_000_000
+"""Maximum size of a body at a state member."""
+LONGEST_STORE_BYTES = 64_000_000
+"""Maximum size of a body at a store."""
+LARGE_TENANTS = 8000
+"""Tenants of a document of about a megabyte."""
+PEER_BODY_BYTES = 16_000_000
+"""Size of a peer's body that a machine with little memory takes in calm."""
 EVENT_BYTES = 16_000
 LARGE_BYTES = 900_000
 """Size of a large answer and of a large event: legal for both."""
 NAMES = ("state", "gateway")
 OTHER_NAMES = ("state", "entry", "store")
 """Programs that the platform's processes do without."""
-PORTS = (*NAMES, "entry", "store", "ready", "directory", "metrics", "work")
+PORTS = (
+    *NAMES,
+    "entry",
+    "store",
+    "ready",
+    "directory",
+    "metrics",
+    "state-metrics",
+    "work",
+    "service",
+)
+OWNERS = {
+    "ready": "gateway",
+    "directory": "gateway",
+    "metrics": "gateway",
+    "state-metrics": "state",
+}
+"""Program of each listener that is not the main one of a program."""
 
 
 def build_route(prefix: str, kind: str) -> dict:
@@ -136,6 +177,7 @@
         self.ports = dict(zip(PORTS, find_free_ports(len(PORTS), HOST), strict=True))
         self.state_url = self.get_url("state")
         self.processes = {}
+        self.sequence = 0
 
     def get_address(self, name: str) -> str:
         return f"{HOST}:{self.ports[name]}"
@@ -154,6 +196,7 @@
                 **common,
                 "listen": {"host": HOST, "port": 0, "url": self.state_url},
                 "data_folder": str(self.path / "data"),
+                "metrics_address": self.get_address("state-metrics"),
                 "seeds": [self.state_url],
                 "first_start": True,
             },
@@ -205,13 +248,17 @@
         return read_usage(self.processes[name].pid)
 
     async def announce(self, endpoint: ScriptedEndpoint) -> bool:
-        """Register the endpoint, as it does itself again and again."""
+        """Register the endpoint, as it does itself again and again.
+
+        An announcement without a higher sequence number does not keep it registered.
+        """
+        self.sequence += 1
         announcement = {
             "service": "plain",
             "address": f"{HOST}:{endpoint.port}",
             "zone": "leith",
             "state": "ready",
-            "sequence": 1,
+            "sequence": self.sequence,
             "slots": 400,
         }
         return await self.put(f"/instances/{endpoint.name}", announcement)
@@ -240,6 +287,8 @@
             "gateway": gateway_head,
             "ready": build_head("GET", "/readyz", "ready"),
             "directory": build_head("GET", "/resolve", "directory"),
+            "metrics": build_head("GET", "/metrics", "metrics"),
+            "state-metrics": build_head("GET", "/metrics", "metrics"),
             "state": build_head("GET", "/config", "state"),
             "entry": build_head("GET", "/v1/entries", "entry"),
             "store": build_head("GET", "/health", "store"),
@@ -249,6 +298,12 @@
                 self.require_living()
                 await trio.sleep(POLL_S)
 
+    async def request_ordinary_at_once(self, names) -> None:
+        """Make one ordinary request at each listener until it is answered."""
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                nursery.start_soon(self.request_ordinary, name)
+
 
 def get_command(name: str, file) -> list[str]:
     """Return the command that starts a program with the settings in ``file``."""
@@ -305,18 +360,24 @@
 
 async def check_crowd(programs: Programs, listener: str, shape, target: Target):
     """Let a crowd use one listener, and check the process that it belongs to."""
-    name = listener if listener in programs.processes else "gateway"
+    await check_crowds(programs, {listener: shape(target)})
+
+
+async def check_crowds(programs: Programs, shapes: dict):
+    """Let a crowd use each listener of one process at once, and check the process."""
+    (name,) = {OWNERS.get(listener, listener) for listener in shapes}
     rest = programs.read_usage(name)
-    crowd = Crowd(programs.ports[listener], shape(target))
+    crowds = [Crowd(programs.ports[one], shape) for one, shape in shapes.items()]
     async with trio.open_nursery() as nursery:
-        await nursery.start(crowd.run)
+        for crowd in crowds:
+            await nursery.start(crowd.run)
         await trio.sleep(HOLD_S)
         with_crowd = programs.read_usage(name)
-        await programs.request_ordinary(listener)
+        await programs.request_ordinary_at_once(shapes)
         nursery.cancel_scope.cancel()
     programs.require_living()
-    assert crowd.connected >= CLIENTS
-    await programs.request_ordinary(listener)
+    assert all(crowd.connected >= CLIENTS for crowd in crowds)
+    await programs.request_ordinary_at_once(shapes)
     peak = programs.read_usage(name).peak
     with trio.move_on_after(WAIT_TIMEOUT_S / 2):
         while programs.read_usage(name).resident > RETURN_RATIO * rest.resident:
@@ -331,7 +392,7 @@
         after.descriptors,
     )
     assert peak < MEMORY_LIMIT_MB * 1_000_000
-    spare = DESCRIPTORS_PER_CLIENT * CLIENTS + SPARE_DESCRIPTORS
+    spare = DESCRIPTORS_PER_CLIENT * CLIENTS * len(crowds) + SPARE_DESCRIPTORS
     assert with_crowd.descriptors < rest.descriptors + spare
     assert after.resident <= RETURN_RATIO * rest.resident
 
@@ -472,6 +533,50 @@
         await check_crowd(programs, listener, shape, target)
 
 
+class TestSeveralListeners:
+    @pytest.mark.parametrize("shape", [stop_short, pipeline_unread, stay_idle])
+    async def test_clients_of_a_gateway_fill_the_memory(self, programs, shape):
+        """The bounds of each listener must not add up to more than the process has."""
+        method = "POST" if shape in BODIES else "GET"
+        headers = {} if shape is pipeline_unread else USUAL_HEADERS
+        port = programs.ports["gateway"]
+        callers = Target(port, method, "/ask/1", ROUTE_HOST, headers)
+        shapes = {"gateway": shape(callers)}
+        for listener, path in (PATHS | {"metrics": "/metrics"}).items():
+            target = Target(programs.ports[listener], method, path, "gateway-1")
+            shapes[listener] = shape(target)
+        await check_crowds(programs, shapes)
+
+    async def test_unread_answers_and_bodies_fill_the_memory(self, programs):
+        """Answers, bodies and requests sent ahead are in one account."""
+        ports = programs.ports
+        unread = Target(ports["gateway"], "GET", "/large/1", ROUTE_HOST, USUAL_HEADERS)
+        shapes = {
+            "gateway": read_nothing(unread),
+            "ready": stop_short(Target(ports["ready"], "POST", "/readyz", "ready")),
+            "directory": pipeline_unread(
+                Target(ports["directory"], "GET", "/resolve", "directory")
+            ),
+            "metrics": read_nothing(
+                Target(ports["metrics"], "GET", "/metrics", "metrics")
+            ),
+        }
+        await check_crowds(programs, shapes)
+
+    @pytest.mark.parametrize("shape", [stop_short, pipeline_unread])
+    async def test_clients_of_a_state_member_fill_the_memory(self, programs, shape):
+        """A member's metrics have a listener of their own."""
+        method = "PUT" if shape in BODIES else "GET"
+        ports = programs.ports
+        shapes = {
+            "state": shape(Target(ports["state"], method, "/config", "state-1")),
+            "state-metrics": shape(
+                Target(ports["state-metrics"], method, "/metrics", "metrics")
+            ),
+        }
+        await check_crowds(programs, shapes)
+
+
 class TestStateMember:
     @pytest.mark.parametrize("shape", [*BODIES, drip_head])
     async def test_large_bodies_fill_the_memory(self, programs, shape):
@@ -492,12 +597,103 @@
         target = Target(programs.ports["state"], "GET", "/unknown", "state-1")
         await check_crowd(programs, "state", pipeline_unread, target)
 
+    async def test_idle_connections_fill_the_memory(self, programs):
+        """Connections that are kept after an answer must not add up."""
+        target = Target(programs.ports["state"], "GET", "/config", "state-1")
+        await check_crowd(programs, "state", stay_idle, target)
+
+    async def test_unread_large_documents_fill_the_memory(self, programs):
+        """Each reader of the document had two copies of it."""
+        tenants = [
+            {"name": f"tenant-{number}", "api-keys": [f"{number:0>64}"], "priority": 1}
+            for number in range(LARGE_TENANTS)
+        ]
+        document = {**CONFIGURATION, "version": 2}
+        document["tenants"] = CONFIGURATION["tenants"] + tenants
+        assert await programs.put("/config", document)
+        target = Target(programs.ports["state"], "GET", "/config", "state-1")
+        await check_crowd(programs, "state", read_nothing, target)
+
+    async def test_bodies_of_many_elements_fill_the_memory(self, programs):
+        """A decoded body needs many times its bytes."""
+        target = Target(programs.ports["state"], "PUT", "/config", "state-1")
+        await check_crowd(programs, "state", send_many_elements, target)
+
+    @pytest.mark.parametrize("shape", [stop_short, stop_short_in_chunks, send_whole])
+    async def test_bodies_with_the_cluster_key_fill_the_memory(self, programs, shape):
+        """Bodies with a key of the system were counted, but never waited."""
+        port = programs.ports["state"]
+        target = Target(port, "POST", SNAPSHOT_PATH, "state-1", CLUSTER_HEADERS)
+        await check_crowd(programs, "state", shape, target)
+
+    async def test_longest_bodies_with_the_cluster_key_fill_the_memory(self, programs):
+        """One body of legal size could be longer than the memory of the machine."""
+        port = programs.ports["state"]
+        target = Target(
+            port, "POST", SNAPSHOT_PATH, "state-1", CLUSTER_HEADERS, LONGEST_BYTES
+        )
+        await check_crowd(programs, "state", stop_short_in_pieces, target)
+
+    async def test_single_body_with_the_cluster_key_is_refused(self, programs):
+        """A peer's body has room in calm: this one is only not valid JSON."""
+        size = PEER_BODY_BYTES
+        headers = {**CLUSTER_HEADERS, "Content-Length": str(size)}
+        head = build_head("POST", SNAPSHOT_PATH, "state-1", headers)
+        assert await read_status(programs.ports["state"], head + b"x" * size) == 400
+
 
 COMPLETIONS_PATH = "/v1/chat/completions"
+SERVICE_SLOTS = 8
+"""Calls that the service answers at a time, so few that the entry receives each answer
+whole."""
+
+
+class LargeAnswers(Service):
+    """A service with large answers."""
+
+    @route("GET", "/large")
+    async def handle_large(self, request: Request) -> Reply:
+        reply = self._reply(request, Receipt("", 1, 1))
+        return Reply(body=b"x" * LARGE_BYTES, headers=reply.headers)
+
+
+async def start_service(programs: Programs, nursery) -> None:
+    """Start a service with large answers, and allow an account to use it."""
+    settings = StandinSettings(
+        name="service-1",
+        data_centre="leith",
+        listen=Listen(HOST, programs.ports["service"], programs.get_url("service")),
+        keys=Keys(CLUSTER_KEY, ENDPOINT_KEY),
+        entry_urls=(programs.get_url("entry"),),
+        endpoint=build_endpoint(
+            kind="service",
+            serves="plain",
+            weight_version="",
+            cold_limit=SERVICE_SLOTS,
+            warm_limit=SERVICE_SLOTS,
+            block_bytes=0,
+        ),
+    )
+    service = LargeAnswers(settings, HttpClient(ENDPOINT_KEY), Random(1))
+    server = HttpServer(Routes.collect(service))
+    await nursery.start(server.run, HOST, programs.ports["service"])
+    nursery.start_soon(service.run)
+    contract = build_contract(
+        keys_sha256=(get_digest(API_KEY),),
+        max_running=2 * CLIENTS,
+        queue_wait_s=WAIT_TIMEOUT_S,
+    )
+    await HttpClient(CLUSTER_KEY).call(
+        programs.state_url,
+        CHANGE_PATH,
+        ChangeRequest(SetContract(contract), "contract-1"),
+        ChangeAnswer,
+        WAIT_TIMEOUT_S,
+    )
 
 
 class TestEntry:
-    @pytest.mark.parametrize("shape", [*BODIES, drip_head])
+    @pytest.mark.parametrize("shape", [*BODIES, drip_head, send_whole_to_older_version])
     async def test_large_bodies_fill_the_memory(self, other_programs, shape):
         """An entry was not told how much memory its machine has."""
         port = other_programs.ports["entry"]
@@ -509,10 +705,63 @@
         target = Target(other_programs.ports["entry"], "GET", "/v1/entries", "entry-1")
         await check_crowd(other_programs, "entry", pipeline_unread, target)
 
+    async def test_idle_connections_fill_the_memory(self, other_programs):
+        """Connections that are kept after an answer must not add up."""
+        target = Target(other_programs.ports["entry"], "GET", "/v1/entries", "entry-1")
+        await check_crowd(other_programs, "entry", stay_idle, target)
+
+    async def test_bodies_with_the_cluster_key_fill_the_memory(self, other_programs):
+        """Bodies with a key of the system were counted, but never waited."""
+        port = other_programs.ports["entry"]
+        target = Target(port, "POST", ACQUIRE_PATH, "entry-1", CLUSTER_HEADERS)
+        await check_crowd(other_programs, "entry", stop_short, target)
+
+    async def test_unread_large_answers_fill_the_memory(self, other_programs, nursery):
+        """An answer that is being sent was in no account."""
+        await start_service(other_programs, nursery)
+        path = f"{SERVICES_PREFIX}plain/large"
+        port = other_programs.ports["entry"]
+        headers = {"Authorization": f"Bearer {API_KEY}"}
+        target = Target(port, "GET", path, "entry-1", headers)
+        with trio.fail_after(WAIT_TIMEOUT_S):
+            while await read_status(port, target.build_head()) != 200:
+                await trio.sleep(POLL_S)
+        await check_crowd(other_programs, "entry", read_nothing, target)
+
+    async def test_bodies_of_many_elements_fill_the_memory(self, other_programs):
+        """A decoded body needs many times its bytes."""
+        port = other_programs.ports["entry"]
+        target = Target(port, "POST", COMPLETIONS_PATH, "entry-1")
+        await check_crowd(other_programs, "entry", send_many_elements, target)
+
 
 class TestStore:
-    @pytest.mark.parametrize("shape", [stop_short, stop_short_in_chunks, send_whole])
+    @pytest.mark.parametrize(
+        "shape",
+        [
+            stop_short,
+            stop_short_in_chunks,
+            stop_short_in_small_chunks,
+            send_whole,
+            drip_head,
+        ],
+    )
     async def test_large_bodies_fill_the_memory(self, other_programs, shape):
         """Only processes and operators use a store, but anyone may connect."""
         target = Target(other_programs.ports["store"], "POST", "/health", "store-1")
         await check_crowd(other_programs, "store", shape, target)
+
+    @pytest.mark.parametrize("shape", [pipeline_unread, stay_idle])
+    async def test_unread_answers_fill_the_memory(self, other_programs, shape):
+        """Answers that nobody reads must not pile up."""
+        target = Target(other_programs.ports["store"], "GET", "/health", "store-1")
+        await check_crowd(other_programs, "store", shape, target)
+
+    @pytest.mark.parametrize("size", [BODY_BYTES, LONGEST_STORE_BYTES])
+    async def test_bodies_with_the_cluster_key_fill_the_memory(
+        self, other_programs, size
+    ):
+        """Bodies with a key of the system were counted, but never waited."""
+        port = other_programs.ports["store"]
+        target = Target(port, "POST", COPY_PATH, "store-1", CLUSTER_HEADERS, size)
+        await check_crowd(other_programs, "store", stop_short_in_pieces, target)
--- a/medlarrail/transport/server.py
+++ b/medlarrail/transport/server.py
@@ -6,8 +6,8 @@
 """
 
 import socket
-from collections.abc import Awaitable, Callable
-from contextlib import aclosing
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import aclosing, contextmanager
 from urllib.parse import parse_qsl, unquote
 
 import eliot
@@ -25,8 +25,13 @@
     TooManyConnections,
 )
 from medlarrail.core.metrics import get_metrics
+from medlarrail.policy.answer_memory import AnswerMemory
 from medlarrail.policy.held_memory import SMALL_BYTES, Holding
-from medlarrail.transport.bounded_connections import LISTENER, serve_connections
+from medlarrail.transport.bounded_connections import (
+    LISTENER,
+    WRITE_BYTES,
+    serve_connections,
+)
 from medlarrail.transport.memory_gate import MemoryGate
 from medlarrail.transport.routes import (
     EventStream,
@@ -80,6 +85,9 @@
     routes: Routes
     limits: ServerLimits = field(factory=ServerLimits)
     gate: MemoryGate = field(factory=MemoryGate)
+    answers: AnswerMemory | None = None
+    """The account of large answers until they are sent; None if those who ask are
+    trusted to read them."""
     active: int = 0
     _idle_event: trio.Event = field(factory=trio.Event)
     _stop_event: trio.Event = field(factory=trio.Event)
@@ -96,7 +104,8 @@
             async with trio.open_nursery() as nursery:
                 if not messages.is_complete:
                     nursery.start_soon(messages.discard)
-                await _send_answer(answer, receive, send)
+                with self._count_answer(answer, scope):
+                    await _send_answer(answer, receive, send)
                 nursery.cancel_scope.cancel()
         finally:
             self.active -= 1
@@ -104,6 +113,30 @@
                 self._idle_event.set()
                 self._idle_event = trio.Event()
 
+    @contextmanager
+    def _count_answer(self, answer: Reply | EventStream, scope) -> Iterator[None]:
+        """Count a large answer while it is sent, or give up its connection for it."""
+        size = len(answer.body) if isinstance(answer, Reply) else 0
+        if self.answers is None or size <= SMALL_BYTES:
+            yield
+            return
+        connection = scope["state"]
+
+        def drop() -> None:
+            is_unread = held.is_unread(trio.current_time())
+            get_metrics().count("answers_dropped", is_unread=is_unread)
+            eliot.log_message("answer:dropped", bytes=size, is_unread=is_unread)
+            connection["abort"]()
+
+        held = self.answers.open(drop)
+        held.reader = connection["holding"]
+        held.reader.start("working", trio.current_time())
+        try:
+            self.answers.resize(held, size, trio.current_time())
+            yield
+        finally:
+            self.answers.close(held)
+
     async def _answer(self, scope, receive) -> Reply | EventStream:
         request = _build_request(scope, b"")
         try:
@@ -122,7 +155,7 @@
     async def _read_body(
         self, request: Request, receive, holding: Holding, scope: trio.CancelScope
     ) -> bytes:
-        """Return the body; a sender without a key waits for memory if it is large."""
+        """Return the body; a large one waits for memory."""
         declared = request.headers.get("content-length", "")
         size = int(declared) if declared.isdecimal() else 0
         is_large = size > SMALL_BYTES or "transfer-encoding" in request.headers
@@ -230,15 +263,15 @@
     holding: Holding
     limits: ServerLimits
     is_trusted: bool
-    """Whether the memory is counted without waiting for it."""
+    """Whether the sender has a key of the system, and waits only if many megabytes of
+    such senders are held."""
     acquired: int = 0
     body: bytearray = field(factory=bytearray)
 
     async def acquire(self, count: int) -> None:
         """Count ``count`` bytes more, after a wait if there is no room."""
-        if self.is_trusted:
-            self.gate.memory.add(self.holding, count)
-        elif count:
+        is_exempt = self.is_trusted and self.gate.memory.add_exempt(self.holding, count)
+        if count and not is_exempt:
             await self.gate.acquire(self.holding, count)
             self.holding.start("receiving", trio.current_time())
         self.acquired += count
@@ -287,7 +320,12 @@
         **answer.headers,
     }
     await send(_build_response_start(answer.status, headers))
-    await send({"type": "http.response.body", "body": answer.body})
+    # Each part is copied until it is written.
+    body = answer.body
+    for start in range(0, len(body), WRITE_BYTES):
+        part = body[start : start + WRITE_BYTES]
+        await send({"type": "http.response.body", "body": part, "more_body": True})
+    await send({"type": "http.response.body", "body": b""})
 
 
 def _build_response_start(status: int, headers: dict[str, str]) -> dict:
