Bytes that a link held back are known by the pause before them, in several parts, too

A link had held the last bytes and the end of a killed process back, and the next process answered the check of the end.

Cause: the time for which the end may have been held back counts from the latest bytes that had to be waited for. A link passes on what it held back in several parts; waiting a moment for the second one counted as having seen the process run.

Change: for 0.2 s after a pause of over 0.1 s in an answer, further bytes do not move that time. The end is then asked of the leader, as one that follows a pause already was.

Result: the new test fails before with 2 parts (0.045 s instead of more than 0.4).

--- a/medlarrail/relay/outbound.py
+++ b/medlarrail/relay/outbound.py
@@ -24,6 +24,7 @@
 )
 from medlarrail.core.loop_watch import LoopWatch
 from medlarrail.core.metrics import get_metrics
+from medlarrail.policy.answer_end import MAX_END_DELAY_S
 from medlarrail.policy.process_spans import ProcessSpan, add_span, find_span
 from medlarrail.relay.metadata import Header
 from medlarrail.transport.framing import Framing, get_framing
@@ -46,6 +47,8 @@
 MAX_TURN_S = 0.00025
 """Time for which received bytes are decoded before other tasks run: an endpoint may
 send many events in few bytes, and each turn of the event loop delays all requests."""
+RELEASE_S = 0.2
+"""Time within which a link passes on what it held back, in several parts."""
 MAX_IDLE_S = 4.0
 """Maximum idle time of a reused connection; applies alone if the endpoint does not
 announce its keep-alive time."""
@@ -115,7 +118,9 @@
     seen_open_at: float = 0.0
     """Latest time at which nothing waited to be received, not even an end."""
     _seen_running_at: float = 0.0
-    """Latest time after which bytes arrived."""
+    """Latest time after which bytes arrived that no link had held back."""
+    _release_ends_at: float = 0.0
+    """Up to when bytes may be those that a link had held back."""
     _turn_began_at: float = 0.0
 
     def start_next_request(self) -> None:
@@ -135,6 +140,7 @@
         self._method = method
         self._received_bytes = 0
         self.sent_at = self.seen_open_at = self._seen_running_at = trio.current_time()
+        self._release_ends_at = 0.0
         if body or method not in (b"GET", b"HEAD", b"DELETE"):
             headers = [*headers, (b"Content-Length", str(len(body)).encode())]
         request = h11.Request(method=method, target=target, headers=headers)
@@ -209,8 +215,10 @@
             self.seen_open_at = max(called_at, self.loop_watch.awake_at)
         if not data:
             self.end_delay_s = now - self._seen_running_at
-        elif waits:
+        elif waits and now >= self._release_ends_at:
             self._seen_running_at = self.seen_open_at
+            if now - self.seen_open_at > MAX_END_DELAY_S:
+                self._release_ends_at = now + RELEASE_S
         self._received_bytes += len(data)
         self._turn_began_at = now
         self.protocol.receive_data(data)
--- a/medlarrail/relay/outbound_test.py
+++ b/medlarrail/relay/outbound_test.py
@@ -13,6 +13,8 @@
 
 UPLOAD_BYTES = 8_000_000
 """More than the kernels of both sides hold."""
+HELD_BACK_S = 0.4
+PART_INTERVAL_S = 0.02
 SLOW_TURN_S = 0.01
 """Time that another task takes of each turn of the event loop."""
 UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\npart"
@@ -114,3 +116,26 @@
     await connection.read_head()
     async for part in connection.iterate_body():
         received += part
+
+
+@pytest.mark.parametrize("parts, is_late", [(2, True), (30, False)])
+async def test_parts_of_what_a_link_held_back_count_as_sent_at_once(
+    nursery, parts, is_late
+):
+    """The end followed the last part, and seemed to have been held back by no link."""
+
+    async def send_and_end(connection, request) -> None:
+        await connection.send(UNFRAMED)
+        await trio.sleep(HELD_BACK_S)
+        for _ in range(parts):
+            await connection.send(b"part")
+            await trio.sleep(PART_INTERVAL_S)
+        connection.endpoint.stop()
+
+    endpoint = ScriptedEndpoint("engine-1", send_and_end)
+    await nursery.start(endpoint.run)
+    pool = OutboundPool()
+    connection = await pool.acquire(f"{HOST}:{endpoint.port}", new_connection=True)
+    await connection.send(b"GET", b"/", [(b"Host", b"guide")], b"")
+    await read_body(connection, bytearray())
+    assert (connection.end_delay_s > HELD_BACK_S) == is_late
