A stream that nobody knows does not go on at a gateway that started lately

Such a gateway reckons with streams of gateways of the version before for 30 s, so that all listed versions count as found. It did so, too, where no stream of the request was found and no gateway of that version is listed: the only listed version was guessed. Now the listed versions count only beside streams that are found, or while such a gateway is listed or was so within 30 s.

--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -90,7 +90,7 @@
             reason = "other service"
         if not reason:
             versions = await self._prove_all(candidates)
-            if may_be_untold:
+            if may_be_untold and (candidates or view.may_have_untold_streams()):
                 # Entries of the version before tell contents to nobody.
                 versions |= view.list_stream_versions(service)
             reason = _explain_versions(versions)
--- a/medlarrail/relay/unrecorded_streams_test.py
+++ b/medlarrail/relay/unrecorded_streams_test.py
@@ -274,6 +274,17 @@
         await take_up(known_fleet.gateways[1], stream, X_Resumes="")
         require_not_joined(stream)
 
+    async def test_stream_that_nobody_knows_goes_on_at_a_new_gateway(
+        self, known_fleet, monkeypatch
+    ):
+        """A gateway that started lately reckons with those of the version before."""
+        with monkeypatch.context() as patch:
+            lose_origins(patch)
+            stream = await begin_in_place(known_fleet.gateways[0], b"v2")
+        await take_up(known_fleet.gateways[1], stream, X_Resumes="")
+        require_not_joined(stream)
+        assert stream.refused
+
     async def test_gateway_of_the_version_before_was_replaced(
         self, known_fleet, monkeypatch
     ):
