Show that a stream cut short by a crash behind a cut ends as complete

Cause: the check of the end of an answer without a length accepts the next process of the replica. A plain service tells no start, and bytes that the link held back count as a sign of the process that has ended.

No code of the product is changed.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,8 @@
 # are plain Python and use the standard library alone, so this only checks that each of
 # them compiles.
 cd "$(dirname "$0")/.." || exit 2
-python3 - review/standins_2/*.py review/[6-9]/case.py <<'CHECK'
+python3 - review/standins_2/*.py review/6/case.py review/7/case.py review/9/case.py \
+    review/10/case.py <<'CHECK'
 import sys
 
 for name in sys.argv[1:]:
--- a/review/standins_2/replica.py
+++ b/review/standins_2/replica.py
@@ -25,6 +25,7 @@
     ):
         self.site, self.name, self.service, self.port = site, name, service, port
         self.control_ports = control_ports
+        self.announced_port = port
         self.models = [{"name": m, "version": 1, "adapters": []} for m in models]
         self.handler = handler or self.answer_plainly
         self.born = int(time.time() * 1000)
@@ -67,7 +68,7 @@
             "PUT",
             {
                 "service": self.service,
-                "address": f"{self.site.host}:{self.port}",
+                "address": f"{self.site.host}:{self.announced_port}",
                 "zone": "leith",
                 "version": "v1",
                 "slots": 32,
