Let the case of the crash behind a cut wait for the heartbeat of the next process

Change: the health answer has no body. review/6 waits until the heartbeat of the next process is acknowledged, and notes it.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -57,6 +57,16 @@
     def has_run(self, request_id):
         return f"runs {request_id} " in self.log.read_text()
 
+    def wait_announced(self, count):
+        """Wait for the acknowledged heartbeat of the process with this number."""
+        self.site.wait(
+            "heartbeat of " + self.name,
+            5,
+            lambda: self.log.read_text().count("announced ") >= count,
+        )
+        line = self.log.read_text().rpartition("announced ")[2].split("\n")[0]
+        self.site.note("a heartbeat is acknowledged of", line)
+
     def kill(self):
         self.site.note("SIGKILL to replica", self.name)
         self.process.send_signal(signal.SIGKILL)
@@ -143,10 +153,13 @@
     if trouble:
         site.note("the path to", replica.name, "is cut")
         replica.proxy.stall()
+        cut_at = time.monotonic()
         time.sleep(0.25)
         replica.kill()
+        before = replica.log.read_text().count("announced ")
         replica.start()
-        time.sleep(CUT_S - 0.25)
+        replica.wait_announced(before + 1)
+        time.sleep(max(0.0, cut_at + CUT_S - time.monotonic()))
         site.note("the path to", replica.name, "heals")
         replica.proxy.resume()
     stream.join()
--- a/review/standins_2/replica.py
+++ b/review/standins_2/replica.py
@@ -161,7 +161,7 @@
             await self.order(writer, headers, body)
         elif not request_id:
             status = "200 OK" if self.state == "ready" else "503 Service Unavailable"
-            await self.send(writer, status, {}, b"{}")
+            await self.send(writer, status, {}, b"")
         else:
             await self.handler(writer, method, path, headers, body)
 
--- a/review/standins_2/streamer.py
+++ b/review/standins_2/streamer.py
@@ -9,6 +9,7 @@
 import json
 import sys
 import threading
+import time
 
 from standins_2.replica import Replica
 
@@ -66,6 +67,9 @@
     )
     replica.announced_port = settings["announced_port"]
     replica.start()
+    while not replica.is_known:
+        time.sleep(0.01)
+    replica.site.note("announced", replica.name, "started at", replica.born)
     threading.Event().wait()
 
 
