--- a/review/6/case.py
+++ b/review/6/case.py
@@ -19,7 +19,7 @@
 from standins_2 import programs
 from standins_2.stalling_proxy import StallingProxy
 
-REPLICAS = 5
+REPLICAS = 6
 EVENTS = 20
 PATHS = ("/talk/", "/talk/", "/buy/", "/buy/")
 """Two streams, and two requests that may run once."""
@@ -151,7 +151,7 @@
     replica = next(r for r in replicas if r.has_run(request_id))
     time.sleep(0.55)
     if trouble:
-        site.note("the path to", replica.name, "is cut")
+        site.note("the path from", gateway.name, "to", replica.name, "is cut")
         replica.proxy.stall()
         cut_at = time.monotonic()
         time.sleep(0.25)
@@ -169,7 +169,7 @@
 
 def play(site, trouble):
     site.add_states(3)
-    gateway = site.add_gateway("edge-1")
+    gateway, *_ = [site.add_gateway(f"edge-{number}") for number in range(1, 5)]
     site.start_all(build_configuration())
     replicas = [RemoteReplica(site, number) for number in range(REPLICAS)]
     try:
