Measure how long a link may have held an end back from the silence before it

Cause: a connection kept the latest time at which nothing waited to be read, and used it as the latest time at which the endpoint was seen to run. The first is fresh as long as the event loop wakes, whatever a link holds. So the end of the answer counted as noticed within 0.04 s though the link had been silent for 1.6 s, the rule for late ends was not asked, and the next process at the address replied to the check of the end.

Change: the time is measured from the latest moment at which earlier bytes can have arrived. What arrives after a silence of over 0.1 s, or within 0.2 s of that, shows nothing of the process. Other open connections count once the link has been up for as long as the end was delayed. As most ends after a pause would then wait for an announcement, gateways keep a connection beside the requests of services that send such answers, and call on it after the end: only the process that had the address when the request was sent can reply there. An answer whose endpoint is listed with a later start is cut at once. The log line of an attempt has the delay and both silences.

--- a/medlarrail/policy/answer_end.py
+++ b/medlarrail/policy/answer_end.py
@@ -36,7 +36,8 @@
     """The same incarnation of the endpoint answered a call after the end."""
     CONNECTED = "connected"
     """The endpoint accepted a connection after the end and kept it open, or one from
-    before the request is open; used if it may not be called or does not answer."""
+    before the request is open; used if it may not be called or does not answer, or if
+    nothing is heard of it."""
     ANNOUNCED = "announced"
     """The incarnation that had announced itself before the request did so again after
     the end; used if nothing else tells it from the next one."""
@@ -45,8 +46,8 @@
     REPLACED = "replaced"
     """Another endpoint, or another incarnation, answers at the address."""
     LATE = "late"
-    """The end was noticed, or followed the latest bytes, so late that another
-    incarnation may have the address, and nothing tells which one it is."""
+    """The end was noticed so late, or a link may have held it back for so long, that
+    another incarnation may have the address, and nothing tells which one it is."""
     SILENT = "silent"
     """The endpoint did not answer in time."""
     PEER = "peer"
@@ -105,12 +106,14 @@
     """What a reply to a call of an endpoint tells about whoever replied.
 
     ``endpoint`` and ``started_ms`` are its name and start, empty and 0 if it does not
-    say.
+    say. ``request_id`` is that of the request that it names: a call names none, so the
+    reply to one has none either.
     """
 
     misdirected: bool = False
     endpoint: str = ""
     started_ms: int = 0
+    request_id: str = ""
 
     def is_other_than(self, name: str, started_ms: int) -> bool:
         """Return whether it is another incarnation than the one that was announced.
@@ -153,7 +156,8 @@
     """Return ``evidence``, unless it may be that of the next process at the address.
 
     ``has_same_process`` is what other connections to the endpoint show, None if
-    nothing, and ``delay_s`` the time for which the process may have ended already.
+    nothing, and ``delay_s`` the time for which the process may have ended already, as
+    the end waited at this entry or a link held it back.
     """
     if has_same_process is None:
         return EndEvidence.LATE if delay_s > MAX_END_DELAY_S else evidence
--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -148,6 +148,8 @@
     """Set if the endpoint was cold when the request was sent."""
     observation: "AttemptObservation | None" = None  # noqa: F821
     """Set if the request was sent during a software rollout of its service."""
+    _end_check_s: float = 0.0
+    """Time that the check of the end of an unframed answer took."""
     _metadata: AnswerMetadata = field(factory=AnswerMetadata)
     _tracked_prompt: TrackedPrompt | None = None
     _started_at: float = 0.0
@@ -166,6 +168,24 @@
             return 0
         return self.relayed.relay.pool.find_span(self.connection).started_ms
 
+    @property
+    def end_times_ms(self) -> dict[str, float]:
+        """Times of an end without a length or chunks, in milliseconds.
+
+        ``delay``, ``unread`` and ``silence`` are those of ``OutboundConnection``, and
+        ``check`` is the time until its result. Empty if no such end was received.
+        """
+        connection = self.connection
+        if connection is None or not connection.end_delay_s:
+            return {}
+        seconds = {
+            "delay": connection.end_delay_s,
+            "unread": connection.end_unread_s,
+            "silence": connection.end_silence_s,
+            "check": self._end_check_s,
+        }
+        return {name: round(value * 1000, 1) for name, value in seconds.items()}
+
     @property
     def connection_age_s(self) -> float:
         """Age of the connection when the request was sent on it."""
@@ -316,6 +336,7 @@
             nursery.start_soon(
                 connection.send, request.method, request.target, headers, request.body
             )
+            self._start_standby(nursery)
             try:
                 await self._relay_answer(connection)
             except MedlarError as error:
@@ -323,6 +344,16 @@
             nursery.cancel_scope.cancel()
         return failure
 
+    def _start_standby(self, nursery: trio.Nursery) -> None:
+        """Open a standby connection if the end of the answer may have to be proven."""
+        relay = self.relayed.relay
+        announced = self.endpoint.announced
+        service = self.relayed.service
+        in_flight = relay.endpoint_stats.get_record(announced.name).in_flight
+        if relay.standbys.is_needed(service, announced, in_flight):
+            limit = relay.get_connection_limit(service, announced.name)
+            nursery.start_soon(relay.standbys.open, announced, limit)
+
     async def _relay_answer(self, connection: OutboundConnection) -> None:
         head = await connection.read_head()
         self._read_metadata(head, connection.reused)
@@ -354,6 +385,8 @@
         self._require_own_answer(metadata, reused)
         if metadata.request_id or not reused:
             relay.pool.record_answered(self.connection)
+        if not metadata.request_id:
+            self.connection.has_unnamed_answer = True
         self._metadata = metadata
         if self._metadata.load is not None:
             record.load = self._metadata.load
@@ -649,7 +682,9 @@
         """Raise ``EndpointLost`` unless an answer that has ended is complete."""
         self.end_evidence = EndEvidence.FRAMING
         if not head.framing.proves_end:
+            began_at = trio.current_time()
             self.end_evidence = await self._check_end(connection)
+            self._end_check_s = trio.current_time() - began_at
         if not self.end_evidence.is_sufficient:
             raise EndpointLost(
                 endpoint=self.endpoint.announced.name, evidence=self.end_evidence
@@ -657,6 +692,7 @@
 
     async def _check_end(self, connection: OutboundConnection) -> EndEvidence:
         """Return what shows that an unframed answer is complete, or is not."""
+        self.relayed.relay.standbys.record_unframed(self.relayed.service)
         check = EndCheck(
             self.relayed.relay,
             self.endpoint,
--- a/medlarrail/relay/ended_endpoints_test.py
+++ b/medlarrail/relay/ended_endpoints_test.py
@@ -5,6 +5,8 @@
 """
 
 import time
+from collections import Counter
+from contextlib import asynccontextmanager
 from functools import partial
 
 import pytest
@@ -23,10 +25,14 @@
     send_cut_answer,
 )
 from medlarrail.testing.builders import build_deployment, build_route
+from medlarrail.testing.fault_proxy import TO_CALLER, FaultProxy
 from medlarrail.testing.logs import collect_messages
 from medlarrail.testing.partitioned_site import start_site
 from medlarrail.testing.scripted_endpoints import (
+    HOST,
     STATUS_PATH,
+    RelayHarness,
+    Script,
     ScriptedConnection,
     ScriptedEndpoint,
     build_answer,
@@ -83,6 +89,15 @@
     await connection.send(head + request_id + b"\r\n\r\n" + body)
 
 
+async def end_after_silence(connection: ScriptedConnection, request: bytes) -> None:
+    """Send all but the last event, with the end, after a silence, as a link does that
+    has held them back."""
+    await connection.send(UNFRAMED_HEAD + EVENTS[0])
+    await trio.sleep(3 * MAX_END_DELAY_S)
+    await connection.send(EVENTS[1])
+    await connection.stream.aclose()
+
+
 async def fall_silent(connection: ScriptedConnection, request: bytes) -> None:
     await trio.sleep_forever()
 
@@ -442,6 +457,243 @@
         assert outcomes[1][0] == "gone" and outcomes[1][1] != "answered"
 
 
+SOUND_ANSWERS = 1000
+SOUND_CALLERS = 100
+MIN_SOUND_SHARE = 0.999
+"""Share of the sound answers that callers have to get whole."""
+MAX_MEDIAN_CHECK_MS = 100.0
+"""Time that a caller does not notice after the last event."""
+REPLACED_SIGHTINGS = (Sighting(1000, "", 60.0, 5.0), Sighting(2000, "", 0.0, 0.0))
+"""A process that was last heard before the end of its answer, and the next one."""
+LONG_STREAM = build_deployment(
+    routes=(build_route(kind="stream", max_attempts=1, timeout_ms=10000),)
+)
+
+
+async def start_called_endpoint(
+    nursery: trio.Nursery, script: Script, max_connections: int = 0
+) -> tuple[RelayHarness, ScriptedEndpoint]:
+    """Start a relay of streams with one endpoint that has a status path."""
+    service = ServiceRule(
+        "guide", health_path=STATUS_PATH, max_connections=max_connections
+    )
+    harness = await start_relay(nursery, evolve(LONG_STREAM, services=(service,)))
+    return harness, await harness.add(script)
+
+
+async def call_and_log(harness: RelayHarness) -> tuple[str, dict]:
+    """Return how an answer ended for the caller, and the log line of its attempt."""
+    with collect_messages("request:attempt") as attempts:
+        answer = await call(harness, build_request())
+    return answer.ending, attempts[-1]
+
+
+@asynccontextmanager
+async def hold_connection(harness: RelayHarness, endpoint: ScriptedEndpoint):
+    """Let another caller await the endpoint's answer, which never comes."""
+    async with await harness.connect() as other:
+        await other.send_all(build_request())
+        with trio.fail_after(5.0):
+            while not endpoint.requests:
+                await trio.sleep(0.005)
+        yield
+
+
+class TestEndsThatALinkHeldBack:
+    """What arrives after a silence was sent at any time since the silence began."""
+
+    async def test_next_process_proves_an_end_that_came_with_bytes(self, nursery):
+        """Those bytes seemed to show that the process before ran until then."""
+        harness, _ = await start_called_endpoint(nursery, end_after_silence)
+        harness.relay.incarnations.state.sightings["engine-1"] = REPLACED_SIGHTINGS
+        ending, attempt = await call_and_log(harness)
+        assert (ending, attempt["end_evidence"]) == ("broken", "late")
+        times_ms = attempt["end_times_ms"]
+        assert times_ms["delay"] >= 3000 * MAX_END_DELAY_S > times_ms["unread"]
+
+    async def test_open_connection_proves_an_end_that_the_link_may_hold_back_still(
+        self, nursery
+    ):
+        """Its own end is sent again later than that of the answer."""
+        script = build_script(fall_silent, end_after_silence)
+        harness, endpoint = await start_called_endpoint(nursery, script)
+        harness.relay.incarnations.state.sightings["engine-1"] = REPLACED_SIGHTINGS
+        async with hold_connection(harness, endpoint):
+            ending, attempt = await call_and_log(harness)
+        assert (ending, attempt["end_evidence"]) == ("broken", "late")
+
+    async def test_sound_stream_is_cut_at_an_endpoint_without_a_free_slot(
+        self, nursery
+    ):
+        """It would have closed the other connection long before the check ends."""
+        script = build_script(fall_silent, end_after_silence)
+        harness, endpoint = await start_called_endpoint(nursery, script)
+        endpoint.status_script = fall_silent
+        async with hold_connection(harness, endpoint):
+            ending, attempt = await call_and_log(harness)
+        assert (ending, attempt["end_evidence"]) == ("closed", "connected")
+
+    async def test_announcement_is_awaited_though_the_next_process_is_listed(
+        self, nursery
+    ):
+        """Callers waited for a second for one that could not come."""
+
+        async def end_and_register(connection, request):
+            await connection.send(UNFRAMED_HEAD + EVENTS[0])
+            await trio.sleep(3 * MAX_END_DELAY_S)
+            listed = harness.relay.cluster_view.endpoints["engine-1"].announced
+            harness.register(evolve(listed, started_ms=listed.started_ms + 1))
+            await connection.stream.aclose()
+
+        harness, _ = await start_called_endpoint(nursery, end_and_register)
+        ending, attempt = await call_and_log(harness)
+        assert (ending, attempt["end_evidence"]) == ("broken", "late")
+        assert not harness.relay.incarnations.state.requests
+
+
+class TestStandbyConnections:
+    """From the second answer that ends with its connection on, there is another one."""
+
+    async def start(
+        self, nursery, script, max_connections: int = 0
+    ) -> tuple[RelayHarness, ScriptedEndpoint]:
+        """Start a relay that has received an answer without a length or chunks."""
+        harness, endpoint = await start_called_endpoint(
+            nursery, build_script(send_unframed, script), max_connections
+        )
+        await call(harness, build_request())
+        harness.relay.pool.close_address(f"{HOST}:{endpoint.port}")
+        harness.relay.incarnations.state.requests.clear()
+        return harness, endpoint
+
+    async def test_sound_answer_waits_for_an_announcement(self, nursery):
+        """Any end after a silence waited for up to a second."""
+        harness, endpoint = await self.start(nursery, end_after_silence)
+        ending, attempt = await call_and_log(harness)
+        assert (ending, attempt["end_evidence"]) == ("closed", "answered")
+        assert attempt["end_times_ms"]["delay"] > 1000 * MAX_END_DELAY_S
+        assert not harness.relay.incarnations.state.requests
+        assert endpoint.connections == 4
+
+    async def test_answers_that_end_together_share_a_connection(self, nursery):
+        """Only one of them had evidence."""
+        count = 3
+        harness, _ = await self.start(nursery, end_after_silence)
+        evidence = []
+
+        async def call_once():
+            evidence.append((await call_and_log(harness))[1]["end_evidence"])
+
+        async with trio.open_nursery() as callers:
+            for _ in range(count):
+                callers.start_soon(call_once)
+        assert evidence == ["answered"] * count
+
+    @pytest.mark.parametrize("calls", [1, 2])
+    async def test_next_process_proves_the_end(self, nursery, calls):
+        """The link held the ends of both connections back, with the last bytes."""
+
+        async def send_until_killed(connection, request):
+            await connection.send(UNFRAMED_HEAD + EVENTS[0])
+            await has_stalled.wait()
+            await connection.send(EVENTS[1])
+            await trio.sleep_forever()
+
+        async def replace_behind_stall():
+            while len(endpoint.requests) < calls:
+                await trio.sleep(0.005)
+            await trio.sleep(0.02)
+            link.stall((TO_CALLER,))
+            has_stalled.set()
+            await trio.sleep(0.02)
+            endpoint.stop()
+            await nursery.start(next_endpoint.run)
+            await trio.sleep(3 * MAX_END_DELAY_S)
+            link.resume()
+
+        has_stalled = trio.Event()
+        script = build_script(*[send_unframed] * (calls - 1), send_until_killed)
+        harness, endpoint = await start_called_endpoint(nursery, script)
+        harness.relay.incarnations.state.sightings["engine-1"] = REPLACED_SIGHTINGS
+        next_endpoint = ScriptedEndpoint("engine-1", send_unframed, endpoint.port)
+        link = FaultProxy(HOST, 0, endpoint.port)
+        (listener,) = await nursery.start(link.run)
+        port = listener.socket.getsockname()[1]
+        announced = harness.relay.cluster_view.endpoints["engine-1"].announced
+        harness.register(evolve(announced, address=f"{HOST}:{port}"))
+        nursery.start_soon(replace_behind_stall)
+        for _ in range(calls):
+            ending, attempt = await call_and_log(harness)
+        assert ending == "broken"
+        assert attempt["end_evidence"] in ("late", "replaced")
+        assert next_endpoint.status_requests
+
+    async def test_reply_that_names_a_request_proves_the_end(self, nursery):
+        """It is a late copy of an answer, as a call names no request."""
+
+        async def send_copy(connection, request):
+            await connection.send(build_answer(build_request()))
+            await connection.stream.aclose()
+
+        harness, endpoint = await self.start(nursery, end_after_silence)
+        endpoint.status_script = build_script(send_copy, fall_silent)
+        ending, attempt = await call_and_log(harness)
+        assert (ending, attempt["end_evidence"]) == ("broken", "silent")
+
+    async def test_endpoint_that_closes_unused_connections_cuts_a_sound_stream(
+        self, nursery
+    ):
+        """An endpoint may close a connection without a request after any time."""
+
+        async def close_others(connection, request):
+            await connection.send(UNFRAMED_HEAD + EVENTS[0])
+            await trio.sleep(3 * MAX_END_DELAY_S)
+            for idle in harness.relay.pool.idle[address]:
+                idle.stream.socket.shutdown(trio.socket.SHUT_RD)
+            await connection.stream.aclose()
+
+        harness, endpoint = await self.start(nursery, close_others)
+        address = f"{HOST}:{endpoint.port}"
+        ending, attempt = await call_and_log(harness)
+        assert (ending, attempt["end_evidence"]) == ("closed", "announced")
+
+    async def test_sound_answers_are_cut_or_wait(self, nursery):
+        """An endpoint that announces itself each second, and pauses in its answers."""
+
+        async def send_with_pauses(connection, request):
+            number = len(endpoint.requests)
+            await connection.send(UNFRAMED_HEAD + EVENTS[0])
+            for event in EVENTS[1:]:
+                await trio.sleep(0.05 + number % 4 / 10)
+                await connection.send(event)
+            await connection.stream.aclose()
+
+        harness, endpoint = await self.start(nursery, send_with_pauses)
+        harness.relay.incarnations.state.interval_s = 1.0
+        endings = Counter()
+
+        async def call_steadily():
+            for _ in range(SOUND_ANSWERS // SOUND_CALLERS):
+                endings[(await call(harness, build_request())).ending] += 1
+
+        with collect_messages("request:attempt") as attempts:
+            async with trio.open_nursery() as callers:
+                for _ in range(SOUND_CALLERS):
+                    callers.start_soon(call_steadily)
+        assert endings.total() == SOUND_ANSWERS
+        assert endings["closed"] >= MIN_SOUND_SHARE * SOUND_ANSWERS
+        checks_ms = sorted(one["end_times_ms"]["check"] for one in attempts)
+        assert checks_ms[SOUND_ANSWERS // 2] < MAX_MEDIAN_CHECK_MS
+
+    async def test_standby_connections_take_the_place_of_requests(self, nursery):
+        """They are opened within the limit, and closed first."""
+        harness, endpoint = await self.start(nursery, end_after_silence, 2)
+        service = harness.relay.table.deployment.services[0]
+        assert harness.relay.get_connection_limit(service, "engine-1") == 1
+        ending, _ = await call_and_log(harness)
+        assert ending == "closed" and len(endpoint.requests) == 2
+
+
 class TestForwardedAnswers:
     async def receive(self, nursery, path: str, script) -> ReceivedAnswer:
         """Return what a caller gets through two gateways."""
--- a/medlarrail/relay/endpoint_status.py
+++ b/medlarrail/relay/endpoint_status.py
@@ -37,11 +37,15 @@
     dispatch = DispatchMetadata(announced, STATUS_DEADLINE_MS)
     headers = codec.write_request((host,), dispatch)
     await connection.send(b"GET", path.encode(), headers, b"")
+    connection.has_unnamed_answer = True
     head = await connection.read_head()
     body = await _read_body(connection)
     metadata = codec.read_answer(head.status, head.headers)
     reply = EndpointReply(
-        metadata.misdirected, metadata.endpoint, codec.read_started_ms(body)
+        metadata.misdirected,
+        metadata.endpoint,
+        codec.read_started_ms(body),
+        metadata.request_id,
     )
     return EndpointStatus(reply, metadata.keep_alive_s)
 
--- a/medlarrail/relay/forwarding.py
+++ b/medlarrail/relay/forwarding.py
@@ -305,6 +305,9 @@
     def _record_stream_begun(self) -> None:
         """The other entry knows the endpoint, and records it."""
 
+    def _start_standby(self, nursery: trio.Nursery) -> None:
+        """The other entry proves the end of its answer."""
+
     async def _check_end(self, connection: OutboundConnection) -> EndEvidence:
         """Entries pass on complete answers in a framing that proves the end.
 
--- a/medlarrail/relay/outbound.py
+++ b/medlarrail/relay/outbound.py
@@ -110,13 +110,22 @@
     answer_ended: bool = False
     """Whether the answer was received completely."""
     end_delay_s: float = 0.0
-    """Upper limit of the time from the latest bytes to the end, and of the time that
-    these or the end waited here. A link may hold the end back for as long."""
+    """Upper limit of the time for which the end waited here or was held back by a
+    link, together with the bytes before it."""
+    end_unread_s: float = 0.0
+    """Upper limit of the time for which the end waited here."""
+    end_silence_s: float = 0.0
+    """Upper limit of the time between the latest bytes and the end."""
+    has_unnamed_answer: bool = False
+    """Whether an answer named no request: a late copy of it is not recognized."""
     loop_watch: LoopWatch = field(factory=LoopWatch)
     _received_bytes: int = 0
     """Bytes received since the request was sent."""
     seen_open_at: float = 0.0
-    """Latest time at which nothing waited to be received, not even an end."""
+    """Latest time at which nothing waited to be received, not even an end. A link may
+    have held something back."""
+    _arrived_at: float = 0.0
+    """Time before which the latest bytes had not arrived here."""
     _seen_running_at: float = 0.0
     """Latest time after which bytes arrived that no link had held back."""
     _release_ends_at: float = 0.0
@@ -126,8 +135,11 @@
     def start_next_request(self) -> None:
         """Prepare for another request after one whose answer was complete.
 
-        The answer may be read before ``send`` has begun, by another task.
+        The answer may be read before ``send`` has begun, by another task. Nothing is to
+        be done on a connection that was not used yet.
         """
+        if not self.request_sent:
+            return
         self.protocol.start_next_cycle()
         self.reused = True
         self._received_bytes = 0
@@ -139,8 +151,9 @@
         self.request_sent = self.answer_ended = self.is_broken = False
         self._method = method
         self._received_bytes = 0
-        self.sent_at = self.seen_open_at = self._seen_running_at = trio.current_time()
-        self._release_ends_at = 0.0
+        self.sent_at = self.seen_open_at = trio.current_time()
+        self._arrived_at = self._seen_running_at = self.sent_at
+        self._release_ends_at = self.end_delay_s = 0.0
         if body or method not in (b"GET", b"HEAD", b"DELETE"):
             headers = [*headers, (b"Content-Length", str(len(body)).encode())]
         request = h11.Request(method=method, target=target, headers=headers)
@@ -213,16 +226,30 @@
         now = trio.current_time()
         if waits:
             self.seen_open_at = max(called_at, self.loop_watch.awake_at)
-        if not data:
+        if data:
+            self._record_arrival(now)
+        else:
             self.end_delay_s = now - self._seen_running_at
-        elif waits and now >= self._release_ends_at:
-            self._seen_running_at = self.seen_open_at
-            if now - self.seen_open_at > MAX_END_DELAY_S:
-                self._release_ends_at = now + RELEASE_S
+            self.end_unread_s = now - self.seen_open_at
+            self.end_silence_s = now - self._arrived_at
         self._received_bytes += len(data)
         self._turn_began_at = now
         self.protocol.receive_data(data)
 
+    def _record_arrival(self, now: float) -> None:
+        """Record when the peer was last seen to run, after bytes were received.
+
+        That nothing waited here shows when the bytes arrived, and not when they were
+        sent: a link may have held them back for as long as nothing had arrived, and
+        passes on what it held in several parts.
+        """
+        silence_s = now - self._arrived_at
+        self._arrived_at = self.seen_open_at
+        if silence_s > MAX_END_DELAY_S:
+            self._release_ends_at = now + RELEASE_S
+        elif now >= self._release_ends_at:
+            self._seen_running_at = self._arrived_at
+
     def check_broken(self) -> bool:
         """Return whether the connection broke; a reset may follow a regular end."""
         sock = self.stream.socket
@@ -241,6 +268,14 @@
             return True
         return not any(pending)
 
+    def was_open_at(self, time_s: float) -> bool:
+        """Return whether the peer is the process that had the address at a time.
+
+        The connection was open then, or opened so soon after that the next process
+        could not have the address yet.
+        """
+        return self.opened_at <= time_s + MAX_END_DELAY_S
+
     def is_reusable(self) -> bool:
         """Return whether another request can be sent on this connection."""
         states = (self.protocol.our_state, self.protocol.their_state)
@@ -308,9 +343,12 @@
         return connection
 
     def _take_idle(self, address: str) -> OutboundConnection | None:
-        """Return an idle connection that can be used, None if there is none."""
+        """Return an idle connection that can be used, None if there is none.
+
+        Those that were not used yet come first, and are left as standby connections.
+        """
         idle = self.idle.get(address)
-        while idle:
+        while idle and idle[-1].request_sent:
             connection = idle.pop()
             if connection.is_alive():
                 connection.start_next_request()
@@ -318,6 +356,36 @@
             self._discard_idle(connection)
         return None
 
+    async def open_standby(self, address: str, limit: int) -> None:
+        """Open a connection and keep it idle; nothing is closed to make room for it.
+
+        Raises ``EndpointUnreachable``.
+        """
+        if self.count_open(address) < limit:
+            connection = await self._open(address)
+            connection.idle_until = trio.current_time() + MAX_IDLE_S
+            self.idle.setdefault(address, deque()).appendleft(connection)
+
+    def count_standbys(self, address: str) -> int:
+        """Return the number of idle connections that ``take_standby`` may return."""
+        idle = self.idle.get(address, ())
+        return sum(other.is_alive() and not other.has_unnamed_answer for other in idle)
+
+    def take_standby(self, answered: OutboundConnection) -> OutboundConnection | None:
+        """Return an idle connection to the process that sent an answer, None without.
+
+        All of its answers named their requests, so one that does not is no late copy of
+        them.
+        """
+        idle = self.idle.get(answered.address, deque())
+        for connection in idle:
+            is_sound = connection.is_alive() and not connection.has_unnamed_answer
+            if is_sound and connection.was_open_at(answered.sent_at):
+                idle.remove(connection)
+                connection.start_next_request()
+                return connection
+        return None
+
     def _discard_closed(self, address: str) -> None:
         """Close the idle connections that the endpoint has closed.
 
@@ -364,20 +432,29 @@
     def has_same_process(self, connection: OutboundConnection) -> bool | None:
         """Return whether the process that received the current request still runs.
 
-        Only one process has the address at a time. Connections that were opened before
-        the request was sent, and are open still, show that it is the same one. Returns
+        Only one process has the address at a time. Connections that were open when the
+        request was sent, and are open still, show that it is the same one. Returns
         False if the endpoint has closed such connections, and None without any. Those
-        that it closed well before the end of this one had been idle for too long.
+        that it closed well before the end of this one had been idle for too long, and
+        one that was not used may be closed at any time.
+
+        A link that held the end of this one back may still hold those of the others.
         """
         address = connection.address
+        before_end_at = max(connection.sent_at, connection.seen_open_at)
         others = [
             other
             for other in self._opened.get(address, ())
-            if other is not connection and other.opened_at < connection.sent_at
+            if other is not connection
+            and other.opened_at < before_end_at
+            and other.was_open_at(connection.sent_at)
         ]
         if any(other.is_quiet() for other in others):
             return True
-        has_closed = any(other in self.idle.get(address, ()) for other in others)
+        has_closed = any(
+            other.request_sent and other in self.idle.get(address, ())
+            for other in others
+        )
         closed_at = self._idle_closed_at.get(address, float("-inf"))
         # A process that ends closes all of its connections at once.
         ended_after = max(
@@ -451,7 +528,7 @@
 
     def _discard_idle(self, connection: OutboundConnection) -> None:
         """Close an idle connection, which the endpoint may have closed."""
-        if not connection.is_quiet():
+        if connection.request_sent and not connection.is_quiet():
             self._idle_closed_at[connection.address] = trio.current_time()
             self.record_broken(connection.address)
         self.discard(connection)
@@ -466,8 +543,9 @@
     def close_expired(self) -> None:
         """Close idle connections that have expired or become readable."""
         for address, idle in list(self.idle.items()):
-            while idle and not idle[0].is_alive():
-                self._discard_idle(idle.popleft())
+            for connection in [one for one in idle if not one.is_alive()]:
+                idle.remove(connection)
+                self._discard_idle(connection)
             if not idle:
                 del self.idle[address]
         now = trio.current_time()
--- a/medlarrail/relay/outbound_test.py
+++ b/medlarrail/relay/outbound_test.py
@@ -8,6 +8,7 @@
 import trio.testing
 
 from medlarrail.core.errors import StreamBroken
+from medlarrail.policy.answer_end import MAX_END_DELAY_S
 from medlarrail.relay.outbound import OutboundConnection, OutboundPool
 from medlarrail.testing.scripted_endpoints import HOST, ScriptedEndpoint, answer_ok
 
@@ -85,6 +86,64 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_bytes_behind_a_silence_count_as_sent_when_they_arrive(nursery):
+    """A loop that ran all the while showed that nothing waited here, and was taken for
+    a sign that no link had held the bytes and the end back."""
+
+    async def send_and_end(connection, request) -> None:
+        await connection.send(UNFRAMED)
+        await trio.sleep(HELD_BACK_S)
+        await connection.send(b"part")
+        connection.endpoint.stop()
+
+    endpoint = ScriptedEndpoint("engine-1", send_and_end)
+    await nursery.start(endpoint.run)
+    pool = OutboundPool()
+    nursery.start_soon(pool.loop_watch.run)
+    connection = await pool.acquire(f"{HOST}:{endpoint.port}", new_connection=True)
+    await connection.send(b"GET", b"/", [(b"Host", b"guide")], b"")
+    await read_body(connection, bytearray())
+    assert connection.end_delay_s > HELD_BACK_S > connection.end_unread_s
+    nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    "change, is_found",
+    [("", True), ("status", False), ("late", False), ("expired", False)],
+)
+async def test_standby_connection_may_be_of_another_process(nursery, change, is_found):
+    """It was opened after the request, or a late copy of an answer may arrive on it."""
+    endpoint = ScriptedEndpoint("engine-1", answer_ok)
+    await nursery.start(endpoint.run)
+    pool = OutboundPool()
+    address = f"{HOST}:{endpoint.port}"
+    answered = await pool.acquire(address, new_connection=True)
+    await pool.open_standby(address, limit=2)
+    (standby,) = pool.idle[address]
+    await call(answered)
+    if change == "status":
+        standby.has_unnamed_answer = True
+    if change == "late":
+        standby.opened_at = answered.sent_at + 2 * MAX_END_DELAY_S
+    if change == "expired":
+        standby.idle_until = trio.current_time()
+    assert pool.take_standby(answered) is (standby if is_found else None)
+    assert (standby not in pool.idle[address]) == is_found
+
+
+async def test_standby_connection_displaces_another(nursery):
+    endpoint = ScriptedEndpoint("engine-1", answer_ok)
+    await nursery.start(endpoint.run)
+    pool = OutboundPool()
+    address = f"{HOST}:{endpoint.port}"
+    await pool.acquire(address, new_connection=True)
+    await pool.open_standby(address, limit=1)
+    assert address not in pool.idle
+    await pool.open_standby(address, limit=2)
+    await pool.acquire(address, new_connection=True, limit=2)
+    assert pool.count_open(address) == 2 and not pool.idle[address]
+
+
 async def test_end_that_waited_counts_as_noticed_at_once_in_a_busy_process(nursery):
     """After a suspension, many tasks run before the end of a connection is received."""
 
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -488,6 +488,7 @@
             first_event=describe_id(events.first_id) if events else "",
             last_event=describe_id(events.last_id) if events else "",
             end_evidence=attempt.end_evidence,
+            end_times_ms=attempt.end_times_ms,
             outcome=outcome,
             first_ms=round(attempt.first_byte_s * 1000, 1),
             total_ms=round((trio.current_time() - request.received_at) * 1000, 1),
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -48,6 +48,7 @@
 from medlarrail.relay.relayed_request import RelayedRequest
 from medlarrail.relay.room_queue import RoomQueue
 from medlarrail.relay.shutdown import Shutdown
+from medlarrail.relay.standby import StandbyConnections
 from medlarrail.relay.startup_hold import DEFAULT_LEFT_S, StartupHold
 from medlarrail.relay.stream_origins import StreamOriginDirectory
 from medlarrail.relay.stream_version import tell_running_streams
@@ -111,6 +112,7 @@
     blocked_prompts: BlockedPrompts = field(init=False)
     suspected_requests: SuspectedRequests = field(init=False)
     limits: LimitReporter = field(init=False)
+    standbys: StandbyConnections = field(init=False)
     forwarder: Forwarder = field(init=False)
     origins: StreamOriginDirectory = field(init=False)
     speeds: ServiceSpeeds = field(init=False)
@@ -125,6 +127,7 @@
         self.blocked_prompts = BlockedPrompts(self.cluster_view, entry)
         self.suspected_requests = SuspectedRequests(self.cluster_view, entry)
         self.limits = LimitReporter(entry, self.cluster_view.clock)
+        self.standbys = StandbyConnections(self.pool, self.header_codec)
         self.forwarder = Forwarder(
             self.cluster_view,
             entry,
--- a/medlarrail/testing/scripted_endpoints.py
+++ b/medlarrail/testing/scripted_endpoints.py
@@ -194,12 +194,14 @@
 
 @define(eq=False, slots=False)
 class AnnouncingEndpoints:
-    """Stands for the leading member: listed endpoints announce themselves steadily.
+    """Stands for the leading member: listed endpoints announce themselves steadily, or
+    each ``interval_s`` seconds.
 
     ``sightings`` has what is told of an endpoint in place of that.
     """
 
     cluster_view: ClusterView
+    interval_s: float = 0.0
     sightings: dict[str, tuple[Sighting, ...]] = field(factory=dict)
     requests: list[SightingsRequest] = field(factory=list)
 
@@ -210,10 +212,23 @@
         if message.endpoint in self.sightings:
             return answer_type(self.sightings[message.endpoint])
         announced = self.cluster_view.endpoints[message.endpoint].announced
-        last_age_s = LONG_AGO_S if announced.address in _ended_addresses else 0.0
+        last_age_s = await self._await_announcement(message)
+        if announced.address in _ended_addresses:
+            last_age_s = LONG_AGO_S
         incarnation = (announced.started_ms, announced.software_version)
         return answer_type((Sighting(*incarnation, LONG_AGO_S, last_age_s),))
 
+    async def _await_announcement(self, message: SightingsRequest) -> float:
+        """Hold a question as the member does; return the age of the announcement."""
+        if not self.interval_s:
+            return 0.0
+        age_s = trio.current_time() % self.interval_s
+        next_s = self.interval_s - age_s
+        if age_s <= message.max_age_s:
+            return age_s
+        await trio.sleep(min(next_s, message.wait_s))
+        return -next_s if next_s <= message.wait_s else age_s
+
 
 @define(eq=False)
 class RelayHarness:
