Tell gateways of departures that an earlier leader acknowledged

Cause: the mark of the departure is in the log, and was used against late announcements only. Gateways are told of what the registry of one leader removed, which is empty in a new term, and they keep what an unsettled leader does not list, for 4 s after its election. The promise counts from 3 s after they are in touch. Ruled out: that the new leader does not know of the departure, and that a late announcement brings the endpoint back (docs/incidents/departures-hidden-by-a-change.md).

Change: a whole answer of a leader that is not settled has the marks of the log, which followers keep and pass on. Gateways drop endpoints that are gone, and those of which a later incarnation leaves, and send nothing new to those that leave; the order is that of announcements, so that an incarnation that started later stays. A mark takes 78 bytes as JSON, and there is one for each endpoint that left in the last minute. docs/design/leader-changes.md lists what else a new term clears. The soak suspends a gateway over a departure and a loss of the leader, and checks that no run begins over 2 s after a departure at a process in touch.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -3,19 +3,20 @@
 The view is updated by consecutive long polls to the leading state member, or to a
 follower that has a copy of its state. It never reverts within the lifetime of the
 process: a document of a lower version is ignored, and endpoints and entries that an
-unsettled leader does not list are retained.
+unsettled leader does not list are retained, unless their departure is in its log.
 """
 
 from collections.abc import Callable
 
 import eliot
 import trio
-from attrs import Factory, define, field
+from attrs import Factory, define, evolve, field
 
 from medlarrail.cluster.member_choice import MemberChoice
 from medlarrail.cluster.state_client import StateClient
 from medlarrail.core.announcements import (
     Announcement,
+    EndpointMark,
     RegisteredEndpoint,
     RegisteredEntry,
 )
@@ -135,6 +136,8 @@
         for registered in answer.endpoints:
             self._apply_endpoint(registered, answer.settled)
             self._listed_limits[registered.announced.name] = registered.limit_per_s
+        for mark in answer.marks or ():
+            self._apply_mark(mark)
         if answer.entries is not None:
             self._listed_entries = answer.entries
         is_list_complete = answer.settled and self._is_list_open
@@ -250,6 +253,30 @@
         self._apply_limit(endpoint, previous, registered.limit_per_s, settled)
         self.endpoints[announced.name] = endpoint
 
+    def _apply_mark(self, mark: EndpointMark) -> None:
+        """Apply what was acknowledged to an endpoint, perhaps by an earlier leader.
+
+        A later incarnation, and one that became ready again, are not meant.
+        """
+        endpoint = self.endpoints.get(mark.name)
+        if endpoint is None or not mark.is_outdated(endpoint.announced):
+            return
+        announced = endpoint.announced
+        if mark.gone or announced.started_ms < mark.started_ms:
+            del self.endpoints[mark.name]
+        else:
+            endpoint.announced = evolve(
+                announced, state="leaving", sequence=mark.sequence
+            )
+        get_metrics().count("endpoints_marked", gone=str(mark.gone))
+        eliot.log_message(
+            "endpoint:marked",
+            endpoint=mark.name,
+            started_ms=mark.started_ms,
+            sequence=mark.sequence,
+            gone=mark.gone,
+        )
+
     def _apply_limit(
         self,
         endpoint: EndpointView,
--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -469,6 +469,8 @@
         configured = whole or message.configuration_seen != self.configuration_index
         publication = self._publication
         suspected = whole or message.suspects_seen != publication.suspects_revision
+        settled = self.is_settled()
+        marks = None if settled or not whole else self.endpoint_marks.list_marks()
         listed_endpoints, hidden = split_hidden(
             self.registry.iterate_changed(since),
             catalogue.software_rollouts,
@@ -477,13 +479,14 @@
         get_metrics().count("views_sent", whole=str(whole))
         return ClusterViewAnswer(
             epoch=self._get_epoch(),
-            settled=self.is_settled(),
+            settled=settled,
             whole=whole,
             endpoints_revision=self.registry.revision,
             entries_revision=self.entries_revision,
             configuration_index=self.configuration_index,
             endpoints=listed_endpoints,
             departed=(*self.registry.iterate_departed(since), *hidden),
+            marks=marks,
             entries=self._list_entries() if listed else None,
             entry_count=max(1, len(self.entries)),
             deployment=document if newer else None,
--- a/medlarrail/cluster/endpoint_marks.py
+++ b/medlarrail/cluster/endpoint_marks.py
@@ -1,8 +1,9 @@
 """Keeps what was acknowledged to endpoints that leave, on the leading state member.
 
 An acknowledgement promises that an endpoint that left, or is leaving, gets no further
-requests. The promise is in the replicated log before it is given, so that a later
-leader recognises announcements that were sent earlier and arrive late.
+requests. The promise is in the replicated log before it is given. A later leader then
+recognises announcements that were sent earlier and arrive late, and tells the entries
+that may have missed the departure, as long as it has not heard of all endpoints.
 """
 
 import eliot
@@ -33,6 +34,10 @@
         """Return the mark of an endpoint."""
         return self.view_server.member.catalogue.endpoint_marks.get(name)
 
+    def list_marks(self) -> tuple[EndpointMark, ...]:
+        """Return the marks of all endpoints, also those of earlier leaders."""
+        return tuple(self.view_server.member.catalogue.endpoint_marks.values())
+
     def is_outdated(self, announced: Announcement) -> bool:
         """Return whether an announcement was sent before the endpoint's mark."""
         mark = self.find(announced.name)
@@ -86,7 +91,7 @@
     async def remove_expired(self) -> None:
         """Remove the marks that no late message can need any more."""
         now = self.view_server.clock()
-        marks = set(self.view_server.member.catalogue.endpoint_marks.values())
+        marks = set(self.list_marks())
         for mark in self._seen_at.keys() - marks:
             del self._seen_at[mark]
         for mark in marks:
--- a/medlarrail/cluster/endpoint_marks_test.py
+++ b/medlarrail/cluster/endpoint_marks_test.py
@@ -1,13 +1,22 @@
 """Tests of what an acknowledgement told an endpoint that leaves."""
 
+import orjson
 import pytest
 import trio
 
+from medlarrail.cluster.cluster_view_server import SETTLE_S
 from medlarrail.cluster.registry import DEPARTED_RETENTION_S
+from medlarrail.core.announcements import EndpointMark
 from medlarrail.core.codec import decode, encode, from_plain, to_plain
 from medlarrail.core.errors import MedlarError
+from medlarrail.policy.notification import MAX_POLL_WAIT_S
+from medlarrail.protocol.cluster_view import (
+    CLUSTER_VIEW_PATH,
+    ClusterViewAnswer,
+    ClusterViewRequest,
+)
 from medlarrail.state.catalogue import Catalogue, CatalogueImage
-from medlarrail.state.operations import LogEntry
+from medlarrail.state.operations import Envelope, LogEntry, NoOperation
 from medlarrail.testing.builders import build_announcement
 from medlarrail.testing.cluster import Cluster
 from medlarrail.testing.view_members import ViewMembers
@@ -141,3 +150,96 @@
         restored = Catalogue.from_image(image)
         assert set(restored.endpoint_marks) == {"engine-1"}
         assert restored.endpoint_marks == catalogue.endpoint_marks
+
+
+ENTRY = "entry-1"
+REPLACED = 1000
+"""Endpoints that are replaced in one release."""
+MAX_MARK_BYTES = 150
+"""Encoded size of a mark: less than half that of a listed endpoint."""
+
+
+class TestEntriesThatMissedADeparture:
+    """An entry that was suspended or cut off while an endpoint left, and the leader
+    that had acknowledged it was replaced."""
+
+    async def miss(self, members, *changes):
+        """Return the view of an entry that was cut off during ``changes``."""
+        view = members.start_entry(ENTRY).cluster_view
+        await members.announce(sequence=4)
+        await trio.sleep(SETTLE_S + 1)
+        assert view.endpoints["engine-1"].announced.state == "ready"
+        members.cluster.network.isolate(f"mem://{ENTRY}")
+        await trio.sleep(MAX_POLL_WAIT_S)
+        for change in changes:
+            await change()
+        members.cluster.network.clear_cuts()
+        while view.get_age_s() > MAX_POLL_WAIT_S:
+            await trio.sleep(0.05)
+        assert not (await members.get_leader()).is_settled()
+        return view
+
+    @pytest.mark.parametrize("change", ["replace_leader", "restart_all"])
+    async def test_endpoint_that_is_gone_is_used(self, change, members, autojump_clock):
+        """The new leader had not heard of all endpoints yet, so the entry kept it."""
+
+        async def leave():
+            await depart(members)
+
+        view = await self.miss(members, leave, getattr(members, change))
+        assert not view.endpoints
+
+    async def test_endpoint_that_is_leaving_is_used(self, members, autojump_clock):
+        async def leave():
+            await members.announce(sequence=5, state="leaving")
+
+        view = await self.miss(members, leave, members.replace_leader)
+        assert view.endpoints["engine-1"].announced.state == "leaving"
+
+    async def test_endpoint_that_started_again_is_dropped(
+        self, members, autojump_clock
+    ):
+        async def start_again():
+            await depart(members)
+            await members.replace_leader()
+            await members.announce(started_ms=2000, sequence=1)
+
+        view = await self.miss(members, start_again)
+        assert view.endpoints["engine-1"].announced.started_ms == 2000
+
+    async def test_endpoint_that_became_ready_again_is_left_out(
+        self, members, autojump_clock
+    ):
+        async def stay():
+            await members.announce(sequence=5, state="leaving")
+            await members.announce(sequence=6)
+            await members.replace_leader()
+            await members.announce(sequence=7)
+
+        view = await self.miss(members, stay)
+        assert view.endpoints["engine-1"].announced.state == "ready"
+
+    async def test_marks_of_a_release_fill_the_first_answers(
+        self, members, autojump_clock
+    ):
+        """Each replaced endpoint has one mark, and a settled leader sends none."""
+        marks = tuple(
+            EndpointMark(f"engine-{number:08x}", 1796677508282, gone=True)
+            for number in range(REPLACED)
+        )
+        leader = await members.get_leader()
+        await leader.member.propose(Envelope(NoOperation(marks=marks)))
+        await members.replace_leader()
+        leader = await members.get_leader()
+        peers = members.cluster.network.connect("mem://probe")
+        request = ClusterViewRequest("probe", "probe:80", "leith", ready=False)
+        sent = []
+        for _ in range(2):
+            answer = await peers.call(
+                leader.member.url, CLUSTER_VIEW_PATH, request, ClusterViewAnswer, 5.0
+            )
+            sent.append(answer.marks)
+            await trio.sleep(SETTLE_S + 1)
+        assert set(sent[0]) == set(marks) and sent[1] is None
+        plain = [to_plain(mark) for mark in marks]
+        assert len(orjson.dumps(plain)) <= REPLACED * MAX_MARK_BYTES
--- a/medlarrail/cluster/view_copy.py
+++ b/medlarrail/cluster/view_copy.py
@@ -234,6 +234,7 @@
             whole=whole,
             endpoints=listed_endpoints,
             departed=(*departed, *hidden),
+            marks=answer.marks if whole else None,
             entries=answer.entries if listed else None,
             deployment=document if newer else None,
             suspects=answer.suspects if suspected else None,
@@ -424,6 +425,7 @@
     unchanged = {
         name: getattr(previous, name)
         for name in (
+            "marks",
             "entries",
             "deployment",
             "suspects",
--- a/medlarrail/cluster/view_copy_test.py
+++ b/medlarrail/cluster/view_copy_test.py
@@ -243,6 +243,25 @@
         )
         assert "engine-1" in answer.departed
 
+    async def test_entry_of_a_follower_keeps_an_endpoint_that_left_before_a_change(
+        self, fleet, autojump_clock
+    ):
+        """The entries were cut off while it left and the leader was replaced."""
+        leader = await fleet.get_leader()
+        await leader.register_announcement(build_announcement())
+        await trio.sleep(MAX_CHANGE_S)
+        for name in fleet.clients:
+            fleet.cluster.network.isolate(f"mem://{name}")
+        await leader.register_departure("engine-1")
+        fleet.cluster.kill(leader.member.name)
+        leader = await fleet.get_leader()
+        fleet.cluster.network.clear_cuts()
+        await trio.sleep(MAX_CHANGE_S)
+        assert not leader.is_settled()
+        assert fleet.find_follower().view_copy.answer.epoch == leader._get_epoch()
+        for client in fleet.clients.values():
+            assert not client.cluster_view.endpoints
+
     async def test_partitioned_follower_answers_with_an_old_document(
         self, fleet, autojump_clock
     ):
--- a/medlarrail/platform/soak/__main__.py
+++ b/medlarrail/platform/soak/__main__.py
@@ -22,6 +22,7 @@
 
 from medlarrail.platform.soak import (  # noqa: F401
     control_faults,
+    departure_faults,
     endpoint_faults,
     link_faults,
     version_faults,
@@ -31,9 +32,11 @@
     Counts,
     Violation,
     check_call,
+    check_departures,
     check_runs,
     count_calls,
     name_early_closes,
+    read_carriers,
     read_records,
 )
 from medlarrail.platform.soak.engine import HEARTBEAT_S
@@ -109,6 +112,9 @@
         self.violations = name_early_closes(self.violations, runs)
         for violation in check_runs(self.calls, runs):
             self.record(violation)
+        carriers = read_carriers(self.site.folder)
+        for violation in check_departures(self.site, self.calls, records, carriers):
+            self.record(violation)
         all_runs = [run for own in runs.values() for run in own]
         for rollout in self.rollouts:
             for violation in rollout.check(all_runs):
@@ -148,7 +154,11 @@
 
     def resume_processes(self) -> None:
         """Resume processes and links that the end of the faults left as they were."""
-        for program in (*self.site.gateways, *self.site.engines):
+        for program in (
+            *self.site.states,
+            *self.site.gateways,
+            *self.site.engines,
+        ):
             if program.process.poll() is None:
                 program.process.send_signal(signal.SIGCONT)
         for engine in (*self.site.engines, *self.site.ended_engines):
--- a/medlarrail/platform/soak/check.py
+++ b/medlarrail/platform/soak/check.py
@@ -6,6 +6,7 @@
 """
 
 from collections import Counter, defaultdict
+from collections.abc import Iterator
 from pathlib import Path
 
 import orjson
@@ -17,6 +18,11 @@
 from medlarrail.platform.soak.site import ROUTES, Site
 
 EARLY_CLOSE = "early end after an early close"
+CONTACT_S = 3.0
+"""Time after which processes that reach each other know what was acknowledged."""
+DRAIN_LIMIT_S = 2.0
+"""Time after the acknowledgement of its departure up to which an endpoint may get
+requests."""
 
 
 @frozen
@@ -59,6 +65,8 @@
     """Runs in the order of their begin, by request ID."""
     announcements: dict[str, float] = field(factory=dict)
     """When the first heartbeat of each endpoint was acknowledged, by record."""
+    departures: dict[str, float] = field(factory=dict)
+    """When it was acknowledged that an endpoint is leaving, by record."""
 
     def add(self, record: str, entry: dict) -> None:
         """Add one line of an endpoint's record."""
@@ -76,6 +84,8 @@
             run.sent, run.complete = entry["sent"], entry["complete"]
         elif entry["what"] == "announced":
             self.announcements[record] = entry["t"]
+        elif entry["what"] == "leaving":
+            self.departures[record] = entry["t"]
 
 
 def find_version(prompt: str, event: Event) -> str:
@@ -157,6 +167,35 @@
     return violations
 
 
+def check_departures(
+    site: Site, calls: list[Call], records: Records, carriers: dict[str, set[str]]
+) -> Iterator[Violation]:
+    """Yield the runs that began long after their endpoint was told that it may leave.
+
+    The gateways and all state members were in touch from ``CONTACT_S`` before the
+    request was sent until the run began.
+    """
+    members = {state.record for state in (*site.states, *site.later_states)}
+    for answer in (answer for call in calls for answer in call.answers):
+        passed = {answer.gateway, *carriers.get(answer.request_id, ()), *members}
+        for run in records.runs.get(answer.request_id, ()):
+            left_at = records.departures.get(run.record, float("inf"))
+            since = answer.sent_at - CONTACT_S
+            if run.began_at <= left_at + DRAIN_LIMIT_S:
+                continue
+            if not is_disturbed(site, {*passed, run.record}, since, run.began_at):
+                detail = f"{run.began_at - left_at:.1f} s after {run.record} left"
+                yield Violation("run after departure", answer.request_id, detail)
+
+
+def is_disturbed(site: Site, records: set[str], since: float, until: float) -> bool:
+    """Return whether one of these processes was disturbed within a time."""
+    return any(
+        one.record in records and one.since < until and one.until > since
+        for one in site.disturbances
+    )
+
+
 def name_early_closes(
     violations: list[Violation], runs: dict[str, list[Run]]
 ) -> list[Violation]:
@@ -288,15 +327,10 @@
     ended_at = ends.get(run.record)
     is_alive = ended_at is None or ended_at > answer.ended_at
     passed = {*gateways, *(one.record for one in runs)}
-    is_disturbed = any(
-        one.record in passed
-        and one.since < answer.ended_at
-        and one.until > answer.sent_at
-        for one in site.disturbances
-    )
+    has_disturbance = is_disturbed(site, passed, answer.sent_at, answer.ended_at)
     is_faulty = any(one.faulty for one in runs)
     is_late = answer.ended_at - answer.sent_at >= answer.deadline_ms / 1000
     is_other_version = origin not in ("", run.version)
-    if is_faulty or is_disturbed or is_late or is_other_version:
+    if is_faulty or has_disturbance or is_late or is_other_version:
         return False
     return run.complete or is_alive
--- a/medlarrail/platform/soak/check_test.py
+++ b/medlarrail/platform/soak/check_test.py
@@ -16,10 +16,14 @@
 
 from medlarrail.platform.soak.callers import Answer, Call, Caller
 from medlarrail.platform.soak.check import (
+    CONTACT_S,
+    DRAIN_LIMIT_S,
     EARLY_CLOSE,
+    Records,
     Run,
     Violation,
     check_call,
+    check_departures,
     check_runs,
     count_calls,
     is_announced,
@@ -191,6 +195,35 @@
         kinds = [violation.kind for violation in check_runs([call], runs)]
         assert kinds == found
 
+    @pytest.mark.parametrize(
+        ("late_s", "disturbed", "since", "found"),
+        [
+            (0.1, "", 0.0, ["run after departure"]),
+            (-0.1, "", 0.0, []),
+            (0.1, "edge-1", 99.0, []),
+            (0.1, "edge-3", 99.0, []),
+            (0.1, "core-1", 99.0, []),
+            (0.1, "engine-1", 99.0, []),
+            (0.1, "edge-2", 99.0, ["run after departure"]),
+            (0.1, "edge-1", 100.0 - CONTACT_S - 1.0, ["run after departure"]),
+        ],
+    )
+    def test_run_after_a_departure_passes(
+        self, late_s, disturbed, since, found, tmp_path
+    ):
+        """Only those count that processes in touch have sent."""
+        site = Site(tmp_path, 1)
+        core = RunningProgram("core-1", "state", [], tmp_path, tmp_path / "core-1", 1)
+        site.states.append(core)
+        site.disturbances.append(Disturbance(disturbed, since, since + 0.5))
+        answer = build_answer([1], sent_at=100.0, ended_at=101.0)
+        run = self.build_run(began_at=100.2)
+        left_at = run.began_at - DRAIN_LIMIT_S - late_s
+        records = Records({"r1": [run]}, departures={"engine-1": left_at})
+        call = Call("stream", PROMPT, COUNT, [answer])
+        kinds = check_departures(site, [call], records, {"r1": {"edge-3"}})
+        assert [violation.kind for violation in kinds] == found
+
     @pytest.mark.parametrize("closed_early", [False, True])
     def test_early_close_hides_another_early_end(self, closed_early):
         found = [Violation("early end", "r1", ""), Violation("hole", "r1", "")]
--- a/medlarrail/platform/soak/engine.py
+++ b/medlarrail/platform/soak/engine.py
@@ -125,6 +125,9 @@
     """Time until which requests are received and not answered, on trio's clock."""
     slow_until: float = 0.0
     """Time until which the pauses between events are long, on trio's clock."""
+    linger_s: float = 0.0
+    """Time for which it goes on after it was removed, without a word before that; 0 if
+    it says that it is leaving and is removed at its end."""
 
     def record(self, what: str, request_id: str, **fields: object) -> None:
         """Write one line of the record."""
@@ -162,7 +165,7 @@
         """Send heartbeats until cancelled."""
         await trio.sleep(self.settings.first_heartbeat_s)
         is_recorded = False
-        while True:
+        while self.state != "gone":
             is_acknowledged = await self.announce()
             if is_acknowledged and not is_recorded:
                 self.record("announced", "")
@@ -174,13 +177,22 @@
         with trio.open_signal_receiver(signal.SIGTERM) as signals:
             async for _ in signals:
                 break
-        self.state = "draining"
-        await self.announce()
-        await trio.sleep(DRAIN_S)
+        if self.linger_s:
+            self.state = "gone"
+            await self.leave(self.linger_s, await self.call_control("DELETE"))
+        else:
+            self.state = "draining"
+            await self.leave(DRAIN_S, await self.announce())
+            await self.call_control("DELETE")
+        scope.cancel()
+
+    async def leave(self, time_s: float, is_acknowledged: bool) -> None:
+        """Serve for a time after the departure, and until the last answer has ended."""
+        if is_acknowledged:
+            self.record("leaving", "")
+        await trio.sleep(time_s)
         while self.active:
             await trio.sleep(0.01)
-        await self.call_control("DELETE")
-        scope.cancel()
 
     async def run(self) -> None:
         """Serve until the end of the departure."""
@@ -239,11 +251,13 @@
         return False
 
     def begin_trouble(self, path: str) -> None:
-        """Be mute or slow for the milliseconds that the path names."""
+        """Be mute, slow or removed for the milliseconds that the path names."""
         kind, duration_ms = path.removeprefix(TROUBLE_PATH).split("/")
         until = trio.current_time() + int(duration_ms) / 1000
         if kind == "mute":
             self.mute_until = until
+        elif kind == "linger":
+            self.linger_s = int(duration_ms) / 1000
         else:
             self.slow_until = until
 
--- a/medlarrail/platform/soak/faults.py
+++ b/medlarrail/platform/soak/faults.py
@@ -217,9 +217,10 @@
     async def _kill_state(self, pause_s: tuple[float, float]) -> None:
         with self.claim(self.site.states, keep=2) as state:
             if state is not None:
-                self.site.kill(state)
-                await trio.sleep(self.random.uniform(*RESTART_S))
-                self.site.restart_state(state)
+                with self.disturb(state):
+                    self.site.kill(state)
+                    await trio.sleep(self.random.uniform(*RESTART_S))
+                    self.site.restart_state(state)
                 await trio.sleep(self.random.uniform(*pause_s))
 
     @register_action()
--- a/medlarrail/platform/soak/soak_test.py
+++ b/medlarrail/platform/soak/soak_test.py
@@ -66,6 +66,12 @@
     run_soak("--only", BEHIND_STALL, *options)
 
 
+def test_endpoint_that_left_gets_requests_after_a_change_of_the_leader():
+    """A gateway that was suspended meanwhile went on sending them until its exit."""
+    options = "--only", "freeze_over_departure", "--without", "release"
+    run_soak(*options, duration_s=16, seed=2)
+
+
 def test_stream_of_an_unannounced_process_goes_on_at_the_version_before():
     """A process with other software began streams and ended before its first heartbeat
     was heard; gateways took them for streams of the version that they had listed."""
--- a/medlarrail/protocol/cluster_view.py
+++ b/medlarrail/protocol/cluster_view.py
@@ -8,7 +8,11 @@
 
 from attrs import frozen
 
-from medlarrail.core.announcements import RegisteredEndpoint, RegisteredEntry
+from medlarrail.core.announcements import (
+    EndpointMark,
+    RegisteredEndpoint,
+    RegisteredEntry,
+)
 from medlarrail.core.cluster_records import (
     BlockedParts,
     DesiredVersion,
@@ -120,6 +124,9 @@
     configuration_index: int
     endpoints: tuple[RegisteredEndpoint, ...] = ()
     departed: tuple[str, ...] = ()
+    marks: tuple[EndpointMark, ...] | None = None
+    """What was acknowledged to endpoints that leave or are gone, also by the leaders
+    before. None unless the answer is whole and its leader is not settled."""
     entries: tuple[RegisteredEntry, ...] | None = None
     entry_count: int = 1
     """Number of entries that may be serving, including the leaving ones."""
--- a/medlarrail/testing/view_members.py
+++ b/medlarrail/testing/view_members.py
@@ -5,7 +5,9 @@
 import trio
 from attrs import define, field
 
+from medlarrail.cluster.cluster_view import ClusterView, ClusterViewClient
 from medlarrail.cluster.cluster_view_server import ClusterViewServer
+from medlarrail.cluster.state_client import StateClient
 from medlarrail.testing.builders import build_announcement
 from medlarrail.testing.cluster import Cluster
 
@@ -37,6 +39,20 @@
         self.cluster.network.hosts[member.url].add(view_server.software_rollouts)
         self.nursery.start_soon(view_server.run)
 
+    def start_entry(self, name: str = "entry-1") -> ClusterViewClient:
+        """Start an entry that polls the members, at the URL ``mem://NAME``."""
+        urls = tuple(self.cluster.get_url(member) for member in NAMES)
+        client = ClusterViewClient(
+            ClusterView(trio.current_time),
+            StateClient(self.cluster.network.connect(f"mem://{name}"), urls),
+            name,
+            f"{name}:80",
+            "leith",
+            ready=True,
+        )
+        self.nursery.start_soon(client.run)
+        return client
+
     async def restart_all(self, pause_s: float = 0.0) -> None:
         """Kill all members and start them again after ``pause_s`` seconds."""
         for name in NAMES:
