Send a whole view to gateways that missed a departure over a minute before

A gateway that was out of touch for more than a minute, as behind a cut, kept endpoints that had left meanwhile until the leader changed, and went on trying to use them.

Cause: a leader and its followers remember departures for a minute, and tell a caller of those after the revision that it has seen. One that had been forgotten was told to nobody. Found on the related paths of the departures that a change of the leader hid.

Change: the revision of the latest forgotten departure is kept. A caller that has not seen it gets a whole answer, from the leader or a follower, and drops what is not listed. A follower that gets one takes what is not listed any more as departed.

Measured: the three new tests, with an entry and a follower that are cut off for 65 and 70 s, fail on the code before.

--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -460,7 +460,8 @@
         )
 
     def _build_answer(self, message: ClusterViewRequest) -> ClusterViewAnswer:
-        whole = message.epoch != self._get_epoch()
+        is_too_old = message.endpoints_seen < self.registry.forgotten_revision
+        whole = message.epoch != self._get_epoch() or is_too_old
         since = 0 if whole else message.endpoints_seen
         catalogue = self.member.catalogue
         document = catalogue.deployment
--- a/medlarrail/cluster/endpoint_marks_test.py
+++ b/medlarrail/cluster/endpoint_marks_test.py
@@ -196,6 +196,22 @@
         view = await self.miss(members, leave, members.replace_leader)
         assert view.endpoints["engine-1"].announced.state == "leaving"
 
+    async def test_endpoint_that_left_over_a_minute_before_is_used_for_good(
+        self, members, autojump_clock
+    ):
+        """The leader is the same, and had forgotten the departure."""
+        view = members.start_entry(ENTRY).cluster_view
+        await members.announce(sequence=4)
+        await trio.sleep(SETTLE_S + 1)
+        members.cluster.network.isolate(f"mem://{ENTRY}")
+        await depart(members)
+        for _ in range(int(DEPARTED_RETENTION_S) + 5):
+            await members.announce(name="engine-2", sequence=int(trio.current_time()))
+            await trio.sleep(1.0)
+        members.cluster.network.clear_cuts()
+        await trio.sleep(SETTLE_S)
+        assert set(view.endpoints) == {"engine-2"}
+
     async def test_endpoint_that_started_again_is_dropped(
         self, members, autojump_clock
     ):
--- a/medlarrail/cluster/registry.py
+++ b/medlarrail/cluster/registry.py
@@ -53,6 +53,9 @@
     revision: int = 0
     endpoints: dict[str, EndpointRecord] = field(factory=dict)
     departed: dict[str, DepartedEndpoint] = field(factory=dict)
+    forgotten_revision: int = 0
+    """Revision of the latest departure that is not remembered any more: what changed
+    since an earlier one can't be told."""
     _names_by_address: dict[str, str] = field(factory=dict)
     """Each address has one endpoint: those before at it are removed."""
 
@@ -178,9 +181,8 @@
         ]
         for name in silent:
             self.remove(name)
-        for name, departure in list(self.departed.items()):
-            if now - departure.departed_at > DEPARTED_RETENTION_S:
-                del self.departed[name]
+        forgotten_revision = forget_departed(self.departed, now)
+        self.forgotten_revision = max(self.forgotten_revision, forgotten_revision)
         return silent
 
     def iterate_changed(self, since: int) -> Iterator[RegisteredEndpoint]:
@@ -208,7 +210,22 @@
         self.endpoints.clear()
         self.departed.clear()
         self._names_by_address.clear()
-        self.revision = 0
+        self.revision = self.forgotten_revision = 0
+
+
+def forget_departed(departed: dict[str, DepartedEndpoint], now: float) -> int:
+    """Remove the departures whose late messages can't arrive any more.
+
+    Returns the latest revision among them, 0 if there are none.
+    """
+    forgotten = {
+        name: departure
+        for name, departure in departed.items()
+        if now - departure.departed_at > DEPARTED_RETENTION_S
+    }
+    for name in forgotten:
+        del departed[name]
+    return max((one.revision for one in forgotten.values()), default=0)
 
 
 def _is_restarted(previous: EndpointRecord, announced: Announcement) -> bool:
--- a/medlarrail/cluster/view_copy.py
+++ b/medlarrail/cluster/view_copy.py
@@ -11,7 +11,7 @@
 import trio
 from attrs import define, evolve, field
 
-from medlarrail.cluster.registry import DEPARTED_RETENTION_S, DepartedEndpoint
+from medlarrail.cluster.registry import DepartedEndpoint, forget_departed
 from medlarrail.consensus.replication import LogMember
 from medlarrail.core.announcements import RegisteredEndpoint, RegisteredEntry
 from medlarrail.core.clock import Clock, get_boottime
@@ -109,6 +109,8 @@
     endpoints: dict[str, CopiedEndpoint] = field(factory=dict)
     departed: dict[str, DepartedEndpoint] = field(factory=dict)
     """Endpoints that left, with the revision at which this member knew."""
+    forgotten_revision: int = 0
+    """See ``EndpointRegistry``."""
     callers: dict[str, Caller] = field(factory=dict)
     older_leader: str = ""
     """The leader's identity if its version does not take reports."""
@@ -212,7 +214,8 @@
 
     def _build_answer(self, message: ClusterViewRequest) -> ClusterViewAnswer:
         answer = self.answer
-        whole = message.epoch != answer.epoch
+        is_too_old = message.endpoints_seen < self.forgotten_revision
+        whole = message.epoch != answer.epoch or is_too_old
         since = 0 if whole else message.endpoints_seen
         listed = whole or message.entries_seen < answer.entries_revision
         configured = whole or message.configuration_seen < answer.configuration_index
@@ -391,11 +394,16 @@
         if is_new_epoch:
             self.endpoints.clear()
             self.departed.clear()
+            self.forgotten_revision = 0
         now = self.clock()
-        for name, departure in list(self.departed.items()):
-            if now - departure.departed_at > DEPARTED_RETENTION_S:
-                del self.departed[name]
-        for name in answer.departed:
+        forgotten_revision = forget_departed(self.departed, now)
+        self.forgotten_revision = max(self.forgotten_revision, forgotten_revision)
+        departed = set(answer.departed)
+        if answer.whole:
+            # The leader has forgotten departures that this member missed.
+            listed = {registered.announced.name for registered in answer.endpoints}
+            departed |= self.endpoints.keys() - listed
+        for name in departed:
             self.endpoints.pop(name, None)
             self.departed[name] = DepartedEndpoint(0, now, answer.endpoints_revision)
         for registered in answer.endpoints:
--- a/medlarrail/cluster/view_copy_test.py
+++ b/medlarrail/cluster/view_copy_test.py
@@ -7,6 +7,7 @@
 from medlarrail.cluster.cluster_view import ClusterView, ClusterViewClient
 from medlarrail.cluster.cluster_view_server import SETTLE_S, ClusterViewServer
 from medlarrail.cluster.member_choice import MemberChoice
+from medlarrail.cluster.registry import DEPARTED_RETENTION_S
 from medlarrail.cluster.state_client import StateClient
 from medlarrail.cluster.view_copy import get_term
 from medlarrail.core.errors import NotLeader, PeerTimeout
@@ -262,6 +263,28 @@
         for client in fleet.clients.values():
             assert not client.cluster_view.endpoints
 
+    @pytest.mark.parametrize("cut_off", ["entry", "follower"])
+    async def test_endpoint_that_left_over_a_minute_before_is_used_for_good(
+        self, cut_off, fleet, autojump_clock
+    ):
+        """The follower had forgotten the departure, or had not heard of it."""
+        leader = await fleet.get_leader()
+        follower = fleet.find_follower()
+        caller = next(iter(follower.view_copy.callers))
+        await leader.register_announcement(build_announcement())
+        await trio.sleep(MAX_CHANGE_S)
+        is_entry = cut_off == "entry"
+        url = f"mem://{caller}" if is_entry else follower.member.url
+        fleet.cluster.network.isolate(url)
+        await leader.register_departure("engine-1")
+        await trio.sleep(DEPARTED_RETENTION_S + 10)
+        fleet.cluster.network.clear_cuts()
+        await trio.sleep(SETTLE_S + MAX_CHANGE_S)
+        assert leader is await fleet.get_leader()
+        assert not follower.view_copy.endpoints
+        for client in fleet.clients.values():
+            assert not client.cluster_view.endpoints
+
     async def test_partitioned_follower_answers_with_an_old_document(
         self, fleet, autojump_clock
     ):
