--- a/medlarrail/relay/end_check.py
+++ b/medlarrail/relay/end_check.py
@@ -89,6 +89,7 @@
         return evidence
 
     async def _find_evidence(self, standby: OutboundConnection | None) -> EndEvidence:
+        """Return the first evidence found, in the order of how soon each decides."""
         evidence = EndEvidence.SILENT
         with trio.move_on_after(END_TIMEOUT_S):
             await self._wait_until_received()
@@ -98,8 +99,8 @@
                 evidence = await self._call_until_answered()
             if evidence is EndEvidence.LATE and await self._is_announced():
                 evidence = EndEvidence.ANNOUNCED
-        is_open = evidence in (EndEvidence.SILENT, EndEvidence.LATE)
-        if is_open and not self._is_succeeded() and self._has_same_process():
+        is_undecided = evidence in (EndEvidence.SILENT, EndEvidence.LATE)
+        if is_undecided and not self._is_next_listed() and self._has_same_process():
             # A request for the status may wait for a slot, as any other one.
             evidence = EndEvidence.CONNECTED
         return evidence
@@ -116,7 +117,7 @@
 
     async def _is_announced(self) -> bool:
         """Return whether one incarnation ran from before the request to the end."""
-        if self._is_succeeded():
+        if self._is_next_listed():
             return False
         incarnations = self.relay.incarnations
         try:
@@ -131,7 +132,7 @@
             return False
         return found is not None
 
-    def _is_succeeded(self) -> bool:
+    def _is_next_listed(self) -> bool:
         """Return whether a later incarnation of the endpoint is listed."""
         listed = self.relay.cluster_view.endpoints.get(self.endpoint.announced.name)
         started_ms = self._find_started_ms()
