Keep the connections beside unframed answers for as long as streams last

Such a connection was closed after 4 s like one that may serve a request, where the endpoint's own time limit could cut a request off, and a service was known to send such answers only once the first one had ended.

Change: a connection that serves no request waits for 30 s, as nothing is lost if the endpoint closes it before, and the head of an answer tells that it has no length.

--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -356,6 +356,8 @@
 
     async def _relay_answer(self, connection: OutboundConnection) -> None:
         head = await connection.read_head()
+        if not head.framing.proves_end:
+            self.relayed.relay.standbys.record_unframed(self.relayed.service)
         self._read_metadata(head, connection.reused)
         if self._metadata.not_run or self._metadata.misdirected:
             await self._handle_rejection(connection, head)
@@ -692,7 +694,6 @@
 
     async def _check_end(self, connection: OutboundConnection) -> EndEvidence:
         """Return what shows that an unframed answer is complete, or is not."""
-        self.relayed.relay.standbys.record_unframed(self.relayed.service)
         check = EndCheck(
             self.relayed.relay,
             self.endpoint,
--- a/medlarrail/relay/outbound.py
+++ b/medlarrail/relay/outbound.py
@@ -52,6 +52,9 @@
 MAX_IDLE_S = 4.0
 """Maximum idle time of a reused connection; applies alone if the endpoint does not
 announce its keep-alive time."""
+MAX_STANDBY_S = 30.0
+"""Maximum time for which a connection waits that is used for no request: longer than
+most streams. Nothing is lost if the endpoint closes it before."""
 MAX_CLOSE_SPREAD_S = 0.5
 """Time within which all connections of a process that ends are seen to close: a kernel
 sends an end that was lost again after some tenths of a second."""
@@ -363,7 +366,7 @@
         """
         if self.count_open(address) < limit:
             connection = await self._open(address)
-            connection.idle_until = trio.current_time() + MAX_IDLE_S
+            connection.idle_until = trio.current_time() + MAX_STANDBY_S
             self.idle.setdefault(address, deque()).appendleft(connection)
 
     def count_standbys(self, address: str) -> int:
--- a/medlarrail/relay/standby.py
+++ b/medlarrail/relay/standby.py
@@ -34,10 +34,10 @@
     pool: OutboundPool
     codec: HeaderCodec
     _unframed_at: dict[str, float] = field(factory=dict)
-    """When the latest answer ended with its connection, by service."""
+    """When the latest answer began that ends with its connection, by service."""
 
     def record_unframed(self, service: ServiceRule) -> None:
-        """Record that an answer ended with its connection."""
+        """Record that an answer has begun that ends with its connection."""
         self._unframed_at[service.name] = trio.current_time()
 
     def is_needed(
