Load the standby connections with the first answer that needs them

The whole test suite failed at one test, in both of two runs: a gateway generated the methods of 200 classes at its start, where fewer than 200 is the bound. The class of the standby connections was the one too many. Few services need it, so it is loaded once an answer has no length and no chunks.

Measured: programs/startup_test.py passes; it failed before in 3 of 3 runs.

--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -347,17 +347,20 @@
     def _start_standby(self, nursery: trio.Nursery) -> None:
         """Open a standby connection if the end of the answer may have to be proven."""
         relay = self.relayed.relay
+        standbys = relay.standbys
+        if standbys is None:
+            return
         announced = self.endpoint.announced
         service = self.relayed.service
         in_flight = relay.endpoint_stats.get_record(announced.name).in_flight
-        if relay.standbys.is_needed(service, announced, in_flight):
+        if standbys.is_needed(service, announced, in_flight):
             limit = relay.get_connection_limit(service, announced.name)
-            nursery.start_soon(relay.standbys.open, announced, limit)
+            nursery.start_soon(standbys.open, announced, limit)
 
     async def _relay_answer(self, connection: OutboundConnection) -> None:
         head = await connection.read_head()
         if not head.framing.proves_end:
-            self.relayed.relay.standbys.record_unframed(self.relayed.service)
+            self.relayed.relay.record_unframed(self.relayed.service)
         self._read_metadata(head, connection.reused)
         if self._metadata.not_run or self._metadata.misdirected:
             await self._handle_rejection(connection, head)
--- a/medlarrail/relay/request_relay.py
+++ b/medlarrail/relay/request_relay.py
@@ -48,7 +48,6 @@
 from medlarrail.relay.relayed_request import RelayedRequest
 from medlarrail.relay.room_queue import RoomQueue
 from medlarrail.relay.shutdown import Shutdown
-from medlarrail.relay.standby import StandbyConnections
 from medlarrail.relay.startup_hold import DEFAULT_LEFT_S, StartupHold
 from medlarrail.relay.stream_origins import StreamOriginDirectory
 from medlarrail.relay.stream_version import tell_running_streams
@@ -105,6 +104,8 @@
     """Key of the fingerprints and proofs of requests, the same at all entries."""
     table: RouteTable | None = None
     prompt_mix: PromptMix = field(factory=PromptMix)
+    standbys: "StandbyConnections | None" = None  # noqa: F821
+    """None until an answer ends with its connection."""
     rollouts: "RolloutTraffic | None" = None  # noqa: F821
     """None in a deployment without software rollouts."""
     rollout_reporter: "RolloutReporter | None" = None  # noqa: F821
@@ -112,7 +113,6 @@
     blocked_prompts: BlockedPrompts = field(init=False)
     suspected_requests: SuspectedRequests = field(init=False)
     limits: LimitReporter = field(init=False)
-    standbys: StandbyConnections = field(init=False)
     forwarder: Forwarder = field(init=False)
     origins: StreamOriginDirectory = field(init=False)
     speeds: ServiceSpeeds = field(init=False)
@@ -127,7 +127,6 @@
         self.blocked_prompts = BlockedPrompts(self.cluster_view, entry)
         self.suspected_requests = SuspectedRequests(self.cluster_view, entry)
         self.limits = LimitReporter(entry, self.cluster_view.clock)
-        self.standbys = StandbyConnections(self.pool, self.header_codec)
         self.forwarder = Forwarder(
             self.cluster_view,
             entry,
@@ -162,6 +161,16 @@
         """Return the long prompts that wait for the engines of a service."""
         return self._prompt_turns.setdefault(service, PromptTurns())
 
+    def record_unframed(self, service: ServiceRule) -> None:
+        """Record that an answer has begun that ends with its connection."""
+        if self.standbys is None:
+            # Imported here because few services send such answers, and each class with
+            # generated methods adds half a millisecond to a start.
+            from medlarrail.relay.standby import StandbyConnections
+
+            self.standbys = StandbyConnections(self.pool, self.header_codec)
+        self.standbys.record_unframed(service)
+
     async def answer(self, exchange: ServerExchange) -> None:
         """Answer one request, with an error answer if it fails."""
         exchange.request = self.forwarder.take_proof(exchange.request)
