--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -269,13 +269,7 @@
                 announced, state="leaving", sequence=mark.sequence
             )
         get_metrics().count("endpoints_marked", gone=str(mark.gone))
-        eliot.log_message(
-            "endpoint:marked",
-            endpoint=mark.name,
-            started_ms=mark.started_ms,
-            sequence=mark.sequence,
-            gone=mark.gone,
-        )
+        eliot.log_message("endpoint:marked", **mark.log_fields)
 
     def _apply_limit(
         self,
--- a/medlarrail/cluster/cluster_view_test.py
+++ b/medlarrail/cluster/cluster_view_test.py
@@ -9,7 +9,6 @@
     SETTLE_S,
     ClusterViewServer,
 )
-from medlarrail.cluster.state_client import StateClient
 from medlarrail.core.announcements import RegisteredEndpoint, RegisteredEntry
 from medlarrail.core.errors import DeploymentInvalid, MedlarError, NotLeader
 from medlarrail.core.metrics import get_metrics
@@ -28,6 +27,7 @@
 )
 from medlarrail.testing.cluster import Cluster
 from medlarrail.testing.logs import collect_messages
+from medlarrail.testing.view_members import build_entry
 
 NAMES = ("a", "b", "c")
 
@@ -125,17 +125,7 @@
         return self.view_servers[leader.name]
 
     def start_entry(self, name: str) -> ClusterViewClient:
-        url = f"mem://{name}"
-        peers = self.cluster.network.connect(url)
-        urls = tuple(self.cluster.get_url(member_name) for member_name in NAMES)
-        view_client = ClusterViewClient(
-            ClusterView(trio.current_time),
-            StateClient(peers, urls),
-            name,
-            f"{name}:80",
-            "leith",
-            ready=True,
-        )
+        view_client = build_entry(self.cluster, NAMES, name)
         self.nursery.start_soon(view_client.run)
         return view_client
 
--- a/medlarrail/cluster/endpoint_marks.py
+++ b/medlarrail/cluster/endpoint_marks.py
@@ -80,10 +80,7 @@
         outcome = await self.view_server.member.propose(Envelope(operation))
         eliot.log_message(
             "endpoint:marked",
-            endpoint=mark.name,
-            started_ms=mark.started_ms,
-            sequence=mark.sequence,
-            gone=mark.gone,
+            **mark.log_fields,
             index=outcome.index,
             waited_s=round(self.view_server.clock() - began_at, 3),
         )
--- a/medlarrail/cluster/view_copy_test.py
+++ b/medlarrail/cluster/view_copy_test.py
@@ -4,11 +4,10 @@
 import trio
 from attrs import define, evolve, field
 
-from medlarrail.cluster.cluster_view import ClusterView, ClusterViewClient
+from medlarrail.cluster.cluster_view import ClusterViewClient
 from medlarrail.cluster.cluster_view_server import SETTLE_S, ClusterViewServer
 from medlarrail.cluster.member_choice import MemberChoice
 from medlarrail.cluster.registry import DEPARTED_RETENTION_S
-from medlarrail.cluster.state_client import StateClient
 from medlarrail.cluster.view_copy import get_term
 from medlarrail.core.errors import NotLeader, PeerTimeout
 from medlarrail.core.software_rollouts import SoftwareRollout
@@ -26,6 +25,7 @@
 from medlarrail.state.operations import Envelope, NoOperation
 from medlarrail.testing.builders import build_announcement, build_deployment
 from medlarrail.testing.cluster import Cluster
+from medlarrail.testing.view_members import build_entry
 
 NAMES = ("a", "b", "c", "d", "e")
 URLS = tuple(f"mem://{name}" for name in NAMES)
@@ -58,9 +58,7 @@
         await trio.sleep(SETTLE_S + 2)
 
     def start_entry(self, name: str) -> ClusterViewClient:
-        state = StateClient(self.cluster.network.connect(f"mem://{name}"), URLS)
-        view = ClusterView(trio.current_time)
-        client = ClusterViewClient(view, state, name, f"{name}:80", "leith", ready=True)
+        client = build_entry(self.cluster, NAMES, name)
         scope = trio.CancelScope()
 
         async def run() -> None:
--- a/medlarrail/core/announcements.py
+++ b/medlarrail/core/announcements.py
@@ -67,6 +67,16 @@
         """Sort key that orders the marks of one endpoint by age."""
         return (self.started_ms, self.gone, self.sequence)
 
+    @property
+    def log_fields(self) -> dict[str, str | int | bool]:
+        """The mark as log lines have it."""
+        return {
+            "endpoint": self.name,
+            "started_ms": self.started_ms,
+            "sequence": self.sequence,
+            "gone": self.gone,
+        }
+
     def is_outdated(self, announced: Announcement) -> bool:
         """Return whether an announcement of the endpoint was sent before the mark.
 
--- a/medlarrail/platform/soak/departure_faults.py
+++ b/medlarrail/platform/soak/departure_faults.py
@@ -49,8 +49,7 @@
         is_calm = not any(state.name in site.busy for state in site.states)
         if gateway is None or engine is None or leader is None or not is_calm:
             return
-        site.busy.add(leader.name)
-        try:
+        with faults.claim([leader], keep=0):
             linger_ms = int(LINGER_S * 1000)
             await call("GET", f"{engine.url}{TROUBLE_PATH}linger/{linger_ms}")
             async with trio.open_nursery() as nursery:
@@ -62,8 +61,6 @@
                     nursery.start_soon(lose_leader, faults, leader)
                     await trio.sleep(POLL_S)
                     site.signal(gateway, signal.SIGCONT)
-        finally:
-            site.busy.discard(leader.name)
 
 
 async def lose_leader(faults: Faults, leader: RunningProgram) -> None:
--- a/medlarrail/relay/end_check.py
+++ b/medlarrail/relay/end_check.py
@@ -32,7 +32,7 @@
     judge_process,
     judge_reply,
 )
-from medlarrail.relay.endpoint_status import read_status
+from medlarrail.relay.endpoint_status import EndpointStatus, read_status
 from medlarrail.relay.incarnations import ANNOUNCEMENT_TIMEOUT_S
 from medlarrail.relay.outbound import CONNECT_TIMEOUT_S, OutboundConnection
 
@@ -160,11 +160,8 @@
         if standby is not None:
             announced = self.endpoint.announced
             started_ms = self._find_started_ms()
-            path = self.relay.header_codec.get_status_path(self.service)
             with trio.move_on_after(STANDBY_TIMEOUT_S), suppress(RunFailure):
-                status = await read_status(
-                    self.relay.header_codec, standby, announced, path
-                )
+                status = await self._read_status(standby)
                 # One that names a request is a late copy of its answer.
                 if not status.reply.request_id:
                     self._standby_keep_alive_s = status.keep_alive_s
@@ -200,15 +197,12 @@
     async def _use(self, connection: OutboundConnection) -> EndEvidence | None:
         """Return what a connection shows, or None if it was closed without a reply."""
         keep_alive_s: float | None = 0.0
-        path = self.relay.header_codec.get_status_path(self.service)
         try:
             if not self._may_call():
                 return await self._watch(connection)
             announced = self.endpoint.announced
             started_ms = self._find_started_ms()
-            status = await read_status(
-                self.relay.header_codec, connection, announced, path
-            )
+            status = await self._read_status(connection)
             keep_alive_s = status.keep_alive_s
             return judge_reply(
                 status.reply,
@@ -222,6 +216,12 @@
         finally:
             self.relay.pool.release(connection, keep_alive_s)
 
+    async def _read_status(self, connection: OutboundConnection) -> EndpointStatus:
+        """Call the endpoint; raises ``RunFailure`` without a whole reply."""
+        codec = self.relay.header_codec
+        path = codec.get_status_path(self.service)
+        return await read_status(codec, connection, self.endpoint.announced, path)
+
     def _find_started_ms(self) -> int:
         """Return the start of the process that answered, 0 if it is not known.
 
--- a/medlarrail/relay/ended_endpoints_test.py
+++ b/medlarrail/relay/ended_endpoints_test.py
@@ -372,11 +372,7 @@
         harness = await start_relay(nursery, add_status(DEPLOYMENTS["fixed-stream"]))
         endpoint = await harness.add(build_script(fall_silent, send_unframed))
         endpoint.status_script = fall_silent
-        async with await harness.connect() as other:
-            await other.send_all(build_request())
-            with trio.fail_after(5.0):
-                while not endpoint.requests:
-                    await trio.sleep(0.005)
+        async with hold_connection(harness, endpoint):
             answer = await call(harness, build_request())
         assert answer == ReceivedAnswer(200, BODY, "closed")
 
--- a/medlarrail/relay/outbound.py
+++ b/medlarrail/relay/outbound.py
@@ -290,6 +290,14 @@
         """Return whether an idle connection is unexpired and has nothing to read."""
         return trio.current_time() < self.idle_until and self.is_quiet()
 
+    def is_standby(self) -> bool:
+        """Return whether a call on an idle connection can prove the end of an answer.
+
+        All of its answers named their requests, so one that does not is no late copy of
+        them.
+        """
+        return self.is_alive() and not self.has_unnamed_answer
+
     def is_quiet(self) -> bool:
         """Return whether there is nothing to read, not even an end."""
         return not self.stream.socket.is_readable()
@@ -372,18 +380,16 @@
     def count_standbys(self, address: str) -> int:
         """Return the number of idle connections that ``take_standby`` may return."""
         idle = self.idle.get(address, ())
-        return sum(other.is_alive() and not other.has_unnamed_answer for other in idle)
+        return sum(connection.is_standby() for connection in idle)
 
     def take_standby(self, answered: OutboundConnection) -> OutboundConnection | None:
         """Return an idle connection to the process that sent an answer, None without.
 
-        All of its answers named their requests, so one that does not is no late copy of
-        them.
+        See ``OutboundConnection.is_standby``.
         """
         idle = self.idle.get(answered.address, deque())
         for connection in idle:
-            is_sound = connection.is_alive() and not connection.has_unnamed_answer
-            if is_sound and connection.was_open_at(answered.sent_at):
+            if connection.is_standby() and connection.was_open_at(answered.sent_at):
                 idle.remove(connection)
                 connection.start_next_request()
                 return connection
--- a/medlarrail/testing/view_members.py
+++ b/medlarrail/testing/view_members.py
@@ -1,6 +1,6 @@
 """State members on an in-memory network that serve the cluster view."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import trio
 from attrs import define, field
@@ -14,6 +14,21 @@
 NAMES = ("a", "b", "c")
 
 
+def build_entry(
+    cluster: Cluster, members: Sequence[str], name: str
+) -> ClusterViewClient:
+    """Return an entry at the URL ``mem://NAME`` that polls members by their names."""
+    urls = tuple(cluster.get_url(member) for member in members)
+    return ClusterViewClient(
+        ClusterView(trio.current_time),
+        StateClient(cluster.network.connect(f"mem://{name}"), urls),
+        name,
+        f"{name}:80",
+        "leith",
+        ready=True,
+    )
+
+
 @define(eq=False)
 class ViewMembers:
     """State members that serve the cluster view, by name."""
@@ -41,15 +56,7 @@
 
     def start_entry(self, name: str = "entry-1") -> ClusterViewClient:
         """Start an entry that polls the members, at the URL ``mem://NAME``."""
-        urls = tuple(self.cluster.get_url(member) for member in NAMES)
-        client = ClusterViewClient(
-            ClusterView(trio.current_time),
-            StateClient(self.cluster.network.connect(f"mem://{name}"), urls),
-            name,
-            f"{name}:80",
-            "leith",
-            ready=True,
-        )
+        client = build_entry(self.cluster, NAMES, name)
         self.nursery.start_soon(client.run)
         return client
 
