Tell entries how long ago weight versions were named

Cause: a gateway counted the age of a version from when it first heard of it. So did one that had been suspended or cut off over the naming, and a newer version began the time of the one before anew. Ruled out by the logs: requests that waited (sent 0.05 to 0.4 s before they began). Found on the way: old weights were used without limit when no endpoint with new ones could take a request at that moment.

Change: members measure from when they applied the version and send the ages with each answer, as durations at the arrival of the call; everybody keeps the largest. An endpoint is judged by the age of the next version, and endpoints with new weights count while they are busy. The time of first hearing stays for fetches between engines, which must not overestimate it.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -14,6 +14,7 @@
 
 from medlarrail.cluster.member_choice import MemberChoice
 from medlarrail.cluster.state_client import StateClient
+from medlarrail.cluster.weight_versions import WeightVersions
 from medlarrail.core.announcements import (
     Announcement,
     EndpointMark,
@@ -82,7 +83,13 @@
     reject many requests."""
     desired: dict[str, DesiredVersion] = field(factory=dict)
     desired_received_at: dict[str, float] = field(factory=dict)
-    """When this entry received the desired version of each model."""
+    """When this entry received the desired version of each model: a lower bound of the
+    time since others began no request on older weights, not the version's age."""
+    weight_versions: WeightVersions = field(
+        default=Factory(lambda self: WeightVersions(self.clock), takes_self=True),
+        init=False,
+    )
+    """The ages of the versions, of which none is underestimated."""
     suspects: frozenset[SharedPart] = frozenset()
     """Parts of prompts and whole requests that may crash endpoints."""
     trial_requests: frozenset[SharedPart] = frozenset()
@@ -122,9 +129,9 @@
         return -1 if self.deployment is None else self.deployment.version
 
     def apply(self, answer: ClusterViewAnswer, sent_at: float | None = None) -> None:
-        """Apply a leader's answer to a call sent at ``sent_at``, by default now."""
+        """Apply a member's answer to a call sent at ``sent_at``, by default now."""
         sent_at = self.clock() if sent_at is None else sent_at
-        self.confirmed_at = max(self.confirmed_at, sent_at)
+        self.confirmed_at = max(self.confirmed_at, sent_at - answer.age_s)
         if answer.deployment is not None:
             self._apply_deployment(answer.deployment)
         if answer.whole:
@@ -149,6 +156,7 @@
         self.entry_count = max(answer.entry_count, len(self.entries), 1)
         self.out_data_centres = frozenset(answer.out_data_centres)
         self.limited_services = frozenset(answer.limited_services)
+        self.weight_versions.record_ages(answer.version_ages, sent_at)
         self._apply_desired(answer.desired)
         if answer.suspects is not None:
             self.suspects = frozenset(answer.suspects)
@@ -301,6 +309,7 @@
                 endpoint.limit_changed_at = self.clock()
 
     def _apply_desired(self, listed: tuple[DesiredVersion, ...]) -> None:
+        self.weight_versions.record_desired(listed)
         for desired in listed:
             previous = self.desired.get(desired.model)
             if previous is None or previous.ordinal < desired.ordinal:
@@ -310,8 +319,13 @@
                     "weights:version-desired",
                     model=desired.model,
                     version=desired.ordinal,
+                    age_s=self._get_version_age_s(desired),
                 )
 
+    def _get_version_age_s(self, desired: DesiredVersion) -> float:
+        ages = self.weight_versions.get_ages(desired.model)
+        return round(ages.get(desired.ordinal, 0.0), 3)
+
     def _apply_blocked(self, listed: tuple[BlockedParts, ...]) -> None:
         self.blocked = {}
         self._blocked_parts = frozenset(
@@ -472,7 +486,7 @@
         self._entries_seen = answer.entries_revision
         self._configuration_seen = answer.configuration_index
         self._suspects_seen = answer.suspects_revision
-        self.cluster_view.apply(answer, sent_at - answer.age_s)
+        self.cluster_view.apply(answer, sent_at)
         self.state.urls = tuple(dict.fromkeys((*answer.member_urls, *self._seeds)))
         if not self._connected:
             self._connected = True
--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -14,6 +14,7 @@
 from medlarrail.cluster.software_rollouts import SoftwareRollouts
 from medlarrail.cluster.software_versions import SoftwareVersions
 from medlarrail.cluster.view_copy import ViewCopy, split_hidden
+from medlarrail.cluster.weight_versions import WeightVersions
 from medlarrail.consensus.replication import LogMember
 from medlarrail.core.announcements import Announcement, RegisteredEntry
 from medlarrail.core.clock import Clock, get_boottime
@@ -116,6 +117,8 @@
     software_versions: SoftwareVersions = field(init=False)
     software_rollouts: SoftwareRollouts = field(init=False)
     endpoint_marks: EndpointMarks = field(init=False)
+    weight_versions: WeightVersions = field(init=False)
+    """Kept over changes of the leader: a follower measures, too."""
     view_copy: ViewCopy = field(init=False)
     """From which this member answers entries while it follows."""
     entries: dict[str, EntryRecord] = field(factory=dict)
@@ -139,9 +142,15 @@
         self.software_versions = SoftwareVersions(self)
         self.software_rollouts = SoftwareRollouts(self)
         self.endpoint_marks = EndpointMarks(self)
-        self.view_copy = ViewCopy(self.member, self.clock)
+        self.weight_versions = WeightVersions(self.clock)
+        self.view_copy = ViewCopy(self.member, self.weight_versions, self.clock)
         self.configuration_index = self.member.catalogue.index
         self.member.apply_listeners.append(self._on_applied)
+        self.member.install_listeners.append(self._record_versions)
+        self._record_versions()
+
+    def _record_versions(self) -> None:
+        self.weight_versions.record_desired(self.member.catalogue.desired.values())
 
     def _on_applied(self, entry: LogEntry, outcome: Outcome) -> None:
         operation = entry.envelope.operation
@@ -151,6 +160,8 @@
             has_rollouts = bool(operation.rollouts)
         if has_rollouts:
             self.software_rollouts.on_applied(operation.rollouts, entry)
+        if isinstance(operation, SetDesiredVersion):
+            self._record_versions()
         if has_rollouts or isinstance(operation, CONFIGURATION_OPERATIONS):
             self.configuration_index = entry.index
             self._publish()
@@ -397,6 +408,7 @@
         message: ClusterViewRequest = request.message
         if self.member.leadership is None:
             return await self.view_copy.answer_entry(message)
+        arrived_at = self.clock()
         await self.member.confirm_reads()
         self.require_leading()
         self._record_call(message)
@@ -405,7 +417,7 @@
                 await self._changed.wait()
         await self.member.confirm_reads()
         self.require_leading()
-        return self._build_answer(message)
+        return self._build_answer(message, arrived_at)
 
     def _get_epoch(self) -> str:
         return f"{self.member.identity}-{self._term}"
@@ -459,7 +471,9 @@
             or message.suspects_seen < publication.suspects_revision
         )
 
-    def _build_answer(self, message: ClusterViewRequest) -> ClusterViewAnswer:
+    def _build_answer(
+        self, message: ClusterViewRequest, arrived_at: float
+    ) -> ClusterViewAnswer:
         is_too_old = message.endpoints_seen < self.registry.forgotten_revision
         whole = message.epoch != self._get_epoch() or is_too_old
         since = 0 if whole else message.endpoints_seen
@@ -500,6 +514,7 @@
             ),
             limited_services=self._list_limited_services(),
             desired=tuple(catalogue.desired.values()),
+            version_ages=tuple(self.weight_versions.iterate_ages(arrived_at)),
             suspects_revision=publication.suspects_revision,
             suspects=publication.suspects if suspected else None,
             trial_requests=publication.trial_requests if suspected else None,
--- a/medlarrail/cluster/view_copy.py
+++ b/medlarrail/cluster/view_copy.py
@@ -12,6 +12,7 @@
 from attrs import define, evolve, field
 
 from medlarrail.cluster.registry import DepartedEndpoint, forget_departed
+from medlarrail.cluster.weight_versions import WeightVersions
 from medlarrail.consensus.replication import LogMember
 from medlarrail.core.announcements import RegisteredEndpoint, RegisteredEntry
 from medlarrail.core.clock import Clock, get_boottime
@@ -101,6 +102,7 @@
     """The copy that ``member`` keeps while it does not lead."""
 
     member: LogMember
+    weight_versions: WeightVersions
     clock: Clock = get_boottime
     entry_count: int = 1
     """Number of entries that the leader, or an entry since its last call, told of."""
@@ -145,8 +147,11 @@
         if not self._is_usable(message):
             get_metrics().count("view_copies_outdated")
             raise NotLeader()
-        answer = self._build_answer(message)
-        return evolve(answer, age_s=arrived_at - self.confirmed_at)
+        return evolve(
+            self._build_answer(message),
+            age_s=arrived_at - self.confirmed_at,
+            version_ages=tuple(self.weight_versions.iterate_ages(arrived_at)),
+        )
 
     def _build_redirect(self) -> NotLeader:
         leader = self.member.leader
@@ -350,6 +355,7 @@
 
     def _apply(self, answer: ClusterViewAnswer, sent_at: float) -> None:
         previous = self.answer
+        self.weight_versions.record_ages(answer.version_ages, sent_at)
         if self._is_outdated(answer):
             return
         is_new_epoch = previous is None or previous.epoch != answer.epoch
--- a/medlarrail/cluster/view_copy_test.py
+++ b/medlarrail/cluster/view_copy_test.py
@@ -345,8 +345,8 @@
         """It takes no reports, so that no follower has a copy to answer from."""
         build_answer = ClusterViewServer._build_answer
 
-        def build_older_answer(self, message):
-            return evolve(build_answer(self, message), takes_reports=False)
+        def build_older_answer(self, *args):
+            return evolve(build_answer(self, *args), takes_reports=False)
 
         fleet.cluster.kill((await fleet.get_leader()).member.name)
         monkeypatch.setattr(ClusterViewServer, "_build_answer", build_older_answer)
--- a/medlarrail/consensus/replication.py
+++ b/medlarrail/consensus/replication.py
@@ -85,6 +85,8 @@
     may_found: bool = False
     """Whether the settings mark this as the first start of the whole system."""
     apply_listeners: list[Callable[[LogEntry, Outcome], None]] = field(factory=list)
+    install_listeners: list[Callable[[], None]] = field(factory=list)
+    """Called after a snapshot of the leader has replaced the catalogue."""
     election_timeout_since: float = field(init=False)
     """Time from which the election timeout counts."""
     leader_contact_at: float = field(init=False)
@@ -389,6 +391,8 @@
         elif snapshot.index > self.commit_index:
             await self.journal.install(snapshot)
             self._load_snapshot()
+            for notify in self.install_listeners:
+                notify()
             self._notify_applied()
 
     # Applying.
--- a/medlarrail/core/cluster_records.py
+++ b/medlarrail/core/cluster_records.py
@@ -21,6 +21,15 @@
     ordinal: int = 0
 
 
+@frozen
+class VersionAge:
+    """Seconds since a weight version was named, or more; see ``DesiredVersion``."""
+
+    model: str
+    ordinal: int
+    age_s: float
+
+
 REQUEST_KEY_PREFIX = "request:"
 """Begins the keys of whole requests, which no part of a prompt has."""
 
--- a/medlarrail/platform/prompts_test.py
+++ b/medlarrail/platform/prompts_test.py
@@ -9,7 +9,6 @@
     StoreListing,
 )
 from medlarrail.core.announcements import ModelWeights
-from medlarrail.core.cluster_records import DesiredVersion
 from medlarrail.core.deployment import EngineSpec, ServiceRule, StoreSpec
 from medlarrail.core.metrics import get_metrics
 from medlarrail.core.scopes import ContextScope
@@ -250,8 +249,7 @@
     current = harness.relay.cluster_view.endpoints[new.name]
     current.announced = evolve(current.announced, models=(ModelWeights("m", 2),))
     cluster_view = harness.relay.cluster_view
-    cluster_view.desired["m"] = DesiredVersion("m", "2", ordinal=2)
-    cluster_view.desired_received_at["m"] = cluster_view.clock() - 3
+    cluster_view.weight_versions.record("m", 2, cluster_view.clock() - 3)
     await harness.send(PROMPT)
     assert new.requests and not old.requests
     tokens = EngineTokens(new.name, 25_000, 25_000)
--- a/medlarrail/protocol/cluster_view.py
+++ b/medlarrail/protocol/cluster_view.py
@@ -18,6 +18,7 @@
     DesiredVersion,
     ServiceVersions,
     SharedPart,
+    VersionAge,
 )
 from medlarrail.core.deployment import Deployment
 from medlarrail.core.software_rollouts import SoftwareRollout
@@ -147,6 +148,9 @@
     limited_services: tuple[str, ...] = ()
     """Services whose endpoints told any entry so."""
     desired: tuple[DesiredVersion, ...] = ()
+    version_ages: tuple[VersionAge, ...] = ()
+    """Ages of the weight versions when the call arrived at the member that answers,
+    negative for those that were named since. Empty from the version before."""
     member_urls: tuple[str, ...] = ()
     age_s: float = 0.0
     takes_reports: bool = False
--- a/medlarrail/relay/endpoint_choice.py
+++ b/medlarrail/relay/endpoint_choice.py
@@ -4,6 +4,7 @@
 entry's state and the request's metadata.
 """
 
+from collections.abc import Iterator
 from typing import NamedTuple
 
 import trio
@@ -147,15 +148,24 @@
         return self.relayed.version_choice.select(available)
 
     def _list_untried(self) -> list[EndpointView]:
-        """Return the available endpoints that were not tried."""
+        """Return the available endpoints that were not tried.
+
+        Those whose weights were replaced too long ago are left out.
+        """
         stats = self.relay.endpoint_stats
-        return [
+        untried = [
             endpoint
             for endpoint in stats.iterate_available(self.service)
             if endpoint.announced.name not in self.relayed.tried
             and self.relayed.stream_version.allows(endpoint.announced)
             and self.relay.has_free_connection(self.service, endpoint.announced.name)
         ]
+        uses = self._choose_versions(untried)
+        return [
+            endpoint
+            for endpoint, use in zip(untried, uses, strict=True)
+            if use != "avoid"
+        ]
 
     def _list_usable(self, available: list[EndpointView]) -> list[UsableEndpoint]:
         """Return the endpoints whose weights this request may use."""
@@ -164,7 +174,6 @@
             for endpoint, use in zip(
                 available, self._choose_versions(available), strict=True
             )
-            if use != "avoid"
         ]
 
     def _build_candidates(
@@ -180,14 +189,19 @@
 
     def _choose_versions(self, available: list[EndpointView]) -> list[VersionUse]:
         """Return how this request may use each endpoint's weights."""
-        cluster_view = self.relay.cluster_view
-        desired = cluster_view.desired.get(self.metadata.model)
-        if desired is None or not desired.ordinal:
-            return ["use"] * len(available)
         model = self.metadata.model
+        ages = self.relay.cluster_view.weight_versions.get_ages(model)
         versions = [endpoint.announced.get_version(model) for endpoint in available]
-        elapsed_s = cluster_view.clock() - cluster_view.desired_received_at[model]
-        return choose_versions(versions, desired.ordinal, elapsed_s)
+        if not ages or min(versions, default=0) >= max(ages):
+            return ["use"] * len(available)
+        return choose_versions(versions, ages, self._iterate_known_versions())
+
+    def _iterate_known_versions(self) -> Iterator[int]:
+        """Yield the weight versions of the service's endpoints that are not leaving."""
+        for endpoint in self.relay.cluster_view.endpoints.values():
+            announced = endpoint.announced
+            if announced.service == self.service.name and announced.state == "ready":
+                yield announced.get_version(self.metadata.model)
 
     def _build_prompt_candidates(
         self, available: list[EndpointView]
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -35,6 +35,7 @@
 from medlarrail.policy.answer_end import EndEvidence
 from medlarrail.policy.context import TransferPlan
 from medlarrail.policy.prompt_turns import get_retry_after_s
+from medlarrail.policy.rollout import get_replaced_s
 from medlarrail.policy.stream_order import StreamOrder, describe_id
 from medlarrail.relay.attempt import Attempt, BufferedAnswer
 from medlarrail.relay.crash_evidence import CrashEvidence
@@ -448,6 +449,16 @@
             picture_age_s=round(self.relay.cluster_view.get_age_s(), 3),
         )
 
+    def _describe_weights(self, attempt: Attempt) -> dict[str, float]:
+        """Return the weights that an attempt asked for, and how long ago they were
+        replaced, for the log."""
+        if attempt.dispatch is None or not attempt.dispatch.weight_version:
+            return {}
+        version = attempt.dispatch.weight_version
+        ages = self.relay.cluster_view.weight_versions.get_ages(self.metadata.model)
+        replaced_s = round(get_replaced_s(version, ages), 3)
+        return {"weight_version": version, "weights_replaced_s": replaced_s}
+
     def _log_attempt(self, attempt: Attempt, outcome: str) -> None:
         self._unlogged = None
         request = self.exchange.request
@@ -477,6 +488,7 @@
             connection_age_ms=round(attempt.connection_age_s * 1000, 1),
             cold=asdict(attempt.cold_send) if attempt.cold_send else None,
             transfers=attempt.dispatch.describe_transfers() if attempt.dispatch else [],
+            **self._describe_weights(attempt),
             limit_per_s=attempt.limit_per_s,
             retry_after_s=attempt.retry_after_s,
             fingerprint=self.evidence.fingerprint.digest if is_broken else "",
