Name the scope of accounts that share by the isolated ones

Cause: an isolated account got a scope of its own, while what it had made stayed in the scope that the others went on using. A prompt that waited over the change also ran in the scope of its admission. Ruled out: the gateway has the new document within a poll, and later requests of the isolated account were in a scope of its own.

Change: the scope of the accounts that share is named by a digest of the isolated ones, and keeps its name where there are none. It follows from the document alone. Only accounts outside of the set make parts under the name, so it may return. The scope is taken from the latest document when a request is sent; plans for another scope are dropped, as before.

--- a/medlarrail/platform/prompts_test.py
+++ b/medlarrail/platform/prompts_test.py
@@ -1,5 +1,6 @@
 """Tests of long prompts through the relay, with platform headers and stores."""
 
+import pytest
 import trio
 from attrs import evolve
 
@@ -9,7 +10,12 @@
     StoreListing,
 )
 from medlarrail.core.announcements import ModelWeights
-from medlarrail.core.deployment import EngineSpec, ServiceRule, StoreSpec
+from medlarrail.core.deployment import (
+    AccountRule,
+    EngineSpec,
+    ServiceRule,
+    StoreSpec,
+)
 from medlarrail.core.metrics import get_metrics
 from medlarrail.core.scopes import ContextScope
 from medlarrail.platform.header_codec import REPORT_PATH, PlatformHeaderCodec
@@ -79,6 +85,7 @@
     )
     nursery.start_soon(harness.relay.context.run)
     harness.configure(DEPLOYMENT)
+    harness.relay.cluster_view.confirmed_at = harness.relay.cluster_view.clock()
     for _ in range(engines):
         await harness.add(send_one_event, models=(ModelWeights("m", 1),))
     with trio.fail_after(5):
@@ -259,6 +266,113 @@
     assert get_value(old.requests[0], b"expect-version") == b"1"
 
 
+def build_document(*isolated, names=("lea-college", "tayside")):
+    """Return a document of accounts, each with the key that is its name."""
+    accounts = tuple(
+        AccountRule(name, (name,), isolated=name in isolated) for name in names
+    )
+    return evolve(DEPLOYMENT, accounts=accounts)
+
+
+def build_prompt(account):
+    """Return the prompt of an account."""
+    return PROMPT.replace(b"key-1", account.encode())
+
+
+async def read_salt(harness, account):
+    """Send a prompt of an account, and return the namespace of its cache."""
+    sent = {engine.name: len(engine.requests) for engine in harness.endpoints}
+    answer = await harness.send(build_prompt(account))
+    assert answer.startswith(b"HTTP/1.1 200")
+    (request,) = [
+        request
+        for engine in harness.endpoints
+        for request in engine.requests[sent[engine.name] :]
+    ]
+    return get_value(request, b"cache-salt").decode()
+
+
+class TestIsolatedAccounts:
+    """What an account made while it shared was used by others once it was isolated."""
+
+    async def test_account_becomes_isolated(self, nursery):
+        harness = await start_prompt_relay(nursery, FixedContextStoreClient())
+        harness.configure(build_document())
+        shared = await read_salt(harness, "lea-college")
+        assert shared == await read_salt(harness, "tayside") == SCOPE
+        harness.configure(build_document("lea-college"))
+        salts = [await read_salt(harness, name) for name in ("lea-college", "tayside")]
+        assert len({shared, *salts}) == 3
+
+    async def test_account_is_isolated_for_the_second_time(self, nursery):
+        """It shared again in between."""
+        harness = await start_prompt_relay(nursery, FixedContextStoreClient())
+        made = set()
+        for isolated in ((), ("lea-college",), (), ("lea-college",)):
+            harness.configure(build_document(*isolated))
+            salt = await read_salt(harness, "tayside")
+            assert not isolated or salt not in made
+            made.add(await read_salt(harness, "lea-college"))
+
+    async def test_account_returns_as_an_isolated_one(self, nursery):
+        harness = await start_prompt_relay(nursery, FixedContextStoreClient())
+        harness.configure(build_document())
+        shared = await read_salt(harness, "lea-college")
+        harness.configure(build_document(names=("tayside",)))
+        harness.configure(build_document("lea-college"))
+        assert shared != await read_salt(harness, "tayside")
+
+    async def test_other_accounts_share_nothing_after_the_change(self, nursery):
+        names = ("lea-college", "tayside", "forth")
+        harness = await start_prompt_relay(nursery, FixedContextStoreClient())
+        harness.configure(build_document("lea-college", names=names))
+        assert await read_salt(harness, "tayside") == await read_salt(harness, "forth")
+
+    async def test_change_of_something_else_empties_the_cache(self, nursery):
+        harness = await start_prompt_relay(nursery, FixedContextStoreClient())
+        harness.configure(build_document("lea-college"))
+        before = await read_salt(harness, "tayside")
+        names = ("lea-college", "tayside", "forth")
+        harness.configure(build_document("lea-college", names=names))
+        assert await read_salt(harness, "tayside") == before
+
+    async def test_part_is_fetched_that_was_stored_before_the_change(self, nursery):
+        store_client = FixedContextStoreClient(StoredPart(SCOPE, "a1", 12_800))
+        harness = await start_prompt_relay(nursery, store_client)
+        harness.configure(build_document("lea-college"))
+        await read_salt(harness, "tayside")
+        (request,) = [r for engine in harness.endpoints for r in engine.requests]
+        assert get_value(request, b"kv-fetch") is None
+
+    @pytest.mark.parametrize("account", ["lea-college", "tayside"])
+    async def test_account_becomes_isolated_while_a_prompt_waits(
+        self, nursery, account
+    ):
+        """Its account was that of the document at its admission. The place of its part
+        was found in the namespace before."""
+        store_client = FixedContextStoreClient(StoredPart(SCOPE, "a1", 12_800))
+        harness = await start_prompt_relay(nursery, store_client)
+        harness.configure(build_document())
+        report_work_everywhere(harness, 30_000)
+        salts = []
+
+        async def ask():
+            salts.append(await read_salt(harness, account))
+
+        nursery.start_soon(ask)
+        await trio.sleep(0.3)
+        assert not any(engine.requests for engine in harness.endpoints)
+        harness.configure(build_document("lea-college"))
+        harness.relay.workload.store_report(WorkloadReport("gateway-2", 1, 2, ()))
+        with trio.fail_after(2):
+            while not salts:
+                await trio.sleep(0.02)
+        assert salts == [await read_salt(harness, account)]
+        assert salts != [SCOPE]
+        requests = [r for engine in harness.endpoints for r in engine.requests]
+        assert all(get_value(r, b"kv-fetch") is None for r in requests)
+
+
 async def test_a_started_stream_fails_over_without_queueing(nursery):
     """The caller's time limit for waiting applies only until the first event."""
 
--- a/medlarrail/relay/prefill_sharing.py
+++ b/medlarrail/relay/prefill_sharing.py
@@ -334,8 +334,7 @@
         relay = self.relayed.relay
         view = relay.cluster_view
         model = self.relayed.metadata.model
-        account = self.relayed.admission.account
-        if account is not None and account.isolated:
+        if not relay.table.owners.shares(self.relayed.account_name):
             return False
         if view.get_age_s() > MAX_VIEW_AGE_S:
             return False
@@ -348,13 +347,9 @@
 
     def _is_only_scope(self) -> bool:
         """Return whether no other scope can exist: one model, no isolated account."""
-        deployment = self.relayed.relay.cluster_view.deployment
         engine = self.relayed.service.engine
-        return (
-            deployment is not None
-            and len(engine.models) <= 1
-            and not any(account.isolated for account in deployment.accounts)
-        )
+        owners = self.relayed.relay.table.owners
+        return len(engine.models) <= 1 and not owners.isolated
 
     def _get_cache_lifetime_s(self, engine_count: int) -> float:
         """Return the expected time for which an engine keeps the part.
--- a/medlarrail/relay/prefill_sharing_test.py
+++ b/medlarrail/relay/prefill_sharing_test.py
@@ -379,9 +379,9 @@
 
     The engine that has the part is busy.
     """
-    (site,) = replay.directory.prefills.find("/m/1", "part").sites or (None,)
-    if site is not None:
-        replay.relays[2].workload.begin(site.engine, 60_000, 60_000)
+    for sites in replay.directory.prefills._parts["part"].sites.values():
+        for engine in sites:
+            replay.relays[2].workload.begin(engine, 60_000, 60_000)
     relayed = replay.build_request("part", 1, key)
     endpoint = await relayed._wait_for_dispatch()
     dispatch = relayed.build_dispatch(endpoint)
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -322,16 +322,23 @@
         prompt.report = self.prefill_sharing.record_sent(endpoint, dispatch)
         return prompt
 
-    def get_scope(self, version: int) -> str:
-        """Return the cache namespace of this request's context."""
+    @property
+    def account_name(self) -> str | None:
+        """Name of the account that the request is served for, None on public routes."""
         account = self.admission.account
-        isolated = account is not None and account.isolated
-        name = account.name if isolated else ""
-        return str(ContextScope(name, self.metadata.model, version))
+        return None if account is None else account.name
+
+    def get_scope(self, version: int) -> str:
+        """Return the cache namespace of this request's context, by the latest document.
+
+        An account may have become isolated since the request was admitted. What was
+        planned for the namespace before is not used then.
+        """
+        owner = self.relay.table.owners.find(self.account_name)
+        return str(ContextScope(owner, self.metadata.model, version))
 
     def build_dispatch(self, endpoint: EndpointView) -> DispatchMetadata:
         """Return the metadata sent with the request to ``endpoint``."""
-        account = self.admission.account
         engine = self.service.engine is not None
         version = endpoint.announced.get_version(self.metadata.model) if engine else 0
         scope = self.get_scope(version) if engine else ""
@@ -344,7 +351,7 @@
         return DispatchMetadata(
             endpoint=endpoint.announced,
             deadline_ms=max(1, int(self.get_remaining_s() * 1000)),
-            account=account.name if account is not None else "",
+            account=self.account_name or "",
             priority=self.admission.priority if engine else None,
             cache_scope=scope,
             weight_version=version,
@@ -470,7 +477,7 @@
             request=self.metadata.request_id,
             route=self.admission.route.name,
             service=self.service.name,
-            account=self.admission.account.name if self.admission.account else "",
+            account=self.account_name or "",
             endpoint=attempt.endpoint.announced.name,
             in_flight=record.in_flight,
             reported=record.load.running if record.load is not None else -1,
--- a/medlarrail/relay/table.py
+++ b/medlarrail/relay/table.py
@@ -12,6 +12,7 @@
 )
 from medlarrail.core.errors import UnknownRoute, WrongKey
 from medlarrail.core.placement import get_weight
+from medlarrail.core.scopes import ContextOwners
 
 HASH_RANGE = 1 << 64
 
@@ -47,11 +48,13 @@
 
     deployment: Deployment
     services: dict[str, ServiceRule] = field(init=False)
+    owners: ContextOwners = field(init=False)
     _routes: dict[str, list[RouteRule]] = field(init=False)
     _accounts: dict[bytes, AccountRule] = field(init=False, repr=False)
 
     def __attrs_post_init__(self):
         self.services = {service.name: service for service in self.deployment.services}
+        self.owners = ContextOwners(self.deployment.accounts)
         self._routes = {}
         for route in self.deployment.routes:
             self._routes.setdefault(route.host.lower(), []).append(route)
