Let accounts share no context by a document that may be outdated

Change: once no leader has confirmed the view for isolation.limit_ms (3 s), in both modes, each account has a scope of its own, which is safe by any document, and stores are used for nothing. So what the leader frees there has no reader.

Measured: both cases of test_gateway_without_a_leader_lets_accounts_share failed before.

--- a/medlarrail/platform/prompts_test.py
+++ b/medlarrail/platform/prompts_test.py
@@ -372,6 +372,30 @@
         requests = [r for engine in harness.endpoints for r in engine.requests]
         assert all(get_value(r, b"kv-fetch") is None for r in requests)
 
+    @pytest.mark.parametrize("isolated", [(), ("lea-college",)])
+    async def test_gateway_without_a_leader_lets_accounts_share(
+        self, nursery, isolated
+    ):
+        """It was suspended or cut off, so an account may have become isolated since.
+        Others may free what it finds in the stores."""
+        scopes = (SCOPE, "lea-college/m/1", "tayside/m/1")
+        parts = [StoredPart(scope, "a1", 12_800) for scope in scopes]
+        harness = await start_prompt_relay(nursery, FixedContextStoreClient(*parts))
+        harness.configure(build_document(*isolated))
+        view = harness.relay.cluster_view
+        shared = await read_salt(harness, "tayside")
+        limit_s = harness.relay.isolation.limit_ms / 1000
+        view.confirmed_at = view.clock() - limit_s - 0.1
+        for engine in harness.endpoints:
+            engine.requests.clear()
+        for account in ("tayside", "lea-college"):
+            assert await read_salt(harness, account) == f"{account}/m/1"
+        requests = [r for engine in harness.endpoints for r in engine.requests]
+        assert all(get_value(r, b"kv-fetch") is None for r in requests)
+        assert all(get_value(r, b"kv-save") is None for r in requests)
+        view.confirmed_at = view.clock()
+        assert await read_salt(harness, "tayside") == shared
+
 
 async def test_a_started_stream_fails_over_without_queueing(nursery):
     """The caller's time limit for waiting applies only until the first event."""
--- a/medlarrail/policy/isolation.py
+++ b/medlarrail/policy/isolation.py
@@ -22,7 +22,8 @@
     With ``refuse``, an entry whose cluster state no leader has confirmed for
     ``limit_ms`` accepts no requests, so a revoked key stops working after that
     time. With ``last-known`` it keeps serving warm endpoints with its last known
-    document; cold endpoints get no more than this entry's fixed share.
+    document; cold endpoints get no more than this entry's fixed share. Accounts then
+    share no context, since one may have been isolated meanwhile.
     """
 
     mode: IsolationMode = "refuse"
@@ -35,4 +36,15 @@
         >>> IsolationPolicy("refuse", 3000).allows(3.5)
         False
         """
-        return self.mode == "last-known" or age_s * 1000 <= self.limit_ms
+        return self.mode == "last-known" or self.allows_sharing(age_s)
+
+    def allows_sharing(self, age_s: float) -> bool:
+        """Return whether accounts may share context by a document of this age.
+
+        What an account was never allowed to see is worse than a prompt that is read
+        again, so this holds in both modes.
+
+        >>> IsolationPolicy("last-known", 3000).allows_sharing(3.5)
+        False
+        """
+        return age_s * 1000 <= self.limit_ms
--- a/medlarrail/relay/endpoint_choice.py
+++ b/medlarrail/relay/endpoint_choice.py
@@ -326,6 +326,8 @@
         context = self.relay.context
         if context is None or len(self.metadata.parts) < 2 or not candidates:
             return Prompt(tokens, tokens)
+        if not self.relayed.allows_sharing():
+            return Prompt(tokens, tokens)
         version = self._get_newest_version(candidates)
         part = self.metadata.largest_shared_part
         scope = self.relayed.get_scope(version)
--- a/medlarrail/relay/part_location.py
+++ b/medlarrail/relay/part_location.py
@@ -30,7 +30,7 @@
         parts = self.relayed.metadata.shared_parts
         if directory is None or self.relayed.service.engine is None or not parts:
             return
-        if not directory.is_needed():
+        if not directory.is_needed() or not self.relayed.allows_sharing():
             return
         version = self.get_newest_version()
         scope = self.relayed.get_scope(version)
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -31,7 +31,7 @@
     StreamBroken,
 )
 from medlarrail.core.metrics import get_metrics
-from medlarrail.core.scopes import ContextScope
+from medlarrail.core.scopes import ContextScope, name_account
 from medlarrail.policy.answer_end import EndEvidence
 from medlarrail.policy.context import TransferPlan
 from medlarrail.policy.prompt_turns import get_retry_after_s
@@ -334,9 +334,20 @@
         An account may have become isolated since the request was admitted. What was
         planned for the namespace before is not used then.
         """
-        owner = self.relay.table.owners.find(self.account_name)
+        name = self.account_name
+        shares = self.allows_sharing()
+        owner = self.relay.table.owners.find(name) if shares else name_account(name)
         return str(ContextScope(owner, self.metadata.model, version))
 
+    def allows_sharing(self) -> bool:
+        """Return whether accounts share context, and stores are used.
+
+        Without a recent view an account may have been isolated, or its context in the
+        stores been freed.
+        """
+        age_s = self.relay.cluster_view.get_age_s()
+        return self.relay.isolation.allows_sharing(age_s)
+
     def build_dispatch(self, endpoint: EndpointView) -> DispatchMetadata:
         """Return the metadata sent with the request to ``endpoint``."""
         engine = self.service.engine is not None
@@ -372,6 +383,8 @@
         context = self.relay.context
         if context is None or not version or len(parts) < 2:
             return TransferPlan()
+        if not self.allows_sharing():
+            return TransferPlan()
         directory = self.relay.parts
         if directory is not None and directory.is_needed():
             located = self.part_location.take(scope)
