Remember for how long no account has been isolated

Engines that fetch parts from each other check no account. A gateway had them do so as soon as its document isolated nobody, though an engine may still keep what an account made while it was isolated.

Change: gateways and members note when a document last isolated an account, and members tell it with each answer, as a duration. Engines fetch once that is as long ago as another scope of a part keeps them from it.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -12,6 +12,7 @@
 import trio
 from attrs import Factory, define, evolve, field
 
+from medlarrail.cluster.isolation_times import IsolationTimes
 from medlarrail.cluster.member_choice import MemberChoice
 from medlarrail.cluster.state_client import StateClient
 from medlarrail.cluster.weight_versions import WeightVersions
@@ -90,6 +91,10 @@
         init=False,
     )
     """The ages of the versions, of which none is underestimated."""
+    isolation_times: IsolationTimes = field(
+        default=Factory(lambda self: IsolationTimes(self.clock), takes_self=True),
+        init=False,
+    )
     suspects: frozenset[SharedPart] = frozenset()
     """Parts of prompts and whole requests that may crash endpoints."""
     trial_requests: frozenset[SharedPart] = frozenset()
@@ -156,6 +161,7 @@
         self.entry_count = max(answer.entry_count, len(self.entries), 1)
         self.out_data_centres = frozenset(answer.out_data_centres)
         self.limited_services = frozenset(answer.limited_services)
+        self.isolation_times.record_ago(answer.isolated_ago_s)
         self.weight_versions.record_ages(answer.version_ages, sent_at)
         self._apply_desired(answer.desired)
         if answer.suspects is not None:
@@ -236,6 +242,7 @@
             str(previous_version),
         )
         self.deployment = deployment
+        self.isolation_times.record(deployment)
         eliot.log_message(
             "deployment:in-force", version=deployment.version, previous=previous_version
         )
--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -9,6 +9,7 @@
 from medlarrail.cluster.crash_ledger import CrashLedger
 from medlarrail.cluster.endpoint_marks import EndpointMarks
 from medlarrail.cluster.endpoint_sightings import EndpointSightings
+from medlarrail.cluster.isolation_times import IsolationTimes
 from medlarrail.cluster.known_incarnations import KnownIncarnations
 from medlarrail.cluster.registry import EndpointRegistry
 from medlarrail.cluster.software_rollouts import SoftwareRollouts
@@ -119,6 +120,8 @@
     endpoint_marks: EndpointMarks = field(init=False)
     weight_versions: WeightVersions = field(init=False)
     """Kept over changes of the leader: a follower measures, too."""
+    isolation_times: IsolationTimes = field(init=False)
+    """The same holds."""
     view_copy: ViewCopy = field(init=False)
     """From which this member answers entries while it follows."""
     entries: dict[str, EntryRecord] = field(factory=dict)
@@ -143,11 +146,18 @@
         self.software_rollouts = SoftwareRollouts(self)
         self.endpoint_marks = EndpointMarks(self)
         self.weight_versions = WeightVersions(self.clock)
+        self.isolation_times = IsolationTimes(self.clock)
         self.view_copy = ViewCopy(self.member, self.weight_versions, self.clock)
         self.configuration_index = self.member.catalogue.index
         self.member.apply_listeners.append(self._on_applied)
-        self.member.install_listeners.append(self._record_versions)
+        self.member.install_listeners.append(self._record_catalogue)
+        self._record_catalogue()
+
+    def _record_catalogue(self) -> None:
+        """Record the state of which the log entries may not have been applied here."""
         self._record_versions()
+        if self.member.catalogue.deployment is not None:
+            self.isolation_times.record(self.member.catalogue.deployment)
 
     def _record_versions(self) -> None:
         self.weight_versions.record_desired(self.member.catalogue.desired.values())
@@ -162,6 +172,8 @@
             self.software_rollouts.on_applied(operation.rollouts, entry)
         if isinstance(operation, SetDesiredVersion):
             self._record_versions()
+        if isinstance(operation, ReplaceDeployment):
+            self.isolation_times.record(self.member.catalogue.deployment)
         if has_rollouts or isinstance(operation, CONFIGURATION_OPERATIONS):
             self.configuration_index = entry.index
             self._publish()
@@ -525,6 +537,7 @@
             rollouts=(
                 tuple(catalogue.software_rollouts.values()) if configured else None
             ),
+            isolated_ago_s=self.isolation_times.get_ago_s(),
             member_urls=tuple(info.url for info in self.member.journal.get_members()),
             takes_reports=True,
         )
--- a/medlarrail/protocol/cluster_view.py
+++ b/medlarrail/protocol/cluster_view.py
@@ -154,4 +154,7 @@
     member_urls: tuple[str, ...] = ()
     age_s: float = 0.0
     takes_reports: bool = False
+    isolated_ago_s: float | None = None
+    """Time since an account was isolated by a document that the member has seen, None
+    if it has seen none such or is of the version before."""
     """Whether the leader takes the reports of followers."""
--- a/medlarrail/relay/prefill_sharing.py
+++ b/medlarrail/relay/prefill_sharing.py
@@ -25,6 +25,7 @@
 from medlarrail.relay.metadata import DispatchMetadata
 from medlarrail.relay.prefill_memory import (
     RETENTION_S,
+    SCOPE_RETENTION_S,
     ReadNotice,
     ReadSite,
     ReadSites,
@@ -346,10 +347,14 @@
         return found.sole_scope or self._is_only_scope()
 
     def _is_only_scope(self) -> bool:
-        """Return whether no other scope can exist: one model, no isolated account."""
+        """Return whether engines can have parts in no other scope.
+
+        There is one model, and no account has been isolated for as long as engines keep
+        parts.
+        """
         engine = self.relayed.service.engine
-        owners = self.relayed.relay.table.owners
-        return len(engine.models) <= 1 and not owners.isolated
+        ago_s = self.relayed.relay.cluster_view.isolation_times.get_ago_s()
+        return len(engine.models) <= 1 and (ago_s is None or ago_s > SCOPE_RETENTION_S)
 
     def _get_cache_lifetime_s(self, engine_count: int) -> float:
         """Return the expected time for which an engine keeps the part.
--- a/medlarrail/relay/prefill_sharing_test.py
+++ b/medlarrail/relay/prefill_sharing_test.py
@@ -505,6 +505,18 @@
         assert (await place(replay, key=1))[0] == ""
         assert (await place(replay, key=0))[0] == ""
 
+    async def test_engines_fetch_soon_after_an_account_was_isolated(self, replay):
+        """A source may still keep what the account made then. The entry saw it itself,
+        or heard of it when it started."""
+        address = await read_part(replay)
+        times = replay.relays[1].cluster_view.isolation_times
+        times.record_ago(SCOPE_RETENTION_S - 5)
+        assert (await place(replay))[0] == ""
+        await trio.sleep(4)
+        assert (await place(replay))[0] == ""
+        await trio.sleep(2)
+        assert (await place(replay))[0] == address
+
     async def test_stores_are_used_first(self, replay):
         await read_part(replay)
         replay.directory.held_at["part"] = 0.0
