Free stored context of accounts that an earlier document had

Stores drop nothing by themselves, so after a change of the isolated accounts they stayed full of parts in scopes that no request uses any more.

Change: the leader frees the parts of owners that the document does not have, 30 s after it came into force. By then gateways without a recent view use no store, and requests that were sent before have ended. It waits while a gateway is connected that does not name the sharers. Every member notes the change, so that a new leader does the rest.

Measured: on simulated members nothing is freed before, without a change or beside an older gateway; then just the parts of former owners, also after a change of the leader.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -482,6 +482,7 @@
             reads_age=True,
             knows_rollouts=True,
             tells_streams=self.tells_streams,
+            names_sharers=True,
             entry_count=self.cluster_view.entry_count,
         )
 
--- a/medlarrail/cluster/weight_rollout_test.py
+++ b/medlarrail/cluster/weight_rollout_test.py
@@ -4,19 +4,25 @@
 import trio
 from attrs import evolve
 
+from medlarrail.cluster.cluster_view import ClusterViewClient
 from medlarrail.cluster.cluster_view_server import SETTLE_S, ClusterViewServer
 from medlarrail.cluster.context_store_client import StoredPart, StoreListing
-from medlarrail.cluster.store_cleaner import DRAIN_WAIT_S, StoreCleaner
+from medlarrail.cluster.store_cleaner import (
+    DRAIN_WAIT_S,
+    OWNERS_DRAIN_S,
+    StoreCleaner,
+)
 from medlarrail.cluster.weight_rollout import (
     EngineState,
     RolloutPolicy,
     WeightRollout,
 )
 from medlarrail.core.announcements import ModelWeights
-from medlarrail.core.deployment import ServiceRule, StoreSpec
+from medlarrail.core.deployment import AccountRule, ServiceRule, StoreSpec
 from medlarrail.core.errors import PeerTimeout
 from medlarrail.testing.builders import build_announcement, build_deployment
 from medlarrail.testing.cluster import Cluster
+from medlarrail.testing.view_members import ViewMembers
 
 LOAD_S = 1.0
 POLICY = RolloutPolicy(at_once=2, quiet_s=3.0)
@@ -238,3 +244,76 @@
         assert not stores.freed
         await trio.sleep(2)
         assert {part.scope for part in stores.freed} == {"/m/1", "lea/m/1"}
+
+
+class TestFormerOwners:
+    """Stores stayed full of what only the accounts of an earlier document could use."""
+
+    SCOPES = ("/m/1", "lea/m/1", "derwent/m/1", "foreign")
+
+    @pytest.fixture
+    async def setting(self, tmp_path, nursery, autojump_clock):
+        members = ViewMembers(Cluster(tmp_path, nursery), nursery)
+        stores = FakeStores([StoredPart(scope, "p", 10) for scope in self.SCOPES])
+
+        def prepare(view_server):
+            nursery.start_soon(StoreCleaner(view_server, stores).run)
+
+        members.prepare = prepare
+        await members.start()
+        await self.isolate(members, "lea", version=1)
+        await trio.sleep(SETTLE_S + 1)
+        return members, stores
+
+    async def isolate(self, members, *names, version):
+        """Put a document with these isolated accounts in force."""
+        store = ServiceRule("s", store=StoreSpec("10.0.0.1:80", "leith", 100, 1000.0))
+        accounts = tuple(AccountRule(name, isolated=True) for name in names)
+        document = build_deployment(
+            version=version, services=(store,), routes=(), accounts=accounts
+        )
+        await (await members.get_leader()).replace_deployment(document)
+
+    def list_freed(self, stores):
+        return {part.scope for part in stores.freed}
+
+    async def test_context_is_freed_without_a_change(self, setting, autojump_clock):
+        members, stores = setting
+        await self.isolate(members, "lea", version=2)
+        await trio.sleep(2 * OWNERS_DRAIN_S)
+        assert not stores.freed
+
+    async def test_context_stays_in_the_stores_for_good(self, setting, autojump_clock):
+        members, stores = setting
+        await self.isolate(members, "derwent", version=2)
+        await trio.sleep(OWNERS_DRAIN_S - 1)
+        assert not stores.freed
+        await trio.sleep(3)
+        assert self.list_freed(stores) == {"/m/1", "lea/m/1"}
+
+    async def test_leader_changes_before_the_context_is_freed(
+        self, setting, autojump_clock
+    ):
+        members, stores = setting
+        await self.isolate(members, "derwent", version=2)
+        await members.replace_leader()
+        await trio.sleep(OWNERS_DRAIN_S + SETTLE_S + 2)
+        assert self.list_freed(stores) == {"/m/1", "lea/m/1"}
+
+    async def test_context_is_freed_that_entries_of_the_version_before_use(
+        self, setting, autojump_clock, monkeypatch
+    ):
+        members, stores = setting
+        entry = members.start_entry()
+        build_request = ClusterViewClient._build_request
+
+        def build_older_request(self, wait_s):
+            return evolve(build_request(self, wait_s), names_sharers=False)
+
+        monkeypatch.setattr(ClusterViewClient, "_build_request", build_older_request)
+        await self.isolate(members, "derwent", version=2)
+        await trio.sleep(OWNERS_DRAIN_S + 2)
+        assert entry.cluster_view.get_version() == 2 and not stores.freed
+        monkeypatch.setattr(ClusterViewClient, "_build_request", build_request)
+        await trio.sleep(3)
+        assert self.list_freed(stores) == {"/m/1", "lea/m/1"}
--- a/medlarrail/core/announcements.py
+++ b/medlarrail/core/announcements.py
@@ -122,3 +122,6 @@
     tells_streams: bool = False
     """Whether it tells state members of all streams that may be taken up; entries of
     the version before tell of some."""
+    names_sharers: bool = False
+    """Whether it keeps what isolated accounts made while they shared from the others;
+    entries of the version before use one scope for all that share."""
--- a/medlarrail/protocol/cluster_view.py
+++ b/medlarrail/protocol/cluster_view.py
@@ -92,6 +92,8 @@
     under trial are not listed to it."""
     tells_streams: bool = False
     """See ``RegisteredEntry``."""
+    names_sharers: bool = False
+    """See ``RegisteredEntry``."""
 
     def get_registered_entry(self) -> RegisteredEntry:
         """Return the calling entry as it is listed to others."""
@@ -101,6 +103,7 @@
             self.data_centre,
             self.work_address,
             self.tells_streams,
+            self.names_sharers,
         )
 
 
@@ -151,10 +154,10 @@
     version_ages: tuple[VersionAge, ...] = ()
     """Ages of the weight versions when the call arrived at the member that answers,
     negative for those that were named since. Empty from the version before."""
-    member_urls: tuple[str, ...] = ()
-    age_s: float = 0.0
-    takes_reports: bool = False
     isolated_ago_s: float | None = None
     """Time since an account was isolated by a document that the member has seen, None
     if it has seen none such or is of the version before."""
+    member_urls: tuple[str, ...] = ()
+    age_s: float = 0.0
+    takes_reports: bool = False
     """Whether the leader takes the reports of followers."""
