Try a refused election again soon

Two members whose election timeouts pass within the time of a vote refuse each other.

Cause: a refused candidate waited for a whole timeout of 1 to 2 s. Change: it tries again after 0.19 s for each place in the order of the voters, unless it has voted or heard a leader since, three times before it waits for a timeout.

--- a/medlarrail/consensus/elections.py
+++ b/medlarrail/consensus/elections.py
@@ -13,6 +13,7 @@
 """
 
 from functools import partial
+from typing import Literal
 
 import eliot
 import trio
@@ -39,11 +40,20 @@
 RESTART_ELECTION_S = 0.5
 """Time that a member leaves for the election after a full restart before it may start
 one by its timeout."""
+REFUSED_STAGGER_S = 3 * CHECK_INTERVAL_S
+"""Delay between the next attempts of two members whose elections were refused: longer
+than the votes of one take."""
+MAX_REFUSED_ATTEMPTS = 3
+"""Refused elections after which a member waits for a whole timeout again: the others
+hear a leader that it does not, or have entries that it lacks."""
 STALL_LIMIT_S = 0.5
 """Delay of a timer from which the process counts as having stood still: it could not
 hear the other members meanwhile."""
 GRANTED = "granted"
 REFUSED = "refused"
+ElectionResult = Literal["won", "refused", "ended"]
+"""``refused`` if members that could have granted it a quorum did not, and ``ended`` for
+any other reason."""
 
 
 @define(eq=False)
@@ -77,7 +87,7 @@
             while (left_s := self._get_time_left_s(timeout_s)) > 0:
                 await self._sleep(min(HEARTBEAT_INTERVAL_S / 2, left_s))
             if member.leadership is None:
-                await self._start_election()
+                await self._run_elections()
             elif member.leadership.has_lost_quorum():
                 member.step_down("quorum-lost")
             else:
@@ -152,21 +162,40 @@
             if answer.restarted:
                 restarted.add(peer.identity)
 
-    async def _start_election(self, all_restarted: bool = False) -> None:
+    async def _run_elections(self) -> None:
+        """Start an election, and again soon while the others refuse it.
+
+        Two members whose timeouts passed within the time of a vote refuse each other.
+        Their next attempts follow each other in the order of the voters.
+        """
+        member = self.member
+        for _ in range(MAX_REFUSED_ATTEMPTS):
+            if await self._start_election() != "refused":
+                return
+            timeout_since = member.election_timeout_since
+            voters = sorted(member.list_voters())
+            await self._sleep(REFUSED_STAGGER_S * (1 + voters.index(member.identity)))
+            if member.election_timeout_since != timeout_since:
+                # It has voted for another member, or heard a leader.
+                return
+
+    async def _start_election(self, all_restarted: bool = False) -> ElectionResult:
         member = self.member
         member.election_timeout_since = member.clock()
         if member.identity not in member.list_voters():
-            return
+            return "ended"
         collect_votes = partial(self._collect_votes, all_restarted=all_restarted)
         # Another election in the term of the pre-votes ends this one.
         term = member.term + 1
-        if not await collect_votes(term, only_probe=True):
-            return
+        result = await collect_votes(term, only_probe=True)
+        if result != "won":
+            return result
         if not await self._vote_for_self(term):
-            return
-        won = await collect_votes(term, only_probe=False)
-        if won and member.term == term:
+            return "ended"
+        result = await collect_votes(term, only_probe=False)
+        if result == "won" and member.term == term:
             member.start_leading(term)
+        return result
 
     async def _vote_for_self(self, term: int) -> bool:
         member = self.member
@@ -183,7 +212,7 @@
 
     async def _collect_votes(
         self, term: int, only_probe: bool, all_restarted: bool
-    ) -> bool:
+    ) -> ElectionResult:
         """Request votes from the other voters; return whether a quorum granted them."""
         member = self.member
         granted = {member.identity}
@@ -202,7 +231,7 @@
                 if peer.voter and peer.identity != member.identity:
                     nursery.start_soon(request_vote, peer)
         if member.is_quorum(granted):
-            return True
+            return "won"
         eliot.log_message(
             "election:failed",
             member=member.name,
@@ -212,7 +241,12 @@
             last_term=member.journal.last_term,
             results=results,
         )
-        return False
+        answered = granted | {
+            peer.identity
+            for peer in member.journal.get_members()
+            if results.get(peer.name) == REFUSED
+        }
+        return "refused" if member.is_quorum(answered) else "ended"
 
     def _build_request(
         self,
--- a/medlarrail/testing/cluster.py
+++ b/medlarrail/testing/cluster.py
@@ -45,6 +45,8 @@
     """Names of the seed members given to each member; if there are any, the members
     bootstrap the cluster and manage its membership themselves."""
     first_start: bool = False
+    build_random: type[random.Random] = random.Random
+    """Type of the members' random numbers."""
     network: FakeNetwork = field(init=False)
     hosts: dict[str, Host] = field(factory=dict)
 
@@ -66,7 +68,7 @@
             url=self.get_url(name),
             journal=open_journal(folder, run_inline),
             peers=self.network.connect(self.get_url(name)),
-            random=random.Random(f"{self.seed}-{name}-{len(self.network.hosts)}"),
+            random=self.build_random(f"{self.seed}-{name}-{len(self.network.hosts)}"),
             clock=trio.current_time,
             wall_clock=trio.current_time,
             snapshot_interval_entries=self.snapshot_interval_entries,
