Tell entries what members have applied while there is no leader

Change: a gateway whose poll is refused by a member that does not lead asks that member for what it has applied and no later leader takes back: departures, the deployment document, weight versions and their ages. Its view is not confirmed by that. Each member sends it once for each log index.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -31,7 +31,7 @@
     is_request_key,
 )
 from medlarrail.core.deployment import Deployment
-from medlarrail.core.errors import MedlarError
+from medlarrail.core.errors import MedlarError, NotLeader
 from medlarrail.core.invariants import require
 from medlarrail.core.metrics import get_metrics
 from medlarrail.core.software_rollouts import SoftwareRollout
@@ -41,6 +41,11 @@
     get_poll_wait_s,
 )
 from medlarrail.policy.stream_versions import STREAM_RETENTION_S
+from medlarrail.protocol.applied_state import (
+    APPLIED_STATE_PATH,
+    AppliedState,
+    AppliedStateRequest,
+)
 from medlarrail.protocol.cluster_view import (
     CLUSTER_VIEW_PATH,
     ClusterViewAnswer,
@@ -48,6 +53,10 @@
 )
 
 RETRY_PAUSE_S = 0.1
+APPLIED_STATE_INTERVAL_S = 0.25
+"""Shortest time between two calls for what members have applied, while none leads."""
+APPLIED_STATE_TIMEOUT_S = 0.25
+"""Time limit of such a call, which keeps the entry from asking the next member."""
 
 
 @define
@@ -178,6 +187,18 @@
         if answer.rollouts is not None:
             self._apply_rollouts(answer.rollouts)
 
+    def apply_unconfirmed(self, state: AppliedState, sent_at: float) -> None:
+        """Apply what a member told that may have no leader.
+
+        It is not confirmed to be the latest, but no later leader takes it back.
+        """
+        if state.deployment is not None:
+            self._apply_deployment(state.deployment)
+        for mark in state.marks:
+            self._apply_mark(mark)
+        self.weight_versions.record_ages(state.version_ages, sent_at)
+        self._apply_desired(state.desired)
+
     def _apply_rollouts(self, listed: tuple[SoftwareRollout, ...]) -> None:
         """Apply the records that are newer; one that is not listed stays."""
         applied = False
@@ -396,6 +417,9 @@
     _entries_seen: int = 0
     _configuration_seen: int = 0
     _suspects_seen: int = 0
+    _applied_index_seen: int = 0
+    """Log index up to which members told what they have applied."""
+    _applied_state_read_at: float = float("-inf")
     _connected: bool = False
     _failed_calls: int = 0
     """Consecutive calls that failed since a state member last answered."""
@@ -431,6 +455,8 @@
                 )
             except MedlarError as error:
                 self._record_failure(error)
+                if isinstance(error, NotLeader):
+                    await self._read_applied_state(url)
                 if not self.member_choice.record_failure(url, error):
                     await trio.sleep(RETRY_PAUSE_S)
                 continue
@@ -451,6 +477,29 @@
         timeout_s = get_poll_timeout_s(wait_s)
         return timeout_s / 2 if self._has_own_member() else timeout_s
 
+    async def _read_applied_state(self, url: str) -> None:
+        """Apply what a member that does not lead has applied.
+
+        An election may take longer than departures may stay unknown here.
+        """
+        sent_at = self.cluster_view.clock()
+        if sent_at - self._applied_state_read_at < APPLIED_STATE_INTERVAL_S:
+            return
+        self._applied_state_read_at = sent_at
+        request = AppliedStateRequest(
+            self.name, self._applied_index_seen, self.cluster_view.get_version()
+        )
+        try:
+            state = await self.state.peers.call(
+                url, APPLIED_STATE_PATH, request, AppliedState, APPLIED_STATE_TIMEOUT_S
+            )
+        except MedlarError as error:
+            # Members of the version before do not know the path.
+            get_metrics().count("applied_state_failures", type=type(error).__name__)
+            return
+        self.cluster_view.apply_unconfirmed(state, sent_at)
+        self._applied_index_seen = state.index
+
     async def report_readiness(self) -> None:
         """Report immediately to the leader whether this entry is ready."""
         request = self._build_request(wait_s=0.0)
--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -31,6 +31,11 @@
     get_report_interval_s,
     get_update_interval_s,
 )
+from medlarrail.protocol.applied_state import (
+    APPLIED_STATE_PATH,
+    AppliedState,
+    AppliedStateRequest,
+)
 from medlarrail.protocol.cluster_view import (
     ANNOUNCEMENTS_PATH,
     CLUSTER_VIEW_PATH,
@@ -431,6 +436,23 @@
         self.require_leading()
         return self._build_answer(message, arrived_at)
 
+    @route("POST", APPLIED_STATE_PATH, AppliedStateRequest)
+    async def handle_applied_state(self, request: Request) -> AppliedState:
+        """Return what this member has applied, whether or not there is a leader."""
+        message: AppliedStateRequest = request.message
+        catalogue = self.member.catalogue
+        if catalogue.index <= message.index_seen:
+            return AppliedState(message.index_seen)
+        document = catalogue.deployment
+        newer = document is not None and document.version > message.deployment_version
+        return AppliedState(
+            catalogue.index,
+            marks=self.endpoint_marks.list_marks(),
+            deployment=document if newer else None,
+            desired=tuple(catalogue.desired.values()),
+            version_ages=tuple(self.weight_versions.iterate_ages(self.clock())),
+        )
+
     def _get_epoch(self) -> str:
         return f"{self.member.identity}-{self._term}"
 
--- a/medlarrail/cluster/endpoint_marks_test.py
+++ b/medlarrail/cluster/endpoint_marks_test.py
@@ -9,7 +9,9 @@
 from medlarrail.core.announcements import EndpointMark
 from medlarrail.core.codec import decode, encode, from_plain, to_plain
 from medlarrail.core.errors import MedlarError
+from medlarrail.core.timing import HEARTBEAT_INTERVAL_S
 from medlarrail.policy.notification import MAX_POLL_WAIT_S
+from medlarrail.protocol.applied_state import APPLIED_STATE_PATH
 from medlarrail.protocol.cluster_view import (
     CLUSTER_VIEW_PATH,
     ClusterViewAnswer,
@@ -17,7 +19,7 @@
 )
 from medlarrail.state.catalogue import Catalogue, CatalogueImage
 from medlarrail.state.operations import Envelope, LogEntry, NoOperation
-from medlarrail.testing.builders import build_announcement
+from medlarrail.testing.builders import build_announcement, build_deployment
 from medlarrail.testing.cluster import Cluster
 from medlarrail.testing.view_members import ViewMembers
 
@@ -235,6 +237,72 @@
         view = await self.miss(members, stay)
         assert view.endpoints["engine-1"].announced.state == "ready"
 
+    @pytest.mark.parametrize("gone", [True, False])
+    async def test_endpoint_that_left_is_used_until_there_is_a_leader(
+        self, members, autojump_clock, gone
+    ):
+        """Both remaining members stood for election at one moment. The promise to the
+        endpoint counts from the change on."""
+        view = members.start_entry(ENTRY).cluster_view
+        await members.announce(sequence=4)
+        await trio.sleep(SETTLE_S + 1)
+        network = members.cluster.network
+        network.isolate(f"mem://{ENTRY}")
+        if gone:
+            await depart(members)
+        else:
+            await members.announce(sequence=5, state="leaving")
+        await trio.sleep(MAX_POLL_WAIT_S)
+        leader = await members.get_leader()
+        members.cluster.kill(leader.member.name)
+        network.clear_cuts()
+        network.isolate(members.cluster.get_members()[1].url)
+        await trio.sleep(2 * MAX_POLL_WAIT_S)
+        assert members.cluster.find_leader() is None
+        states = [one.announced.state for one in view.endpoints.values()]
+        assert states == ([] if gone else ["leaving"])
+        assert view.get_age_s() > 2 * MAX_POLL_WAIT_S
+
+    async def test_document_and_weights_are_unknown_until_there_is_a_leader(
+        self, members, autojump_clock
+    ):
+        view = members.start_entry(ENTRY).cluster_view
+        await trio.sleep(SETTLE_S + 1)
+        network = members.cluster.network
+        network.isolate(f"mem://{ENTRY}")
+        leader = await members.get_leader()
+        await leader.replace_deployment(build_deployment(version=7))
+        await leader.set_desired_version("m", 2)
+        named_at = trio.current_time()
+        await trio.sleep(MAX_POLL_WAIT_S)
+        members.cluster.kill(leader.member.name)
+        network.clear_cuts()
+        network.isolate(members.cluster.get_members()[1].url)
+        await trio.sleep(2 * MAX_POLL_WAIT_S)
+        assert members.cluster.find_leader() is None
+        assert view.get_version() == 7 and view.desired["m"].ordinal == 2
+        # A follower applies what is committed with the next append of the leader.
+        age_s = trio.current_time() - named_at
+        known_s = view.weight_versions.get_ages("m")[2]
+        assert age_s - HEARTBEAT_INTERVAL_S - 0.1 <= known_s <= age_s + 0.1
+
+    async def test_entry_does_without_it_at_members_of_the_version_before(
+        self, members, autojump_clock
+    ):
+        for member in members.cluster.get_members():
+            routes = members.cluster.network.hosts[member.url]
+            routes.routes = [
+                route for route in routes.routes if route.path != APPLIED_STATE_PATH
+            ]
+        view = members.start_entry(ENTRY).cluster_view
+        await members.announce(sequence=4)
+        await trio.sleep(SETTLE_S + 1)
+        await members.replace_leader()
+        await members.announce(sequence=5)
+        await trio.sleep(MAX_POLL_WAIT_S)
+        assert set(view.endpoints) == {"engine-1"}
+        assert view.get_age_s() < MAX_POLL_WAIT_S + 0.1
+
     async def test_marks_of_a_release_fill_the_first_answers(
         self, members, autojump_clock
     ):
--- a/medlarrail/cluster/weight_versions.py
+++ b/medlarrail/cluster/weight_versions.py
@@ -4,8 +4,8 @@
 each process has to know the age of a version that was named before it started, or
 while it was suspended or cut off. The log has no times. Members measure from their own
 application of the operation, tell each other and the entries the ages, and everybody
-keeps the largest: an age is never underestimated by more than its teller's start is
-after the acknowledgement.
+keeps the largest. A member that runs applies the operation within a heartbeat; one that
+has started again, or got a snapshot, knows the time since then.
 """
 
 from collections.abc import Iterable, Iterator, Mapping
