Let the soak isolate accounts and name weights

Callers have keys of two accounts, and configurations isolate them in turn. A run in a scope in which another account ran is a violation if one of the two is isolated by all configurations that may be in force, at whichever gateway. Endpoints load weights by orders and keep them over a restart; weights are named while one is down and a gateway hears of it late, and a run that begins on weights replaced over 10 s before is a violation.

--- a/medlarrail/platform/soak/__main__.py
+++ b/medlarrail/platform/soak/__main__.py
@@ -26,6 +26,7 @@
     endpoint_faults,
     link_faults,
     version_faults,
+    weight_faults,
 )
 from medlarrail.platform.soak.callers import REPEATED_SHARE, Call, Caller
 from medlarrail.platform.soak.check import (
@@ -33,7 +34,9 @@
     Violation,
     check_call,
     check_departures,
+    check_isolation,
     check_runs,
+    check_weights,
     count_calls,
     name_early_closes,
     read_carriers,
@@ -115,7 +118,11 @@
         carriers = read_carriers(self.site.folder)
         for violation in check_departures(self.site, self.calls, records, carriers):
             self.record(violation)
+        for violation in check_weights(self.site, self.calls, records, carriers):
+            self.record(violation)
         all_runs = [run for own in runs.values() for run in own]
+        for violation in check_isolation(self.site, all_runs):
+            self.record(violation)
         for rollout in self.rollouts:
             for violation in rollout.check(all_runs):
                 self.record(violation)
--- a/medlarrail/platform/soak/callers.py
+++ b/medlarrail/platform/soak/callers.py
@@ -9,7 +9,7 @@
 
 from medlarrail.platform.soak.engine import STREAMING, UPLOAD_BYTES
 from medlarrail.platform.soak.events import LARGE_SUFFIX, Event, parse_events
-from medlarrail.platform.soak.site import KEY, ROUTE_HOST, Site
+from medlarrail.platform.soak.site import KEYS, ROUTE_HOST, Site
 from medlarrail.platform.soak.wire import EndedEarly, Head, MessageReader, build_head
 
 DEADLINE_S = 15.0
@@ -108,6 +108,8 @@
     is_named: bool = True
     """Whether take-ups name the request that brought the first event."""
     ended_at: float = float("inf")
+    account: str = next(iter(KEYS))
+    """The client account whose key the caller has."""
 
     @property
     def is_stream(self) -> bool:
@@ -179,6 +181,7 @@
         is_upload = self.random.random() < UPLOAD_SHARE
         count = self.random.randint(*EVENT_COUNTS)
         call = Call(kind, prompt, count, is_upload=is_upload, is_named=is_named)
+        call.account = self.random.choice(list(KEYS))
         if call.is_stream and call.repeatable:
             self.recent.append(call)
         return call
@@ -208,7 +211,7 @@
         headers: dict[str, object] = {
             "Host": ROUTE_HOST,
             "Request-Id": answer.request_id,
-            "Api-Key": KEY,
+            "Api-Key": KEYS[call.account],
             "Model": "daka510000",
             "Token-Usage": f"100,{call.count}",
             "Deadline-Ms": answer.deadline_ms,
--- a/medlarrail/platform/soak/check.py
+++ b/medlarrail/platform/soak/check.py
@@ -20,6 +20,13 @@
 EARLY_CLOSE = "early end after an early close"
 CONTACT_S = 3.0
 """Time after which processes that reach each other know what was acknowledged."""
+ISOLATION_LIMIT_S = 4.0
+"""Time after the acknowledgement of a configuration from which each gateway keeps to
+its isolated accounts: the age of a view up to which accounts share, and a second for
+the way of a request that was sent by then."""
+WEIGHTS_LIMIT_S = 10.0
+"""Time after the acknowledgement of weights from which no request begins on older
+ones."""
 DRAIN_LIMIT_S = 2.0
 """Time after the acknowledgement of its departure up to which an endpoint may get
 requests."""
@@ -49,6 +56,11 @@
     began_at: float
     service: str
     version: str = ""
+    account: str = ""
+    scope: str = ""
+    """Namespace of its cached context, empty if it has none."""
+    weights: int = 0
+    """Weight version on which it began, 0 if it has none."""
     ended_at: float | None = None
     """None if the endpoint was killed before the end."""
     sent: int = 0
@@ -76,6 +88,8 @@
             own = record, entry["t"], entry["service"]
             run = Run(entry["id"], framing, faulty, *own, entry["version"])
             run.closed_early = entry["closed_early"]
+            run.account, run.scope = entry.get("account", ""), entry.get("scope", "")
+            run.weights = entry.get("weights", 0)
             runs.append(run)
         elif entry["what"] == "end":
             own = (one for one in runs if one.record == record)
@@ -188,6 +202,70 @@
                 yield Violation("run after departure", answer.request_id, detail)
 
 
+def check_isolation(site: Site, runs: list[Run]) -> Iterator[Violation]:
+    """Yield the runs in a scope in which another account ran before, if one of the two
+    is isolated by each configuration that may be in force.
+
+    A gateway knows of a configuration after ``ISOLATION_LIMIT_S``, whatever happens to
+    it.
+    """
+    accounts: dict[str, set[str]] = defaultdict(set)
+    for run in sorted(runs, key=lambda run: run.began_at):
+        if not run.scope:
+            continue
+        others = accounts[run.scope] - {run.account}
+        isolated = find_isolated(site, run.began_at) if others else frozenset()
+        if others and (run.account in isolated or others & isolated):
+            detail = f"{run.account} in {run.scope} of {', '.join(sorted(others))}"
+            yield Violation("context of another account", run.request_id, detail)
+        accounts[run.scope].add(run.account)
+
+
+def find_isolated(site: Site, at: float) -> frozenset[str]:
+    """Return the accounts that all configurations isolate that may be in force."""
+    known = [one for one in site.isolations if one.sent_at <= at]
+    latest = max(
+        (
+            number
+            for number, one in enumerate(known)
+            if one.acknowledged_at <= at - ISOLATION_LIMIT_S
+        ),
+        default=None,
+    )
+    if latest is None:
+        return frozenset()
+    return frozenset.intersection(*(one.names for one in known[latest:]))
+
+
+def check_weights(
+    site: Site, calls: list[Call], records: Records, carriers: dict[str, set[str]]
+) -> Iterator[Violation]:
+    """Yield the runs that began on weights that had been replaced long before.
+
+    The time counts while the state members and the gateways are in touch.
+    """
+    members = {state.record for state in (*site.states, *site.later_states)}
+    for answer in (answer for call in calls for answer in call.answers):
+        passed = {answer.gateway, *carriers.get(answer.request_id, ())}
+        for run in records.runs.get(answer.request_id, ()):
+            replaced_at = min(
+                (
+                    one.acknowledged_at
+                    for one in site.named_weights
+                    if one.version > run.weights > 0
+                ),
+                default=float("inf"),
+            )
+            since = run.began_at - WEIGHTS_LIMIT_S - CONTACT_S
+            if run.began_at - replaced_at <= WEIGHTS_LIMIT_S:
+                continue
+            is_stable = not is_disturbed(site, members, since, run.began_at)
+            since = answer.sent_at - CONTACT_S
+            if is_stable and not is_disturbed(site, passed, since, run.began_at):
+                detail = f"{run.weights}, {run.began_at - replaced_at:.1f} s after"
+                yield Violation("replaced weights", answer.request_id, detail)
+
+
 def is_disturbed(site: Site, records: set[str], since: float, until: float) -> bool:
     """Return whether one of these processes was disturbed within a time."""
     return any(
--- a/medlarrail/platform/soak/check_test.py
+++ b/medlarrail/platform/soak/check_test.py
@@ -6,6 +6,7 @@
 import subprocess
 import time
 from functools import partial
+from pathlib import Path
 from random import Random
 
 import orjson
@@ -19,12 +20,16 @@
     CONTACT_S,
     DRAIN_LIMIT_S,
     EARLY_CLOSE,
+    ISOLATION_LIMIT_S,
+    WEIGHTS_LIMIT_S,
     Records,
     Run,
     Violation,
     check_call,
     check_departures,
+    check_isolation,
     check_runs,
+    check_weights,
     count_calls,
     is_announced,
     is_cut,
@@ -52,6 +57,8 @@
 from medlarrail.platform.soak.site import (
     WIDE_ENGINES,
     Disturbance,
+    Isolation,
+    NamedWeights,
     RunningProgram,
     Site,
 )
@@ -341,6 +348,74 @@
             assert kinds == ["late request"]
 
 
+def build_model_run(account, began_at, scope="shared", weights=1):
+    """Return a run at a service of models, whose request has the account's name."""
+    run = Run(account, "length", False, "engine-1", began_at, "chat")
+    run.account, run.scope, run.weights = account, scope, weights
+    return run
+
+
+class TestIsolation:
+    RUNS = (build_model_run("a", 10.0), build_model_run("b", 20.0))
+
+    def list_violations(self, *isolations, runs=RUNS):
+        """Return the accounts whose runs use context of others."""
+        site = Site(Path(), 1)
+        site.isolations = [
+            Isolation(number, frozenset(names), sent_at, acknowledged_at)
+            for number, (names, sent_at, acknowledged_at) in enumerate(isolations)
+        ]
+        return [one.request_id for one in check_isolation(site, list(runs))]
+
+    @pytest.mark.parametrize("isolated", ["a", "b"])
+    def test_account_uses_what_another_one_made(self, isolated):
+        assert self.list_violations(("", 0, 1), (isolated, 11, 12)) == ["b"]
+
+    def test_accounts_that_share_violate_the_promise(self):
+        assert self.list_violations(("ab", 0, 1), ("", 11, 12)) == []
+
+    def test_time_of_a_change_counts(self):
+        late_at = 20.0 - ISOLATION_LIMIT_S + 0.1
+        assert self.list_violations(("", 0, 1), ("a", 11, late_at)) == []
+        assert self.list_violations(("", 0, 1), ("a", 11, float("inf"))) == []
+
+    def test_configuration_that_may_be_in_force_counts(self):
+        assert self.list_violations(("a", 0, 1), ("", 19, float("inf"))) == []
+
+    def test_scopes_of_one_account_violate_the_promise(self):
+        runs = build_model_run("a", 10.0, "a"), build_model_run("b", 20.0)
+        assert self.list_violations(("a", 0, 1), runs=runs) == []
+
+
+class TestWeights:
+    NAMED_AT = 100.0
+
+    def list_violations(self, began_at, *disturbances, weights=1):
+        """Return the violations of a run after version 2 was named."""
+        site = Site(Path(), 1)
+        site.states = [RunningProgram("core-1", "state", [], Path(), Path("c"), 1)]
+        site.named_weights = [NamedWeights(2, self.NAMED_AT)]
+        site.disturbances = list(disturbances)
+        answer = build_answer([1], sent_at=began_at - 0.1)
+        run = build_model_run("a", began_at, weights=weights)
+        records = Records({answer.request_id: [run]})
+        calls = [Call("chat", PROMPT, COUNT, [answer])]
+        return [one.kind for one in check_weights(site, calls, records, {})]
+
+    def test_run_begins_on_replaced_weights(self):
+        late_at = self.NAMED_AT + WEIGHTS_LIMIT_S + 0.1
+        assert self.list_violations(late_at) == ["replaced weights"]
+        assert self.list_violations(late_at - 0.2) == []
+        assert self.list_violations(late_at, weights=2) == []
+        assert self.list_violations(late_at, weights=0) == []
+
+    def test_run_begins_after_a_disturbance(self):
+        late_at = self.NAMED_AT + WEIGHTS_LIMIT_S + 0.1
+        for record, ago_s in (("c", WEIGHTS_LIMIT_S), ("edge-1", CONTACT_S - 1)):
+            at = late_at - ago_s
+            assert self.list_violations(late_at, Disturbance(record, at, at)) == []
+
+
 class TestEngine:
     """A fault that does nothing would find nothing."""
 
--- a/medlarrail/platform/soak/engine.py
+++ b/medlarrail/platform/soak/engine.py
@@ -33,6 +33,8 @@
 DRAIN_S = 2.0
 """Time for which a leaving endpoint goes on after the acknowledgement."""
 SLOTS = 64
+LOAD_S = 0.8
+"""Time in which an endpoint loads weights, once its requests have ended."""
 EVENT_S = (0.02, 0.09)
 """Range of the pause between two events."""
 SLOW_FACTOR = 10
@@ -84,6 +86,8 @@
     """Whether all answers have a length and none is sent twice."""
     first_heartbeat_s: float = 0.0
     """Time from the start until the endpoint first announces itself."""
+    weights: int = 1
+    """Weight version of an endpoint that has not run before under its name."""
     zone: str = "leith"
     control_links: dict[str, str] = field(factory=dict)
     """URL of the link to each state member, by the member's URL."""
@@ -125,10 +129,25 @@
     """Time until which requests are received and not answered, on trio's clock."""
     slow_until: float = 0.0
     """Time until which the pauses between events are long, on trio's clock."""
+    nursery: trio.Nursery | None = None
+    weights: int = field(init=False)
+    is_loading: bool = False
+    orders: int = 0
+    fencing: int = 0
     linger_s: float = 0.0
     """Time for which it goes on after it was removed, without a word before that; 0 if
     it says that it is leaving and is removed at its end."""
 
+    def __attrs_post_init__(self):
+        file = self._weights_file
+        self.weights = int(file.read_text()) if file.exists() else self.settings.weights
+
+    @property
+    def _weights_file(self) -> Path:
+        """Where the weight version is kept over a restart under the same name."""
+        folder = Path(self.settings.record_file).parent
+        return folder / f"{self.settings.name}.weights"
+
     def record(self, what: str, request_id: str, **fields: object) -> None:
         """Write one line of the record."""
         line = {"what": what, "id": request_id, "t": time.monotonic(), **fields}
@@ -148,7 +167,7 @@
             "state": self.state,
             "cold-remaining-ms": 0,
             "stage": "colocated",
-            "models": [{"name": MODEL, "version": 1, "adapters": []}],
+            "models": [{"name": MODEL, "version": self.weights, "adapters": []}],
             "born": self.born,
             "sequence": self.sequence,
         }
@@ -200,6 +219,7 @@
             self.settings.port, host=self.settings.host
         )
         async with trio.open_nursery() as nursery:
+            self.nursery = nursery
             nursery.start_soon(partial(trio.serve_listeners, self.serve, listeners))
             nursery.start_soon(self.announce_steadily)
             nursery.start_soon(self.leave_on_signal, nursery.cancel_scope)
@@ -214,14 +234,15 @@
             while True:
                 head = await reader.read_head()
                 early = self.is_reset_early(head)
-                if not early:
-                    await reader.read_body(head)
-                if not await self.answer(connection, head) or early:
+                body = b"" if early else await reader.read_body(head)
+                if not await self.answer(connection, head, body) or early:
                     return
         except (EndedEarly, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
 
-    async def answer(self, connection: EngineConnection, head: Head) -> bool:
+    async def answer(
+        self, connection: EngineConnection, head: Head, body: bytes = b""
+    ) -> bool:
         """Answer one request; return whether the connection stays open."""
         method, path, _ = head.first_line.split(" ")
         request_id = head.headers.get("request-id", "")
@@ -234,10 +255,16 @@
             return await self.send_short(connection, request_id, "421 Misdirected", {})
         if not request_id:
             if method == "GET" and path in ("/healthz", "/report"):
-                body = self.build_report() if path == "/report" else {}
-                return await self.send_short(connection, "", "200 OK", body)
+                report = self.build_report() if path == "/report" else {}
+                return await self.send_short(connection, "", "200 OK", report)
+            if method == "POST" and path == "/order":
+                status = self.take_order(orjson.loads(body))
+                return await self.send_short(connection, "", status, {})
             return await self.send_short(connection, "", "404 Not Found", {})
-        if self.active >= SLOTS:
+        weights = int(head.headers.get("expect-version", self.weights))
+        if weights != self.weights:
+            return await self.send_short(connection, request_id, "421 Misdirected", {})
+        if self.active >= SLOTS or self.is_loading:
             status = "503 Service Unavailable"
             return await self.send_short(connection, request_id, status, {})
         self.active += 1
@@ -269,10 +296,33 @@
 
     def build_report(self) -> dict:
         """Return the body of a report."""
-        zeros = dict.fromkeys(("sequence", "queued", "kv-used", "handles"), 0)
-        models = [{"name": MODEL, "version": 1, "adapters": []}]
+        zeros = dict.fromkeys(("queued", "kv-used", "handles"), 0)
+        models = [{"name": MODEL, "version": self.weights, "adapters": []}]
         own = {"active": self.active, "kv-total": 1_000_000, "born": self.born}
-        return {"stage": "colocated", "models": models, "busy": False, **zeros, **own}
+        state = {"busy": self.is_loading, "sequence": self.orders}
+        return {"stage": "colocated", "models": models, **zeros, **state, **own}
+
+    def take_order(self, order: dict) -> str:
+        """Begin to load weights; return the status of the answer."""
+        if order["fencing-token"] < self.fencing:
+            return "412 Precondition Failed"
+        if self.is_loading or order.get("expect", self.orders) != self.orders:
+            return "409 Conflict"
+        self.fencing = order["fencing-token"]
+        if order["version"] == self.weights:
+            return "200 OK"
+        self.orders += 1
+        self.is_loading = True
+        self.nursery.start_soon(self.load, order["version"])
+        return "202 Accepted"
+
+    async def load(self, version: int) -> None:
+        """Load weights once the running requests have ended."""
+        while self.active:
+            await trio.sleep(0.01)
+        await trio.sleep(LOAD_S)
+        self._weights_file.write_text(str(version))
+        self.weights, self.is_loading = version, False
 
     async def send_short(
         self, connection: EngineConnection, request_id: str, status: str, body: dict
@@ -310,6 +360,9 @@
         own = {"engine": self.settings.name, "version": self.settings.version}
         own["service"] = self.settings.service
         asked = {"kind": kind, "prompt": prompt, "after": after}
+        asked["account"] = head.headers.get("tenant", "")
+        asked["scope"] = head.headers.get("cache-salt", "")
+        asked["weights"] = self.weights if asked["scope"] else 0
         early = self.is_reset_early(head)
         framing = "close" if early else framing
         mixed = kind in STREAMING and framing == "close" and not early
--- a/medlarrail/platform/soak/faults.py
+++ b/medlarrail/platform/soak/faults.py
@@ -11,11 +11,11 @@
 from attrs import define
 
 from medlarrail.platform.soak.site import (
+    KEYS,
     START_TIMEOUT_S,
     Disturbance,
     RunningProgram,
     Site,
-    build_configuration,
 )
 
 PAUSE_S = (0.2, 2.0)
@@ -27,6 +27,11 @@
 RELEASE_SHARE = 0.4
 """Part of the run after which the release begins."""
 RECONFIGURE_LIMIT_S = 10.0
+ISOLATED_S = 5.0
+"""Shortest time for which the same accounts are isolated: longer than a gateway may
+need to know of them."""
+CONFIGURATION = "configuration"
+"""Stands among the names of busy processes while the configuration is changed."""
 INVALID_SHARE = 0.3
 """Share of the reloads of settings that are no JSON."""
 Action = Callable[["Faults"], Awaitable[None]]
@@ -225,12 +230,25 @@
 
     @register_action()
     async def change_configuration(self) -> None:
-        """Send a configuration with another number of routes."""
+        """Send a configuration with another number of routes and isolated accounts."""
+        if CONFIGURATION in self.site.busy:
+            return
+        self.site.busy.add(CONFIGURATION)
+        try:
+            await self._change_configuration()
+        finally:
+            self.site.busy.discard(CONFIGURATION)
+
+    async def _change_configuration(self) -> None:
         self.site.config_version += 1
         version = self.site.config_version
-        document = build_configuration(version, self.random.randrange(4))
+        routes = self.random.randrange(4)
+        last = self.site.isolations[-1]
+        isolated = last.names
+        if time.monotonic() - last.sent_at > ISOLATED_S:
+            isolated = frozenset(name for name in KEYS if self.random.random() < 0.5)
         with trio.move_on_after(RECONFIGURE_LIMIT_S):
-            while not await self.site.configure(document):
+            while not await self.site.change_isolation(isolated, routes):
                 await trio.sleep(SETTLING_S)
             self.site.note(f"configuration {version} acknowledged")
             return
--- a/medlarrail/platform/soak/site.py
+++ b/medlarrail/platform/soak/site.py
@@ -27,6 +27,8 @@
 ROOT = Path(__file__).parents[3]
 ROUTE_HOST = "nylo40.example"
 KEY = "a-key-of-a-caller"
+KEYS = {"bozi300": KEY, "zuri200": "a-key-of-another-caller"}
+"""Key of each client account, by its name."""
 CLUSTER_KEY = "a-key-for-this-soak"
 START_TIMEOUT_S = 30.0
 START_TIME_S = 0.6
@@ -104,6 +106,24 @@
     until: float = float("inf")
 
 
+@define
+class Isolation:
+    """The isolated accounts of one configuration."""
+
+    version: int
+    names: frozenset[str]
+    sent_at: float
+    acknowledged_at: float = float("inf")
+
+
+@define
+class NamedWeights:
+    """A weight version that was named."""
+
+    version: int
+    acknowledged_at: float = float("inf")
+
+
 @frozen
 class Sources:
     """Where the programs' sources are: those of ``other`` run a part of them."""
@@ -119,8 +139,10 @@
         return ROOT if is_own else self.other
 
 
-def build_configuration(version: int, extra_routes: int = 0) -> dict:
-    """Return a configuration; later ones have further routes."""
+def build_configuration(
+    version: int, extra_routes: int = 0, isolated: frozenset[str] = frozenset()
+) -> dict:
+    """Return a configuration; later ones have further routes and isolated accounts."""
     extra = {f"extra{number}": ("safe", "talk") for number in range(extra_routes)}
     routes = [
         {
@@ -150,7 +172,15 @@
             {"name": "talk", **common},
             *({"name": name, **common, "engine": engine} for name in MODEL_SERVICES),
         ],
-        "tenants": [{"name": "bozi300", "api-keys": [KEY], "priority": 1}],
+        "tenants": [
+            {
+                "name": name,
+                "api-keys": [key],
+                "priority": 1,
+                "isolated": name in isolated,
+            }
+            for name, key in KEYS.items()
+        ],
     }
 
 
@@ -201,6 +231,10 @@
     """Names of the processes that a fault is being played on."""
     fault_counts: Counter = field(factory=Counter)
     config_version: int = 1
+    isolations: list[Isolation] = field(factory=list)
+    """Those of all configurations, in their order."""
+    named_weights: list[NamedWeights] = field(factory=list)
+    """In their order."""
     ready_ports: dict[str, int] = field(factory=dict)
     reserved_ports: list[int] = field(factory=list)
     """Ports that a program is going to listen on, or to announce again."""
@@ -215,6 +249,11 @@
         """URLs of the state members, also of those that join later."""
         return [state.url for state in (*self.states, *self.later_states)]
 
+    @property
+    def weights_version(self) -> int:
+        """The newest weight version."""
+        return self.named_weights[-1].version if self.named_weights else 1
+
     @property
     def rollout_settings(self) -> dict:
         """Settings of software rollouts of a member or gateway, if there are any.
@@ -377,6 +416,7 @@
             "zone": data_centre,
             "record_file": str(self.folder / f"engine-{self.engine_count}.runs"),
             "seed": self.seed,
+            "weights": self.weights_version,
             "disorder": self.disorder,
             "failures": self.failures.get(version, 0.0),
             "early_closes": self.early_closes,
@@ -431,16 +471,35 @@
             for _ in range(count):
                 self.add_engine(service, "v1")
         with trio.fail_after(START_TIMEOUT_S + START_TIME_S * self.process_count):
-            while not await self.configure(build_configuration(self.config_version)):
+            while not await self.change_isolation(frozenset()):
                 await trio.sleep(POLL_S)
             for engine in self.engines:
                 await self.wait_engine(engine)
             for gateway in self.gateways:
                 await self.wait_ready(gateway)
 
-    async def configure(self, document: dict) -> bool:
-        """Send a configuration; return whether it was acknowledged."""
-        return await call_any("PUT", self.control_urls, "/config", document)
+    async def change_isolation(self, names: frozenset[str], routes: int = 0) -> bool:
+        """Send a configuration with the present number, other isolated accounts and
+        some further routes; return whether it was acknowledged."""
+        document = build_configuration(self.config_version, routes, names)
+        last = self.isolations[-1] if self.isolations else None
+        if last is None or last.names != names:
+            last = Isolation(self.config_version, names, time.monotonic())
+            self.isolations.append(last)
+        if not await call_any("PUT", self.control_urls, "/config", document):
+            return False
+        last.acknowledged_at = min(last.acknowledged_at, time.monotonic())
+        return True
+
+    async def name_weights(self) -> bool:
+        """Name the next weight version; return whether it was acknowledged."""
+        named = NamedWeights(self.weights_version + 1)
+        body = {"model": MODEL, "version": named.version}
+        if not await call_any("POST", self.control_urls, "/version-put", body):
+            return False
+        named.acknowledged_at = time.monotonic()
+        self.named_weights.append(named)
+        return True
 
     async def wait_ready(self, gateway: RunningProgram) -> None:
         """Return once a gateway accepts requests."""
--- a/medlarrail/platform/soak/soak_test.py
+++ b/medlarrail/platform/soak/soak_test.py
@@ -72,6 +72,13 @@
     run_soak(*options, duration_s=16, seed=2)
 
 
+def test_account_uses_context_of_others_once_it_is_isolated():
+    """Gateways, also suspended and restarted ones, kept to one scope for all accounts
+    that shared, whoever had become isolated."""
+    options = "--only", "change_configuration,freeze_gateway,kill_gateway,kill_state"
+    run_soak(*options, "--without", "release", duration_s=16, seed=2)
+
+
 def test_stream_of_an_unannounced_process_goes_on_at_the_version_before():
     """A process with other software began streams and ended before its first heartbeat
     was heard; gateways took them for streams of the version that they had listed."""
