Require keys where the list of accounts is empty

Cause: an empty list of accounts was read as a missing one, without which no key is required. Change: the document keeps whether it has a list.

Measured: the three cases of test_request_runs_once_the_last_account_is_removed failed before with 200.

--- a/medlarrail/core/deployment.py
+++ b/medlarrail/core/deployment.py
@@ -133,4 +133,12 @@
     services: tuple[ServiceRule, ...] = ()
     accounts: tuple[AccountRule, ...] = ()
     limits: RequestLimits = field(factory=RequestLimits)
+    lists_accounts: bool = False
+    """Whether the document has a list of accounts, which may be empty. Programs of the
+    version before don't tell."""
     source: str = field(default="", repr=False)
+
+    @property
+    def requires_key(self) -> bool:
+        """Whether requests need the key of an account, also if there is none left."""
+        return self.lists_accounts or bool(self.accounts)
--- a/medlarrail/platform/documents.py
+++ b/medlarrail/platform/documents.py
@@ -91,6 +91,7 @@
             _read_account(account) for account in document.list_objects("tenants", [])
         ),
         limits=_read_limits(document),
+        lists_accounts=document.fields.get("tenants") is not None,
         source=data.decode(),
     )
 
--- a/medlarrail/platform/platform_test.py
+++ b/medlarrail/platform/platform_test.py
@@ -168,6 +168,14 @@
         document = decode_deployment(orjson.dumps({**CONFIG, "routes": [route]}))
         assert document.routes[0].shares == (TrafficShare("app"),)
 
+    def test_empty_list_of_accounts_is_read_as_a_missing_one(self):
+        """The removal of the last account opened the service to any key."""
+        empty = encode_with_change(CONFIG, ("tenants",), [])
+        assert decode_deployment(empty).requires_key
+        assert decode_deployment(orjson.dumps(CONFIG)).requires_key
+        missing = encode_with_change(CONFIG, ("tenants",), None)
+        assert not decode_deployment(missing).requires_key
+
     @pytest.mark.parametrize(
         "path, value",
         [
--- a/medlarrail/relay/relay_test.py
+++ b/medlarrail/relay/relay_test.py
@@ -156,6 +156,21 @@
         assert get_status(answer) == 503
         assert float(get_value(answer, b"retry-after")) > 0
 
+    @pytest.mark.parametrize("key", ["Bearer key-1", "Bearer wrong", ""])
+    async def test_request_runs_once_the_last_account_is_removed(self, nursery, key):
+        """Without accounts no key was required."""
+        harness = await start_relay(nursery)
+        endpoint = await harness.add(answer_ok)
+        harness.configure(build_deployment(accounts=(), lists_accounts=True))
+        answer = await harness.send(build_request(Authorization=key))
+        assert get_status(answer) == 401
+        assert not endpoint.requests
+
+    async def test_document_without_a_list_of_accounts_requires_a_key(self, nursery):
+        harness = await start_relay(nursery, build_deployment(accounts=()))
+        await harness.add(answer_ok)
+        assert get_status(await harness.send(build_request(Authorization=""))) == 200
+
     async def test_a_public_route_needs_no_key(self, nursery):
         document = build_deployment(routes=(build_route(public=True),))
         harness = await start_relay(nursery, document)
--- a/medlarrail/relay/table.py
+++ b/medlarrail/relay/table.py
@@ -76,11 +76,11 @@
     def admit(self, host: str, path: str, key: str) -> Admission:
         """Return the route and account of a request.
 
-        Raises ``UnknownRoute`` and ``WrongKey``. If the document has no accounts, no
-        key is required.
+        Raises ``UnknownRoute`` and ``WrongKey``. If the document has no list of
+        accounts, no key is required.
         """
         route = self.find_route(host, path)
-        if route.public or not self.deployment.accounts:
+        if route.public or not self.deployment.requires_key:
             return Admission(route, None)
         account = self._accounts.get(_digest(key)) if key else None
         if account is None:
