--- a/medlarrail/cluster/cluster_view_test.py
+++ b/medlarrail/cluster/cluster_view_test.py
@@ -4,11 +4,12 @@
 import trio
 from attrs import evolve
 
-from medlarrail.cluster.cluster_view import ClusterView, ClusterViewClient
+from medlarrail.cluster.cluster_view import ClusterView
 from medlarrail.cluster.cluster_view_server import (
     SETTLE_S,
     ClusterViewServer,
 )
+from medlarrail.cluster.view_client import ClusterViewClient
 from medlarrail.core.announcements import RegisteredEndpoint, RegisteredEntry
 from medlarrail.core.errors import DeploymentInvalid, MedlarError, NotLeader
 from medlarrail.core.metrics import get_metrics
--- a/medlarrail/cluster/crash_watch_test.py
+++ b/medlarrail/cluster/crash_watch_test.py
@@ -4,7 +4,7 @@
 import trio
 from attrs import define, field
 
-from medlarrail.cluster.cluster_view import ClusterView, ClusterViewClient
+from medlarrail.cluster.cluster_view import ClusterView
 from medlarrail.cluster.cluster_view_server import SETTLE_S, ClusterViewServer
 from medlarrail.cluster.crash_ledger import (
     MAX_BREAK_GAP_S,
@@ -16,6 +16,7 @@
 )
 from medlarrail.cluster.crash_watch import CrashWatch
 from medlarrail.cluster.state_client import StateClient
+from medlarrail.cluster.view_client import ClusterViewClient
 from medlarrail.core.cluster_records import REQUEST_KEY_PREFIX, DesiredVersion
 from medlarrail.core.metrics import get_metrics
 from medlarrail.policy.crashing_parts import get_trial_delay_s
--- a/medlarrail/cluster/leader_load_test.py
+++ b/medlarrail/cluster/leader_load_test.py
@@ -11,10 +11,11 @@
 import trio
 from attrs import define, field
 
-from medlarrail.cluster.cluster_view import ClusterView, ClusterViewClient
+from medlarrail.cluster.cluster_view import ClusterView
 from medlarrail.cluster.cluster_view_server import SETTLE_S, ClusterViewServer
 from medlarrail.cluster.crash_watch import CrashWatch
 from medlarrail.cluster.state_client import StateClient
+from medlarrail.cluster.view_client import ClusterViewClient
 from medlarrail.core.announcements import Announcement
 from medlarrail.core.cluster_records import REQUEST_KEY_PREFIX
 from medlarrail.core.errors import EndpointUnreachable, MedlarError
--- a/medlarrail/cluster/view_client_test.py
+++ b/medlarrail/cluster/view_client_test.py
@@ -3,8 +3,9 @@
 import pytest
 import trio
 
-from medlarrail.cluster.cluster_view import ClusterView, ClusterViewClient
+from medlarrail.cluster.cluster_view import ClusterView
 from medlarrail.cluster.state_client import StateClient
+from medlarrail.cluster.view_client import ClusterViewClient
 from medlarrail.core.metrics import get_metrics
 from medlarrail.protocol.cluster_view import (
     CLUSTER_VIEW_PATH,
--- a/medlarrail/cluster/weight_rollout_test.py
+++ b/medlarrail/cluster/weight_rollout_test.py
@@ -4,7 +4,6 @@
 import trio
 from attrs import evolve
 
-from medlarrail.cluster.cluster_view import ClusterViewClient
 from medlarrail.cluster.cluster_view_server import SETTLE_S, ClusterViewServer
 from medlarrail.cluster.context_store_client import StoredPart, StoreListing
 from medlarrail.cluster.store_cleaner import (
@@ -12,6 +11,7 @@
     OWNERS_DRAIN_S,
     StoreCleaner,
 )
+from medlarrail.cluster.view_client import ClusterViewClient
 from medlarrail.cluster.weight_rollout import (
     EngineState,
     RolloutPolicy,
--- a/medlarrail/policy/isolation.py
+++ b/medlarrail/policy/isolation.py
@@ -41,8 +41,8 @@
     def allows_sharing(self, age_s: float) -> bool:
         """Return whether accounts may share context by a document of this age.
 
-        What an account was never allowed to see is worse than a prompt that is read
-        again, so this holds in both modes.
+        Context that the wrong account uses is worse than a prompt that is read again,
+        so this holds in both modes.
 
         >>> IsolationPolicy("last-known", 3000).allows_sharing(3.5)
         False
--- a/medlarrail/programs/gateway.py
+++ b/medlarrail/programs/gateway.py
@@ -6,9 +6,10 @@
 import trio
 from attrs import define
 
-from medlarrail.cluster.cluster_view import ClusterView, ClusterViewClient
+from medlarrail.cluster.cluster_view import ClusterView
 from medlarrail.cluster.context_store_client import ContextStoreClient
 from medlarrail.cluster.state_client import StateClient
+from medlarrail.cluster.view_client import ClusterViewClient
 from medlarrail.core.deployment import Deployment
 from medlarrail.programs.auxiliary_servers import start_metrics
 from medlarrail.programs.daemon import SettingsReloader, wait_for_stop_signal
--- a/medlarrail/testing/fleet.py
+++ b/medlarrail/testing/fleet.py
@@ -10,10 +10,10 @@
 import trio.testing
 from attrs import define, evolve, field
 
-from medlarrail.cluster.cluster_view import ClusterViewClient
 from medlarrail.cluster.cluster_view_server import ClusterViewServer
 from medlarrail.cluster.crash_watch import CrashWatch
 from medlarrail.cluster.state_client import StateClient
+from medlarrail.cluster.view_client import ClusterViewClient
 from medlarrail.core.announcements import Announcement
 from medlarrail.core.deployment import Deployment
 from medlarrail.relay.header_codec import DefaultHeaderCodec
--- a/medlarrail/testing/view_members.py
+++ b/medlarrail/testing/view_members.py
@@ -5,9 +5,10 @@
 import trio
 from attrs import define, field
 
-from medlarrail.cluster.cluster_view import ClusterView, ClusterViewClient
+from medlarrail.cluster.cluster_view import ClusterView
 from medlarrail.cluster.cluster_view_server import ClusterViewServer
 from medlarrail.cluster.state_client import StateClient
+from medlarrail.cluster.view_client import ClusterViewClient
 from medlarrail.testing.builders import build_announcement
 from medlarrail.testing.cluster import Cluster
 
