Generate fewer classes at the start of a gateway

programs/startup_test.py allows fewer than 200 classes with generated methods at the start of a gateway, as after a loss of power each adds to the time until its first line.

Change: the messages of applied state and of trials are imported when the first of them is sent, and the choice of weights is in a module apart from the order in which endpoints load them, which only leaders need. 199 again.

--- a/medlarrail/cluster/cluster_view.py
+++ b/medlarrail/cluster/cluster_view.py
@@ -32,7 +32,6 @@
 from medlarrail.core.metrics import get_metrics
 from medlarrail.core.software_rollouts import SoftwareRollout
 from medlarrail.policy.stream_versions import STREAM_RETENTION_S
-from medlarrail.protocol.applied_state import AppliedState
 from medlarrail.protocol.cluster_view import ClusterViewAnswer
 
 
@@ -164,7 +163,11 @@
         if answer.rollouts is not None:
             self._apply_rollouts(answer.rollouts)
 
-    def apply_unconfirmed(self, state: AppliedState, sent_at: float) -> None:
+    def apply_unconfirmed(
+        self,
+        state: "AppliedState",  # noqa: F821
+        sent_at: float,
+    ) -> None:
         """Apply what a member told that may have no leader.
 
         It is not confirmed to be the latest, but no later leader takes it back.
--- a/medlarrail/cluster/crash_watch.py
+++ b/medlarrail/cluster/crash_watch.py
@@ -23,16 +23,18 @@
     COMPLETIONS_PATH,
     CRASH_BATCH_PATH,
     CRASHES_PATH,
-    REQUEST_TRIALS_PATH,
-    TRIALS_PATH,
     CompletionReport,
     CrashReport,
     CrashReports,
+)
+from medlarrail.protocol.empty import EmptyMessage
+from medlarrail.protocol.request_trials import (
+    REQUEST_TRIALS_PATH,
+    TRIALS_PATH,
     SuspectTrialRequest,
     TrialAnswer,
     TrialRequest,
 )
-from medlarrail.protocol.empty import EmptyMessage
 from medlarrail.state.operations import BlockParts, UnblockParts
 from medlarrail.transport.routes import Request, route
 
--- a/medlarrail/cluster/crash_watch_test.py
+++ b/medlarrail/cluster/crash_watch_test.py
@@ -25,16 +25,18 @@
     BREAKS_PATH,
     COMPLETIONS_PATH,
     CRASHES_PATH,
-    REQUEST_TRIALS_PATH,
-    TRIALS_PATH,
     CompletionReport,
     CrashReport,
     CrashReports,
+)
+from medlarrail.protocol.empty import EmptyMessage
+from medlarrail.protocol.request_trials import (
+    REQUEST_TRIALS_PATH,
+    TRIALS_PATH,
     SuspectTrialRequest,
     TrialAnswer,
     TrialRequest,
 )
-from medlarrail.protocol.empty import EmptyMessage
 from medlarrail.state.operations import SetDesiredVersion
 from medlarrail.testing.cluster import Cluster
 
--- a/medlarrail/cluster/view_client.py
+++ b/medlarrail/cluster/view_client.py
@@ -21,11 +21,6 @@
     get_poll_timeout_s,
     get_poll_wait_s,
 )
-from medlarrail.protocol.applied_state import (
-    APPLIED_STATE_PATH,
-    AppliedState,
-    AppliedStateRequest,
-)
 from medlarrail.protocol.cluster_view import (
     CLUSTER_VIEW_PATH,
     ClusterViewAnswer,
@@ -128,6 +123,14 @@
         if sent_at - self._applied_state_read_at < APPLIED_STATE_INTERVAL_S:
             return
         self._applied_state_read_at = sent_at
+        # Imported here because members mostly have a leader, and each class with
+        # generated methods adds half a millisecond to a start.
+        from medlarrail.protocol.applied_state import (
+            APPLIED_STATE_PATH,
+            AppliedState,
+            AppliedStateRequest,
+        )
+
         request = AppliedStateRequest(
             self.name, self._applied_index_seen, self.cluster_view.get_version()
         )
--- a/medlarrail/cluster/weight_versions.py
+++ b/medlarrail/cluster/weight_versions.py
@@ -14,7 +14,7 @@
 
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.core.cluster_records import DesiredVersion, VersionAge
-from medlarrail.policy.rollout import OLD_WEIGHTS_LIMIT_S
+from medlarrail.policy.weight_use import OLD_WEIGHTS_LIMIT_S
 
 RETENTION_S = 3 * OLD_WEIGHTS_LIMIT_S
 """Age of a version from which on the ages of lower ones are not kept: requests begin on
--- a/medlarrail/cluster/weight_versions_test.py
+++ b/medlarrail/cluster/weight_versions_test.py
@@ -16,7 +16,7 @@
 from medlarrail.core.cluster_records import DesiredVersion, VersionAge
 from medlarrail.core.errors import MedlarError
 from medlarrail.policy.notification import MAX_POLL_WAIT_S
-from medlarrail.policy.rollout import OLD_WEIGHTS_LIMIT_S
+from medlarrail.policy.weight_use import OLD_WEIGHTS_LIMIT_S
 from medlarrail.testing.builders import (
     build_announcement,
     build_cluster_view_answer,
--- a/medlarrail/protocol/crashes.py
+++ b/medlarrail/protocol/crashes.py
@@ -8,8 +8,6 @@
 """For ``CrashReports`` of endpoints that may have crashed: the entry reaches none of
 their service, so it may be partitioned from them."""
 COMPLETIONS_PATH = "/internal/crashes/completions"
-TRIALS_PATH = "/internal/crashes/trials"
-REQUEST_TRIALS_PATH = "/internal/crashes/request-trials"
 
 
 @frozen
@@ -43,27 +41,3 @@
     entry: str
     service: str
     parts: tuple[str, ...]
-
-
-@frozen
-class TrialRequest:
-    """Asks for permission to send one request with the blocked parts ``name``."""
-
-    entry: str
-    name: str
-
-
-@frozen
-class SuspectTrialRequest:
-    """Asks for permission to send a suspected request once, given by its key."""
-
-    entry: str
-    service: str
-    key: str
-
-
-@frozen
-class TrialAnswer:
-    """Whether the request may be sent."""
-
-    granted: bool
--- a/medlarrail/relay/blocked_prompts.py
+++ b/medlarrail/relay/blocked_prompts.py
@@ -11,9 +11,7 @@
 from medlarrail.core.cluster_records import BlockedParts, SharedPart
 from medlarrail.core.errors import PromptBlocked, RequestBlocked
 from medlarrail.core.metrics import get_metrics
-from medlarrail.protocol.crashes import TRIALS_PATH, TrialRequest
 from medlarrail.relay.crash_reporter import Suspect
-from medlarrail.relay.trial_client import ask_for_trial
 
 MIN_RETRY_AFTER_S = 1.0
 
@@ -67,11 +65,11 @@
         blocked = self.require_trial_due(service, parts)
         if blocked is None:
             return False
+        from medlarrail.relay.trial_client import ask_for_parts_trial
+
         self._asking.add(blocked.name)
         try:
-            granted = await ask_for_trial(
-                self.state, TRIALS_PATH, TrialRequest(self.name, blocked.name)
-            )
+            granted = await ask_for_parts_trial(self.state, self.name, blocked.name)
         finally:
             self._asking.discard(blocked.name)
         if not granted:
--- a/medlarrail/relay/blocked_prompts_test.py
+++ b/medlarrail/relay/blocked_prompts_test.py
@@ -7,7 +7,7 @@
 from medlarrail.cluster.cluster_view import ClusterView
 from medlarrail.core.cluster_records import BlockedParts
 from medlarrail.core.errors import PeerTimeout, PromptBlocked
-from medlarrail.protocol.crashes import TrialAnswer
+from medlarrail.protocol.request_trials import TrialAnswer
 from medlarrail.relay.blocked_prompts import BlockedPrompts
 from medlarrail.relay.metadata import MAX_KEY_CHARS, PromptPart
 from medlarrail.testing.builders import build_cluster_view_answer
--- a/medlarrail/relay/endpoint_choice.py
+++ b/medlarrail/relay/endpoint_choice.py
@@ -19,7 +19,7 @@
     get_load,
 )
 from medlarrail.policy.prompt_length import are_all_full, is_long, list_engines
-from medlarrail.policy.rollout import VersionUse, choose_versions
+from medlarrail.policy.weight_use import VersionUse, choose_versions
 from medlarrail.policy.workload import (
     DispatchAction,
     EngineWorkload,
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -35,8 +35,8 @@
 from medlarrail.policy.answer_end import EndEvidence
 from medlarrail.policy.context import TransferPlan
 from medlarrail.policy.prompt_turns import get_retry_after_s
-from medlarrail.policy.rollout import get_replaced_s
 from medlarrail.policy.stream_order import StreamOrder, describe_id
+from medlarrail.policy.weight_use import get_replaced_s
 from medlarrail.relay.attempt import Attempt, BufferedAnswer
 from medlarrail.relay.crash_evidence import CrashEvidence
 from medlarrail.relay.endpoint_choice import EndpointChooser
--- a/medlarrail/relay/suspected_requests.py
+++ b/medlarrail/relay/suspected_requests.py
@@ -9,9 +9,7 @@
 from medlarrail.core.cluster_records import SharedPart
 from medlarrail.core.errors import RequestOnTrial
 from medlarrail.core.metrics import get_metrics
-from medlarrail.protocol.crashes import REQUEST_TRIALS_PATH, SuspectTrialRequest
 from medlarrail.relay.crash_reporter import Suspect
-from medlarrail.relay.trial_client import ask_for_trial
 
 RETRY_AFTER_S = 0.3
 """Time to the next trial of the service, which may be this request's."""
@@ -50,9 +48,10 @@
         suspect = self.find(service, suspects)
         if suspect is None:
             return False
-        request = SuspectTrialRequest(self.name, service, suspect.key)
-        if self.state is None or not await ask_for_trial(
-            self.state, REQUEST_TRIALS_PATH, request
+        from medlarrail.relay.trial_client import ask_for_request_trial
+
+        if self.state is None or not await ask_for_request_trial(
+            self.state, self.name, service, suspect.key
         ):
             get_metrics().count("requests_on_trial", service=service)
             raise RequestOnTrial(request=suspect.key, retry_after_s=RETRY_AFTER_S)
