Keep departures of endpoints in one class

Cause: the registry of the leader and the copies of the other members each kept the departures, the latest forgotten revision and the rule when an entry needs all endpoints; the two had to be changed together.

The behaviour is the same.

--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -508,7 +508,8 @@
     def _build_answer(
         self, message: ClusterViewRequest, arrived_at: float
     ) -> ClusterViewAnswer:
-        is_too_old = message.endpoints_seen < self.registry.forgotten_revision
+        departures = self.registry.departures
+        is_too_old = message.endpoints_seen < departures.forgotten_revision
         whole = message.epoch != self._get_epoch() or is_too_old
         since = 0 if whole else message.endpoints_seen
         catalogue = self.member.catalogue
@@ -534,7 +535,7 @@
             entries_revision=self.entries_revision,
             configuration_index=self.configuration_index,
             endpoints=listed_endpoints,
-            departed=(*self.registry.iterate_departed(since), *hidden),
+            departed=(*departures.iterate_names(since), *hidden),
             marks=marks,
             entries=self._list_entries() if listed else None,
             entry_count=max(1, len(self.entries)),
--- a/medlarrail/cluster/endpoint_marks.py
+++ b/medlarrail/cluster/endpoint_marks.py
@@ -9,7 +9,7 @@
 import eliot
 from attrs import define, field
 
-from medlarrail.cluster.registry import DEPARTED_RETENTION_S
+from medlarrail.cluster.departures import DEPARTED_RETENTION_S
 from medlarrail.core.announcements import Announcement, EndpointMark
 from medlarrail.state.operations import Envelope, NoOperation
 
@@ -66,7 +66,7 @@
         registry = self.view_server.registry
         mark = self.find(name)
         record = registry.endpoints.get(name)
-        if record is None and name in registry.departed and mark and mark.gone:
+        if record is None and name in registry.departures and mark and mark.gone:
             return
         if record is not None:
             started_ms = record.announced.started_ms
--- a/medlarrail/cluster/endpoint_marks_test.py
+++ b/medlarrail/cluster/endpoint_marks_test.py
@@ -5,7 +5,7 @@
 import trio
 
 from medlarrail.cluster.cluster_view_server import SETTLE_S
-from medlarrail.cluster.registry import DEPARTED_RETENTION_S
+from medlarrail.cluster.departures import DEPARTED_RETENTION_S
 from medlarrail.core.announcements import EndpointMark
 from medlarrail.core.codec import decode, encode, from_plain, to_plain
 from medlarrail.core.errors import MedlarError
--- a/medlarrail/cluster/registry.py
+++ b/medlarrail/cluster/registry.py
@@ -11,6 +11,7 @@
 
 from attrs import define, evolve, field
 
+from medlarrail.cluster.departures import Departures
 from medlarrail.core.announcements import Announcement, ModelWeights, RegisteredEndpoint
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.core.metrics import get_metrics
@@ -20,8 +21,6 @@
 
 Entries detect a failed endpoint sooner by themselves. An endpoint that is unreachable
 only from the state members continues to serve until then."""
-DEPARTED_RETENTION_S = 60.0
-"""Time for which late messages of a departed endpoint are recognised."""
 
 
 @define
@@ -36,15 +35,6 @@
     limit_per_s: float | None = None
 
 
-@define
-class DepartedEndpoint:
-    """An endpoint that left or was replaced; its late messages are ignored."""
-
-    last_started_ms: int
-    departed_at: float
-    revision: int
-
-
 @define
 class EndpointRegistry:
     """Endpoints by name; ``revision`` is incremented on each change."""
@@ -52,13 +42,13 @@
     clock: Clock = get_boottime
     revision: int = 0
     endpoints: dict[str, EndpointRecord] = field(factory=dict)
-    departed: dict[str, DepartedEndpoint] = field(factory=dict)
-    forgotten_revision: int = 0
-    """Revision of the latest departure that is not remembered any more: what changed
-    since an earlier one can't be told."""
+    departures: Departures = field(init=False)
     _names_by_address: dict[str, str] = field(factory=dict)
     """Each address has one endpoint: those before at it are removed."""
 
+    def __attrs_post_init__(self):
+        self.departures = Departures(self.clock)
+
     def record_announcement(self, announced: Announcement) -> bool:
         """Record an announcement; return whether entries have to be notified."""
         if self.is_outdated(announced):
@@ -77,7 +67,7 @@
             self._forget_address(previous.announced)
         self.endpoints[announced.name] = record
         self._names_by_address[announced.address] = announced.name
-        self.departed.pop(announced.name, None)
+        self.departures.remove(announced.name)
         if previous is None or _differs(previous, record):
             self._mark_changed(record)
             return True
@@ -85,8 +75,7 @@
 
     def is_outdated(self, announced: Announcement) -> bool:
         """Return whether a newer state of the endpoint is known."""
-        departure = self.departed.get(announced.name)
-        if departure is not None and announced.started_ms <= departure.last_started_ms:
+        if self.departures.is_late(announced):
             return True
         previous = self.endpoints.get(announced.name)
         if (
@@ -122,10 +111,10 @@
         if record is not None:
             self._forget_address(record.announced)
         started_ms = record.announced.started_ms if record else now_ms
-        if record is None and name in self.departed:
+        if record is None and name in self.departures:
             return False
         self.revision += 1
-        self.departed[name] = DepartedEndpoint(started_ms, self.clock(), self.revision)
+        self.departures.record(name, self.revision, started_ms)
         return True
 
     def _mark_changed(self, record: EndpointRecord) -> None:
@@ -181,8 +170,7 @@
         ]
         for name in silent:
             self.remove(name)
-        forgotten_revision = forget_departed(self.departed, now)
-        self.forgotten_revision = max(self.forgotten_revision, forgotten_revision)
+        self.departures.remove_expired()
         return silent
 
     def iterate_changed(self, since: int) -> Iterator[RegisteredEndpoint]:
@@ -199,33 +187,12 @@
                     record.limit_per_s,
                 )
 
-    def iterate_departed(self, since: int) -> Iterator[str]:
-        """Yield the names of endpoints that left after revision ``since``."""
-        for name, departure in self.departed.items():
-            if departure.revision > since:
-                yield name
-
     def clear(self) -> None:
         """Remove all records; a new leader starts with an empty registry."""
         self.endpoints.clear()
-        self.departed.clear()
+        self.departures.clear()
         self._names_by_address.clear()
-        self.revision = self.forgotten_revision = 0
-
-
-def forget_departed(departed: dict[str, DepartedEndpoint], now: float) -> int:
-    """Remove the departures whose late messages can't arrive any more.
-
-    Returns the latest revision among them, 0 if there are none.
-    """
-    forgotten = {
-        name: departure
-        for name, departure in departed.items()
-        if now - departure.departed_at > DEPARTED_RETENTION_S
-    }
-    for name in forgotten:
-        del departed[name]
-    return max((one.revision for one in forgotten.values()), default=0)
+        self.revision = 0
 
 
 def _is_restarted(previous: EndpointRecord, announced: Announcement) -> bool:
--- a/medlarrail/cluster/registry_test.py
+++ b/medlarrail/cluster/registry_test.py
@@ -2,11 +2,8 @@
 
 import random
 
-from medlarrail.cluster.registry import (
-    DEPARTED_RETENTION_S,
-    SILENCE_LIMIT_S,
-    EndpointRegistry,
-)
+from medlarrail.cluster.departures import DEPARTED_RETENTION_S
+from medlarrail.cluster.registry import SILENCE_LIMIT_S, EndpointRegistry
 from medlarrail.testing.builders import build_announcement
 
 
@@ -50,7 +47,7 @@
         seen = registry.revision
         registry.remove("engine-1")
         assert not registry.record_announcement(build_announcement(sequence=6))
-        assert list(registry.iterate_departed(seen)) == ["engine-1"]
+        assert list(registry.departures.iterate_names(seen)) == ["engine-1"]
         now[0] += DEPARTED_RETENTION_S / 2
         assert registry.record_announcement(
             build_announcement(started_ms=2000, sequence=1)
--- a/medlarrail/cluster/view_copy.py
+++ b/medlarrail/cluster/view_copy.py
@@ -11,7 +11,7 @@
 import trio
 from attrs import define, evolve, field
 
-from medlarrail.cluster.registry import DepartedEndpoint, forget_departed
+from medlarrail.cluster.departures import Departures
 from medlarrail.cluster.weight_versions import WeightVersions
 from medlarrail.consensus.replication import LogMember
 from medlarrail.core.announcements import RegisteredEndpoint, RegisteredEntry
@@ -109,10 +109,7 @@
     answer: ClusterViewAnswer | None = None
     """All that the leader answered, but for the endpoints; None before it did."""
     endpoints: dict[str, CopiedEndpoint] = field(factory=dict)
-    departed: dict[str, DepartedEndpoint] = field(factory=dict)
-    """Endpoints that left, with the revision at which this member knew."""
-    forgotten_revision: int = 0
-    """See ``EndpointRegistry``."""
+    departures: Departures = field(init=False)
     callers: dict[str, Caller] = field(factory=dict)
     older_leader: str = ""
     """The leader's identity if its version does not take reports."""
@@ -124,6 +121,9 @@
     _call_received: trio.Event = field(factory=trio.Event)
     _report_due: trio.Event = field(factory=trio.Event)
 
+    def __attrs_post_init__(self):
+        self.departures = Departures(self.clock)
+
     # Calls from entries.
 
     async def answer_entry(self, message: ClusterViewRequest) -> ClusterViewAnswer:
@@ -219,7 +219,7 @@
 
     def _build_answer(self, message: ClusterViewRequest) -> ClusterViewAnswer:
         answer = self.answer
-        is_too_old = message.endpoints_seen < self.forgotten_revision
+        is_too_old = message.endpoints_seen < self.departures.forgotten_revision
         whole = message.epoch != answer.epoch or is_too_old
         since = 0 if whole else message.endpoints_seen
         listed = whole or message.entries_seen < answer.entries_revision
@@ -227,11 +227,6 @@
         suspected = whole or message.suspects_seen < answer.suspects_revision
         document = answer.deployment
         newer = document is not None and document.version > message.deployment_version
-        departed = (
-            name
-            for name, departure in self.departed.items()
-            if departure.revision > since
-        )
         rollouts = {rollout.service: rollout for rollout in answer.rollouts or ()}
         listed_endpoints, hidden = split_hidden(
             self._iterate_changed(since), rollouts, message.knows_rollouts
@@ -241,7 +236,7 @@
             answer,
             whole=whole,
             endpoints=listed_endpoints,
-            departed=(*departed, *hidden),
+            departed=(*self.departures.iterate_names(since), *hidden),
             marks=answer.marks if whole else None,
             entries=answer.entries if listed else None,
             deployment=document if newer else None,
@@ -399,11 +394,8 @@
     def _apply_endpoints(self, answer: ClusterViewAnswer, is_new_epoch: bool) -> None:
         if is_new_epoch:
             self.endpoints.clear()
-            self.departed.clear()
-            self.forgotten_revision = 0
-        now = self.clock()
-        forgotten_revision = forget_departed(self.departed, now)
-        self.forgotten_revision = max(self.forgotten_revision, forgotten_revision)
+            self.departures.clear()
+        self.departures.remove_expired()
         departed = set(answer.departed)
         if answer.whole:
             # The leader has forgotten departures that this member missed.
@@ -411,11 +403,12 @@
             departed |= self.endpoints.keys() - listed
         for name in departed:
             self.endpoints.pop(name, None)
-            self.departed[name] = DepartedEndpoint(0, now, answer.endpoints_revision)
+            self.departures.record(name, answer.endpoints_revision)
+        now = self.clock()
         for registered in answer.endpoints:
             name = registered.announced.name
             self.endpoints[name] = CopiedEndpoint(registered, now)
-            self.departed.pop(name, None)
+            self.departures.remove(name)
 
     def _get_next_notification(self) -> float:
         return self._notified_at + get_update_interval_s(len(self.callers))
--- a/medlarrail/cluster/view_copy_test.py
+++ b/medlarrail/cluster/view_copy_test.py
@@ -5,8 +5,8 @@
 from attrs import define, evolve, field
 
 from medlarrail.cluster.cluster_view_server import SETTLE_S, ClusterViewServer
+from medlarrail.cluster.departures import DEPARTED_RETENTION_S
 from medlarrail.cluster.member_choice import MemberChoice
-from medlarrail.cluster.registry import DEPARTED_RETENTION_S
 from medlarrail.cluster.view_client import ClusterViewClient
 from medlarrail.cluster.view_copy import get_term
 from medlarrail.core.errors import NotLeader, PeerTimeout
