Import the messages about crashes when there is something to report

Cause: each class with generated methods adds half a millisecond to the start of a gateway, and programs/startup_test.py allows fewer than 200: there was no room for another one.

Change: relay/crash_report_client.py builds and sends the reports, as trial_client.py does for trials. The messages and their times are the same.

--- a/medlarrail/relay/crash_reporter.py
+++ b/medlarrail/relay/crash_reporter.py
@@ -18,18 +18,9 @@
 from medlarrail.cluster.state_client import StateClient
 from medlarrail.core.announcements import Announcement
 from medlarrail.core.cluster_records import SharedPart, is_request_key
-from medlarrail.core.errors import EndpointUnreachable, MedlarError
+from medlarrail.core.errors import EndpointUnreachable
 from medlarrail.core.metrics import get_metrics
 from medlarrail.policy.notification import get_report_interval_s
-from medlarrail.protocol.crashes import (
-    BREAKS_PATH,
-    COMPLETIONS_PATH,
-    CRASH_BATCH_PATH,
-    CompletionReport,
-    CrashReport,
-    CrashReports,
-)
-from medlarrail.protocol.empty import EmptyMessage
 from medlarrail.relay.fingerprint import RequestFingerprint
 from medlarrail.relay.forwarding import Forwarder
 from medlarrail.relay.metadata import PromptPart
@@ -40,7 +31,6 @@
 RESTART_POLL_S = 0.25
 RESTART_WINDOW_S = 6.0
 """Time for which another incarnation of an endpoint is awaited after a break."""
-CALL_TIMEOUT_S = 1.0
 REPORT_PERIOD_S = 10.0
 """Time for which a report is sent again while no leader takes it."""
 REPORT_PAUSE_S = 0.1
@@ -194,11 +184,13 @@
 
     async def _report_crashes(self) -> None:
         """Report what is waiting, in batches, until nothing is or it is too old."""
+        from medlarrail.relay.crash_report_client import send_crashes
+
         await trio.lowlevel.checkpoint()
         while self._crashed:
             batch = self._crashed[:MAX_BATCH_REPORTS]
-            reports = CrashReports(tuple(map(self._build_report, batch)))
-            if await self._send(CRASH_BATCH_PATH, reports):
+            now = self.cluster_view.clock()
+            if await send_crashes(self.state, self.name, batch, now):
                 del self._crashed[: len(batch)]
             self._crashed = [
                 broken
@@ -216,11 +208,12 @@
 
     async def _report_breaks(self) -> None:
         """Report what is waiting, in batches, each once: older leaders take none."""
+        from medlarrail.relay.crash_report_client import send_breaks
+
         await trio.lowlevel.checkpoint()
         while batch := self._breaks[:MAX_BATCH_REPORTS]:
             del self._breaks[: len(batch)]
-            reports = CrashReports(tuple(map(self._build_report, batch)))
-            await self._send(BREAKS_PATH, reports)
+            await send_breaks(self.state, self.name, batch, self.cluster_view.clock())
             await trio.sleep(self._get_report_pause_s())
         self._is_reporting_breaks = False
 
@@ -228,17 +221,6 @@
         interval_s = get_report_interval_s(self.cluster_view.entry_count)
         return max(REPORT_PAUSE_S, interval_s)
 
-    def _build_report(self, broken: BrokenEndpoint) -> CrashReport:
-        return CrashReport(
-            self.name,
-            broken.announced.name,
-            broken.announced.started_ms,
-            broken.announced.service,
-            broken.model,
-            round(self._get_age_s(broken), 3),
-            broken.list_reported_parts(),
-        )
-
     def record_unproven(
         self, announced: Announcement, parts: Sequence[Suspect]
     ) -> None:
@@ -278,21 +260,13 @@
 
     async def _report_completed(self, service: str) -> None:
         """Report what is waiting, in batches, until nothing is."""
+        from medlarrail.relay.crash_report_client import send_completions
+
         await trio.lowlevel.checkpoint()
         while keys := self._completed[service]:
             self._completed[service] = set()
-            report = CompletionReport(self.name, service, tuple(sorted(keys)))
             with trio.move_on_after(REPORT_PERIOD_S):
-                while not await self._send(COMPLETIONS_PATH, report):
+                while not await send_completions(self.state, self.name, service, keys):
                     await trio.sleep(self._get_report_pause_s())
             await trio.sleep(get_report_interval_s(self.cluster_view.entry_count))
         del self._completed[service]
-
-    async def _send(self, path: str, report: CrashReports | CompletionReport) -> bool:
-        """Send a report to the leader; returns whether it was received."""
-        try:
-            await self.state.call_leader(path, report, EmptyMessage, CALL_TIMEOUT_S)
-        except MedlarError as error:
-            get_metrics().count("crash_report_failures", type=type(error).__name__)
-            return False
-        return True
