Divide attempts and outbound connections by job

Change, without a change of behaviour: - relay/answer_statements.py records what an endpoint says of itself, - relay/buffered_answer.py and relay/stream_relay.py pass bodies on, - relay/answer_framing.py decides how the caller learns of the end, - relay/outbound_connection.py has the single connection, relay/arrival_times.py when its bytes arrived (with tests), relay/address_processes.py what connections show of the processes at an address; outbound.py keeps the pool.

--- a/medlarrail/relay/attempt.py
+++ b/medlarrail/relay/attempt.py
@@ -1,12 +1,11 @@
 """A single attempt to send a request to one endpoint and relay its answer."""
 
-from collections.abc import Iterator
 from contextlib import aclosing, suppress
 from typing import NoReturn, Protocol
 
 import eliot
 import trio
-from attrs import define, field, frozen
+from attrs import define, field
 
 from medlarrail.cluster.cluster_view import EndpointView
 from medlarrail.core.deployment import ServiceRule
@@ -19,21 +18,18 @@
     EndpointLost,
     EndpointOutOfService,
     EndpointRefused,
-    EndUnproven,
     MedlarError,
     RunFailure,
-    StreamBroken,
-    StreamMixed,
-    StreamOutOfOrder,
 )
 from medlarrail.core.metrics import get_metrics
 from medlarrail.policy.answer_end import EndEvidence
 from medlarrail.policy.answer_memory import HeldAnswer
-from medlarrail.policy.stream_order import OrderFault, StreamOrder, describe_id
+from medlarrail.policy.stream_order import StreamOrder
+from medlarrail.relay.answer_statements import record_statements
+from medlarrail.relay.buffered_answer import BufferedAnswer, relay_buffered
 from medlarrail.relay.end_check import EndCheck
 from medlarrail.relay.endpoint_stats import ColdSend
 from medlarrail.relay.events import OrderedEvents
-from medlarrail.relay.headers import END_CHECKED, get_header, iterate_end_to_end
 from medlarrail.relay.inbound import ServerExchange
 from medlarrail.relay.incarnation_check import (
     check_beginning,
@@ -48,21 +44,14 @@
     Header,
     RequestMetadata,
 )
-from medlarrail.relay.outbound import MAX_TURN_S, AnswerHead, OutboundConnection
+from medlarrail.relay.outbound_connection import AnswerHead, OutboundConnection
 from medlarrail.relay.prefill_speeds import build_first_event
+from medlarrail.relay.stream_relay import StreamRelay
 from medlarrail.relay.stream_version import StreamVersion
 from medlarrail.relay.table import Admission
 from medlarrail.relay.workload_tracker import TrackedPrompt
 from medlarrail.transport.framing import Framing
-from medlarrail.transport.memory_gate import get_allocator
-
-MAX_EVENT_BYTES = 1_000_000
-"""Maximum size of one event of a stream."""
-CHECKED_BYTES = 2048
-"""Bytes of a stream that are checked at once, so that even the smallest events take
-about ``MAX_TURN_S``."""
-COUNTED_BYTES = 8192
-"""Bytes of the events of a stream from which on they are part of the account."""
+
 MAX_REJECTION_WAIT_S = 0.05
 """Maximum time to receive the body of a rejection, so that the connection can be
 reused."""
@@ -70,23 +59,6 @@
 """Lowest status that counts as a failure of the endpoint."""
 
 
-@frozen
-class BufferedAnswer:
-    """An endpoint's answer with all of its body, as it is sent to the caller."""
-
-    status: int
-    headers: tuple[Header, ...]
-    body: bytes
-    framing: Framing
-    """``LENGTH``, or ``CLOSE`` if the endpoint did not prove the end of the body."""
-
-    async def send(self, exchange: ServerExchange) -> None:
-        """Send the answer to the caller."""
-        await exchange.send_whole(
-            self.status, list(self.headers), self.body, self.framing
-        )
-
-
 class AttemptRequest(Protocol):
     """The interface of a request that an attempt requires."""
 
@@ -166,22 +138,23 @@
         """Unix time of the start that the process told in a report, 0 if in none."""
         if self.connection is None:
             return 0
-        return self.relayed.relay.pool.find_span(self.connection).started_ms
+        return self.relayed.relay.pool.processes.find_span(self.connection).started_ms
 
     @property
     def end_times_ms(self) -> dict[str, float]:
         """Times of an end without a length or chunks, in milliseconds.
 
-        ``delay``, ``unread`` and ``silence`` are those of ``OutboundConnection``, and
+        ``delay``, ``unread`` and ``silence`` are those of ``ArrivalTimes``, and
         ``check`` is the time until its result. Empty if no such end was received.
         """
         connection = self.connection
-        if connection is None or not connection.end_delay_s:
+        if connection is None or not connection.arrivals.end_delay_s:
             return {}
+        arrivals = connection.arrivals
         seconds = {
-            "delay": connection.end_delay_s,
-            "unread": connection.end_unread_s,
-            "silence": connection.end_silence_s,
+            "delay": arrivals.end_delay_s,
+            "unread": arrivals.end_unread_s,
+            "silence": arrivals.end_silence_s,
             "check": self._end_check_s,
         }
         return {name: round(value * 1000, 1) for name, value in seconds.items()}
@@ -201,7 +174,7 @@
         """The time without requests that the endpoint asked for in this answer."""
         return self._metadata.retry_after_s
 
-    def _get_failure_status(self) -> int | None:
+    def get_failure_status(self) -> int | None:
         """Return the lowest status after which another attempt may be made, if any."""
         return MIN_FAILURE_STATUS
 
@@ -375,9 +348,9 @@
         # What goes on after the first events can only be further events.
         max_status = 200 if self.relayed.exchange.started else 299
         if is_stream and head.status <= max_status:
-            await self._relay_stream(connection, head)
+            await StreamRelay(self, connection, head).run()
         else:
-            await self._relay_buffered(connection, head)
+            await relay_buffered(self, connection, head)
 
     def _read_metadata(self, head: AnswerHead, reused: bool) -> None:
         """Read an answer's metadata; on a ``reused`` connection it may be another's."""
@@ -389,7 +362,7 @@
         metadata = relay.header_codec.read_answer(head.status, head.headers)
         self._require_own_answer(metadata, reused)
         if metadata.request_id or not reused:
-            relay.pool.record_answered(self.connection)
+            relay.pool.processes.record_answered(self.connection)
         if not metadata.request_id:
             self.connection.has_unnamed_answer = True
         self._metadata = metadata
@@ -397,10 +370,7 @@
             record.load = self._metadata.load
             record.load_at = relay.endpoint_stats.clock()
         relay.endpoint_stats.health.record_success(self.endpoint.announced.name)
-        self._record_named_rate()
-        self._record_rejection_limit()
-        self._record_retry_after()
-        self._record_leaving()
+        record_statements(relay, self.endpoint, metadata)
 
     def _require_own_answer(
         self, metadata: AnswerMetadata, reused: bool = False
@@ -421,46 +391,6 @@
                 received=metadata.request_id,
             )
 
-    def _record_retry_after(self) -> None:
-        """Record whether the answer asks for a time without requests."""
-        metadata = self._metadata
-        announced = self.endpoint.announced
-        stats = self.relayed.relay.endpoint_stats
-        now = stats.clock()
-        if metadata.retry_after_s:
-            if metadata.endpoint in ("", announced.name):
-                stats.back_offs.record_requested(announced, metadata.retry_after_s, now)
-        elif not metadata.not_run and not metadata.misdirected:
-            stats.back_offs.record_accepted(announced, now)
-
-    def _record_leaving(self) -> None:
-        """Record that the endpoint is leaving, unless another one has answered."""
-        metadata = self._metadata
-        announced = self.endpoint.announced
-        if metadata.leaving and metadata.endpoint in ("", announced.name):
-            self.relayed.relay.endpoint_stats.leaving.record(announced)
-
-    def _record_rejection_limit(self) -> None:
-        """Record how many rejections the endpoint bears; it says so in each answer."""
-        metadata = self._metadata
-        per_s = metadata.max_rejections_per_s
-        is_own = metadata.verified or metadata.not_run
-        if metadata.misdirected or (per_s is None and not is_own):
-            return
-        self.relayed.relay.endpoint_stats.room.record_statement(
-            self.endpoint.announced, per_s, metadata.not_run
-        )
-
-    def _record_named_rate(self) -> None:
-        """Record the rate that the answer names; only a run proves that it ended."""
-        metadata = self._metadata
-        is_run = metadata.verified and not metadata.not_run
-        if metadata.misdirected or (self.limit_per_s is None and not is_run):
-            return
-        relay = self.relayed.relay
-        relay.endpoint_stats.record_named_rate(self.endpoint, self.limit_per_s)
-        relay.limits.record(self.endpoint, self.limit_per_s)
-
     async def _handle_rejection(
         self, connection: OutboundConnection, head: AnswerHead
     ) -> None:
@@ -484,57 +414,7 @@
                 async for _ in parts:
                     pass
 
-    async def _relay_buffered(
-        self, connection: OutboundConnection, head: AnswerHead
-    ) -> None:
-        """Buffer the answer, and send it to the caller once it has ended.
-
-        A length is stated only if the endpoint's framing proves that nothing is
-        missing. Raises ``AnswerTooLong`` if all answers take too much memory and this
-        one is the largest.
-        """
-        memory = self.relayed.relay.answer_memory
-        scope = trio.CancelScope()
-        held = memory.open(scope.cancel)
-        try:
-            with scope:
-                async with aclosing(connection.iterate_body()) as body:
-                    async for part in body:
-                        self._record_first_byte()
-                        self.body_bytes += len(part)
-                        if held.data:
-                            get_allocator()
-                        memory.add(held, part, trio.current_time())
-                        await trio.lowlevel.checkpoint_if_cancelled()
-                answer = await self._check_buffered(connection, head, held)
-                held.reader = self.relayed.exchange.connection.holding
-                await answer.send(self.relayed.exchange)
-        finally:
-            memory.close(held)
-        if scope.cancelled_caught:
-            self._raise_dropped(held)
-
-    async def _check_buffered(
-        self, connection: OutboundConnection, head: AnswerHead, held: HeldAnswer
-    ) -> BufferedAnswer:
-        """Return the answer to be sent; raises ``RunFailure`` for an unsound one."""
-        await trio.lowlevel.checkpoint_if_cancelled()
-        data = bytes(held.take_data())
-        self._record_first_byte()
-        if self.observation is not None:
-            self.observation.record_whole()
-        await self._require_end(connection, head)
-        headers = tuple(self._iterate_headers(head))
-        framing = Framing.LENGTH if self._states_end(head) else Framing.CLOSE
-        answer = BufferedAnswer(head.status, headers, data, framing)
-        failure_status = self._get_failure_status()
-        failed = failure_status is not None and head.status >= failure_status
-        if failed or self.relayed.exchange.started:
-            self.relayed.fallback_answer = answer
-            raise self._build_failure(head)
-        return answer
-
-    def _raise_dropped(self, held: HeldAnswer) -> NoReturn:
+    def raise_dropped(self, held: HeldAnswer) -> NoReturn:
         """Raise the error of an answer that was given up for lack of memory.
 
         A caller that has got a part of it sees its connection close.
@@ -550,138 +430,7 @@
         limit_bytes = self.relayed.relay.answer_memory.limit_bytes
         raise AnswerTooLong(endpoint=name, limit_bytes=limit_bytes)
 
-    async def _relay_stream(
-        self, connection: OutboundConnection, head: AnswerHead
-    ) -> None:
-        """Relay a stream, and count what is held of it.
-
-        Raises ``AnswerTooLong`` if all answers take too much memory and this one has
-        the largest incomplete event.
-        """
-        memory = self.relayed.relay.answer_memory
-        scope = trio.CancelScope()
-        held = memory.open(scope.cancel)
-        try:
-            with scope:
-                await self._relay_events(connection, head, held)
-        finally:
-            memory.close(held)
-            if held.is_dropped and self.events is not None:
-                # A cancellation leaves frames in reference cycles, with the events.
-                self.events.clear()
-        if scope.cancelled_caught:
-            self._raise_dropped(held)
-
-    async def _relay_events(
-        self, connection: OutboundConnection, head: AnswerHead, held: HeldAnswer
-    ) -> None:
-        """Relay complete events as they arrive, as long as each goes on from the last.
-
-        Raises ``StreamOutOfOrder`` at the first event that does not go on from what
-        the caller has, ``StreamMixed`` at bytes that are no events, and
-        ``EndpointFailed`` for a continuation of a stream that another endpoint began,
-        if it has no events: that does not show that the stream was complete. A caller
-        that takes a stream up may have had all of it.
-        """
-        exchange = self.relayed.exchange
-        continues = exchange.started
-        events = self.events = OrderedEvents(
-            self.relayed.stream_order,
-            continues,
-            is_unframed=not head.framing.proves_end,
-        )
-        resumable = self.relayed.admission.route.resumable
-        try:
-            async with aclosing(connection.iterate_body()) as body:
-                async for part in body:
-                    self.body_bytes += len(part)
-                    if self.observation is not None:
-                        self.observation.record_part(bool(self.first_byte_s))
-                    if events.buffered_bytes > MAX_EVENT_BYTES:
-                        raise AnswerTooLong(
-                            endpoint=self.endpoint.announced.name,
-                            limit_bytes=MAX_EVENT_BYTES,
-                        )
-                    held.data = await self._check_events(events, part)
-                    if held.data:
-                        await self._send_events(head, held)
-                    self._count_events(held, 0)
-                    if events.fault is not None:
-                        raise self._build_order_failure(events.fault)
-                    if events.has_foreign:
-                        self.end_evidence = EndEvidence.FOREIGN
-                        get_metrics().count("streams_mixed")
-                        raise StreamMixed(endpoint=self.endpoint.announced.name)
-                    if self.observation is not None:
-                        self.observation.record_passed()
-            if events.has_partial_event:
-                raise StreamBroken(endpoint=self.endpoint.announced.name)
-            if continues and not events.has_advanced:
-                raise self._build_failure(head)
-            await self._require_end(connection, head)
-        except StreamBroken:
-            get_metrics().count("streams_broken", resumable=str(resumable))
-            raise
-        finally:
-            self.partial_event = events.has_partial_event
-        held.data = events.take_rest()
-        if held.data:
-            await self._send_events(head, held)
-        held.reader = exchange.connection.holding
-        await self._send_head(exchange, head)
-        if exchange.framing.proves_end and not self._states_end(head):
-            raise EndUnproven(endpoint=self.endpoint.announced.name)
-        await exchange.end()
-
-    @staticmethod
-    async def _check_events(events: OrderedEvents, part: bytes) -> bytes:
-        """Return the events to pass on; a long part is checked in several turns."""
-        if len(part) <= CHECKED_BYTES:
-            return events.pass_on(part)
-        passed = bytearray()
-        turn_began_at = trio.current_time()
-        for begin in range(0, len(part), CHECKED_BYTES):
-            passed += events.pass_on(part[begin : begin + CHECKED_BYTES])
-            if trio.current_time() - turn_began_at > MAX_TURN_S:
-                await trio.lowlevel.checkpoint()
-                turn_began_at = trio.current_time()
-        return bytes(passed)
-
-    async def _send_events(self, head: AnswerHead, held: HeldAnswer) -> None:
-        """Send the events in ``held``, which has the only reference to them."""
-        if not self.first_byte_s:
-            self._record_stream_begun()
-        self._record_first_byte()
-        exchange = self.relayed.exchange
-        # It stays set if the sending is cancelled, which may leave a part of an event.
-        held.reader = exchange.connection.holding
-        self._count_events(held, len(held.data))
-        await self._send_head(exchange, head)
-        await exchange.send_part(held.take_data())
-        held.reader = None
-
-    def _count_events(self, held: HeldAnswer, sent_bytes: int) -> None:
-        """Count the incomplete event, and those that are being sent if they are long.
-
-        Short ones are covered by what is counted for each connection.
-        """
-        size = self.events.buffered_bytes + sent_bytes
-        size = size if size > COUNTED_BYTES else 0
-        if size != held.held_bytes:
-            get_allocator()
-            memory = self.relayed.relay.answer_memory
-            memory.resize(held, size, trio.current_time())
-
-    def _build_order_failure(self, fault: OrderFault) -> StreamOutOfOrder:
-        get_metrics().count("streams_out_of_order", reason=fault.reason)
-        return StreamOutOfOrder(
-            endpoint=self.endpoint.announced.name,
-            previous_id=describe_id(fault.previous_id),
-            received_id=describe_id(fault.received_id),
-            reason=str(fault.reason),
-        )
-
-    async def _require_end(
+    async def require_end(
         self, connection: OutboundConnection, head: AnswerHead
     ) -> None:
         """Raise ``EndpointLost`` unless an answer that has ended is complete."""
@@ -706,45 +455,18 @@
         )
         return await check.run()
 
-    def _states_end(self, head: AnswerHead) -> bool:
-        """Return whether the framing of what is sent proves that it is complete.
-
-        A caller is told no more than the endpoint's framing shows. Another entry gets a
-        framing in any case, since it can't check the end itself, and is told so.
-        """
-        return self._is_forwarded() or self._proves_end(head)
-
-    def _proves_end(self, head: AnswerHead) -> bool:
-        """Return whether the endpoint's own framing proves the end."""
-        is_checked_only = get_header(head.headers, END_CHECKED) is not None
-        return head.framing.proves_end and not is_checked_only
-
-    def _is_forwarded(self) -> bool:
-        return bool(self.relayed.exchange.request.forwarded_by)
-
-    def _iterate_headers(self, head: AnswerHead) -> Iterator[Header]:
-        """Yield the headers of the answer that is sent."""
-        yield from iterate_end_to_end(head.headers)
-        if self._is_forwarded() and not self._proves_end(head):
-            yield END_CHECKED, b"1"
-
-    def _build_failure(self, head: AnswerHead) -> EndpointFailed:
+    def build_failure(self, head: AnswerHead) -> EndpointFailed:
+        """Return the error of an answer that only another attempt can replace."""
         return EndpointFailed(
             endpoint=self.endpoint.announced.name, answered=head.status
         )
 
-    def _record_stream_begun(self) -> None:
+    def record_stream_begun(self) -> None:
         """Record which software version the events come from, before the first."""
         self.relayed.stream_version.record_begun(self)
 
-    async def _send_head(self, exchange: ServerExchange, head: AnswerHead) -> None:
-        if exchange.started:
-            return
-        headers = list(self._iterate_headers(head))
-        framing = Framing.CHUNKED if self._states_end(head) else Framing.CLOSE
-        await exchange.send_head(head.status, headers, framing)
-
-    def _record_first_byte(self) -> None:
+    def record_first_byte(self) -> None:
+        """Record when the body of the answer began, at the first call."""
         if not self.first_byte_s:
             self.first_byte_s = trio.current_time() - self._started_at
             get_metrics().observe("first_part", self.first_byte_s)
--- a/medlarrail/relay/cold_endpoints_test.py
+++ b/medlarrail/relay/cold_endpoints_test.py
@@ -9,7 +9,8 @@
 from medlarrail.cluster.cluster_view import EndpointView
 from medlarrail.core.deployment import ServiceRule
 from medlarrail.relay.endpoint_stats import EndpointStats
-from medlarrail.relay.outbound import OutboundConnection, OutboundPool
+from medlarrail.relay.outbound import OutboundPool
+from medlarrail.relay.outbound_connection import OutboundConnection
 from medlarrail.testing.builders import (
     build_announcement,
     build_cluster_view_answer,
--- a/medlarrail/relay/end_check.py
+++ b/medlarrail/relay/end_check.py
@@ -34,7 +34,8 @@
 )
 from medlarrail.relay.endpoint_status import EndpointStatus, read_status
 from medlarrail.relay.incarnations import ANNOUNCEMENT_TIMEOUT_S
-from medlarrail.relay.outbound import CONNECT_TIMEOUT_S, OutboundConnection
+from medlarrail.relay.outbound import CONNECT_TIMEOUT_S
+from medlarrail.relay.outbound_connection import OutboundConnection
 
 if TYPE_CHECKING:
     from medlarrail.relay.request_relay import RequestRelay
@@ -145,7 +146,7 @@
         and is then sent again after at most the same time.
         """
         has_same = self.relay.pool.has_same_process(self.answered)
-        delay_s = self.answered.end_delay_s
+        delay_s = self.answered.arrivals.end_delay_s
         if not has_same or delay_s <= MAX_END_DELAY_S:
             return has_same
         is_settled = trio.current_time() - self._ended_at >= delay_s
@@ -209,7 +210,7 @@
                 announced.name,
                 started_ms,
                 self._has_same_process(),
-                self.answered.end_delay_s,
+                self.answered.arrivals.end_delay_s,
             )
         except RunFailure:
             return None
@@ -227,7 +228,7 @@
 
         Nobody may have heard of that process, which a report has told.
         """
-        told_ms = self.relay.pool.find_span(self.answered).started_ms
+        told_ms = self.relay.pool.processes.find_span(self.answered).started_ms
         return told_ms or self.endpoint.announced.started_ms
 
     async def _watch(self, connection: OutboundConnection) -> EndEvidence | None:
@@ -238,7 +239,7 @@
         return judge_process(
             EndEvidence.CONNECTED,
             self._has_same_process(),
-            self.answered.end_delay_s,
+            self.answered.arrivals.end_delay_s,
         )
 
     def _may_call(self) -> bool:
--- a/medlarrail/relay/endless_answers_test.py
+++ b/medlarrail/relay/endless_answers_test.py
@@ -12,7 +12,7 @@
 
 from medlarrail.core.deployment import ServiceRule, TrafficShare
 from medlarrail.core.metrics import get_metrics
-from medlarrail.relay.outbound import MAX_INFORMATIONAL_HEADS, MAX_TURN_S
+from medlarrail.relay.outbound_connection import MAX_INFORMATIONAL_HEADS, MAX_TURN_S
 from medlarrail.testing.builders import build_deployment, build_route
 from medlarrail.testing.scripted_endpoints import (
     answer_ok,
--- a/medlarrail/relay/endpoint_status.py
+++ b/medlarrail/relay/endpoint_status.py
@@ -5,7 +5,7 @@
 from medlarrail.core.announcements import Announcement
 from medlarrail.policy.answer_end import EndpointReply
 from medlarrail.relay.metadata import DispatchMetadata, Header, HeaderCodec
-from medlarrail.relay.outbound import OutboundConnection
+from medlarrail.relay.outbound_connection import OutboundConnection
 
 STATUS_TIMEOUT_S = 1.0
 """Maximum time for a reply before a request is sent: another endpoint is used then."""
--- a/medlarrail/relay/forwarding.py
+++ b/medlarrail/relay/forwarding.py
@@ -36,6 +36,7 @@
 from medlarrail.policy.peer_choice import Peer, choose_peer
 from medlarrail.policy.reachability import PROBE_INTERVAL_S, Reachability
 from medlarrail.relay.attempt import Attempt
+from medlarrail.relay.buffered_answer import relay_buffered
 from medlarrail.relay.fingerprint import hash_fields
 from medlarrail.relay.headers import (
     FORWARDED_BY,
@@ -44,7 +45,8 @@
     iterate_end_to_end,
 )
 from medlarrail.relay.metadata import AnswerMetadata, Header, InboundRequest
-from medlarrail.relay.outbound import AnswerHead, OutboundConnection, OutboundPool
+from medlarrail.relay.outbound import OutboundPool
+from medlarrail.relay.outbound_connection import AnswerHead, OutboundConnection
 
 SIGNATURE_BYTES = 24
 UNAVAILABLE_S = 1.0
@@ -298,11 +300,11 @@
     states that nothing ran, and a ``RunFailure`` if the request may have run.
     """
 
-    def _get_failure_status(self) -> int | None:
+    def get_failure_status(self) -> int | None:
         """The entry has made the attempts that the route allows."""
         return None
 
-    def _record_stream_begun(self) -> None:
+    def record_stream_begun(self) -> None:
         """The other entry knows the endpoint, and records it."""
 
     def _start_standby(self, nursery: trio.Nursery) -> None:
@@ -353,7 +355,7 @@
             return
         if head.status in REFUSAL_STATUSES:
             await self._handle_refusal(connection, head, reason.decode("latin1"))
-        await self._relay_buffered(connection, head)
+        await relay_buffered(self, connection, head)
 
     def _check_answer(self, head: AnswerHead) -> None:
         """Raise unless an endpoint vouches that it answered this request."""
--- a/medlarrail/relay/incarnation_check.py
+++ b/medlarrail/relay/incarnation_check.py
@@ -19,7 +19,7 @@
     read_status,
 )
 from medlarrail.relay.incarnations import ANNOUNCEMENT_TIMEOUT_S
-from medlarrail.relay.outbound import OutboundConnection
+from medlarrail.relay.outbound_connection import OutboundConnection
 
 MAX_AVOIDED = 2
 """Endpoints that one stream does not begin at, though it could be served there."""
@@ -82,9 +82,9 @@
         return False
     if len(relayed.tried) > MAX_AVOIDED:
         return False
-    if pool.get_latest_start(announced.address) > announced.started_ms:
+    if pool.processes.get_latest_start(announced.address) > announced.started_ms:
         _avoid_unannounced(relayed, announced)
-    return pool.is_process_unknown(announced.address)
+    return pool.processes.is_unknown(announced.address)
 
 
 async def check_beginning(
@@ -105,7 +105,7 @@
     is_known = status is not None and status.reply.started_ms == announced.started_ms
     get_metrics().count("beginnings_checked", is_known=is_known)
     if is_known:
-        relayed.relay.pool.record_known(connection)
+        relayed.relay.pool.processes.record_known(connection)
     else:
         _avoid_unannounced(relayed, announced)
     if status is None or status.keep_alive_s == 0 or not connection.is_reusable():
@@ -137,7 +137,9 @@
             relayed.relay.header_codec, connection, announced, path
         )
     if status is not None and status.reply.endpoint in ("", announced.name):
-        relayed.relay.pool.record_answered(connection, status.reply.started_ms)
+        relayed.relay.pool.processes.record_answered(
+            connection, status.reply.started_ms
+        )
     return status
 
 
@@ -152,7 +154,7 @@
     stream.
     """
     found = None
-    since = relayed.relay.pool.find_span(connection).since
+    since = relayed.relay.pool.processes.find_span(connection).since
     with suppress(MedlarError):
         found = await relayed.relay.incarnations.find(
             announced.name,
--- a/medlarrail/relay/outbound_test.py
+++ b/medlarrail/relay/outbound_test.py
@@ -9,7 +9,8 @@
 
 from medlarrail.core.errors import StreamBroken
 from medlarrail.policy.answer_end import MAX_END_DELAY_S
-from medlarrail.relay.outbound import OutboundConnection, OutboundPool
+from medlarrail.relay.outbound import OutboundPool
+from medlarrail.relay.outbound_connection import OutboundConnection
 from medlarrail.testing.scripted_endpoints import HOST, ScriptedEndpoint, answer_ok
 
 UPLOAD_BYTES = 8_000_000
@@ -103,7 +104,9 @@
     connection = await pool.acquire(f"{HOST}:{endpoint.port}", new_connection=True)
     await connection.send(b"GET", b"/", [(b"Host", b"guide")], b"")
     await read_body(connection, bytearray())
-    assert connection.end_delay_s > HELD_BACK_S > connection.end_unread_s
+    assert (
+        connection.arrivals.end_delay_s > HELD_BACK_S > connection.arrivals.end_unread_s
+    )
     nursery.cancel_scope.cancel()
 
 
@@ -166,8 +169,8 @@
     nursery.start_soon(hog_processor)
     await read_body(connection, bytearray())
     nursery.cancel_scope.cancel()
-    assert connection.seen_open_at < ended_at
-    assert connection.end_delay_s > 2 * SLOW_TURN_S
+    assert connection.arrivals.seen_open_at < ended_at
+    assert connection.arrivals.end_delay_s > 2 * SLOW_TURN_S
 
 
 async def read_body(connection: OutboundConnection, received: bytearray) -> None:
@@ -197,4 +200,4 @@
     connection = await pool.acquire(f"{HOST}:{endpoint.port}", new_connection=True)
     await connection.send(b"GET", b"/", [(b"Host", b"guide")], b"")
     await read_body(connection, bytearray())
-    assert (connection.end_delay_s > HELD_BACK_S) == is_late
+    assert (connection.arrivals.end_delay_s > HELD_BACK_S) == is_late
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -37,7 +37,8 @@
 from medlarrail.policy.prompt_turns import get_retry_after_s
 from medlarrail.policy.stream_order import StreamOrder, describe_id
 from medlarrail.policy.weight_use import get_replaced_s
-from medlarrail.relay.attempt import Attempt, BufferedAnswer
+from medlarrail.relay.attempt import Attempt
+from medlarrail.relay.buffered_answer import BufferedAnswer
 from medlarrail.relay.crash_evidence import CrashEvidence
 from medlarrail.relay.endpoint_choice import EndpointChooser
 from medlarrail.relay.inbound import ServerExchange
@@ -430,7 +431,7 @@
             if isinstance(error, StreamBroken | AnswerTooLong) and not is_late:
                 self.relay.endpoint_stats.health.record_failure(name)
             if isinstance(error, StreamBroken):
-                self.relay.pool.record_broken(endpoint.announced.address)
+                self.relay.pool.processes.record_broken(endpoint.announced.address)
                 self.evidence.record_broken(endpoint)
                 if not is_late:
                     self.relay.forwarder.record_unreachable(endpoint.announced)
--- a/medlarrail/relay/restarted_endpoints_test.py
+++ b/medlarrail/relay/restarted_endpoints_test.py
@@ -279,7 +279,7 @@
         endpoint = await add_endpoint(harness, STARTED_MS, serve)
         endpoint.status_script = serve
         await call(harness, build_request())
-        harness.relay.pool.record_broken(f"{HOST}:{endpoint.port}")
+        harness.relay.pool.processes.record_broken(f"{HOST}:{endpoint.port}")
         answer = await call(harness, build_request())
         assert answer.body == BODY
 
@@ -289,7 +289,7 @@
         endpoint = await add_endpoint(harness, STARTED_MS)
         address = f"{HOST}:{endpoint.port}"
         pool = harness.relay.pool
-        pool._spans[address] = (ProcessSpan(-9.0, -8.0, STARTED_MS + 500),)
+        pool.processes._spans[address] = (ProcessSpan(-9.0, -8.0, STARTED_MS + 500),)
         await call(harness, build_request(X_Request_Id="r0"))
         other = await add_endpoint(harness, STARTED_MS)
         record = harness.relay.endpoint_stats.get_record(other.name)
@@ -307,7 +307,7 @@
         for _ in range(3):
             endpoint = await add_endpoint(harness, STARTED_MS)
             endpoint.status_script = wait
-            harness.relay.pool.record_broken(f"{HOST}:{endpoint.port}")
+            harness.relay.pool.processes.record_broken(f"{HOST}:{endpoint.port}")
         began_at = trio.current_time()
         answer = await call(harness, build_request())
         assert answer.body == BODY
--- a/medlarrail/relay/rollout_traffic_test.py
+++ b/medlarrail/relay/rollout_traffic_test.py
@@ -31,7 +31,8 @@
 from medlarrail.relay.header_codec import DefaultHeaderCodec
 from medlarrail.relay.inbound import ServerExchange
 from medlarrail.relay.metadata import InboundRequest, PromptPart, RequestMetadata
-from medlarrail.relay.outbound import OutboundConnection, OutboundPool
+from medlarrail.relay.outbound import OutboundPool
+from medlarrail.relay.outbound_connection import OutboundConnection
 from medlarrail.relay.relayed_request import RelayedRequest
 from medlarrail.relay.request_forwarding import RequestForwarding
 from medlarrail.relay.request_relay import RetryPolicy
@@ -946,6 +947,6 @@
             nursery, deployment, new=send_rest, counts=(0, 1), codec=codec
         )
         (endpoint,) = site.harness.endpoints
-        site.harness.relay.pool.record_broken(f"{HOST}:{endpoint.port}")
+        site.harness.relay.pool.processes.record_broken(f"{HOST}:{endpoint.port}")
         answer = await site.harness.send(build_request())
         assert answer.startswith(b"HTTP/1.1 200"), answer
--- a/medlarrail/relay/stream_version.py
+++ b/medlarrail/relay/stream_version.py
@@ -10,7 +10,7 @@
 from medlarrail.core.errors import MedlarError, StreamVersionUnknown, UnknownRoute
 from medlarrail.policy.stream_versions import TELL_INTERVAL_S, choose_stream_version
 from medlarrail.relay.incarnations import ANNOUNCEMENT_TIMEOUT_S
-from medlarrail.relay.outbound import OutboundConnection
+from medlarrail.relay.outbound_connection import OutboundConnection
 from medlarrail.relay.stream_origins import NO_REPLY, BeginConnection, FoundOrigin
 
 TOLD_AT_ONCE = 20
@@ -229,7 +229,7 @@
 
     def _update_connection(self) -> None:
         """Use what later answers of the process have shown since the first event."""
-        span = self.relayed.relay.pool.find_span(self._own_connection)
+        span = self.relayed.relay.pool.processes.find_span(self._own_connection)
         self._connection = evolve(
             self._connection, opened_at=span.since, closed_at=span.until
         )
@@ -268,7 +268,7 @@
             # What the endpoint sent was sent after its request. The connection may have
             # ended long before the end arrives here, so that proves no more.
             announced = attempt.endpoint.announced
-            span = self.relayed.relay.pool.find_span(attempt.connection)
+            span = self.relayed.relay.pool.processes.find_span(attempt.connection)
             self._connection = BeginConnection(announced.name, span.since, span.until)
             # The process has told its start in a report, so its announcement is known.
             self._proven = 0 != span.started_ms == announced.started_ms
