--- a/medlarrail/policy/held_memory.py
+++ b/medlarrail/policy/held_memory.py
@@ -58,7 +58,7 @@
     exempt_bytes: int = 0
     """Bytes of these that did not wait, because a peer sends them."""
     is_waiting: bool = False
-    """Whether it waits for memory."""
+    """Whether it waits for memory, or did when it was given up."""
     is_ended: bool = False
     """Whether it was given up."""
     _unnoted_bytes: int = 0
@@ -155,7 +155,7 @@
         """End a request for memory that was not granted."""
         if waiter in self.waiters:
             self.waiters.remove(waiter)
-            waiter.holding.is_waiting = False
+            waiter.holding.is_waiting = waiter.holding.is_ended
             self.grant_waiters()
 
     def close(self, holding: Holding) -> None:
--- a/medlarrail/policy/held_memory_test.py
+++ b/medlarrail/policy/held_memory_test.py
@@ -120,3 +120,21 @@
         memory = HeldMemory(LIMIT_BYTES)
         memory.add(memory.open("callers", 0.0), LIMIT_BYTES)
         assert memory.add_exempt(memory.open("peers", 0.0), 10 * LARGE_BYTES)
+
+    def test_request_given_up_in_its_wait_is_called_slow(self):
+        """Callers whose whole body had arrived were told that it had not."""
+        memory = HeldMemory(LIMIT_BYTES)
+        memory.add(memory.open("callers", 0.0), LIMIT_BYTES)
+        holding = memory.open("callers", 0.0)
+        holding.start("receiving", 0.0)
+        waiter = memory.request(holding, LARGE_BYTES, 0.0)
+        holding.is_ended = True
+        memory.cancel(waiter)
+        assert holding.is_waiting
+
+    def test_request_that_stops_waiting_is_called_waiting(self):
+        memory = HeldMemory(LIMIT_BYTES)
+        memory.add(memory.open("callers", 0.0), LIMIT_BYTES)
+        holding = memory.open("callers", 0.0)
+        memory.cancel(memory.request(holding, LARGE_BYTES, 0.0))
+        assert not holding.is_waiting
