Count what JSON bodies need once they are decoded

What callers saw: 160 clients without a key, each with a body of 7.9 MB of empty JSON objects, took a state member to 317 MB and an entry to 325 MB, where the smallest VM has 150.

Cause: a decoded body needs up to 24 times its bytes, and only its bytes were in the account of held memory.

A request waits for it before its body is decoded, ahead of bodies that were not received, and is refused at once (413, OverComplexBody) if it can never have it. Text with many commas and braces is not counted as elements. Senders with a key of the system don't wait.

--- a/medlarrail/core/errors.py
+++ b/medlarrail/core/errors.py
@@ -137,6 +137,14 @@
     limit_bytes: int = 0
 
 
+class OverComplexBody(CallerError):
+    """The body has so many elements that it would need too much memory decoded."""
+
+    status = 413
+    needed_bytes: int = 0
+    limit_bytes: int = 0
+
+
 class SlowSender(CallerError):
     """The body did not arrive within the limit."""
 
--- a/medlarrail/platform/untrusted_clients_test.py
+++ b/medlarrail/platform/untrusted_clients_test.py
@@ -46,6 +46,7 @@
     send_many_elements,
     send_whole,
     send_whole_to_older_version,
+    send_widest_text,
     stay_idle,
     stop_short,
     stop_short_in_chunks,
@@ -89,6 +90,8 @@
 """Tenants of a document of about a megabyte."""
 PEER_BODY_BYTES = 16_000_000
 """Size of a peer's body that a machine with little memory takes in calm."""
+WIDE_TEXT_BYTES = 7_900_000
+"""Bytes of a body that is nearly as long as the limit of 8 MB."""
 EVENT_BYTES = 16_000
 LARGE_BYTES = 900_000
 """Size of a large answer and of a large event: legal for both."""
@@ -619,6 +622,18 @@
         target = Target(programs.ports["state"], "PUT", "/config", "state-1")
         await check_crowd(programs, "state", send_many_elements, target)
 
+    async def test_wide_text_fills_the_memory(self, programs):
+        """One character decides how many bytes all others of its string need."""
+        target = Target(programs.ports["state"], "PUT", "/config", "state-1")
+        await check_crowd(programs, "state", send_widest_text, target)
+
+    async def test_single_wide_text_is_refused(self, programs):
+        """It has room in calm: this one is only no document."""
+        body = b'["' + b"x" * WIDE_TEXT_BYTES + "\N{GRINNING FACE}".encode() + b'"]'
+        headers = {"Content-Length": str(len(body))}
+        head = build_head("PUT", "/config", "state-1", headers)
+        assert await read_status(programs.ports["state"], head + body) == 400
+
     @pytest.mark.parametrize("shape", [stop_short, stop_short_in_chunks, send_whole])
     async def test_bodies_with_the_cluster_key_fill_the_memory(self, programs, shape):
         """Bodies with a key of the system were counted, but never waited."""
@@ -734,6 +749,12 @@
         target = Target(port, "POST", COMPLETIONS_PATH, "entry-1")
         await check_crowd(other_programs, "entry", send_many_elements, target)
 
+    async def test_wide_text_fills_the_memory(self, other_programs):
+        """One character decides how many bytes all others of its string need."""
+        port = other_programs.ports["entry"]
+        target = Target(port, "POST", COMPLETIONS_PATH, "entry-1")
+        await check_crowd(other_programs, "entry", send_widest_text, target)
+
 
 class TestStore:
     @pytest.mark.parametrize(
--- a/medlarrail/policy/held_memory.py
+++ b/medlarrail/policy/held_memory.py
@@ -5,9 +5,10 @@
 is within the limits of a request, but a few hundred fill the memory of a process.
 
 All that a process holds for others is in one account: a base for each connection, the
-bodies that were received or are announced, and the answers that wait to be written. Who
-needs more than there is waits; small requests come first and have a reserve. While
-someone waits, those are given up that hold most for longest without progress.
+bodies that were received or are announced, what they need once they are decoded, and
+the answers that wait to be written. Who needs more than there is waits; small requests
+come first and have a reserve. While someone waits, those are given up that hold most
+for longest without progress.
 """
 
 from attrs import define, field
@@ -24,6 +25,12 @@
 """Fraction of the budget that only connections and small requests may use."""
 SMALL_BYTES = 65536
 """Maximum bytes of a small request; ordinary ones have a few tens of kilobytes."""
+DECODING_RESERVE_RATIO = 0.1
+"""Fraction of the budget that a large request may not use for its decoded body, either.
+The largest text within the limits needs four times its bytes, beside the body."""
+SMALL_DECODED_BYTES = 4 * SMALL_BYTES
+"""Maximum bytes of the decoded body of a small request: text of the widest characters
+needs four bytes for each."""
 MIN_STALL_S = 1.0
 """Time without progress after which a holder may be given up: longer than pauses of
 sound callers on a lossy link."""
@@ -88,12 +95,22 @@
     holding: Holding
     wanted_bytes: int
     since: float
+    is_decoding: bool = False
+    """Whether a body that was received waits to be decoded."""
     is_granted: bool = False
 
     @property
     def is_small(self) -> bool:
         """Whether the reserve is open to it."""
-        return self.wanted_bytes <= SMALL_BYTES
+        limit = SMALL_DECODED_BYTES if self.is_decoding else SMALL_BYTES
+        return self.wanted_bytes <= limit
+
+    @property
+    def reserve_ratio(self) -> float:
+        """The fraction of the budget that it may not use."""
+        if self.is_small:
+            return 0.0
+        return DECODING_RESERVE_RATIO if self.is_decoding else RESERVE_RATIO
 
 
 @define(eq=False)
@@ -140,12 +157,15 @@
         self.add(holding, count)
         return True
 
-    def request(self, holding: Holding, count: int, now: float) -> Waiter:
+    def request(
+        self, holding: Holding, count: int, now: float, is_decoding: bool = False
+    ) -> Waiter:
         """Ask for ``count`` bytes more, which are granted at once or later.
 
-        Small requests and those that wait already come first.
+        Small requests come first, then bodies that wait to be decoded, since they hold
+        memory meanwhile, then those that wait already.
         """
-        waiter = Waiter(holding, count, now)
+        waiter = Waiter(holding, count, now, is_decoding)
         holding.is_waiting = True
         self.waiters.append(waiter)
         self.grant_waiters()
@@ -165,21 +185,25 @@
             self.exempt_bytes -= holding.exempt_bytes
             self.add(holding, -holding.held_bytes)
 
-    def get_room(self, is_small: bool) -> int:
-        """Return the free bytes for small or for large requests."""
-        ratio = 1.0 if is_small else 1.0 - RESERVE_RATIO
-        return int(ratio * self.limit_bytes) - self.held_bytes
+    def get_room(self, reserve_ratio: float = 0.0) -> int:
+        """Return the free bytes outside a reserve, all by default."""
+        return int((1.0 - reserve_ratio) * self.limit_bytes) - self.held_bytes
 
     def can_ever_grant(self, count: int) -> bool:
         """Return whether so much fits when nothing else is held."""
         return count <= (1.0 - RESERVE_RATIO) * self.limit_bytes
 
+    def get_decoding_limit(self, holding: Holding) -> int:
+        """Return the bytes for its decoded body that a holder may ever be granted."""
+        limit_bytes = int((1.0 - DECODING_RESERVE_RATIO) * self.limit_bytes)
+        return limit_bytes - holding.held_bytes
+
     def grant_waiters(self) -> None:
         """Grant what fits: small requests first, the others in their order."""
         if not self.waiters:
             return
         for waiter in self._list_waiters():
-            if waiter.wanted_bytes > self.get_room(waiter.is_small):
+            if waiter.wanted_bytes > self.get_room(waiter.reserve_ratio):
                 if not waiter.is_small:
                     return
                 continue
@@ -194,7 +218,7 @@
             return []
         first = self._list_waiters()[0]
         freed = sum(one.held_bytes for one in self.holdings if one.is_ended)
-        missing = first.wanted_bytes - self.get_room(first.is_small) - freed
+        missing = first.wanted_bytes - self.get_room(first.reserve_ratio) - freed
         victims = []
         for holding in self._list_stalled(now):
             if missing <= 0:
@@ -214,7 +238,10 @@
         return None
 
     def _list_waiters(self) -> list[Waiter]:
-        return sorted(self.waiters, key=lambda one: (not one.is_small, one.since))
+        return sorted(
+            self.waiters,
+            key=lambda one: (not one.is_small, not one.is_decoding, one.since),
+        )
 
     def _list_stalled(self, now: float) -> list[Holding]:
         """Return those that may be given up, those that hold most for longest first."""
--- a/medlarrail/policy/held_memory_test.py
+++ b/medlarrail/policy/held_memory_test.py
@@ -6,6 +6,7 @@
     MIN_STALL_S,
     RESERVE_RATIO,
     SMALL_BYTES,
+    SMALL_DECODED_BYTES,
     HeldMemory,
     get_budget_bytes,
 )
@@ -13,6 +14,8 @@
 LIMIT_BYTES = 45_000_000
 LARGE_BYTES = 1_000_000
 ORDINARY_BYTES = 17_000
+LEGAL_BYTES = 8_000_000
+"""Maximum size of a caller's body."""
 CROWD = 300
 TICK_S = 0.1
 WAIT_S = 3.0
@@ -138,3 +141,54 @@
         holding = memory.open("callers", 0.0)
         memory.cancel(memory.request(holding, LARGE_BYTES, 0.0))
         assert not holding.is_waiting
+
+
+class TestDecoding:
+    def test_bodies_come_before_those_that_wait_to_be_decoded(self):
+        """Bodies that were received filled the account, and none was decoded."""
+        memory = HeldMemory(LIMIT_BYTES)
+        received = memory.open("callers", 0.0)
+        memory.add(received, int((1 - RESERVE_RATIO) * LIMIT_BYTES))
+        body = memory.request(memory.open("callers", 0.0), LARGE_BYTES, 0.0)
+        decoding = memory.request(received, LARGE_BYTES, 1.0, is_decoding=True)
+        assert decoding.is_granted
+        assert not body.is_granted
+
+    def test_decoded_bodies_fill_the_reserve_of_small_requests(self):
+        memory = HeldMemory(LIMIT_BYTES)
+        holding = memory.open("callers", 0.0)
+        limit_bytes = memory.get_decoding_limit(holding)
+        assert memory.request(holding, limit_bytes, 0.0, is_decoding=True).is_granted
+        other = memory.open("callers", 0.0)
+        large = SMALL_DECODED_BYTES + 1
+        assert not memory.request(other, large, 0.0, is_decoding=True).is_granted
+        ordinary = memory.open("callers", 0.0)
+        assert memory.request(ordinary, ORDINARY_BYTES, 0.0).is_granted
+        small = memory.request(ordinary, 4 * ORDINARY_BYTES, 0.0, is_decoding=True)
+        assert small.is_granted
+
+    def test_largest_legal_text_is_never_decoded(self):
+        """A single body within the limits is served on the smallest VM."""
+        memory = HeldMemory(get_budget_bytes(150_000_000))
+        holding = memory.open("callers", 0.0)
+        memory.request(holding, LEGAL_BYTES, 0.0)
+        assert memory.get_decoding_limit(holding) >= 4 * LEGAL_BYTES
+
+    def test_all_received_bodies_wait_for_each_other(self):
+        """Each holds what the others wait for, so that one has to be given up."""
+        memory = HeldMemory(LIMIT_BYTES)
+        holdings = [memory.open("callers", 0.0) for _ in range(3)]
+        for holding in holdings:
+            holding.start("receiving", 0.0)
+            memory.add(holding, LIMIT_BYTES // 4)
+        waiters = [
+            memory.request(holding, LIMIT_BYTES // 2, 0.0, is_decoding=True)
+            for holding in holdings
+        ]
+        assert not any(waiter.is_granted for waiter in waiters)
+        victims = memory.choose_victims(2 * MIN_STALL_S)
+        assert victims
+        for holding in victims:
+            memory.close(holding)
+            memory.cancel(next(one for one in waiters if one.holding is holding))
+        assert any(waiter.is_granted for waiter in waiters)
--- a/medlarrail/relay/inbound.py
+++ b/medlarrail/relay/inbound.py
@@ -564,7 +564,7 @@
         Probes are always let in: their number is small.
         """
         memory = self.gate.memory
-        has_room = memory.get_room(is_small=True) >= CONNECTION_BYTES
+        has_room = memory.get_room() >= CONNECTION_BYTES
         if not has_room and not self.gate.end_idle(None) and self.allows_pipelining:
             return False
         memory.add(holding, CONNECTION_BYTES)
--- a/medlarrail/testing/client_crowd.py
+++ b/medlarrail/testing/client_crowd.py
@@ -117,6 +117,23 @@
     return run
 
 
+def send_widest_text(target: Target) -> Shape:
+    """Return a client that sends one complete body of JSON with one long string.
+
+    Each of its characters needs four bytes once it is decoded.
+    """
+    wide = "\N{GRINNING FACE}".encode()
+    body = b'["' + b"x" * (ELEMENTS_BYTES - 4 - len(wide)) + wide + b'"]'
+    data = target.build_head(Content_Length=str(len(body))) + body
+
+    async def run(stream: trio.SocketStream) -> None:
+        await stream.send_all(data)
+        while await stream.receive_some(READ_BYTES):
+            pass
+
+    return run
+
+
 def send_whole(target: Target) -> Shape:
     """Return a client that sends one complete body and reads the answer."""
     data = target.build_body_head() + b"x" * target.body_bytes
--- a/medlarrail/transport/bounded_connections.py
+++ b/medlarrail/transport/bounded_connections.py
@@ -170,7 +170,7 @@
 
 def _admit(gate: MemoryGate, open_count: int) -> Admission:
     """Return what a new connection may do; an idle one makes way for it if possible."""
-    has_memory = gate.memory.get_room(is_small=True) >= CONNECTION_BYTES
+    has_memory = gate.memory.get_room() >= CONNECTION_BYTES
     is_full = open_count >= MAX_CONNECTIONS or not has_memory
     if is_full and gate.end_idle(LISTENER):
         return Admission.KEPT
--- a/medlarrail/transport/memory_gate.py
+++ b/medlarrail/transport/memory_gate.py
@@ -6,14 +6,15 @@
 from contextlib import contextmanager
 from functools import cache
 from pathlib import Path
+from typing import NoReturn
 
 import eliot
 import trio
 from attrs import define, field
 
-from medlarrail.core.errors import MemoryShort
+from medlarrail.core.errors import MemoryShort, OverComplexBody
 from medlarrail.core.metrics import get_metrics
-from medlarrail.policy.held_memory import SMALL_BYTES, HeldMemory, Holding
+from medlarrail.policy.held_memory import SMALL_BYTES, HeldMemory, Holding, Waiter
 
 MEMORY_WAIT_S = 3.0
 """Maximum wait for memory; a refusal after that leaves the caller time to retry."""
@@ -79,18 +80,34 @@
 
     async def acquire(self, holding: Holding, count: int) -> None:
         """Wait until ``count`` more bytes may be held; raises ``MemoryShort``."""
-        began_at = trio.current_time()
         if not self.memory.can_ever_grant(count):
             self._refuse(holding, count, 0.0)
+        now = trio.current_time()
+        await self._wait(self.memory.request(holding, count, now))
+
+    async def acquire_for_decoding(self, holding: Holding, count: int) -> None:
+        """Wait until a body that was received may be decoded to ``count`` bytes.
+
+        Raises ``OverComplexBody`` if it never may, and ``MemoryShort``.
+        """
+        limit_bytes = self.memory.get_decoding_limit(holding)
+        if count > limit_bytes:
+            self._record_refusal(holding, count, 0.0)
+            raise OverComplexBody(needed_bytes=count, limit_bytes=limit_bytes)
+        now = trio.current_time()
+        await self._wait(self.memory.request(holding, count, now, is_decoding=True))
+
+    async def _wait(self, waiter: Waiter) -> None:
+        """Wait until memory is granted; raises ``MemoryShort``."""
+        holding, count = waiter.holding, waiter.wanted_bytes
         if count > SMALL_BYTES:
             get_allocator()
-        waiter = self.memory.request(holding, count, began_at)
         if waiter.is_granted:
             return
         get_metrics().count("memory_waits", listener=holding.listener)
         try:
             while not waiter.is_granted:
-                waited_s = trio.current_time() - began_at
+                waited_s = trio.current_time() - waiter.since
                 if waited_s >= MEMORY_WAIT_S:
                     self._refuse(holding, count, waited_s)
                 self.end_stalled()
@@ -98,7 +115,11 @@
         finally:
             self.memory.cancel(waiter)
 
-    def _refuse(self, holding: Holding, count: int, waited_s: float) -> None:
+    def _refuse(self, holding: Holding, count: int, waited_s: float) -> NoReturn:
+        self._record_refusal(holding, count, waited_s)
+        raise MemoryShort(wanted_bytes=count)
+
+    def _record_refusal(self, holding: Holding, count: int, waited_s: float) -> None:
         self.log.record(
             "refused",
             holding.listener,
@@ -106,7 +127,6 @@
             waited_s=round(waited_s, 3),
             held_bytes=self.memory.held_bytes,
         )
-        raise MemoryShort(wanted_bytes=count)
 
     def end_stalled(self) -> None:
         """Give up the worst holders, if someone waits for what they hold."""
--- a/medlarrail/transport/server.py
+++ b/medlarrail/transport/server.py
@@ -5,6 +5,7 @@
 complete before the listener closes.
 """
 
+import re
 import socket
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import aclosing, contextmanager
@@ -24,6 +25,7 @@
     SlowSender,
     TooManyConnections,
 )
+from medlarrail.core.json_shape import JsonShape, iterate_windows
 from medlarrail.core.metrics import get_metrics
 from medlarrail.policy.answer_memory import AnswerMemory
 from medlarrail.policy.held_memory import SMALL_BYTES, Holding
@@ -57,6 +59,11 @@
 TCP_KEEPALIVE_PROBES = 3
 FIRST_BODY_BYTES = 65536
 """Memory for the beginning of a body of unknown length."""
+MAX_UNCHECKED_BYTES = 16384
+"""Maximum bytes of a body that is decoded whatever its elements are. One body is
+decoded at a time, and its values are freed when the message is built from them."""
+JSON_BEGIN = re.compile(rb'[ \t\r\n]*[\[{"]')
+"""What begins a body of JSON that can need more memory than its bytes."""
 MAX_SMALL_PARTS = 32
 """Parts of any size that a body may have."""
 MIN_PART_BYTES = 128
@@ -155,22 +162,41 @@
     async def _read_body(
         self, request: Request, receive, holding: Holding, scope: trio.CancelScope
     ) -> bytes:
-        """Return the body; a large one waits for memory."""
+        """Return the body; a large one waits for memory, and to be decoded."""
         declared = request.headers.get("content-length", "")
         size = int(declared) if declared.isdecimal() else 0
-        is_large = size > SMALL_BYTES or "transfer-encoding" in request.headers
+        is_checked = (
+            size > MAX_UNCHECKED_BYTES or "transfer-encoding" in request.headers
+        )
         if size > self.limits.body_bytes:
             raise OverLongBody(limit_bytes=self.limits.body_bytes)
         holding.start("receiving", trio.current_time())
-        is_trusted = is_large and self.routes.check_head(request)
+        is_trusted = is_checked and self.routes.check_head(request)
         reader = _BodyReader(self.gate, holding, self.limits, is_trusted)
         with scope:
             await reader.acquire(size)
-            return await reader.read(receive)
+            body = await reader.read(receive)
+            if is_checked and not is_trusted:
+                await self._wait_to_decode(body, holding)
+            return body
         if holding.is_waiting:
             raise MemoryShort()
         raise SlowSender(limit_s=round(holding.get_stall_s(trio.current_time()), 3))
 
+    async def _wait_to_decode(self, body: bytes, holding: Holding) -> None:
+        """Wait until there is memory for the values of a body of JSON.
+
+        Raises ``OverComplexBody`` and ``MemoryShort``. Senders with a key of the system
+        do not wait: they are trusted to send messages of the ordinary shape.
+        """
+        if JSON_BEGIN.match(body) is None:
+            return
+        shape = JsonShape()
+        for window in iterate_windows(body):
+            shape.add(window)
+            await trio.lowlevel.checkpoint()
+        await self.gate.acquire_for_decoding(holding, shape.estimate_decoded_bytes())
+
     async def wait_idle(self) -> None:
         """Return once no request is being served."""
         while self.active:
--- a/medlarrail/transport/server_test.py
+++ b/medlarrail/transport/server_test.py
@@ -12,6 +12,8 @@
 
 from medlarrail.core.errors import (
     BadField,
+    BadJson,
+    OverComplexBody,
     Overloaded,
     OverLongBody,
     PeerBroken,
@@ -22,10 +24,12 @@
     UnknownRoute,
 )
 from medlarrail.policy.connection_room import RESERVED_CONNECTIONS
+from medlarrail.policy.held_memory import HeldMemory
 from medlarrail.testing.fault_proxy import FaultProxy
 from medlarrail.transport import bounded_connections
 from medlarrail.transport import server as server_module
 from medlarrail.transport.client import HttpClient
+from medlarrail.transport.memory_gate import MemoryGate
 from medlarrail.transport.routes import EventStream, Routes, route
 from medlarrail.transport.server import HttpServer, ServerLimits, drain_and_stop
 from medlarrail.transport.sockets import set_reset_on_close
@@ -116,6 +120,15 @@
     return f"http://127.0.0.1:{port}"
 
 
+@pytest.fixture
+async def dense_url(handlers, nursery):
+    """The URL of a server that decodes bodies in little memory."""
+    gate = MemoryGate(HeldMemory(1_000_000))
+    server = HttpServer(Routes.collect(handlers), gate=gate)
+    port = await nursery.start(server.run, "127.0.0.1", 0)
+    return f"http://127.0.0.1:{port}"
+
+
 @pytest.fixture
 async def client():
     client = HttpClient(key="k")
@@ -147,6 +160,29 @@
         with pytest.raises(OverLongBody):
             await client.call(url, "/echo", Note("x" * 2000), Note, timeout_s=2)
 
+    async def test_body_of_many_elements_is_decoded(self, dense_url, client):
+        """Decoded it needs more than twenty times its bytes."""
+        body = b'{"text": "x", "rest": [' + b"{}," * 20_000 + b"{}]}"
+        answer = await client.fetch("POST", dense_url + "/echo", body)
+        assert answer.status == 413
+        with pytest.raises(OverComplexBody) as caught:
+            answer.raise_for_error(dense_url)
+        assert caught.value.needed_bytes > caught.value.limit_bytes > 0
+
+    async def test_text_of_many_separators_is_refused(self, dense_url, client):
+        note = Note('{"a": [1, 2]}, ' * 5_000)
+        assert await client.call(dense_url, "/echo", note, Note, timeout_s=2) == note
+
+    async def test_body_that_is_no_json_is_taken_for_a_large_one(
+        self, dense_url, client
+    ):
+        answer = await client.fetch("POST", dense_url + "/echo", b"{," * 10)
+        with pytest.raises(BadJson):
+            answer.raise_for_error(dense_url)
+        answer = await client.fetch("POST", dense_url + "/echo", b"x{," * 20_000)
+        with pytest.raises(BadJson):
+            answer.raise_for_error(dense_url)
+
     async def test_stream_that_fails_ends_regularly(self, url, client):
         """A caller must not take the events so far for the whole stream."""
         with pytest.raises(PeerBroken):
