--- a/medlarrail/platform/upgrade_test.py
+++ b/medlarrail/platform/upgrade_test.py
@@ -63,7 +63,7 @@
 )
 from medlarrail.transport.client import HttpClient
 
-VERSION_BEFORE = "97f7e72"
+VERSION_BEFORE = "d0dbb00"
 """Commit of the version that runs when an upgrade to this one begins."""
 VERSION_WITHOUT_ROLLOUTS = "78c0a3c35ff4353382d3bdac9da01d2cf55c2994"
 """Commit of the latest version that ignores rollouts of software."""
