Find surrogate escapes that cross the end of a window

What callers would see: a body of the widest text, given by escape sequences, was taken for text of half its width if its only surrogate crossed the end of a window of 16 KB, and could use twice the memory that it waited for. Found by reading; no process was seen to fail.

Cause: each window was searched alone; only escape sequences of two bytes were kept whole.

Change: the search begins with the last three bytes of the window before.

Evidence: test_surrogate_escape_across_the_end_of_a_window_is_missed failed before at three of eight offsets and passes.

--- a/medlarrail/core/json_shape.py
+++ b/medlarrail/core/json_shape.py
@@ -7,12 +7,14 @@
 import re
 from collections.abc import Iterator
 
-from attrs import define
+from attrs import define, field
 
 WINDOW_BYTES = 16384
 """Bytes that are looked at in one piece, in less than a millisecond."""
 WHITESPACE = b" \t\r\n"
 SURROGATE_ESCAPE = re.compile(rb"\\u[dD][89abAB]")
+SURROGATE_ESCAPE_BYTES = 4
+"""Bytes of an escape sequence that show that it is a surrogate."""
 FOUR_BYTE_LEAD = re.compile(rb"[\xf0-\xf4]")
 
 # Sizes of CPython's objects with 64-bit pointers, in bytes.
@@ -56,12 +58,16 @@
     _in_string: bool = False
     _latest: bytes = b""
     """The latest byte outside strings, a quote for a string."""
+    _tail: bytes = field(default=b"", eq=False)
+    """The latest bytes, with which a surrogate may have begun."""
 
     def add(self, window: bytes) -> None:
         """Count the elements of the next window, see ``iterate_windows``."""
         self.text_bytes += len(window)
         unescaped = window.replace(b"\\\\", b"")
-        self.char_bytes = max(self.char_bytes, _get_char_bytes(unescaped))
+        text = self._tail + unescaped
+        self._tail = text[1 - SURROGATE_ESCAPE_BYTES :]
+        self.char_bytes = max(self.char_bytes, _get_char_bytes(text))
         parts = unescaped.replace(b'\\"', b"").split(b'"')
         first_outside = 1 if self._in_string else 0
         outside = b'"'.join(parts[first_outside::2]).translate(None, WHITESPACE)
@@ -119,15 +125,15 @@
         begin += len(window)
 
 
-def _get_char_bytes(window: bytes) -> int:
-    """Return the bytes of each character in a string with the characters of a window.
+def _get_char_bytes(text: bytes) -> int:
+    """Return the bytes of each character in a string with the characters of a text.
 
-    ``window`` has no escaped backslashes.
+    ``text`` has no escaped backslashes.
     """
-    is_ascii = window.isascii()
-    is_escaped = b"\\u" in window
-    if not is_ascii and FOUR_BYTE_LEAD.search(window):
+    is_ascii = text.isascii()
+    is_escaped = b"\\u" in text
+    if not is_ascii and FOUR_BYTE_LEAD.search(text):
         return 4
-    if is_escaped and SURROGATE_ESCAPE.search(window):
+    if is_escaped and SURROGATE_ESCAPE.search(text):
         return 4
     return 1 if is_ascii and not is_escaped else 2
--- a/medlarrail/core/json_shape_test.py
+++ b/medlarrail/core/json_shape_test.py
@@ -131,6 +131,13 @@
         alone.text_bytes = cut.text_bytes
         assert cut == alone
 
+    @pytest.mark.parametrize("offset", range(8))
+    def test_surrogate_escape_across_the_end_of_a_window_is_missed(self, offset):
+        """The widest text was taken for text of half its width."""
+        text = b"x" * (WINDOW_BYTES - offset - 1)
+        data = b'"' + text + rb'\ud83d\ude00"'
+        assert scan(data).char_bytes == 4
+
     def test_broken_text_is_counted(self):
         """The parser reports what is wrong with it."""
         for data in (b"", b'"', b"\\", b'["\\', b"[[[", b"}}]]", b'{"a', b"\xff\xfe"):
