--- a/medlarrail/testing/client_crowd.py
+++ b/medlarrail/testing/client_crowd.py
@@ -104,10 +104,8 @@
     return stop_short_in_chunks(target, 1)
 
 
-def send_many_elements(target: Target) -> Shape:
-    """Return a client that sends one complete body of JSON with many small elements."""
-    body = b"[" + b"{}," * ((ELEMENTS_BYTES - 4) // 3) + b"{}]"
-    data = target.build_head(Content_Length=str(len(body))) + body
+def _exchange(data: bytes) -> Shape:
+    """Return a client that sends ``data`` and reads all that it is sent."""
 
     async def run(stream: trio.SocketStream) -> None:
         await stream.send_all(data)
@@ -117,6 +115,12 @@
     return run
 
 
+def send_many_elements(target: Target) -> Shape:
+    """Return a client that sends one complete body of JSON with many small elements."""
+    body = b"[" + b"{}," * ((ELEMENTS_BYTES - 4) // 3) + b"{}]"
+    return _exchange(target.build_head(Content_Length=str(len(body))) + body)
+
+
 def send_widest_text(target: Target) -> Shape:
     """Return a client that sends one complete body of JSON with one long string.
 
@@ -124,26 +128,12 @@
     """
     wide = "\N{GRINNING FACE}".encode()
     body = b'["' + b"x" * (ELEMENTS_BYTES - 4 - len(wide)) + wide + b'"]'
-    data = target.build_head(Content_Length=str(len(body))) + body
-
-    async def run(stream: trio.SocketStream) -> None:
-        await stream.send_all(data)
-        while await stream.receive_some(READ_BYTES):
-            pass
-
-    return run
+    return _exchange(target.build_head(Content_Length=str(len(body))) + body)
 
 
 def send_whole(target: Target) -> Shape:
     """Return a client that sends one complete body and reads the answer."""
-    data = target.build_body_head() + b"x" * target.body_bytes
-
-    async def run(stream: trio.SocketStream) -> None:
-        await stream.send_all(data)
-        while await stream.receive_some(READ_BYTES):
-            pass
-
-    return run
+    return _exchange(target.build_body_head() + b"x" * target.body_bytes)
 
 
 def pipeline_unread(target: Target) -> Shape:
@@ -191,13 +181,7 @@
 
 def read_all(target: Target) -> Shape:
     """Return a client that sends one request and reads what it is sent."""
-
-    async def run(stream: trio.SocketStream) -> None:
-        await stream.send_all(target.build_head())
-        while await stream.receive_some(READ_BYTES):
-            pass
-
-    return run
+    return _exchange(target.build_head())
 
 
 def stay_idle(target: Target) -> Shape:
