Select a newer deployment document in one place

The answers of leaders, of followers and, added lately, of members without a leader each compared the document's version with the caller's. The comparison is now in core/deployment.py; the answers are the same.

Measured: the tests of cluster/, core/ and programs/startup_test.py pass.

--- a/medlarrail/cluster/cluster_view_server.py
+++ b/medlarrail/cluster/cluster_view_server.py
@@ -20,7 +20,7 @@
 from medlarrail.core.announcements import Announcement, RegisteredEntry
 from medlarrail.core.clock import Clock, get_boottime
 from medlarrail.core.cluster_records import DesiredVersion, SharedPart
-from medlarrail.core.deployment import Deployment
+from medlarrail.core.deployment import Deployment, select_newer
 from medlarrail.core.deployment_check import check_deployment
 from medlarrail.core.errors import MedlarError, NotLeader
 from medlarrail.core.metrics import get_metrics
@@ -443,12 +443,10 @@
         catalogue = self.member.catalogue
         if catalogue.index <= message.index_seen:
             return AppliedState(message.index_seen)
-        document = catalogue.deployment
-        newer = document is not None and document.version > message.deployment_version
         return AppliedState(
             catalogue.index,
             marks=self.endpoint_marks.list_marks(),
-            deployment=document if newer else None,
+            deployment=select_newer(catalogue.deployment, message.deployment_version),
             desired=tuple(catalogue.desired.values()),
             version_ages=tuple(self.weight_versions.iterate_ages(self.clock())),
         )
@@ -513,8 +511,6 @@
         whole = message.epoch != self._get_epoch() or is_too_old
         since = 0 if whole else message.endpoints_seen
         catalogue = self.member.catalogue
-        document = catalogue.deployment
-        newer = document is not None and document.version > message.deployment_version
         listed = whole or message.entries_seen != self.entries_revision
         configured = whole or message.configuration_seen != self.configuration_index
         publication = self._publication
@@ -539,7 +535,7 @@
             marks=marks,
             entries=self._list_entries() if listed else None,
             entry_count=max(1, len(self.entries)),
-            deployment=document if newer else None,
+            deployment=select_newer(catalogue.deployment, message.deployment_version),
             out_data_centres=tuple(
                 sorted(
                     data_centre.name
--- a/medlarrail/cluster/view_copy.py
+++ b/medlarrail/cluster/view_copy.py
@@ -16,6 +16,7 @@
 from medlarrail.consensus.replication import LogMember
 from medlarrail.core.announcements import RegisteredEndpoint, RegisteredEntry
 from medlarrail.core.clock import Clock, get_boottime
+from medlarrail.core.deployment import select_newer
 from medlarrail.core.errors import MedlarError, NotLeader
 from medlarrail.core.metrics import get_metrics
 from medlarrail.core.software_rollouts import SoftwareRollout
@@ -225,8 +226,6 @@
         listed = whole or message.entries_seen < answer.entries_revision
         configured = whole or message.configuration_seen < answer.configuration_index
         suspected = whole or message.suspects_seen < answer.suspects_revision
-        document = answer.deployment
-        newer = document is not None and document.version > message.deployment_version
         rollouts = {rollout.service: rollout for rollout in answer.rollouts or ()}
         listed_endpoints, hidden = split_hidden(
             self._iterate_changed(since), rollouts, message.knows_rollouts
@@ -239,7 +238,7 @@
             departed=(*self.departures.iterate_names(since), *hidden),
             marks=answer.marks if whole else None,
             entries=answer.entries if listed else None,
-            deployment=document if newer else None,
+            deployment=select_newer(answer.deployment, message.deployment_version),
             suspects=answer.suspects if suspected else None,
             trial_requests=answer.trial_requests if suspected else None,
             blocked=answer.blocked if configured else None,
--- a/medlarrail/core/deployment.py
+++ b/medlarrail/core/deployment.py
@@ -142,3 +142,12 @@
     def requires_key(self) -> bool:
         """Whether requests need the key of an account, also if there is none left."""
         return self.lists_accounts or bool(self.accounts)
+
+
+def select_newer(document: Deployment | None, version: int) -> Deployment | None:
+    """Return the document if its version is higher, else None.
+
+    Callers that have a version are told only what they lack.
+    """
+    is_newer = document is not None and document.version > version
+    return document if is_newer else None
