Ask in one place whether the stores are used

The plan of transfers and the prompt's token counts each looked for the index of stored context and then asked whether accounts may share. RelayedRequest does both now; the answers, and what is asked of a request without stores, are the same.

--- a/medlarrail/relay/endpoint_choice.py
+++ b/medlarrail/relay/endpoint_choice.py
@@ -323,11 +323,9 @@
         A part that a store holds for the newest weights needs no prefill.
         """
         tokens = self.metadata.prompt_tokens
-        context = self.relay.context
+        context = self.relayed.find_stores()
         if context is None or len(self.metadata.parts) < 2 or not candidates:
             return Prompt(tokens, tokens)
-        if not self.relayed.allows_sharing():
-            return Prompt(tokens, tokens)
         version = self._get_newest_version(candidates)
         part = self.metadata.largest_shared_part
         scope = self.relayed.get_scope(version)
--- a/medlarrail/relay/relayed_request.py
+++ b/medlarrail/relay/relayed_request.py
@@ -39,6 +39,7 @@
 from medlarrail.policy.weight_use import get_replaced_s
 from medlarrail.relay.attempt import Attempt
 from medlarrail.relay.buffered_answer import BufferedAnswer
+from medlarrail.relay.context_index import ContextIndex
 from medlarrail.relay.crash_evidence import CrashEvidence
 from medlarrail.relay.endpoint_choice import EndpointChooser
 from medlarrail.relay.inbound import ServerExchange
@@ -349,6 +350,11 @@
         age_s = self.relay.cluster_view.get_age_s()
         return self.relay.isolation.allows_sharing(age_s)
 
+    def find_stores(self) -> ContextIndex | None:
+        """Return what the stores hold, None if there are none or they are not used."""
+        context = self.relay.context
+        return context if context is not None and self.allows_sharing() else None
+
     def build_dispatch(self, endpoint: EndpointView) -> DispatchMetadata:
         """Return the metadata sent with the request to ``endpoint``."""
         engine = self.service.engine is not None
@@ -386,11 +392,9 @@
         an endpoint whose version is unknown.
         """
         parts = self.metadata.parts
-        context = self.relay.context
+        context = self.find_stores()
         if context is None or not version or len(parts) < 2:
             return TransferPlan()
-        if not self.allows_sharing():
-            return TransferPlan()
         directory = self.relay.parts
         if directory is not None and directory.is_needed():
             located = self.part_location.take(scope)
